--- /dev/null
+++ b/internal/command/base.go
@@ -0,0 +1,270 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/coordination/spread"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/finding"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/hostlist"
+	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/rpc"
+	"limpetwall/internal/transport/settings"
+	"limpetwall/internal/transport/tlsfiles"
+)
+
+// Stop tells a process to stop: Graceful first, Now when waiting is over.
+type Stop struct {
+	Graceful <-chan struct{}
+	Now      <-chan struct{}
+}
+
+// BaseSettings are common to entries and agents.
+type BaseSettings struct {
+	ID, Host, Domain, Region string
+	PeerListen, AdminListen  string
+	Advertise                string
+	ObjectAPI, HostList      string
+	Seeds                    string
+	PeerTLS                  tlsfiles.Files
+	AllowPlaintext           bool
+	DrainTimeout             time.Duration
+	LogLevel                 string
+	Spread                   spread.Config
+}
+
+func bindBase(set *settings.Set) *BaseSettings {
+	b := &BaseSettings{Spread: spread.DefaultConfig()}
+	f := set.Flags()
+	f.StringVar(&b.ID, "id", "", "name of this process, unique in the fleet (required)")
+	f.StringVar(&b.Host, "host", "", "host this process runs on, as in the host list (required)")
+	f.StringVar(&b.Domain, "domain", "", "failure domain of the host (required)")
+	f.StringVar(&b.Region, "region", "local", "region of the failure domain")
+	f.StringVar(&b.PeerListen, "peer-listen", "127.0.0.1:7701", "IP and port for the system's own processes")
+	f.StringVar(&b.Advertise, "advertise", "", "IP and port that others reach peer-listen at; empty: the same")
+	f.StringVar(&b.AdminListen, "admin-listen", "", "IP and port for metrics and health; empty: none")
+	f.StringVar(&b.ObjectAPI, "object-api", "", "URL of the platform's object API (required)")
+	f.StringVar(&b.HostList, "host-list", "", "URL of the platform's host list (required)")
+	f.StringVar(&b.Seeds, "seeds", "", "comma-separated peer addresses to start from when the host list is down")
+	f.StringVar(&b.PeerTLS.Cert, "peer-cert", "", "PEM certificate shown to the system's own processes")
+	f.StringVar(&b.PeerTLS.Key, "peer-key", "", "PEM key of peer-cert")
+	f.StringVar(&b.PeerTLS.CA, "peer-ca", "", "PEM certificates that sign the system's own processes")
+	f.BoolVar(&b.AllowPlaintext, "allow-plaintext", false, "allow connections without TLS beyond loopback")
+	f.StringVar(&b.LogLevel, "log-level", "info", "debug, info, warn or error")
+	drain := set.Duration("drain-timeout", 10*time.Minute, 0, 24*time.Hour, "time for requests underway when stopping")
+	report := set.Duration("report-every", 500*time.Millisecond, 50*time.Millisecond, time.Minute, "shortest period of reports to the fleet")
+	set.Check(func(l *finding.List) {
+		b.DrainTimeout, b.Spread.ReportEvery = *drain, *report
+		b.check(l)
+	})
+	return b
+}
+
+func (b *BaseSettings) check(l *finding.List) {
+	for name, value := range map[string]string{"id": b.ID, "host": b.Host, "domain": b.Domain, "object-api": b.ObjectAPI, "host-list": b.HostList} {
+		if value == "" {
+			l.Add("-"+name, "is required")
+		}
+	}
+	if b.ID != "" {
+		config.CheckID(l, "-id", b.ID)
+	}
+	for name, value := range map[string]string{"object-api": b.ObjectAPI, "host-list": b.HostList} {
+		if value != "" && !strings.HasPrefix(value, "http://") && !strings.HasPrefix(value, "https://") {
+			l.Add("-"+name, "%q must begin with http:// or https://", value)
+		}
+	}
+	checkAddress(l, "-peer-listen", b.PeerListen)
+	if b.AdminListen != "" {
+		checkAddress(l, "-admin-listen", b.AdminListen)
+	}
+	checkTLS(l, "peer", b.PeerTLS, b.PeerListen, b.AllowPlaintext)
+	if b.PeerTLS.Cert != "" && b.PeerTLS.CA == "" {
+		l.Add("-peer-ca", "is required with -peer-cert: both sides of a connection are verified")
+	}
+	if b.LogLevel != "debug" && b.LogLevel != "info" && b.LogLevel != "warn" && b.LogLevel != "error" {
+		l.Add("-log-level", "%q is none of debug, info, warn, error", b.LogLevel)
+	}
+}
+
+func checkAddress(l *finding.List, place, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		l.Add(place, "%q must be an IP and port: %v", value, err)
+	}
+}
+
+// checkTLS refuses plaintext beyond loopback unless it was asked for: prompts
+// and keys would otherwise cross the network readable by a slip of settings.
+func checkTLS(l *finding.List, prefix string, files tlsfiles.Files, listen string, allowPlaintext bool) {
+	if (files.Cert == "") != (files.Key == "") {
+		l.Add("-"+prefix+"-cert", "and -%s-key must be given together", prefix)
+	}
+	address, err := netip.ParseAddrPort(listen)
+	if files.Cert == "" && err == nil && !address.Addr().IsLoopback() && !allowPlaintext {
+		l.Add("-"+prefix+"-cert", "is required to listen on %s; -allow-plaintext waives it", listen)
+	}
+}
+
+// base is what entries and agents have in common.
+type base struct {
+	settings *BaseSettings
+	zap      *zap.Logger
+	metrics  metrics.Registry
+	store    *config.Store
+	log      *configlog.Log
+	node     *spread.Node
+	pool     *rpc.Pool
+	server   *grpc.Server
+	listener net.Listener
+	admin    *http.Server
+	duties   sync.WaitGroup
+	cancel   context.CancelFunc
+	ctx      context.Context
+	api      objectapi.API
+}
+
+func newIncarnation() uint64 {
+	var raw [8]byte
+	rand.Read(raw[:])
+	return binary.LittleEndian.Uint64(raw[:]) | 1
+}
+
+func newBase(b *BaseSettings, logger *zap.Logger, role string, endpoint fleet.Endpoint, burn func() ([]byte, error)) (*base, error) {
+	serverTLS, clientTLS, err := peerTLS(b, logger)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", b.PeerListen)
+	if err != nil {
+		return nil, errors.Annotate(err, "-peer-listen")
+	}
+	advertise := b.Advertise
+	if advertise == "" {
+		advertise = listener.Addr().String()
+	}
+	logger = logger.With(zap.String("process", b.ID))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute}}
+	p := &base{
+		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
+		api: objectapi.NewClient(b.ObjectAPI, client), pool: rpc.NewPool(clientTLS),
+		server: rpc.NewServer(serverTLS), listener: listener,
+	}
+	p.log = configlog.New(p.api)
+	now := time.Now()
+	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{
+		ID: b.ID, Incarnation: newIncarnation(), Version: uint64(now.UnixMilli()), Address: advertise,
+		Host: b.Host, Domain: b.Domain, Region: b.Region, Role: role, Endpoint: endpoint,
+	}, now)
+	if b.Seeds != "" {
+		b.Spread.Seeds = strings.Split(b.Seeds, ",")
+	}
+	p.node = spread.New(b.Spread, table, p.store, p.log, hostlist.NewClient(b.HostList, client), p.pool, logger)
+	wire.RegisterPeerServer(p.server, &spread.Server{Node: p.node, Burn: burn})
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p, nil
+}
+
+func peerTLS(b *BaseSettings, logger *zap.Logger) (server, client *tls.Config, err error) {
+	if b.PeerTLS.Cert == "" {
+		logger.Warn("connections between processes are plaintext", zap.String("listen", b.PeerListen))
+		return nil, nil, nil
+	}
+	source, err := tlsfiles.Open(b.PeerTLS)
+	if err != nil {
+		return nil, nil, err
+	}
+	return source.Server(), source.Client(), nil
+}
+
+// start serves peers, joins the fleet and runs the spread duties. It returns
+// once the configuration in force is known, or when stop is told.
+func (p *base) start(stop Stop) {
+	p.run(func(context.Context) { p.server.Serve(p.listener) })
+	p.startAdmin()
+	for p.node.Join(p.ctx) != nil {
+		p.zap.Warn("neither the platform nor a peer answers; trying again")
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-stop.Graceful:
+			return
+		}
+	}
+	p.run(p.node.Run)
+	p.node.Announce()
+}
+
+// run starts a duty.
+func (p *base) run(duty func(context.Context)) {
+	p.duties.Go(func() { duty(p.ctx) })
+}
+
+func (p *base) startAdmin() {
+	if p.settings.AdminListen == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", p.settings.AdminListen)
+	if err != nil {
+		p.zap.Error("admin listener", zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /metrics", p.serveMetrics)
+	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	p.run(func(context.Context) { p.admin.Serve(listener) })
+}
+
+func (p *base) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	p.recordSpread()
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(p.metrics, w)
+}
+
+// recordSpread copies the exact spread counts into the registry.
+func (p *base) recordSpread() {
+	c := p.node.Counts()
+	for name, value := range map[string]int64{
+		"spread.sent": c.Sent, "spread.sent_bytes": c.SentBytes, "spread.received": c.Received,
+		"spread.received_bytes": c.ReceivedBytes, "spread.platform_calls": c.PlatformCalls,
+		"config.revision": int64(p.store.View().Revision), "fleet.size": int64(p.node.Table().Size()),
+	} {
+		metrics.GetOrRegisterGauge(name, p.metrics).Update(value)
+	}
+}
+
+// close ends everything; requests must have ended before.
+func (p *base) close() {
+	p.cancel()
+	if p.admin != nil {
+		p.admin.Close()
+	}
+	p.server.Stop()
+	p.pool.Close()
+	p.duties.Wait()
+	p.zap.Sync()
+}
+
+// farewell gives peers a moment to hear that this process leaves.
+func (p *base) farewell() {
+	const notice = 300 * time.Millisecond
+	p.node.Table().Update(time.Now(), func(m *fleet.Member) { m.State = fleet.Leaving })
+	p.node.Announce()
+	time.Sleep(notice)
+}
--- /dev/null
+++ b/internal/command/entry.go
@@ -0,0 +1,192 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/burn"
+	"limpetwall/internal/coordination/claims"
+	"limpetwall/internal/coordination/entry"
+	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/state/finding"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/settings"
+	"limpetwall/internal/transport/tlsfiles"
+)
+
+const (
+	// indexSize bounds the pieces of context an entry remembers, per generation.
+	indexSize = 250_000
+	// retryShare and retryBurst bound retries to a share of the requests.
+	retryShare = 0.1
+	retryBurst = 20
+	saltSize   = 32
+	// maxConfirmTries bounds the writes of one confirm.
+	maxConfirmTries = 16
+)
+
+// EntrySettings are an entry's settings.
+type EntrySettings struct {
+	*BaseSettings
+	Listen     string
+	TLS        tlsfiles.Files
+	DrainDelay time.Duration
+	Entry      entry.Config
+	// ReadHeaderTimeout bounds the time for a request's headers.
+	ReadHeaderTimeout time.Duration
+	MaxHeader         int
+}
+
+// BindEntry declares an entry's settings.
+func BindEntry(set *settings.Set) *EntrySettings {
+	s := &EntrySettings{BaseSettings: bindBase(set), Entry: entry.DefaultConfig()}
+	f := set.Flags()
+	f.StringVar(&s.Listen, "listen", "127.0.0.1:8080", "IP and port for callers and operators")
+	f.StringVar(&s.TLS.Cert, "cert", "", "PEM certificate shown to callers")
+	f.StringVar(&s.TLS.Key, "key", "", "PEM key of cert")
+	root := set.Secret("root-key-hash", "SHA-256 of the operator key that works before any operator is configured")
+	delay := set.Duration("drain-delay", 5*time.Second, 0, 5*time.Minute, "time that the balancer is given to see readiness fall")
+	headerTimeout := set.Duration("read-header-timeout", 10*time.Second, time.Second, time.Minute, "time for a request's headers")
+	maxBody := set.Int("max-body", 8<<20, 1<<10, 24<<20, "bytes of a request's body")
+	maxHeader := set.Int("max-header", 64<<10, 4<<10, 1<<20, "bytes of a request's headers")
+	maxMessages := set.Int("max-messages", 1024, 1, 100_000, "messages of a chat request")
+	maxTokens := set.Int("max-tokens", 32_768, 1, 1<<20, "tokens a request may ask for")
+	maxQueue := set.Int("max-queue", 1024, 0, 100_000, "requests of one service that may wait for an endpoint")
+	set.Check(func(l *finding.List) {
+		checkAddress(l, "-listen", s.Listen)
+		checkTLS(l, "", s.TLS, s.Listen, s.AllowPlaintext)
+		if *root != "" && len(*root) != 64 {
+			l.Add("-root-key-hash", "must be 64 hexadecimal digits")
+		}
+		s.Entry.RootKeyHash, s.DrainDelay, s.ReadHeaderTimeout = *root, *delay, *headerTimeout
+		s.Entry.MaxBody, s.MaxHeader, s.Entry.MaxQueue = int64(*maxBody), *maxHeader, *maxQueue
+		s.Entry.Prompt.MaxMessages, s.Entry.Prompt.MaxMaxTokens = *maxMessages, *maxTokens
+	})
+	return s
+}
+
+// RunEntry runs an entry until it is told to stop.
+func RunEntry(s *EntrySettings, logger *zap.Logger, stop Stop) error {
+	return runEntry(s, logger, stop, func(*base) {}, func(string) {})
+}
+
+// runEntry also tells when its parts are built and its listener is open.
+func runEntry(s *EntrySettings, logger *zap.Logger, stop Stop, built func(*base), listening func(address string)) error {
+	book := burn.NewBook()
+	p, err := newBase(s.BaseSettings, logger, fleet.RoleEntry, fleet.Endpoint{}, func() ([]byte, error) {
+		data, err := json.Marshal(book.Snapshot(time.Now()))
+		return data, errors.Trace(err)
+	})
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	e, binder, runner := buildEntry(s, p, book)
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Annotate(err, "-listen")
+	}
+	hard, cut := context.WithCancelCause(context.Background())
+	defer cut(nil)
+	server := &http.Server{
+		Handler: e.Handler(), ReadHeaderTimeout: s.ReadHeaderTimeout, MaxHeaderBytes: s.MaxHeader,
+		BaseContext: func(net.Listener) context.Context { return hard },
+	}
+	p.run(binder.Run)
+	p.run(runner.WatchDuty)
+	p.run(e.ReportsDuty)
+	p.run(func(ctx context.Context) {
+		p.node.ReportDuty(ctx, func() fleet.Load { return fleet.Load{Running: e.Inflight()} })
+	})
+	failed := make(chan error, 1)
+	p.run(func(context.Context) { failed <- serveCallers(server, listener, s, p.zap) })
+	listening(listener.Addr().String())
+	built(p)
+	p.start(stop)
+	e.SetReady()
+	p.zap.Info("entry ready", zap.String("listen", listener.Addr().String()), zap.Uint64("revision", p.store.View().Revision))
+	select {
+	case <-stop.Graceful:
+	case err := <-failed:
+		return errors.Trace(err)
+	}
+	drainEntry(s, p, e, server, stop, cut)
+	return nil
+}
+
+func buildEntry(s *EntrySettings, p *base, book *burn.Book) (*entry.Entry, *claims.Binder, *runs.Runner) {
+	table := p.node.Table()
+	directory := routing.NewDirectory(table, p.store, indexSize, table.Self().Incarnation)
+	binder := claims.NewBinder(claims.DefaultConfig(), p.api)
+	runner := &runs.Runner{
+		Directory: directory, Table: table, Pool: p.pool, Tickets: runs.NewTicketPool(p.pool),
+		Binder: binder, Budget: runs.NewRetryBudget(retryShare, retryBurst), Store: p.store, Zap: p.zap,
+	}
+	confirmer := &plan.Confirmer{Log: p.log, Store: p.store, Salt: newSalt, Now: time.Now, MaxTries: maxConfirmTries}
+	e := entry.New(s.Entry, entry.Deps{
+		Node: p.node, Store: p.store, Directory: directory, Runner: runner, Confirmer: confirmer,
+		Pool: p.pool, Book: book, Zap: p.zap, Metrics: p.metrics,
+	})
+	return e, binder, runner
+}
+
+func newSalt() []byte {
+	salt := make([]byte, saltSize)
+	rand.Read(salt)
+	return salt
+}
+
+func serveCallers(server *http.Server, listener net.Listener, s *EntrySettings, logger *zap.Logger) error {
+	if s.TLS.Cert == "" {
+		logger.Warn("connections to callers are plaintext", zap.String("listen", s.Listen))
+		return server.Serve(listener)
+	}
+	source, err := tlsfiles.Open(s.TLS)
+	if err != nil {
+		return err
+	}
+	server.TLSConfig = source.Server()
+	return server.ServeTLS(listener, "", "")
+}
+
+// drainEntry stops in an order that cuts nothing: readiness falls, the balancer
+// sees it, then the listener closes and the requests underway finish.
+func drainEntry(s *EntrySettings, p *base, e *entry.Entry, server *http.Server, stop Stop, cut context.CancelCauseFunc) {
+	p.zap.Info("stopping", zap.Int("inflight", e.Inflight()))
+	e.SetDraining()
+	select {
+	case <-time.After(s.DrainDelay):
+	case <-stop.Now:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-stop.Now:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := server.Shutdown(ctx)
+	left := 0
+	if err != nil {
+		left = e.Inflight()
+		cut(runs.ErrStopping)
+		// The cut requests still get their final answer.
+		final, done := context.WithTimeout(context.Background(), time.Second)
+		server.Shutdown(final)
+		done()
+		server.Close()
+	}
+	p.farewell()
+	p.zap.Info("stopped", zap.Int("cut", left))
+}
--- /dev/null
+++ b/internal/command/main.go
@@ -0,0 +1,129 @@
+package command
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"limpetwall/internal/transport/logging"
+	"limpetwall/internal/transport/settings"
+)
+
+// Exit codes of limpetwall.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+const usage = `limpetwall serves language-model prompts whose context returns after long gaps.
+
+Usage: limpetwall COMMAND [settings]
+
+  entry      serve callers and operators
+  agent      run beside one endpoint
+  dev        run entries, agents and stand-ins of all outside systems in one process
+  standin    run one stand-in alone: engine, store, objectapi, hostlist, service, weights
+
+Each setting is a flag and an environment variable: -peer-listen is
+LIMPETWALL_PEER_LISTEN. "limpetwall COMMAND -h" lists them, -print-config shows
+those in force. Exit codes: 0 stopped as told, 1 failed, 2 bad settings.
+`
+
+// IO is a process's surroundings.
+type IO struct {
+	Out, Err io.Writer
+	Env      settings.LookupEnv
+	Signals  <-chan os.Signal
+}
+
+// Main runs limpetwall and returns its exit code.
+func Main(args []string, io IO) int {
+	if len(args) == 0 {
+		fmt.Fprint(io.Err, usage)
+		return ExitSettings
+	}
+	commands := map[string]func([]string, IO) int{
+		"entry": entryMain, "agent": agentMain, "dev": devMain, "standin": standinMain,
+	}
+	run, ok := commands[args[0]]
+	if !ok {
+		if args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+			fmt.Fprint(io.Out, usage)
+			return ExitOK
+		}
+		fmt.Fprintf(io.Err, "unknown command %q\n\n%s", args[0], usage)
+		return ExitSettings
+	}
+	return run(args[1:], io)
+}
+
+// parse reads settings; done means that the process should exit with code.
+func parse(set *settings.Set, args []string, io IO) (code int, done bool) {
+	err := set.Parse(args, io.Env)
+	switch {
+	case err == flag.ErrHelp:
+		set.Usage(io.Out)
+		return ExitOK, true
+	case err != nil:
+		fmt.Fprintf(io.Err, "settings:\n%v\n", err)
+		return ExitSettings, true
+	case set.PrintRequested():
+		set.Print(io.Out)
+		return ExitOK, true
+	}
+	return ExitOK, false
+}
+
+func newLogger(level string, io IO) *zap.Logger {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		parsed = zapcore.InfoLevel
+	}
+	return logging.New(io.Err, parsed)
+}
+
+// watchSignals turns the first signal into a graceful stop and the second into
+// an immediate one.
+func watchSignals(signals <-chan os.Signal) Stop {
+	graceful, now := make(chan struct{}), make(chan struct{})
+	go func() {
+		<-signals
+		close(graceful)
+		<-signals
+		close(now)
+	}()
+	return Stop{Graceful: graceful, Now: now}
+}
+
+func entryMain(args []string, io IO) int {
+	set := settings.New("limpetwall entry")
+	s := BindEntry(set)
+	if code, done := parse(set, args, io); done {
+		return code
+	}
+	logger := newLogger(s.LogLevel, io)
+	return finish(logger, RunEntry(s, logger, watchSignals(io.Signals)))
+}
+
+func agentMain(args []string, io IO) int {
+	set := settings.New("limpetwall agent")
+	s := BindAgent(set)
+	if code, done := parse(set, args, io); done {
+		return code
+	}
+	logger := newLogger(s.LogLevel, io)
+	return finish(logger, RunAgent(s, logger, watchSignals(io.Signals)))
+}
+
+func finish(logger *zap.Logger, err error) int {
+	if err != nil {
+		logger.Error("failed", zap.Error(err))
+		return ExitFailed
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/internal/coordination/agent/agent.go
@@ -0,0 +1,167 @@
+// Package agent is the process beside one endpoint and the only one that calls
+// it: it runs attempts for entries, keeps the record of requests that may not
+// be repeated, reports load and tells when the endpoint leaves.
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/spread"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/ledger"
+	"limpetwall/internal/transport/engine"
+	"limpetwall/internal/transport/plainservice"
+)
+
+// Config tunes an agent.
+type Config struct {
+	// StatusEvery is the period of the engine's status reads.
+	StatusEvery time.Duration
+	// MaxPlainAnswer bounds a plain service's answer, in bytes.
+	MaxPlainAnswer int64
+	Ledger         ledger.Config
+}
+
+// DefaultConfig is what agents use.
+func DefaultConfig() Config {
+	return Config{
+		StatusEvery: 200 * time.Millisecond,
+		MaxPlainAnswer: 64 << 20, Ledger: ledger.DefaultConfig(),
+	}
+}
+
+// Agent serves one endpoint. Exactly one of engine and plain is set.
+type Agent struct {
+	wire.UnimplementedAgentServer
+	cfg     Config
+	node    *spread.Node
+	store   *config.Store
+	engine  engine.Engine
+	plain   plainservice.Service
+	ledger  *ledger.Ledger
+	zap     *zap.Logger
+	metrics metrics.Registry
+
+	draining atomic.Bool
+	inflight sync.WaitGroup
+	running  atomic.Int64
+	waiting  atomic.Int64
+	// waitingTokens are the prompt tokens of runs that have not started yet.
+	waitingTokens atomic.Int64
+
+	mu     sync.Mutex
+	status engine.Status
+	base   context.Context
+	cut    context.CancelFunc
+}
+
+// New returns an agent for an engine or a plain service.
+func New(cfg Config, node *spread.Node, store *config.Store, eng engine.Engine, plain plainservice.Service, logger *zap.Logger, registry metrics.Registry) *Agent {
+	base, cut := context.WithCancel(context.Background())
+	return &Agent{
+		cfg: cfg, node: node, store: store, engine: eng, plain: plain, zap: logger, metrics: registry,
+		ledger: ledger.New(cfg.Ledger, node.Table().Self().Incarnation), base: base, cut: cut,
+	}
+}
+
+// RunDuties runs the agent's duties until ctx ends.
+func (a *Agent) RunDuties(ctx context.Context) {
+	var group sync.WaitGroup
+	if a.engine != nil {
+		group.Go(func() { a.statusDuty(ctx) })
+	}
+	group.Go(func() { a.node.ReportDuty(ctx, a.load) })
+	group.Wait()
+}
+
+// statusDuty follows the engine: others decide by its model and weight version.
+func (a *Agent) statusDuty(ctx context.Context) {
+	ticker := time.NewTicker(a.cfg.StatusEvery)
+	defer ticker.Stop()
+	for {
+		a.readStatus(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) readStatus(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 5*a.cfg.StatusEvery)
+	defer cancel()
+	status, err := a.engine.Status(ctx)
+	if err != nil {
+		metrics.GetOrRegisterCounter("agent.status_errors", a.metrics).Inc(1)
+		return
+	}
+	a.mu.Lock()
+	a.status = status
+	a.mu.Unlock()
+	a.node.Table().Update(time.Now(), func(m *fleet.Member) {
+		m.Endpoint.Model, m.Endpoint.WeightVersion = status.Model, status.WeightVersion
+		m.Endpoint.Adapter, m.Endpoint.Role = status.Adapter, status.Role
+	})
+}
+
+// load is what the agent knows without lag: all work passes through it.
+func (a *Agent) load() fleet.Load {
+	a.mu.Lock()
+	rate := a.status.PrefillRate
+	a.mu.Unlock()
+	return fleet.Load{
+		Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
+		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate,
+	}
+}
+
+// Leave tells the fleet that the endpoint leaves; new work is refused from now on.
+func (a *Agent) Leave() {
+	a.draining.Store(true)
+	a.node.Table().Update(time.Now(), func(m *fleet.Member) { m.State = fleet.Leaving })
+	a.node.Announce()
+}
+
+// Drain waits for the runs underway, at most until ctx ends, and returns how
+// many it cut.
+func (a *Agent) Drain(ctx context.Context) int {
+	done := make(chan struct{})
+	go func() {
+		a.inflight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return 0
+	case <-ctx.Done():
+		left := int(a.running.Load() + a.waiting.Load())
+		a.cut()
+		return left
+	}
+}
+
+func (a *Agent) leaving() bool {
+	return a.draining.Load() || a.node.Table().Self().State == fleet.Leaving
+}
+
+// MintTickets implements wire.AgentServer.
+func (a *Agent) MintTickets(_ context.Context, r *wire.MintTicketsRequest) (*wire.MintTicketsResponse, error) {
+	count := min(int(r.GetCount()), 1024)
+	first, err := a.ledger.Mint(count, time.Now())
+	if err != nil || a.leaving() {
+		return &wire.MintTicketsResponse{Incarnation: a.ledger.Incarnation()}, nil
+	}
+	return &wire.MintTicketsResponse{
+		Incarnation: a.ledger.Incarnation(), First: first, Count: uint32(count),
+		ValidMs: a.ledger.TicketTTL().Milliseconds(),
+	}, nil
+}
--- /dev/null
+++ b/internal/coordination/agent/run.go
@@ -0,0 +1,358 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/ledger"
+	"limpetwall/internal/transport/engine"
+	"limpetwall/internal/transport/plainservice"
+)
+
+// Codes of refusals by an agent.
+const (
+	CodeLeaving          = "endpoint_leaving"
+	CodeBusy             = "endpoint_busy"
+	CodeVersion          = "weight_version_changed"
+	CodeNotReached       = "endpoint_not_reached"
+	CodeBroken           = "endpoint_stream_broke"
+	CodeOtherIncarnation = "agent_restarted"
+	CodeUnknownTicket    = "outcome_unknown"
+	CodeExpired          = "key_expired"
+	CodeOtherRequest     = "key_used_for_other_request"
+	CodeRecordFull       = "record_full"
+	CodeAnswerNotKept    = "answer_not_kept"
+	CodeBadRequest       = "bad_request"
+	CodeCut              = "cut_by_shutdown"
+)
+
+// bodyChunk is the size of one event of a plain answer's body.
+const bodyChunk = 32 << 10
+
+// emit receives a run's events in order; an error stops the run.
+type emit func(*wire.RunEvent) error
+
+// Run implements wire.AgentServer.
+func (a *Agent) Run(r *wire.RunRequest, stream wire.Agent_RunServer) error {
+	a.inflight.Add(1)
+	defer a.inflight.Done()
+	send := func(e *wire.RunEvent) error {
+		e.RequestId, e.Attempt = r.GetRequestId(), r.GetAttempt()
+		return stream.Send(e)
+	}
+	if refused := a.admit(r); refused != nil {
+		return send(a.withLoad(refusedEvent(refused)))
+	}
+	if r.GetTicket() != nil {
+		return a.runTicket(stream.Context(), r, send)
+	}
+	ctx, cancel := a.runContext(stream.Context(), r)
+	defer cancel()
+	a.execute(ctx, r, send)
+	return nil
+}
+
+// runContext ends with the request's time, its entry, or a forced shutdown.
+func (a *Agent) runContext(parent context.Context, r *wire.RunRequest) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, time.Duration(r.GetTimeoutMs())*time.Millisecond)
+	stop := context.AfterFunc(a.base, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// admit refuses what surely must not start here. A ticket is let through while
+// leaving: its record may hold the answer that a retry asks for.
+func (a *Agent) admit(r *wire.RunRequest) *wire.Refused {
+	wanted := r.GetWantIncarnation()
+	switch {
+	case wanted != 0 && wanted != a.ledger.Incarnation() && r.GetTicket() == nil:
+		return refuse(CodeOtherIncarnation, wire.Ran_RAN_NO, 0, "the agent restarted")
+	case a.leaving() && r.GetTicket() == nil:
+		return refuse(CodeLeaving, wire.Ran_RAN_NO, 0, "the endpoint is leaving")
+	case r.GetPrompt() == nil && r.GetPlain() == nil:
+		return refuse(CodeBadRequest, wire.Ran_RAN_NO, 0, "no call in request")
+	case (r.GetPrompt() != nil) != (a.engine != nil):
+		return refuse(CodeBadRequest, wire.Ran_RAN_NO, 0, "the endpoint is of another kind")
+	}
+	return nil
+}
+
+func refuse(code string, ran wire.Ran, after time.Duration, message string) *wire.Refused {
+	return &wire.Refused{Code: code, Ran: ran, RetryAfterMs: after.Milliseconds(), Message: message}
+}
+
+func refusedEvent(r *wire.Refused) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: r}}
+}
+
+func (a *Agent) withLoad(e *wire.RunEvent) *wire.RunEvent {
+	e.Load = a.load().ToWire()
+	return e
+}
+
+// runTicket runs a ticket's request once, or follows the run that it already had.
+func (a *Agent) runTicket(ctx context.Context, r *wire.RunRequest, send emit) error {
+	ticket := r.GetTicket()
+	record, started, err := a.ledger.Begin(ticket.GetIncarnation(), ticket.GetSequence(), r.GetCustomer(), r.GetRequestDigest(), time.Now())
+	if err != nil {
+		return send(a.withLoad(refusedEvent(ticketRefusal(err))))
+	}
+	if started && a.leaving() {
+		record.Abandon()
+		return send(a.withLoad(refusedEvent(refuse(CodeLeaving, wire.Ran_RAN_NO, 0, "the endpoint is leaving"))))
+	}
+	if started {
+		a.inflight.Add(1)
+		record.Follow() // until this caller's own follow has begun
+		defer record.Unfollow()
+		// The run outlives its entry: if it were cancelled with the stream, a
+		// booking could stop half-way and the retry would find nothing to replay.
+		go func() {
+			defer a.inflight.Done()
+			runCtx, cancel := a.runContext(context.Background(), r)
+			defer cancel()
+			a.record(runCtx, r, record)
+		}()
+	}
+	return a.follow(ctx, record, !started, send)
+}
+
+func ticketRefusal(err error) *wire.Refused {
+	switch {
+	case errors.Is(err, ledger.ErrExpired):
+		return refuse(CodeExpired, wire.Ran_RAN_NO, 0, err.Error())
+	case errors.Is(err, ledger.ErrOtherRequest):
+		return refuse(CodeOtherRequest, wire.Ran_RAN_NO, 0, err.Error())
+	case errors.Is(err, ledger.ErrFull):
+		return refuse(CodeRecordFull, wire.Ran_RAN_NO, time.Second, err.Error())
+	default:
+		return refuse(CodeUnknownTicket, wire.Ran_RAN_UNKNOWN, 0, "the record of this request is gone; it will not be run")
+	}
+}
+
+// record executes the request into its record.
+func (a *Agent) record(ctx context.Context, r *wire.RunRequest, record *ledger.Record) {
+	notRun := false
+	a.execute(ctx, r, func(e *wire.RunEvent) error {
+		refused := e.GetRefused()
+		notRun = refused != nil && refused.GetRan() == wire.Ran_RAN_NO
+		record.Append(e, proto.Size(e))
+		return nil
+	})
+	if notRun {
+		record.Abandon()
+		return
+	}
+	record.Finish()
+}
+
+// follow delivers a record's events as they come.
+func (a *Agent) follow(ctx context.Context, record *ledger.Record, replayed bool, send emit) error {
+	record.Follow()
+	defer record.Unfollow()
+	sent := 0
+	for {
+		events, done, cut, changed := record.Next(sent)
+		for _, event := range events {
+			e := proto.Clone(event.(*wire.RunEvent)).(*wire.RunEvent)
+			if f := e.GetFinished(); f != nil {
+				f.Replayed = replayed
+			}
+			if h := e.GetPlainHead(); h != nil {
+				h.Replayed = replayed
+			}
+			if err := send(e); err != nil {
+				return err
+			}
+		}
+		sent += len(events)
+		if len(events) > 0 {
+			continue
+		}
+		if done {
+			if cut {
+				return send(refusedEvent(refuse(CodeAnswerNotKept, wire.Ran_RAN_YES, 0, "the request ran; its answer was too large to keep")))
+			}
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (a *Agent) execute(ctx context.Context, r *wire.RunRequest, send emit) {
+	started := time.Now()
+	if p := r.GetPrompt(); p != nil {
+		a.executePrompt(ctx, r, p, send)
+	} else {
+		a.executePlain(ctx, r, r.GetPlain(), send)
+	}
+	metrics.GetOrRegisterTimer("agent.run", a.metrics).UpdateSince(started)
+}
+
+func (a *Agent) executePrompt(ctx context.Context, r *wire.RunRequest, p *wire.Prompt, send emit) {
+	tokens := int64(contextkey.Tokens(p.GetText()))
+	a.waiting.Add(1)
+	a.waitingTokens.Add(tokens)
+	waiting := true
+	leaveQueue := func() {
+		if waiting {
+			a.waiting.Add(-1)
+			a.waitingTokens.Add(-tokens)
+			waiting = false
+		}
+	}
+	defer leaveQueue()
+
+	stream, err := a.engine.Generate(ctx, a.engineRequest(r, p))
+	if err != nil {
+		send(a.withLoad(refusedEvent(engineRefusal(err))))
+		return
+	}
+	defer stream.Close()
+	a.running.Add(1)
+	defer a.running.Add(-1)
+	offset := uint32(len(p.GetResumeTokens()))
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			send(a.withLoad(refusedEvent(a.brokenStream(err))))
+			return
+		}
+		leaveQueue()
+		switch {
+		case event.Started != nil:
+			err = send(a.withLoad(startedEvent(event.Started)))
+		case event.Tokens != nil:
+			err = send(tokensEvent(offset, event.Tokens))
+			offset += uint32(len(event.Tokens))
+		default:
+			send(a.withLoad(finishedEvent(event.Finish, offset)))
+			return
+		}
+		if err != nil {
+			a.zap.Info("run cancelled by its entry", zap.String("request_id", r.GetRequestId()), zap.Uint32("attempt", r.GetAttempt()))
+			return
+		}
+	}
+}
+
+func (a *Agent) brokenStream(err error) *wire.Refused {
+	if a.base.Err() != nil {
+		return refuse(CodeCut, wire.Ran_RAN_YES, 0, "the agent's shutdown deadline passed")
+	}
+	return refuse(CodeBroken, wire.Ran_RAN_YES, 0, err.Error())
+}
+
+// engineRequest pins the weight version the agent last saw if the entry pinned
+// none: the engine refuses if it has swapped since, so blocks of another version
+// are never matched by the keys computed here.
+func (a *Agent) engineRequest(r *wire.RunRequest, p *wire.Prompt) engine.Request {
+	version := p.GetWeightVersion()
+	if version == "" {
+		a.mu.Lock()
+		version = a.status.WeightVersion
+		a.mu.Unlock()
+	}
+	scope := contextkey.Scope{Salt: p.GetCacheSalt(), Model: p.GetModel(), WeightVersion: version, Adapter: p.GetAdapter()}
+	return engine.Request{
+		RequestID: r.GetRequestId(), Model: p.GetModel(), WeightVersion: version, Adapter: p.GetAdapter(),
+		Text: p.GetText(), Blocks: contextkey.Chain(scope, p.GetText()), MaxTokens: int(p.GetMaxTokens()),
+		Seed: p.GetSeed(), Priority: int(p.GetPriority()), ResumeTokens: p.GetResumeTokens(),
+	}
+}
+
+func engineRefusal(err error) *wire.Refused {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return refuse(CodeNotReached, wire.Ran_RAN_NO, time.Second, "the engine was not reached")
+	case errors.Is(err, engine.ErrBusy):
+		return refuse(CodeBusy, wire.Ran_RAN_NO, 500*time.Millisecond, "the engine is full")
+	case errors.Is(err, engine.ErrVersion):
+		return refuse(CodeVersion, wire.Ran_RAN_NO, 0, "the engine serves another model or weight version")
+	default:
+		return refuse(CodeBroken, wire.Ran_RAN_UNKNOWN, 0, err.Error())
+	}
+}
+
+func startedEvent(s *engine.Started) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{
+		WeightVersion: s.WeightVersion, CachedTokens: uint32(s.CachedTokens), PromptTokens: uint32(s.PromptTokens),
+	}}}
+}
+
+func tokensEvent(offset uint32, tokens []string) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Tokens{Tokens: &wire.Tokens{Offset: offset, Tokens: tokens}}}
+}
+
+func finishedEvent(reason string, tokens uint32) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Finished{Finished: &wire.Finished{Reason: reason, CompletionTokens: tokens}}}
+}
+
+func (a *Agent) executePlain(ctx context.Context, r *wire.RunRequest, p *wire.PlainCall, send emit) {
+	a.running.Add(1)
+	defer a.running.Add(-1)
+	headers := http.Header{}
+	for _, h := range p.GetHeaders() {
+		headers[h.GetName()] = h.GetValues()
+	}
+	answer, err := a.plain.Call(ctx, plainservice.Call{
+		RequestID: r.GetRequestId(), Method: p.GetMethod(), Path: p.GetPath(), Headers: headers, Body: p.GetBody(),
+	})
+	if err != nil {
+		send(a.withLoad(refusedEvent(plainRefusal(err))))
+		return
+	}
+	defer answer.Body.Close()
+	head := &wire.PlainHead{Status: int32(answer.Status)}
+	for name, values := range answer.Headers {
+		head.Headers = append(head.Headers, &wire.Header{Name: name, Values: values})
+	}
+	if send(a.withLoad(&wire.RunEvent{Event: &wire.RunEvent_PlainHead{PlainHead: head}})) != nil {
+		return
+	}
+	a.copyBody(answer.Body, send)
+}
+
+func plainRefusal(err error) *wire.Refused {
+	if errors.Is(err, plainservice.ErrNotSent) {
+		return refuse(CodeNotReached, wire.Ran_RAN_NO, time.Second, "the service was not reached")
+	}
+	return refuse(CodeBroken, wire.Ran_RAN_UNKNOWN, 0, err.Error())
+}
+
+func (a *Agent) copyBody(body io.Reader, send emit) {
+	total := int64(0)
+	for {
+		// A fresh buffer each time: the record keeps the event.
+		buf := make([]byte, bodyChunk)
+		n, err := body.Read(buf)
+		total += int64(n)
+		if total > a.cfg.MaxPlainAnswer {
+			send(refusedEvent(refuse(CodeBroken, wire.Ran_RAN_YES, 0, "the service's answer is too large")))
+			return
+		}
+		if n > 0 && send(&wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: buf[:n]}}) != nil {
+			return
+		}
+		if err == io.EOF {
+			send(a.withLoad(finishedEvent("stop", 0)))
+			return
+		}
+		if err != nil {
+			send(refusedEvent(refuse(CodeBroken, wire.Ran_RAN_YES, 0, err.Error())))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/burn/burn.go
@@ -0,0 +1,264 @@
+// Package burn measures how fast services use up their error budgets. Each
+// entry keeps, per customer and service, good and bad requests by the minute
+// and a histogram of times to first token; a report merges all entries.
+package burn
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+)
+
+// ErrMalformed tells that a peer's snapshot does not decode.
+const ErrMalformed = errors.ConstError("malformed burn snapshot")
+
+// Windows of the report, shortest first.
+var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour}
+
+const (
+	keptMinutes = 6 * 60
+	// Histograms cover 0.1 ms to two minutes, in units of 0.1 ms, to 2 digits.
+	histogramUnit   = 100 * time.Microsecond
+	histogramMax    = int64(2 * time.Minute / histogramUnit)
+	histogramDigits = 2
+	// maxSeries bounds the customer and service pairs an entry keeps.
+	maxSeries = 5_000
+)
+
+// Key names one series.
+type Key struct {
+	Customer string `json:"customer"`
+	Service  string `json:"service"`
+}
+
+type minute struct {
+	at        uint32
+	good, bad uint32
+}
+
+type series struct {
+	target  float64
+	ttftMS  int
+	minutes [keptMinutes]minute
+	ttft    *hdrhistogram.Histogram
+}
+
+// Book keeps the series of one entry.
+type Book struct {
+	mu      sync.Mutex
+	series  map[Key]*series
+	skipped int64
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{series: map[Key]*series{}} }
+
+// Observation is the outcome of one request.
+type Observation struct {
+	Key
+	// Target share and TTFT objective in force.
+	Target float64
+	TTFTMS int
+	// TTFT is the time to first token; meaningless if Failed.
+	TTFT time.Duration
+	// Failed marks requests that the system did not serve.
+	Failed bool
+	At     time.Time
+}
+
+// Observe adds a request's outcome.
+func (b *Book) Observe(o Observation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.series[o.Key]
+	if !ok {
+		if len(b.series) >= maxSeries {
+			b.skipped++
+			return
+		}
+		s = &series{ttft: hdrhistogram.New(1, histogramMax, histogramDigits)}
+		b.series[o.Key] = s
+	}
+	s.target, s.ttftMS = o.Target, o.TTFTMS
+	number := uint32(o.At.Unix() / 60)
+	m := &s.minutes[number%keptMinutes]
+	if m.at != number {
+		*m = minute{at: number}
+	}
+	if o.Failed || o.TTFT > time.Duration(o.TTFTMS)*time.Millisecond {
+		m.bad++
+	} else {
+		m.good++
+	}
+	if !o.Failed {
+		s.ttft.RecordValue(min(histogramMax, max(1, int64(o.TTFT/histogramUnit))))
+	}
+}
+
+// Minute is one minute of a series, its start in Unix minutes.
+type Minute struct {
+	At   int64 `json:"at"`
+	Good int64 `json:"good"`
+	Bad  int64 `json:"bad"`
+}
+
+// Series is the transported form of a series.
+type Series struct {
+	Key
+	Target  float64                `json:"target"`
+	TTFTMS  int                    `json:"ttft_ms"`
+	Minutes []Minute               `json:"minutes"`
+	TTFT    *hdrhistogram.Snapshot `json:"ttft"`
+}
+
+// Snapshot is the transported form of a book.
+type Snapshot struct {
+	Series  []Series `json:"series"`
+	Skipped int64    `json:"skipped"`
+}
+
+// Snapshot returns the book's content within the longest window.
+func (b *Book) Snapshot(now time.Time) Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	snap := Snapshot{Skipped: b.skipped}
+	oldest := uint32(now.Unix()/60 - keptMinutes)
+	for key, s := range b.series {
+		out := Series{Key: key, Target: s.target, TTFTMS: s.ttftMS, TTFT: s.ttft.Export()}
+		for _, m := range s.minutes {
+			if m.at > oldest && m.good+m.bad > 0 {
+				out.Minutes = append(out.Minutes, Minute{At: int64(m.at), Good: int64(m.good), Bad: int64(m.bad)})
+			}
+		}
+		sort.Slice(out.Minutes, func(i, j int) bool { return out.Minutes[i].At < out.Minutes[j].At })
+		snap.Series = append(snap.Series, out)
+	}
+	sort.Slice(snap.Series, func(i, j int) bool { return less(snap.Series[i].Key, snap.Series[j].Key) })
+	return snap
+}
+
+func less(a, b Key) bool {
+	if a.Customer != b.Customer {
+		return a.Customer < b.Customer
+	}
+	return a.Service < b.Service
+}
+
+// Decode reads a snapshot's JSON, or fails with ErrMalformed.
+func Decode(data []byte) (Snapshot, error) {
+	var s Snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Snapshot{}, errors.WithType(err, ErrMalformed)
+	}
+	return s, nil
+}
+
+// Window is one window of a row. Rate 1 uses up the budget exactly over the
+// objective's period; 14 in an hour is the usual page.
+type Window struct {
+	Length string  `json:"length"`
+	Good   int64   `json:"good"`
+	Bad    int64   `json:"bad"`
+	Rate   float64 `json:"burn_rate"`
+}
+
+// Row is one line of the report.
+type Row struct {
+	Key
+	Target  float64  `json:"target"`
+	TTFTMS  int      `json:"ttft_ms"`
+	P50MS   float64  `json:"ttft_p50_ms"`
+	P95MS   float64  `json:"ttft_p95_ms"`
+	P99MS   float64  `json:"ttft_p99_ms"`
+	Windows []Window `json:"windows"`
+	// Minutes are the merged counts, for plots.
+	Minutes []Minute `json:"minutes"`
+}
+
+// Report is the merged view of all entries.
+type Report struct {
+	At      time.Time `json:"at"`
+	Entries int       `json:"entries"`
+	// Missing lists entries that did not answer: their requests are not counted.
+	Missing []string `json:"missing"`
+	Rows    []Row    `json:"rows"`
+	// Skipped counts requests of series beyond the bound.
+	Skipped int64 `json:"skipped"`
+}
+
+// Merge builds a report from the entries' snapshots.
+func Merge(snaps []Snapshot, missing []string, now time.Time) Report {
+	report := Report{At: now.UTC(), Entries: len(snaps), Missing: missing, Rows: []Row{}}
+	merged := map[Key]*mergedSeries{}
+	for _, snap := range snaps {
+		report.Skipped += snap.Skipped
+		for _, s := range snap.Series {
+			m, ok := merged[s.Key]
+			if !ok {
+				m = &mergedSeries{ttft: hdrhistogram.New(1, histogramMax, histogramDigits), minutes: map[int64]Minute{}}
+				merged[s.Key] = m
+			}
+			m.add(s)
+		}
+	}
+	for key, m := range merged {
+		report.Rows = append(report.Rows, m.row(key, now))
+	}
+	sort.Slice(report.Rows, func(i, j int) bool { return less(report.Rows[i].Key, report.Rows[j].Key) })
+	return report
+}
+
+type mergedSeries struct {
+	target  float64
+	ttftMS  int
+	ttft    *hdrhistogram.Histogram
+	minutes map[int64]Minute
+}
+
+func (m *mergedSeries) add(s Series) {
+	m.target, m.ttftMS = s.Target, s.TTFTMS
+	if s.TTFT != nil {
+		m.ttft.Merge(hdrhistogram.Import(s.TTFT))
+	}
+	for _, minute := range s.Minutes {
+		sum := m.minutes[minute.At]
+		sum.At = minute.At
+		sum.Good += minute.Good
+		sum.Bad += minute.Bad
+		m.minutes[minute.At] = sum
+	}
+}
+
+func (m *mergedSeries) row(key Key, now time.Time) Row {
+	ms := func(q float64) float64 {
+		return float64(m.ttft.ValueAtQuantile(q)) * float64(histogramUnit) / float64(time.Millisecond)
+	}
+	r := Row{Key: key, Target: m.target, TTFTMS: m.ttftMS, P50MS: ms(50), P95MS: ms(95), P99MS: ms(99)}
+	for _, length := range Windows {
+		r.Windows = append(r.Windows, m.window(length, now))
+	}
+	for _, minute := range m.minutes {
+		r.Minutes = append(r.Minutes, minute)
+	}
+	sort.Slice(r.Minutes, func(i, j int) bool { return r.Minutes[i].At < r.Minutes[j].At })
+	return r
+}
+
+func (m *mergedSeries) window(length time.Duration, now time.Time) Window {
+	w := Window{Length: length.String()}
+	oldest := now.Add(-length).Unix() / 60
+	for _, minute := range m.minutes {
+		if minute.At > oldest {
+			w.Good += minute.Good
+			w.Bad += minute.Bad
+		}
+	}
+	if total := w.Good + w.Bad; total > 0 && m.target < 1 {
+		w.Rate = float64(w.Bad) / float64(total) / (1 - m.target)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/coordination/configlog/configlog.go
@@ -0,0 +1,201 @@
+// Package configlog keeps the accepted changes in the platform's object API.
+//
+// One object, the head, holds the newest changes and names the snapshot that
+// holds the rest. Its conditional update is the only point of acceptance: two
+// operators who race write the same version, and one of them is refused.
+package configlog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/transport/objectapi"
+)
+
+const (
+	// HeadKey is the object that decides the order of changes.
+	HeadKey        = "config.head"
+	snapshotPrefix = "config.snapshot."
+	// maxHeadChanges bounds the head's size: older changes go into a snapshot.
+	maxHeadChanges = 64
+	keptInHead     = 32
+	// partSize leaves room for an object's own framing within objectapi.MaxValue.
+	partSize = 900 << 10
+)
+
+// Head is the stored head.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	// SnapshotRevision and SnapshotParts name the snapshot before Changes.
+	SnapshotRevision uint64          `json:"snapshot_revision"`
+	SnapshotParts    int             `json:"snapshot_parts"`
+	Changes          []config.Change `json:"changes"`
+	// version is the object's version, the condition of the next update.
+	version int64
+}
+
+// SameVersion tells whether two heads were read at the same version.
+func (h Head) SameVersion(o Head) bool { return h.version == o.version }
+
+// Log reads and extends the accepted changes.
+type Log struct {
+	api objectapi.API
+}
+
+// New returns a log kept in api.
+func New(api objectapi.API) *Log { return &Log{api: api} }
+
+// Read returns the head; a log without changes has revision 0.
+func (l *Log) Read(ctx context.Context) (Head, error) {
+	o, err := l.api.Get(ctx, HeadKey)
+	return decodeHead(o, err)
+}
+
+// Watch waits for a head newer than after, at most wait, and returns the newest.
+func (l *Log) Watch(ctx context.Context, after Head, wait time.Duration) (Head, error) {
+	o, err := l.api.Watch(ctx, HeadKey, after.version, wait)
+	return decodeHead(o, err)
+}
+
+func decodeHead(o objectapi.Object, err error) (Head, error) {
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return Head{}, nil
+	}
+	if err != nil {
+		return Head{}, errors.Trace(err)
+	}
+	var h Head
+	if err := json.Unmarshal(o.Value, &h); err != nil {
+		return Head{}, errors.WithType(err, config.ErrMalformed)
+	}
+	h.version = o.Version
+	return h, nil
+}
+
+// CatchUp brings a store to a head, reading the snapshot if the head's changes
+// do not reach back far enough.
+func (l *Log) CatchUp(ctx context.Context, store *config.Store, head Head) error {
+	have := store.View().Revision
+	reachesBack := len(head.Changes) > 0 && head.Changes[0].Revision <= have+1
+	if have < head.Revision && !reachesBack {
+		v, err := l.readSnapshot(ctx, head)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		store.Load(v)
+	}
+	for _, c := range head.Changes {
+		if err := store.Apply(c); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func snapshotKey(revision uint64, part int) string {
+	return fmt.Sprintf("%s%020d.%d", snapshotPrefix, revision, part)
+}
+
+func (l *Log) readSnapshot(ctx context.Context, head Head) (*config.View, error) {
+	var data []byte
+	for part := range head.SnapshotParts {
+		o, err := l.api.Get(ctx, snapshotKey(head.SnapshotRevision, part))
+		if err != nil {
+			return nil, errors.Annotatef(err, "snapshot %d part %d", head.SnapshotRevision, part)
+		}
+		data = append(data, o.Value...)
+	}
+	return config.DecodeView(data)
+}
+
+// Append writes the change that follows head. base is the configuration at the
+// head's revision. Errors are objectapi's: ErrConflict if another change took
+// the place, ErrUnavailable if nothing was written, ErrOutcomeUnknown.
+func (l *Log) Append(ctx context.Context, head Head, base *config.View, c config.Change) error {
+	next := Head{
+		Revision:         c.Revision,
+		SnapshotRevision: head.SnapshotRevision,
+		SnapshotParts:    head.SnapshotParts,
+		Changes:          append(append([]config.Change(nil), head.Changes...), c),
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if len(next.Changes) > maxHeadChanges || len(value) > partSize {
+		if err := l.compact(ctx, &next, base); err != nil {
+			// Without a snapshot nothing was written to the head, whatever became
+			// of the snapshot itself.
+			return errors.Annotatef(objectapi.ErrUnavailable, "snapshot: %v", err)
+		}
+		if value, err = json.Marshal(next); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if _, err = l.api.Put(ctx, HeadKey, value, head.version); err != nil {
+		return err
+	}
+	if next.SnapshotRevision != head.SnapshotRevision {
+		l.deleteOldSnapshots(ctx, next.SnapshotRevision)
+	}
+	return nil
+}
+
+// compact writes a snapshot of base and drops older changes from the head. The
+// snapshot is written before the head names it, so a reader never follows a
+// name to a missing object. The last changes stay for readers slightly behind.
+func (l *Log) compact(ctx context.Context, next *Head, base *config.View) error {
+	data, err := config.EncodeView(base)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	parts := 0
+	for offset := 0; offset < len(data); offset += partSize {
+		end := min(offset+partSize, len(data))
+		_, err := l.api.Put(ctx, snapshotKey(base.Revision, parts), data[offset:end], 0)
+		// A conflict means that a racing writer, or our own write whose answer
+		// was lost, stored the same snapshot of the same revision.
+		if err != nil && !errors.Is(err, objectapi.ErrConflict) {
+			return errors.Trace(err)
+		}
+		parts++
+	}
+	next.SnapshotRevision = base.Revision
+	next.SnapshotParts = parts
+	keep := min(keptInHead, len(next.Changes))
+	next.Changes = next.Changes[len(next.Changes)-keep:]
+	for size(next.Changes) > partSize && len(next.Changes) > 1 {
+		next.Changes = next.Changes[1:]
+	}
+	return nil
+}
+
+func size(changes []config.Change) int {
+	data, _ := json.Marshal(changes)
+	return len(data)
+}
+
+// deleteOldSnapshots frees what no head names any more; a failure only leaves
+// them for the next time. The previous snapshot stays for readers underway.
+func (l *Log) deleteOldSnapshots(ctx context.Context, current uint64) {
+	objects, err := l.api.List(ctx, snapshotPrefix)
+	if err != nil {
+		return
+	}
+	newestOld := ""
+	for _, o := range objects {
+		if o.Key < snapshotKey(current, 0) {
+			newestOld = o.Key[:len(snapshotPrefix)+20]
+		}
+	}
+	for _, o := range objects {
+		if o.Key < snapshotKey(current, 0) && o.Key[:len(snapshotPrefix)+20] != newestOld {
+			l.api.Delete(ctx, o.Key, o.Version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/entry/plain.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"net/url"
+	"time"
+
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/transport/httpjson"
+)
+
+// hopHeaders belong to one connection, or to this system, and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Authorization": true, "Proxy-Connection": true,
+	http.CanonicalHeaderKey(TimeoutHeader): true, http.CanonicalHeaderKey(ReplayedHeader): true,
+	http.CanonicalHeaderKey(RequestIDHeader): true,
+}
+
+func (e *Entry) servePlain(c *call) *apierror.Error {
+	s, refused := c.service(c.r.PathValue("service"), config.ServicePlain)
+	if refused != nil {
+		return refused
+	}
+	key, refused := c.idempotencyKey()
+	if refused != nil {
+		return refused
+	}
+	body, refused := c.readBody()
+	if refused != nil {
+		return refused
+	}
+	timeout, refused := c.timeout(s)
+	if refused != nil {
+		return refused
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), timeout)
+	defer cancel()
+	sink := &plainSink{c: c, flush: http.NewResponseController(c.w)}
+	leave, refused := e.admit(ctx, c, s, 1)
+	if refused != nil {
+		e.observe(c, s, sink.first, refused)
+		return refused
+	}
+	defer leave()
+	job := plainJob(c, s, key, body)
+	_, refused = e.Runner.Run(ctx, job, sink)
+	e.observe(c, s, sink.first, refused)
+	if refused != nil {
+		return sink.fail(refused)
+	}
+	sink.finish()
+	return nil
+}
+
+func plainJob(c *call, s *config.Service, key string, body []byte) *runs.Job {
+	path := "/" + (&url.URL{Path: c.r.PathValue("path")}).EscapedPath()
+	if c.r.URL.RawQuery != "" {
+		path += "?" + c.r.URL.RawQuery
+	}
+	plain := &wire.PlainCall{Method: c.r.Method, Path: path, Body: body}
+	for name, values := range c.r.Header {
+		if !hopHeaders[name] {
+			plain.Headers = append(plain.Headers, &wire.Header{Name: name, Values: values})
+		}
+	}
+	digest := sha256.Sum256(append([]byte(c.r.Method+" "+path+"\n"), body...))
+	return &runs.Job{RequestID: c.id, Customer: c.customer, Service: s, Key: key, Digest: digest[:], Plain: plain}
+}
+
+// plainSink passes a plain service's answer through.
+type plainSink struct {
+	c     *call
+	first time.Time
+	head  *wire.PlainHead
+	sent  bool
+	flush *http.ResponseController
+}
+
+// Started implements runs.Sink; plain answers have no tokens.
+func (s *plainSink) Started(string, int, int) error { return nil }
+
+// Tokens implements runs.Sink; plain answers have no tokens.
+func (s *plainSink) Tokens([]string) error { return nil }
+
+// Head implements runs.Sink. The head is written with the first bytes of the
+// body or at the end: until then a fault can still become an error answer.
+func (s *plainSink) Head(h *wire.PlainHead) error {
+	s.first, s.head = time.Now(), h
+	return nil
+}
+
+func (s *plainSink) writeHead() {
+	if s.sent {
+		return
+	}
+	s.sent = true
+	out := s.c.w.Header()
+	for _, h := range s.head.GetHeaders() {
+		if name := http.CanonicalHeaderKey(h.GetName()); !hopHeaders[name] {
+			out[name] = h.GetValues()
+		}
+	}
+	if s.head.GetReplayed() {
+		out.Set(ReplayedHeader, "true")
+	}
+	s.c.w.WriteHeader(int(s.head.GetStatus()))
+}
+
+// Body implements runs.Sink.
+func (s *plainSink) Body(data []byte) error {
+	s.writeHead()
+	if _, err := s.c.w.Write(data); err != nil {
+		return err
+	}
+	return s.flush.Flush()
+}
+
+func (s *plainSink) finish() {
+	s.writeHead()
+}
+
+// fail breaks the connection of an answer that has begun: an ordinary end would
+// make the part look whole.
+func (s *plainSink) fail(err *apierror.Error) *apierror.Error {
+	if !s.sent {
+		return err
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// serveTicket gives a caller a ticket to use as idempotency key. Calls with it
+// need no platform, so they go on through its outages.
+func (e *Entry) serveTicket(c *call) *apierror.Error {
+	id := c.r.PathValue("service")
+	s, ok := c.view.Services[id]
+	if !ok || !s.Allows(c.customer.ID) || !s.NotRepeatable {
+		return apierror.New(http.StatusNotFound, apierror.CodeNotFound, "no service named "+id+" that takes tickets")
+	}
+	ticket, err := e.Runner.TakeTicket(c.r.Context(), c.customer, s)
+	if err != nil {
+		return err
+	}
+	httpjson.Write(c.w, http.StatusOK, struct {
+		Ticket  string `json:"ticket"`
+		ValidMS int64  `json:"valid_ms"`
+	}{ticket, runs.TicketValidity.Milliseconds()})
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/plan/plan.go
@@ -0,0 +1,397 @@
+// Package plan decides what an operator's request would change and whether a
+// confirmed plan may still be applied. Decisions are pure; the plan itself
+// travels with the operator, so no process keeps it and any entry can confirm.
+package plan
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/finding"
+	"limpetwall/internal/state/fleet"
+)
+
+// maxChanges bounds the documents of one plan.
+const maxChanges = 200
+
+// Request is what an operator asks for.
+type Request struct {
+	Put    []config.Document `json:"put,omitempty"`
+	Delete []config.Ref      `json:"delete,omitempty"`
+}
+
+// Base is the revision of a document that the plan was made on; 0 if it did not exist.
+type Base struct {
+	config.Ref
+	Revision uint64 `json:"revision"`
+}
+
+// Action is what a plan does to a document.
+type Action string
+
+// The actions of a plan.
+const (
+	Create    Action = "create"
+	Update    Action = "update"
+	Delete    Action = "delete"
+	Unchanged Action = "unchanged"
+)
+
+// Step is one document's change.
+type Step struct {
+	config.Ref
+	Action Action `json:"action"`
+}
+
+// Effect is what changes for one endpoint.
+type Effect struct {
+	Host     string `json:"host"`
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	// Change is "gains", "loses" or "reloads".
+	Change string `json:"change"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Plan is what a request would change. ID is a digest of the rest.
+type Plan struct {
+	ID       string `json:"id"`
+	Operator string `json:"operator"`
+	// Nonce tells two plans with the same content apart.
+	Nonce        string    `json:"nonce"`
+	At           time.Time `json:"at"`
+	BaseRevision uint64    `json:"base_revision"`
+	Bases        []Base    `json:"bases"`
+	Request      Request   `json:"request"`
+	Steps        []Step    `json:"steps"`
+	Effects      []Effect  `json:"effects"`
+	Warnings     []string  `json:"warnings"`
+}
+
+// Matches tells whether an intent selects an endpoint by its labels and role.
+func Matches(i *config.Intent, e fleet.Endpoint) bool {
+	if i.Role != "" && i.Role != e.Role {
+		return false
+	}
+	for name, value := range i.Labels {
+		if e.Labels[name] != value {
+			return false
+		}
+	}
+	return true
+}
+
+// Check returns all findings on a request against a view.
+func Check(v *config.View, r Request) *finding.List {
+	var l finding.List
+	if len(r.Put)+len(r.Delete) == 0 {
+		l.Add("$", "asks for nothing; give put or delete")
+	}
+	if len(r.Put)+len(r.Delete) > maxChanges {
+		l.Add("$", "has %d changes, at most %d are accepted", len(r.Put)+len(r.Delete), maxChanges)
+	}
+	seen := map[config.Ref]bool{}
+	for i, d := range r.Put {
+		place := fmt.Sprintf("$.put[%d]", i)
+		d.Check(&l, place)
+		checkOnce(&l, seen, place, d.Ref)
+		checkSalt(&l, place, d)
+	}
+	for i, ref := range r.Delete {
+		place := fmt.Sprintf("$.delete[%d]", i)
+		checkOnce(&l, seen, place, ref)
+		if _, ok := v.Documents[ref]; !ok {
+			l.Add(place, "%s does not exist", ref)
+		}
+	}
+	if len(l.Items()) == 0 {
+		v.With(change(r)).CheckReferences(&l)
+	}
+	return &l
+}
+
+func checkOnce(l *finding.List, seen map[config.Ref]bool, place string, ref config.Ref) {
+	if seen[ref] {
+		l.Add(place, "%s is named twice", ref)
+	}
+	seen[ref] = true
+}
+
+// checkSalt refuses a salt from outside: an operator who could set one could
+// make two customers share contexts.
+func checkSalt(l *finding.List, place string, d config.Document) {
+	var c config.Customer
+	if d.Kind == config.KindCustomer && json.Unmarshal(d.Spec, &c) == nil && len(c.Salt) > 0 {
+		l.Add(place+".spec.salt", "is made by the system and can't be set")
+	}
+}
+
+func change(r Request) config.Change {
+	return config.Change{Puts: r.Put, Deletes: r.Delete}
+}
+
+// Make builds the plan of a checked request.
+func Make(v *config.View, r Request, members []fleet.Member, operator, nonce string, now time.Time) Plan {
+	p := Plan{
+		Operator: operator, Nonce: nonce, At: now.UTC(), BaseRevision: v.Revision, Request: r,
+		Bases: []Base{}, Steps: []Step{}, Effects: []Effect{}, Warnings: []string{},
+	}
+	for _, ref := range change(r).Refs() {
+		p.Bases = append(p.Bases, Base{Ref: ref, Revision: v.Revisions[ref]})
+	}
+	for _, d := range r.Put {
+		p.Steps = append(p.Steps, Step{Ref: d.Ref, Action: putAction(v, d)})
+	}
+	for _, ref := range r.Delete {
+		p.Steps = append(p.Steps, Step{Ref: ref, Action: Delete})
+	}
+	next := v.With(change(r))
+	p.Effects = append(p.Effects, effects(v, next, members)...)
+	p.Warnings = append(p.Warnings, warnings(v, next, members)...)
+	p.ID = p.Digest()
+	return p
+}
+
+func putAction(v *config.View, d config.Document) Action {
+	old, exists := v.Documents[d.Ref]
+	switch {
+	case !exists:
+		return Create
+	case sameSpec(d.Kind, old, d.Spec):
+		return Unchanged
+	default:
+		return Update
+	}
+}
+
+func sameSpec(kind config.Kind, a, b json.RawMessage) bool {
+	return string(normalize(kind, a)) == string(normalize(kind, b))
+}
+
+// normalize orders a spec's fields and leaves out the system's own.
+func normalize(kind config.Kind, spec json.RawMessage) []byte {
+	fields := map[string]any{}
+	if json.Unmarshal(spec, &fields) != nil {
+		return spec
+	}
+	if kind == config.KindCustomer {
+		delete(fields, "salt")
+	}
+	data, _ := json.Marshal(fields)
+	return data
+}
+
+// Digest is the plan's id: it covers everything that a confirm applies.
+func (p Plan) Digest() string {
+	p.ID = ""
+	data, _ := json.Marshal(p)
+	h := sha256.Sum256(data)
+	return hex.EncodeToString(h[:])
+}
+
+// Intact tells whether the plan is as an entry made it.
+func (p Plan) Intact() bool {
+	return hmac.Equal([]byte(p.ID), []byte(p.Digest()))
+}
+
+// Outcome of a confirm.
+type Outcome string
+
+// The outcomes of a confirm.
+const (
+	// Applied: the change is accepted at the revision given.
+	Applied Outcome = "applied"
+	// BaseMoved: not applied, somebody else changed what the plan was made on.
+	BaseMoved Outcome = "not_applied_base_moved"
+	// Invalid: not applied, the request no longer passes the checks.
+	Invalid Outcome = "not_applied_invalid"
+	// Unavailable: not applied, the platform could not be reached.
+	Unavailable Outcome = "not_applied_unavailable"
+	// Unknown: the platform did not say; ask again with the plan's id.
+	Unknown Outcome = "unknown"
+	// Ready: nothing stands against applying the plan (not an answer to operators).
+	Ready Outcome = "ready"
+)
+
+// Difference is a document that changed since the plan was made.
+type Difference struct {
+	config.Ref
+	PlannedOn uint64 `json:"planned_on"`
+	Now       uint64 `json:"now"`
+}
+
+// Verdict is the answer to a confirm.
+type Verdict struct {
+	Outcome     Outcome           `json:"outcome"`
+	PlanID      string            `json:"plan_id"`
+	Revision    uint64            `json:"revision,omitempty"`
+	Differences []Difference      `json:"differences,omitempty"`
+	Findings    []finding.Finding `json:"findings,omitempty"`
+	Message     string            `json:"message"`
+}
+
+// Decide tells what a confirm of p means at a view: already applied, moved,
+// invalid, or ready to be written as the next revision.
+func Decide(v *config.View, p Plan) Verdict {
+	if revision, ok := v.Plans[p.ID]; ok {
+		return Verdict{Outcome: Applied, PlanID: p.ID, Revision: revision, Message: "the plan is applied"}
+	}
+	var moved []Difference
+	for _, b := range p.Bases {
+		if now := v.Revisions[b.Ref]; now != b.Revision {
+			moved = append(moved, Difference{Ref: b.Ref, PlannedOn: b.Revision, Now: now})
+		}
+	}
+	if len(moved) > 0 {
+		return Verdict{
+			Outcome: BaseMoved, PlanID: p.ID, Differences: moved,
+			Message: "not applied: documents changed since the plan was made; plan again",
+		}
+	}
+	if l := Check(v, p.Request); l.Err() != nil {
+		return Verdict{
+			Outcome: Invalid, PlanID: p.ID, Findings: l.Items(),
+			Message: "not applied: other changes since the plan make it invalid",
+		}
+	}
+	return Verdict{Outcome: Ready, PlanID: p.ID}
+}
+
+// NewSalt makes a customer's secret salt.
+type NewSalt func() []byte
+
+// Change builds the accepted change of a plan that Decide found ready. A
+// customer keeps its salt for life: with a new one its contexts would be lost.
+func Change(v *config.View, p Plan, newSalt NewSalt, now time.Time) (config.Change, error) {
+	c := config.Change{
+		Revision: v.Revision + 1, PlanID: p.ID, Operator: p.Operator, At: now.UTC(),
+		Deletes: p.Request.Delete,
+	}
+	for _, d := range p.Request.Put {
+		if d.Kind == config.KindCustomer {
+			var customer config.Customer
+			if err := json.Unmarshal(d.Spec, &customer); err != nil {
+				return config.Change{}, err
+			}
+			customer.Salt = newSalt()
+			if old, ok := v.Customers[d.ID]; ok {
+				customer.Salt = old.Salt
+			}
+			spec, err := json.Marshal(customer)
+			if err != nil {
+				return config.Change{}, err
+			}
+			d.Spec = spec
+		}
+		c.Puts = append(c.Puts, d)
+	}
+	return c, nil
+}
+
+// Redacted returns a document as operators may see it.
+func Redacted(d config.Document) config.Document {
+	d.Spec = normalize(d.Kind, d.Spec)
+	return d
+}
+
+func effects(before, after *config.View, members []fleet.Member) []Effect {
+	var out []Effect
+	for _, m := range members {
+		old, new := serving(before, m), serving(after, m)
+		for service, intent := range new {
+			prev, had := old[service]
+			switch {
+			case !had:
+				out = append(out, Effect{Host: m.Host, Endpoint: m.Endpoint.ID, Service: service, Change: "gains", Detail: "by intent " + intent.ID})
+			case prev.WeightVersion != intent.WeightVersion || prev.Model != intent.Model || prev.Adapter != intent.Adapter:
+				out = append(out, Effect{
+					Host: m.Host, Endpoint: m.Endpoint.ID, Service: service, Change: "reloads",
+					Detail: fmt.Sprintf("%s %s to %s %s", prev.Model, prev.WeightVersion, intent.Model, intent.WeightVersion),
+				})
+			}
+		}
+		for service := range old {
+			if _, still := new[service]; !still {
+				out = append(out, Effect{Host: m.Host, Endpoint: m.Endpoint.ID, Service: service, Change: "loses"})
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Endpoint != out[j].Endpoint {
+			return out[i].Endpoint < out[j].Endpoint
+		}
+		return out[i].Service < out[j].Service
+	})
+	return out
+}
+
+func serving(v *config.View, m fleet.Member) map[string]*config.Intent {
+	out := map[string]*config.Intent{}
+	for service, intents := range v.Intents {
+		for _, i := range intents {
+			if _, taken := out[service]; !taken && Matches(i, m.Endpoint) {
+				out[service] = i
+			}
+		}
+	}
+	return out
+}
+
+func warnings(before, after *config.View, members []fleet.Member) []string {
+	var out []string
+	for service, intents := range after.Intents {
+		for _, i := range intents {
+			usable, wrongVersion := 0, 0
+			for _, m := range members {
+				if !Available(m) || !Matches(i, m.Endpoint) {
+					continue
+				}
+				if !fits(i, m.Endpoint) {
+					wrongVersion++
+					continue
+				}
+				usable++
+			}
+			if usable < max(1, i.MinEndpoints) {
+				out = append(out, fmt.Sprintf(
+					"intent %s of service %s would have %d usable endpoints, below %d (%d more match but serve another model or version)",
+					i.ID, service, usable, max(1, i.MinEndpoints), wrongVersion))
+			}
+		}
+	}
+	for id := range after.Services {
+		if len(after.Intents[id]) == 0 {
+			out = append(out, fmt.Sprintf("service %s has no intent, its requests will be refused", id))
+		}
+	}
+	for id := range before.Customers {
+		if _, still := after.Customers[id]; !still {
+			out = append(out, fmt.Sprintf("customer %s is deleted, its requests will be refused and its contexts lost", id))
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func fits(i *config.Intent, e fleet.Endpoint) bool {
+	return (i.Model == "" || i.Model == e.Model) &&
+		(i.WeightVersion == "" || i.WeightVersion == e.WeightVersion) &&
+		(i.Adapter == "" || i.Adapter == e.Adapter)
+}
+
+// Available tells whether a member's endpoint may get new work: a leaving or
+// dead one may not, and one that was leaving before it fell silent neither.
+func Available(m fleet.Member) bool {
+	return m.Endpoint.ID != "" && !m.WasLeaving && (m.State == fleet.Alive || m.State == fleet.Suspect)
+}
+
+// Usable tells whether an endpoint may serve an intent's requests now.
+func Usable(i *config.Intent, m fleet.Member) bool {
+	return Available(m) && Matches(i, m.Endpoint) && fits(i, m.Endpoint)
+}
--- /dev/null
+++ b/internal/coordination/routing/directory.go
@@ -0,0 +1,247 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/fleet"
+)
+
+const (
+	// failuresToEject in a row take an endpoint out of decisions for a while.
+	failuresToEject = 3
+	firstEjection   = time.Second
+	maxEjection     = 30 * time.Second
+)
+
+// Directory keeps the endpoints of each service ready for decisions, and what
+// this entry has itself done to them.
+type Directory struct {
+	table *fleet.Table
+	store *config.Store
+	index *Index
+
+	mu         sync.Mutex
+	generation uint64
+	revision   uint64
+	services   map[string][]Endpoint
+	capacity   map[string]int
+	dynamic    map[string]*tracked
+	random     *rand.Rand
+}
+
+type tracked struct {
+	Dynamic
+	incarnation uint64
+	reportAt    time.Time
+	failures    int
+	ejections   int
+}
+
+// NewDirectory returns a directory over a fleet table and a configuration. The
+// seed makes its random choices repeatable in tests.
+func NewDirectory(table *fleet.Table, store *config.Store, indexSize int, seed uint64) *Directory {
+	return &Directory{
+		table: table, store: store, index: NewIndex(indexSize),
+		services: map[string][]Endpoint{}, dynamic: map[string]*tracked{},
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// refresh rebuilds the services' endpoint lists when the fleet or the
+// configuration has changed; decisions in between reuse them.
+func (d *Directory) refresh(now time.Time) {
+	view, generation := d.store.View(), d.table.Generation()
+	if d.generation == generation && d.revision == view.Revision {
+		return
+	}
+	members := d.table.Members()
+	d.services = map[string][]Endpoint{}
+	d.capacity = map[string]int{}
+	for service, intents := range view.Intents {
+		for _, m := range members {
+			if intent := firstUsable(intents, m); intent != nil {
+				d.services[service] = append(d.services[service], Endpoint{
+					Member: m, Hash: HashID(m.ID), MaxConcurrent: intent.MaxConcurrent, Dynamic: &d.track(m, now).Dynamic,
+				})
+			}
+		}
+		list := d.services[service]
+		sort.Slice(list, func(i, j int) bool { return list[i].Hash < list[j].Hash })
+		d.capacity[service] = sumCapacity(list)
+	}
+	d.forgetGone(members)
+	d.generation, d.revision = generation, view.Revision
+}
+
+func firstUsable(intents []*config.Intent, m fleet.Member) *config.Intent {
+	for _, i := range intents {
+		if plan.Usable(i, m) {
+			return i
+		}
+	}
+	return nil
+}
+
+func (d *Directory) track(m fleet.Member, now time.Time) *tracked {
+	t, ok := d.dynamic[m.ID]
+	if !ok || t.incarnation != m.Incarnation {
+		t = &tracked{incarnation: m.Incarnation, Dynamic: Dynamic{FirstSeen: now}}
+		if len(d.dynamic) == 0 || d.generation == 0 {
+			// What this entry finds at its own start is not new to the fleet.
+			t.FirstSeen = now.Add(-slowStart)
+		}
+		d.dynamic[m.ID] = t
+	}
+	return t
+}
+
+func (d *Directory) forgetGone(members []fleet.Member) {
+	live := map[string]bool{}
+	for _, m := range members {
+		live[m.ID] = m.State != fleet.Dead
+	}
+	for id, t := range d.dynamic {
+		if !live[id] && t.Running == 0 {
+			delete(d.dynamic, id)
+		}
+	}
+}
+
+// TakeReports takes in load reports that came through the fleet.
+func (d *Directory) TakeReports() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, t := range d.dynamic {
+		if r, ok := d.table.ReportOf(id); ok && r.Incarnation == t.incarnation && r.At.After(t.reportAt) {
+			t.observe(r.Load, r.At)
+		}
+	}
+}
+
+func (t *tracked) observe(load fleet.Load, at time.Time) {
+	t.Load, t.reportAt = load, at
+	t.SentTokens, t.SentRuns = 0, 0
+}
+
+// Observe takes in a load that came along with an answer.
+func (d *Directory) Observe(member string, load fleet.Load, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t, ok := d.dynamic[member]; ok {
+		t.observe(load, now)
+	}
+}
+
+// Choice is a decision with what its outcome will be compared to.
+type Choice struct {
+	Member       fleet.Member
+	Reason       Reason
+	TTFT         time.Duration
+	CachedTokens int
+	Refusal      Refusal
+	holding      Holding
+	keys         []contextkey.Key
+	hash         uint64
+}
+
+// Choose decides for a service's request and counts it as sent; call Done when
+// the run has ended. keys may be nil.
+func (d *Directory) Choose(service string, keys []contextkey.Key, r *Request) Choice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(r.Now)
+	var space [holders + 1]Holding
+	r.Holdings = d.index.Lookup(keys, r.Now, space[:0])
+	v := Decide(d.services[service], r, d.random)
+	if v.Endpoint == nil {
+		return Choice{Refusal: v.Refusal}
+	}
+	e := v.Endpoint
+	e.Running++
+	e.SentRuns++
+	e.SentTokens += r.PromptTokens - v.CachedTokens
+	c := Choice{
+		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash,
+	}
+	for _, h := range r.Holdings {
+		if h.Endpoint == e.Hash {
+			c.holding = h
+		}
+	}
+	return c
+}
+
+// Started tells what the engine found resident for a choice.
+func (d *Directory) Started(c Choice, cachedTokens int, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index.Learn(c.holding, cachedTokens)
+	d.index.Store(c.keys, c.hash, now)
+}
+
+// Done ends a choice's run; failed tells that the endpoint or the way to it
+// failed (a refusal for load is no failure).
+func (d *Directory) Done(c Choice, failed bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.dynamic[c.Member.ID]
+	if !ok || t.incarnation != c.Member.Incarnation {
+		return
+	}
+	t.Running--
+	if !failed {
+		t.failures, t.ejections = 0, 0
+		return
+	}
+	t.failures++
+	if t.failures >= failuresToEject {
+		t.eject(now, d.random)
+	}
+}
+
+// eject doubles the time out of decisions, with jitter so that entries do not
+// all return at once to an endpoint that is just recovering.
+func (t *tracked) eject(now time.Time, random *rand.Rand) {
+	length := min(maxEjection, firstEjection<<min(t.ejections, 5))
+	t.EjectedUntil = now.Add(length/2 + time.Duration(random.Int64N(int64(length/2)+1)))
+	t.failures = 0
+	t.ejections++
+}
+
+// Usable lists the members that a service may use now.
+func (d *Directory) Usable(service string, now time.Time) []fleet.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(now)
+	out := make([]fleet.Member, 0, len(d.services[service]))
+	for _, e := range d.services[service] {
+		out = append(out, e.Member)
+	}
+	return out
+}
+
+// Capacity is the number of runs that this entry may have on a service's
+// endpoints together; 0 means no bound.
+func (d *Directory) Capacity(service string, now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(now)
+	return d.capacity[service]
+}
+
+func sumCapacity(list []Endpoint) int {
+	sum := 0
+	for _, e := range list {
+		if e.MaxConcurrent == 0 {
+			return 0
+		}
+		sum += e.MaxConcurrent
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/coordination/routing/index.go
@@ -0,0 +1,112 @@
+package routing
+
+import (
+	"math/bits"
+	"time"
+
+	"limpetwall/internal/state/contextkey"
+)
+
+const (
+	// holders is the number of endpoints remembered for a piece of context.
+	holders = 2
+	// ageBuckets count seconds by powers of two: the last holds about a day.
+	ageBuckets = 18
+	// learnRate is the weight of one observation of a bucket's hit rate.
+	learnRate = 0.05
+)
+
+type holder struct {
+	endpoint uint64
+	at       int64
+}
+
+// Index remembers where this entry last sent a context. It is a hint: an engine
+// that lost the blocks recomputes them, and the index learns how often that
+// happens by the age of its entries. Memory is bounded by two generations of at
+// most size pieces; the older is dropped whole, without per-entry bookkeeping.
+type Index struct {
+	size     int
+	current  map[contextkey.Key][holders]holder
+	previous map[contextkey.Key][holders]holder
+	hitRate  [ageBuckets]float64
+}
+
+// NewIndex returns an empty index of at most 2*size pieces.
+func NewIndex(size int) *Index {
+	x := &Index{size: size, current: map[contextkey.Key][holders]holder{}}
+	for i := range x.hitRate {
+		x.hitRate[i] = 1 - float64(i)/ageBuckets
+	}
+	return x
+}
+
+func bucket(age time.Duration) int {
+	return min(ageBuckets-1, bits.Len64(uint64(max(0, age)/time.Second)))
+}
+
+// Lookup appends to out where the longest prefixes of a context may be resident.
+func (x *Index) Lookup(keys []contextkey.Key, now time.Time, out []Holding) []Holding {
+	for i := len(keys) - 1; i >= 0; i-- {
+		found, ok := x.current[keys[i]]
+		if !ok {
+			found, ok = x.previous[keys[i]]
+		}
+		if !ok {
+			continue
+		}
+		for _, h := range found {
+			if h.endpoint == 0 || has(out, h.endpoint) {
+				continue
+			}
+			age := now.Sub(time.Unix(0, h.at))
+			out = append(out, Holding{
+				Endpoint: h.endpoint, Tokens: (i + 1) * contextkey.PieceTokens, Chance: x.hitRate[bucket(age)], Age: age,
+			})
+		}
+		if len(out) >= holders {
+			break
+		}
+	}
+	return out
+}
+
+func has(list []Holding, endpoint uint64) bool {
+	for _, h := range list {
+		if h.Endpoint == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+// Store records that an endpoint has computed or read a context.
+func (x *Index) Store(keys []contextkey.Key, endpoint uint64, now time.Time) {
+	for _, key := range keys {
+		entry, ok := x.current[key]
+		if !ok {
+			entry = x.previous[key]
+		}
+		if entry[0].endpoint != endpoint {
+			entry[1] = entry[0]
+		}
+		entry[0] = holder{endpoint: endpoint, at: now.UnixNano()}
+		x.current[key] = entry
+	}
+	if len(x.current) >= x.size {
+		x.previous, x.current = x.current, make(map[contextkey.Key][holders]holder, x.size/4)
+	}
+}
+
+// Learn compares what was expected of a holding with what the engine found.
+func (x *Index) Learn(h Holding, cachedTokens int) {
+	if h.Tokens == 0 {
+		return
+	}
+	hit := min(1, float64(cachedTokens)/float64(h.Tokens))
+	rate := &x.hitRate[bucket(h.Age)]
+	*rate += learnRate * (hit - *rate)
+}
+
+// Len is the number of pieces remembered.
+func (x *Index) Len() int { return len(x.current) + len(x.previous) }
--- /dev/null
+++ b/internal/coordination/runs/attempt.go
@@ -0,0 +1,203 @@
+package runs
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/fleet"
+)
+
+// attempt is one try at one endpoint.
+type attempt struct {
+	runner   *Runner
+	job      *Job
+	choice   routing.Choice
+	number   uint32
+	ticket   *wire.Ticket
+	progress *progress
+	cancel   context.CancelCauseFunc
+	// offset is the index of the next token of this attempt's stream.
+	offset int
+}
+
+func (a *attempt) run(ctx context.Context) *outcome {
+	member := a.choice.Member
+	if err := a.runner.Pool.WaitReady(ctx, member.Address); err != nil {
+		return &outcome{failed: true, ran: wire.Ran_RAN_NO, code: "endpoint_not_reached", message: err.Error(), retryAfter: time.Second}
+	}
+	client, err := a.runner.Pool.Agent(member.Address)
+	if err != nil {
+		return &outcome{failed: true, ran: wire.Ran_RAN_NO, code: "endpoint_not_reached", message: err.Error(), retryAfter: time.Second}
+	}
+	stream, err := client.Run(ctx, a.request(ctx))
+	if err != nil {
+		return a.broken(ctx, err)
+	}
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			return a.broken(ctx, err)
+		}
+		if out := a.take(event); out != nil {
+			return out
+		}
+	}
+}
+
+func (a *attempt) request(ctx context.Context) *wire.RunRequest {
+	remaining := time.Hour
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining = time.Until(deadline)
+	}
+	r := &wire.RunRequest{
+		RequestId: a.job.RequestID, Attempt: a.number, Customer: a.job.Customer.ID, Service: a.job.Service.ID,
+		Revision: a.runner.Store.View().Revision, TimeoutMs: max(1, remaining.Milliseconds()),
+		Ticket: a.ticket, RequestDigest: a.job.Digest, WantIncarnation: a.choice.Member.Incarnation,
+	}
+	if a.job.Plain != nil {
+		r.Call = &wire.RunRequest_Plain{Plain: a.job.Plain}
+		a.progress.skipBody = a.progress.bodyBytes
+		return r
+	}
+	prompt := &wire.Prompt{
+		Model: a.job.Prompt.GetModel(), Adapter: a.job.Prompt.GetAdapter(), Text: a.job.Prompt.GetText(),
+		MaxTokens: a.job.Prompt.GetMaxTokens(), Seed: a.job.Prompt.GetSeed(), Priority: a.job.Prompt.GetPriority(),
+		CacheSalt: a.job.Customer.Salt,
+	}
+	// The version is pinned when the request is admitted: an endpoint that swaps
+	// before the prompt arrives refuses it, and the entry decides anew.
+	prompt.WeightVersion = a.choice.Member.Endpoint.WeightVersion
+	if a.ticket == nil {
+		prompt.ResumeTokens = a.progress.tokens
+		a.offset = len(a.progress.tokens)
+	}
+	r.Call = &wire.RunRequest_Prompt{Prompt: prompt}
+	return r
+}
+
+// broken ends an attempt whose stream ended without a final event.
+func (a *attempt) broken(ctx context.Context, err error) *outcome {
+	out := &outcome{failed: true, sent: true, ran: wire.Ran_RAN_UNKNOWN, code: "stream_broke", message: err.Error()}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errEndpointGone):
+		out.code, out.message = "endpoint_gone", cause.Error()
+	case cause != nil:
+		// The caller left or the time is up; the endpoint is not to blame.
+		out.failed, out.message = false, cause.Error()
+	case errors.Is(err, io.EOF):
+		out.message = "stream ended without an answer"
+	}
+	return out
+}
+
+// take handles one event; a non-nil outcome ends the attempt.
+func (a *attempt) take(e *wire.RunEvent) *outcome {
+	if e.GetRequestId() != a.job.RequestID || e.GetAttempt() != a.number {
+		// A late or crossed answer belongs to another attempt: it must never
+		// reach this caller.
+		return nil
+	}
+	if l := e.GetLoad(); l != nil {
+		a.runner.Directory.Observe(a.choice.Member.ID, fleet.LoadFromWire(l), time.Now())
+	}
+	switch event := e.GetEvent().(type) {
+	case *wire.RunEvent_Started:
+		return a.started(event.Started)
+	case *wire.RunEvent_Tokens:
+		return a.tokens(event.Tokens)
+	case *wire.RunEvent_PlainHead:
+		return a.head(event.PlainHead)
+	case *wire.RunEvent_PlainBody:
+		return a.body(event.PlainBody)
+	case *wire.RunEvent_Finished:
+		return a.finished(event.Finished)
+	case *wire.RunEvent_Refused:
+		return refusedOutcome(event.Refused)
+	}
+	return nil
+}
+
+func refusedOutcome(f *wire.Refused) *outcome {
+	return &outcome{
+		sent: true, ran: f.GetRan(), code: f.GetCode(), message: f.GetMessage(),
+		failed:     f.GetCode() == "endpoint_not_reached" || f.GetCode() == "endpoint_stream_broke",
+		retryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+func gone(err error) *outcome {
+	return &outcome{sent: true, clientGone: true, ran: wire.Ran_RAN_UNKNOWN, code: "client_gone", message: err.Error()}
+}
+
+func (a *attempt) started(s *wire.Started) *outcome {
+	p := a.progress
+	a.runner.Directory.Started(a.choice, int(s.GetCachedTokens()), time.Now())
+	if p.started {
+		return nil
+	}
+	p.started, p.weightVersion = true, s.GetWeightVersion()
+	if err := p.sink.Started(s.GetWeightVersion(), int(s.GetPromptTokens()), int(s.GetCachedTokens())); err != nil {
+		return gone(err)
+	}
+	return nil
+}
+
+// tokens delivers each token once and in order. A resumed or replayed stream
+// may repeat what the caller has; a gap means that something was lost, and the
+// attempt is given up rather than passed on with a hole.
+func (a *attempt) tokens(t *wire.Tokens) *outcome {
+	p := a.progress
+	if int(t.GetOffset()) != a.offset {
+		return &outcome{failed: true, sent: true, ran: wire.Ran_RAN_YES, code: "token_gap", message: "the stream skipped tokens"}
+	}
+	a.offset += len(t.GetTokens())
+	have := len(p.tokens) - int(t.GetOffset())
+	if have >= len(t.GetTokens()) {
+		return nil
+	}
+	fresh := t.GetTokens()[max(0, have):]
+	p.tokens = append(p.tokens, fresh...)
+	if err := p.sink.Tokens(fresh); err != nil {
+		return gone(err)
+	}
+	return nil
+}
+
+func (a *attempt) head(h *wire.PlainHead) *outcome {
+	if a.progress.head {
+		return nil
+	}
+	a.progress.head = true
+	if err := a.progress.sink.Head(h); err != nil {
+		return gone(err)
+	}
+	return nil
+}
+
+func (a *attempt) body(data []byte) *outcome {
+	p := a.progress
+	skip := min(p.skipBody, len(data))
+	p.skipBody -= skip
+	data = data[skip:]
+	if len(data) == 0 {
+		return nil
+	}
+	p.bodyBytes += len(data)
+	if err := p.sink.Body(data); err != nil {
+		return gone(err)
+	}
+	return nil
+}
+
+// finished accepts the end only if every token before it has arrived.
+func (a *attempt) finished(f *wire.Finished) *outcome {
+	if a.job.Prompt != nil && int(f.GetCompletionTokens()) != len(a.progress.tokens) {
+		return &outcome{failed: true, sent: true, ran: wire.Ran_RAN_YES, code: "token_gap", message: "the answer ended before all its tokens arrived"}
+	}
+	return &outcome{done: true, finished: f}
+}
--- /dev/null
+++ b/internal/coordination/runs/final.go
@@ -0,0 +1,120 @@
+package runs
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/wire"
+)
+
+// ErrStopping is the cause of contexts ended by a forced shutdown.
+const ErrStopping = errors.ConstError("the entry is stopping")
+
+func ranOf(r wire.Ran) apierror.Ran {
+	switch r {
+	case wire.Ran_RAN_NO:
+		return apierror.RanNo
+	case wire.Ran_RAN_YES:
+		return apierror.RanYes
+	default:
+		return apierror.RanUnknown
+	}
+}
+
+// statusOf maps the codes that agents raise to HTTP; others are 503 if the
+// request did not run and 502 if it may have.
+var statusOf = map[string]int{
+	"key_used_for_other_request": http.StatusConflict,
+	"outcome_unknown":            http.StatusConflict,
+	"key_expired":                http.StatusGone,
+	"answer_not_kept":            http.StatusGone,
+	"bad_request":                http.StatusBadRequest,
+}
+
+// final is the answer to a repeatable request that is given up on.
+func (o *outcome) final(p *progress, why string) *apierror.Error {
+	if p.started || p.head {
+		return o.lost(why)
+	}
+	message := o.message
+	if why != "" {
+		message = why + ": " + message
+	}
+	after := max(o.retryAfter, 200*time.Millisecond)
+	status := http.StatusServiceUnavailable
+	if o.ran != wire.Ran_RAN_NO {
+		status = http.StatusBadGateway
+	}
+	e := apierror.Later(status, o.code, message, after)
+	e.Ran = ranOf(o.ran)
+	return e
+}
+
+// lost is the answer after part of it has been delivered.
+func (o *outcome) lost(why string) *apierror.Error {
+	e := apierror.Later(http.StatusBadGateway, apierror.CodeStreamLost, "the answer broke off: "+why+" "+o.message, 200*time.Millisecond)
+	e.Ran = apierror.RanYes
+	return e
+}
+
+// finalOnce is the answer to a request that may not be repeated.
+func (o *outcome) finalOnce(p *progress, keyed bool) *apierror.Error {
+	status, ok := statusOf[o.code]
+	if !ok {
+		status = http.StatusBadGateway
+		if o.ran == wire.Ran_RAN_NO {
+			status = http.StatusServiceUnavailable
+		}
+	}
+	e := apierror.New(status, o.code, o.message)
+	switch {
+	case o.code == "key_used_for_other_request" || o.code == "bad_request":
+		return e.WithRan(apierror.RanNo, apierror.AdviceFix)
+	case o.code == "key_expired" || o.code == "answer_not_kept" || o.code == "outcome_unknown":
+		return e.WithRan(ranOf(o.ran), apierror.AdviceNever)
+	case keyed:
+		e.Retry.AfterMS = max(o.retryAfter, 500*time.Millisecond).Milliseconds()
+		return e.WithRan(ranOf(o.ran), apierror.AdviceSameKey)
+	case o.ran == wire.Ran_RAN_NO:
+		e.Retry.AfterMS = max(o.retryAfter, 200*time.Millisecond).Milliseconds()
+		return e.WithRan(apierror.RanNo, apierror.AdviceRetry)
+	default:
+		return e.WithRan(ranOf(o.ran), apierror.AdviceNever)
+	}
+}
+
+func noEndpoint(refusal routing.Refusal, last *outcome, p *progress) *apierror.Error {
+	if last != nil {
+		return last.final(p, "no other endpoint is left")
+	}
+	if refusal == routing.RefuseFull {
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "all endpoints are full", 500*time.Millisecond)
+	}
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint serves this now", time.Second)
+}
+
+// contextError is the answer when the request's time is up or its caller left.
+func contextError(ctx context.Context, p *progress, ran apierror.Ran) *apierror.Error {
+	if p.started || p.head {
+		ran = apierror.RanYes
+	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		e := apierror.Later(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up", time.Second)
+		e.Ran = ran
+		return e
+	case errors.Is(cause, ErrStopping):
+		e := apierror.Later(http.StatusServiceUnavailable, apierror.CodeStopping, "this entry stopped before the answer was whole", 200*time.Millisecond)
+		e.Ran = ran
+		return e
+	default:
+		e := apierror.New(499, apierror.CodeClientGone, "the caller left")
+		e.Ran = ran
+		return e
+	}
+}
--- /dev/null
+++ b/internal/coordination/runs/once.go
@@ -0,0 +1,346 @@
+package runs
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base32"
+	"encoding/binary"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/claims"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/rpc"
+)
+
+// Binder binds a caller's own key to a ticket.
+type Binder interface {
+	Bind(ctx context.Context, key claims.Key, proposed claims.Ticket) (claims.Ticket, error)
+}
+
+// runOnce carries out a request that may not be repeated. Its ticket names the
+// one agent incarnation that may run it; whatever fails, only that incarnation
+// is asked again, and it answers from its record.
+func (r *Runner) runOnce(ctx context.Context, job *Job, p *progress) (Result, *apierror.Error) {
+	if job.Key != "" {
+		return r.runKeyed(ctx, job, p)
+	}
+	request := r.routingRequest(job, nil)
+	var last *outcome
+	for number := uint32(1); number <= maxAttempts; number++ {
+		request.Now = time.Now()
+		choice := r.Directory.Choose(job.Service.ID, nil, request)
+		if choice.Member.ID == "" {
+			return Result{}, noEndpoint(choice.Refusal, last, p)
+		}
+		ticket, err := r.Tickets.Take(ctx, choice.Member)
+		if err != nil {
+			r.Directory.Done(choice, true, time.Now())
+			last = &outcome{ran: wire.Ran_RAN_NO, code: "endpoint_not_reached", message: err.Error(), retryAfter: time.Second}
+			request.Exclude = append(request.Exclude, choice.Member.ID)
+			continue
+		}
+		result, out := r.follow(ctx, job, choice, ticket, p)
+		r.Directory.Done(choice, out != nil && out.failed, time.Now())
+		if out == nil {
+			return result, nil
+		}
+		if ctx.Err() != nil {
+			return Result{}, contextError(ctx, p, ranOf(out.ran))
+		}
+		if out.ran != wire.Ran_RAN_NO || out.clientGone {
+			return Result{}, out.finalOnce(p, false)
+		}
+		// Proven not run: another endpoint may run it under another ticket.
+		last = out
+		request.Exclude = append(request.Exclude, choice.Member.ID)
+	}
+	return Result{}, last.final(p, "all attempts failed")
+}
+
+// runKeyed finds the ticket that the caller's key stands for.
+func (r *Runner) runKeyed(ctx context.Context, job *Job, p *progress) (Result, *apierror.Error) {
+	ticket, isTicket := ParseTicketKey(job.Customer, job.Service.ID, job.Key)
+	if strings.HasPrefix(job.Key, ticketPrefix) && !isTicket {
+		return Result{}, apierror.New(http.StatusBadRequest, apierror.CodeKeyRequired, "the key looks like a ticket but was not issued to this customer and service")
+	}
+	if !isTicket {
+		bound, err := r.bind(ctx, job)
+		if err != nil {
+			return Result{}, err
+		}
+		ticket = bound
+	}
+	member, known := r.memberOf(ticket.Incarnation)
+	if !known {
+		e := apierror.New(http.StatusConflict, apierror.CodeOutcomeUnknown,
+			"the process that held this key's record is gone; whether the request ran is unknown, and it will not be run")
+		return Result{}, e.WithRan(apierror.RanUnknown, apierror.AdviceNever)
+	}
+	choice := routing.Choice{Member: member, Reason: "ticket"}
+	result, out := r.follow(ctx, job, choice, ticket, p)
+	switch {
+	case out == nil:
+		return result, nil
+	case ctx.Err() != nil:
+		return Result{}, contextError(ctx, p, apierror.RanUnknown)
+	default:
+		return Result{}, out.finalOnce(p, true)
+	}
+}
+
+// bind proposes a ticket of a well-chosen endpoint for the caller's key.
+func (r *Runner) bind(ctx context.Context, job *Job) (claims.Ticket, *apierror.Error) {
+	request := r.routingRequest(job, nil)
+	var last error
+	for range maxAttempts {
+		request.Now = time.Now()
+		choice := r.Directory.Choose(job.Service.ID, nil, request)
+		if choice.Member.ID == "" {
+			break
+		}
+		proposed, err := r.Tickets.Take(ctx, choice.Member)
+		r.Directory.Done(choice, err != nil, time.Now())
+		if err != nil {
+			last = err
+			request.Exclude = append(request.Exclude, choice.Member.ID)
+			continue
+		}
+		return r.bindTo(ctx, job, proposed)
+	}
+	// Without an endpoint to propose, the key may still be bound already.
+	ticket, e := r.bindTo(ctx, job, claims.Ticket{})
+	if e == nil && ticket == (claims.Ticket{}) {
+		message := "no endpoint serves this now"
+		if last != nil {
+			message += ": " + last.Error()
+		}
+		return ticket, apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, time.Second).
+			WithRan(apierror.RanNo, apierror.AdviceSameKey)
+	}
+	return ticket, e
+}
+
+func (r *Runner) bindTo(ctx context.Context, job *Job, proposed claims.Ticket) (claims.Ticket, *apierror.Error) {
+	key := claims.HashKey(job.Customer.ID, job.Service.ID, job.Key)
+	ticket, err := r.Binder.Bind(ctx, key, proposed)
+	switch {
+	case err == nil:
+		return ticket, nil
+	case errors.Is(err, claims.ErrFull):
+		return ticket, apierror.Later(http.StatusServiceUnavailable, apierror.CodeKeyStoreFull,
+			"no room for more idempotency keys", time.Minute).WithRan(apierror.RanUnknown, apierror.AdviceSameKey)
+	default:
+		// An earlier try under this key may have run; this one did not.
+		return ticket, apierror.Later(http.StatusServiceUnavailable, apierror.CodePlatform,
+			"the key could not be looked up, so this call ran nothing; an earlier call with the same key may have. Tickets work without the platform: "+err.Error(),
+			2*time.Second).WithRan(apierror.RanUnknown, apierror.AdviceSameKey)
+	}
+}
+
+// memberOf finds the live member with an incarnation.
+func (r *Runner) memberOf(incarnation uint64) (fleet.Member, bool) {
+	for _, m := range r.Table.Live() {
+		if m.Incarnation == incarnation && m.Role == fleet.RoleAgent {
+			return m, true
+		}
+	}
+	return fleet.Member{}, false
+}
+
+// follow sends a ticket's request and reattaches after each break, until the
+// agent has given its answer, is gone, or the time is up. It returns a nil
+// outcome with a result.
+func (r *Runner) follow(ctx context.Context, job *Job, c routing.Choice, t claims.Ticket, p *progress) (Result, *outcome) {
+	sent := false
+	ticket := &wire.Ticket{Incarnation: t.Incarnation, Sequence: t.Sequence}
+	for number := uint32(1); ; number++ {
+		out := r.attempt(ctx, job, c, number, ticket, p)
+		if out.done {
+			return out.result(number, c), nil
+		}
+		if sent && !out.sent {
+			// This try did not reach the agent, but an earlier one may have.
+			out.ran = wire.Ran_RAN_UNKNOWN
+		}
+		sent = sent || out.sent
+		if ctx.Err() != nil || out.clientGone || r.isFinal(out, c) {
+			return Result{}, out
+		}
+		pause(ctx, number)
+	}
+}
+
+// isFinal tells whether asking the same agent again could bring anything new.
+func (r *Runner) isFinal(out *outcome, c routing.Choice) bool {
+	switch out.code {
+	case "stream_broke":
+		return false
+	case "endpoint_not_reached":
+		if out.ran == wire.Ran_RAN_NO {
+			return true
+		}
+	}
+	m, known := r.Table.Get(c.Member.ID)
+	gone := !known || m.State == fleet.Dead || m.Incarnation != c.Member.Incarnation
+	return gone || out.code != "endpoint_not_reached"
+}
+
+const (
+	ticketPrefix  = "lwt1_"
+	ticketMACSize = 10
+)
+
+var ticketEncoding = base32.StdEncoding.WithPadding(base32.NoPadding)
+
+// TicketKey is the form in which a caller gets a ticket to use as its
+// idempotency key. The MAC is under the customer's salt: nobody can use up
+// another customer's tickets.
+func TicketKey(c *config.Customer, service string, t claims.Ticket) string {
+	raw := binary.BigEndian.AppendUint64(nil, t.Incarnation)
+	raw = binary.BigEndian.AppendUint64(raw, t.Sequence)
+	raw = append(raw, ticketMAC(c, service, raw)...)
+	return ticketPrefix + strings.ToLower(ticketEncoding.EncodeToString(raw))
+}
+
+func ticketMAC(c *config.Customer, service string, raw []byte) []byte {
+	mac := hmac.New(sha256.New, c.Salt)
+	mac.Write([]byte("ticket\x00" + service + "\x00"))
+	mac.Write(raw)
+	return mac.Sum(nil)[:ticketMACSize]
+}
+
+// ParseTicketKey reads a TicketKey; false if it is none or was not issued to
+// this customer and service.
+func ParseTicketKey(c *config.Customer, service, key string) (claims.Ticket, bool) {
+	text, ok := strings.CutPrefix(key, ticketPrefix)
+	if !ok {
+		return claims.Ticket{}, false
+	}
+	raw, err := ticketEncoding.DecodeString(strings.ToUpper(text))
+	if err != nil || len(raw) != 16+ticketMACSize {
+		return claims.Ticket{}, false
+	}
+	if !hmac.Equal(ticketMAC(c, service, raw[:16]), raw[16:]) {
+		return claims.Ticket{}, false
+	}
+	return claims.Ticket{Incarnation: binary.BigEndian.Uint64(raw), Sequence: binary.BigEndian.Uint64(raw[8:])}, true
+}
+
+const (
+	// mintCount tickets are fetched from an agent at once.
+	mintCount = 32
+	// ticketMargin is left of a ticket's validity when it is used.
+	ticketMargin = time.Minute
+)
+
+// TicketPool keeps some tickets of each agent at hand.
+type TicketPool struct {
+	pool *rpc.Pool
+	mu   sync.Mutex
+	sets map[uint64]*ticketSet
+}
+
+type ticketSet struct {
+	// mint serializes the refills of one agent.
+	mint  sync.Mutex
+	next  uint64
+	end   uint64
+	until time.Time
+}
+
+// NewTicketPool returns an empty pool.
+func NewTicketPool(pool *rpc.Pool) *TicketPool {
+	return &TicketPool{pool: pool, sets: map[uint64]*ticketSet{}}
+}
+
+// Take returns an unused ticket of a member, fetching more when it has none.
+func (t *TicketPool) Take(ctx context.Context, m fleet.Member) (claims.Ticket, error) {
+	set := t.set(m.Incarnation)
+	set.mint.Lock()
+	defer set.mint.Unlock()
+	if set.next == set.end || time.Now().After(set.until) {
+		if err := t.refill(ctx, m, set); err != nil {
+			return claims.Ticket{}, err
+		}
+	}
+	set.next++
+	return claims.Ticket{Incarnation: m.Incarnation, Sequence: set.next - 1}, nil
+}
+
+func (t *TicketPool) set(incarnation uint64) *ticketSet {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	set, ok := t.sets[incarnation]
+	if !ok {
+		set = &ticketSet{}
+		t.sets[incarnation] = set
+	}
+	return set
+}
+
+func (t *TicketPool) refill(ctx context.Context, m fleet.Member, set *ticketSet) error {
+	if err := t.pool.WaitReady(ctx, m.Address); err != nil {
+		return err
+	}
+	client, err := t.pool.Agent(m.Address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	asked := time.Now()
+	resp, err := client.MintTickets(ctx, &wire.MintTicketsRequest{Count: mintCount})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if resp.GetCount() == 0 || resp.GetIncarnation() != m.Incarnation {
+		return errors.Errorf("agent %s gave no tickets", m.ID)
+	}
+	set.next, set.end = resp.GetFirst(), resp.GetFirst()+uint64(resp.GetCount())
+	set.until = asked.Add(time.Duration(resp.GetValidMs())*time.Millisecond - ticketMargin)
+	return nil
+}
+
+// TicketValidity is how long a ticket given to a caller may at least be used.
+const TicketValidity = ticketMargin
+
+// TakeTicket returns a ticket of a well-chosen endpoint, for a caller to use as
+// its idempotency key.
+func (r *Runner) TakeTicket(ctx context.Context, c *config.Customer, s *config.Service) (string, *apierror.Error) {
+	request := &routing.Request{Objective: s.Objective, Domain: r.Table.Self().Domain}
+	for range maxAttempts {
+		request.Now = time.Now()
+		choice := r.Directory.Choose(s.ID, nil, request)
+		if choice.Member.ID == "" {
+			break
+		}
+		ticket, err := r.Tickets.Take(ctx, choice.Member)
+		r.Directory.Done(choice, err != nil, time.Now())
+		if err == nil {
+			return TicketKey(c, s.ID, ticket), nil
+		}
+		request.Exclude = append(request.Exclude, choice.Member.ID)
+	}
+	return "", apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint gives tickets now", time.Second)
+}
+
+// Forget drops the tickets of incarnations that are no longer live.
+func (t *TicketPool) Forget(live func(incarnation uint64) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for incarnation := range t.sets {
+		if !live(incarnation) {
+			delete(t.sets, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/runs/runs.go
@@ -0,0 +1,282 @@
+// Package runs carries one request through its attempts: it chooses an
+// endpoint, follows the stream, and after a fault resumes, replays or gives the
+// final answer at once.
+package runs
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/rpc"
+)
+
+// maxAttempts bounds the endpoints tried for one request.
+const maxAttempts = 4
+
+// errEndpointGone ends attempts whose member is dead or has restarted.
+const errEndpointGone = errors.ConstError("endpoint is gone")
+
+// Sink receives an answer as it comes; an error means the caller is gone.
+type Sink interface {
+	// Started comes once, before the first token.
+	Started(weightVersion string, promptTokens, cachedTokens int) error
+	Tokens(tokens []string) error
+	Head(h *wire.PlainHead) error
+	Body(data []byte) error
+}
+
+// Job is one request.
+type Job struct {
+	RequestID string
+	Customer  *config.Customer
+	Service   *config.Service
+	Prompt    *wire.Prompt
+	Plain     *wire.PlainCall
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// Digest of the request, which a key is bound to.
+	Digest []byte
+}
+
+// Result is a whole answer's end.
+type Result struct {
+	Reason           string
+	CompletionTokens int
+	Replayed         bool
+	Attempts         int
+	Endpoint         string
+}
+
+// Runner runs jobs for one entry.
+type Runner struct {
+	Directory *routing.Directory
+	Table     *fleet.Table
+	Pool      *rpc.Pool
+	Tickets   *TicketPool
+	Binder    Binder
+	Budget    *RetryBudget
+	Store     *config.Store
+	Zap       *zap.Logger
+
+	mu       sync.Mutex
+	attempts map[string]map[*attempt]struct{}
+}
+
+// progress is what the caller already has.
+type progress struct {
+	sink          Sink
+	started       bool
+	weightVersion string
+	tokens        []string
+	head          bool
+	bodyBytes     int
+	// skipBody counts bytes of a replayed body that the caller already has.
+	skipBody int
+}
+
+// Run carries out a job. The error is its final answer.
+func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) (Result, *apierror.Error) {
+	r.Budget.Earn()
+	p := &progress{sink: sink}
+	if job.Service.NotRepeatable {
+		return r.runOnce(ctx, job, p)
+	}
+	return r.runRepeatable(ctx, job, p)
+}
+
+// contextKeys names the prompt's pieces for the entry's index. Without weight
+// version: the index tells where a context was, the engine whether it fits.
+func contextKeys(job *Job) []contextkey.Key {
+	if job.Prompt == nil {
+		return nil
+	}
+	scope := contextkey.Scope{Salt: job.Customer.Salt, Model: job.Prompt.GetModel(), Adapter: job.Prompt.GetAdapter()}
+	return contextkey.Chain(scope, job.Prompt.GetText())
+}
+
+func (r *Runner) routingRequest(job *Job, keys []contextkey.Key) *routing.Request {
+	text := job.RequestID
+	tokens := 0
+	if job.Prompt != nil {
+		text = job.Prompt.GetText()
+		tokens = contextkey.Tokens(text)
+	}
+	return &routing.Request{
+		Root: routing.RootOf(keys, text), PromptTokens: tokens, Objective: job.Service.Objective,
+		Domain: r.Table.Self().Domain,
+	}
+}
+
+func (r *Runner) runRepeatable(ctx context.Context, job *Job, p *progress) (Result, *apierror.Error) {
+	keys := contextKeys(job)
+	request := r.routingRequest(job, keys)
+	var last *outcome
+	for number := uint32(1); number <= maxAttempts; number++ {
+		if number > 1 && !r.Budget.Spend() {
+			return Result{}, last.final(p, "the retry budget is used up")
+		}
+		request.Now, request.WeightVersion = time.Now(), p.weightVersion
+		choice := r.Directory.Choose(job.Service.ID, keys, request)
+		if choice.Member.ID == "" {
+			return Result{}, noEndpoint(choice.Refusal, last, p)
+		}
+		out := r.attempt(ctx, job, choice, number, nil, p)
+		r.Directory.Done(choice, out.failed, time.Now())
+		if out.done {
+			return out.result(number, choice), nil
+		}
+		last = out
+		if ctx.Err() != nil {
+			return Result{}, contextError(ctx, p, apierror.RanUnknown)
+		}
+		if out.clientGone || (p.head && out.ran != wire.Ran_RAN_NO) {
+			return Result{}, out.final(p, "")
+		}
+		request.Exclude = append(request.Exclude, choice.Member.ID)
+	}
+	return Result{}, last.final(p, "all attempts failed")
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	done     bool
+	finished *wire.Finished
+	// failed: the endpoint or the way to it failed.
+	failed bool
+	// sent: the request may have reached the agent.
+	sent       bool
+	clientGone bool
+	ran        wire.Ran
+	code       string
+	message    string
+	retryAfter time.Duration
+}
+
+func (o *outcome) result(number uint32, c routing.Choice) Result {
+	return Result{
+		Reason: o.finished.GetReason(), CompletionTokens: int(o.finished.GetCompletionTokens()),
+		Replayed: o.finished.GetReplayed(), Attempts: int(number), Endpoint: c.Member.Endpoint.ID,
+	}
+}
+
+func (r *Runner) attempt(ctx context.Context, job *Job, c routing.Choice, number uint32, ticket *wire.Ticket, p *progress) *outcome {
+	a := &attempt{runner: r, job: job, choice: c, number: number, ticket: ticket, progress: p}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a.cancel = cancel
+	r.register(a)
+	defer r.unregister(a)
+	out := a.run(ctx)
+	r.Zap.Info("attempt",
+		zap.String("request_id", job.RequestID), zap.String("customer", job.Customer.ID),
+		zap.String("service", job.Service.ID), zap.String("endpoint", c.Member.Endpoint.ID),
+		zap.Uint32("attempt", number), zap.String("decision", string(c.Reason)),
+		zap.Duration("expected_ttft", c.TTFT), zap.Bool("done", out.done), zap.String("code", out.code),
+		zap.String("reason", out.message))
+	return out
+}
+
+func (r *Runner) register(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.attempts == nil {
+		r.attempts = map[string]map[*attempt]struct{}{}
+	}
+	set := r.attempts[a.choice.Member.ID]
+	if set == nil {
+		set = map[*attempt]struct{}{}
+		r.attempts[a.choice.Member.ID] = set
+	}
+	set[a] = struct{}{}
+}
+
+func (r *Runner) unregister(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	set := r.attempts[a.choice.Member.ID]
+	delete(set, a)
+	if len(set) == 0 {
+		delete(r.attempts, a.choice.Member.ID)
+	}
+}
+
+// WatchDuty ends attempts whose member is dead. A host that vanishes closes no
+// connection; without this its streams would wait for their deadline.
+func (r *Runner) WatchDuty(ctx context.Context) {
+	for {
+		changed := r.Table.Changed()
+		r.cancelGone()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Runner) cancelGone() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, set := range r.attempts {
+		m, known := r.Table.Get(id)
+		for a := range set {
+			if !known || m.State == fleet.Dead || m.Incarnation != a.choice.Member.Incarnation {
+				a.cancel(errEndpointGone)
+			}
+		}
+	}
+}
+
+// RetryBudget bounds retries to a share of the requests, so that a failing
+// fleet is not loaded with a multiple of its traffic.
+type RetryBudget struct {
+	mu     sync.Mutex
+	tokens float64
+	share  float64
+	most   float64
+}
+
+// NewRetryBudget allows share retries a request, and up to burst at once.
+func NewRetryBudget(share, burst float64) *RetryBudget {
+	return &RetryBudget{tokens: burst, share: share, most: burst}
+}
+
+// Earn counts a new request.
+func (b *RetryBudget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.most, b.tokens+b.share)
+}
+
+// Spend takes one retry, or reports false if there is none left.
+func (b *RetryBudget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// pause waits between reattachments, with full jitter.
+func pause(ctx context.Context, number uint32) {
+	limit := min(time.Second, 20*time.Millisecond<<min(number, 8))
+	timer := time.NewTimer(time.Duration(rand.Int64N(int64(limit))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/coordination/spread/node.go
@@ -0,0 +1,420 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/hostlist"
+	"limpetwall/internal/transport/ring"
+)
+
+// ErrNoSource tells that neither the platform nor a peer gave the configuration.
+const ErrNoSource = errors.ConstError("no source of configuration answered")
+
+// Peers reaches other processes by address.
+type Peers interface {
+	Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (*wire.ExchangeResponse, error)
+	FetchConfig(ctx context.Context, address string, r *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error)
+	FetchMembers(ctx context.Context, address string) (*wire.FetchMembersResponse, error)
+	Probe(ctx context.Context, address string, r *wire.ProbeRequest) (*wire.ProbeResponse, error)
+}
+
+// Config tunes a node.
+type Config struct {
+	// ProbeEvery is the period of the probe duty.
+	ProbeEvery time.Duration
+	// CallTimeout bounds one call to a peer.
+	CallTimeout time.Duration
+	// Successors is the number of ring successors that are probed in turn.
+	Successors int
+	// Fanout is the number of members that news is pushed to at once.
+	Fanout int
+	// WatchersPerDomain members of each failure domain watch the platform.
+	WatchersPerDomain int
+	// WatchEpoch is how long a choice of watchers stands.
+	WatchEpoch time.Duration
+	// WatchWait bounds one waiting watch.
+	WatchWait time.Duration
+	// HostsEvery is the period of a watcher's reads of the host list.
+	HostsEvery time.Duration
+	// PlatformStale is the age of platform knowledge after which a member that
+	// is no watcher reads the platform itself.
+	PlatformStale time.Duration
+	// RescueRate is the number of such reads a second of the whole fleet.
+	RescueRate float64
+	// ReconnectEvery is the period of tries to reach members thought dead.
+	ReconnectEvery time.Duration
+	// RowsPerExchange and ReportsPerExchange bound one message.
+	RowsPerExchange    int
+	ReportsPerExchange int
+	// ReportEvery is the shortest period of this process's reports.
+	ReportEvery time.Duration
+	// ReportBudget bounds the bytes a second that all members' reports together
+	// cost each process; in a large fleet each reports more seldom.
+	ReportBudget int
+	// Seeds are addresses to start from when the host list does not answer.
+	Seeds []string
+}
+
+// DefaultConfig is what processes use.
+func DefaultConfig() Config {
+	return Config{
+		ProbeEvery: 500 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3,
+		WatchersPerDomain: 2, WatchEpoch: 10 * time.Minute, WatchWait: 10 * time.Second,
+		HostsEvery: time.Second, PlatformStale: 15 * time.Second, RescueRate: 20,
+		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 20,
+		ReportEvery: 500 * time.Millisecond, ReportBudget: 1024,
+	}
+}
+
+// maxChangesPerExchange bounds the changes pushed in one message; who lacks
+// more fetches them.
+const maxChangesPerExchange = 16
+
+// mismatchesBeforeFetch is how many exchanges with differing tables are taken
+// for news underway before the whole table is fetched.
+const mismatchesBeforeFetch = 4
+
+// Node spreads and receives. Create it with New and start it with Run.
+type Node struct {
+	cfg   Config
+	table *fleet.Table
+	store *config.Store
+	log   *configlog.Log
+	hosts hostlist.List
+	peers Peers
+	zap   *zap.Logger
+	// news wakes the push duty; one waiting wake-up is enough.
+	news   *ring.Ring[struct{}]
+	repair *ring.Ring[repairJob]
+
+	mu         sync.Mutex
+	platformAt time.Time
+	mismatches map[string]int
+	nextProbe  int
+	counts     Counts
+	pushed     pushState
+}
+
+// Counts are a node's exact message counts, for the capacity bench.
+type Counts struct {
+	Sent, Received           int64
+	SentBytes, ReceivedBytes int64
+	PlatformCalls            int64
+}
+
+// repairJob names a peer that has what this process lacks.
+type repairJob struct {
+	address string
+	// members asks for the whole table, not only the configuration.
+	members bool
+}
+
+// New returns a node; nothing runs yet.
+func New(cfg Config, table *fleet.Table, store *config.Store, log *configlog.Log, hosts hostlist.List, peers Peers, logger *zap.Logger) *Node {
+	return &Node{
+		cfg: cfg, table: table, store: store, log: log, hosts: hosts, peers: peers, zap: logger,
+		news: ring.New[struct{}](1), repair: ring.New[repairJob](16), mismatches: map[string]int{},
+	}
+}
+
+// Table gives the node's view of the fleet.
+func (n *Node) Table() *fleet.Table { return n.table }
+
+// Counts returns the message counts so far.
+func (n *Node) Counts() Counts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.counts
+}
+
+// Run starts all duties and returns when ctx ends and they have stopped.
+func (n *Node) Run(ctx context.Context) {
+	duties := []func(context.Context){n.probeDuty, n.pushDuty, n.watchDuty, n.hostsDuty, n.expireDuty, n.reconnectDuty, n.repairDuty}
+	var group sync.WaitGroup
+	for _, duty := range duties {
+		group.Go(func() { duty(ctx) })
+	}
+	group.Wait()
+}
+
+// Announce wakes the push duty: there is news that should not wait for the next
+// probe.
+func (n *Node) Announce() { n.news.TryPush(struct{}{}) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter spreads periods by ±20% so that processes started together do not
+// stay in step.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
+}
+
+func (n *Node) probeDuty(ctx context.Context) {
+	for sleep(ctx, jitter(n.cfg.ProbeEvery)) {
+		if target, ok := n.probeTarget(); ok {
+			// A slow answer must not delay the next probe: with it, one dead
+			// successor would hide the death of another.
+			go n.probe(ctx, target)
+		}
+	}
+}
+
+func (n *Node) probeTarget() (fleet.Member, bool) {
+	successors := n.table.Successors(n.cfg.Successors)
+	if len(successors) == 0 {
+		return fleet.Member{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nextProbe++
+	return successors[n.nextProbe%len(successors)], true
+}
+
+func (n *Node) probe(ctx context.Context, target fleet.Member) {
+	if n.exchange(ctx, target.ID, target.Address) == nil || ctx.Err() != nil {
+		return
+	}
+	if n.indirectProbe(ctx, target) || ctx.Err() != nil {
+		return
+	}
+	if n.table.Suspect(target.ID, target.Incarnation, time.Now()) {
+		n.zap.Info("member suspected", zap.String("member", target.ID), zap.String("address", target.Address))
+		n.Announce()
+	}
+}
+
+// indirectProbe asks two others whether they reach the member: a link that is
+// down between two processes only must not kill a third party's endpoint.
+func (n *Node) indirectProbe(ctx context.Context, target fleet.Member) bool {
+	const helpers = 2
+	answers := make(chan bool, helpers)
+	asked := 0
+	for _, helper := range n.randomMembers(helpers + 1) {
+		if helper.ID == target.ID || asked == helpers {
+			continue
+		}
+		asked++
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, 2*n.cfg.CallTimeout)
+			defer cancel()
+			r, err := n.peers.Probe(ctx, helper.Address, &wire.ProbeRequest{Address: target.Address})
+			answers <- err == nil && r.GetAlive()
+		}()
+	}
+	for range asked {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) randomMembers(count int) []fleet.Member {
+	live := n.table.Live()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(count, len(live))]
+}
+
+func (n *Node) pushDuty(ctx context.Context) {
+	for {
+		if _, err := n.news.Pop(ctx); err != nil {
+			return
+		}
+		for _, m := range n.randomMembers(n.cfg.Fanout) {
+			go n.exchange(ctx, m.ID, m.Address)
+		}
+		// News that arrives in a burst goes out together.
+		if !sleep(ctx, 50*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// reportBytes is the size of one report on the wire.
+const reportBytes = 48
+
+// ReportDuty tells the fleet this process's load and the revision in force.
+func (n *Node) ReportDuty(ctx context.Context, load func() fleet.Load) {
+	for version := uint64(1); ; version++ {
+		self := n.table.Self()
+		n.table.SetReport(fleet.Report{
+			Member: self.ID, Incarnation: self.Incarnation, Version: version,
+			Load: load(), Revision: n.store.View().Revision, At: time.Now(),
+		})
+		if !sleep(ctx, jitter(n.reportPeriod())) {
+			return
+		}
+	}
+}
+
+// reportPeriod keeps the bytes that all reports cost a process within budget,
+// however large the fleet is.
+func (n *Node) reportPeriod() time.Duration {
+	fleetWide := time.Duration(n.table.Size()*reportBytes) * time.Second / time.Duration(n.cfg.ReportBudget)
+	return max(n.cfg.ReportEvery, fleetWide)
+}
+
+// exchange runs one gossip round with a peer.
+func (n *Node) exchange(ctx context.Context, id, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	defer cancel()
+	req := n.request()
+	resp, err := n.peers.Exchange(ctx, address, req)
+	if err != nil {
+		n.count(proto.Size(req), 0)
+		return err
+	}
+	n.count(proto.Size(req), proto.Size(resp))
+	n.takeIn(address, resp.GetMembers(), resp.GetLoads(), resp.GetChanges(), resp.GetPlatformAgeMs())
+	n.compare(id, address, resp.GetRevision(), resp.GetMemberDigest())
+	return nil
+}
+
+func (n *Node) count(sent, received int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.counts.Sent++
+	n.counts.SentBytes += int64(sent)
+	if received > 0 {
+		n.counts.Received++
+		n.counts.ReceivedBytes += int64(received)
+	}
+}
+
+func (n *Node) request() *wire.ExchangeRequest {
+	members, loads := n.fresh()
+	return &wire.ExchangeRequest{
+		From: n.table.Self().ID, Revision: n.store.View().Revision, MemberDigest: n.table.Digest(),
+		Members: members, Loads: loads, Changes: n.recentChanges(), PlatformAgeMs: n.platformAge().Milliseconds(),
+	}
+}
+
+func (n *Node) fresh() ([]*wire.Member, []*wire.LoadReport) {
+	rows, reports := n.table.TakeFresh(n.cfg.RowsPerExchange, n.cfg.ReportsPerExchange)
+	members := make([]*wire.Member, 0, len(rows))
+	for _, m := range rows {
+		members = append(members, m.ToWire())
+	}
+	loads := make([]*wire.LoadReport, 0, len(reports))
+	for _, r := range reports {
+		loads = append(loads, r.ToWire())
+	}
+	return members, loads
+}
+
+// takeIn merges what a peer told.
+func (n *Node) takeIn(address string, members []*wire.Member, loads []*wire.LoadReport, changes []*wire.Change, ageMS int64) {
+	now := time.Now()
+	news := false
+	for _, m := range members {
+		member := fleet.MemberFromWire(m)
+		if n.table.Merge(member, now) {
+			// Deaths and leavings must not wait: requests still go there.
+			news = news || member.State != fleet.Alive
+		}
+	}
+	for _, r := range loads {
+		n.table.SetReport(fleet.ReportFromWire(r, now))
+	}
+	if n.applyChanges(changes) {
+		news = true
+	}
+	n.sawPlatform(now.Add(-time.Duration(ageMS) * time.Millisecond))
+	if news {
+		n.Announce()
+	}
+}
+
+func (n *Node) compare(id, address string, revision, digest uint64) {
+	if revision > n.store.View().Revision {
+		n.repair.TryPush(repairJob{address: address})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if digest == n.table.Digest() {
+		delete(n.mismatches, id)
+		return
+	}
+	n.mismatches[id]++
+	if n.mismatches[id] >= mismatchesBeforeFetch {
+		delete(n.mismatches, id)
+		n.repair.TryPush(repairJob{address: address, members: true})
+	}
+}
+
+func (n *Node) platformAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.platformAt.IsZero() {
+		return never
+	}
+	return min(never, time.Since(n.platformAt))
+}
+
+func (n *Node) sawPlatform(at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at.After(n.platformAt) {
+		n.platformAt = at
+	}
+}
+
+func (n *Node) expireDuty(ctx context.Context) {
+	for sleep(ctx, n.cfg.ProbeEvery/2) {
+		for _, m := range n.table.Expire(time.Now()) {
+			n.zap.Info("member dead", zap.String("member", m.ID), zap.String("host", m.Host))
+			n.Announce()
+		}
+	}
+}
+
+// reconnectDuty reaches out to members thought dead. After a partition both
+// sides hold the other for dead and would never speak again by themselves; one
+// exchange lets the member refute, and the news spreads from there.
+func (n *Node) reconnectDuty(ctx context.Context) {
+	for sleep(ctx, jitter(n.cfg.ReconnectEvery)) {
+		dead := n.table.DeadMembers()
+		if len(dead) > 0 {
+			m := dead[rand.IntN(len(dead))]
+			n.reintroduce(ctx, m)
+		}
+		if n.table.Size() == 1 {
+			n.join(ctx)
+		}
+	}
+}
+
+// reintroduce tells a member that it is thought dead; its answer refutes that.
+func (n *Node) reintroduce(ctx context.Context, m fleet.Member) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	defer cancel()
+	req := n.request()
+	req.Members = append(req.Members, m.ToWire())
+	resp, err := n.peers.Exchange(ctx, m.Address, req)
+	if err != nil {
+		return
+	}
+	n.takeIn(m.Address, resp.GetMembers(), resp.GetLoads(), resp.GetChanges(), resp.GetPlatformAgeMs())
+	n.repair.TryPush(repairJob{address: m.Address, members: true})
+	n.Announce()
+}
--- /dev/null
+++ b/internal/coordination/spread/platform.go
@@ -0,0 +1,286 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/transport/hostlist"
+)
+
+func (n *Node) isWatcher() bool {
+	epoch := uint64(time.Now().UnixNano() / int64(n.cfg.WatchEpoch))
+	return n.table.IsWatcher(n.cfg.WatchersPerDomain, epoch)
+}
+
+func (n *Node) countPlatform() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.counts.PlatformCalls++
+}
+
+// watchDuty watches the platform while this process is one of its domain's
+// watchers. Others read it only when nobody has for long, at a rate that the
+// whole fleet shares by arithmetic: an outage must not end in a stampede.
+func (n *Node) watchDuty(ctx context.Context) {
+	var head configlog.Head
+	failures := 0
+	for ctx.Err() == nil {
+		if !n.isWatcher() {
+			if !sleep(ctx, n.rescueWait()) {
+				return
+			}
+			if n.isWatcher() || n.platformAge() < n.cfg.PlatformStale {
+				continue
+			}
+		}
+		next, err := n.readHead(ctx, head)
+		if err != nil {
+			failures++
+			if !sleep(ctx, backoff(failures)) {
+				return
+			}
+			continue
+		}
+		failures = 0
+		head = next
+	}
+}
+
+// rescueWait is drawn from an interval that grows with the fleet, so that all
+// members together read at most RescueRate times a second.
+func (n *Node) rescueWait() time.Duration {
+	spread := time.Duration(float64(n.table.Size()) / n.cfg.RescueRate * float64(time.Second))
+	return time.Second + time.Duration(rand.Float64()*2*float64(spread))
+}
+
+// backoff doubles from 0.1 s to 10 s with full jitter.
+func backoff(failures int) time.Duration {
+	limit := min(10*time.Second, 100*time.Millisecond<<min(failures, 10))
+	return time.Duration(rand.Float64() * float64(limit))
+}
+
+func (n *Node) readHead(ctx context.Context, after configlog.Head) (configlog.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.WatchWait+5*time.Second)
+	defer cancel()
+	n.countPlatform()
+	head, err := n.log.Watch(ctx, after, n.cfg.WatchWait)
+	if err != nil {
+		return after, err
+	}
+	return head, n.catchUp(ctx, head)
+}
+
+func (n *Node) catchUp(ctx context.Context, head configlog.Head) error {
+	before := n.store.View().Revision
+	if err := n.log.CatchUp(ctx, n.store, head); err != nil {
+		n.zap.Warn("configuration not read", zap.Error(err))
+		return err
+	}
+	n.sawPlatform(time.Now())
+	if after := n.store.View().Revision; after != before {
+		n.zap.Info("configuration in force", zap.Uint64("revision", after), zap.String("from", "platform"))
+		n.Announce()
+	}
+	return nil
+}
+
+// hostsDuty reads the host list while this process is a watcher and spreads
+// which hosts are leaving.
+func (n *Node) hostsDuty(ctx context.Context) {
+	for sleep(ctx, jitter(n.cfg.HostsEvery)) {
+		if n.hosts == nil || !n.isWatcher() {
+			continue
+		}
+		hosts, err := n.readHosts(ctx)
+		if err != nil {
+			continue
+		}
+		for _, h := range hosts {
+			if h.State == hostlist.Leaving && n.table.MarkLeaving(h.ID, time.Now()) {
+				n.zap.Info("host leaving", zap.String("host", h.ID))
+				n.Announce()
+			}
+		}
+	}
+}
+
+func (n *Node) readHosts(ctx context.Context) ([]hostlist.Host, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*n.cfg.CallTimeout)
+	defer cancel()
+	return n.hosts.Hosts(ctx)
+}
+
+// Join finds the fleet and the configuration in force. It fails with
+// ErrNoSource if neither the platform nor a peer answered; the caller is then
+// not ready and tries again.
+//
+// Peers come first: when a whole failure domain restarts, hundreds of reads
+// would otherwise meet the platform at once. The platform is read when no peer
+// has heard from it lately.
+func (n *Node) Join(ctx context.Context) error {
+	reached := n.join(ctx)
+	if reached && n.platformAge() < n.cfg.PlatformStale {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*n.cfg.CallTimeout)
+	defer cancel()
+	n.countPlatform()
+	head, err := n.log.Read(ctx)
+	if err == nil {
+		err = n.catchUp(ctx, head)
+	}
+	if err != nil && !reached {
+		return ErrNoSource
+	}
+	return nil
+}
+
+// join introduces this process to some seeds and takes over what they know.
+func (n *Node) join(ctx context.Context) bool {
+	const wanted = 3
+	reached := 0
+	for _, address := range n.seeds(ctx) {
+		if reached == wanted || ctx.Err() != nil {
+			break
+		}
+		if n.joinOne(ctx, address) {
+			reached++
+		}
+	}
+	return reached > 0
+}
+
+func (n *Node) seeds(ctx context.Context) []string {
+	own := n.table.Self().Address
+	var addresses []string
+	if n.hosts != nil {
+		hosts, _ := n.readHosts(ctx)
+		for _, h := range hosts {
+			if h.Address != own && h.Address != "" {
+				addresses = append(addresses, h.Address)
+			}
+		}
+	}
+	for _, seed := range n.cfg.Seeds {
+		if seed != own {
+			addresses = append(addresses, seed)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+func (n *Node) joinOne(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	defer cancel()
+	members, err := n.peers.FetchMembers(ctx, address)
+	if err != nil {
+		return false
+	}
+	n.takeIn(address, members.GetMembers(), nil, nil, never.Milliseconds())
+	if !n.fetchConfig(ctx, address) {
+		return false
+	}
+	req := n.request()
+	req.Members = append(req.Members, n.table.Self().ToWire())
+	_, err = n.peers.Exchange(ctx, address, req)
+	return err == nil
+}
+
+// repairDuty fetches what a peer has and this process lacks.
+func (n *Node) repairDuty(ctx context.Context) {
+	for {
+		job, err := n.repair.Pop(ctx)
+		if err != nil {
+			return
+		}
+		n.repairFrom(ctx, job)
+		if !sleep(ctx, jitter(200*time.Millisecond)) {
+			return
+		}
+	}
+}
+
+func (n *Node) repairFrom(ctx context.Context, job repairJob) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	defer cancel()
+	n.fetchConfig(ctx, job.address)
+	if !job.members {
+		return
+	}
+	members, err := n.peers.FetchMembers(ctx, job.address)
+	if err == nil {
+		n.takeIn(job.address, members.GetMembers(), nil, nil, never.Milliseconds())
+	}
+}
+
+func (n *Node) fetchConfig(ctx context.Context, address string) bool {
+	resp, err := n.peers.FetchConfig(ctx, address, &wire.FetchConfigRequest{HaveRevision: n.store.View().Revision})
+	if err != nil {
+		return false
+	}
+	if len(resp.GetSnapshot()) > 0 {
+		view, err := config.DecodeView(resp.GetSnapshot())
+		if err != nil {
+			n.zap.Error("peer sent a malformed snapshot", zap.String("peer", address), zap.Error(err))
+			return false
+		}
+		n.store.Load(view)
+	}
+	n.sawPlatform(time.Now().Add(-time.Duration(resp.GetPlatformAgeMs()) * time.Millisecond))
+	if n.applyChanges(resp.GetChanges()) || len(resp.GetSnapshot()) > 0 {
+		n.zap.Info("configuration in force", zap.Uint64("revision", n.store.View().Revision), zap.String("from", address))
+		n.Announce()
+	}
+	return true
+}
+
+// applyChanges applies what follows the revision in force and tells whether it moved.
+func (n *Node) applyChanges(changes []*wire.Change) bool {
+	before := n.store.View().Revision
+	for _, w := range changes {
+		c, err := config.DecodeChange(w.GetDocument())
+		if err != nil {
+			n.zap.Error("peer sent a malformed change", zap.Uint64("revision", w.GetRevision()), zap.Error(err))
+			break
+		}
+		if n.store.Apply(c) != nil {
+			break
+		}
+	}
+	return n.store.View().Revision != before
+}
+
+// recentChanges are pushed along while they are news.
+func (n *Node) recentChanges() []*wire.Change {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	revision := n.store.View().Revision
+	if revision != n.pushed.revision {
+		n.pushed = pushState{revision: revision, left: n.cfg.Fanout * 2}
+	}
+	if n.pushed.left == 0 || revision == 0 {
+		return nil
+	}
+	n.pushed.left--
+	changes, ok := n.store.Since(revision - 1)
+	if !ok {
+		return nil
+	}
+	return toWire(changes)
+}
+
+// pushState counts how often the newest change is still pushed unasked.
+type pushState struct {
+	revision uint64
+	left     int
+}
+
+// never is an age that tells nothing.
+const never = 24 * time.Hour
--- /dev/null
+++ b/internal/operatorcli/doc.go
@@ -0,0 +1,3 @@
+// Package operatorcli is limpetctl: the operators' command line. It talks to
+// any entry and keeps nothing.
+package operatorcli
--- /dev/null
+++ b/internal/protocol/openai/openai.go
@@ -0,0 +1,327 @@
+// Package openai reads and writes the OpenAI-compatible calls: chat
+// completions, completions and models.
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"limpetwall/internal/state/finding"
+)
+
+// Limits of a request.
+type Limits struct {
+	MaxMessages  int
+	MaxMaxTokens int
+	// DefaultMaxTokens is used when a request names no maximum.
+	DefaultMaxTokens int
+}
+
+// Prompt is a decoded request.
+type Prompt struct {
+	Model     string
+	Text      string
+	MaxTokens int
+	Seed      int64
+	Stream    bool
+	// IncludeUsage asks for a last chunk with token counts.
+	IncludeUsage bool
+	Chat         bool
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+type request struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Seed                int64           `json:"seed"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	N *int `json:"n"`
+}
+
+// Decode reads a chat or plain completion request. Its error is a *finding.Error.
+// Fields of the OpenAI API that this system passes over are accepted, since
+// official clients send them.
+func Decode(body []byte, chat bool, limits Limits) (Prompt, error) {
+	var l finding.List
+	var r request
+	if err := json.Unmarshal(body, &r); err != nil {
+		l.Add(jsonPlace(body, err), "%v", err)
+		return Prompt{}, l.Err()
+	}
+	p := Prompt{
+		Model: r.Model, Seed: r.Seed, Stream: r.Stream, Chat: chat,
+		IncludeUsage: r.StreamOptions.IncludeUsage, MaxTokens: limits.DefaultMaxTokens,
+	}
+	if r.Model == "" {
+		l.Add("$.model", "is required")
+	}
+	if r.N != nil && *r.N != 1 {
+		l.Add("$.n", "is %d, only 1 is served", *r.N)
+	}
+	setMaxTokens(&l, &p, r, limits)
+	if chat {
+		p.Text = chatText(&l, r.Messages, limits)
+	} else {
+		p.Text = promptText(&l, r.Prompt)
+	}
+	return p, l.Err()
+}
+
+func setMaxTokens(l *finding.List, p *Prompt, r request, limits Limits) {
+	place, given := "$.max_tokens", r.MaxTokens
+	if r.MaxCompletionTokens != nil {
+		place, given = "$.max_completion_tokens", r.MaxCompletionTokens
+	}
+	if given == nil {
+		return
+	}
+	p.MaxTokens = *given
+	if *given < 1 || *given > limits.MaxMaxTokens {
+		l.Add(place, "is %d, must be 1 to %d", *given, limits.MaxMaxTokens)
+	}
+}
+
+func chatText(l *finding.List, messages []message, limits Limits) string {
+	if len(messages) == 0 {
+		l.Add("$.messages", "is required, with at least one message")
+	}
+	if len(messages) > limits.MaxMessages {
+		l.Add("$.messages", "has %d messages, at most %d are accepted", len(messages), limits.MaxMessages)
+		return ""
+	}
+	var text strings.Builder
+	for i, m := range messages {
+		place := fmt.Sprintf("$.messages[%d]", i)
+		if m.Role == "" {
+			l.Add(place+".role", "is required")
+		}
+		content := contentText(l, place+".content", m.Content)
+		// Lengths keep apart what a caller's text could otherwise imitate.
+		fmt.Fprintf(&text, "<%s %d>%s\n", m.Role, len(content), content)
+	}
+	return text.String()
+}
+
+func contentText(l *finding.List, place string, raw json.RawMessage) string {
+	var s string
+	if len(raw) == 0 || bytes.Equal(raw, []byte("null")) {
+		return ""
+	}
+	if json.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	var parts []contentPart
+	if json.Unmarshal(raw, &parts) != nil {
+		l.Add(place, "must be a text or a list of parts")
+		return ""
+	}
+	var text strings.Builder
+	for i, part := range parts {
+		if part.Type != "text" {
+			l.Add(fmt.Sprintf("%s[%d].type", place, i), "%q is not served, only text", part.Type)
+			continue
+		}
+		text.WriteString(part.Text)
+	}
+	return text.String()
+}
+
+func promptText(l *finding.List, raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil && s != "" {
+		return s
+	}
+	var list []string
+	if json.Unmarshal(raw, &list) == nil && len(list) == 1 && list[0] != "" {
+		return list[0]
+	}
+	l.Add("$.prompt", "must be a text, or a list of one text, and not empty")
+	return ""
+}
+
+// jsonPlace gives line and column of a syntax error, or the field of a type error.
+func jsonPlace(body []byte, err error) string {
+	switch e := err.(type) {
+	case *json.SyntaxError:
+		upTo := body[:min(int(e.Offset), len(body))]
+		line := bytes.Count(upTo, []byte("\n")) + 1
+		column := len(upTo) - bytes.LastIndexByte(upTo, '\n') - 1
+		return fmt.Sprintf("line %d column %d", line, column)
+	case *json.UnmarshalTypeError:
+		return "$." + e.Field
+	}
+	return "$"
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          *UsageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// UsageDetails tells how much of a prompt was found in a cache.
+type UsageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// NewUsage returns a usage with its total.
+func NewUsage(prompt, cached, completion int) *Usage {
+	return &Usage{
+		PromptTokens: prompt, CompletionTokens: completion, TotalTokens: prompt + completion,
+		Details: &UsageDetails{CachedTokens: cached},
+	}
+}
+
+type chatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int          `json:"index"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	Text         *string      `json:"text,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	// SystemFingerprint names the weight version that answered.
+	SystemFingerprint string `json:"system_fingerprint,omitempty"`
+}
+
+// Writer encodes the answers to one request.
+type Writer struct {
+	Prompt  Prompt
+	ID      string
+	Created int64
+	// WeightVersion becomes the answer's system fingerprint.
+	WeightVersion string
+}
+
+func (w *Writer) base(object string) answer {
+	return answer{
+		ID: w.ID, Object: object, Created: w.Created, Model: w.Prompt.Model,
+		SystemFingerprint: w.WeightVersion, Choices: []choice{},
+	}
+}
+
+// Whole encodes a non-streamed answer.
+func (w *Writer) Whole(text, reason string, usage *Usage) []byte {
+	a := w.base("text_completion")
+	c := choice{FinishReason: &reason}
+	if w.Prompt.Chat {
+		a.Object = "chat.completion"
+		c.Message = &chatMessage{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	a.Choices = append(a.Choices, c)
+	a.Usage = usage
+	data, _ := json.Marshal(a)
+	return append(data, '\n')
+}
+
+// Chunk encodes a part of a streamed answer as one server-sent event.
+func (w *Writer) Chunk(text string, first bool) []byte {
+	a := w.base("text_completion")
+	c := choice{}
+	if w.Prompt.Chat {
+		a.Object = "chat.completion.chunk"
+		c.Delta = &chatMessage{Content: text}
+		if first {
+			c.Delta.Role = "assistant"
+		}
+	} else {
+		c.Text = &text
+	}
+	a.Choices = append(a.Choices, c)
+	return event(a)
+}
+
+// Last encodes the end of a streamed answer.
+func (w *Writer) Last(reason string, usage *Usage) []byte {
+	a := w.base("text_completion")
+	c := choice{FinishReason: &reason}
+	empty := ""
+	if w.Prompt.Chat {
+		a.Object = "chat.completion.chunk"
+		c.Delta = &chatMessage{}
+	} else {
+		c.Text = &empty
+	}
+	a.Choices = append(a.Choices, c)
+	out := event(a)
+	if w.Prompt.IncludeUsage {
+		a.Choices, a.Usage = []choice{}, usage
+		out = append(out, event(a)...)
+	}
+	return append(out, "data: [DONE]\n\n"...)
+}
+
+func event(a answer) []byte {
+	data, _ := json.Marshal(a)
+	out := append([]byte("data: "), data...)
+	return append(out, "\n\n"...)
+}
+
+// ErrorEvent encodes an error after a stream has begun.
+func ErrorEvent(body []byte) []byte {
+	out := append([]byte("data: "), bytes.TrimSpace(body)...)
+	return append(out, "\n\n"...)
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func newModel(id string, created int64) model {
+	return model{ID: id, Object: "model", Created: created, OwnedBy: "limpetwall"}
+}
+
+// Model encodes one model.
+func Model(id string, created int64) []byte {
+	data, _ := json.Marshal(newModel(id, created))
+	return append(data, '\n')
+}
+
+// Models encodes the list of models a customer may use.
+func Models(ids []string, created int64) []byte {
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, id := range ids {
+		list.Data = append(list.Data, newModel(id, created))
+	}
+	data, _ := json.Marshal(list)
+	return append(data, '\n')
+}
--- /dev/null
+++ b/internal/state/config/document.go
@@ -0,0 +1,282 @@
+// Package config holds the accepted configuration: customers, services,
+// standing intents and operators as versioned documents, the numbered changes
+// that led to them, and an immutable view for decisions.
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"sort"
+	"time"
+
+	"limpetwall/internal/state/finding"
+)
+
+// Kind names a sort of document.
+type Kind string
+
+// The kinds of documents.
+const (
+	KindCustomer Kind = "customer"
+	KindService  Kind = "service"
+	KindIntent   Kind = "intent"
+	KindOperator Kind = "operator"
+)
+
+// Ref names one document.
+type Ref struct {
+	Kind Kind   `json:"kind"`
+	ID   string `json:"id"`
+}
+
+// String gives "kind/id".
+func (r Ref) String() string { return string(r.Kind) + "/" + r.ID }
+
+// Document is one versioned object of the configuration.
+type Document struct {
+	Ref
+	Spec json.RawMessage `json:"spec"`
+}
+
+// Limits bounds what one customer or service may have running. Zero means no bound.
+type Limits struct {
+	// RequestsPerSecond admitted by each entry.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+	// Burst is the number of requests admitted at once above the rate.
+	Burst int `json:"burst,omitempty"`
+	// Concurrent requests on each entry.
+	Concurrent int `json:"concurrent,omitempty"`
+}
+
+// Customer may call services; requests name it by an API key.
+type Customer struct {
+	ID string `json:"-"`
+	// KeyHashes are SHA-256 hashes of API keys, hexadecimal.
+	KeyHashes []string `json:"key_hashes"`
+	Limits    Limits   `json:"limits"`
+	// Share is the customer's weight in fair queuing; 0 means 1.
+	Share float64 `json:"share,omitempty"`
+	// Salt separates the customer's contexts from all others. The system makes
+	// it; operators never see it.
+	Salt []byte `json:"salt,omitempty"`
+}
+
+// ServiceKind tells model endpoints from plain ones.
+type ServiceKind string
+
+// The kinds of services.
+const (
+	ServicePrompt ServiceKind = "prompt"
+	ServicePlain  ServiceKind = "plain"
+)
+
+// Objective is what a service promises and how its cost is weighed.
+type Objective struct {
+	// TTFTMS is the time to first token (or to a plain answer's head), in ms.
+	TTFTMS int `json:"ttft_ms,omitempty"`
+	// Target is the share of requests that must meet it, below 1.
+	Target float64 `json:"target,omitempty"`
+	// WeightTTFT weighs each second of expected time to first token.
+	WeightTTFT float64 `json:"weight_ttft,omitempty"`
+	// WeightRecompute weighs each thousand recomputed tokens.
+	WeightRecompute float64 `json:"weight_recompute,omitempty"`
+	// WeightLink weighs each thousand tokens moved over a store's link.
+	WeightLink float64 `json:"weight_link,omitempty"`
+}
+
+// Service is what customers call by name.
+type Service struct {
+	ID   string      `json:"-"`
+	Kind ServiceKind `json:"kind"`
+	// NotRepeatable marks calls that run at most once.
+	NotRepeatable bool `json:"not_repeatable,omitempty"`
+	// Customers that may call it; "*" means all.
+	Customers []string  `json:"customers"`
+	Objective Objective `json:"objective"`
+	// TimeoutMS bounds one request, in ms.
+	TimeoutMS int    `json:"timeout_ms,omitempty"`
+	Priority  int    `json:"priority,omitempty"`
+	Limits    Limits `json:"limits"`
+}
+
+// Intent ties a service to the endpoints it may use.
+type Intent struct {
+	ID      string `json:"-"`
+	Service string `json:"service"`
+	// Labels an endpoint must carry, all of them.
+	Labels map[string]string `json:"labels"`
+	Model  string            `json:"model,omitempty"`
+	// WeightVersion the endpoints must serve; empty accepts any, one per run.
+	WeightVersion string `json:"weight_version,omitempty"`
+	Adapter       string `json:"adapter,omitempty"`
+	Role          string `json:"role,omitempty"`
+	// MaxConcurrent runs on one endpoint from each entry; 0 means no bound.
+	MaxConcurrent int `json:"max_concurrent,omitempty"`
+	// MinEndpoints below which a plan warns and a rollout stops.
+	MinEndpoints int `json:"min_endpoints,omitempty"`
+}
+
+// Operator may plan and confirm.
+type Operator struct {
+	ID        string   `json:"-"`
+	KeyHashes []string `json:"key_hashes"`
+}
+
+// Default objective values for services that state none.
+const (
+	DefaultTTFTMS    = 390
+	DefaultTarget    = 0.95
+	DefaultTimeoutMS = 60_000
+	maxTimeoutMS     = 3_600_000
+	maxDocument      = 64 << 10
+)
+
+var idPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+
+// CheckID adds a finding if id is no valid document id.
+func CheckID(l *finding.List, place, id string) {
+	if !idPattern.MatchString(id) {
+		l.Add(place, "id %q must be 1 to 63 of a-z, 0-9, '.', '_', '-', beginning and ending with a letter or digit", id)
+	}
+}
+
+// decodeSpec decodes strictly: a misspelt field would otherwise be ignored and
+// the operator would believe it in force.
+func decodeSpec(l *finding.List, place string, raw json.RawMessage, into any) bool {
+	if len(raw) > maxDocument {
+		l.Add(place, "has %d bytes, at most %d are accepted", len(raw), maxDocument)
+		return false
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		l.Add(place, "%v", err)
+		// Decode what there is, so that the other findings are reported too.
+		return json.Unmarshal(raw, into) == nil
+	}
+	return true
+}
+
+// Check adds findings on one document, apart from its references to others.
+func (d Document) Check(l *finding.List, place string) {
+	CheckID(l, place+".id", d.ID)
+	spec := place + ".spec"
+	switch d.Kind {
+	case KindCustomer:
+		var c Customer
+		if decodeSpec(l, spec, d.Spec, &c) {
+			c.check(l, spec)
+		}
+	case KindService:
+		var s Service
+		if decodeSpec(l, spec, d.Spec, &s) {
+			s.check(l, spec)
+		}
+	case KindIntent:
+		var i Intent
+		if decodeSpec(l, spec, d.Spec, &i) {
+			i.check(l, spec)
+		}
+	case KindOperator:
+		var o Operator
+		if decodeSpec(l, spec, d.Spec, &o) {
+			checkHashes(l, spec+".key_hashes", o.KeyHashes)
+		}
+	default:
+		l.Add(place+".kind", "%q is none of customer, service, intent, operator", d.Kind)
+	}
+}
+
+func (c Customer) check(l *finding.List, place string) {
+	checkHashes(l, place+".key_hashes", c.KeyHashes)
+	c.Limits.check(l, place+".limits")
+	if c.Share < 0 {
+		l.Add(place+".share", "is %g, must not be negative", c.Share)
+	}
+}
+
+func (s Service) check(l *finding.List, place string) {
+	if s.Kind != ServicePrompt && s.Kind != ServicePlain {
+		l.Add(place+".kind", "%q is neither prompt nor plain", s.Kind)
+	}
+	if len(s.Customers) == 0 {
+		l.Add(place+".customers", "names no customer; \"*\" means all")
+	}
+	if s.Objective.Target < 0 || s.Objective.Target >= 1 {
+		l.Add(place+".objective.target", "is %g, must be at least 0 and below 1", s.Objective.Target)
+	}
+	checkRange(l, place+".objective.ttft_ms", s.Objective.TTFTMS, maxTimeoutMS)
+	checkRange(l, place+".timeout_ms", s.TimeoutMS, maxTimeoutMS)
+	checkRange(l, place+".priority", s.Priority, 100)
+	for name, weight := range map[string]float64{
+		"weight_ttft": s.Objective.WeightTTFT, "weight_recompute": s.Objective.WeightRecompute,
+		"weight_link": s.Objective.WeightLink,
+	} {
+		if weight < 0 {
+			l.Add(place+".objective."+name, "is %g, must not be negative", weight)
+		}
+	}
+	s.Limits.check(l, place+".limits")
+}
+
+func (i Intent) check(l *finding.List, place string) {
+	if i.Service == "" {
+		l.Add(place+".service", "is required")
+	}
+	if len(i.Labels) == 0 {
+		l.Add(place+".labels", "selects no endpoint; name at least one label")
+	}
+	checkRange(l, place+".max_concurrent", i.MaxConcurrent, 1<<20)
+	checkRange(l, place+".min_endpoints", i.MinEndpoints, 1<<20)
+}
+
+func (m Limits) check(l *finding.List, place string) {
+	if m.RequestsPerSecond < 0 {
+		l.Add(place+".requests_per_second", "is %g, must not be negative", m.RequestsPerSecond)
+	}
+	checkRange(l, place+".burst", m.Burst, 1<<20)
+	checkRange(l, place+".concurrent", m.Concurrent, 1<<20)
+}
+
+func checkRange(l *finding.List, place string, value, most int) {
+	if value < 0 || value > most {
+		l.Add(place, "is %d, must be 0 to %d", value, most)
+	}
+}
+
+func checkHashes(l *finding.List, place string, hashes []string) {
+	if len(hashes) == 0 {
+		l.Add(place, "names no key")
+	}
+	for i, h := range hashes {
+		raw, err := hex.DecodeString(h)
+		if err != nil || len(raw) != 32 {
+			l.Add(fmt.Sprintf("%s[%d]", place, i), "must be a SHA-256 hash, 64 hexadecimal digits")
+		}
+	}
+}
+
+// Change is one accepted step of the configuration. Revisions count from 1
+// without gaps; the object API's conditional update decides which change takes
+// a revision.
+type Change struct {
+	Revision uint64     `json:"revision"`
+	PlanID   string     `json:"plan_id"`
+	Operator string     `json:"operator"`
+	At       time.Time  `json:"at"`
+	Puts     []Document `json:"puts,omitempty"`
+	Deletes  []Ref      `json:"deletes,omitempty"`
+}
+
+// Refs lists the documents a change touches, ordered.
+func (c Change) Refs() []Ref {
+	refs := append([]Ref(nil), c.Deletes...)
+	for _, d := range c.Puts {
+		refs = append(refs, d.Ref)
+	}
+	sort.Slice(refs, func(i, j int) bool { return refs[i].String() < refs[j].String() })
+	return refs
+}
--- /dev/null
+++ b/internal/state/fleet/member.go
@@ -0,0 +1,165 @@
+// Package fleet holds what a process knows of all others: who is alive, which
+// incarnation, where, and how loaded. The Table is pure: it is told what was
+// heard and what time it is, and does no I/O.
+package fleet
+
+import (
+	"maps"
+	"time"
+
+	"limpetwall/internal/protocol/wire"
+)
+
+// State of a member. Of two rows with the same version the higher state wins:
+// bad news about a member holds until the member itself refutes it with a
+// higher version.
+type State uint8
+
+// The states of a member.
+const (
+	Alive State = iota
+	Leaving
+	Suspect
+	Dead
+)
+
+// String gives the state's name.
+func (s State) String() string {
+	return [...]string{"alive", "leaving", "suspect", "dead"}[s]
+}
+
+// Roles of members.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// Kinds of endpoints.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
+// Endpoint describes the back end beside an agent.
+type Endpoint struct {
+	ID            string            `json:"id"`
+	Kind          string            `json:"kind"`
+	Labels        map[string]string `json:"labels"`
+	Model         string            `json:"model,omitempty"`
+	WeightVersion string            `json:"weight_version,omitempty"`
+	Adapter       string            `json:"adapter,omitempty"`
+	Role          string            `json:"role,omitempty"`
+}
+
+func (e Endpoint) equal(o Endpoint) bool {
+	return e.ID == o.ID && e.Kind == o.Kind && e.Model == o.Model && e.WeightVersion == o.WeightVersion &&
+		e.Adapter == o.Adapter && e.Role == o.Role && maps.Equal(e.Labels, o.Labels)
+}
+
+// Member is one process of the system.
+type Member struct {
+	ID string `json:"id"`
+	// Incarnation is drawn at random when the process starts.
+	Incarnation uint64 `json:"incarnation,string"`
+	// Version orders the rows of one member; only the member raises it.
+	Version  uint64   `json:"version"`
+	State    State    `json:"state"`
+	Address  string   `json:"address"`
+	Host     string   `json:"host"`
+	Domain   string   `json:"domain"`
+	Region   string   `json:"region"`
+	Role     string   `json:"role"`
+	Endpoint Endpoint `json:"endpoint"`
+	// WasLeaving keeps a suspected member's own word that it leaves.
+	WasLeaving bool `json:"was_leaving,omitempty"`
+}
+
+// Load is what an endpoint last reported.
+type Load struct {
+	Running      int `json:"running"`
+	Queued       int `json:"queued"`
+	QueuedTokens int `json:"queued_tokens"`
+	// PrefillRate is in tokens per second.
+	PrefillRate int `json:"prefill_rate"`
+}
+
+// Report is a member's soft state: it ages, and a lost one is replaced by the next.
+type Report struct {
+	Member      string
+	Incarnation uint64
+	Version     uint64
+	Load        Load
+	// Revision of the configuration in force at the member.
+	Revision uint64
+	// At is when this process learned the report.
+	At time.Time
+}
+
+// ToWire converts a member for its transport.
+func (m Member) ToWire() *wire.Member {
+	w := &wire.Member{
+		Id: m.ID, Incarnation: m.Incarnation, Version: m.Version, State: wire.MemberState(m.State),
+		Address: m.Address, Host: m.Host, Domain: m.Domain, Region: m.Region, Role: m.Role,
+		WasLeaving: m.WasLeaving,
+	}
+	if m.Endpoint.ID != "" {
+		e := m.Endpoint
+		w.Endpoint = &wire.Endpoint{
+			Id: e.ID, Kind: e.Kind, Labels: e.Labels, Model: e.Model,
+			WeightVersion: e.WeightVersion, Adapter: e.Adapter, Role: e.Role,
+		}
+	}
+	return w
+}
+
+// MemberFromWire converts a member from its transport; an unknown state counts
+// as suspect, so that a newer process's state is not taken for health.
+func MemberFromWire(w *wire.Member) Member {
+	m := Member{
+		ID: w.GetId(), Incarnation: w.GetIncarnation(), Version: w.GetVersion(), State: Suspect,
+		Address: w.GetAddress(), Host: w.GetHost(), Domain: w.GetDomain(), Region: w.GetRegion(), Role: w.GetRole(),
+		WasLeaving: w.GetWasLeaving(),
+	}
+	if s := w.GetState(); s >= 0 && int(s) <= int(Dead) {
+		m.State = State(s)
+	}
+	if e := w.GetEndpoint(); e != nil {
+		m.Endpoint = Endpoint{
+			ID: e.GetId(), Kind: e.GetKind(), Labels: e.GetLabels(), Model: e.GetModel(),
+			WeightVersion: e.GetWeightVersion(), Adapter: e.GetAdapter(), Role: e.GetRole(),
+		}
+	}
+	return m
+}
+
+// ToWire converts a load for its transport.
+func (l Load) ToWire() *wire.Load {
+	return &wire.Load{
+		Running: uint32(l.Running), Queued: uint32(l.Queued),
+		QueuedTokens: uint64(l.QueuedTokens), PrefillRate: uint32(l.PrefillRate),
+	}
+}
+
+// LoadFromWire converts a load from its transport.
+func LoadFromWire(w *wire.Load) Load {
+	return Load{
+		Running: int(w.GetRunning()), Queued: int(w.GetQueued()),
+		QueuedTokens: int(w.GetQueuedTokens()), PrefillRate: int(w.GetPrefillRate()),
+	}
+}
+
+// ToWire converts a report for its transport.
+func (r Report) ToWire() *wire.LoadReport {
+	return &wire.LoadReport{
+		Member: r.Member, Incarnation: r.Incarnation, Version: r.Version,
+		Load: r.Load.ToWire(), Revision: r.Revision,
+	}
+}
+
+// ReportFromWire converts a report from its transport.
+func ReportFromWire(w *wire.LoadReport, now time.Time) Report {
+	return Report{
+		Member: w.GetMember(), Incarnation: w.GetIncarnation(), Version: w.GetVersion(),
+		Load: LoadFromWire(w.GetLoad()), Revision: w.GetRevision(), At: now,
+	}
+}
--- /dev/null
+++ b/internal/transport/fault/fault.go
@@ -0,0 +1,129 @@
+// Package fault injects faults into stand-ins of outside systems. Product code
+// never imports it: a fault is set through a stand-in's own admin port.
+package fault
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"limpetwall/internal/transport/httpjson"
+)
+
+// Faults describes how a stand-in misbehaves. The zero value is healthy.
+type Faults struct {
+	// Down answers every call with 503 before it takes effect.
+	Down bool `json:"down"`
+	// Frozen holds every call, before it takes effect, until the fault ends.
+	Frozen bool `json:"frozen"`
+	// LatencyMS delays every call, in milliseconds.
+	LatencyMS int `json:"latency_ms"`
+	// LostAnswers drops the connection after this many further writes took effect.
+	LostAnswers int `json:"lost_answers"`
+}
+
+// Injector applies faults to a stand-in's handler.
+type Injector struct {
+	mu      sync.Mutex
+	faults  Faults
+	changed chan struct{}
+	calls   map[string]int64
+}
+
+// NewInjector returns a healthy injector.
+func NewInjector() *Injector {
+	return &Injector{changed: make(chan struct{}), calls: map[string]int64{}}
+}
+
+// Set replaces the faults in force.
+func (in *Injector) Set(f Faults) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.faults = f
+	close(in.changed)
+	in.changed = make(chan struct{})
+}
+
+// Calls counts the calls received, by method.
+func (in *Injector) Calls() map[string]int64 {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	counts := make(map[string]int64, len(in.calls))
+	for method, n := range in.calls {
+		counts[method] = n
+	}
+	return counts
+}
+
+func (in *Injector) current() (Faults, <-chan struct{}) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.faults, in.changed
+}
+
+func (in *Injector) takeLostAnswer() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.faults.LostAnswers == 0 {
+		return false
+	}
+	in.faults.LostAnswers--
+	return true
+}
+
+func (in *Injector) count(method string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.calls[method]++
+}
+
+// Wrap puts the faults in front of a handler.
+func (in *Injector) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		in.count(r.Method)
+		faults, changed := in.current()
+		for faults.Frozen {
+			select {
+			case <-changed:
+				faults, changed = in.current()
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if faults.LatencyMS > 0 {
+			select {
+			case <-time.After(time.Duration(faults.LatencyMS) * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if faults.Down {
+			http.Error(w, "injected outage", http.StatusServiceUnavailable)
+			return
+		}
+		if r.Method != http.MethodGet && in.takeLostAnswer() {
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Admin serves PUT /faults (set) and GET /calls (counts).
+func (in *Injector) Admin() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := httpjson.Read(r, 1<<20, &f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		in.Set(f)
+		httpjson.Write(w, http.StatusOK, f)
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, r *http.Request) {
+		httpjson.Write(w, http.StatusOK, in.Calls())
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/transport/httpjson/httpjson.go
@@ -0,0 +1,102 @@
+// Package httpjson carries the small JSON-over-HTTP calls that the adapters of
+// outside systems share.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// maxBody bounds an answer: the platform's values are at most 1 MB, lists hold many.
+const maxBody = 64 << 20
+
+// ErrNotSent tells that no connection was made, so the call had no effect.
+const ErrNotSent = errors.ConstError("request was not sent")
+
+// StatusError is an answer outside 2xx.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return http.StatusText(e.Status) + ": " + e.Body
+}
+
+// Client calls one server.
+type Client struct {
+	Base string
+	HTTP *http.Client
+}
+
+// Do sends in as JSON and decodes the answer into out; either may be nil.
+// Errors: ErrNotSent when the connection failed, *StatusError, or a transport
+// error after which the call may have taken effect.
+func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	resp, err := c.Open(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return errors.Annotatef(err, "reading answer of %s %s", method, path)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Annotatef(json.Unmarshal(data, out), "answer of %s %s", method, path)
+}
+
+// Open is Do for answers that are read as a stream; the caller closes the body.
+func (c *Client) Open(ctx context.Context, method, path string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	if resp.StatusCode/100 != 2 {
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+		return nil, &StatusError{Status: resp.StatusCode, Body: string(text)}
+	}
+	return resp, nil
+}
+
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.WithType(err, ErrNotSent)
+	}
+	return errors.Trace(err)
+}
+
+// Write answers a request with a JSON value.
+func Write(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(value)
+}
+
+// Read decodes a request's JSON body of at most limit bytes.
+func Read(r *http.Request, limit int64, value any) error {
+	return json.NewDecoder(io.LimitReader(r.Body, limit)).Decode(value)
+}
--- /dev/null
+++ b/internal/transport/plainservice/plainservice.go
@@ -0,0 +1,92 @@
+// Package plainservice is the port to a service that is no model engine. Some
+// of its calls may not be repeated; only the agent beside it calls it.
+package plainservice
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// Errors of the port.
+const (
+	// ErrNotSent: no connection was made, the call did not run.
+	ErrNotSent = errors.ConstError("service not reached")
+	// ErrOutcomeUnknown: the call may have run.
+	ErrOutcomeUnknown = errors.ConstError("outcome of call unknown")
+)
+
+// Call is one request to a service.
+type Call struct {
+	RequestID string
+	Method    string
+	// Path is the path below the service's root, with its query.
+	Path    string
+	Headers http.Header
+	Body    []byte
+}
+
+// Answer is a service's response; the caller closes Body.
+type Answer struct {
+	Status  int
+	Headers http.Header
+	Body    io.ReadCloser
+}
+
+// Service is one endpoint of a plain service.
+type Service interface {
+	// Call sends a request once; it is never retried inside.
+	Call(ctx context.Context, c Call) (Answer, error)
+}
+
+// RequestIDHeader carries the request id to the service.
+const RequestIDHeader = "X-Request-Id"
+
+// Client is the HTTP adapter.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewTransport returns a transport that never repeats a request: net/http
+// re-sends a request on a fresh connection when a kept-alive one breaks before
+// the answer, and a booking would run twice. Without keep-alive there is none
+// to break.
+func NewTransport() *http.Transport {
+	return &http.Transport{DisableKeepAlives: true}
+}
+
+// NewClient returns an adapter for the service at base ("http://ip:port").
+func NewClient(base string) *Client {
+	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{base: base, http: &http.Client{Transport: NewTransport(), CheckRedirect: refuseRedirect}}
+}
+
+// Call implements Service.
+func (c *Client) Call(ctx context.Context, call Call) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, errors.WithType(err, ErrNotSent)
+	}
+	for name, values := range call.Headers {
+		req.Header[name] = values
+	}
+	req.Header.Set(RequestIDHeader, call.RequestID)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, classify(err)
+	}
+	return Answer{Status: resp.StatusCode, Headers: resp.Header, Body: resp.Body}, nil
+}
+
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.WithType(err, ErrNotSent)
+	}
+	return errors.WithType(err, ErrOutcomeUnknown)
+}
