Golden sessions and at-most-once faults on separate processes

Sessions: prompt whole and streamed and every refusal; plan, confirm, race of two operators, lost answer, outage; a booking retried through another entry. Faults: key used twice at once on one and on two entries, caller hangs up, platform frozen after binding, binding's answer lost, agent paused, entry killed, agent killed, tickets during an outage, refusals that say 'not run'. 200 streams through an entry and an agent that are both told to stop: 0 cut. Images in chat messages are passed on (donor photos).

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -33,7 +33,7 @@
 // DefaultConfig is what agents use.
 func DefaultConfig() Config {
 	return Config{
-		StatusEvery: 200 * time.Millisecond,
+		StatusEvery:    200 * time.Millisecond,
 		MaxPlainAnswer: 64 << 20, Ledger: ledger.DefaultConfig(),
 	}
 }
--- /dev/null
+++ b/internal/e2e/session_test.go
@@ -0,0 +1,198 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestSessions replays whole sessions of callers and operators against separate
+// processes and compares them with golden files.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("LIMPETWALL_KEY", operatorKey)
+			env.Setenv("CUSTOMER", customerKey)
+			env.Setenv("OTHER", otherKey)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"site": scriptSite, "http": scriptHTTP, "signal": scriptSignal, "fault": scriptFault,
+			"inforce": scriptInForce, "exited": scriptExited, "bookings": scriptBookings, "oversize": scriptOversize,
+		},
+		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+	})
+}
+
+var (
+	sitesMu sync.Mutex
+	sites   = map[*testscript.TestScript]*site{}
+)
+
+// scriptSite starts a whole site and sets ENTRY1 and ENTRY2.
+func scriptSite(ts *testscript.TestScript, _ bool, args []string) {
+	s := &site{fail: ts.Fatalf, procs: map[string]*proc{}}
+	ts.Defer(s.end)
+	sitesMu.Lock()
+	sites[ts] = s
+	sitesMu.Unlock()
+	s.whole(2, args...)
+	ts.Setenv("ENTRY1", s.url("entry-1", ""))
+	ts.Setenv("ENTRY2", s.url("entry-2", ""))
+	ts.Setenv("LIMPETWALL_ENTRY", s.url("entry-1", ""))
+}
+
+func siteOf(ts *testscript.TestScript) *site {
+	sitesMu.Lock()
+	defer sitesMu.Unlock()
+	return sites[ts]
+}
+
+// scriptHTTP sends a request and prints status, chosen headers and body:
+// http METHOD URL KEY [header=value ...] [body or @file]
+func scriptHTTP(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: http METHOD URL KEY [header=value ...] [body or @file]")
+	}
+	header := map[string]string{}
+	body := ""
+	for _, arg := range args[3:] {
+		name, value, ok := strings.Cut(arg, "=")
+		switch {
+		case strings.HasPrefix(arg, "@"):
+			body = ts.ReadFile(arg[1:])
+		case ok && !strings.ContainsAny(name, "{ "):
+			header[name] = value
+		default:
+			body = arg
+		}
+	}
+	a := siteOf(ts).do(args[0], args[1], args[2], header, body)
+	ts.Logf("%s", a.body)
+	out := fmt.Sprintf("%d\n", a.status)
+	for _, name := range []string{"Content-Type", "Retry-After", "X-Limpetwall-Ran", "X-Limpetwall-Replayed", "X-Should-Retry"} {
+		if value := a.header.Get(name); value != "" {
+			out += name + ": " + value + "\n"
+		}
+	}
+	write(ts, "answer", out+"\n"+scrub(a.body))
+	write(ts, "body", a.body)
+}
+
+func write(ts *testscript.TestScript, name, content string) {
+	ts.Check(os.WriteFile(ts.MkAbs(name), []byte(content), 0o644))
+}
+
+var scrubs = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`[0-9a-f]{64}`), "DIGEST"},
+	{regexp.MustCompile(`[0-9a-f]{24}`), "ID"},
+	{regexp.MustCompile(`"created":[0-9]+`), `"created":0`},
+	{regexp.MustCompile(`"at":"[^"]+"`), `"at":"TIME"`},
+	{regexp.MustCompile(`127\.0\.0\.1:[0-9]+`), "ADDRESS"},
+}
+
+// scrub replaces what differs from run to run, and indents JSON objects.
+func scrub(text string) string {
+	for _, s := range scrubs {
+		text = s.pattern.ReplaceAllString(text, s.with)
+	}
+	var indented bytes.Buffer
+	if strings.HasPrefix(text, "{") && json.Indent(&indented, []byte(strings.TrimSpace(text)), "", " ") == nil {
+		return indented.String() + "\n"
+	}
+	return text
+}
+
+func scriptSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	siteOf(ts).signal(args[0], signals[args[1]])
+	if args[1] == "KILL" {
+		<-siteOf(ts).procs[args[0]].exited
+	}
+}
+
+func scriptFault(ts *testscript.TestScript, _ bool, args []string) {
+	siteOf(ts).fault(args[0], args[1])
+}
+
+// scriptInForce waits until an entry has a revision in force.
+func scriptInForce(ts *testscript.TestScript, _ bool, args []string) {
+	s := siteOf(ts)
+	s.eventually("revision "+args[1]+" in force at "+args[0], func() bool {
+		return fmt.Sprint(s.revision(args[0])) == args[1]
+	})
+}
+
+func scriptExited(ts *testscript.TestScript, _ bool, args []string) {
+	<-siteOf(ts).procs[args[0]].exited
+}
+
+// scriptBookings prints how often each booking was executed.
+func scriptBookings(ts *testscript.TestScript, _ bool, _ []string) {
+	data, _ := json.Marshal(siteOf(ts).bookings())
+	write(ts, "bookings", string(data)+"\n")
+}
+
+// scriptOversize writes a file of so many bytes.
+func scriptOversize(ts *testscript.TestScript, _ bool, args []string) {
+	write(ts, filepath.Base(args[0]), `{"model":"describe","messages":[{"role":"user","content":"`+strings.Repeat("x", 9<<20)+`"}]}`)
+}
+
+// TestGracefulStopCutsNothing stops an entry and then an agent while 200
+// streams run through them.
+//
+// The callers see every stream end whole. The entry is told to stop while all
+// streams are open: it closes its listener and waits; then an agent is told to
+// stop and finishes what it has.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	s := newSite(t)
+	s.whole(2, "-slots", "256", "-token-time", "10ms", "-prefill-rate", "0")
+	const streams = 200
+	results := make(chan answer, streams)
+	for i := range streams {
+		go func() {
+			results <- s.try(http.MethodPost, s.url("entry-1", "/v1/chat/completions"), customerKey, nil, chatBody(fmt.Sprint("chair ", i), 150, true))
+		}()
+	}
+	s.eventually("all streams run", func() bool {
+		return s.running("engine-1")+s.running("engine-2") == streams
+	})
+	s.signal("entry-1", syscall.SIGTERM)
+	s.signal("agent-1", syscall.SIGTERM)
+	for range streams {
+		a := <-results
+		if a.err != nil || !strings.HasSuffix(a.body, "data: [DONE]\n\n") || strings.Count(a.body, `"content":"w`) != 150 {
+			t.Errorf("stream was cut: %v, %d bytes, ends %q", a.err, len(a.body), a.body[max(0, len(a.body)-200):])
+		}
+	}
+	for _, name := range []string{"entry-1", "agent-1"} {
+		<-s.procs[name].exited
+		if !strings.Contains(s.procs[name].lines(), `"cut":0`) {
+			t.Errorf("%s reports cut requests", name)
+		}
+	}
+}
+
+// running is the number of prompts an engine has admitted.
+func (s *site) running(engine string) int {
+	a := s.do(http.MethodGet, "http://"+s.procs[engine].admin+"/status", "", nil, "")
+	var status struct {
+		Running int `json:"running"`
+	}
+	json.Unmarshal([]byte(a.body), &status)
+	return status.Running
+}
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -37,8 +37,11 @@
 }
 
 type contentPart struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
+	Type     string `json:"type"`
+	Text     string `json:"text"`
+	ImageURL struct {
+		URL string `json:"url"`
+	} `json:"image_url"`
 }
 
 type request struct {
@@ -134,11 +137,18 @@
 	}
 	var text strings.Builder
 	for i, part := range parts {
-		if part.Type != "text" {
-			l.Add(fmt.Sprintf("%s[%d].type", place, i), "%q is not served, only text", part.Type)
-			continue
+		partPlace := fmt.Sprintf("%s[%d]", place, i)
+		switch part.Type {
+		case "text":
+			text.WriteString(part.Text)
+		case "image_url":
+			if part.ImageURL.URL == "" {
+				l.Add(partPlace+".image_url.url", "is required")
+			}
+			fmt.Fprintf(&text, "<image %d>%s", len(part.ImageURL.URL), part.ImageURL.URL)
+		default:
+			l.Add(partPlace+".type", "%q is not served, only text and image_url", part.Type)
 		}
-		text.WriteString(part.Text)
 	}
 	return text.String()
 }
