--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -113,7 +113,7 @@
 	built(p)
 	p.start(stop)
 	e.SetReady()
-	p.zap.Info("entry ready", zap.String("listen", listener.Addr().String()), zap.Uint64("revision", p.store.View().Revision))
+	p.zap.Info("entry ready", zap.String("listen", listener.Addr().String()), zap.String("peer_listen", p.listener.Addr().String()), zap.Uint64("revision", p.store.View().Revision))
 	select {
 	case <-stop.Graceful:
 	case err := <-failed:
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -140,7 +140,9 @@
 
 // Run starts all duties and returns when ctx ends and they have stopped.
 func (n *Node) Run(ctx context.Context) {
-	duties := []func(context.Context){n.probeDuty, n.pushDuty, n.watchDuty, n.hostsDuty, n.expireDuty, n.reconnectDuty, n.repairDuty}
+	duties := []func(context.Context){
+		n.probeDuty, n.pushDuty, n.watchDuty, n.hostsDuty, n.expireDuty, n.reconnectDuty, n.joinDuty, n.repairDuty,
+	}
 	var group sync.WaitGroup
 	for _, duty := range duties {
 		group.Go(func() { duty(ctx) })
@@ -398,8 +400,16 @@
 			m := dead[rand.IntN(len(dead))]
 			n.reintroduce(ctx, m)
 		}
-		if n.table.Size() == 1 {
-			n.join(ctx)
+	}
+}
+
+// joinDuty looks for the fleet while this process knows nobody: at its start the
+// host list may have lagged or named only hosts that are gone.
+func (n *Node) joinDuty(ctx context.Context) {
+	const every = time.Second
+	for sleep(ctx, jitter(every)) {
+		if n.table.Size() == 1 && n.join(ctx) {
+			n.Announce()
 		}
 	}
 }
--- a/internal/coordination/spread/platform.go
+++ b/internal/coordination/spread/platform.go
@@ -107,6 +107,27 @@
 				n.Announce()
 			}
 		}
+		n.meetUnknown(ctx, hosts)
+	}
+}
+
+// meetUnknown speaks to a listed process that is missing from the table: it may
+// have started while nobody it could reach was listed.
+func (n *Node) meetUnknown(ctx context.Context, hosts []hostlist.Host) {
+	const atOnce = 3
+	known := map[string]bool{"": true, n.table.Self().Address: true}
+	for _, m := range n.table.Members() {
+		known[m.Address] = true
+	}
+	met := 0
+	for _, i := range rand.Perm(len(hosts)) {
+		if met == atOnce {
+			return
+		}
+		if !known[hosts[i].Address] {
+			met++
+			go n.joinOne(ctx, hosts[i].Address)
+		}
 	}
 }
 
