Membership and spread proved on a clock of their own; news before introductions

Cause: a death or a leaving host took 2.1 to over 5 s to reach 60 views, though it was noticed at once. Ruled out: the probe period (a third prober changed nothing) and the fan-out of pushes. Passing on was first come first served, 12 rows a message, and after 60 starts every row was still being introduced: the news waited behind them. A silent host also held its prober for a whole call timeout. Change: changes of known members go first; an exchange has its own shorter timeout; calls underway are waited for when a node stops (the bubble showed them as leaked).

--- /dev/null
+++ b/internal/coordination/spread/cluster_test.go
@@ -0,0 +1,326 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/spread"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/hostlist"
+	hoststandin "limpetwall/internal/transport/hostlist/standin"
+	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/objectapi/standin"
+)
+
+// latency of one message between two processes.
+const latency = time.Millisecond
+
+// platform counts calls and can be down; it stands before the stand-ins.
+type platform struct {
+	*standin.Store
+	mu    sync.Mutex
+	down  bool
+	calls int
+	// perSecond counts calls by second, to find the peak.
+	perSecond map[int64]int
+}
+
+func newPlatform() *platform {
+	return &platform{Store: standin.New(), perSecond: map[int64]int{}}
+}
+
+func (p *platform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *platform) enter() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	p.perSecond[time.Now().Unix()]++
+	if p.down {
+		return objectapi.ErrUnavailable
+	}
+	return nil
+}
+
+func (p *platform) peak() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := 0
+	for _, n := range p.perSecond {
+		most = max(most, n)
+	}
+	clear(p.perSecond)
+	return most
+}
+
+func (p *platform) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if err := p.enter(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return p.Store.Get(ctx, key)
+}
+
+func (p *platform) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	if err := p.enter(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return p.Store.Put(ctx, key, value, version)
+}
+
+func (p *platform) Watch(ctx context.Context, key string, version int64, wait time.Duration) (objectapi.Object, error) {
+	if err := p.enter(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return p.Store.Watch(ctx, key, version, wait)
+}
+
+// hosts is the host list, down when the platform is.
+type hosts struct {
+	*hoststandin.List
+	platform *platform
+}
+
+func (h hosts) Hosts(ctx context.Context) ([]hostlist.Host, error) {
+	h.platform.mu.Lock()
+	down := h.platform.down
+	h.platform.mu.Unlock()
+	if down {
+		return nil, hostlist.ErrUnavailable
+	}
+	return h.List.Hosts(ctx)
+}
+
+// cluster is a set of nodes on an in-memory network inside a synctest bubble.
+type cluster struct {
+	t        *testing.T
+	platform *platform
+	hosts    hosts
+
+	mu    sync.Mutex
+	nodes map[string]*member
+	// cut tells which messages are lost.
+	cut func(from, to *member) bool
+}
+
+type member struct {
+	id, domain, region string
+	node               *spread.Node
+	store              *config.Store
+	stop               context.CancelFunc
+	done               chan struct{}
+	paused             bool
+}
+
+func newCluster(t *testing.T) *cluster {
+	p := newPlatform()
+	return &cluster{
+		t: t, platform: p, hosts: hosts{hoststandin.New(0), p}, nodes: map[string]*member{},
+		cut: func(_, _ *member) bool { return false },
+	}
+}
+
+var errLost = errors.New("message lost")
+
+// network is one member's way to the others.
+type network struct {
+	c    *cluster
+	from *member
+}
+
+// reach finds the member at an address; a lost message is noticed only when the
+// caller's patience ends.
+func (n network) reach(ctx context.Context, address string) (*member, error) {
+	n.c.mu.Lock()
+	to := n.c.nodes[address]
+	lost := to == nil || to.paused || n.from.paused || n.c.cut(n.from, to) || n.c.cut(to, n.from)
+	n.c.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	time.Sleep(latency)
+	return to, nil
+}
+
+func (n network) Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return to.node.HandleExchange(ctx, r)
+}
+
+func (n network) FetchConfig(ctx context.Context, address string, r *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return to.node.HandleFetchConfig(ctx, r)
+}
+
+func (n network) FetchMembers(ctx context.Context, address string) (*wire.FetchMembersResponse, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return to.node.HandleFetchMembers(ctx, &wire.FetchMembersRequest{})
+}
+
+func (n network) Probe(ctx context.Context, address string, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return to.node.HandleProbe(ctx, r)
+}
+
+// start runs a process; the platform lists its host.
+func (c *cluster) start(id, domain, region string) *member {
+	return c.startWith(spread.DefaultConfig(), id, domain, region)
+}
+
+// startSeeded runs a process that knows one other by its settings.
+func (c *cluster) startSeeded(id, domain, seed string) *member {
+	cfg := spread.DefaultConfig()
+	cfg.Seeds = []string{seed}
+	return c.startWith(cfg, id, domain, "region-"+domain[:1])
+}
+
+func (c *cluster) startWith(cfg spread.Config, id, domain, region string) *member {
+	m := &member{id: id, domain: domain, region: region, store: config.NewStore(), done: make(chan struct{})}
+	now := time.Now()
+	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{
+		ID: id, Incarnation: rand.Uint64(), Version: uint64(now.UnixMilli()), Address: id, Host: id,
+		Domain: domain, Region: region, Role: fleet.RoleAgent, Endpoint: fleet.Endpoint{ID: id, Kind: fleet.KindEngine, Labels: map[string]string{"pool": "models"}},
+	}, now)
+	m.node = spread.New(cfg, table, m.store, configlog.New(c.platform), c.hosts, network{c, m}, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	c.mu.Lock()
+	c.nodes[id] = m
+	c.mu.Unlock()
+	c.hosts.Set(hostlist.Host{ID: id, Domain: domain, State: hostlist.Live, Address: id})
+	go func() {
+		defer close(m.done)
+		for m.node.Join(ctx) != nil && ctx.Err() == nil {
+			time.Sleep(500 * time.Millisecond)
+		}
+		m.node.Announce()
+		m.node.Run(ctx)
+	}()
+	return m
+}
+
+// startMany starts n processes over the domains given, a few ms apart.
+func (c *cluster) startMany(n int, domains ...string) {
+	for i := range n {
+		domain := domains[i%len(domains)]
+		c.start(fmt.Sprintf("n%03d", i), domain, "region-"+domain[:1])
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// kill makes a process vanish: it answers nothing more.
+func (c *cluster) kill(id string) {
+	c.mu.Lock()
+	m := c.nodes[id]
+	delete(c.nodes, id)
+	c.mu.Unlock()
+	m.stop()
+	<-m.done
+}
+
+func (c *cluster) end() {
+	for _, m := range c.all() {
+		m.stop()
+	}
+	for _, m := range c.all() {
+		<-m.done
+	}
+}
+
+func (c *cluster) all() []*member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*member, 0, len(c.nodes))
+	for _, m := range c.nodes {
+		out = append(out, m)
+	}
+	return out
+}
+
+func (c *cluster) setCut(cut func(from, to *member) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+func (c *cluster) pause(id string, paused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[id].paused = paused
+}
+
+// accept confirms a change of the configuration through any live member.
+func (c *cluster) accept(number int) uint64 {
+	m := c.all()[0]
+	confirmer := &plan.Confirmer{Log: configlog.New(c.platform), Store: m.store, Salt: func() []byte { return []byte("salt") }, Now: time.Now, MaxTries: 16}
+	request := plan.Request{Put: []config.Document{{
+		Ref:  config.Ref{Kind: config.KindService, ID: fmt.Sprintf("service-%d", number)},
+		Spec: []byte(`{"kind":"prompt","customers":["*"],"objective":{},"limits":{}}`),
+	}}}
+	p := plan.Make(m.store.View(), request, nil, "op", fmt.Sprint(number), time.Now())
+	verdict := confirmer.Confirm(context.Background(), p)
+	if verdict.Outcome != plan.Applied {
+		c.t.Fatalf("confirm: %+v", verdict)
+	}
+	m.node.Announce()
+	return verdict.Revision
+}
+
+// until advances the clock in small steps until check holds, and returns the
+// time it took; it fails the test after limit.
+func (c *cluster) until(what string, limit time.Duration, check func() bool) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for !check() {
+		if time.Since(began) > limit {
+			c.t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// everyone tells whether check holds at all live members.
+func (c *cluster) everyone(check func(m *member) bool) bool {
+	for _, m := range c.all() {
+		if !check(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) everyoneSees(size int) func() bool {
+	return func() bool { return c.everyone(func(m *member) bool { return m.node.Table().Size() == size }) }
+}
+
+func (c *cluster) everyoneAt(revision uint64) func() bool {
+	return func() bool { return c.everyone(func(m *member) bool { return m.store.View().Revision >= revision }) }
+}
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -33,7 +33,9 @@
 type Config struct {
 	// ProbeEvery is the period of the probe duty.
 	ProbeEvery time.Duration
-	// CallTimeout bounds one call to a peer.
+	// ProbeTimeout bounds one exchange: who takes longer is asked for indirectly.
+	ProbeTimeout time.Duration
+	// CallTimeout bounds any other call to a peer.
 	CallTimeout time.Duration
 	// Successors is the number of ring successors that are probed in turn.
 	Successors int
@@ -69,7 +71,7 @@
 // DefaultConfig is what processes use.
 func DefaultConfig() Config {
 	return Config{
-		ProbeEvery: 500 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3,
+		ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 400 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3,
 		WatchersPerDomain: 2, WatchEpoch: 10 * time.Minute, WatchWait: 10 * time.Second,
 		HostsEvery: time.Second, PlatformStale: 15 * time.Second, RescueRate: 20,
 		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 20,
@@ -98,6 +100,9 @@
 	news   *ring.Ring[struct{}]
 	repair *ring.Ring[repairJob]
 
+	// calls are the exchanges underway; Run waits for them.
+	calls sync.WaitGroup
+
 	mu         sync.Mutex
 	platformAt time.Time
 	mismatches map[string]int
@@ -148,6 +153,7 @@
 		group.Go(func() { duty(ctx) })
 	}
 	group.Wait()
+	n.calls.Wait()
 }
 
 // Announce wakes the push duty: there is news that should not wait for the next
@@ -176,7 +182,7 @@
 		if target, ok := n.probeTarget(); ok {
 			// A slow answer must not delay the next probe: with it, one dead
 			// successor would hide the death of another.
-			go n.probe(ctx, target)
+			n.calls.Go(func() { n.probe(ctx, target) })
 		}
 	}
 }
@@ -216,12 +222,12 @@
 			continue
 		}
 		asked++
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, 2*n.cfg.CallTimeout)
+		n.calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, n.cfg.ProbeTimeout+n.cfg.ProbeTimeout/2)
 			defer cancel()
 			r, err := n.peers.Probe(ctx, helper.Address, &wire.ProbeRequest{Address: target.Address})
 			answers <- err == nil && r.GetAlive()
-		}()
+		})
 	}
 	for range asked {
 		if <-answers {
@@ -243,7 +249,7 @@
 			return
 		}
 		for _, m := range n.randomMembers(n.cfg.Fanout) {
-			go n.exchange(ctx, m.ID, m.Address)
+			n.calls.Go(func() { n.exchange(ctx, m.ID, m.Address) })
 		}
 		// News that arrives in a burst goes out together.
 		if !sleep(ctx, 50*time.Millisecond) {
@@ -278,7 +284,7 @@
 
 // exchange runs one gossip round with a peer.
 func (n *Node) exchange(ctx context.Context, id, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.ProbeTimeout)
 	defer cancel()
 	req := n.request()
 	resp, err := n.peers.Exchange(ctx, address, req)
--- a/internal/coordination/spread/platform.go
+++ b/internal/coordination/spread/platform.go
@@ -126,7 +126,7 @@
 		}
 		if !known[hosts[i].Address] {
 			met++
-			go n.joinOne(ctx, hosts[i].Address)
+			n.calls.Go(func() { n.joinOne(ctx, hosts[i].Address) })
 		}
 	}
 }
--- a/internal/coordination/spread/serve.go
+++ b/internal/coordination/spread/serve.go
@@ -71,7 +71,7 @@
 
 // HandleProbe reaches a third member on a peer's behalf.
 func (n *Node) HandleProbe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.ProbeTimeout)
 	defer cancel()
 	_, err := n.peers.Exchange(ctx, r.GetAddress(), n.request())
 	return &wire.ProbeResponse{Alive: err == nil}, nil
--- a/internal/state/fleet/table.go
+++ b/internal/state/fleet/table.go
@@ -49,7 +49,10 @@
 	// order holds ids by hash: the ring along which members watch each other.
 	order  []string
 	digest uint64
-	// fresh holds ids whose rows or reports are still to be passed on.
+	// fresh lists hold ids whose rows or reports are still to be passed on.
+	// Changes of known members go before introductions: after many starts at
+	// once, a death would otherwise wait behind them for seconds.
+	freshChanges []string
 	freshRows    []string
 	freshReports []string
 	changed      chan struct{}
@@ -89,7 +92,11 @@
 	if known && old.Incarnation != m.Incarnation {
 		delete(t.soft, m.ID)
 	}
-	t.freshRows = appendOnce(t.freshRows, m.ID)
+	if known || m.State != Alive {
+		t.freshChanges = appendOnce(t.freshChanges, m.ID)
+	} else {
+		t.freshRows = appendOnce(t.freshRows, m.ID)
+	}
 	t.generation++
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -425,7 +432,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var members []Member
-	t.freshRows = takeSome(t.freshRows, rows, func(id string) bool {
+	visit := func(id string) bool {
 		r, ok := t.rows[id]
 		if !ok || r.sends <= 0 {
 			return false
@@ -433,7 +440,9 @@
 		r.sends--
 		members = append(members, r.Member)
 		return r.sends > 0
-	})
+	}
+	t.freshChanges = takeSome(t.freshChanges, rows, visit)
+	t.freshRows = takeSome(t.freshRows, rows-len(members), visit)
 	var out []Report
 	t.freshReports = takeSome(t.freshReports, reports, func(id string) bool {
 		s, ok := t.soft[id]
