--- /dev/null
+++ b/internal/coordination/plan/plan_test.go
@@ -0,0 +1,353 @@
+package plan_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/objectapi/standin"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// faultyAPI fails the next calls as told: before or after they took effect.
+type faultyAPI struct {
+	*standin.Store
+	// script holds one letter a write: 'o' succeeds, 'l' loses the answer after
+	// the write took effect, 'n' loses the request, 'u' is refused unsent.
+	script string
+	// late holds writes whose request was lost on the way and may still arrive.
+	late     []func()
+	downRead bool
+}
+
+func (f *faultyAPI) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if f.downRead {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	return f.Store.Get(ctx, key)
+}
+
+func (f *faultyAPI) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	fate := byte('o')
+	if f.script != "" {
+		fate, f.script = f.script[0], f.script[1:]
+	}
+	switch fate {
+	case 'l':
+		f.Store.Put(ctx, key, value, version)
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
+	case 'n':
+		f.late = append(f.late, func() { f.Store.Put(ctx, key, value, version) })
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
+	case 'u':
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	return f.Store.Put(ctx, key, value, version)
+}
+
+func confirmer(api objectapi.API, store *config.Store) *plan.Confirmer {
+	return &plan.Confirmer{
+		Log: configlog.New(api), Store: store, Salt: func() []byte { return []byte("salt") },
+		Now: func() time.Time { return epoch }, MaxTries: 6,
+	}
+}
+
+func service(id string) config.Document {
+	return config.Document{Ref: config.Ref{Kind: config.KindService, ID: id}, Spec: json.RawMessage(`{"kind":"prompt","customers":["*"],"objective":{},"limits":{}}`)}
+}
+
+func planFor(v *config.View, nonce string, ids ...string) plan.Plan {
+	var r plan.Request
+	for _, id := range ids {
+		r.Put = append(r.Put, service(id))
+	}
+	return plan.Make(v, r, nil, "op", nonce, epoch)
+}
+
+// TestConfirmGivesTheOneTrueAnswer confirms under each fate of its writes.
+//
+// The operator sees "applied" only for a change that is in the log, "not
+// applied" only for one that never will be, and otherwise "unknown"; a lost
+// write that arrives late must not turn an earlier "not applied" into a lie.
+func TestConfirmGivesTheOneTrueAnswer(t *testing.T) {
+	rows := []struct {
+		name, script string
+		want         plan.Outcome
+	}{
+		{"the write succeeds", "o", plan.Applied},
+		{"its answer is lost", "l", plan.Applied},
+		{"its request is lost, the second succeeds", "no", plan.Applied},
+		{"request lost, then answer lost", "nl", plan.Applied},
+		{"refused unsent", "u", plan.Unavailable},
+		{"request lost, then refused unsent", "nu", plan.Unknown},
+		{"every request is lost", "nnnnnn", plan.Unknown},
+		{"answer lost and the log can't be read again", "lr", plan.Unknown},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			api := &faultyAPI{Store: standin.New(), script: strings.TrimSuffix(row.script, "r")}
+			store := config.NewStore()
+			c := confirmer(api, store)
+			if strings.HasSuffix(row.script, "r") {
+				c.Log = configlog.New(&readsOnce{faultyAPI: api})
+			}
+			p := planFor(store.View(), "n", "one")
+			verdict := c.Confirm(t.Context(), p)
+			if verdict.Outcome != row.want {
+				t.Fatalf("%+v, want %s", verdict, row.want)
+			}
+			for _, arrive := range api.late {
+				arrive()
+			}
+			final := configlog.New(api.Store)
+			head, err := final.Read(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			applied := head.Revision == 1
+			if verdict.Outcome == plan.Applied && !applied || verdict.Outcome == plan.Unavailable && applied {
+				t.Errorf("answer %s, applied %v", verdict.Outcome, applied)
+			}
+			// Asking again with the same plan settles it.
+			again := confirmer(api.Store, config.NewStore()).Confirm(t.Context(), p)
+			if again.Outcome != plan.Applied || again.Revision != 1 {
+				t.Errorf("asked again: %+v", again)
+			}
+		})
+	}
+}
+
+// readsOnce lets one read through.
+type readsOnce struct {
+	*faultyAPI
+	read bool
+}
+
+func (r *readsOnce) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if r.read {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	r.read = true
+	return r.faultyAPI.Get(ctx, key)
+}
+
+// TestRacingOperators confirms conflicting and independent plans at once.
+//
+// Of eight operators who change the same document one is applied and seven are
+// told what moved; eight who change different documents are all applied. The
+// revisions count without a gap.
+func TestRacingOperators(t *testing.T) {
+	for _, same := range []bool{true, false} {
+		api := standin.New()
+		var group sync.WaitGroup
+		verdicts := make([]plan.Verdict, 8)
+		for i := range verdicts {
+			store := config.NewStore()
+			id := "same"
+			if !same {
+				id = fmt.Sprintf("own-%d", i)
+			}
+			p := planFor(store.View(), fmt.Sprint(i), id)
+			c := confirmer(api, store)
+			c.MaxTries = 32
+			group.Go(func() { verdicts[i] = c.Confirm(context.Background(), p) })
+		}
+		group.Wait()
+		applied := 0
+		for _, v := range verdicts {
+			switch {
+			case v.Outcome == plan.Applied:
+				applied++
+			case v.Outcome != plan.BaseMoved || len(v.Differences) != 1:
+				t.Errorf("loser: %+v", v)
+			}
+		}
+		head, err := configlog.New(api).Read(t.Context())
+		want := 8
+		if same {
+			want = 1
+		}
+		if err != nil || applied != want || head.Revision != uint64(want) {
+			t.Errorf("same %v: %d applied, revision %d, %v", same, applied, head.Revision, err)
+		}
+	}
+}
+
+// TestLogSurvivesCompaction applies many changes and reads them back from
+// nothing, from the middle and from just behind.
+func TestLogSurvivesCompaction(t *testing.T) {
+	api := standin.New()
+	store := config.NewStore()
+	c := confirmer(api, store)
+	behind := config.NewStore()
+	log := configlog.New(api)
+	const changes = 200
+	for i := range changes {
+		if v := c.Confirm(t.Context(), planFor(store.View(), fmt.Sprint(i), fmt.Sprintf("s-%d", i%50))); v.Outcome != plan.Applied {
+			t.Fatalf("change %d: %+v", i, v)
+		}
+		if i == 70 || i == 198 {
+			head, _ := log.Read(t.Context())
+			if err := log.CatchUp(t.Context(), behind, head); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	head, err := log.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, s := range map[string]*config.Store{"empty": config.NewStore(), "behind": behind} {
+		if err := log.CatchUp(t.Context(), s, head); err != nil {
+			t.Fatal(err)
+		}
+		want, _ := config.EncodeView(store.View())
+		got, _ := config.EncodeView(s.View())
+		if string(got) != string(want) {
+			t.Errorf("%s: differs after catching up", name)
+		}
+	}
+	objects, _ := api.List(t.Context(), "config.")
+	if len(objects) > 4 {
+		t.Errorf("%d objects left behind", len(objects))
+	}
+}
+
+// TestRevisionNeverGoesBack applies random orders of changes and snapshots.
+func TestRevisionNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var changes []config.Change
+		views := []*config.View{config.Empty()}
+		for i := range 6 {
+			c := config.Change{Revision: uint64(i + 1), PlanID: fmt.Sprint(i), Puts: []config.Document{service(fmt.Sprintf("s-%d", i%3))}}
+			changes = append(changes, c)
+			views = append(views, views[i].With(c))
+		}
+		store := config.NewStore()
+		last := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			n := rapid.IntRange(0, 5).Draw(t, "which")
+			if rapid.Bool().Draw(t, "snapshot") {
+				store.Load(views[n])
+			} else {
+				store.Apply(changes[n])
+			}
+			now := store.View().Revision
+			if now < last {
+				t.Fatalf("revision %d after %d", now, last)
+			}
+			if got, want := len(store.View().Documents), len(views[now].Documents); got != want {
+				t.Fatalf("revision %d has %d documents, want %d", now, got, want)
+			}
+			last = now
+		}
+	})
+}
+
+// TestSaltIsTheSystems gives a customer its salt once and for good.
+func TestSaltIsTheSystems(t *testing.T) {
+	store := config.NewStore()
+	api := standin.New()
+	c := confirmer(api, store)
+	salts := 0
+	c.Salt = func() []byte { salts++; return fmt.Appendf(nil, "salt-%d", salts) }
+	customer := func(share string) config.Document {
+		spec := fmt.Sprintf(`{"key_hashes":[%q],"limits":{},"share":%s}`, config.HashKey("k"), share)
+		return config.Document{Ref: config.Ref{Kind: config.KindCustomer, ID: "c"}, Spec: json.RawMessage(spec)}
+	}
+	for _, share := range []string{"1", "2"} {
+		p := plan.Make(store.View(), plan.Request{Put: []config.Document{customer(share)}}, nil, "op", share, epoch)
+		if v := c.Confirm(t.Context(), p); v.Outcome != plan.Applied {
+			t.Fatalf("%+v", v)
+		}
+	}
+	if got := string(store.View().Customers["c"].Salt); got != "salt-1" {
+		t.Errorf("salt %q", got)
+	}
+	redacted := plan.Redacted(config.Document{Ref: customer("1").Ref, Spec: store.View().Documents[customer("1").Ref]})
+	if strings.Contains(string(redacted.Spec), "salt") {
+		t.Errorf("operators see %s", redacted.Spec)
+	}
+	salted := customer("1")
+	salted.Spec = json.RawMessage(strings.Replace(string(salted.Spec), "{", `{"salt":"c2FsdA==",`, 1))
+	if plan.Check(store.View(), plan.Request{Put: []config.Document{salted}}).Err() == nil {
+		t.Error("an operator could set a salt")
+	}
+}
+
+func TestEffectsAndWarnings(t *testing.T) {
+	members := []fleet.Member{
+		{ID: "a", Host: "h1", Endpoint: fleet.Endpoint{ID: "a", Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"}},
+		{ID: "b", Host: "h2", Endpoint: fleet.Endpoint{ID: "b", Labels: map[string]string{"pool": "y"}, Model: "m", WeightVersion: "v1"}},
+	}
+	intent := func(pool, version string) config.Document {
+		spec := fmt.Sprintf(`{"service":"s","labels":{"pool":%q},"model":"m","weight_version":%q}`, pool, version)
+		return config.Document{Ref: config.Ref{Kind: config.KindIntent, ID: "i"}, Spec: json.RawMessage(spec)}
+	}
+	base := config.Empty().With(config.Change{Revision: 1, Puts: []config.Document{service("s"), intent("x", "v1")}})
+	rows := []struct {
+		put      config.Document
+		effects  string
+		warnings int
+	}{
+		{intent("y", "v1"), "a loses, b gains", 0},
+		{intent("x", "v2"), "a reloads", 1},
+		{intent("z", "v1"), "a loses", 1},
+		{intent("x", "v1"), "", 0},
+	}
+	for _, row := range rows {
+		p := plan.Make(base, plan.Request{Put: []config.Document{row.put}}, members, "op", "n", epoch)
+		var got []string
+		for _, e := range p.Effects {
+			got = append(got, e.Endpoint+" "+e.Change)
+		}
+		if strings.Join(got, ", ") != row.effects || len(p.Warnings) != row.warnings {
+			t.Errorf("%s: effects %v, warnings %v", row.put.Spec, got, p.Warnings)
+		}
+		if !p.Intact() {
+			t.Error("plan is not intact")
+		}
+		p.Request.Put[0].ID = "other"
+		if p.Intact() {
+			t.Error("a changed plan passes for intact")
+		}
+	}
+}
+
+func FuzzDecodeView(f *testing.F) {
+	whole, _ := config.EncodeView(config.Empty().With(config.Change{Revision: 1, Puts: []config.Document{service("s")}}))
+	f.Add(whole)
+	f.Add([]byte(`{"revision":1,"documents":[{"kind":"intent","id":"i","spec":null}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		v, err := config.DecodeView(data)
+		if err == nil && v.Customers == nil {
+			t.Error("a view without tables")
+		}
+	})
+}
+
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte(`{"put":[{"kind":"service","id":"s","spec":{"kind":"prompt"}}]}`))
+	f.Add([]byte(`{"delete":[{"kind":"x","id":""}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r plan.Request
+		if json.Unmarshal(data, &r) != nil {
+			return
+		}
+		if plan.Check(config.Empty(), r).Err() == nil && len(r.Put)+len(r.Delete) == 0 {
+			t.Error("an empty request passes")
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/ledger/ledger_test.go
@@ -0,0 +1,216 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/state/ledger"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func small() ledger.Config {
+	return ledger.Config{TicketTTL: time.Minute, KeepFor: time.Hour, MaxTickets: 8, MaxBytes: 40, AnswerBytes: 10}
+}
+
+func begin(l *ledger.Ledger, seq uint64, customer, digest string, now time.Time) (*ledger.Record, bool, error) {
+	return l.Begin(l.Incarnation(), seq, customer, []byte(digest), now)
+}
+
+func TestRefusals(t *testing.T) {
+	rows := []struct {
+		name string
+		// present presents a ticket in a way that must be refused.
+		present func(l *ledger.Ledger, first uint64) error
+		want    error
+	}{
+		{"another incarnation", func(l *ledger.Ledger, first uint64) error {
+			_, _, err := l.Begin(l.Incarnation()+1, first, "c", nil, epoch)
+			return err
+		}, ledger.ErrUnknownTicket},
+		{"never minted", func(l *ledger.Ledger, first uint64) error {
+			_, _, err := begin(l, first+99, "c", "d", epoch)
+			return err
+		}, ledger.ErrUnknownTicket},
+		{"unused past its time", func(l *ledger.Ledger, first uint64) error {
+			_, _, err := begin(l, first, "c", "d", epoch.Add(2*time.Minute))
+			return err
+		}, ledger.ErrExpired},
+		{"used, and its record is gone", func(l *ledger.Ledger, first uint64) error {
+			r, _, _ := begin(l, first, "c", "d", epoch)
+			r.Finish()
+			_, _, err := begin(l, first, "c", "d", epoch.Add(2*time.Hour))
+			return err
+		}, ledger.ErrUnknownTicket},
+		{"another customer", func(l *ledger.Ledger, first uint64) error {
+			begin(l, first, "c", "d", epoch)
+			_, _, err := begin(l, first, "other", "d", epoch)
+			return err
+		}, ledger.ErrOtherRequest},
+		{"another request", func(l *ledger.Ledger, first uint64) error {
+			begin(l, first, "c", "d", epoch)
+			_, _, err := begin(l, first, "c", "e", epoch)
+			return err
+		}, ledger.ErrOtherRequest},
+		{"no room for its answer", func(l *ledger.Ledger, first uint64) error {
+			for i := range uint64(4) {
+				begin(l, first+i, "c", "d", epoch)
+			}
+			_, _, err := begin(l, first+4, "c", "d", epoch)
+			return err
+		}, ledger.ErrFull},
+	}
+	for _, row := range rows {
+		l := ledger.New(small(), 7)
+		first, err := l.Mint(5, epoch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := row.present(l, first); !errors.Is(err, row.want) {
+			t.Errorf("%s: %v, want %v", row.name, err, row.want)
+		}
+	}
+}
+
+func TestMintIsBounded(t *testing.T) {
+	l := ledger.New(small(), 7)
+	if _, err := l.Mint(9, epoch); !errors.Is(err, ledger.ErrFull) {
+		t.Errorf("beyond the bound: %v", err)
+	}
+	l.Mint(8, epoch)
+	if _, err := l.Mint(1, epoch); !errors.Is(err, ledger.ErrFull) {
+		t.Errorf("at the bound: %v", err)
+	}
+	if _, err := l.Mint(1, epoch.Add(2*time.Hour)); err != nil {
+		t.Errorf("after the old ones are void: %v", err)
+	}
+}
+
+// TestLargeAnswerReachesItsCaller appends more than is kept for retries.
+//
+// The caller who started the run follows it and gets all of it. A retry after
+// that learns that the request ran, without the answer; it does not run again.
+func TestLargeAnswerReachesItsCaller(t *testing.T) {
+	l := ledger.New(small(), 7)
+	first, _ := l.Mint(1, epoch)
+	r, _, _ := begin(l, first, "c", "d", epoch)
+	r.Follow()
+	for i := range 5 {
+		r.Append(i, 4)
+	}
+	r.Finish()
+	if events, done, cut, _ := r.Next(0); len(events) != 5 || !done || cut {
+		t.Errorf("caller: %d events, done %v, cut %v", len(events), done, cut)
+	}
+	r.Unfollow()
+	again, started, err := begin(l, first, "c", "d", epoch)
+	if err != nil || started {
+		t.Fatalf("retry: started %v, %v", started, err)
+	}
+	if events, done, cut, _ := again.Next(0); len(events) != 0 || !done || !cut {
+		t.Errorf("retry: %d events, done %v, cut %v", len(events), done, cut)
+	}
+	if l.Used() != 0 {
+		t.Errorf("%d bytes still counted", l.Used())
+	}
+}
+
+// TestAtMostOnce drives random interleavings of entries, retries, crashes,
+// lost answers and time, and counts executions of each request.
+//
+// Callers retry requests through any entry and at any incarnation; agents crash
+// and lose their ledger; tickets expire. Whatever the order, no request that is
+// bound to one ticket is executed twice, and a refusal that says "not run" is
+// only given to a request that has not run.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		incarnation := uint64(1)
+		l := ledger.New(small(), incarnation)
+		type bound struct{ incarnation, sequence uint64 }
+		tickets := map[string]bound{}
+		running := map[string]*ledger.Record{}
+		executed := map[string]int{}
+		request := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		t.Repeat(map[string]func(*rapid.T){
+			"bind": func(t *rapid.T) {
+				r := request.Draw(t, "request")
+				if _, ok := tickets[r]; ok {
+					return
+				}
+				if first, err := l.Mint(1, now); err == nil {
+					tickets[r] = bound{incarnation, first}
+				}
+			},
+			"send": func(t *rapid.T) {
+				r := request.Draw(t, "request")
+				b, ok := tickets[r]
+				if !ok {
+					return
+				}
+				record, started, err := l.Begin(b.incarnation, b.sequence, "c", []byte(r), now)
+				switch {
+				case started:
+					executed[r]++
+					running[r] = record
+				case errors.Is(err, ledger.ErrExpired), errors.Is(err, ledger.ErrFull), errors.Is(err, ledger.ErrOtherRequest):
+					if executed[r] > 0 {
+						t.Fatalf("%q ran and the answer says it did not: %v", r, err)
+					}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				r := request.Draw(t, "request")
+				if record, ok := running[r]; ok {
+					record.Append("answer", rapid.IntRange(1, 20).Draw(t, "size"))
+					record.Finish()
+					delete(running, r)
+				}
+			},
+			"not reached": func(t *rapid.T) {
+				r := request.Draw(t, "request")
+				if record, ok := running[r]; ok {
+					// The endpoint was not reached: nothing was executed after all.
+					executed[r]--
+					record.Abandon()
+					delete(running, r)
+				}
+			},
+			"crash": func(*rapid.T) {
+				incarnation++
+				l = ledger.New(small(), incarnation)
+				clear(running)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "minutes")) * time.Minute)
+			},
+			"": func(t *rapid.T) {
+				for r, n := range executed {
+					if n > 1 {
+						t.Fatalf("%q was executed %d times", r, n)
+					}
+				}
+				if l.Used() < 0 {
+					t.Fatalf("%d bytes used", l.Used())
+				}
+			},
+		})
+	})
+}
+
+func ExampleLedger() {
+	l := ledger.New(ledger.DefaultConfig(), 7)
+	first, _ := l.Mint(1, epoch)
+	record, started, _ := l.Begin(7, first, "donor", []byte("digest"), epoch)
+	fmt.Println(started)
+	record.Finish()
+	_, started, _ = l.Begin(7, first, "donor", []byte("digest"), epoch)
+	fmt.Println(started)
+	// Output:
+	// true
+	// false
+}
