Contexts move: import, recompute or a split of both, behind verified seals

Agents copy contexts that probably return to a store chosen by rendezvous hashing of the context, under a shared upload budget per link, and import them when that is cheaper under the service's objective. A block that does not verify (torn, flipped, freed, reused, another's) is recomputed: six rows of a misbehaving store, each answer compared with the right one.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/agent"
+	"limpetwall/internal/coordination/movement"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/finding"
 	"limpetwall/internal/state/fleet"
@@ -92,9 +93,9 @@
 func buildAgent(s *AgentSettings, p *base) *agent.Agent {
 	if s.Engine != "" {
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute}}
-		return agent.New(s.Agent, p.node, p.store, engine.NewClient(s.Engine, client), nil, p.zap, p.metrics)
+		return agent.New(s.Agent, p.node, p.store, engine.NewClient(s.Engine, client), nil, movement.HTTPStore(), p.zap, p.metrics)
 	}
-	return agent.New(s.Agent, p.node, p.store, nil, plainservice.NewClient(s.Plain), p.zap, p.metrics)
+	return agent.New(s.Agent, p.node, p.store, nil, plainservice.NewClient(s.Plain), nil, p.zap, p.metrics)
 }
 
 // drainAgent tells the fleet first: entries stop sending within a moment, and
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -42,6 +42,7 @@
 		f.IntVar(&s.Engine.Slots, "slots", 64, "prompts that run together")
 		f.IntVar(&s.Engine.MaxQueue, "max-queue", 256, "prompts that wait")
 		f.IntVar(&s.Engine.CacheBlocks, "cache-blocks", 1000, "context pieces kept in memory")
+		f.Int64Var(&s.Engine.PieceBytes, "piece-bytes", 1<<20, "size told for one exported piece of context")
 		f.BoolVar(&s.Engine.IgnoreFence, "ignore-fence", false, "accept orders with old fencing numbers")
 		f.DurationVar(&s.Engine.LoadTime, "load-time", time.Second, "time to load weights")
 		f.DurationVar(&s.Engine.StatusLag, "status-lag", 0, "age of the load reported")
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"limpetwall/internal/coordination/movement"
 	"limpetwall/internal/coordination/spread"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/config"
@@ -41,12 +42,14 @@
 // Agent serves one endpoint. Exactly one of engine and plain is set.
 type Agent struct {
 	wire.UnimplementedAgentServer
-	cfg     Config
-	node    *spread.Node
-	store   *config.Store
-	engine  engine.Engine
-	plain   plainservice.Service
-	ledger  *ledger.Ledger
+	cfg    Config
+	node   *spread.Node
+	store  *config.Store
+	engine engine.Engine
+	plain  plainservice.Service
+	ledger *ledger.Ledger
+	// mover is nil beside a plain service.
+	mover   *movement.Mover
 	zap     *zap.Logger
 	metrics metrics.Registry
 
@@ -64,12 +67,27 @@
 }
 
 // New returns an agent for an engine or a plain service.
-func New(cfg Config, node *spread.Node, store *config.Store, eng engine.Engine, plain plainservice.Service, logger *zap.Logger, registry metrics.Registry) *Agent {
+func New(cfg Config, node *spread.Node, store *config.Store, eng engine.Engine, plain plainservice.Service, open movement.OpenStore, logger *zap.Logger, registry metrics.Registry) *Agent {
 	base, cut := context.WithCancel(context.Background())
-	return &Agent{
+	a := &Agent{
 		cfg: cfg, node: node, store: store, engine: eng, plain: plain, zap: logger, metrics: registry,
 		ledger: ledger.New(cfg.Ledger, node.Table().Self().Incarnation), base: base, cut: cut,
 	}
+	if eng != nil {
+		a.mover = movement.New(eng, open, store, a.engines, logger, registry)
+	}
+	return a
+}
+
+// engines counts the agents that share the stores' links.
+func (a *Agent) engines() int {
+	count := 1
+	for _, m := range a.node.Table().Live() {
+		if m.Endpoint.Kind == fleet.KindEngine {
+			count++
+		}
+	}
+	return count
 }
 
 // RunDuties runs the agent's duties until ctx ends.
@@ -77,6 +95,8 @@
 	var group sync.WaitGroup
 	if a.engine != nil {
 		group.Go(func() { a.statusDuty(ctx) })
+		group.Go(func() { a.mover.EventsDuty(ctx, a.cfg.StatusEvery) })
+		group.Go(func() { a.mover.ExportDuty(ctx) })
 	}
 	group.Go(func() { a.node.ReportDuty(ctx, a.load) })
 	group.Wait()
@@ -105,8 +125,12 @@
 		return
 	}
 	a.mu.Lock()
+	swapped := a.status.WeightVersion != "" && a.status.WeightVersion != status.WeightVersion
 	a.status = status
 	a.mu.Unlock()
+	if swapped {
+		a.mover.ForgetResident()
+	}
 	a.node.Table().Update(time.Now(), func(m *fleet.Member) {
 		m.Endpoint.Model, m.Endpoint.WeightVersion = status.Model, status.WeightVersion
 		m.Endpoint.Adapter, m.Endpoint.Role = status.Adapter, status.Role
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"limpetwall/internal/coordination/movement"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/contextkey"
 	"limpetwall/internal/state/ledger"
@@ -215,7 +216,13 @@
 	}
 	defer leaveQueue()
 
-	stream, err := a.engine.Generate(ctx, a.engineRequest(r, p))
+	request := a.engineRequest(r, p)
+	move, movable := a.movable(r, request, int(a.waitingTokens.Load()-tokens))
+	imported := 0
+	if movable {
+		imported = a.mover.Prepare(ctx, move)
+	}
+	stream, err := a.engine.Generate(ctx, request)
 	if err != nil {
 		send(a.withLoad(refusedEvent(engineRefusal(err))))
 		return
@@ -233,7 +240,10 @@
 		leaveQueue()
 		switch {
 		case event.Started != nil:
-			err = send(a.withLoad(startedEvent(event.Started)))
+			if movable {
+				a.mover.Ran(move)
+			}
+			err = send(a.withLoad(startedEvent(event.Started, imported)))
 		case event.Tokens != nil:
 			err = send(tokensEvent(offset, event.Tokens))
 			offset += uint32(len(event.Tokens))
@@ -248,6 +258,22 @@
 	}
 }
 
+// movable describes a run to the mover. A customer or service that this agent
+// does not know yet is served without moving anything.
+func (a *Agent) movable(r *wire.RunRequest, request engine.Request, waiting int) (movement.Prompt, bool) {
+	view := a.store.View()
+	customer, knownCustomer := view.Customers[r.GetCustomer()]
+	service, knownService := view.Services[r.GetService()]
+	a.mu.Lock()
+	status := a.status
+	a.mu.Unlock()
+	p := movement.Prompt{
+		Customer: customer, Service: service, Keys: request.Blocks, Status: status,
+		Waiting: max(0, waiting), RequestID: request.RequestID,
+	}
+	return p, knownCustomer && knownService && len(view.StoreHosts) > 0 && len(request.Blocks) > 0
+}
+
 func (a *Agent) brokenStream(err error) *wire.Refused {
 	if a.base.Err() != nil {
 		return refuse(CodeCut, wire.Ran_RAN_YES, 0, "the agent's shutdown deadline passed")
@@ -286,9 +312,10 @@
 	}
 }
 
-func startedEvent(s *engine.Started) *wire.RunEvent {
+func startedEvent(s *engine.Started, imported int) *wire.RunEvent {
 	return &wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{
 		WeightVersion: s.WeightVersion, CachedTokens: uint32(s.CachedTokens), PromptTokens: uint32(s.PromptTokens),
+		ImportedTokens: uint32(imported),
 	}}}
 }
 
--- /dev/null
+++ b/internal/coordination/movement/movement_test.go
@@ -0,0 +1,366 @@
+package movement_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/movement"
+	"limpetwall/internal/state/blockseal"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/transport/engine"
+	enginestandin "limpetwall/internal/transport/engine/standin"
+	"limpetwall/internal/transport/kvstore"
+	kvstandin "limpetwall/internal/transport/kvstore/standin"
+)
+
+var (
+	ttftOnly  = config.Objective{WeightTTFT: 1}
+	recompute = config.Objective{WeightTTFT: 0.01, WeightRecompute: 1, WeightLink: 0.2}
+	link      = config.Objective{WeightTTFT: 0.01, WeightRecompute: 0.2, WeightLink: 1}
+)
+
+func TestDecide(t *testing.T) {
+	base := movement.Source{
+		Pieces: 10, StoredChance: 1, PieceBytes: 100 << 20, LinkRate: 1 << 30, PrefillRate: 8000, Objective: ttftOnly,
+	}
+	rows := []struct {
+		name   string
+		change func(s *movement.Source)
+		// want is the number of pieces imported; -1 means some but not all.
+		want int
+	}{
+		{"a fast link imports all", func(*movement.Source) {}, 10},
+		{"what is resident is not moved", func(s *movement.Source) { s.Resident = 7 }, 3},
+		{"nothing is missing", func(s *movement.Source) { s.Resident = 10 }, 0},
+		{"nothing is stored", func(s *movement.Source) { s.StoredChance = 0 }, 0},
+		{"the store is suspended", func(s *movement.Source) { s.LinkRate = 0 }, 0},
+		{"a link slower than the prefill moves nothing", func(s *movement.Source) { s.LinkRate = 100 << 20; s.PrefillRate = 20000 }, 0},
+		{"a slow link fills the engine's queue time only", func(s *movement.Source) {
+			s.LinkRate, s.PrefillRate, s.PrefillTokens = 100<<20, 20000, 80000
+		}, 4},
+		{"a backlog on the link takes the free time away", func(s *movement.Source) {
+			s.LinkRate, s.PrefillRate, s.PrefillTokens, s.LinkBacklog = 100<<20, 20000, 80000, 400<<20
+		}, 0},
+		{"who minds recomputing imports over a slow link", func(s *movement.Source) {
+			s.LinkRate, s.PrefillRate, s.Objective = 100<<20, 20000, recompute
+		}, 10},
+		{"who minds link use recomputes beside a fast link", func(s *movement.Source) { s.Objective = link }, 0},
+	}
+	for _, row := range rows {
+		s := base
+		row.change(&s)
+		p := movement.Decide(s)
+		if got := p.To - p.From; got != row.want || p.From != s.Resident || p.Cost > p.CostRecompute {
+			t.Errorf("%s: %+v, want %d pieces", row.name, p, row.want)
+		}
+	}
+}
+
+// TestDecideIsBest compares the three candidates with every split.
+func FuzzDecideIsBest(f *testing.F) {
+	f.Add(uint8(10), uint8(0), uint32(8000), uint32(80000), uint32(100), uint32(0), uint8(1), uint8(1), uint8(1))
+	f.Fuzz(func(t *testing.T, pieces, resident uint8, rate, waiting, linkMB, backlogMB uint32, a, b, c uint8) {
+		s := movement.Source{
+			Pieces: int(pieces % 40), StoredChance: 1, PieceBytes: 100 << 20, LinkRate: float64(linkMB%5000) * (1 << 20),
+			LinkBacklog: int64(backlogMB%2000) << 20, PrefillRate: int(rate % 100_000), PrefillTokens: int(waiting % 1_000_000),
+			Objective: config.Objective{WeightTTFT: float64(a), WeightRecompute: float64(b) / 100, WeightLink: float64(c) / 100},
+		}
+		s.Resident = min(int(resident), s.Pieces)
+		p := movement.Decide(s)
+		if p.From != s.Resident || p.To < p.From || p.To > max(s.Pieces, s.Resident) {
+			t.Fatalf("%+v of %+v", p, s)
+		}
+		if p.Cost > p.CostRecompute {
+			t.Fatalf("dearer than recomputing: %+v", p)
+		}
+	})
+}
+
+func TestWorth(t *testing.T) {
+	c := movement.Copy{ReturnChance: 0.8, PieceBytes: 100 << 20, PrefillRate: 8000, Objective: ttftOnly, LinkRate: 1 << 30}
+	if movement.Worth(c) < 1 {
+		t.Errorf("a likely return over a fast link: %g", movement.Worth(c))
+	}
+	for name, change := range map[string]func(*movement.Copy){
+		"never returns":  func(c *movement.Copy) { c.ReturnChance = 0 },
+		"link too slow":  func(c *movement.Copy) { c.LinkRate = 100 << 20 },
+		"link suspended": func(c *movement.Copy) { c.LinkRate = 0 },
+		"link is dear":   func(c *movement.Copy) { c.Objective = link },
+	} {
+		x := c
+		change(&x)
+		if movement.Worth(x) >= 1 {
+			t.Errorf("%s: %g", name, movement.Worth(x))
+		}
+	}
+}
+
+// TestPlacement looks that copies lie in different failure domains, that all
+// compute the same, and that a lost store moves only its own contexts.
+func TestPlacement(t *testing.T) {
+	var stores []*config.StoreHost
+	for i := range 6 {
+		stores = append(stores, &config.StoreHost{ID: fmt.Sprint("s", i), Domain: fmt.Sprint("d", i%3)})
+	}
+	moved, mine := 0, 0
+	const contexts = 600
+	for n := range contexts {
+		root := contextkey.Key{byte(n), byte(n >> 8)}
+		two := movement.Stores(stores, root, 2)
+		if two[0].Domain == two[1].Domain {
+			t.Fatalf("both copies in %s", two[0].Domain)
+		}
+		without := movement.Stores(stores[1:], root, 1)
+		if two[0] == stores[0] {
+			mine++
+		} else if without[0] != two[0] {
+			moved++
+		}
+	}
+	if moved != 0 || mine < contexts/12 || mine > contexts/3 {
+		t.Errorf("%d contexts of the lost store, %d others moved", mine, moved)
+	}
+	if got := movement.Stores(stores[:1], contextkey.Key{}, 2); len(got) != 1 {
+		t.Errorf("%d stores of one", len(got))
+	}
+}
+
+func TestLinkBudgetIsShared(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const rate, agents, piece, seconds = 1000.0, 4, 20, 100
+	total := int64(0)
+	for range agents {
+		l := movement.NewLink(rate)
+		for ms := range seconds * 10 {
+			if l.AllowUpload(piece, agents, now.Add(time.Duration(ms)*100*time.Millisecond)) {
+				total += piece
+			}
+		}
+	}
+	if share := float64(total) / (rate * seconds); share < 0.23 || share > 0.27 {
+		t.Errorf("uploads took %.2f of the link", share)
+	}
+}
+
+func TestLinkSuspendsAFailingStore(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := movement.NewLink(1000)
+	for range 3 {
+		l.Begin(10)
+		l.End(10, time.Second, false, now)
+	}
+	if l.Rate(now) != 0 || l.Rate(now.Add(6*time.Second)) == 0 || l.Backlog() != 0 {
+		t.Errorf("rate %g then %g, backlog %d", l.Rate(now), l.Rate(now.Add(6*time.Second)), l.Backlog())
+	}
+	for range 20 {
+		l.Begin(10)
+		l.End(10, time.Second, true, now)
+	}
+	if got := l.Rate(now.Add(time.Minute)); got > 30 {
+		t.Errorf("a slow link still counts %g bytes/s", got)
+	}
+}
+
+func TestOpenRefusesWhatIsNotTheBlock(t *testing.T) {
+	salt, key := []byte("salt"), contextkey.Key{1}
+	sealed := blockseal.Seal(salt, key, []byte("the content"))
+	flip := func(at int) []byte {
+		out := append([]byte(nil), sealed...)
+		out[at] ^= 1
+		return out
+	}
+	if content, err := blockseal.Open(salt, key, sealed); err != nil || string(content) != "the content" {
+		t.Fatalf("%q %v", content, err)
+	}
+	rows := map[string][]byte{
+		"empty": nil, "torn": sealed[:len(sealed)-1], "half": sealed[:len(sealed)/2], "longer": append(append([]byte(nil), sealed...), 0),
+		"zeroed tail": append(append([]byte(nil), sealed[:len(sealed)-32]...), make([]byte, 32)...),
+		"other key":   blockseal.Seal(salt, contextkey.Key{2}, []byte("the content")),
+		"other salt":  blockseal.Seal([]byte("other"), key, []byte("the content")),
+	}
+	for at := range sealed {
+		rows[fmt.Sprint("bit at ", at)] = flip(at)
+	}
+	for name, data := range rows {
+		if _, err := blockseal.Open(salt, key, data); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add(blockseal.Seal([]byte("salt"), contextkey.Key{1}, []byte("x")))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := blockseal.Open([]byte("another salt"), contextkey.Key{1}, data); err == nil {
+			t.Error("a block verified under a salt it was not sealed with")
+		}
+	})
+}
+
+// bench is one engine with a mover and a store, in a bubble.
+type bench struct {
+	t       *testing.T
+	engine  *enginestandin.Engine
+	store   *kvstandin.Store
+	mover   *movement.Mover
+	metrics metrics.Registry
+	view    *config.View
+	runs    int
+}
+
+const (
+	modelName = "toy"
+	version   = "v1"
+)
+
+func withBench(t *testing.T, test func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := config.NewStore()
+		documents := []config.Document{
+			{Ref: config.Ref{Kind: config.KindCustomer, ID: "a"}, Spec: json.RawMessage(`{"key_hashes":[],"limits":{},"salt":"YQ=="}`)},
+			{Ref: config.Ref{Kind: config.KindCustomer, ID: "b"}, Spec: json.RawMessage(`{"key_hashes":[],"limits":{},"salt":"Yg=="}`)},
+			{Ref: config.Ref{Kind: config.KindService, ID: "s"}, Spec: json.RawMessage(`{"kind":"prompt","customers":["*"],"objective":{"weight_recompute":1},"limits":{}}`)},
+			{Ref: config.Ref{Kind: config.KindStore, ID: "kv"}, Spec: json.RawMessage(`{"url":"http://kv","domain":"d","tier":"memory","link_bytes_per_second":1000000000}`)},
+		}
+		if err := store.Apply(config.Change{Revision: 1, Puts: documents}); err != nil {
+			t.Fatal(err)
+		}
+		b := &bench{
+			t: t, store: kvstandin.New(1 << 30), metrics: metrics.NewRegistry(), view: store.View(),
+			engine: enginestandin.New(enginestandin.Config{Model: modelName, WeightVersion: version, Slots: 4, MaxQueue: 4, CacheBlocks: 4, PieceBytes: 1000}),
+		}
+		b.mover = movement.New(b.engine, func(string) kvstore.Store { return b.store }, store, func() int { return 1 }, zap.NewNop(), b.metrics)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { b.mover.ExportDuty(ctx) })
+		group.Go(func() { b.mover.EventsDuty(ctx, 100*time.Millisecond) })
+		test(b)
+		cancel()
+		group.Wait()
+	})
+}
+
+// ask runs a prompt as an agent does, and returns its answer and what was
+// imported for it.
+func (b *bench) ask(customer, text string) (answer string, imported int) {
+	b.t.Helper()
+	b.runs++
+	c := b.view.Customers[customer]
+	keys := contextkey.Chain(contextkey.Scope{Salt: c.Salt, Model: modelName, WeightVersion: version}, text)
+	status, _ := b.engine.Status(b.t.Context())
+	p := movement.Prompt{Customer: c, Service: b.view.Services["s"], Keys: keys, Status: status, RequestID: fmt.Sprint(b.runs)}
+	imported = b.mover.Prepare(b.t.Context(), p)
+	stream, err := b.engine.Generate(b.t.Context(), engine.Request{
+		RequestID: p.RequestID, Model: modelName, WeightVersion: version, Text: text, Blocks: keys, MaxTokens: 8,
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	var out strings.Builder
+	for {
+		e, err := stream.Next()
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		if e.Started != nil {
+			b.mover.Ran(p)
+		}
+		out.WriteString(strings.Join(e.Tokens, ""))
+		if e.Finish != "" {
+			time.Sleep(time.Second) // copies are written and events are read
+			return out.String(), imported
+		}
+	}
+}
+
+func text(name string) string {
+	return strings.Repeat(name+" ", 3*contextkey.PieceBytes/(len(name)+1)+1)
+}
+
+func want(text string) string {
+	return strings.Join(enginestandin.Answer(text, version, 0, 8), "")
+}
+
+// TestWrongBlocksNeverReachAnAnswer returns to a context that left the engine,
+// while its store host misbehaves in every way.
+//
+// The context was copied to the store and evicted. The caller's second prompt
+// gets the right answer each time: from the store if it is right, recomputed if
+// the store returns torn, flipped, freed or unsealed blocks, another block's
+// bytes or another customer's.
+func TestWrongBlocksNeverReachAnAnswer(t *testing.T) {
+	rows := []struct {
+		name    string
+		wrongs  kvstandin.Wrongs
+		before  func(b *bench)
+		imports bool
+	}{
+		{"a store that is right", kvstandin.Wrongs{}, nil, true},
+		{"torn blocks", kvstandin.Wrongs{Torn: true}, nil, false},
+		{"flipped bits", kvstandin.Wrongs{Flipped: true}, nil, false},
+		{"another block's bytes", kvstandin.Wrongs{Misdirected: true}, nil, false},
+		{"freed blocks, correctly gone", kvstandin.Wrongs{}, freeAll, false},
+		{"a slot reserved again and half written", kvstandin.Wrongs{Unsealed: true}, halfWrite, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				prompt := text("oak")
+				for range 2 { // the second visit makes a return likely enough to copy
+					if got, _ := b.ask("a", prompt); got != want(prompt) {
+						t.Fatalf("first answer %q", got)
+					}
+				}
+				b.ask("b", prompt) // another customer's copy of the same text
+				b.ask("a", text("ash"))
+				b.ask("a", text("elm"))
+				if status, _ := b.store.Status(t.Context()); status.Used == 0 {
+					t.Fatal("nothing was copied to the store")
+				}
+				if row.before != nil {
+					row.before(b)
+				}
+				b.store.SetWrongs(row.wrongs)
+				got, imported := b.ask("a", prompt)
+				if got != want(prompt) {
+					t.Errorf("answer %q, want %q", got, want(prompt))
+				}
+				if row.imports != (imported > 0) {
+					t.Errorf("imported %d tokens", imported)
+				}
+			})
+		})
+	}
+}
+
+func keysOf(customer string) []contextkey.Key {
+	return contextkey.Chain(contextkey.Scope{Salt: []byte(customer), Model: modelName, WeightVersion: version}, text("oak"))
+}
+
+func freeAll(b *bench) {
+	for _, key := range keysOf("a") {
+		b.store.Free(b.t.Context(), key)
+	}
+}
+
+// halfWrite begins to write the blocks again and stops half-way, as an agent
+// that dies does.
+func halfWrite(b *bench) {
+	for _, key := range keysOf("a") {
+		slot, err := b.store.Reserve(b.t.Context(), key, 200)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		b.store.Write(b.t.Context(), slot, 0, []byte("half"))
+	}
+}
--- /dev/null
+++ b/internal/coordination/movement/mover.go
@@ -0,0 +1,318 @@
+package movement
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/blockseal"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/transport/engine"
+	"limpetwall/internal/transport/kvstore"
+	"limpetwall/internal/transport/ring"
+)
+
+const (
+	// exportQueue bounds the contexts waiting to be copied; more are let go.
+	exportQueue = 256
+	// seenContexts bounds the contexts remembered for the return rate.
+	seenContexts = 100_000
+	// residentKept bounds the pieces thought resident.
+	residentKept = 200_000
+	// partSize is the size of one write to a store, in bytes.
+	partSize = 1 << 20
+	// exportTimeout bounds the copy of one context.
+	exportTimeout = 30 * time.Second
+)
+
+// OpenStore returns the client of a store host.
+type OpenStore func(url string) kvstore.Store
+
+// Mover moves contexts for one engine.
+type Mover struct {
+	engine  engine.Engine
+	open    OpenStore
+	config  *config.Store
+	agents  func() int
+	zap     *zap.Logger
+	metrics metrics.Registry
+	exports *ring.Ring[export]
+
+	mu       sync.Mutex
+	links    map[string]*remote
+	resident map[contextkey.Key]bool
+	returns  *returns
+	// stored remembers roots that this agent copied or found on a store.
+	stored map[contextkey.Key]int
+	hits   float64
+}
+
+type remote struct {
+	host *config.StoreHost
+	kv   kvstore.Store
+	link *Link
+}
+
+type export struct {
+	customer *config.Customer
+	keys     []contextkey.Key
+	bytes    int64
+}
+
+// HTTPStore opens stores through their HTTP adapter.
+func HTTPStore() OpenStore {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	return func(url string) kvstore.Store { return kvstore.NewClient(url, client) }
+}
+
+// New returns a mover for an engine. agents tells how many share the links.
+func New(eng engine.Engine, open OpenStore, store *config.Store, agents func() int, logger *zap.Logger, registry metrics.Registry) *Mover {
+	return &Mover{
+		engine: eng, open: open, config: store, agents: agents, zap: logger, metrics: registry,
+		exports: ring.New[export](exportQueue), links: map[string]*remote{}, resident: map[contextkey.Key]bool{},
+		returns: newReturns(seenContexts), stored: map[contextkey.Key]int{}, hits: 0.5,
+	}
+}
+
+// remoteOf returns the client and link of a store, renewed if it was changed.
+func (m *Mover) remoteOf(host *config.StoreHost) *remote {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.links[host.ID]
+	if !ok || r.host.URL != host.URL || r.host.LinkBytesPerSecond != host.LinkBytesPerSecond {
+		r = &remote{host: host, kv: m.open(host.URL), link: NewLink(float64(host.LinkBytesPerSecond))}
+		m.links[host.ID] = r
+	}
+	return r
+}
+
+// remotes returns a context's stores, best first.
+func (m *Mover) remotes(root contextkey.Key, copies int) []*remote {
+	hosts := Stores(m.config.View().StoreHosts, root, copies)
+	out := make([]*remote, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, m.remoteOf(h))
+	}
+	return out
+}
+
+// Prompt describes a run whose context may be moved.
+type Prompt struct {
+	Customer  *config.Customer
+	Service   *config.Service
+	Keys      []contextkey.Key
+	Status    engine.Status
+	Waiting   int
+	RequestID string
+}
+
+// Prepare imports what is worth importing before a run, and returns the number
+// of tokens it brought. Whatever fails is recomputed by the engine.
+func (m *Mover) Prepare(ctx context.Context, p Prompt) int {
+	if len(p.Keys) == 0 {
+		return 0
+	}
+	m.returns.saw(p.Keys[0])
+	resident := m.residentPieces(p.Keys)
+	for _, r := range m.remotes(p.Keys[0], p.Service.Copies()) {
+		plan := Decide(m.source(p, r, resident))
+		if !plan.Import() {
+			continue
+		}
+		imported := m.importPieces(ctx, r, p, plan)
+		metrics.GetOrRegisterCounter("agent.imported_pieces", m.metrics).Inc(int64(imported))
+		if imported > 0 {
+			return imported * contextkey.PieceTokens
+		}
+	}
+	return 0
+}
+
+func (m *Mover) source(p Prompt, r *remote, resident int) Source {
+	return Source{
+		Pieces: len(p.Keys), Resident: resident, StoredChance: m.storedChance(p.Keys),
+		PieceBytes: p.Status.PieceBytes, LinkRate: r.link.Rate(time.Now()), LinkBacklog: r.link.Backlog(),
+		PrefillRate: p.Status.PrefillRate, PrefillTokens: p.Waiting, Objective: p.Service.Objective,
+	}
+}
+
+// storedChance is certain for what this agent copied itself, else learned from
+// how often its look-ups found something.
+func (m *Mover) storedChance(keys []contextkey.Key) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stored[keys[0]] > 0 {
+		return 1
+	}
+	return m.hits
+}
+
+func (m *Mover) importPieces(ctx context.Context, r *remote, p Prompt, plan Plan) int {
+	imported := 0
+	for _, key := range p.Keys[plan.From:plan.To] {
+		if !m.importPiece(ctx, r, p, key) {
+			break
+		}
+		imported++
+	}
+	m.learn(p.Keys[0], imported > 0)
+	return imported
+}
+
+func (m *Mover) learn(root contextkey.Key, found bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	const weight, floor = 0.1, 0.05
+	if found {
+		m.hits += weight * (1 - m.hits)
+		return
+	}
+	m.hits = max(floor, m.hits-weight*m.hits)
+	delete(m.stored, root)
+}
+
+// patience is how long one piece may take: a store that froze or whose link
+// broke down must not hold up a prompt that the engine could compute meanwhile.
+func (r *remote) patience(bytes int64) time.Duration {
+	const floor, slack = 200 * time.Millisecond, 4
+	nominal := time.Duration(float64(bytes) / float64(r.host.LinkBytesPerSecond) * float64(time.Second))
+	return max(floor, slack*nominal)
+}
+
+// importPiece reads one piece, verifies it and gives it to the engine. Nothing
+// that does not verify goes further: a freed slot, a torn or old block or
+// another customer's would otherwise be read into this caller's answer.
+func (m *Mover) importPiece(ctx context.Context, r *remote, p Prompt, key contextkey.Key) bool {
+	bytes := p.Status.PieceBytes
+	ctx, cancel := context.WithTimeout(ctx, r.patience(bytes))
+	defer cancel()
+	started := time.Now()
+	r.link.Begin(bytes)
+	sealed, err := r.kv.Read(ctx, key)
+	r.link.End(bytes, time.Since(started), err == nil || isMissing(err), time.Now())
+	if err != nil {
+		return false
+	}
+	content, err := blockseal.Open(p.Customer.Salt, key, sealed)
+	if err != nil {
+		metrics.GetOrRegisterCounter("agent.import_refused", m.metrics).Inc(1)
+		m.zap.Warn("block refused", zap.String("store", r.host.ID), zap.String("request_id", p.RequestID), zap.Error(err))
+		r.kv.Free(ctx, key)
+		return false
+	}
+	if m.engine.Import(ctx, key, content) != nil {
+		return false
+	}
+	metrics.GetOrRegisterCounter("agent.link_bytes", m.metrics).Inc(bytes)
+	m.markResident(key, true)
+	return true
+}
+
+// Ran tells that an engine has now computed a context, which may be worth a copy.
+func (m *Mover) Ran(p Prompt) {
+	if len(p.Keys) == 0 {
+		return
+	}
+	for _, key := range p.Keys {
+		m.markResident(key, true)
+	}
+	remotes := m.remotes(p.Keys[0], 1)
+	if len(remotes) == 0 || m.copied(p.Keys) {
+		return
+	}
+	agents := m.agents()
+	worth := Worth(Copy{
+		ReturnChance: m.returns.rate(), PieceBytes: p.Status.PieceBytes, PrefillRate: p.Status.PrefillRate,
+		Objective: p.Service.Objective, LinkRate: remotes[0].link.Rate(time.Now()),
+	})
+	if worth < 1 {
+		return
+	}
+	total := p.Status.PieceBytes * int64(len(p.Keys))
+	if !remotes[0].link.AllowUpload(total, agents, time.Now()) {
+		metrics.GetOrRegisterCounter("agent.export_no_budget", m.metrics).Inc(1)
+		return
+	}
+	m.exports.TryPush(export{customer: p.Customer, keys: p.Keys, bytes: p.Status.PieceBytes})
+}
+
+func (m *Mover) copied(keys []contextkey.Key) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stored[keys[0]] >= len(keys)
+}
+
+// ExportDuty copies contexts to their stores until ctx ends.
+func (m *Mover) ExportDuty(ctx context.Context) {
+	for {
+		e, err := m.exports.Pop(ctx)
+		if err != nil {
+			return
+		}
+		m.export(ctx, e)
+	}
+}
+
+func (m *Mover) export(ctx context.Context, e export) {
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	r := m.remotes(e.keys[0], 1)
+	if len(r) == 0 {
+		return
+	}
+	m.mu.Lock()
+	already := m.stored[e.keys[0]]
+	m.mu.Unlock()
+	for i, key := range e.keys {
+		if i < already {
+			continue
+		}
+		if !m.exportPiece(ctx, r[0], e, key) {
+			return
+		}
+		m.mu.Lock()
+		if len(m.stored) >= seenContexts {
+			clear(m.stored)
+		}
+		m.stored[e.keys[0]] = i + 1
+		m.mu.Unlock()
+	}
+}
+
+func (m *Mover) exportPiece(ctx context.Context, r *remote, e export, key contextkey.Key) bool {
+	content, err := m.engine.Export(ctx, key)
+	if err != nil {
+		return false
+	}
+	started := time.Now()
+	r.link.Begin(e.bytes)
+	err = write(ctx, r.kv, key, blockseal.Seal(e.customer.Salt, key, content))
+	r.link.End(e.bytes, time.Since(started), err == nil || isFull(err), time.Now())
+	if err != nil {
+		return false
+	}
+	metrics.GetOrRegisterCounter("agent.exported_pieces", m.metrics).Inc(1)
+	metrics.GetOrRegisterCounter("agent.link_bytes", m.metrics).Inc(e.bytes)
+	return true
+}
+
+// write stores a block in parts and seals it at the end: until then no reader
+// is given it.
+func write(ctx context.Context, kv kvstore.Store, key contextkey.Key, data []byte) error {
+	slot, err := kv.Reserve(ctx, key, len(data))
+	if err != nil {
+		return err
+	}
+	for offset := 0; offset < len(data); offset += partSize {
+		end := min(offset+partSize, len(data))
+		if err := kv.Write(ctx, slot, offset, data[offset:end]); err != nil {
+			return err
+		}
+	}
+	return kv.Seal(ctx, slot)
+}
--- /dev/null
+++ b/internal/coordination/movement/resident.go
@@ -0,0 +1,105 @@
+package movement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/transport/kvstore"
+)
+
+func isMissing(err error) bool { return errors.Is(err, kvstore.ErrNotFound) }
+func isFull(err error) bool    { return errors.Is(err, kvstore.ErrFull) }
+
+// EventsDuty follows the engine's cache events. They are late and have gaps, so
+// the set is a hint: a piece wrongly thought resident is recomputed, one wrongly
+// thought missing is imported once more.
+func (m *Mover) EventsDuty(ctx context.Context, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	after := uint64(0)
+	for {
+		events, err := m.engine.Events(ctx, after)
+		if err == nil {
+			for _, e := range events {
+				m.markResident(e.Block, e.Stored)
+				after = max(after, e.Sequence)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Mover) markResident(key contextkey.Key, stored bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !stored {
+		delete(m.resident, key)
+		return
+	}
+	if len(m.resident) >= residentKept {
+		clear(m.resident)
+	}
+	m.resident[key] = true
+}
+
+// ForgetResident is told when the engine swapped its weights: nothing that was
+// resident can be used any more.
+func (m *Mover) ForgetResident() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.resident)
+}
+
+func (m *Mover) residentPieces(keys []contextkey.Key) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, key := range keys {
+		if !m.resident[key] {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// returns learns how often contexts come back. Two generations bound its memory.
+type returns struct {
+	mu                sync.Mutex
+	size              int
+	current, previous map[contextkey.Key]struct{}
+	share             float64
+}
+
+func newReturns(size int) *returns {
+	return &returns{size: size, current: map[contextkey.Key]struct{}{}, share: 0.5}
+}
+
+func (r *returns) saw(root contextkey.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, now := r.current[root]
+	_, before := r.previous[root]
+	const weight = 0.02
+	if now || before {
+		r.share += weight * (1 - r.share)
+	} else {
+		r.share -= weight * r.share
+	}
+	r.current[root] = struct{}{}
+	if len(r.current) >= r.size {
+		r.previous, r.current = r.current, map[contextkey.Key]struct{}{}
+	}
+}
+
+func (r *returns) rate() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.share
+}
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"regexp"
 	"sort"
+	"strings"
 	"time"
 
 	"limpetwall/internal/state/finding"
@@ -24,6 +25,7 @@
 	KindService  Kind = "service"
 	KindIntent   Kind = "intent"
 	KindOperator Kind = "operator"
+	KindStore    Kind = "store"
 )
 
 // Ref names one document.
@@ -100,6 +102,18 @@
 	TimeoutMS int    `json:"timeout_ms,omitempty"`
 	Priority  int    `json:"priority,omitempty"`
 	Limits    Limits `json:"limits"`
+	// ContextStores is the number of stores asked for a returning context; 0
+	// means 2. The first gets the copy; the others serve when stores changed.
+	ContextStores int `json:"context_stores,omitempty"`
+}
+
+// Copies is the number of stores that may hold a context of the service.
+func (s *Service) Copies() int {
+	const standard = 2
+	if s.ContextStores > 0 {
+		return s.ContextStores
+	}
+	return standard
 }
 
 // Intent ties a service to the endpoints it may use.
@@ -125,6 +139,34 @@
 	KeyHashes []string `json:"key_hashes"`
 }
 
+// StoreHost keeps exported context blocks behind a limited link.
+type StoreHost struct {
+	ID string `json:"-"`
+	// URL of the store, "http://ip:port".
+	URL string `json:"url"`
+	// Domain is the failure domain of the store.
+	Domain string `json:"domain"`
+	// Tier is "memory" or "disk".
+	Tier string `json:"tier"`
+	// LinkBytesPerSecond is the nominal rate of the store's link.
+	LinkBytesPerSecond int64 `json:"link_bytes_per_second"`
+}
+
+func (s StoreHost) check(l *finding.List, place string) {
+	if !strings.HasPrefix(s.URL, "http://") && !strings.HasPrefix(s.URL, "https://") {
+		l.Add(place+".url", "%q must begin with http:// or https://", s.URL)
+	}
+	if s.Domain == "" {
+		l.Add(place+".domain", "is required: copies are kept in different failure domains")
+	}
+	if s.Tier != "memory" && s.Tier != "disk" {
+		l.Add(place+".tier", "%q is neither memory nor disk", s.Tier)
+	}
+	if s.LinkBytesPerSecond <= 0 {
+		l.Add(place+".link_bytes_per_second", "is %d, must be positive", s.LinkBytesPerSecond)
+	}
+}
+
 // Default objective values for services that state none.
 const (
 	DefaultTTFTMS    = 390
@@ -185,8 +227,13 @@
 		if decodeSpec(l, spec, d.Spec, &o) {
 			checkHashes(l, spec+".key_hashes", o.KeyHashes)
 		}
+	case KindStore:
+		var s StoreHost
+		if decodeSpec(l, spec, d.Spec, &s) {
+			s.check(l, spec)
+		}
 	default:
-		l.Add(place+".kind", "%q is none of customer, service, intent, operator", d.Kind)
+		l.Add(place+".kind", "%q is none of customer, service, intent, operator, store", d.Kind)
 	}
 }
 
@@ -211,6 +258,7 @@
 	checkRange(l, place+".objective.ttft_ms", s.Objective.TTFTMS, maxTimeoutMS)
 	checkRange(l, place+".timeout_ms", s.TimeoutMS, maxTimeoutMS)
 	checkRange(l, place+".priority", s.Priority, 100)
+	checkRange(l, place+".context_stores", s.ContextStores, 8)
 	for name, weight := range map[string]float64{
 		"weight_ttft": s.Objective.WeightTTFT, "weight_recompute": s.Objective.WeightRecompute,
 		"weight_link": s.Objective.WeightLink,
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -32,6 +32,8 @@
 	Services  map[string]*Service
 	// Intents holds each service's intents, ordered by id.
 	Intents map[string][]*Intent
+	// StoreHosts are ordered by id.
+	StoreHosts []*StoreHost
 
 	customerKeys map[[sha256.Size]byte]*Customer
 	operatorKeys map[[sha256.Size]byte]*Operator
@@ -107,6 +109,11 @@
 			if json.Unmarshal(spec, i) == nil {
 				v.Intents[i.Service] = append(v.Intents[i.Service], i)
 			}
+		case KindStore:
+			h := &StoreHost{ID: ref.ID}
+			if json.Unmarshal(spec, h) == nil {
+				v.StoreHosts = append(v.StoreHosts, h)
+			}
 		case KindOperator:
 			o := &Operator{ID: ref.ID}
 			if json.Unmarshal(spec, o) == nil {
@@ -117,6 +124,7 @@
 	for _, intents := range v.Intents {
 		sort.Slice(intents, func(a, b int) bool { return intents[a].ID < intents[b].ID })
 	}
+	sort.Slice(v.StoreHosts, func(a, b int) bool { return v.StoreHosts[a].ID < v.StoreHosts[b].ID })
 }
 
 func (s *Service) setDefaults() {
--- a/internal/transport/engine/engine.go
+++ b/internal/transport/engine/engine.go
@@ -78,6 +78,8 @@
 	QueuedTokens  int    `json:"queued_tokens"`
 	// PrefillRate is in tokens per second.
 	PrefillRate int `json:"prefill_rate"`
+	// PieceBytes is the size of one exported piece of context.
+	PieceBytes int64 `json:"piece_bytes"`
 }
 
 // Order changes what an engine serves.
--- a/internal/transport/engine/standin/standin.go
+++ b/internal/transport/engine/standin/standin.go
@@ -30,6 +30,8 @@
 	MaxQueue int
 	// CacheBlocks is the number of context blocks the engine's memory holds.
 	CacheBlocks int
+	// PieceBytes is the size told for one exported piece.
+	PieceBytes int64
 	// IgnoreFence makes the engine accept orders with old fencing numbers.
 	IgnoreFence bool
 	// LoadTime is how long an order takes to load weights.
@@ -71,7 +73,7 @@
 		runs:    map[string]int{},
 		status: engine.Status{
 			Model: cfg.Model, WeightVersion: cfg.WeightVersion, Adapter: cfg.Adapter,
-			Role: cfg.Role, PrefillRate: cfg.PrefillRate,
+			Role: cfg.Role, PrefillRate: cfg.PrefillRate, PieceBytes: cfg.PieceBytes,
 		},
 	}
 }
