--- /dev/null
+++ b/internal/coordination/admission/admission_test.go
@@ -0,0 +1,134 @@
+package admission_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/admission"
+	"limpetwall/internal/state/config"
+)
+
+func TestGates(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := admission.NewGates()
+	slow := &config.Customer{ID: "slow", Limits: config.Limits{RequestsPerSecond: 1, Burst: 2}}
+	narrow := &config.Customer{ID: "narrow", Limits: config.Limits{Concurrent: 1}}
+	free := &config.Customer{ID: "free"}
+	s := &config.Service{ID: "s"}
+	for range 2 {
+		if _, refusal := g.Enter(slow, s, now); refusal != nil {
+			t.Fatalf("within the burst: %+v", refusal)
+		}
+	}
+	_, refusal := g.Enter(slow, s, now)
+	if refusal == nil || refusal.What != "customer" || refusal.After < 900*time.Millisecond || refusal.After > time.Second {
+		t.Errorf("beyond the rate: %+v", refusal)
+	}
+	if _, refusal := g.Enter(slow, s, now.Add(refusal.After+time.Millisecond)); refusal != nil {
+		t.Errorf("at the time advised: %+v", refusal)
+	}
+	leave, _ := g.Enter(narrow, s, now)
+	if _, refusal := g.Enter(narrow, s, now); refusal == nil {
+		t.Error("beyond the concurrency")
+	}
+	leave()
+	if _, refusal := g.Enter(narrow, s, now); refusal != nil {
+		t.Errorf("after leaving: %+v", refusal)
+	}
+	bounded := &config.Service{ID: "bounded", Limits: config.Limits{Concurrent: 1}}
+	g.Enter(free, bounded, now)
+	if _, refusal := g.Enter(free, bounded, now); refusal == nil || refusal.What != "service" {
+		t.Errorf("service bound: %+v", refusal)
+	}
+}
+
+// work runs requests of some customers through a queue and returns the mean
+// wait of each customer's.
+func work(t *testing.T, loads map[string]int, shares map[string]float64) map[string]time.Duration {
+	waits := map[string]time.Duration{}
+	synctest.Test(t, func(t *testing.T) {
+		q := admission.NewQueue(100_000, func() int { return 4 })
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for customer, requests := range loads {
+			for range requests {
+				group.Go(func() {
+					began := time.Now()
+					release, err := q.Enter(context.Background(), admission.Request{Customer: customer, Share: shares[customer], Cost: 1, Time: time.Hour})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					mu.Lock()
+					waits[customer] += time.Since(began)
+					mu.Unlock()
+					time.Sleep(100 * time.Millisecond)
+					release()
+				})
+			}
+		}
+		group.Wait()
+	})
+	for customer := range waits {
+		waits[customer] /= time.Duration(loads[customer])
+	}
+	return waits
+}
+
+// TestBurstQueuesBehindItself lets one customer send twenty times as much as
+// another at the same moment.
+//
+// The small customer's requests take turns with the burst: its mean wait is a
+// small multiple of what it would be alone, not that of the burst.
+func TestBurstQueuesBehindItself(t *testing.T) {
+	alone := work(t, map[string]int{"small": 20}, nil)["small"]
+	both := work(t, map[string]int{"small": 20, "large": 400}, nil)
+	t.Logf("alone %s, beside a burst %s (the burst itself %s)", alone, both["small"], both["large"])
+	if both["small"] > 3*alone+200*time.Millisecond || both["large"] < 4*both["small"] {
+		t.Errorf("alone %s, beside a burst %s", alone, both["small"])
+	}
+	weighted := work(t, map[string]int{"a": 100, "b": 100}, map[string]float64{"a": 3, "b": 1})
+	if weighted["a"] >= weighted["b"] {
+		t.Errorf("share 3 waits %s, share 1 %s", weighted["a"], weighted["b"])
+	}
+}
+
+func TestQueueRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := admission.NewQueue(1, func() int { return 1 })
+		release, err := q.Enter(t.Context(), admission.Request{Time: time.Hour})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		waited := make(chan error)
+		go func() {
+			_, err := q.Enter(ctx, admission.Request{Time: time.Hour})
+			waited <- err
+		}()
+		synctest.Wait()
+		if _, err := q.Enter(t.Context(), admission.Request{Time: time.Hour}); !errors.Is(err, admission.ErrQueueFull) {
+			t.Errorf("full: %v", err)
+		}
+		cancel()
+		if err := <-waited; !errors.Is(err, context.Canceled) || q.Waiting() != 0 {
+			t.Errorf("left: %v, %d waiting", err, q.Waiting())
+		}
+		time.Sleep(time.Minute)
+		release()
+		release() // a second release changes nothing
+		next, err := q.Enter(t.Context(), admission.Request{Time: time.Hour})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := q.Enter(t.Context(), admission.Request{Time: time.Millisecond}); !errors.Is(err, admission.ErrTooLate) {
+			t.Errorf("would be too late: %v", err)
+		}
+		next()
+	})
+}
--- /dev/null
+++ b/internal/coordination/runs/runs_test.go
@@ -0,0 +1,279 @@
+package runs
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/claims"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/rpc"
+)
+
+// fakeAgent answers runs with scripted events.
+type fakeAgent struct {
+	wire.UnimplementedAgentServer
+	mu    sync.Mutex
+	calls int
+	// script returns the events of the n-th call, counted from 1.
+	script func(n int, r *wire.RunRequest) []*wire.RunEvent
+}
+
+func (f *fakeAgent) Run(r *wire.RunRequest, s wire.Agent_RunServer) error {
+	f.mu.Lock()
+	f.calls++
+	n := f.calls
+	f.mu.Unlock()
+	for _, e := range f.script(n, r) {
+		if err := s.Send(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// collect is a sink that keeps what it is given.
+type collect struct {
+	tokens []string
+	body   string
+}
+
+func (c *collect) Started(string, int, int) error { return nil }
+func (c *collect) Tokens(t []string) error        { c.tokens = append(c.tokens, t...); return nil }
+func (c *collect) Head(*wire.PlainHead) error     { return nil }
+func (c *collect) Body(b []byte) error            { c.body += string(b); return nil }
+
+// event builds an event of a request's own attempt.
+func event(r *wire.RunRequest, e *wire.RunEvent) *wire.RunEvent {
+	e.RequestId, e.Attempt = r.GetRequestId(), r.GetAttempt()
+	return e
+}
+
+func started() *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{WeightVersion: "v1"}}}
+}
+
+func tokens(offset int, t ...string) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Tokens{Tokens: &wire.Tokens{Offset: uint32(offset), Tokens: t}}}
+}
+
+func finished(n int) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Finished{Finished: &wire.Finished{Reason: "stop", CompletionTokens: uint32(n)}}}
+}
+
+func refused(code string, ran wire.Ran) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: &wire.Refused{Code: code, Ran: ran}}}
+}
+
+// runner returns a runner before some fake agents that share a script.
+func runner(t *testing.T, agents int, script func(n int, r *wire.RunRequest) []*wire.RunEvent) (*Runner, *fakeAgent) {
+	fake := &fakeAgent{script: script}
+	now := time.Now()
+	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{ID: "entry", Role: fleet.RoleEntry}, now)
+	for i := range agents {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := rpc.NewServer(nil)
+		wire.RegisterAgentServer(server, fake)
+		go server.Serve(listener)
+		t.Cleanup(server.Stop)
+		id := fmt.Sprint("agent-", i)
+		table.Merge(fleet.Member{
+			ID: id, Incarnation: uint64(i + 1), Version: 1, Address: listener.Addr().String(), Role: fleet.RoleAgent,
+			Endpoint: fleet.Endpoint{ID: id, Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
+		}, now)
+	}
+	store := config.NewStore()
+	err := store.Apply(config.Change{Revision: 1, Puts: []config.Document{
+		{Ref: config.Ref{Kind: config.KindIntent, ID: "i"}, Spec: []byte(`{"service":"s","labels":{"pool":"x"},"model":"m"}`)},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := rpc.NewPool(nil)
+	t.Cleanup(pool.Close)
+	return &Runner{
+		Directory: routing.NewDirectory(table, store, 100, 1), Table: table, Pool: pool, Tickets: NewTicketPool(pool),
+		Budget: NewRetryBudget(0.1, 10), Store: store, Zap: zap.NewNop(),
+	}, fake
+}
+
+func promptJob() *Job {
+	return &Job{
+		RequestID: "mine", Customer: &config.Customer{ID: "c", Salt: []byte("s")},
+		Service: &config.Service{ID: "s", Kind: config.ServicePrompt, Objective: config.Objective{WeightTTFT: 1}},
+		Prompt:  &wire.Prompt{Model: "m", Text: "chair", MaxTokens: 4},
+	}
+}
+
+// TestEachCallerGetsItsOwnWholeAnswer feeds a caller's stream with what a
+// confused network or agent could send.
+//
+// The caller sees a, b, c, d once and in order, or an error; never another
+// request's tokens, those of an earlier attempt, a repeated or missing one.
+func TestEachCallerGetsItsOwnWholeAnswer(t *testing.T) {
+	whole := func(r *wire.RunRequest) []*wire.RunEvent {
+		rest := []string{"a", "b", "c", "d"}[len(r.GetPrompt().GetResumeTokens()):]
+		return []*wire.RunEvent{event(r, started()), event(r, tokens(4-len(rest), rest...)), event(r, finished(4))}
+	}
+	other := func(e *wire.RunEvent) *wire.RunEvent { e.RequestId, e.Attempt = "other", 1; return e }
+	late := func(r *wire.RunRequest, e *wire.RunEvent) *wire.RunEvent {
+		e.RequestId, e.Attempt = r.GetRequestId(), r.GetAttempt()-1
+		return e
+	}
+	rows := []struct {
+		name   string
+		script func(n int, r *wire.RunRequest) []*wire.RunEvent
+		calls  int
+	}{
+		{"in order", func(_ int, r *wire.RunRequest) []*wire.RunEvent { return whole(r) }, 1},
+		{"another request's tokens between", func(_ int, r *wire.RunRequest) []*wire.RunEvent {
+			return append([]*wire.RunEvent{other(tokens(0, "X")), other(finished(1))}, whole(r)...)
+		}, 1},
+		{"an earlier attempt's tokens between", func(_ int, r *wire.RunRequest) []*wire.RunEvent {
+			return append([]*wire.RunEvent{late(r, tokens(0, "X")), late(r, finished(1))}, whole(r)...)
+		}, 1},
+		{"the stream ends early", func(n int, r *wire.RunRequest) []*wire.RunEvent {
+			if n == 1 {
+				return []*wire.RunEvent{event(r, started()), event(r, tokens(0, "a", "b"))}
+			}
+			return whole(r)
+		}, 2},
+		{"tokens are missing in the middle", func(n int, r *wire.RunRequest) []*wire.RunEvent {
+			if n == 1 {
+				return []*wire.RunEvent{event(r, started()), event(r, tokens(0, "a")), event(r, tokens(2, "c", "d")), event(r, finished(4))}
+			}
+			return whole(r)
+		}, 2},
+		{"the end comes before all tokens", func(n int, r *wire.RunRequest) []*wire.RunEvent {
+			if n == 1 {
+				return []*wire.RunEvent{event(r, started()), event(r, tokens(0, "a")), event(r, finished(4))}
+			}
+			return whole(r)
+		}, 2},
+		{"the endpoint is busy, another is not", func(n int, r *wire.RunRequest) []*wire.RunEvent {
+			if n == 1 {
+				return []*wire.RunEvent{event(r, refused("endpoint_busy", wire.Ran_RAN_NO))}
+			}
+			return whole(r)
+		}, 2},
+		{"the weights were swapped before it arrived", func(n int, r *wire.RunRequest) []*wire.RunEvent {
+			if n == 1 {
+				return []*wire.RunEvent{event(r, refused("weight_version_changed", wire.Ran_RAN_NO))}
+			}
+			return whole(r)
+		}, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r, fake := runner(t, 3, row.script)
+			sink := &collect{}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := r.Run(ctx, promptJob(), sink)
+			if err != nil || strings.Join(sink.tokens, "") != "abcd" || fake.calls != row.calls {
+				t.Errorf("got %q after %d calls, %v", sink.tokens, fake.calls, err)
+			}
+		})
+	}
+}
+
+// TestFinalAnswersComeAtOnce lets every attempt fail.
+//
+// The caller gets one final answer, with the truth about execution and when to
+// come back; the entry does not hold it until the deadline.
+func TestFinalAnswersComeAtOnce(t *testing.T) {
+	rows := []struct {
+		name   string
+		events func(r *wire.RunRequest) []*wire.RunEvent
+		status int
+		ran    apierror.Ran
+		code   string
+	}{
+		{"all busy", func(r *wire.RunRequest) []*wire.RunEvent {
+			return []*wire.RunEvent{event(r, refused("endpoint_busy", wire.Ran_RAN_NO))}
+		}, http.StatusServiceUnavailable, apierror.RanNo, "endpoint_busy"},
+		{"all broken before the first token", func(*wire.RunRequest) []*wire.RunEvent { return nil },
+			http.StatusBadGateway, apierror.RanUnknown, "stream_broke"},
+		{"all broken after the first token", func(r *wire.RunRequest) []*wire.RunEvent {
+			return []*wire.RunEvent{event(r, started())}
+		}, http.StatusBadGateway, apierror.RanYes, apierror.CodeStreamLost},
+	}
+	for _, row := range rows {
+		r, _ := runner(t, 2, func(_ int, q *wire.RunRequest) []*wire.RunEvent { return row.events(q) })
+		_, err := r.Run(t.Context(), promptJob(), &collect{})
+		if err == nil || err.Status != row.status || err.Ran != row.ran || err.Code != row.code || err.Retry.AfterMS <= 0 {
+			t.Errorf("%s: %+v", row.name, err)
+		}
+	}
+	r, _ := runner(t, 0, nil)
+	if _, err := r.Run(t.Context(), promptJob(), &collect{}); err == nil || err.Code != apierror.CodeNoEndpoint || err.Ran != apierror.RanNo {
+		t.Errorf("no endpoint: %+v", err)
+	}
+}
+
+// TestResumeKeepsItsVersion breaks a stream and leaves only another weight
+// version: the answer is not continued by it.
+func TestResumeKeepsItsVersion(t *testing.T) {
+	r, fake := runner(t, 2, func(_ int, q *wire.RunRequest) []*wire.RunEvent {
+		e := started()
+		e.GetStarted().WeightVersion = "v2" // swapped between admission and start
+		return []*wire.RunEvent{event(q, e), event(q, tokens(0, "a"))}
+	})
+	_, err := r.Run(t.Context(), promptJob(), &collect{})
+	if err == nil || err.Code != apierror.CodeStreamLost || fake.calls != 1 {
+		t.Errorf("%+v after %d calls", err, fake.calls)
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	b := NewRetryBudget(0.1, 2)
+	spent := 0
+	for range 100 {
+		b.Earn()
+		for b.Spend() {
+			spent++
+		}
+	}
+	if spent < 10 || spent > 12 {
+		t.Errorf("%d retries for 100 requests", spent)
+	}
+}
+
+func TestTicketKeys(t *testing.T) {
+	mine := &config.Customer{ID: "a", Salt: []byte("a")}
+	ticket := claims.Ticket{Incarnation: 1 << 60, Sequence: 7}
+	key := TicketKey(mine, "s", ticket)
+	if got, ok := ParseTicketKey(mine, "s", key); !ok || got != ticket {
+		t.Errorf("%v %v", got, ok)
+	}
+	if _, ok := ParseTicketKey(&config.Customer{ID: "b", Salt: []byte("b")}, "s", key); ok {
+		t.Error("another customer's ticket passes")
+	}
+	if _, ok := ParseTicketKey(mine, "t", key); ok {
+		t.Error("another service's ticket passes")
+	}
+}
+
+func FuzzParseTicketKey(f *testing.F) {
+	c := &config.Customer{Salt: []byte("salt")}
+	f.Add(TicketKey(c, "s", claims.Ticket{Incarnation: 1, Sequence: 2}))
+	f.Fuzz(func(t *testing.T, key string) {
+		if ticket, ok := ParseTicketKey(c, "s", key); ok && !strings.EqualFold(TicketKey(c, "s", ticket), key) {
+			t.Errorf("%q passes for %v", key, ticket)
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/contextkey/contextkey_test.go
@@ -0,0 +1,48 @@
+package contextkey_test
+
+import (
+	"strings"
+	"testing"
+
+	"limpetwall/internal/state/contextkey"
+)
+
+func TestKeysBindTheirScope(t *testing.T) {
+	text := strings.Repeat("x", 2*contextkey.PieceBytes+1)
+	base := contextkey.Scope{Salt: []byte("a"), Model: "m", WeightVersion: "v1", Adapter: "l"}
+	first := contextkey.Chain(base, text)
+	if len(first) != 2 || first[0] == first[1] {
+		t.Fatalf("%d keys", len(first))
+	}
+	others := map[string]contextkey.Scope{
+		"customer": {Salt: []byte("b"), Model: "m", WeightVersion: "v1", Adapter: "l"},
+		"model":    {Salt: []byte("a"), Model: "n", WeightVersion: "v1", Adapter: "l"},
+		"version":  {Salt: []byte("a"), Model: "m", WeightVersion: "v2", Adapter: "l"},
+		"adapter":  {Salt: []byte("a"), Model: "m", WeightVersion: "v1", Adapter: "k"},
+		"shifted":  {Salt: []byte("a"), Model: "mv", WeightVersion: "1", Adapter: "l"},
+	}
+	for name, scope := range others {
+		for i, key := range contextkey.Chain(scope, text) {
+			if key == first[i] {
+				t.Errorf("another %s has the same key %d", name, i)
+			}
+		}
+	}
+	changed := contextkey.Chain(base, "y"+text[1:])
+	if changed[1] == first[1] {
+		t.Error("a key does not depend on what precedes its piece")
+	}
+	longer := contextkey.Chain(base, text+strings.Repeat("z", contextkey.PieceBytes))
+	if longer[1] != first[1] {
+		t.Error("a key depends on what follows its piece")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("00112233445566778899aabbccddeeff")
+	f.Fuzz(func(t *testing.T, s string) {
+		if k, ok := contextkey.Parse(s); ok && !strings.EqualFold(k.String(), s) {
+			t.Errorf("%q became %q", s, k)
+		}
+	})
+}
