--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -39,11 +39,13 @@
 	CallTimeout time.Duration
 	// Successors is the number of ring successors that are probed in turn.
 	Successors int
-	// Fanout is the number of members that news is pushed to at once.
-	Fanout int
+	// Fanout is the number of members that news is pushed to at once, drawn from
+	// Contacts members that stay the same for an epoch.
+	Fanout   int
+	Contacts int
 	// WatchersPerDomain members of each failure domain watch the platform.
 	WatchersPerDomain int
-	// WatchEpoch is how long a choice of watchers stands.
+	// WatchEpoch is how long a choice of watchers and contacts stands.
 	WatchEpoch time.Duration
 	// WatchWait bounds one waiting watch.
 	WatchWait time.Duration
@@ -71,7 +73,7 @@
 // DefaultConfig is what processes use.
 func DefaultConfig() Config {
 	return Config{
-		ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 400 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3,
+		ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 400 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3, Contacts: 12,
 		WatchersPerDomain: 2, WatchEpoch: 10 * time.Minute, WatchWait: 10 * time.Second,
 		HostsEvery: time.Second, PlatformStale: 15 * time.Second, RescueRate: 20,
 		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 20,
@@ -237,10 +239,15 @@
 	return false
 }
 
+// randomMembers draws some of this process's contacts.
 func (n *Node) randomMembers(count int) []fleet.Member {
-	live := n.table.Live()
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(count, len(live))]
+	contacts := n.table.Contacts(n.cfg.Contacts, n.epoch())
+	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	return contacts[:min(count, len(contacts))]
+}
+
+func (n *Node) epoch() uint64 {
+	return uint64(time.Now().UnixNano() / int64(n.cfg.WatchEpoch))
 }
 
 func (n *Node) pushDuty(ctx context.Context) {
--- a/internal/coordination/spread/platform.go
+++ b/internal/coordination/spread/platform.go
@@ -14,8 +14,7 @@
 )
 
 func (n *Node) isWatcher() bool {
-	epoch := uint64(time.Now().UnixNano() / int64(n.cfg.WatchEpoch))
-	return n.table.IsWatcher(n.cfg.WatchersPerDomain, epoch)
+	return n.table.IsWatcher(n.cfg.WatchersPerDomain, n.epoch())
 }
 
 func (n *Node) countPlatform() {
--- a/internal/state/fleet/table.go
+++ b/internal/state/fleet/table.go
@@ -369,6 +369,40 @@
 	return out
 }
 
+// Contacts returns up to n live members, drawn at random for each member and
+// epoch: news goes to some of them. A set that stays for a while keeps the
+// connections of a large fleet few; drawn anew for every message, each process
+// would in time be connected to all others.
+func (t *Table) Contacts(n int, epoch uint64) []Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	type scored struct {
+		score uint64
+		row   *row
+	}
+	best := make([]scored, 0, n+1)
+	for _, id := range t.order {
+		r := t.rows[id]
+		if id == t.self || r.State == Dead {
+			continue
+		}
+		s := scored{watchScore(t.self+"\x00"+id, epoch), r}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		})
+		best = slices.Insert(best, at, s)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]Member, 0, len(best))
+	for _, s := range best {
+		out = append(out, s.row.Member)
+	}
+	return out
+}
+
 // IsWatcher tells whether this process is among the n members of its failure
 // domain that watch the platform. The choice is by rendezvous hashing over the
 // live members and an epoch, so it needs no agreement, moves as hosts come and
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -52,17 +52,19 @@
 // Pool holds one connection an address.
 type Pool struct {
 	creds credentials.TransportCredentials
+	extra []grpc.DialOption
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool; a nil tlsConfig means plaintext.
-func NewPool(tlsConfig *tls.Config) *Pool {
+// NewPool returns an empty pool; a nil tlsConfig means plaintext. Extra options
+// serve benches that count what crosses the connections.
+func NewPool(tlsConfig *tls.Config, extra ...grpc.DialOption) *Pool {
 	creds := insecure.NewCredentials()
 	if tlsConfig != nil {
 		creds = credentials.NewTLS(tlsConfig)
 	}
-	return &Pool{creds: creds, conns: map[string]*grpc.ClientConn{}}
+	return &Pool{creds: creds, extra: extra, conns: map[string]*grpc.ClientConn{}}
 }
 
 func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
@@ -72,7 +74,7 @@
 		return c, nil
 	}
 	// Retries are the entry's own decision: grpc's could run a request twice.
-	c, err := grpc.NewClient("passthrough:///"+address,
+	options := append([]grpc.DialOption{
 		grpc.WithTransportCredentials(p.creds), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithInitialWindowSize(streamWindow), grpc.WithInitialConnWindowSize(connWindow),
@@ -81,7 +83,9 @@
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: dialTimeout,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)))
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
+	}, p.extra...)
+	c, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
