Routing that keeps contexts together: homes, prices, stamps and shared prefixes

A report that was underway for 2 s replaced the load that had come with an answer, and wiped out what was sent since. Loads now carry the agent's stamp. 2. Each entry knew only its own sends: three entries built three copies. The home that all of them compute now counts as a probable holder. 3. Long queues made every request flee to the shortest one and recompute there, which kept the queues: recomputing now pays for who waits behind it, and bringing a context into full memory pays for what it pushes out, less for contexts that return within a minute. 4. Homes by gaps of a ring of nine gave one engine a third. Engines elsewhere can import: the estimate now takes the cheaper of both. 6. A patient service waited without end for its home: beyond its own objective a second weighs a second. 7. Contexts that share their first piece had one home and one store. Shared pieces are passed over for the home, and pieces are placed on stores singly.

--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -206,7 +206,7 @@
 		same := true
 		digest := b.nodes[0].node.Table().Digest()
 		for _, n := range b.nodes {
-			same = same && n.node.Table().Digest() == digest && n.node.Table().Size() == len(b.nodes)
+			same = same && n.node.Table().Digest() == digest && n.node.Table().Size() == len(b.nodes) && n.node.Table().Fresh() == 0
 		}
 		if same {
 			return nil
@@ -277,7 +277,6 @@
 	if err := b.settle(); err != nil {
 		return FleetRow{}, err
 	}
-	time.Sleep(15 * time.Second) // introductions have been passed on often enough
 	row := b.window(window)
 	row.Nodes, row.Customers = nodes, customers
 	row.Heap = float64(liveHeap()-before) / float64(nodes)
--- a/bench/capacity/weigh.go
+++ b/bench/capacity/weigh.go
@@ -144,7 +144,7 @@
 				keys[0] = key(i % 1000)
 				r.Now, r.Root = now, routing.RootOf(keys, "")
 				c := d.Choose("service-0", keys, r)
-				d.Started(c, 0, now)
+				d.Started(c, 0, 0, now)
 				d.Done(c, false, now)
 			}
 		}))
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -140,10 +140,14 @@
 // load is what the agent knows without lag: all work passes through it.
 func (a *Agent) load() fleet.Load {
 	a.mu.Lock()
-	rate := a.status.PrefillRate
+	rate, pieceBytes := a.status.PrefillRate, a.status.PieceBytes
 	a.mu.Unlock()
+	link := 0
+	if a.mover != nil {
+		link = a.mover.LinkRate(pieceBytes)
+	}
 	return fleet.Load{
-		Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
+		AtMS: time.Now().UnixMilli(), LinkRate: link, Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
 		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate,
 	}
 }
--- a/internal/coordination/movement/mover.go
+++ b/internal/coordination/movement/mover.go
@@ -47,8 +47,8 @@
 	links    map[string]*remote
 	resident map[contextkey.Key]bool
 	returns  *returns
-	// stored remembers roots that this agent copied or found on a store.
-	stored map[contextkey.Key]int
+	// stored remembers pieces that this agent copied or found on a store.
+	stored map[contextkey.Key]bool
 	hits   float64
 }
 
@@ -75,7 +75,7 @@
 	return &Mover{
 		engine: eng, open: open, config: store, agents: agents, zap: logger, metrics: registry,
 		exports: ring.New[export](exportQueue), links: map[string]*remote{}, resident: map[contextkey.Key]bool{},
-		returns: newReturns(seenContexts), stored: map[contextkey.Key]int{}, hits: 0.5,
+		returns: newReturns(seenContexts), stored: map[contextkey.Key]bool{}, hits: 0.5,
 	}
 }
 
@@ -91,9 +91,9 @@
 	return r
 }
 
-// remotes returns a context's stores, best first.
-func (m *Mover) remotes(root contextkey.Key, copies int) []*remote {
-	hosts := Stores(m.config.View().StoreHosts, root, copies)
+// remotes returns a piece's stores, best first.
+func (m *Mover) remotes(piece contextkey.Key, copies int) []*remote {
+	hosts := Stores(m.config.View().StoreHosts, piece, copies)
 	out := make([]*remote, 0, len(hosts))
 	for _, h := range hosts {
 		out = append(out, m.remoteOf(h))
@@ -101,6 +101,19 @@
 	return out
 }
 
+// LinkRate is how fast contexts come from the stores in use, in tokens a second.
+func (m *Mover) LinkRate(pieceBytes int64) int {
+	if pieceBytes <= 0 {
+		return 0
+	}
+	hosts := m.config.View().StoreHosts
+	total := 0.0
+	for _, h := range hosts {
+		total += m.remoteOf(h).link.Rate(time.Now())
+	}
+	return int(total / float64(max(1, len(hosts))) / float64(pieceBytes) * contextkey.PieceTokens)
+}
+
 // Prompt describes a run whose context may be moved.
 type Prompt struct {
 	Customer  *config.Customer
@@ -118,62 +131,73 @@
 		return 0
 	}
 	m.returns.saw(p.Keys[0])
-	resident := m.residentPieces(p.Keys)
-	for _, r := range m.remotes(p.Keys[0], p.Service.Copies()) {
-		plan := Decide(m.source(p, r, resident))
-		if !plan.Import() {
-			continue
-		}
-		imported := m.importPieces(ctx, r, p, plan)
-		metrics.GetOrRegisterCounter("agent.imported_pieces", m.metrics).Inc(int64(imported))
-		if imported > 0 {
-			return imported * contextkey.PieceTokens
+	plan := Decide(m.source(p, m.residentPieces(p.Keys)))
+	imported := 0
+	for _, key := range p.Keys[plan.From:plan.To] {
+		found := m.importPiece(ctx, p, key)
+		m.learn(key, found)
+		if !found {
+			break
 		}
+		imported++
 	}
-	return 0
+	metrics.GetOrRegisterCounter("agent.imported_pieces", m.metrics).Inc(int64(imported))
+	return imported * contextkey.PieceTokens
 }
 
-func (m *Mover) source(p Prompt, r *remote, resident int) Source {
-	return Source{
-		Pieces: len(p.Keys), Resident: resident, StoredChance: m.storedChance(p.Keys),
-		PieceBytes: p.Status.PieceBytes, LinkRate: r.link.Rate(time.Now()), LinkBacklog: r.link.Backlog(),
-		PrefillRate: p.Status.PrefillRate, PrefillTokens: p.Waiting, Objective: p.Service.Objective,
+// source describes the choice for a prompt; the links of all its missing pieces
+// count together.
+func (m *Mover) source(p Prompt, resident int) Source {
+	now := time.Now()
+	s := Source{
+		Pieces: len(p.Keys), Resident: resident, StoredChance: m.storedChance(p.Keys[resident:]),
+		PieceBytes: p.Status.PieceBytes, PrefillRate: p.Status.PrefillRate, PrefillTokens: p.Waiting, Objective: p.Service.Objective,
 	}
+	missing := p.Keys[resident:]
+	for _, key := range missing {
+		for _, r := range m.remotes(key, 1) {
+			s.LinkRate += r.link.Rate(now) / float64(len(missing))
+			s.LinkBacklog = max(s.LinkBacklog, r.link.Backlog())
+		}
+	}
+	return s
 }
 
-// storedChance is certain for what this agent copied itself, else learned from
-// how often its look-ups found something.
+// storedChance is certain for what this agent copied or found itself, else
+// learned from how often its look-ups found something.
 func (m *Mover) storedChance(keys []contextkey.Key) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stored[keys[0]] > 0 {
-		return 1
-	}
-	return m.hits
-}
-
-func (m *Mover) importPieces(ctx context.Context, r *remote, p Prompt, plan Plan) int {
-	imported := 0
-	for _, key := range p.Keys[plan.From:plan.To] {
-		if !m.importPiece(ctx, r, p, key) {
-			break
+	sum := 0.0
+	for _, key := range keys {
+		if m.stored[key] {
+			sum++
+			continue
 		}
-		imported++
+		sum += m.hits
 	}
-	m.learn(p.Keys[0], imported > 0)
-	return imported
+	return sum / float64(max(1, len(keys)))
 }
 
-func (m *Mover) learn(root contextkey.Key, found bool) {
+func (m *Mover) learn(key contextkey.Key, found bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	const weight, floor = 0.1, 0.05
 	if found {
+		m.remember(key)
 		m.hits += weight * (1 - m.hits)
 		return
 	}
 	m.hits = max(floor, m.hits-weight*m.hits)
-	delete(m.stored, root)
+	delete(m.stored, key)
+}
+
+// remember notes that a piece is on its store. The caller holds the lock.
+func (m *Mover) remember(key contextkey.Key) {
+	if len(m.stored) >= residentKept {
+		clear(m.stored)
+	}
+	m.stored[key] = true
 }
 
 // patience is how long one piece may take: a store that froze or whose link
@@ -187,7 +211,16 @@
 // importPiece reads one piece, verifies it and gives it to the engine. Nothing
 // that does not verify goes further: a freed slot, a torn or old block or
 // another customer's would otherwise be read into this caller's answer.
-func (m *Mover) importPiece(ctx context.Context, r *remote, p Prompt, key contextkey.Key) bool {
+func (m *Mover) importPiece(ctx context.Context, p Prompt, key contextkey.Key) bool {
+	for _, r := range m.remotes(key, p.Service.Copies()) {
+		if m.importFrom(ctx, r, p, key) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Mover) importFrom(ctx context.Context, r *remote, p Prompt, key contextkey.Key) bool {
 	bytes := p.Status.PieceBytes
 	ctx, cancel := context.WithTimeout(ctx, r.patience(bytes))
 	defer cancel()
@@ -221,30 +254,30 @@
 	for _, key := range p.Keys {
 		m.markResident(key, true)
 	}
+	missing := m.notCopied(p.Keys)
 	remotes := m.remotes(p.Keys[0], 1)
-	if len(remotes) == 0 || m.copied(p.Keys) {
+	if len(remotes) == 0 || len(missing) == 0 {
 		return
 	}
-	agents := m.agents()
 	worth := Worth(Copy{
 		ReturnChance: m.returns.rate(), PieceBytes: p.Status.PieceBytes, PrefillRate: p.Status.PrefillRate,
 		Objective: p.Service.Objective, LinkRate: remotes[0].link.Rate(time.Now()),
 	})
-	if worth < 1 {
-		return
+	if worth >= 1 {
+		m.exports.TryPush(export{customer: p.Customer, keys: missing, bytes: p.Status.PieceBytes})
 	}
-	total := p.Status.PieceBytes * int64(len(p.Keys))
-	if !remotes[0].link.AllowUpload(total, agents, time.Now()) {
-		metrics.GetOrRegisterCounter("agent.export_no_budget", m.metrics).Inc(1)
-		return
-	}
-	m.exports.TryPush(export{customer: p.Customer, keys: p.Keys, bytes: p.Status.PieceBytes})
 }
 
-func (m *Mover) copied(keys []contextkey.Key) bool {
+func (m *Mover) notCopied(keys []contextkey.Key) []contextkey.Key {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stored[keys[0]] >= len(keys)
+	var out []contextkey.Key
+	for _, key := range keys {
+		if !m.stored[key] {
+			out = append(out, key)
+		}
+	}
+	return out
 }
 
 // ExportDuty copies contexts to their stores until ctx ends.
@@ -258,28 +291,26 @@
 	}
 }
 
+// export copies pieces in order and stops at the first that fails: a later piece
+// is of no use without those before it.
 func (m *Mover) export(ctx context.Context, e export) {
 	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
 	defer cancel()
-	r := m.remotes(e.keys[0], 1)
-	if len(r) == 0 {
-		return
-	}
-	m.mu.Lock()
-	already := m.stored[e.keys[0]]
-	m.mu.Unlock()
-	for i, key := range e.keys {
-		if i < already {
-			continue
+	agents := m.agents()
+	for _, key := range e.keys {
+		r := m.remotes(key, 1)
+		if len(r) == 0 {
+			return
+		}
+		if !r[0].link.AllowUpload(e.bytes, agents, time.Now()) {
+			metrics.GetOrRegisterCounter("agent.export_no_budget", m.metrics).Inc(1)
+			return
 		}
 		if !m.exportPiece(ctx, r[0], e, key) {
 			return
 		}
 		m.mu.Lock()
-		if len(m.stored) >= seenContexts {
-			clear(m.stored)
-		}
-		m.stored[e.keys[0]] = i + 1
+		m.remember(key)
 		m.mu.Unlock()
 	}
 }
--- a/internal/coordination/movement/place.go
+++ b/internal/coordination/movement/place.go
@@ -10,22 +10,23 @@
 	"limpetwall/internal/state/contextkey"
 )
 
-// Stores ranks the stores for a context, best first, by rendezvous hashing of
-// its first piece. All pieces of a context share their store: one look-up and
-// one link serve it. No table of 3.1 million contexts is needed, every process
-// computes the same answer, and a lost store moves only its own contexts.
-func Stores(stores []*config.StoreHost, root contextkey.Key, copies int) []*config.StoreHost {
+// Stores ranks the stores for a piece of context, best first, by rendezvous
+// hashing of its key. No table of 3.1 million contexts is needed, every process
+// computes the same answer, and a lost store moves only its own pieces. The
+// pieces of one context lie on several stores, so that a long one uses several
+// links, and a prefix that many contexts share does not draw them all to one.
+func Stores(stores []*config.StoreHost, piece contextkey.Key, copies int) []*config.StoreHost {
 	ranked := append([]*config.StoreHost(nil), stores...)
 	sort.Slice(ranked, func(i, j int) bool {
-		return storeScore(ranked[i].ID, root) > storeScore(ranked[j].ID, root)
+		return storeScore(ranked[i].ID, piece) > storeScore(ranked[j].ID, piece)
 	})
 	return spreadDomains(ranked, copies)
 }
 
-func storeScore(id string, root contextkey.Key) uint64 {
+func storeScore(id string, piece contextkey.Key) uint64 {
 	var buf [8 + contextkey.Size]byte
 	binary.LittleEndian.PutUint64(buf[:], xxhash.Sum64String(id))
-	copy(buf[8:], root[:])
+	copy(buf[8:], piece[:])
 	return xxhash.Sum64(buf[:])
 }
 
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -38,11 +38,25 @@
 type tracked struct {
 	Dynamic
 	incarnation uint64
-	reportAt    time.Time
-	failures    int
-	ejections   int
+	// stamp of the newest load, by the agent's clock, and the smallest difference
+	// seen between this entry's clock and such stamps.
+	stamp  int64
+	offset time.Duration
+	// sends since the newest load, oldest first.
+	sends     []send
+	failures  int
+	ejections int
 }
 
+// send is work that this entry sent and no load includes yet.
+type send struct {
+	at     time.Time
+	tokens int
+}
+
+// maxSends bounds the sends remembered; older ones are taken for included.
+const maxSends = 256
+
 // NewDirectory returns a directory over a fleet table and a configuration. The
 // seed makes its random choices repeatable in tests.
 func NewDirectory(table *fleet.Table, store *config.Store, indexSize int, seed uint64) *Directory {
@@ -118,15 +132,44 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, t := range d.dynamic {
-		if r, ok := d.table.ReportOf(id); ok && r.Incarnation == t.incarnation && r.At.After(t.reportAt) {
+		if r, ok := d.table.ReportOf(id); ok && r.Incarnation == t.incarnation {
 			t.observe(r.Load, r.At)
 		}
 	}
 }
 
-func (t *tracked) observe(load fleet.Load, at time.Time) {
-	t.Load, t.reportAt = load, at
-	t.SentTokens, t.SentRuns = 0, 0
+// observe takes in a load if it is newer, by the agent's own stamp: a report
+// that was underway for seconds must not replace one that came with an answer,
+// nor wipe out what was sent since it was taken.
+func (t *tracked) observe(load fleet.Load, arrived time.Time) {
+	if load.AtMS <= t.stamp && t.stamp != 0 {
+		return
+	}
+	difference := arrived.Sub(time.UnixMilli(load.AtMS))
+	if t.stamp == 0 || difference < t.offset {
+		t.offset = difference
+	}
+	t.Load, t.stamp = load, load.AtMS
+	// The fastest message so far tells how the clocks differ, and with that when
+	// this load was taken by this entry's clock.
+	taken := time.UnixMilli(load.AtMS).Add(t.offset)
+	for len(t.sends) > 0 && !t.sends[0].at.After(taken) {
+		t.SentTokens -= t.sends[0].tokens
+		t.SentRuns--
+		t.sends = t.sends[1:]
+	}
+}
+
+// sent counts work on its way to the endpoint.
+func (t *tracked) sent(tokens int, now time.Time) {
+	if len(t.sends) == maxSends {
+		t.SentTokens -= t.sends[0].tokens
+		t.SentRuns--
+		t.sends = t.sends[1:]
+	}
+	t.sends = append(t.sends, send{now, tokens})
+	t.SentTokens += tokens
+	t.SentRuns++
 }
 
 // Observe takes in a load that came along with an answer.
@@ -148,6 +191,7 @@
 	holding      Holding
 	keys         []contextkey.Key
 	hash         uint64
+	seen         bool
 }
 
 // Choose decides for a service's request and counts it as sent; call Done when
@@ -158,16 +202,30 @@
 	d.refresh(r.Now)
 	var space [holders + 1]Holding
 	r.Holdings = d.index.Lookup(keys, r.Now, space[:0])
+	seen := len(r.Holdings) > 0
+	r.ImportChance = d.index.ImportChance(seen)
+	r.ContextTokens = len(keys) * contextkey.PieceTokens
+	r.Gap = longGap
+	for _, h := range r.Holdings {
+		r.Gap = min(r.Gap, h.Age)
+	}
+	if len(keys) > 0 {
+		root := d.index.Root(keys)
+		r.Root = RootOf([]contextkey.Key{root}, "")
+	}
+	if list := d.services[service]; len(list) > 0 {
+		home := homesOf(list, r.Root)[0].Hash
+		r.Holdings = d.index.AddHome(home, len(keys), r.Holdings)
+	}
 	v := Decide(d.services[service], r, d.random)
 	if v.Endpoint == nil {
 		return Choice{Refusal: v.Refusal}
 	}
 	e := v.Endpoint
 	e.Running++
-	e.SentRuns++
-	e.SentTokens += r.PromptTokens - v.CachedTokens
+	d.dynamic[e.ID].sent(v.WorkTokens, r.Now)
 	c := Choice{
-		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash,
+		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
 	}
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
@@ -177,11 +235,14 @@
 	return c
 }
 
-// Started tells what the engine found resident for a choice.
-func (d *Directory) Started(c Choice, cachedTokens int, now time.Time) {
+// Started tells what the engine found for a choice: cached tokens in all, and
+// those of them that were imported for it.
+func (d *Directory) Started(c Choice, cachedTokens, importedTokens int, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.index.Learn(c.holding, cachedTokens)
+	resident := cachedTokens - importedTokens
+	d.index.Learn(c.holding, resident)
+	d.index.LearnImport(c.seen, len(c.keys)*contextkey.PieceTokens-resident, importedTokens)
 	d.index.Store(c.keys, c.hash, now)
 }
 
--- a/internal/coordination/routing/index.go
+++ b/internal/coordination/routing/index.go
@@ -30,11 +30,19 @@
 	current  map[contextkey.Key][holders]holder
 	previous map[contextkey.Key][holders]holder
 	hitRate  [ageBuckets]float64
+	// homeRate is how much of a context its home is found to hold when this
+	// entry itself has not sent it there: other entries do.
+	homeRate float64
+	// branches tells prefixes that many contexts share.
+	branches map[contextkey.Key]branch
+	// importRate is the share of missing tokens that came from stores, for
+	// contexts this entry has seen before (1) and has not (0).
+	importRate [2]float64
 }
 
 // NewIndex returns an empty index of at most 2*size pieces.
 func NewIndex(size int) *Index {
-	x := &Index{size: size, current: map[contextkey.Key][holders]holder{}}
+	x := &Index{size: size, current: map[contextkey.Key][holders]holder{}, branches: map[contextkey.Key]branch{}, homeRate: 0.5}
 	for i := range x.hitRate {
 		x.hitRate[i] = 1 - float64(i)/ageBuckets
 	}
@@ -71,6 +79,51 @@
 	return out
 }
 
+// branch counts how many different pieces follow a piece.
+type branch struct {
+	last  contextkey.Key
+	count int
+}
+
+const (
+	// sharedFrom different continuations a piece counts as shared by many contexts.
+	sharedFrom = 8
+	// keptBranches bounds the pieces whose continuations are counted.
+	keptBranches = 20_000
+)
+
+// Root names a context for computed placement: its first piece that is not
+// shared by many contexts. With the first piece of all, every conversation that
+// begins with the same long instructions would have the same home. Entries learn
+// which pieces are shared each for itself; they agree after a few prompts.
+func (x *Index) Root(keys []contextkey.Key) contextkey.Key {
+	for i := range len(keys) - 1 {
+		b := x.branches[keys[i]]
+		if b.last != keys[i+1] && b.count < sharedFrom {
+			if len(x.branches) >= keptBranches {
+				clear(x.branches)
+			}
+			b = branch{last: keys[i+1], count: b.count + 1}
+			x.branches[keys[i]] = b
+		}
+		if b.count < sharedFrom {
+			return keys[i]
+		}
+	}
+	return keys[len(keys)-1]
+}
+
+// AddHome appends the expectation that a context's home holds it. All entries
+// compute the same home, so a context that one of them sent there is found by
+// the others without a word between them; without it each entry would build a
+// copy of its own in another engine's memory.
+func (x *Index) AddHome(home uint64, pieces int, out []Holding) []Holding {
+	if pieces == 0 || has(out, home) {
+		return out
+	}
+	return append(out, Holding{Endpoint: home, Tokens: pieces * contextkey.PieceTokens, Chance: x.homeRate, Home: true})
+}
+
 func has(list []Holding, endpoint uint64) bool {
 	for _, h := range list {
 		if h.Endpoint == endpoint {
@@ -105,8 +158,30 @@
 	}
 	hit := min(1, float64(cachedTokens)/float64(h.Tokens))
 	rate := &x.hitRate[bucket(h.Age)]
+	if h.Home {
+		rate = &x.homeRate
+	}
 	*rate += learnRate * (hit - *rate)
 }
 
 // Len is the number of pieces remembered.
 func (x *Index) Len() int { return len(x.current) + len(x.previous) }
+
+// ImportChance is the share of a context's missing tokens that stores hold.
+func (x *Index) ImportChance(seen bool) float64 { return x.importRate[asIndex(seen)] }
+
+func asIndex(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// LearnImport compares what was missing with what came from a store.
+func (x *Index) LearnImport(seen bool, missing, imported int) {
+	if missing <= 0 {
+		return
+	}
+	rate := &x.importRate[asIndex(seen)]
+	*rate += learnRate * (min(1, float64(imported)/float64(missing)) - *rate)
+}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -32,6 +32,14 @@
 	// requests after a start meet cold caches, and a herd would meet them together.
 	slowStart        = 10 * time.Second
 	slowStartPenalty = 50 * time.Millisecond
+	// evictionPrice is what bringing a token of context into an engine's memory
+	// costs later, in its own computation: memory is full, so it pushes out what
+	// returns elsewhere and pushes out more. The value is measured, see
+	// docs/BENCHMARKS.md.
+	evictionPrice = 16.0
+	// longGap is the time between returns from which a context pays the whole
+	// price; one that returns sooner shares it among its uses.
+	longGap = time.Minute
 )
 
 // Endpoint is what a decision knows of one endpoint.
@@ -69,16 +77,25 @@
 	Chance float64
 	// Age since the endpoint last used them.
 	Age time.Duration
+	// Home marks an expectation by computed placement, not by own knowledge.
+	Home bool
 }
 
 // Request is one decision's input.
 type Request struct {
-	// Root names the context for computed placement: the key of its first piece,
-	// or a hash of the text where it has none.
+	// Root names the context for computed placement, see RootOf; Directory sets it
+	// for prompts with keys.
 	Root uint64
-	// PromptTokens is the prompt's whole length.
-	PromptTokens int
-	Holdings     []Holding
+	// PromptTokens is the prompt's whole length, ContextTokens the part of it that
+	// engines keep.
+	PromptTokens  int
+	ContextTokens int
+	// Gap since the context was last seen; longGap or more if never.
+	Gap      time.Duration
+	Holdings []Holding
+	// ImportChance is the share of a missing context that stores are found to
+	// hold for requests like this one.
+	ImportChance float64
 	Objective    config.Objective
 	// Domain of the deciding entry.
 	Domain string
@@ -108,6 +125,8 @@
 	TTFT time.Duration
 	// CachedTokens expected to be found resident.
 	CachedTokens int
+	// WorkTokens expected to be computed.
+	WorkTokens int
 	// Refusal says why there is no endpoint.
 	Refusal Refusal
 }
@@ -131,7 +150,8 @@
 // HashID is an endpoint's place in computed placement.
 func HashID(id string) uint64 { return xxhash.Sum64String(id) }
 
-// RootOf names a prompt's context.
+// RootOf names a prompt's context: the key of its first piece, or a hash of the
+// text where it has none.
 func RootOf(keys []contextkey.Key, text string) uint64 {
 	if len(keys) > 0 {
 		return binary.LittleEndian.Uint64(keys[0][:])
@@ -217,19 +237,54 @@
 			c.add(e, ReasonHolds, r)
 		}
 	}
-	// Homes are the successors of the root on the ring of hashes: a search in
-	// place of scoring every endpoint, and a lost endpoint moves only its own.
-	at := search(endpoints, r.Root)
-	for step, found := 0, 0; step < scanLimit && found < homes; step++ {
-		before := c.n
-		c.add(&endpoints[(at+step)%len(endpoints)], ReasonHome, r)
-		found += c.n - before
+	for _, home := range homesOf(endpoints, r.Root) {
+		c.add(home, ReasonHome, r)
 	}
 	for range randomProbes {
 		c.add(&endpoints[random.Uint64()%uint64(len(endpoints))], ReasonRandom, r)
 	}
 }
 
+// probes is the number of places on the ring that a context is hashed to.
+const probes = 21
+
+// homesOf gives a context its homes: of several places that its root hashes to
+// on the ring of endpoints, those closest before an endpoint. A single place
+// would follow the uneven gaps of the ring (with nine endpoints one may own a
+// third of it); the closest of 21 evens them out without a table of virtual
+// points. A lost endpoint moves only its own contexts.
+func homesOf(endpoints []Endpoint, root uint64) [homes]*Endpoint {
+	var found [homes]*Endpoint
+	var distance [homes]uint64
+	place := root
+	for range probes {
+		place = mix(place)
+		e := &endpoints[search(endpoints, place)%len(endpoints)]
+		gap := e.Hash - place
+		switch {
+		case found[0] == nil || (gap < distance[0] && e != found[0]):
+			found[1], distance[1] = found[0], distance[0]
+			found[0], distance[0] = e, gap
+		case e == found[0]:
+			distance[0] = min(distance[0], gap)
+		case found[1] == nil || gap < distance[1]:
+			found[1], distance[1] = e, gap
+		}
+	}
+	if found[1] == nil {
+		found[1] = found[0]
+	}
+	return found
+}
+
+// mix is the finalizer of SplitMix64 after one step of its sequence.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 func search(endpoints []Endpoint, hash uint64) int {
 	low, high := 0, len(endpoints)
 	for low < high {
@@ -261,32 +316,97 @@
 	if c.n > 0 {
 		start = int(random.Uint64() % uint64(c.n))
 	}
+	price := c.price(r)
 	for i := range c.n {
 		cand := c.list[(start+i)%c.n]
-		ttft, cached, score := evaluate(cand.endpoint, r)
-		if best.Endpoint == nil || score < bestScore {
-			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: ttft, CachedTokens: cached}
-			bestScore = score
+		e := evaluate(cand.endpoint, r, price)
+		if best.Endpoint == nil || e.score < bestScore {
+			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, CachedTokens: e.cached, WorkTokens: e.recomputed}
+			bestScore = e.score
 		}
 	}
 	return best
 }
 
+// price is how many requests wait behind a token's computation: the average
+// queue of the candidates in requests of this size. Recomputing delays all of
+// them, not only its own caller. Without the price, long queues make every
+// request flee to the shortest one, contexts are computed anew wherever it lands,
+// and that work keeps the queues long after the peak that made them is over.
+func (c *candidates) price(r *Request) float64 {
+	if c.n == 0 {
+		return 0
+	}
+	queued := 0
+	for i := range c.n {
+		queued += c.list[i].endpoint.queuedTokens()
+	}
+	return float64(queued) / float64(c.n) / float64(max(1, r.PromptTokens))
+}
+
 // ejectedScore ranks ejected endpoints behind all others, but before a refusal:
 // when every endpoint has failed lately, one of them is still the best try.
 const ejectedScore = 1e6
 
-func evaluate(e *Endpoint, r *Request) (ttft time.Duration, cached int, score float64) {
-	cached = expectedCached(e, r)
-	ttft = expectedTTFT(e, r, cached)
-	recomputed := float64(r.PromptTokens - cached)
-	score = r.Objective.WeightTTFT*ttft.Seconds() + r.Objective.WeightRecompute*recomputed/1000
+// estimate is what a request is expected to cost at an endpoint.
+type estimate struct {
+	ttft       time.Duration
+	cached     int
+	recomputed int
+	score      float64
+}
+
+func evaluate(e *Endpoint, r *Request, price float64) estimate {
+	cached := expectedCached(e, r)
+	best := cost(e, r, price, cached, 0)
+	if moved := int(r.ImportChance * float64(r.PromptTokens-cached)); moved > 0 && e.Load.LinkRate > 0 {
+		if imported := cost(e, r, price, cached, moved); imported.score < best.score {
+			best = imported
+		}
+	}
 	if e.EjectedUntil.After(r.Now) || e.State == fleet.Suspect {
-		score += ejectedScore
+		best.score += ejectedScore
+	}
+	return best
+}
+
+// cost of serving a request with moved of its missing tokens imported.
+func cost(e *Endpoint, r *Request, price float64, cached, moved int) estimate {
+	recomputed := r.PromptTokens - cached - moved
+	transfer := time.Duration(0)
+	if moved > 0 {
+		transfer = seconds(float64(moved) / float64(e.Load.LinkRate))
+	}
+	work := float64(recomputed) / e.rate()
+	brought := float64(max(0, r.ContextTokens-cached)) / e.rate() * r.insertion()
+	// An import runs while the engine works off what waits before.
+	ttft := max(transfer, seconds(float64(e.queuedTokens())/e.rate())) + seconds(work) + e.overhead(r)
+	return estimate{
+		ttft: ttft, cached: cached, recomputed: recomputed,
+		score: r.Objective.WeightTTFT*(ttft.Seconds()+price*work+brought) + lateness(ttft, r) +
+			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
 	}
-	return ttft, cached, score
 }
 
+// insertion is the price of bringing in this context. One that returns within
+// seconds, such as a prefix that many prompts share, pays it once for many uses;
+// with the full price it would be tied to one engine until that drowned.
+func (r *Request) insertion() float64 {
+	return evictionPrice * min(1, float64(r.Gap)/float64(longGap))
+}
+
+// lateness makes each second beyond the service's own objective weigh 1, however
+// little it weighs waiting otherwise: patient is not endless.
+func lateness(ttft time.Duration, r *Request) float64 {
+	objective := time.Duration(r.Objective.TTFTMS) * time.Millisecond
+	if objective == 0 {
+		return 0
+	}
+	return max(0, 1-r.Objective.WeightTTFT) * max(0, (ttft-objective).Seconds())
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func expectedCached(e *Endpoint, r *Request) int {
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
@@ -296,23 +416,26 @@
 	return 0
 }
 
-// expectedTTFT is the time to work off what waits before the prompt, its own
-// prefill, and the way there.
-func expectedTTFT(e *Endpoint, r *Request, cached int) time.Duration {
-	rate := e.Load.PrefillRate
-	if rate <= 0 {
-		rate = defaultPrefillRate
+func (e *Endpoint) rate() float64 {
+	if e.Load.PrefillRate > 0 {
+		return float64(e.Load.PrefillRate)
 	}
-	// A report is old when it is read: what this entry sent since is added.
-	tokens := e.Load.QueuedTokens + e.SentTokens + r.PromptTokens - cached
-	ttft := time.Duration(float64(tokens) / float64(rate) * float64(time.Second))
+	return defaultPrefillRate
+}
+
+// queuedTokens is the work before a new request. A report is old when it is
+// read: what this entry sent since is added.
+func (e *Endpoint) queuedTokens() int { return e.Load.QueuedTokens + e.SentTokens }
+
+// overhead is the way there, a slow start, and a little for each run that shares
+// the engine with the prefill.
+func (e *Endpoint) overhead(r *Request) time.Duration {
+	d := time.Duration(e.Load.Running+e.SentRuns) * 100 * time.Microsecond
 	if e.Domain != r.Domain {
-		ttft += otherDomain
+		d += otherDomain
 	}
 	if age := r.Now.Sub(e.FirstSeen); age < slowStart {
-		ttft += time.Duration(float64(slowStartPenalty) * (1 - float64(age)/float64(slowStart)))
+		d += time.Duration(float64(slowStartPenalty) * (1 - float64(age)/float64(slowStart)))
 	}
-	// Runs that decode share the engine with the prefill; each costs a little.
-	ttft += time.Duration(e.Load.Running+e.SentRuns) * 100 * time.Microsecond
-	return ttft
+	return d
 }
--- /dev/null
+++ b/internal/coordination/routing/routing_test.go
@@ -0,0 +1,323 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/fleet"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func endpoints(n int) []Endpoint {
+	out := make([]Endpoint, n)
+	for i := range out {
+		id := fmt.Sprint("e", i)
+		out[i] = Endpoint{
+			Member: fleet.Member{ID: id, Domain: "d", Endpoint: fleet.Endpoint{ID: id, WeightVersion: "v1"}}, Hash: HashID(id),
+			Dynamic: &Dynamic{Load: fleet.Load{PrefillRate: 10_000}},
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Hash < out[j].Hash })
+	return out
+}
+
+func request() *Request {
+	return &Request{
+		PromptTokens: 8300, ContextTokens: 8000, Gap: time.Hour, Domain: "d", Now: epoch.Add(time.Hour),
+		Objective: config.Objective{WeightTTFT: 1},
+	}
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func TestDecide(t *testing.T) {
+	rows := []struct {
+		name   string
+		change func(e []Endpoint, r *Request)
+		// want is the position of the endpoint chosen, -1 for none.
+		want    int
+		refusal Refusal
+	}{
+		{"the holder of the context", func(e []Endpoint, r *Request) {
+			r.Holdings = []Holding{{Endpoint: e[2].Hash, Tokens: 8000, Chance: 0.9}}
+		}, 2, ""},
+		{"the idle one when none holds it", func(e []Endpoint, _ *Request) {
+			for i := range e {
+				e[i].Load.QueuedTokens = 50_000
+			}
+			e[1].Load.QueuedTokens = 0
+		}, 1, ""},
+		{"not a holder that drowns", func(e []Endpoint, r *Request) {
+			r.Holdings = []Holding{{Endpoint: e[2].Hash, Tokens: 8000, Chance: 0.9}}
+			for i := range e {
+				e[i].Load.QueuedTokens = 1000
+			}
+			e[2].Load.QueuedTokens = 2_000_000
+			e[3].Load.QueuedTokens = 0
+		}, 3, ""},
+		{"what was sent since the report counts", func(e []Endpoint, _ *Request) {
+			for i := range e {
+				e[i].SentTokens = 9000
+			}
+			e[0].SentTokens = 0
+		}, 0, ""},
+		{"no other weight version", func(e []Endpoint, r *Request) {
+			r.WeightVersion = "v2"
+			e[3].Endpoint.WeightVersion = "v2"
+			e[3].Load.QueuedTokens = 1_000_000
+		}, 3, ""},
+		{"none of the version", func(_ []Endpoint, r *Request) { r.WeightVersion = "v3" }, -1, RefuseNone},
+		{"not those already tried", func(e []Endpoint, r *Request) { r.Exclude = []string{e[0].ID, e[1].ID, e[2].ID} }, 3, ""},
+		{"not one that is full", func(e []Endpoint, _ *Request) {
+			for i := range e {
+				e[i].MaxConcurrent, e[i].Running = 1, 1
+			}
+			e[2].Running = 0
+		}, 2, ""},
+		{"all full", func(e []Endpoint, _ *Request) {
+			for i := range e {
+				e[i].MaxConcurrent, e[i].Running = 1, 1
+			}
+		}, -1, RefuseFull},
+		{"an ejected one only if there is no other", func(e []Endpoint, r *Request) {
+			for i := range e {
+				e[i].EjectedUntil = r.Now.Add(time.Second)
+			}
+			e[1].EjectedUntil = time.Time{}
+			e[1].Load.QueuedTokens = 1_000_000
+		}, 1, ""},
+		{"a suspect only if there is no other", func(e []Endpoint, _ *Request) {
+			for i := range e {
+				e[i].State = fleet.Suspect
+			}
+			e[0].State = fleet.Alive
+			e[0].Load.QueuedTokens = 1_000_000
+		}, 0, ""},
+	}
+	for _, row := range rows {
+		e, r := endpoints(4), request()
+		row.change(e, r)
+		v := Decide(e, r, random())
+		switch {
+		case row.want < 0 && (v.Endpoint != nil || v.Refusal != row.refusal):
+			t.Errorf("%s: %+v", row.name, v)
+		case row.want >= 0 && (v.Endpoint == nil || v.Endpoint.ID != e[row.want].ID):
+			t.Errorf("%s: %+v, want %s", row.name, v.Endpoint, e[row.want].ID)
+		}
+	}
+}
+
+// TestWeightsDecide gives the same state to both users' weights.
+//
+// The context is held by an endpoint with a queue of a few seconds; a fast link
+// could bring it to an idle one. Who waits at the dock goes to the idle one;
+// who minds recomputation and links waits for the holder.
+func TestWeightsDecide(t *testing.T) {
+	rows := []struct {
+		objective config.Objective
+		want      int
+	}{
+		{config.Objective{WeightTTFT: 1, TTFTMS: 390}, 1},
+		{config.Objective{WeightTTFT: 0.02, WeightRecompute: 1, WeightLink: 0.4, TTFTMS: 20_000}, 0},
+	}
+	for _, row := range rows {
+		e, r := endpoints(2), request()
+		r.Objective = row.objective
+		r.Gap = time.Second
+		r.Holdings = []Holding{{Endpoint: e[0].Hash, Tokens: 8000, Chance: 1}}
+		e[0].Load.QueuedTokens = 60_000
+		if v := Decide(e, r, random()); v.Endpoint.ID != e[row.want].ID {
+			t.Errorf("%+v chose %s", row.objective, v.Endpoint.ID)
+		}
+	}
+}
+
+// TestHomesAreEven places many contexts on few and many endpoints.
+func TestHomesAreEven(t *testing.T) {
+	for _, n := range []int{9, 94, 940} {
+		e := endpoints(n)
+		counts := map[string]int{}
+		const each = 200
+		r := random()
+		for range n * each {
+			homes := homesOf(e, r.Uint64())
+			if homes[0] == homes[1] {
+				t.Fatal("both homes are one endpoint")
+			}
+			counts[homes[0].ID]++
+		}
+		most := 0
+		for _, c := range counts {
+			most = max(most, c)
+		}
+		t.Logf("%d endpoints: the fullest has %.2f of the mean", n, float64(most)/each)
+		if most > 2*each || len(counts) < n*95/100 {
+			t.Errorf("%d endpoints: the fullest has %d of %d, %d are used", n, most, each, len(counts))
+		}
+	}
+}
+
+// TestSharedPrefixHasNoSingleHome lets many contexts begin with the same piece.
+func TestSharedPrefixHasNoSingleHome(t *testing.T) {
+	x := NewIndex(1000)
+	roots := map[contextkey.Key]int{}
+	for i := range 200 {
+		keys := []contextkey.Key{{1}, {2, byte(i)}, {3, byte(i)}}
+		roots[x.Root(keys)]++
+	}
+	if roots[contextkey.Key{1}] > 2*sharedFrom {
+		t.Errorf("%d contexts have the shared piece as root", roots[contextkey.Key{1}])
+	}
+	own := []contextkey.Key{{9}, {8}, {7}}
+	for range 50 {
+		if x.Root(own) != own[0] {
+			t.Fatal("a context that shares nothing lost its root")
+		}
+	}
+}
+
+func TestIndexIsBoundedAndLearns(t *testing.T) {
+	x := NewIndex(100)
+	for i := range 1000 {
+		x.Store([]contextkey.Key{{byte(i), byte(i >> 8)}}, uint64(i)+1, epoch)
+	}
+	if x.Len() > 200 {
+		t.Errorf("%d pieces kept", x.Len())
+	}
+	keys := []contextkey.Key{{200, 200}, {201, 200}}
+	x.Store(keys, 7, epoch)
+	found := x.Lookup(keys, epoch.Add(time.Minute), nil)
+	if len(found) != 1 || found[0].Endpoint != 7 || found[0].Tokens != 2*contextkey.PieceTokens {
+		t.Fatalf("%+v", found)
+	}
+	before := found[0].Chance
+	for range 50 {
+		x.Learn(found[0], 0)
+	}
+	if after := x.Lookup(keys, epoch.Add(time.Minute), nil)[0].Chance; after > before/4 {
+		t.Errorf("chance %g after 50 misses, %g before", after, before)
+	}
+}
+
+// directoryOf is a directory before n engines.
+func directoryOf(t testing.TB, n int) (*Directory, *fleet.Table) {
+	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{ID: "entry", Domain: "d"}, epoch)
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		table.Merge(fleet.Member{
+			ID: id, Incarnation: uint64(i + 1), Version: 1, Domain: "d",
+			Endpoint: fleet.Endpoint{ID: id, Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
+		}, epoch)
+	}
+	store := config.NewStore()
+	if err := store.Apply(config.Change{Revision: 1, Puts: []config.Document{
+		{Ref: config.Ref{Kind: config.KindIntent, ID: "i"}, Spec: []byte(`{"service":"s","labels":{"pool":"x"},"model":"m"}`)},
+	}}); err != nil {
+		t.Fatal(err)
+	}
+	return NewDirectory(table, store, 1000, 1), table
+}
+
+// TestOldReportsDoNotWin mixes loads that came with answers and older ones that
+// were underway in the fleet.
+//
+// The decision goes by the newest stamp of the agent's own clock, whatever the
+// order of arrival, and keeps counting what was sent after it was taken. The
+// agent's clock is an hour ahead.
+func TestOldReportsDoNotWin(t *testing.T) {
+	d, table := directoryOf(t, 1)
+	now := epoch.Add(time.Minute)
+	stamp := func(at time.Time) int64 { return at.Add(time.Hour).UnixMilli() }
+	d.Usable("s", now)
+	d.Observe("e0", fleet.Load{QueuedTokens: 100, AtMS: stamp(now)}, now.Add(time.Millisecond))
+	d.Choose("s", nil, &Request{PromptTokens: 500, Now: now.Add(time.Second)})
+	table.SetReport(fleet.Report{Incarnation: 1, Version: 9, Load: fleet.Load{QueuedTokens: 9000, AtMS: stamp(now.Add(-time.Second))}, At: now.Add(2 * time.Second)})
+	d.TakeReports()
+	e := d.dynamic["e0"]
+	if e.Load.QueuedTokens != 100 || e.SentTokens != 500 {
+		t.Errorf("an older report won: %+v", e.Dynamic)
+	}
+	table.SetReport(fleet.Report{Incarnation: 1, Version: 10, Load: fleet.Load{QueuedTokens: 300, AtMS: stamp(now.Add(500 * time.Millisecond))}, At: now.Add(3 * time.Second)})
+	d.TakeReports()
+	if e.Load.QueuedTokens != 300 || e.SentTokens != 500 {
+		t.Errorf("a report taken before the send: %+v", e.Dynamic)
+	}
+	d.Observe("e0", fleet.Load{QueuedTokens: 600, AtMS: stamp(now.Add(2 * time.Second))}, now.Add(2*time.Second))
+	if e.Load.QueuedTokens != 600 || e.SentTokens != 0 || e.SentRuns != 0 {
+		t.Errorf("a load taken after the send: %+v", e.Dynamic)
+	}
+}
+
+func TestEjection(t *testing.T) {
+	d, _ := directoryOf(t, 1)
+	now := epoch
+	choose := func() Choice { return d.Choose("s", nil, &Request{PromptTokens: 1, Now: now}) }
+	for range failuresToEject {
+		d.Done(choose(), true, now)
+	}
+	e := d.dynamic["e0"]
+	if !e.EjectedUntil.After(now) || e.EjectedUntil.After(now.Add(firstEjection)) {
+		t.Errorf("ejected until %s", e.EjectedUntil.Sub(now))
+	}
+	d.Done(choose(), false, now)
+	if e.ejections != 0 || e.Running != 0 {
+		t.Errorf("after a success: %+v", e)
+	}
+}
+
+// FuzzDecide looks that no decision names an endpoint that must not serve.
+func FuzzDecide(f *testing.F) {
+	f.Add(uint8(3), uint64(1), "v1", int32(100), int32(50), uint8(7))
+	f.Add(uint8(200), uint64(9), "", int32(-1), int32(1<<30), uint8(0))
+	f.Fuzz(func(t *testing.T, n uint8, seed uint64, version string, prompt, queued int32, full uint8) {
+		all := endpoints(int(n))
+		r := rand.New(rand.NewPCG(seed, seed))
+		for i := range all {
+			all[i].Load.QueuedTokens = int(queued) * i
+			all[i].Endpoint.WeightVersion = fmt.Sprint("v", r.IntN(3))
+			all[i].MaxConcurrent, all[i].Running = 1, r.IntN(2)
+		}
+		q := &Request{Root: seed, PromptTokens: int(prompt), WeightVersion: version, Now: epoch, Objective: config.Objective{WeightTTFT: 1}}
+		if n > 0 {
+			q.Exclude = []string{all[int(full)%len(all)].ID}
+			q.Holdings = []Holding{{Endpoint: all[0].Hash, Tokens: int(prompt), Chance: 1}, {Endpoint: seed, Tokens: 1, Chance: 1}}
+		}
+		v := Decide(all, q, r)
+		if v.Endpoint == nil {
+			return
+		}
+		if version != "" && v.Endpoint.Endpoint.WeightVersion != version {
+			t.Error("another weight version")
+		}
+		if v.Endpoint.ID == q.Exclude[0] || v.Endpoint.Running >= 1 {
+			t.Error("an endpoint that is excluded or full")
+		}
+	})
+}
+
+func TestDecisionAllocatesNothing(t *testing.T) {
+	e, r, x := endpoints(940), request(), random()
+	r.Holdings = []Holding{{Endpoint: e[5].Hash, Tokens: 8000, Chance: 0.5}}
+	if n := testing.AllocsPerRun(100, func() { r.Root++; Decide(e, r, x) }); n != 0 {
+		t.Errorf("%g allocations", n)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{12, 940} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e, r, x := endpoints(n), request(), random()
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Root++
+				Decide(e, r, x)
+			}
+		})
+	}
+}
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -136,7 +136,7 @@
 
 func (a *attempt) started(s *wire.Started) *outcome {
 	p := a.progress
-	a.runner.Directory.Started(a.choice, int(s.GetCachedTokens()), time.Now())
+	a.runner.Directory.Started(a.choice, int(s.GetCachedTokens()), int(s.GetImportedTokens()), time.Now())
 	if p.started {
 		return nil
 	}
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -73,7 +73,7 @@
 		ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 400 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3, Contacts: 12,
 		WatchersPerDomain: 2, WatchEpoch: 10 * time.Minute, WatchWait: 10 * time.Second,
 		HostsEvery: time.Second, PlatformStale: 15 * time.Second, RescueRate: 20,
-		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 5,
+		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 3,
 		ReportEvery: 500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/spread/platform.go
+++ b/internal/coordination/spread/platform.go
@@ -10,6 +10,7 @@
 	"limpetwall/internal/coordination/configlog"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/hostlist"
 )
 
@@ -203,7 +204,7 @@
 	if err != nil {
 		return false
 	}
-	n.takeIn(address, members.GetMembers(), nil, nil, never.Milliseconds())
+	n.learn(members.GetMembers())
 	if !n.fetchConfig(ctx, address) {
 		return false
 	}
@@ -213,6 +214,14 @@
 	return err == nil
 }
 
+// learn takes in a whole table.
+func (n *Node) learn(members []*wire.Member) {
+	now := time.Now()
+	for _, m := range members {
+		n.table.Learn(fleet.MemberFromWire(m), now)
+	}
+}
+
 // repairDuty fetches what a peer has and this process lacks.
 func (n *Node) repairDuty(ctx context.Context) {
 	for {
@@ -236,7 +245,7 @@
 	}
 	members, err := n.peers.FetchMembers(ctx, job.address)
 	if err == nil {
-		n.takeIn(job.address, members.GetMembers(), nil, nil, never.Milliseconds())
+		n.learn(members.GetMembers())
 	}
 }
 
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -81,6 +81,11 @@
 	QueuedTokens int `json:"queued_tokens"`
 	// PrefillRate is in tokens per second.
 	PrefillRate int `json:"prefill_rate"`
+	// LinkRate is how fast contexts come from the stores, in tokens per second;
+	// 0 if there are none.
+	LinkRate int `json:"link_rate,omitempty"`
+	// AtMS is when the agent took it, by its own clock, in Unix ms.
+	AtMS int64 `json:"at_ms,omitempty"`
 }
 
 // Report is a member's soft state: it ages, and a lost one is replaced by the next.
@@ -136,7 +141,7 @@
 func (l Load) ToWire() *wire.Load {
 	return &wire.Load{
 		Running: uint32(l.Running), Queued: uint32(l.Queued),
-		QueuedTokens: uint64(l.QueuedTokens), PrefillRate: uint32(l.PrefillRate),
+		QueuedTokens: uint64(l.QueuedTokens), PrefillRate: uint32(l.PrefillRate), LinkRate: uint32(l.LinkRate), AtMs: l.AtMS,
 	}
 }
 
@@ -144,7 +149,7 @@
 func LoadFromWire(w *wire.Load) Load {
 	return Load{
 		Running: int(w.GetRunning()), Queued: int(w.GetQueued()),
-		QueuedTokens: int(w.GetQueuedTokens()), PrefillRate: int(w.GetPrefillRate()),
+		QueuedTokens: int(w.GetQueuedTokens()), PrefillRate: int(w.GetPrefillRate()), LinkRate: int(w.GetLinkRate()), AtMS: w.GetAtMs(),
 	}
 }
 
--- a/internal/state/fleet/table.go
+++ b/internal/state/fleet/table.go
@@ -144,6 +144,17 @@
 // earlier life, the process refutes it with a higher version. Without that, a
 // paused process would stay dead in every table after it goes on.
 func (t *Table) Merge(m Member, now time.Time) bool {
+	return t.merge(m, now, true)
+}
+
+// Learn is Merge for rows of a table that was fetched whole: they are no news to
+// the fleet, and passing them on would repeat the whole table's introduction
+// each time a process starts.
+func (t *Table) Learn(m Member, now time.Time) bool {
+	return t.merge(m, now, false)
+}
+
+func (t *Table) merge(m Member, now time.Time, passOn bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m.ID == "" {
@@ -165,6 +176,9 @@
 		return false
 	}
 	t.put(m, now)
+	if !passOn {
+		t.rows[m.ID].sends = 0
+	}
 	return true
 }
 
@@ -442,6 +456,13 @@
 	return xxhash.Sum64(buf[:])
 }
 
+// Fresh is the number of rows still to be passed on.
+func (t *Table) Fresh() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.freshChanges) + len(t.freshRows)
+}
+
 // SetReport takes in a member's soft state if it is newer.
 func (t *Table) SetReport(r Report) bool {
 	t.mu.Lock()
