--- a/bench/decisions/policies.go
+++ b/bench/decisions/policies.go
@@ -112,7 +112,8 @@
 	redone := float64((len(keys)-resident-n)*contextkey.PieceTokens + newTokens)
 	ttft := max(transfer, max(0, e.freeAt-w.now).Seconds()) + redone/prefillRate
 	o := w.site.objective
-	return o.WeightTTFT*ttft + o.WeightRecompute*redone/1000 + o.WeightLink*float64(n)*contextkey.PieceTokens/1000
+	late := max(0, 1-o.WeightTTFT) * max(0, ttft-float64(o.TTFTMS)/1000)
+	return late + o.WeightTTFT*ttft + o.WeightRecompute*redone/1000 + o.WeightLink*float64(n)*contextkey.PieceTokens/1000
 }
 
 func oracleBest(w *world, e *fakeEngine, keys []contextkey.Key) (cost float64, from, n int) {
--- a/bench/decisions/replay.go
+++ b/bench/decisions/replay.go
@@ -357,6 +357,10 @@
 
 func (w *world) started(r *run, cached, tokens int) {
 	r.engine.runs--
+	for _, k := range r.keys {
+		// An agent knows what it ran, whatever events are lost.
+		r.engine.hint[k] = true
+	}
 	if r.measured {
 		w.ttft = append(w.ttft, float64((w.now-r.began+w.site.rtt).Microseconds())/1000)
 		w.promptTokens += float64(len(r.keys)*contextkey.PieceTokens + newTokens)
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -204,10 +204,11 @@
 	r.Holdings = d.index.Lookup(keys, r.Now, space[:0])
 	seen := len(r.Holdings) > 0
 	r.ImportChance = d.index.ImportChance(seen)
-	r.ContextTokens = len(keys) * contextkey.PieceTokens
-	r.Gap = longGap
+	r.ContextTokens, r.KnownTokens, r.Gap = len(keys)*contextkey.PieceTokens, 0, 0
 	for _, h := range r.Holdings {
-		r.Gap = min(r.Gap, h.Age)
+		if h.Tokens > r.KnownTokens {
+			r.KnownTokens, r.Gap = h.Tokens, h.Age
+		}
 	}
 	if len(keys) > 0 {
 		root := d.index.Root(keys)
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -90,9 +90,10 @@
 	// engines keep.
 	PromptTokens  int
 	ContextTokens int
-	// Gap since the context was last seen; longGap or more if never.
-	Gap      time.Duration
-	Holdings []Holding
+	// KnownTokens of the context were last seen Gap ago; the rest is new.
+	KnownTokens int
+	Gap         time.Duration
+	Holdings    []Holding
 	// ImportChance is the share of a missing context that stores are found to
 	// hold for requests like this one.
 	ImportChance float64
@@ -378,7 +379,7 @@
 		transfer = seconds(float64(moved) / float64(e.Load.LinkRate))
 	}
 	work := float64(recomputed) / e.rate()
-	brought := float64(max(0, r.ContextTokens-cached)) / e.rate() * r.insertion()
+	brought := r.insertion(cached) / e.rate()
 	// An import runs while the engine works off what waits before.
 	ttft := max(transfer, seconds(float64(e.queuedTokens())/e.rate())) + seconds(work) + e.overhead(r)
 	return estimate{
@@ -388,11 +389,14 @@
 	}
 }
 
-// insertion is the price of bringing in this context. One that returns within
-// seconds, such as a prefix that many prompts share, pays it once for many uses;
-// with the full price it would be tied to one engine until that drowned.
-func (r *Request) insertion() float64 {
-	return evictionPrice * min(1, float64(r.Gap)/float64(longGap))
+// insertion is the price, in tokens, of bringing what is not resident into an
+// engine's memory. What returns within seconds, such as a prefix that many
+// prompts share, pays it once for many uses; with the full price it would be
+// tied to one engine until that drowned.
+func (r *Request) insertion(cached int) float64 {
+	known := max(0, r.KnownTokens-cached)
+	fresh := max(0, r.ContextTokens-max(cached, r.KnownTokens))
+	return evictionPrice * (float64(fresh) + float64(known)*min(1, float64(r.Gap)/float64(longGap)))
 }
 
 // lateness makes each second beyond the service's own objective weigh 1, however
