--- a/bench/decisions/policies.go
+++ b/bench/decisions/policies.go
@@ -73,13 +73,13 @@
 func sourceNone(*world, *run) (int, int) { return 0, 0 }
 
 func sourceAll(_ *world, r *run) (int, int) {
-	from := r.engine.hinted(r.keys)
+	from := r.engine.hint.Resident(r.keys)
 	return from, len(r.keys) - from
 }
 
 // sourceOurs asks the product's decision with what an agent knows.
 func sourceOurs(w *world, r *run) (int, int) {
-	from := r.engine.hinted(r.keys)
+	from := r.engine.hint.Resident(r.keys)
 	missing := r.keys[from:]
 	source := movement.Source{
 		Pieces: len(r.keys), Resident: from, PieceBytes: pieceBytes, PrefillRate: prefillRate,
--- a/bench/decisions/replay.go
+++ b/bench/decisions/replay.go
@@ -70,7 +70,7 @@
 	resident map[contextkey.Key]*list.Element
 	lru      *list.List
 	// hint is what the agent believes resident, from events that get lost.
-	hint map[contextkey.Key]bool
+	hint *movement.Residency
 	runs int
 }
 
@@ -119,7 +119,7 @@
 	w := &world{site: s, cond: c, policy: p, random: rand.New(rand.NewPCG(seed, 7)), seen: map[int]bool{}, returns: 0.5}
 	for i := range engines {
 		w.engines = append(w.engines, &fakeEngine{
-			id: fmt.Sprint("engine-", i), domain: fmt.Sprint("domain-", i%3), resident: map[contextkey.Key]*list.Element{}, lru: list.New(), hint: map[contextkey.Key]bool{},
+			id: fmt.Sprint("engine-", i), domain: fmt.Sprint("domain-", i%3), resident: map[contextkey.Key]*list.Element{}, lru: list.New(), hint: movement.NewResidency(),
 		})
 	}
 	for i := range 2 {
@@ -269,7 +269,7 @@
 	w.after(w.site.rtt, func() { w.prepare(r) })
 }
 
-// residentPieces is the truth; hinted is what the agent believes.
+// residentPieces is the truth.
 func (e *fakeEngine) residentPieces(keys []contextkey.Key) int {
 	for i, k := range keys {
 		if e.resident[k] == nil {
@@ -279,15 +279,6 @@
 	return len(keys)
 }
 
-func (e *fakeEngine) hinted(keys []contextkey.Key) int {
-	for i, k := range keys {
-		if !e.hint[k] {
-			return i
-		}
-	}
-	return len(keys)
-}
-
 func (w *world) storeOf(key contextkey.Key) *fakeStore {
 	best := movement.Stores(w.hosts, key, 1)[0]
 	for _, s := range w.stores {
@@ -359,7 +350,7 @@
 	r.engine.runs--
 	for _, k := range r.keys {
 		// An agent knows what it ran, whatever events are lost.
-		r.engine.hint[k] = true
+		r.engine.hint.Used(k, w.clock())
 	}
 	if r.measured {
 		w.ttft = append(w.ttft, float64((w.now-r.began+w.site.rtt).Microseconds())/1000)
@@ -403,7 +394,7 @@
 	}
 	e.resident[k] = e.lru.PushFront(k)
 	if w.random.Float64() >= w.cond.lostEvents {
-		e.hint[k] = true
+		e.hint.Stored(k, w.clock())
 	}
 	for e.lru.Len() > cachePieces {
 		last := e.lru.Back()
@@ -411,7 +402,7 @@
 		e.lru.Remove(last)
 		delete(e.resident, gone)
 		if w.random.Float64() >= w.cond.lostEvents {
-			delete(e.hint, gone)
+			e.hint.Evicted(gone)
 		}
 	}
 }
--- a/internal/coordination/movement/movement_test.go
+++ b/internal/coordination/movement/movement_test.go
@@ -135,6 +135,35 @@
 	}
 }
 
+// TestLostEvents evicts pieces in the order of their use and loses most events.
+//
+// The agent hears of one eviction only; it must not believe in any piece that was
+// used before that one, nor give up those used after it.
+func TestLostEvents(t *testing.T) {
+	r := movement.NewResidency()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var keys []contextkey.Key
+	for i := range 10 {
+		keys = append(keys, contextkey.Key{byte(i)})
+		r.Used(keys[i], now.Add(time.Duration(i)*time.Second))
+	}
+	r.Evicted(keys[4])
+	for i, key := range keys {
+		if got := r.Resident([]contextkey.Key{key}) == 1; got != (i > 4) {
+			t.Errorf("piece %d: resident %v", i, got)
+		}
+	}
+	r.Used(keys[0], now.Add(time.Minute))
+	if r.Resident(keys[:1]) != 1 {
+		t.Error("a piece that was used again is not resident")
+	}
+	r.Stored(keys[1], now.Add(time.Minute))
+	r.Clear()
+	if r.Resident(keys[9:]) != 0 {
+		t.Error("resident after a swap")
+	}
+}
+
 func TestLinkBudgetIsShared(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	const rate, agents, piece, seconds = 1000.0, 4, 20, 100
--- a/internal/coordination/movement/mover.go
+++ b/internal/coordination/movement/mover.go
@@ -22,8 +22,6 @@
 	exportQueue = 256
 	// seenContexts bounds the contexts remembered for the return rate.
 	seenContexts = 100_000
-	// residentKept bounds the pieces thought resident.
-	residentKept = 200_000
 	// partSize is the size of one write to a store, in bytes.
 	partSize = 1 << 20
 	// exportTimeout bounds the copy of one context.
@@ -45,7 +43,7 @@
 
 	mu       sync.Mutex
 	links    map[string]*remote
-	resident map[contextkey.Key]bool
+	resident *Residency
 	returns  *returns
 	// stored remembers pieces that this agent copied or found on a store.
 	stored map[contextkey.Key]bool
@@ -74,7 +72,7 @@
 func New(eng engine.Engine, open OpenStore, store *config.Store, agents func() int, logger *zap.Logger, registry metrics.Registry) *Mover {
 	return &Mover{
 		engine: eng, open: open, config: store, agents: agents, zap: logger, metrics: registry,
-		exports: ring.New[export](exportQueue), links: map[string]*remote{}, resident: map[contextkey.Key]bool{},
+		exports: ring.New[export](exportQueue), links: map[string]*remote{}, resident: NewResidency(),
 		returns: newReturns(seenContexts), stored: map[contextkey.Key]bool{}, hits: 0.5,
 	}
 }
@@ -242,7 +240,7 @@
 		return false
 	}
 	metrics.GetOrRegisterCounter("agent.link_bytes", m.metrics).Inc(bytes)
-	m.markResident(key, true)
+	m.used(key)
 	return true
 }
 
@@ -251,9 +249,7 @@
 	if len(p.Keys) == 0 {
 		return
 	}
-	for _, key := range p.Keys {
-		m.markResident(key, true)
-	}
+	m.used(p.Keys...)
 	missing := m.notCopied(p.Keys)
 	remotes := m.remotes(p.Keys[0], 1)
 	if len(remotes) == 0 || len(missing) == 0 {
--- /dev/null
+++ b/internal/coordination/movement/residency.go
@@ -0,0 +1,81 @@
+package movement
+
+import (
+	"time"
+
+	"limpetwall/internal/state/contextkey"
+)
+
+// Residency is what an agent believes to be in its engine's memory. The engine's
+// events are late and have gaps, so it is a hint: a piece wrongly thought resident
+// is recomputed, one wrongly thought missing is imported once more.
+//
+// Engines evict the least recently used piece first. A piece that is seen to be
+// gone therefore tells that all pieces last used before it are gone too: one
+// eviction event makes up for the lost ones before it.
+type Residency struct {
+	lastUsed map[contextkey.Key]time.Time
+	// gone is the newest last use among the pieces seen to be gone.
+	gone time.Time
+}
+
+// residentKept bounds the pieces remembered.
+const residentKept = 200_000
+
+// NewResidency returns a belief in an empty memory.
+func NewResidency() *Residency {
+	return &Residency{lastUsed: map[contextkey.Key]time.Time{}}
+}
+
+// Used tells that a run has used a piece, or that it was brought in.
+func (r *Residency) Used(key contextkey.Key, now time.Time) {
+	if len(r.lastUsed) >= residentKept {
+		r.dropGone()
+	}
+	r.lastUsed[key] = now
+}
+
+// dropGone makes room; if nothing is known to be gone, all is forgotten.
+func (r *Residency) dropGone() {
+	for key, at := range r.lastUsed {
+		if !at.After(r.gone) {
+			delete(r.lastUsed, key)
+		}
+	}
+	if len(r.lastUsed) >= residentKept {
+		clear(r.lastUsed)
+	}
+}
+
+// Stored tells of an event that a piece entered memory.
+func (r *Residency) Stored(key contextkey.Key, now time.Time) {
+	if _, known := r.lastUsed[key]; !known {
+		r.Used(key, now)
+	}
+}
+
+// Evicted tells that a piece has left memory.
+func (r *Residency) Evicted(key contextkey.Key) {
+	at, known := r.lastUsed[key]
+	if !known {
+		return
+	}
+	delete(r.lastUsed, key)
+	if at.After(r.gone) {
+		r.gone = at
+	}
+}
+
+// Clear forgets everything, after a swap of weights.
+func (r *Residency) Clear() { clear(r.lastUsed) }
+
+// Resident is the number of pieces of a context, from its start, that are
+// probably resident.
+func (r *Residency) Resident(keys []contextkey.Key) int {
+	for i, key := range keys {
+		if at, known := r.lastUsed[key]; !known || !at.After(r.gone) {
+			return i
+		}
+	}
+	return len(keys)
+}
--- a/internal/coordination/movement/resident.go
+++ b/internal/coordination/movement/resident.go
@@ -14,9 +14,7 @@
 func isMissing(err error) bool { return errors.Is(err, kvstore.ErrNotFound) }
 func isFull(err error) bool    { return errors.Is(err, kvstore.ErrFull) }
 
-// EventsDuty follows the engine's cache events. They are late and have gaps, so
-// the set is a hint: a piece wrongly thought resident is recomputed, one wrongly
-// thought missing is imported once more.
+// EventsDuty follows the engine's cache events.
 func (m *Mover) EventsDuty(ctx context.Context, every time.Duration) {
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
@@ -40,14 +38,19 @@
 func (m *Mover) markResident(key contextkey.Key, stored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !stored {
-		delete(m.resident, key)
+	if stored {
+		m.resident.Stored(key, time.Now())
 		return
 	}
-	if len(m.resident) >= residentKept {
-		clear(m.resident)
+	m.resident.Evicted(key)
+}
+
+func (m *Mover) used(keys ...contextkey.Key) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, key := range keys {
+		m.resident.Used(key, time.Now())
 	}
-	m.resident[key] = true
 }
 
 // ForgetResident is told when the engine swapped its weights: nothing that was
@@ -55,18 +58,13 @@
 func (m *Mover) ForgetResident() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	clear(m.resident)
+	m.resident.Clear()
 }
 
 func (m *Mover) residentPieces(keys []contextkey.Key) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for i, key := range keys {
-		if !m.resident[key] {
-			return i
-		}
-	}
-	return len(keys)
+	return m.resident.Resident(keys)
 }
 
 // returns learns how often contexts come back. Two generations bound its memory.
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -382,9 +382,12 @@
 	brought := r.insertion(cached) / e.rate()
 	// An import runs while the engine works off what waits before.
 	ttft := max(transfer, seconds(float64(e.queuedTokens())/e.rate())) + seconds(work) + e.overhead(r)
+	late := lateness(ttft, r)
+	// The work that a decision makes for others weighs as its own waiting does.
+	weight := r.Objective.WeightTTFT + late/max(ttft.Seconds(), 1e-9)
 	return estimate{
 		ttft: ttft, cached: cached, recomputed: recomputed,
-		score: r.Objective.WeightTTFT*(ttft.Seconds()+price*work+brought) + lateness(ttft, r) +
+		score: r.Objective.WeightTTFT*ttft.Seconds() + late + weight*(price*work+brought) +
 			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
 	}
 }
