--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -123,7 +123,9 @@
 
 // streamSite starts engines with agents and one entry.
 func (s *site) streamSite(engines int, engineArgs ...string) {
-	s.platform()
+	if s.procs["objectapi"] == nil {
+		s.platform()
+	}
 	for i := 1; i <= engines; i++ {
 		s.start(fmt.Sprintf("engine-%d", i), append([]string{"standin", "engine"}, engineArgs...)...)
 		s.agent(fmt.Sprintf("agent-%d", i), "domain-b", "-engine", fmt.Sprintf("engine-%d", i), "pool=models")
