--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"limpetwall/internal/coordination/admission"
@@ -98,6 +102,112 @@
 	}
 }
 
+// served is what one customer saw.
+type served struct {
+	mu      sync.Mutex
+	times   []time.Duration
+	refused int
+}
+
+func (s *served) p95() time.Duration {
+	sort.Slice(s.times, func(i, j int) bool { return s.times[i] < s.times[j] })
+	return s.times[len(s.times)*95/100]
+}
+
+// offer sends requests at a steady rate for a while, each holding its place for
+// hold and given up on after deadline.
+func offer(q *admission.Queue, group *sync.WaitGroup, customer string, perSecond float64, length, hold, deadline time.Duration) *served {
+	out := &served{}
+	group.Go(func() {
+		random := rand.New(rand.NewPCG(1, xxhash.Sum64String(customer)))
+		for end := time.Now().Add(length); time.Now().Before(end); {
+			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			group.Go(func() {
+				began := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), deadline)
+				defer cancel()
+				release, err := q.Enter(ctx, admission.Request{Customer: customer, Cost: 1, Time: deadline})
+				if err == nil {
+					time.Sleep(hold)
+					release()
+				}
+				out.mu.Lock()
+				defer out.mu.Unlock()
+				if err != nil || time.Since(began) > deadline {
+					out.refused++
+					return
+				}
+				out.times = append(out.times, time.Since(began))
+			})
+		}
+	})
+	return out
+}
+
+// TestFloodLeavesOthersAlone lets one customer send twenty times its share.
+//
+// Ten customers share forty places; nine use half of theirs. The tenth floods.
+// The callers of the nine see a p95 within 10% of that without the flood.
+func TestFloodLeavesOthersAlone(t *testing.T) {
+	const places, customers = 40, 10
+	const hold = 100 * time.Millisecond
+	fair := places / hold.Seconds() / customers
+	p95 := func(flood float64) (worst time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			q := admission.NewQueue(1000, func() int { return places })
+			var group sync.WaitGroup
+			var quiet []*served
+			for i := range customers - 1 {
+				quiet = append(quiet, offer(q, &group, fmt.Sprint("quiet", i), fair/2, time.Minute, hold, 5*time.Second))
+			}
+			if flood > 0 {
+				offer(q, &group, "flood", fair*flood, time.Minute, hold, 5*time.Second)
+			}
+			group.Wait()
+			for _, s := range quiet {
+				if s.refused > 0 {
+					t.Errorf("%d requests of a quiet customer were refused", s.refused)
+				}
+				worst = max(worst, s.p95())
+			}
+		})
+		return worst
+	}
+	alone, flooded := p95(0), p95(20)
+	t.Logf("p95 of the quiet: %s alone, %s beside the flood", alone, flooded)
+	if flooded > alone*110/100 {
+		t.Errorf("p95 %s alone, %s beside a flood", alone, flooded)
+	}
+}
+
+// TestOverloadKeepsGoodput offers twice the capacity, then half of it.
+//
+// What is served within its time stays at 95% or more of the capacity, the rest
+// is refused; when the overload ends, nothing of it lingers: the next requests
+// are served at once.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	const places = 20
+	const hold, deadline, length = 100 * time.Millisecond, time.Second, time.Minute
+	capacity := places / hold.Seconds()
+	synctest.Test(t, func(t *testing.T) {
+		q := admission.NewQueue(1000, func() int { return places })
+		var group sync.WaitGroup
+		a := offer(q, &group, "a", capacity, length, hold, deadline)
+		b := offer(q, &group, "bb", capacity, length, hold, deadline)
+		group.Wait()
+		goodput := float64(len(a.times)+len(b.times)) / length.Seconds() / capacity
+		t.Logf("goodput %.3f of capacity at twice the capacity, %d refused", goodput, a.refused+b.refused)
+		if goodput < 0.95 {
+			t.Errorf("goodput %.3f of the capacity", goodput)
+		}
+		after := offer(q, &group, "ccc", capacity/2, 10*time.Second, hold, deadline)
+		group.Wait()
+		if after.refused > 0 || after.p95() > hold*110/100 {
+			t.Errorf("after the overload: %d refused, p95 %s", after.refused, after.p95())
+		}
+	})
+}
+
 func TestQueueRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := admission.NewQueue(1, func() int { return 1 })
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -79,22 +79,22 @@
 	queue := e.queue(s.ID)
 	deadline, _ := ctx.Deadline()
 	release, err := queue.Enter(ctx, admission.Request{
-		Customer: c.customer.ID, Share: c.customer.Share, Priority: s.Priority,
+		Customer: c.customer.ID, Share: c.customer.Share,
 		Cost: float64(cost), Time: time.Until(deadline),
 	})
 	if err != nil {
 		exit()
-		return nil, queueError(err, queue)
+		return nil, queueError(err, queue.RetryAfter(c.customer.ID))
 	}
 	return func() { release(); exit() }, nil
 }
 
-func queueError(err error, queue *admission.Queue) *apierror.Error {
+func queueError(err error, after time.Duration) *apierror.Error {
 	switch {
 	case errors.Is(err, admission.ErrQueueFull), errors.Is(err, admission.ErrTooLate):
-		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, err.Error(), queue.RetryAfter())
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, err.Error(), after)
 	case errors.Is(err, context.DeadlineExceeded):
-		return apierror.Later(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time was up before an endpoint was free", queue.RetryAfter())
+		return apierror.Later(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time was up before an endpoint was free", after)
 	default:
 		return apierror.New(499, apierror.CodeClientGone, "the caller left")
 	}
