--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -29,9 +29,14 @@
 
 func main() {
 	out := flag.String("out", "docs/capacity", "folder for results and plots")
+	from := flag.Bool("from-results", false, "measure nothing: fit and plot the results in the folder again")
 	window := flag.Duration("window", 20*time.Second, "time measured for each fleet size")
 	flag.Parse()
-	if err := run(*out, *window); err != nil {
+	work := func() error { return run(*out, *window) }
+	if *from {
+		work = func() error { return again(*out) }
+	}
+	if err := work(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -60,6 +65,24 @@
 		fmt.Fprintf(os.Stderr, "%+v\n", row)
 		r.Sizes = append(r.Sizes, row)
 	}
+	return report(out, r)
+}
+
+// again reads the measurements of an earlier run.
+func again(out string) error {
+	data, err := os.ReadFile(filepath.Join(out, "results.json"))
+	if err != nil {
+		return err
+	}
+	var r Results
+	if err := json.Unmarshal(data, &r); err != nil {
+		return err
+	}
+	return report(out, r)
+}
+
+// report fits the measurements and writes them, the tables and the plots.
+func report(out string, r Results) error {
 	r.Fits = fitAll(r.Fleet, r.Sizes)
 	r.Target = extrapolate(r)
 	data, err := json.MarshalIndent(r, "", " ")
--- a/bench/capacity/report.go
+++ b/bench/capacity/report.go
@@ -13,10 +13,13 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Fit is a straight line through one figure's measurements.
+// Fit is a line through one figure's measurements, over the size itself or over
+// its logarithm, whichever leaves less unexplained.
 type Fit struct {
-	Figure    string  `json:"figure"`
-	Over      string  `json:"over"`
+	Figure string `json:"figure"`
+	Over   string `json:"over"`
+	// Log means that the size counts by its logarithm to base 2.
+	Log       bool    `json:"log"`
 	Intercept float64 `json:"intercept"`
 	Slope     float64 `json:"slope"`
 	R2        float64 `json:"r2"`
@@ -45,9 +48,31 @@
 	budgetCalls     = 2000.0
 )
 
+func (f Fit) at(x float64) float64 {
+	if f.Log {
+		x = math.Log2(x)
+	}
+	return f.Intercept + f.Slope*x
+}
+
 func fit(figure, over string, xs, ys []float64) Fit {
+	logs := make([]float64, len(xs))
+	for i, x := range xs {
+		logs[i] = math.Log2(x)
+	}
+	straight, curved := line(xs, ys), line(logs, ys)
+	best := straight
+	if curved.R2 > straight.R2 {
+		best = curved
+		best.Log = true
+	}
+	best.Figure, best.Over = figure, over
+	return best
+}
+
+func line(xs, ys []float64) Fit {
 	a, b := stat.LinearRegression(xs, ys, nil, false)
-	f := Fit{Figure: figure, Over: over, Intercept: a, Slope: b, R2: stat.RSquared(xs, ys, nil, a, b)}
+	f := Fit{Intercept: a, Slope: b, R2: stat.RSquared(xs, ys, nil, a, b)}
 	for i := range xs {
 		f.Residual = math.Max(f.Residual, math.Abs(ys[i]-a-b*xs[i]))
 	}
@@ -101,10 +126,16 @@
 		if !ok {
 			continue
 		}
-		// The fleet rows carry 150 customers; the rest comes by the second slope,
-		// if it is a cost at all.
-		more := math.Max(0, byCustomers.Slope) * (targetCustomers - 150)
-		value := byNodes.Intercept + byNodes.Slope*targetNodes + more
+		// The fleet rows carry 150 customers; the rest comes by the second line, if it
+		// is a cost at all.
+		more := math.Max(0, byCustomers.at(targetCustomers)-byCustomers.at(150))
+		value := byNodes.at(targetNodes)
+		if byNodes.Slope < 0 {
+			// A figure that falls with the fleet (what the nodes of one process share)
+			// is not taken further than it was measured.
+			value = largest(byNodes.Figure, r.Fleet)
+		}
+		value += more
 		out = append(out, TargetRow{
 			Figure: byNodes.Figure, Value: value, Error: byNodes.Residual * targetNodes / last,
 			Budget: budget.limit, Unit: budget.unit, Holds: value <= budget.limit,
@@ -113,6 +144,18 @@
 	return out
 }
 
+func largest(figure string, rows []FleetRow) float64 {
+	most := 0.0
+	for _, f := range figures {
+		for _, r := range rows {
+			if f.name == figure {
+				most = math.Max(most, f.of(r))
+			}
+		}
+	}
+	return most
+}
+
 func tables(r Results) string {
 	var s strings.Builder
 	fmt.Fprintf(&s, "Written by `go run ./bench/capacity` (%s).\n\n### Fleet size\n\n", r.Go)
@@ -121,6 +164,9 @@
 	fleetTable(&s, r.Sizes)
 	s.WriteString("\n### Slopes\n\n| figure | over | intercept | slope | R² | largest residual |\n|---|---|---|---|---|---|\n")
 	for _, f := range r.Fits {
+		if f.Log {
+			f.Over = "log2 of " + f.Over
+		}
 		fmt.Fprintf(&s, "| %s | %s | %.4g | %.4g | %.3f | %.3g |\n", f.Figure, f.Over, f.Intercept, f.Slope, f.R2, f.Residual)
 	}
 	fmt.Fprintf(&s, "\n### At the target: %d processes, %d customers\n\n| figure | value | ± | budget | holds |\n|---|---|---|---|---|\n", targetNodes, targetCustomers)
@@ -161,7 +207,8 @@
 			return err
 		}
 		line := r.Fits[2*i]
-		fitted := plotter.NewFunction(func(x float64) float64 { return line.Intercept + line.Slope*x })
+		fitted := plotter.NewFunction(line.at)
+		fitted.XMin = 1
 		fitted.Color = color.RGBA{R: 200, A: 255}
 		p.Add(plotter.NewGrid(), scatter, fitted)
 		name := strings.NewReplacer("/", "-", " ", "-", ",", "").Replace(f.name) + ".svg"
--- a/bench/overhead/main.go
+++ b/bench/overhead/main.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -35,8 +36,11 @@
 	operatorKey = "operator-key"
 	sequential  = 4000
 	parallel    = 64
-	burst       = 40_000
-	tokens      = 16
+)
+
+var (
+	tokens = flag.Int("tokens", 16, "tokens of each answer")
+	burst  = flag.Int("requests", 40_000, "requests of the throughput part")
 )
 
 // path is one way to send a prompt.
@@ -46,6 +50,7 @@
 }
 
 func main() {
+	flag.Parse()
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -67,16 +72,16 @@
 	prompt := strings.Repeat("a chair of oak with a woven seat. ", 60)
 	paths := []path{
 		{"engine directly", func() error {
-			return post(client, eng.URL+"/generate", engine.Request{RequestID: "r", Model: "m", WeightVersion: "v1", Text: prompt, MaxTokens: tokens})
+			return post(client, eng.URL+"/generate", engine.Request{RequestID: "r", Model: "m", WeightVersion: "v1", Text: prompt, MaxTokens: *tokens})
 		}},
 		{"entry and agent, whole", func() error {
-			return post(client, entry+"/v1/completions", map[string]any{"model": "s", "prompt": prompt, "max_tokens": tokens})
+			return post(client, entry+"/v1/completions", map[string]any{"model": "s", "prompt": prompt, "max_tokens": *tokens})
 		}},
 		{"entry and agent, streamed", func() error {
-			return post(client, entry+"/v1/completions", map[string]any{"model": "s", "prompt": prompt, "max_tokens": tokens, "stream": true})
+			return post(client, entry+"/v1/completions", map[string]any{"model": "s", "prompt": prompt, "max_tokens": *tokens, "stream": true})
 		}},
 	}
-	fmt.Printf("%d tokens an answer, %d bytes of prompt, %d cores, %s\n\n", tokens, len(prompt), runtime.NumCPU(), runtime.Version())
+	fmt.Printf("%d tokens an answer, %d bytes of prompt, %d cores, %s\n\n", *tokens, len(prompt), runtime.NumCPU(), runtime.Version())
 	fmt.Println("| path | p50 ms | p99 ms | req/s at 64 | allocations a request | bytes a request | CPU ms a request |")
 	fmt.Println("|---|---|---|---|---|---|---|")
 	for _, p := range paths {
@@ -108,7 +113,7 @@
 	var group sync.WaitGroup
 	for range parallel {
 		group.Go(func() {
-			for range burst / parallel {
+			for range *burst / parallel {
 				if p.send() != nil {
 					failed.Add(1)
 				}
@@ -122,8 +127,8 @@
 	if failed.Load() > 0 {
 		return fmt.Errorf("%s: %d failed", p.name, failed.Load())
 	}
-	fmt.Printf("| %s | %.2f | %.2f | %.0f | %d | %d | %.3f |\n", p.name, ms(h, 50), ms(h, 99), burst/took.Seconds(),
-		(after.Mallocs-before.Mallocs)/burst, (after.TotalAlloc-before.TotalAlloc)/burst, float64(used.Microseconds())/1000/burst)
+	fmt.Printf("| %s | %.2f | %.2f | %.0f | %d | %d | %.3f |\n", p.name, ms(h, 50), ms(h, 99), float64(*burst)/took.Seconds(),
+		(after.Mallocs-before.Mallocs)/uint64(*burst), (after.TotalAlloc-before.TotalAlloc)/uint64(*burst), float64(used.Microseconds())/1000/float64(*burst))
 	return nil
 }
 
