--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -23,6 +23,7 @@
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/finding"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/exposition"
 	"limpetwall/internal/transport/hostlist"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/rpc"
@@ -232,6 +233,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /metrics", p.serveMetrics)
+	text := exposition.Handler(p.metrics)
+	mux.HandleFunc("GET /metrics/prometheus", func(w http.ResponseWriter, r *http.Request) {
+		p.recordSpread()
+		text.ServeHTTP(w, r)
+	})
 	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	p.run(func(context.Context) { p.admin.Serve(listener) })
 }
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -24,6 +24,7 @@
 const (
 	devOperatorKey = "dev-operator-key"
 	devCustomerKey = "dev-customer-key"
+	devLinkRate    = 100 << 20
 )
 
 type devSettings struct {
@@ -65,6 +66,7 @@
 	hosts   string
 	failed  chan error
 	entries []string
+	stores  []config.StoreHost
 }
 
 func runDev(s *devSettings, logger *zap.Logger, stop Stop, io IO) error {
@@ -88,6 +90,15 @@
 			return err
 		}
 	}
+	for i := range 2 {
+		url, err := d.standin("store")
+		if err != nil {
+			return err
+		}
+		d.stores = append(d.stores, config.StoreHost{
+			URL: url, Domain: domains[i], Tier: "memory", LinkBytesPerSecond: devLinkRate,
+		})
+	}
 	if err := d.agent("booking-1", domains[0], "service", "-plain", "pool=booking"); err != nil {
 		return err
 	}
@@ -196,18 +207,22 @@
 }
 
 // devRequest is the configuration that the dev command confirms at its start.
-func devRequest() plan.Request {
+func (d *site) devRequest() plan.Request {
 	document := func(kind config.Kind, id string, spec any) config.Document {
 		data, _ := json.Marshal(spec)
 		return config.Document{Ref: config.Ref{Kind: kind, ID: id}, Spec: data}
 	}
-	return plan.Request{Put: []config.Document{
+	request := plan.Request{Put: []config.Document{
 		document(config.KindCustomer, "demo", config.Customer{KeyHashes: []string{config.HashKey(devCustomerKey)}}),
 		document(config.KindService, "describe", config.Service{Kind: config.ServicePrompt, Customers: []string{"*"}}),
 		document(config.KindIntent, "describe", config.Intent{Service: "describe", Labels: map[string]string{"pool": "models"}, Model: "toy", WeightVersion: "v1"}),
 		document(config.KindService, "booking", config.Service{Kind: config.ServicePlain, NotRepeatable: true, Customers: []string{"*"}}),
 		document(config.KindIntent, "booking", config.Intent{Service: "booking", Labels: map[string]string{"pool": "booking"}}),
 	}}
+	for i, store := range d.stores {
+		request.Put = append(request.Put, document(config.KindStore, fmt.Sprintf("store-%d", i+1), store))
+	}
+	return request
 }
 
 // configure plans and confirms the demo configuration as an operator would.
@@ -224,7 +239,7 @@
 
 func (d *site) tryConfigure() error {
 	var p plan.Plan
-	if err := d.operator("/v1/plans", devRequest(), &p); err != nil {
+	if err := d.operator("/v1/plans", d.devRequest(), &p); err != nil {
 		return err
 	}
 	var verdict plan.Verdict
--- a/internal/coordination/burn/burn.go
+++ b/internal/coordination/burn/burn.go
@@ -154,9 +154,25 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return Snapshot{}, errors.WithType(err, ErrMalformed)
 	}
+	for _, series := range s.Series {
+		if !sameLayout(series.TTFT) {
+			return Snapshot{}, errors.Annotate(ErrMalformed, "another histogram layout")
+		}
+	}
 	return s, nil
 }
 
+// sameLayout guards the merge: the library panics on a histogram of other bounds,
+// and one process of another version would take every reporting entry down.
+func sameLayout(h *hdrhistogram.Snapshot) bool {
+	if h == nil {
+		return true
+	}
+	own := hdrhistogram.New(1, histogramMax, histogramDigits).Export()
+	return h.LowestTrackableValue == own.LowestTrackableValue && h.HighestTrackableValue == own.HighestTrackableValue &&
+		h.SignificantFigures == own.SignificantFigures && len(h.Counts) == len(own.Counts)
+}
+
 // Window is one window of a row. Rate 1 uses up the budget exactly over the
 // objective's period; 14 in an hour is the usual page.
 type Window struct {
--- /dev/null
+++ b/internal/coordination/burn/burn_test.go
@@ -0,0 +1,88 @@
+package burn_test
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"limpetwall/internal/coordination/burn"
+)
+
+var now = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func observe(b *burn.Book, ago, ttft time.Duration, failed bool) {
+	b.Observe(burn.Observation{
+		Key: burn.Key{Customer: "c", Service: "s"}, Target: 0.95, TTFTMS: 390, TTFT: ttft, Failed: failed, At: now.Add(-ago),
+	})
+}
+
+// transport sends a snapshot as entries do.
+func transport(t *testing.T, b *burn.Book) burn.Snapshot {
+	t.Helper()
+	data, err := json.Marshal(b.Snapshot(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := burn.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestReportMergesEntries books good, slow and failed requests at two entries.
+func TestReportMergesEntries(t *testing.T) {
+	first, second := burn.NewBook(), burn.NewBook()
+	for range 90 {
+		observe(first, time.Minute, 100*time.Millisecond, false)
+	}
+	for range 5 {
+		observe(second, time.Minute, time.Second, false) // slower than the objective
+		observe(second, time.Minute, 0, true)
+	}
+	for range 100 {
+		observe(second, 45*time.Minute, 100*time.Millisecond, false)
+	}
+	observe(second, 7*time.Hour, 0, true) // older than every window
+	r := burn.Merge([]burn.Snapshot{transport(t, first), transport(t, second)}, []string{"entry-3"}, now)
+	if len(r.Rows) != 1 || r.Entries != 2 {
+		t.Fatalf("%+v", r)
+	}
+	row := r.Rows[0]
+	want := map[string]struct {
+		good, bad int64
+		rate      float64
+	}{
+		"5m0s": {90, 10, 2}, "30m0s": {90, 10, 2}, "1h0m0s": {190, 10, 1}, "6h0m0s": {190, 10, 1},
+	}
+	for _, w := range row.Windows {
+		x := want[w.Length]
+		if w.Good != x.good || w.Bad != x.bad || math.Abs(w.Rate-x.rate) > 1e-9 {
+			t.Errorf("%+v, want %+v", w, x)
+		}
+	}
+	if row.P50MS < 99 || row.P50MS > 102 || row.P99MS < 980 || row.P99MS > 1020 {
+		t.Errorf("p50 %g p99 %g", row.P50MS, row.P99MS)
+	}
+	var page strings.Builder
+	if err := burn.WriteHTML(&page, r); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"entry-3", "<td>c</td>", "burn 5m0s", "<svg", `class="warm"`, "</html>"} {
+		if !strings.Contains(page.String(), part) {
+			t.Errorf("no %q in the page", part)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"series":[{"customer":"c","service":"s","target":0.9,"minutes":[{"at":1,"good":2}]}]}`))
+	f.Add([]byte(`{"series":[{"ttft":{}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := burn.Decode(data); err == nil {
+			burn.Merge([]burn.Snapshot{s}, nil, now)
+		}
+	})
+}
--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -185,6 +185,36 @@
 	}
 }
 
+// TestSecondSignalReportsWhatItCuts stops an entry twice while streams run.
+//
+// The callers get what they had and a final error event at once, without the end
+// mark; the entry's last log line counts the streams it cut.
+func TestSecondSignalReportsWhatItCuts(t *testing.T) {
+	s := newSite(t)
+	s.whole(1, "-token-time", "50ms", "-prefill-rate", "0")
+	const streams = 5
+	results := make(chan answer, streams)
+	for i := range streams {
+		go func() {
+			results <- s.try(http.MethodPost, s.url("entry-1", "/v1/chat/completions"), customerKey, nil, chatBody(fmt.Sprint("chair ", i), 10_000, true))
+		}()
+	}
+	s.eventually("all streams run", func() bool { return s.running("engine-1") == streams })
+	s.signal("entry-1", syscall.SIGTERM)
+	s.eventually("the entry is stopping", func() bool { return strings.Contains(s.procs["entry-1"].lines(), `"msg":"stopping"`) })
+	s.signal("entry-1", syscall.SIGTERM)
+	for range streams {
+		a := <-results
+		if strings.Contains(a.body, "[DONE]") || !strings.Contains(a.body, `"ran":"yes"`) {
+			t.Errorf("err %v, ends %q", a.err, a.body[max(0, len(a.body)-200):])
+		}
+	}
+	<-s.procs["entry-1"].exited
+	s.eventually("the cut streams are counted", func() bool {
+		return strings.Contains(s.procs["entry-1"].lines(), fmt.Sprintf(`"cut":%d`, streams))
+	})
+}
+
 // running is the number of prompts an engine has admitted.
 func (s *site) running(engine string) int {
 	a := s.do(http.MethodGet, "http://"+s.procs[engine].admin+"/status", "", nil, "")
--- /dev/null
+++ b/internal/transport/exposition/exposition.go
@@ -0,0 +1,64 @@
+// Package exposition serves a go-metrics registry in Prometheus' text format,
+// which the Prometheus library writes.
+package exposition
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rcrowley/go-metrics"
+)
+
+const prefix = "limpetwall_"
+
+// Handler serves the registry's metrics as they are at each request.
+func Handler(registry metrics.Registry) http.Handler {
+	out := prometheus.NewRegistry()
+	out.MustRegister(collector{registry})
+	return promhttp.HandlerFor(out, promhttp.HandlerOpts{})
+}
+
+// collector turns go-metrics into Prometheus metrics. It describes none ahead,
+// since they appear as the process does things.
+type collector struct {
+	registry metrics.Registry
+}
+
+// Describe implements prometheus.Collector.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	c.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			out <- value(name+"_total", prometheus.CounterValue, float64(m.Snapshot().Count()))
+		case metrics.Gauge:
+			out <- value(name, prometheus.GaugeValue, float64(m.Snapshot().Value()))
+		case metrics.Timer:
+			out <- summary(name+"_seconds", m.Snapshot())
+		}
+	})
+}
+
+func describe(name string) *prometheus.Desc {
+	name = prefix + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+	return prometheus.NewDesc(name, "see docs/OPERATORS.md", nil, nil)
+}
+
+func value(name string, kind prometheus.ValueType, v float64) prometheus.Metric {
+	return prometheus.MustNewConstMetric(describe(name), kind, v)
+}
+
+// nanosecond is go-metrics' unit of time, in seconds.
+const nanosecond = 1e-9
+
+func summary(name string, t metrics.Timer) prometheus.Metric {
+	quantiles := map[float64]float64{}
+	for _, q := range []float64{0.5, 0.95, 0.99} {
+		quantiles[q] = t.Percentile(q) * nanosecond
+	}
+	return prometheus.MustNewConstSummary(describe(name), uint64(t.Count()), float64(t.Sum())*nanosecond, quantiles)
+}
