Orders to engines: rollouts by a leased decision, fenced at the agent

Weighed: each agent by itself (nobody counts), places to load as objects (a lease again), one holder of a platform lease (chosen; it keeps nothing). Lease without comparing clocks, fencing numbers that ride on every exchange, at most two endpoints of an intent loading, min_endpoints kept, a failure stops and says why, rolling back is a plan. Tables, virtual clock, and three engines to v2 and back under calls with the holder killed half-way.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -14,7 +14,9 @@
 	"limpetwall/internal/coordination/burn"
 	"limpetwall/internal/coordination/claims"
 	"limpetwall/internal/coordination/entry"
+	"limpetwall/internal/coordination/lease"
 	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/finding"
@@ -106,6 +108,7 @@
 	p.run(binder.Run)
 	p.run(runner.WatchDuty)
 	p.run(e.ReportsDuty)
+	p.run(e.Rollout.Duty)
 	p.run(func(ctx context.Context) {
 		p.node.ReportDuty(ctx, func() fleet.Load { return fleet.Load{Running: e.Inflight()} })
 	})
@@ -136,11 +139,16 @@
 	confirmer := &plan.Confirmer{Log: p.log, Store: p.store, Salt: newSalt, Now: time.Now, MaxTries: maxConfirmTries}
 	e := entry.New(s.Entry, entry.Deps{
 		Node: p.node, Store: p.store, Directory: directory, Runner: runner, Confirmer: confirmer,
-		Pool: p.pool, Book: book, Zap: p.zap, Metrics: p.metrics,
+		Rollout: newRollout(s, p), Pool: p.pool, Book: book, Zap: p.zap, Metrics: p.metrics,
 	})
 	return e, binder, runner
 }
 
+func newRollout(s *EntrySettings, p *base) *rollout.Runner {
+	held := lease.New(lease.Config{Key: "lease.rollout", Holder: s.ID, Term: rollout.LeaseTerm, CallTimeout: rollout.Every}, p.api)
+	return &rollout.Runner{Node: p.node, Store: p.store, Pool: p.pool, Lease: held, Zap: p.zap}
+}
+
 func newSalt() []byte {
 	salt := make([]byte, saltSize)
 	rand.Read(salt)
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -60,6 +60,9 @@
 	// waitingTokens are the prompt tokens of runs that have not started yet.
 	waitingTokens atomic.Int64
 
+	// orders admits one order at a time.
+	orders sync.Mutex
+
 	mu     sync.Mutex
 	status engine.Status
 	base   context.Context
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -78,6 +78,8 @@
 		return refuse(CodeOtherIncarnation, wire.Ran_RAN_NO, 0, "the agent restarted")
 	case a.leaving() && r.GetTicket() == nil:
 		return refuse(CodeLeaving, wire.Ran_RAN_NO, 0, "the endpoint is leaving")
+	case a.node.Table().Self().Endpoint.Loading && r.GetTicket() == nil:
+		return refuse(CodeBusy, wire.Ran_RAN_NO, time.Second, "the engine is loading")
 	case r.GetPrompt() == nil && r.GetPlain() == nil:
 		return refuse(CodeBadRequest, wire.Ran_RAN_NO, 0, "no call in request")
 	case (r.GetPrompt() != nil) != (a.engine != nil):
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -20,6 +20,7 @@
 	"limpetwall/internal/coordination/admission"
 	"limpetwall/internal/coordination/burn"
 	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/coordination/spread"
@@ -59,6 +60,7 @@
 	Directory *routing.Directory
 	Runner    *runs.Runner
 	Confirmer *plan.Confirmer
+	Rollout   *rollout.Runner
 	Pool      *rpc.Pool
 	Book      *burn.Book
 	Zap       *zap.Logger
--- a/internal/coordination/entry/operators.go
+++ b/internal/coordination/entry/operators.go
@@ -12,6 +12,7 @@
 
 	"limpetwall/internal/coordination/burn"
 	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
@@ -151,11 +152,14 @@
 	Entry    string         `json:"entry"`
 	Revision uint64         `json:"revision"`
 	Members  []MemberStatus `json:"members"`
+	// Blocked rollouts, as seen by the holder of the rollout lease; empty at
+	// other entries.
+	Blocked []rollout.Blocked `json:"blocked_rollouts,omitempty"`
 }
 
 func (e *Entry) serveStatus(w http.ResponseWriter, _ *http.Request, _ string) *apierror.Error {
 	table := e.Node.Table()
-	status := Status{Entry: table.Self().ID, Revision: e.Store.View().Revision}
+	status := Status{Entry: table.Self().ID, Revision: e.Store.View().Revision, Blocked: e.Rollout.Blocked()}
 	now := time.Now()
 	for _, m := range table.Members() {
 		row := MemberStatus{Member: m, StateName: m.State.String()}
--- /dev/null
+++ b/internal/coordination/lease/lease_test.go
@@ -0,0 +1,165 @@
+package lease_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"limpetwall/internal/coordination/lease"
+	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/objectapi/standin"
+)
+
+const term = 8 * time.Second
+
+// faulty loses answers or is down.
+type faulty struct {
+	*standin.Store
+	lose, down bool
+}
+
+func (f *faulty) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if f.down {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	return f.Store.Get(ctx, key)
+}
+
+func (f *faulty) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	if f.down {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	o, err := f.Store.Put(ctx, key, value, version)
+	if f.lose && err == nil {
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
+	}
+	return o, err
+}
+
+func open(api objectapi.API, holder string) *lease.Lease {
+	return lease.New(lease.Config{Key: "lease.x", Holder: holder, Term: term, CallTimeout: time.Second}, api)
+}
+
+func holds(l *lease.Lease) (uint64, bool) {
+	fence, err := l.Fence(time.Now())
+	return fence, err == nil
+}
+
+// steps lets some leases look every two seconds for a while, and checks after
+// each that at most one holds.
+func steps(t *testing.T, length time.Duration, all ...*lease.Lease) {
+	t.Helper()
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(2 * time.Second) {
+		for _, l := range all {
+			l.Step(t.Context())
+			held := 0
+			for _, other := range all {
+				if _, ok := holds(other); ok {
+					held++
+				}
+			}
+			if held > 1 {
+				t.Fatalf("%d holders at once", held)
+			}
+		}
+	}
+}
+
+// TestTakeover kills, pauses and cuts off a holder.
+//
+// Each time the other takes over after a term, under a higher fencing number; at
+// no moment do both think that they hold the lease, and a paused holder knows on
+// waking, before it acts, that it does not.
+func TestTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		mine := &faulty{Store: store}
+		a, b := open(mine, "a"), open(store, "b")
+		steps(t, 20*time.Second, a, b)
+		first, ok := holds(a)
+		if !ok {
+			t.Fatal("nobody took the lease")
+		}
+		// a is paused: only b looks.
+		steps(t, 3*term, b)
+		second, ok := holds(b)
+		if !ok || second <= first {
+			t.Fatalf("fence %d after %d, held %v", second, first, ok)
+		}
+		if _, ok := holds(a); ok {
+			t.Error("the paused holder wakes as holder")
+		}
+		steps(t, term, a, b)
+		// b stops; a takes over again, then is cut off from the platform.
+		steps(t, 3*term, a)
+		third, ok := holds(a)
+		if !ok || third <= second {
+			t.Fatalf("fence %d after %d, held %v", third, second, ok)
+		}
+		mine.down = true
+		steps(t, 4*term, a, b)
+		if _, ok := holds(b); !ok {
+			t.Error("nobody took over from the holder that was cut off")
+		}
+	})
+}
+
+// TestLostAnswers loses the answers to acquisitions and renewals.
+//
+// The process that wrote does not know whether it holds the lease, so it does not
+// act; it or another takes it after a term, and the fencing number still grows.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := &faulty{Store: standin.New(), lose: true}
+		a, b := open(api, "a"), open(api, "b")
+		steps(t, 2*term, a)
+		if _, ok := holds(a); ok {
+			t.Fatal("held after a lost answer")
+		}
+		api.lose = false
+		steps(t, 3*term, a, b)
+		first, ok := holds(a)
+		if !ok {
+			first, ok = holds(b)
+		}
+		if !ok {
+			t.Fatal("nobody took the lease")
+		}
+		api.lose = true
+		a.Step(t.Context())
+		b.Step(t.Context())
+		api.lose = false
+		steps(t, 4*term, a, b)
+		second, ok := holds(a)
+		if !ok {
+			second, ok = holds(b)
+		}
+		if !ok || second <= first {
+			t.Errorf("fence %d after %d, held %v", second, first, ok)
+		}
+	})
+}
+
+// TestPlatformDownForAnHour keeps anybody from acting, and recovers.
+func TestPlatformDownForAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := &faulty{Store: standin.New()}
+		a, b := open(api, "a"), open(api, "b")
+		steps(t, 20*time.Second, a, b)
+		api.down = true
+		steps(t, time.Hour, a, b)
+		for _, l := range []*lease.Lease{a, b} {
+			if _, ok := holds(l); ok {
+				t.Error("held through an outage longer than the term")
+			}
+		}
+		api.down = false
+		steps(t, 3*term, a, b)
+		_, mine := holds(a)
+		_, theirs := holds(b)
+		if !mine && !theirs {
+			t.Error("nobody holds it after the outage")
+		}
+	})
+}
--- a/internal/coordination/plan/plan.go
+++ b/internal/coordination/plan/plan.go
@@ -76,9 +76,11 @@
 
 // Matches tells whether an intent selects an endpoint by its labels and role.
 func Matches(i *config.Intent, e fleet.Endpoint) bool {
-	if i.Role != "" && i.Role != e.Role {
-		return false
-	}
+	return (i.Role == "" || i.Role == e.Role) && MatchesLabels(i, e)
+}
+
+// MatchesLabels tells whether an endpoint carries all of an intent's labels.
+func MatchesLabels(i *config.Intent, e fleet.Endpoint) bool {
 	for name, value := range i.Labels {
 		if e.Labels[name] != value {
 			return false
@@ -381,14 +383,14 @@
 
 func fits(i *config.Intent, e fleet.Endpoint) bool {
 	return (i.Model == "" || i.Model == e.Model) &&
-		(i.WeightVersion == "" || i.WeightVersion == e.WeightVersion) &&
+		i.Accepts(e.WeightVersion) &&
 		(i.Adapter == "" || i.Adapter == e.Adapter)
 }
 
 // Available tells whether a member's endpoint may get new work: a leaving or
 // dead one may not, and one that was leaving before it fell silent neither.
 func Available(m fleet.Member) bool {
-	return m.Endpoint.ID != "" && !m.WasLeaving && (m.State == fleet.Alive || m.State == fleet.Suspect)
+	return m.Endpoint.ID != "" && !m.Endpoint.Loading && !m.WasLeaving && (m.State == fleet.Alive || m.State == fleet.Suspect)
 }
 
 // Usable tells whether an endpoint may serve an intent's requests now.
--- /dev/null
+++ b/internal/coordination/rollout/runner.go
@@ -0,0 +1,127 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/lease"
+	"limpetwall/internal/coordination/spread"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/transport/rpc"
+)
+
+// Every is how often the holder decides and candidates look at the lease.
+const Every = 2 * time.Second
+
+// LeaseTerm is the time without renewal after which another holder takes over.
+const LeaseTerm = 10 * time.Second
+
+// candidates is the number of entries that look at the lease, whatever the size
+// of the fleet.
+const candidates = 3
+
+// orderTimeout bounds the acceptance of an order; the load itself goes on.
+const orderTimeout = 2 * time.Second
+
+// Runner gives orders while this process holds the lease.
+type Runner struct {
+	Node  *spread.Node
+	Store *config.Store
+	Pool  *rpc.Pool
+	Lease *lease.Lease
+	Zap   *zap.Logger
+
+	mu      sync.Mutex
+	blocked []Blocked
+}
+
+// Blocked lists the rollouts that do not go on, as of the holder's last look;
+// nil on processes that are no holder.
+func (r *Runner) Blocked() []Blocked {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.blocked
+}
+
+// Duty looks at the lease and gives orders until ctx ends. Without an intent that
+// orders engines it makes no platform call.
+func (r *Runner) Duty(ctx context.Context) {
+	ticker := time.NewTicker(Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if len(ordering(r.Store.View())) > 0 && r.isCandidate() {
+			r.step(ctx)
+		}
+	}
+}
+
+// isCandidate keeps a holder at it when the epoch's choice moves on: its lease
+// ends with it, and no term is lost.
+func (r *Runner) isCandidate() bool {
+	_, err := r.Lease.Fence(time.Now())
+	return err == nil || r.Node.IsChosen(candidates)
+}
+
+func (r *Runner) step(ctx context.Context) {
+	r.Lease.Step(ctx)
+	fence, err := r.Lease.Fence(time.Now())
+	if err != nil {
+		r.setBlocked(nil)
+		return
+	}
+	// The number is known to the fleet before the first order under it.
+	r.Node.RaiseFence(fence)
+	orders, blocked := Decide(r.Store.View(), r.Node.Table().Members())
+	r.setBlocked(blocked)
+	for _, o := range orders {
+		r.give(ctx, o)
+	}
+}
+
+func (r *Runner) setBlocked(blocked []Blocked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range blocked {
+		known := false
+		for _, old := range r.blocked {
+			known = known || old == b
+		}
+		if !known {
+			r.Zap.Warn("rollout blocked", zap.String("intent", b.Intent), zap.String("reason", b.Reason))
+		}
+	}
+	r.blocked = blocked
+}
+
+func (r *Runner) give(ctx context.Context, o Order) {
+	// Looked at again before each order: the ones before it took time.
+	fence, err := r.Lease.Fence(time.Now())
+	if err != nil {
+		return
+	}
+	client, err := r.Pool.Agent(o.Member.Address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	resp, err := client.Order(ctx, &wire.OrderRequest{
+		Fence: fence, WantIncarnation: o.Member.Incarnation, Revision: o.Revision, Model: o.Intent.Model,
+		WeightVersion: o.Intent.WeightVersion, Adapter: o.Intent.Adapter, Role: o.Intent.Role,
+	})
+	r.Zap.Info("order", zap.String("endpoint", o.Member.Endpoint.ID), zap.String("intent", o.Intent.ID),
+		zap.String("weight_version", o.Intent.WeightVersion), zap.Uint64("fence", fence),
+		zap.Bool("accepted", resp.GetAccepted()), zap.String("reason", resp.GetReason()), zap.Error(err))
+	if resp.GetFence() > fence {
+		r.Node.RaiseFence(resp.GetFence())
+	}
+}
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -107,6 +107,7 @@
 	mismatches map[string]int
 	nextProbe  int
 	counts     Counts
+	fence      uint64
 	pushed     pushState
 }
 
@@ -298,6 +299,7 @@
 		return err
 	}
 	n.count(proto.Size(req), proto.Size(resp))
+	n.RaiseFence(resp.GetFence())
 	n.takeIn(address, resp.GetMembers(), resp.GetLoads(), resp.GetChanges(), resp.GetPlatformAgeMs())
 	n.compare(id, address, resp.GetRevision(), resp.GetMemberDigest())
 	return nil
@@ -314,11 +316,31 @@
 	}
 }
 
+// IsChosen tells whether this process is among the n of its role that an epoch's
+// duty falls to.
+func (n *Node) IsChosen(count int) bool { return n.table.IsChosen(count, n.epoch()) }
+
+// Fence is the highest fencing number of orders that this process has heard of.
+func (n *Node) Fence() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fence
+}
+
+// RaiseFence takes in a fencing number. It spreads with every exchange, so that
+// an agent that has just started already refuses a lease holder of the past.
+func (n *Node) RaiseFence(fence uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fence = max(n.fence, fence)
+}
+
 func (n *Node) request() *wire.ExchangeRequest {
 	members, loads := n.fresh()
 	return &wire.ExchangeRequest{
 		From: n.table.Self().ID, Revision: n.store.View().Revision, MemberDigest: n.table.Digest(),
 		Members: members, Loads: loads, Changes: n.recentChanges(), PlatformAgeMs: n.platformAge().Milliseconds(),
+		Fence: n.Fence(),
 	}
 }
 
@@ -435,6 +457,7 @@
 	if err != nil {
 		return
 	}
+	n.RaiseFence(resp.GetFence())
 	n.takeIn(m.Address, resp.GetMembers(), resp.GetLoads(), resp.GetChanges(), resp.GetPlatformAgeMs())
 	n.repair.TryPush(repairJob{address: m.Address, members: true})
 	n.Announce()
--- a/internal/coordination/spread/platform.go
+++ b/internal/coordination/spread/platform.go
@@ -262,6 +262,7 @@
 		}
 		n.store.Load(view)
 	}
+	n.RaiseFence(resp.GetFence())
 	n.sawPlatform(time.Now().Add(-time.Duration(resp.GetPlatformAgeMs()) * time.Millisecond))
 	if n.applyChanges(resp.GetChanges()) || len(resp.GetSnapshot()) > 0 {
 		n.zap.Info("configuration in force", zap.Uint64("revision", n.store.View().Revision), zap.String("from", address))
--- a/internal/coordination/spread/serve.go
+++ b/internal/coordination/spread/serve.go
@@ -11,11 +11,12 @@
 
 // HandleExchange answers a peer's gossip round.
 func (n *Node) HandleExchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	n.RaiseFence(r.GetFence())
 	n.takeIn("", r.GetMembers(), r.GetLoads(), r.GetChanges(), r.GetPlatformAgeMs())
 	members, loads := n.fresh()
 	resp := &wire.ExchangeResponse{
 		Revision: n.store.View().Revision, MemberDigest: n.table.Digest(),
-		Members: members, Loads: loads, PlatformAgeMs: n.platformAge().Milliseconds(),
+		Members: members, Loads: loads, PlatformAgeMs: n.platformAge().Milliseconds(), Fence: n.Fence(),
 	}
 	if changes, ok := n.store.Since(r.GetRevision()); ok && len(changes) <= maxChangesPerExchange {
 		resp.Changes = toWire(changes)
@@ -46,7 +47,7 @@
 
 // HandleFetchConfig returns what the caller lacks.
 func (n *Node) HandleFetchConfig(_ context.Context, r *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
-	resp := &wire.FetchConfigResponse{Revision: n.store.View().Revision, PlatformAgeMs: n.platformAge().Milliseconds()}
+	resp := &wire.FetchConfigResponse{Revision: n.store.View().Revision, PlatformAgeMs: n.platformAge().Milliseconds(), Fence: n.Fence()}
 	if changes, ok := n.store.Since(r.GetHaveRevision()); ok {
 		resp.Changes = toWire(changes)
 		return resp, nil
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -18,6 +18,7 @@
 	"limpetwall/internal/coordination/plan"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/finding"
+	"limpetwall/internal/state/fleet"
 )
 
 func (c *cli) table(header string, rows func(w *tabwriter.Writer)) int {
@@ -174,6 +175,9 @@
 			return c.printJSON(s)
 		}
 		fmt.Fprintf(c.Out, "as seen by %s at revision %d\n\n", s.Entry, s.Revision)
+		for _, b := range s.Blocked {
+			fmt.Fprintf(c.Out, "rollout of intent %s: %s\n\n", b.Intent, b.Reason)
+		}
 		return c.table("MEMBER\tROLE\tSTATE\tDOMAIN\tHOST\tREVISION\tMODEL\tRUNNING\tWAITING", func(w *tabwriter.Writer) {
 			for _, m := range s.Members {
 				revision := fmt.Sprint(m.Revision)
@@ -181,12 +185,24 @@
 					revision += " LAGS"
 				}
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", m.ID, m.Role, m.StateName, m.Domain, m.Host, revision,
-					strings.TrimSpace(m.Endpoint.Model+" "+m.Endpoint.WeightVersion), m.Load.Running, m.Load.Queued)
+					served(m.Endpoint), m.Load.Running, m.Load.Queued)
 			}
 		})
 	}
 }
 
+// served tells what an endpoint serves and what became of its last order.
+func served(e fleet.Endpoint) string {
+	text := strings.TrimSpace(e.Model + " " + e.WeightVersion)
+	if e.Loading {
+		text += " LOADING"
+	}
+	if e.OrderError != "" {
+		text += " FAILED: " + e.OrderError
+	}
+	return text
+}
+
 func bindReport(c *cli) func() int {
 	html := c.set.Flags().String("html", "", "file to write the report to as one HTML page")
 	return func() int {
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -129,8 +130,29 @@
 	Role          string `json:"role,omitempty"`
 	// MaxConcurrent runs on one endpoint from each entry; 0 means no bound.
 	MaxConcurrent int `json:"max_concurrent,omitempty"`
-	// MinEndpoints below which a plan warns and a rollout stops.
+	// MinEndpoints below which a plan warns and a rollout waits.
 	MinEndpoints int `json:"min_endpoints,omitempty"`
+	// AlsoVersions may serve besides WeightVersion, while a rollout lasts.
+	AlsoVersions []string `json:"also_versions,omitempty"`
+	// Orders lets the system order engines to load what the intent names.
+	Orders bool `json:"orders,omitempty"`
+	// MaxLoading endpoints of the intent load at once; 0 means 2.
+	MaxLoading int `json:"max_loading,omitempty"`
+}
+
+// Accepts tells whether the intent may be served with a weight version.
+func (i *Intent) Accepts(version string) bool {
+	return i.WeightVersion == "" || i.WeightVersion == version || slices.Contains(i.AlsoVersions, version)
+}
+
+// Loading is the number of endpoints that may load at once. Weights come from a
+// rate-limited store, and loads take longer while more than two run.
+func (i *Intent) Loading() int {
+	const standard = 2
+	if i.MaxLoading > 0 {
+		return i.MaxLoading
+	}
+	return standard
 }
 
 // Operator may plan and confirm.
@@ -272,6 +294,13 @@
 	}
 	checkRange(l, place+".max_concurrent", i.MaxConcurrent, 1<<20)
 	checkRange(l, place+".min_endpoints", i.MinEndpoints, 1<<20)
+	checkRange(l, place+".max_loading", i.MaxLoading, 1<<20)
+	if i.Orders && (i.Model == "" || i.WeightVersion == "") {
+		l.Add(place+".orders", "needs a model and a weight_version to order")
+	}
+	if len(i.AlsoVersions) > 0 && i.WeightVersion == "" {
+		l.Add(place+".also_versions", "needs a weight_version; without one every version serves")
+	}
 }
 
 func (m Limits) check(l *finding.List, place string) {
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -49,11 +49,18 @@
 	WeightVersion string            `json:"weight_version,omitempty"`
 	Adapter       string            `json:"adapter,omitempty"`
 	Role          string            `json:"role,omitempty"`
+	// Loading is true while an order to load is underway.
+	Loading bool `json:"loading,omitempty"`
+	// OrderError is why the last order failed, OrderRevision the revision of the
+	// intent that asked for it.
+	OrderError    string `json:"order_error,omitempty"`
+	OrderRevision uint64 `json:"order_revision,omitempty"`
 }
 
 func (e Endpoint) equal(o Endpoint) bool {
 	return e.ID == o.ID && e.Kind == o.Kind && e.Model == o.Model && e.WeightVersion == o.WeightVersion &&
-		e.Adapter == o.Adapter && e.Role == o.Role && maps.Equal(e.Labels, o.Labels)
+		e.Adapter == o.Adapter && e.Role == o.Role && e.Loading == o.Loading &&
+		e.OrderError == o.OrderError && e.OrderRevision == o.OrderRevision && maps.Equal(e.Labels, o.Labels)
 }
 
 // Member is one process of the system.
@@ -112,6 +119,7 @@
 		w.Endpoint = &wire.Endpoint{
 			Id: e.ID, Kind: e.Kind, Labels: e.Labels, Model: e.Model,
 			WeightVersion: e.WeightVersion, Adapter: e.Adapter, Role: e.Role,
+			Loading: e.Loading, OrderError: e.OrderError, OrderRevision: e.OrderRevision,
 		}
 	}
 	return w
@@ -132,6 +140,7 @@
 		m.Endpoint = Endpoint{
 			ID: e.GetId(), Kind: e.GetKind(), Labels: e.GetLabels(), Model: e.GetModel(),
 			WeightVersion: e.GetWeightVersion(), Adapter: e.GetAdapter(), Role: e.GetRole(),
+			Loading: e.GetLoading(), OrderError: e.GetOrderError(), OrderRevision: e.GetOrderRevision(),
 		}
 	}
 	return m
--- a/internal/state/fleet/queries.go
+++ b/internal/state/fleet/queries.go
@@ -157,17 +157,29 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	self := t.rows[t.self].Member
+	return t.ahead(epoch, func(m Member) bool { return m.Domain == self.Domain }) < n
+}
+
+// IsChosen tells whether this process is among the n live members of its role that
+// rendezvous hashing chooses for an epoch.
+func (t *Table) IsChosen(n int, epoch uint64) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	self := t.rows[t.self].Member
+	return t.ahead(epoch, func(m Member) bool { return m.Role == self.Role }) < n
+}
+
+// ahead counts the other live members that score higher in an epoch. The caller
+// holds the lock.
+func (t *Table) ahead(epoch uint64, among func(Member) bool) int {
 	own := watchScore(t.self, epoch)
-	ahead := 0
+	count := 0
 	for _, r := range t.rows {
-		if r.ID == t.self || r.State != Alive || r.Domain != self.Domain {
-			continue
-		}
-		if watchScore(r.ID, epoch) > own {
-			ahead++
+		if r.ID != t.self && r.State == Alive && among(r.Member) && watchScore(r.ID, epoch) > own {
+			count++
 		}
 	}
-	return ahead < n
+	return count
 }
 
 func watchScore(id string, epoch uint64) uint64 {
