--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -70,13 +70,31 @@
 }
 
 func runDev(s *devSettings, logger *zap.Logger, stop Stop, io IO) error {
-	d := &site{logger: logger, stop: stop, failed: make(chan error, 64)}
+	// The parts end when the command is told to stop, and also when one of them
+	// could not start: otherwise the others would run on and the command hang.
+	end := make(chan struct{})
+	d := &site{logger: logger, stop: Stop{Graceful: end, Now: stop.Now}, failed: make(chan error, 64)}
 	defer func() {
+		close(end)
 		d.group.Wait()
 		for _, stop := range d.stops {
 			stop()
 		}
 	}()
+	if err := d.build(s); err != nil {
+		return err
+	}
+	printDev(io.Out, d)
+	select {
+	case <-stop.Graceful:
+		return nil
+	case err := <-d.failed:
+		return err
+	}
+}
+
+// build starts all parts and configures them.
+func (d *site) build(s *devSettings) error {
 	var err error
 	if d.objects, err = d.standin("objectapi"); err != nil {
 		return err
@@ -90,37 +108,24 @@
 			return err
 		}
 	}
-	for i := range 2 {
+	for _, domain := range domains[:2] {
 		url, err := d.standin("store")
 		if err != nil {
 			return err
 		}
-		d.stores = append(d.stores, config.StoreHost{
-			URL: url, Domain: domains[i], Tier: "memory", LinkBytesPerSecond: devLinkRate,
-		})
+		d.stores = append(d.stores, config.StoreHost{URL: url, Domain: domain, Tier: "memory", LinkBytesPerSecond: devLinkRate})
 	}
 	if err := d.agent("booking-1", domains[0], "service", "-plain", "pool=booking"); err != nil {
 		return err
 	}
+	listen := s.Listen
 	for i := range s.Entries {
-		listen := "127.0.0.1:0"
-		if i == 0 {
-			listen = s.Listen
-		}
 		if err := d.entry(fmt.Sprintf("entry-%d", i+1), domains[i%3], listen); err != nil {
 			return err
 		}
+		listen = "127.0.0.1:0"
 	}
-	if err := d.configure(); err != nil {
-		return err
-	}
-	printDev(io.Out, d)
-	select {
-	case <-stop.Graceful:
-		return nil
-	case err := <-d.failed:
-		return err
-	}
+	return d.configure()
 }
 
 func (d *site) standin(kind string, args ...string) (string, error) {
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -204,22 +204,41 @@
 	metrics.GetOrRegisterTimer("agent.run", a.metrics).UpdateSince(started)
 }
 
-func (a *Agent) executePrompt(ctx context.Context, r *wire.RunRequest, p *wire.Prompt, send emit) {
-	tokens := int64(contextkey.Tokens(p.GetText()))
+// place is a prompt's place beside the engine: waiting until its first event,
+// running from then on.
+type place struct {
+	agent   *Agent
+	tokens  int64
+	running bool
+}
+
+func (a *Agent) takePlace(tokens int) *place {
 	a.waiting.Add(1)
-	a.waitingTokens.Add(tokens)
-	waiting := true
-	leaveQueue := func() {
-		if waiting {
-			a.waiting.Add(-1)
-			a.waitingTokens.Add(-tokens)
-			waiting = false
-		}
+	a.waitingTokens.Add(int64(tokens))
+	return &place{agent: a, tokens: int64(tokens)}
+}
+
+func (p *place) start() {
+	if p.running {
+		return
 	}
-	defer leaveQueue()
+	p.running = true
+	p.agent.waiting.Add(-1)
+	p.agent.waitingTokens.Add(-p.tokens)
+	p.agent.running.Add(1)
+}
 
+func (p *place) leave() {
+	p.start()
+	p.agent.running.Add(-1)
+}
+
+func (a *Agent) executePrompt(ctx context.Context, r *wire.RunRequest, p *wire.Prompt, send emit) {
+	before := int(a.waitingTokens.Load())
+	place := a.takePlace(contextkey.Tokens(p.GetText()))
+	defer place.leave()
 	request := a.engineRequest(r, p)
-	move, movable := a.movable(r, request, int(a.waitingTokens.Load()-tokens))
+	move, movable := a.movable(r, request, before)
 	imported := 0
 	if movable {
 		imported = a.mover.Prepare(ctx, move)
@@ -230,32 +249,36 @@
 		return
 	}
 	defer stream.Close()
-	a.running.Add(1)
-	defer a.running.Add(-1)
-	offset := uint32(len(p.GetResumeTokens()))
+	started := func(s *engine.Started) error {
+		if movable {
+			a.mover.Ran(move)
+		}
+		return send(a.withLoad(startedEvent(s, imported)))
+	}
+	if err := a.relay(stream, uint32(len(p.GetResumeTokens())), place, started, send); err != nil {
+		a.zap.Info("run cancelled by its entry", zap.String("request_id", r.GetRequestId()), zap.Uint32("attempt", r.GetAttempt()))
+	}
+}
+
+// relay passes an engine's events on; it fails when the entry is gone.
+func (a *Agent) relay(stream engine.Stream, offset uint32, place *place, started func(*engine.Started) error, send emit) error {
 	for {
 		event, err := stream.Next()
 		if err != nil {
-			send(a.withLoad(refusedEvent(a.brokenStream(err))))
-			return
+			return send(a.withLoad(refusedEvent(a.brokenStream(err))))
 		}
-		leaveQueue()
+		place.start()
 		switch {
 		case event.Started != nil:
-			if movable {
-				a.mover.Ran(move)
-			}
-			err = send(a.withLoad(startedEvent(event.Started, imported)))
+			err = started(event.Started)
 		case event.Tokens != nil:
 			err = send(tokensEvent(offset, event.Tokens))
 			offset += uint32(len(event.Tokens))
 		default:
-			send(a.withLoad(finishedEvent(event.Finish, offset)))
-			return
+			return send(a.withLoad(finishedEvent(event.Finish, offset)))
 		}
 		if err != nil {
-			a.zap.Info("run cancelled by its entry", zap.String("request_id", r.GetRequestId()), zap.Uint32("attempt", r.GetAttempt()))
-			return
+			return err
 		}
 	}
 }
--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -185,6 +185,25 @@
 	}
 }
 
+// TestDevCommand runs the README's one command, sends it a prompt and a booking,
+// and stops it.
+func TestDevCommand(t *testing.T) {
+	s := newSite(t)
+	s.start("dev", "dev", "-listen", "127.0.0.1:0")
+	s.eventually("a prompt is answered", func() bool {
+		a := s.do(http.MethodPost, s.url("dev", "/v1/chat/completions"), "dev-customer-key", nil, chatBody("an oak chair", 3, true))
+		return a.status == http.StatusOK && strings.HasSuffix(a.body, "data: [DONE]\n\n")
+	})
+	s.eventually("a booking is made", func() bool {
+		return s.do(http.MethodPost, s.url("dev", "/v1/services/booking/slots/7"), "dev-customer-key", nil, "truck 4").status == http.StatusCreated
+	})
+	s.signal("dev", syscall.SIGTERM)
+	<-s.procs["dev"].exited
+	if code := s.procs["dev"].cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
 // TestSecondSignalReportsWhatItCuts stops an entry twice while streams run.
 //
 // The callers get what they had and a final error event at once, without the end
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -151,6 +151,12 @@
 			}
 			once.Do(func() { close(ready) })
 		}
+		if url, ok := strings.CutPrefix(line, "entry-1 "); ok {
+			p.listen = strings.TrimPrefix(strings.TrimSpace(url), "http://")
+		}
+		if line == "ready; try:" {
+			once.Do(func() { close(ready) })
+		}
 		if json.Unmarshal([]byte(line), &record) == nil && (record.Message == "entry ready" || record.Message == "agent ready") {
 			p.listen, p.peer = record.Listen, record.Peer
 			once.Do(func() { close(ready) })
