A late first token gets a second attempt at another endpoint

Cause of 6.6 s for a whole answer with an agent paused before the first token: the entry waited for membership to hold it for dead. Ruled out: shorter probes (they would suspect busy processes). After three times the expected time, at least 300 ms, a second attempt runs within the retry budget; the first to bring an event owns the caller's stream.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -46,6 +46,7 @@
 	// ReadHeaderTimeout bounds the time for a request's headers.
 	ReadHeaderTimeout time.Duration
 	MaxHeader         int
+	HedgeAfter        time.Duration
 }
 
 // BindEntry declares an entry's settings.
@@ -59,6 +60,7 @@
 	delay := set.Duration("drain-delay", 5*time.Second, 0, 5*time.Minute, "time that the balancer is given to see readiness fall")
 	headerTimeout := set.Duration("read-header-timeout", 10*time.Second, time.Second, time.Minute, "time for a request's headers")
 	bodyTimeout := set.Duration("read-body-timeout", time.Minute, time.Second, time.Hour, "time for a request's body")
+	hedge := set.Duration("hedge-after", 300*time.Millisecond, 0, time.Hour, "shortest wait for a first token before a second attempt elsewhere; 0: never")
 	maxBody := set.Int("max-body", 8<<20, 1<<10, 24<<20, "bytes of a request's body")
 	maxHeader := set.Int("max-header", 64<<10, 4<<10, 1<<20, "bytes of a request's headers")
 	maxMessages := set.Int("max-messages", 1024, 1, 100_000, "messages of a chat request")
@@ -71,7 +73,7 @@
 			l.Add("-root-key-hash", "must be 64 hexadecimal digits")
 		}
 		s.Entry.RootKeyHash, s.DrainDelay, s.ReadHeaderTimeout = *root, *delay, *headerTimeout
-		s.Entry.BodyTime = *bodyTimeout
+		s.Entry.BodyTime, s.HedgeAfter = *bodyTimeout, *hedge
 		s.Entry.MaxBody, s.MaxHeader, s.Entry.MaxQueue = int64(*maxBody), *maxHeader, *maxQueue
 		s.Entry.Prompt.MaxMessages, s.Entry.Prompt.MaxMaxTokens = *maxMessages, *maxTokens
 	})
@@ -135,6 +137,7 @@
 	runner := &runs.Runner{
 		Directory: directory, Table: table, Pool: p.pool, Tickets: runs.NewTicketPool(p.pool),
 		Binder: binder, Budget: runs.NewRetryBudget(retryShare, retryBurst), Store: p.store, Zap: p.zap,
+		HedgeAfter: s.HedgeAfter,
 	}
 	confirmer := &plan.Confirmer{Log: p.log, Store: p.store, Salt: newSalt, Now: time.Now, MaxTries: maxConfirmTries}
 	e := entry.New(s.Entry, entry.Deps{
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -21,6 +21,9 @@
 	ticket   *wire.Ticket
 	progress *progress
 	cancel   context.CancelCauseFunc
+	// resume and skip are what the caller had when the attempt began.
+	resume []string
+	skip   int
 	// offset is the index of the next token of this attempt's stream.
 	offset int
 }
@@ -61,7 +64,6 @@
 	}
 	if a.job.Plain != nil {
 		r.Call = &wire.RunRequest_Plain{Plain: a.job.Plain}
-		a.progress.skipBody = a.progress.bodyBytes
 		return r
 	}
 	prompt := &wire.Prompt{
@@ -73,8 +75,8 @@
 	// before the prompt arrives refuses it, and the entry decides anew.
 	prompt.WeightVersion = a.choice.Member.Endpoint.WeightVersion
 	if a.ticket == nil {
-		prompt.ResumeTokens = a.progress.tokens
-		a.offset = len(a.progress.tokens)
+		prompt.ResumeTokens = a.resume
+		a.offset = len(a.resume)
 	}
 	r.Call = &wire.RunRequest_Prompt{Prompt: prompt}
 	return r
@@ -84,6 +86,8 @@
 func (a *attempt) broken(ctx context.Context, err error) *outcome {
 	out := &outcome{failed: true, sent: true, ran: wire.Ran_RAN_UNKNOWN, code: "stream_broke", message: err.Error()}
 	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errHedgeLost):
+		return hedgeLost()
 	case errors.Is(cause, errEndpointGone):
 		out.code, out.message = "endpoint_gone", cause.Error()
 	case cause != nil:
@@ -105,6 +109,9 @@
 	if l := e.GetLoad(); l != nil {
 		a.runner.Directory.Observe(a.choice.Member.ID, fleet.LoadFromWire(l), time.Now())
 	}
+	if e.GetRefused() == nil && !a.progress.claim(a) {
+		return hedgeLost()
+	}
 	switch event := e.GetEvent().(type) {
 	case *wire.RunEvent_Started:
 		return a.started(event.Started)
@@ -122,6 +129,10 @@
 	return nil
 }
 
+func hedgeLost() *outcome {
+	return &outcome{sent: true, ran: wire.Ran_RAN_UNKNOWN, code: "hedge_lost", message: errHedgeLost.Error(), cause: errHedgeLost}
+}
+
 func refusedOutcome(f *wire.Refused) *outcome {
 	return &outcome{
 		sent: true, ran: f.GetRan(), code: f.GetCode(), message: f.GetMessage(),
@@ -181,8 +192,8 @@
 
 func (a *attempt) body(data []byte) *outcome {
 	p := a.progress
-	skip := min(p.skipBody, len(data))
-	p.skipBody -= skip
+	skip := min(a.skip, len(data))
+	a.skip -= skip
 	data = data[skip:]
 	if len(data) == 0 {
 		return nil
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -83,21 +83,27 @@
 	Budget    *RetryBudget
 	Store     *config.Store
 	Zap       *zap.Logger
+	// HedgeAfter is the shortest wait for a first token before a second attempt;
+	// 0 never makes one.
+	HedgeAfter time.Duration
 
 	mu       sync.Mutex
 	attempts map[string]map[*attempt]struct{}
 }
 
-// progress is what the caller already has.
+// progress is what the caller already has. Only the attempt that owns it writes
+// to it; while two attempts run, the first that brings something becomes owner.
 type progress struct {
+	mu       sync.Mutex
+	owner    *attempt
+	attempts []*attempt
+
 	sink          Sink
 	started       bool
 	weightVersion string
 	tokens        []string
 	head          bool
 	bodyBytes     int
-	// skipBody counts bytes of a replayed body that the caller already has.
-	skipBody int
 }
 
 // Run carries out a job. The error is its final answer.
@@ -146,8 +152,8 @@
 		if choice.Member.ID == "" {
 			return Result{}, noEndpoint(choice.Refusal, last, p)
 		}
-		out := r.attempt(ctx, job, choice, number, nil, p)
-		r.Directory.Done(choice, out.failed, time.Now())
+		var out *outcome
+		out, choice, number = r.round(ctx, &round{job: job, keys: keys, request: request, number: number, p: p}, choice)
 		if out.done {
 			return out.result(number, choice), nil
 		}
@@ -175,6 +181,7 @@
 	ran        wire.Ran
 	code       string
 	message    string
+	cause      error
 	retryAfter time.Duration
 }
 
@@ -186,18 +193,22 @@
 }
 
 func (r *Runner) attempt(ctx context.Context, job *Job, c routing.Choice, number uint32, ticket *wire.Ticket, p *progress) *outcome {
-	a := &attempt{runner: r, job: job, choice: c, number: number, ticket: ticket, progress: p}
+	return r.carryOut(ctx, p.newAttempt(r, job, c, number, ticket))
+}
+
+// carryOut runs an attempt to its end.
+func (r *Runner) carryOut(ctx context.Context, a *attempt) *outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.cancel = cancel
+	a.setCancel(cancel)
 	r.register(a)
 	defer r.unregister(a)
 	out := a.run(ctx)
 	r.Zap.Info("attempt",
-		zap.String("request_id", job.RequestID), zap.String("customer", job.Customer.ID),
-		zap.String("service", job.Service.ID), zap.String("endpoint", c.Member.Endpoint.ID),
-		zap.Uint32("attempt", number), zap.String("decision", string(c.Reason)),
-		zap.Duration("expected_ttft", c.TTFT), zap.Bool("done", out.done), zap.String("code", out.code),
+		zap.String("request_id", a.job.RequestID), zap.String("customer", a.job.Customer.ID),
+		zap.String("service", a.job.Service.ID), zap.String("endpoint", a.choice.Member.Endpoint.ID),
+		zap.Uint32("attempt", a.number), zap.String("decision", string(a.choice.Reason)),
+		zap.Duration("expected_ttft", a.choice.TTFT), zap.Bool("done", out.done), zap.String("code", out.code),
 		zap.String("reason", out.message))
 	return out
 }
