A hedge's loser no longer speaks for its round

Cause of a flaky TestHedgesDoNotMix: the slower attempt, ended while it was still connecting, reported 'not reached' after the owner had finished, and its outcome replaced the owner's, so a whole answer was taken for a failure and run again. Now the owner's end counts, and an attempt ended while it connects says only that it lost. Waiting for a connection is one loop with grpc's own states.

--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -31,11 +31,11 @@
 func (a *attempt) run(ctx context.Context) *outcome {
 	member := a.choice.Member
 	if err := a.runner.Pool.WaitReady(ctx, member.Address); err != nil {
-		return &outcome{failed: true, ran: wire.Ran_RAN_NO, code: "endpoint_not_reached", message: err.Error(), retryAfter: time.Second}
+		return notReached(ctx, err)
 	}
 	client, err := a.runner.Pool.Agent(member.Address)
 	if err != nil {
-		return &outcome{failed: true, ran: wire.Ran_RAN_NO, code: "endpoint_not_reached", message: err.Error(), retryAfter: time.Second}
+		return notReached(ctx, err)
 	}
 	stream, err := client.Run(ctx, a.request(ctx))
 	if err != nil {
@@ -52,6 +52,15 @@
 	}
 }
 
+// notReached ends an attempt before anything was sent. One that was ended while it
+// connected says nothing about its endpoint, nor about the round.
+func notReached(ctx context.Context, err error) *outcome {
+	if errors.Is(context.Cause(ctx), errHedgeLost) {
+		return hedgeLost()
+	}
+	return &outcome{failed: true, ran: wire.Ran_RAN_NO, code: "endpoint_not_reached", message: err.Error(), retryAfter: time.Second}
+}
+
 func (a *attempt) request(ctx context.Context) *wire.RunRequest {
 	remaining := time.Hour
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/coordination/runs/hedge.go
+++ b/internal/coordination/runs/hedge.go
@@ -61,6 +61,12 @@
 	return true
 }
 
+func (p *progress) owns(a *attempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.owner == a
+}
+
 // setCancel lets the owner end this attempt; if there is one already, at once.
 func (a *attempt) setCancel(cancel context.CancelCauseFunc) {
 	p := a.progress
@@ -110,7 +116,8 @@
 		select {
 		case e := <-results:
 			running--
-			if !errors.Is(e.out.cause, errHedgeLost) {
+			// The owner's end counts, whatever the other says after it.
+			if last.attempt == nil || !in.p.owns(last.attempt) {
 				last = e
 			}
 		case <-late.C:
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -11,11 +11,10 @@
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/status"
 
 	"limpetwall/internal/protocol/wire"
 )
@@ -122,51 +121,38 @@
 	return wire.NewAgentClient(c), nil
 }
 
-// NotSent tells that an error proves that the server's handler never ran. Only
-// errors that grpc raises before it wrote the request qualify: an Unavailable
-// after that may hide an executed request. grpc reports the difference through
-// the connection's state, so a call is only "not sent" if no connection was
-// ready (see WaitReady).
-const NotSent = errors.ConstError("peer not reached")
+// ErrNotReached tells that no connection to a peer stood, so it has not been sent
+// anything. grpc reports a broken connection as Unavailable whether the request
+// was written or not; only a connection that never became ready proves that not.
+const ErrNotReached = errors.ConstError("peer not reached")
 
 // WaitReady makes sure that a connection to address stands, or fails with
-// NotSent: nothing has been sent to the peer then.
+// ErrNotReached.
 func (p *Pool) WaitReady(ctx context.Context, address string) error {
 	c, err := p.conn(address)
 	if err != nil {
-		return errors.WithType(err, NotSent)
+		return errors.WithType(err, ErrNotReached)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	for {
-		state := c.GetState()
-		switch state.String() {
-		case "READY":
-			return nil
-		case "TRANSIENT_FAILURE", "SHUTDOWN":
-			c.ResetConnectBackoff()
-			if !c.WaitForStateChange(ctx, state) {
-				return errors.Annotatef(NotSent, "%s", address)
-			}
-			if c.GetState().String() == "TRANSIENT_FAILURE" {
-				return errors.Annotatef(NotSent, "%s", address)
-			}
-			continue
-		case "IDLE":
-			c.Connect()
-		}
+	state := c.GetState()
+	if state == connectivity.TransientFailure {
+		// It may have failed long ago: try again now instead of after the backoff.
+		c.ResetConnectBackoff()
+	}
+	for state != connectivity.Ready {
+		c.Connect()
 		if !c.WaitForStateChange(ctx, state) {
-			return errors.Annotatef(NotSent, "%s", address)
+			return errors.Annotatef(ErrNotReached, "%s", address)
 		}
-		if c.GetState().String() == "TRANSIENT_FAILURE" {
-			return errors.Annotatef(NotSent, "%s", address)
+		state = c.GetState()
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			return errors.Annotatef(ErrNotReached, "%s", address)
 		}
 	}
+	return nil
 }
 
-// IsCode tells whether err carries a grpc status code.
-func IsCode(err error, code codes.Code) bool { return status.Code(err) == code }
-
 // Exchange implements spread.Peers.
 func (p *Pool) Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	c, err := p.conn(address)
