--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -37,6 +37,11 @@
 	// returns elsewhere and pushes out more. The value is measured, see
 	// docs/BENCHMARKS.md.
 	evictionPrice = 16.0
+	// latePrice is what a second beyond the service's objective costs at least. A
+	// whole second's weight would be what the caller feels, but near saturation all
+	// endpoints are late, and fleeing from one to the next costs more computation
+	// than it saves waiting; the value is measured, see docs/BENCHMARKS.md.
+	latePrice = 0.25
 	// longGap is the time between returns from which a context pays the whole
 	// price; one that returns sooner shares it among its uses.
 	longGap = time.Minute
@@ -402,14 +407,14 @@
 	return evictionPrice * (float64(fresh) + float64(known)*min(1, float64(r.Gap)/float64(longGap)))
 }
 
-// lateness makes each second beyond the service's own objective weigh 1, however
-// little it weighs waiting otherwise: patient is not endless.
+// lateness makes each second beyond the service's own objective cost something,
+// however little it weighs waiting otherwise: patient is not endless.
 func lateness(ttft time.Duration, r *Request) float64 {
 	objective := time.Duration(r.Objective.TTFTMS) * time.Millisecond
 	if objective == 0 {
 		return 0
 	}
-	return max(0, 1-r.Objective.WeightTTFT) * max(0, (ttft-objective).Seconds())
+	return latePrice * max(0, 1-r.Objective.WeightTTFT) * max(0, (ttft-objective).Seconds())
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
