--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -194,6 +194,11 @@
 	return nil
 }
 
+// busyLoad differs from report to report, as under load.
+func busyLoad() fleet.Load {
+	return fleet.Load{Running: 8 + rand.IntN(8), Queued: rand.IntN(4), QueuedTokens: rand.IntN(20_000), PrefillRate: 20_000}
+}
+
 // settle waits until every node has the same table.
 func (b *fleetBench) settle() error {
 	deadline := time.Now().Add(2 * time.Minute)
--- a/bench/capacity/weigh.go
+++ b/bench/capacity/weigh.go
@@ -113,7 +113,7 @@
 			Domain: fmt.Sprint("domain-", i%5), Region: "region", Role: fleet.RoleAgent,
 			Endpoint: fleet.Endpoint{ID: id, Kind: fleet.KindEngine, Labels: map[string]string{"pool": "models", "generation": "3"}, Model: "m", WeightVersion: "v1"},
 		}, now)
-		t.SetReport(fleet.Report{Member: id, Incarnation: uint64(i + 1), Version: 1, Load: fleet.Load{PrefillRate: 20000}, At: now})
+		t.SetReport(fleet.Report{Incarnation: uint64(i + 1), Version: 1, Load: fleet.Load{PrefillRate: 20000}, At: now})
 	}
 	return t
 }
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -296,6 +296,7 @@
 		RequestID: r.GetRequestId(), Model: p.GetModel(), WeightVersion: version, Adapter: p.GetAdapter(),
 		Text: p.GetText(), Blocks: contextkey.Chain(scope, p.GetText()), MaxTokens: int(p.GetMaxTokens()),
 		Seed: p.GetSeed(), Priority: int(p.GetPriority()), ResumeTokens: p.GetResumeTokens(),
+		Parameters: p.GetParameters(),
 	}
 }
 
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -157,7 +157,7 @@
 // wirePrompt names the model of the service's first intent; endpoints of all
 // its intents must serve it to be usable.
 func (e *Entry) wirePrompt(v *config.View, s *config.Service, p openai.Prompt) *wire.Prompt {
-	out := &wire.Prompt{Text: p.Text, MaxTokens: uint32(p.MaxTokens), Seed: p.Seed, Priority: int32(s.Priority)}
+	out := &wire.Prompt{Text: p.Text, MaxTokens: uint32(p.MaxTokens), Seed: p.Seed, Priority: int32(s.Priority), Parameters: p.Parameters}
 	if intents := v.Intents[s.ID]; len(intents) > 0 {
 		out.Model, out.Adapter = intents[0].Model, intents[0].Adapter
 	}
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -67,7 +67,7 @@
 	prompt := &wire.Prompt{
 		Model: a.job.Prompt.GetModel(), Adapter: a.job.Prompt.GetAdapter(), Text: a.job.Prompt.GetText(),
 		MaxTokens: a.job.Prompt.GetMaxTokens(), Seed: a.job.Prompt.GetSeed(), Priority: a.job.Prompt.GetPriority(),
-		CacheSalt: a.job.Customer.Salt,
+		CacheSalt: a.job.Customer.Salt, Parameters: a.job.Prompt.GetParameters(),
 	}
 	// The version is pinned when the request is admitted: an endpoint that swaps
 	// before the prompt arrives refuses it, and the entry decides anew.
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -63,9 +63,6 @@
 	ReportsPerExchange int
 	// ReportEvery is the shortest period of this process's reports.
 	ReportEvery time.Duration
-	// ReportBudget bounds the bytes a second that all members' reports together
-	// cost each process; in a large fleet each reports more seldom.
-	ReportBudget int
 	// Seeds are addresses to start from when the host list does not answer.
 	Seeds []string
 }
@@ -76,8 +73,8 @@
 		ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 400 * time.Millisecond, CallTimeout: time.Second, Successors: 3, Fanout: 3, Contacts: 12,
 		WatchersPerDomain: 2, WatchEpoch: 10 * time.Minute, WatchWait: 10 * time.Second,
 		HostsEvery: time.Second, PlatformStale: 15 * time.Second, RescueRate: 20,
-		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 20,
-		ReportEvery: 500 * time.Millisecond, ReportBudget: 1024,
+		ReconnectEvery: 10 * time.Second, RowsPerExchange: 12, ReportsPerExchange: 5,
+		ReportEvery: 500 * time.Millisecond,
 	}
 }
 
@@ -265,15 +262,12 @@
 	}
 }
 
-// reportBytes is the size of one report on the wire.
-const reportBytes = 48
-
 // ReportDuty tells the fleet this process's load and the revision in force.
 func (n *Node) ReportDuty(ctx context.Context, load func() fleet.Load) {
 	for version := uint64(1); ; version++ {
 		self := n.table.Self()
 		n.table.SetReport(fleet.Report{
-			Member: self.ID, Incarnation: self.Incarnation, Version: version,
+			Incarnation: self.Incarnation, Version: version,
 			Load: load(), Revision: n.store.View().Revision, At: time.Now(),
 		})
 		if !sleep(ctx, jitter(n.reportPeriod())) {
@@ -282,11 +276,15 @@
 	}
 }
 
-// reportPeriod keeps the bytes that all reports cost a process within budget,
-// however large the fleet is.
+// reportPeriod keeps all reports of the fleet within what the exchanges carry:
+// each process sends two messages a probe period (its own exchange and the
+// answer to another's), each with a few reports, and passes every report on
+// some times. In a large fleet the reports that come with answers are fresher.
 func (n *Node) reportPeriod() time.Duration {
-	fleetWide := time.Duration(n.table.Size()*reportBytes) * time.Second / time.Duration(n.cfg.ReportBudget)
-	return max(n.cfg.ReportEvery, fleetWide)
+	const messagesPerProbe = 2
+	perSecond := float64(messagesPerProbe*n.cfg.ReportsPerExchange) / n.cfg.ProbeEvery.Seconds()
+	sends := float64(n.table.Size() * n.table.ReportSends())
+	return max(n.cfg.ReportEvery, time.Duration(sends/perSecond*float64(time.Second)))
 }
 
 // exchange runs one gossip round with a peer.
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -29,6 +29,34 @@
 	// IncludeUsage asks for a last chunk with token counts.
 	IncludeUsage bool
 	Chat         bool
+	// Parameters are the sampling fields of the request, as the caller wrote
+	// them: a JSON object for the engine, or nil.
+	Parameters json.RawMessage
+}
+
+// sampling are the fields that are passed on to the engine unchanged.
+var sampling = []string{
+	"temperature", "top_p", "top_k", "min_p", "stop", "presence_penalty", "frequency_penalty", "logit_bias",
+	"response_format", "reasoning_effort",
+}
+
+// parameters picks the sampling fields of a request.
+func parameters(body []byte) json.RawMessage {
+	var all map[string]json.RawMessage
+	if json.Unmarshal(body, &all) != nil {
+		return nil
+	}
+	picked := map[string]json.RawMessage{}
+	for _, name := range sampling {
+		if value, ok := all[name]; ok {
+			picked[name] = value
+		}
+	}
+	if len(picked) == 0 {
+		return nil
+	}
+	data, _ := json.Marshal(picked)
+	return data
 }
 
 type message struct {
@@ -59,8 +87,8 @@
 }
 
 // Decode reads a chat or plain completion request. Its error is a *finding.Error.
-// Fields of the OpenAI API that this system passes over are accepted, since
-// official clients send them.
+// Other fields of the OpenAI API are accepted and passed over, since official
+// clients send them.
 func Decode(body []byte, chat bool, limits Limits) (Prompt, error) {
 	var l finding.List
 	var r request
@@ -71,6 +99,7 @@
 	p := Prompt{
 		Model: r.Model, Seed: r.Seed, Stream: r.Stream, Chat: chat,
 		IncludeUsage: r.StreamOptions.IncludeUsage, MaxTokens: limits.DefaultMaxTokens,
+		Parameters: parameters(body),
 	}
 	if r.Model == "" {
 		l.Add("$.model", "is required")
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -85,7 +85,7 @@
 
 // Report is a member's soft state: it ages, and a lost one is replaced by the next.
 type Report struct {
-	Member      string
+	// Incarnation names the member.
 	Incarnation uint64
 	Version     uint64
 	Load        Load
@@ -151,7 +151,7 @@
 // ToWire converts a report for its transport.
 func (r Report) ToWire() *wire.LoadReport {
 	return &wire.LoadReport{
-		Member: r.Member, Incarnation: r.Incarnation, Version: r.Version,
+		Incarnation: r.Incarnation, Version: r.Version,
 		Load: r.Load.ToWire(), Revision: r.Revision,
 	}
 }
@@ -159,7 +159,7 @@
 // ReportFromWire converts a report from its transport.
 func ReportFromWire(w *wire.LoadReport, now time.Time) Report {
 	return Report{
-		Member: w.GetMember(), Incarnation: w.GetIncarnation(), Version: w.GetVersion(),
+		Incarnation: w.GetIncarnation(), Version: w.GetVersion(),
 		Load: LoadFromWire(w.GetLoad()), Revision: w.GetRevision(), At: now,
 	}
 }
--- a/internal/state/fleet/table.go
+++ b/internal/state/fleet/table.go
@@ -45,7 +45,10 @@
 	mu   sync.RWMutex
 	self string
 	rows map[string]*row
-	soft map[string]*soft
+	// soft holds reports, by incarnation.
+	soft map[uint64]*soft
+	// incarnations maps the known ones to members.
+	incarnations map[uint64]string
 	// order holds ids by hash: the ring along which members watch each other.
 	order  []string
 	digest uint64
@@ -54,7 +57,7 @@
 	// once, a death would otherwise wait behind them for seconds.
 	freshChanges []string
 	freshRows    []string
-	freshReports []string
+	freshReports []uint64
 	changed      chan struct{}
 	generation   uint64
 }
@@ -62,8 +65,9 @@
 // NewTable returns a table that knows only its own member.
 func NewTable(cfg Config, self Member, now time.Time) *Table {
 	t := &Table{
-		cfg: cfg, self: self.ID, rows: map[string]*row{}, soft: map[string]*soft{},
-		changed: make(chan struct{}),
+		cfg: cfg, self: self.ID, rows: map[string]*row{}, soft: map[uint64]*soft{},
+		incarnations: map[uint64]string{},
+		changed:      make(chan struct{}),
 	}
 	t.put(self, now)
 	return t
@@ -90,8 +94,9 @@
 	t.digest ^= rowHash(m)
 	t.rows[m.ID] = &row{Member: m, since: now, sends: t.spreadTimes()}
 	if known && old.Incarnation != m.Incarnation {
-		delete(t.soft, m.ID)
+		t.forget(old.Incarnation)
 	}
+	t.incarnations[m.Incarnation] = m.ID
 	if known || m.State != Alive {
 		t.freshChanges = appendOnce(t.freshChanges, m.ID)
 	} else {
@@ -122,7 +127,7 @@
 	return 0
 }
 
-func appendOnce(ids []string, id string) []string {
+func appendOnce[T comparable](ids []T, id T) []T {
 	if slices.Contains(ids, id) {
 		return ids
 	}
@@ -255,14 +260,19 @@
 
 func (t *Table) drop(id string) {
 	t.digest ^= rowHash(t.rows[id].Member)
+	t.forget(t.rows[id].Incarnation)
 	delete(t.rows, id)
-	delete(t.soft, id)
 	if at, ok := slices.BinarySearchFunc(t.order, id, byHash); ok {
 		t.order = slices.Delete(t.order, at, at+1)
 	}
 	t.generation++
 }
 
+func (t *Table) forget(incarnation uint64) {
+	delete(t.soft, incarnation)
+	delete(t.incarnations, incarnation)
+}
+
 // Digest is equal in two tables that hold the same rows.
 func (t *Table) Digest() uint64 {
 	t.mu.RLock()
@@ -436,24 +446,38 @@
 func (t *Table) SetReport(r Report) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	member, known := t.rows[r.Member]
-	if !known || member.Incarnation != r.Incarnation {
+	if _, known := t.incarnations[r.Incarnation]; !known {
 		return false
 	}
-	old, had := t.soft[r.Member]
+	old, had := t.soft[r.Incarnation]
 	if had && old.Version >= r.Version {
 		return false
 	}
-	t.soft[r.Member] = &soft{Report: r, sends: 2 * bits.Len(uint(len(t.rows)+1)) / 3}
-	t.freshReports = appendOnce(t.freshReports, r.Member)
+	t.soft[r.Incarnation] = &soft{Report: r, sends: t.reportSends()}
+	t.freshReports = appendOnce(t.freshReports, r.Incarnation)
 	return true
 }
 
+func (t *Table) reportSends() int {
+	return max(1, 2*bits.Len(uint(len(t.rows)+1))/3)
+}
+
+// ReportSends is how often each process passes a report on.
+func (t *Table) ReportSends() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.reportSends()
+}
+
 // ReportOf returns a member's soft state.
 func (t *Table) ReportOf(id string) (Report, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	s, ok := t.soft[id]
+	r, known := t.rows[id]
+	if !known {
+		return Report{}, false
+	}
+	s, ok := t.soft[r.Incarnation]
 	if !ok {
 		return Report{}, false
 	}
@@ -478,8 +502,8 @@
 	t.freshChanges = takeSome(t.freshChanges, rows, visit)
 	t.freshRows = takeSome(t.freshRows, rows-len(members), visit)
 	var out []Report
-	t.freshReports = takeSome(t.freshReports, reports, func(id string) bool {
-		s, ok := t.soft[id]
+	t.freshReports = takeSome(t.freshReports, reports, func(incarnation uint64) bool {
+		s, ok := t.soft[incarnation]
 		if !ok || s.sends <= 0 {
 			return false
 		}
@@ -492,9 +516,9 @@
 
 // takeSome visits up to n ids and moves those that stay to the end, so that all
 // get their turn.
-func takeSome(ids []string, n int, visit func(string) bool) []string {
+func takeSome[T any](ids []T, n int, visit func(T) bool) []T {
 	n = min(n, len(ids))
-	rest := append([]string(nil), ids[n:]...)
+	rest := append([]T(nil), ids[n:]...)
 	for _, id := range ids[:n] {
 		if visit(id) {
 			rest = append(rest, id)
--- a/internal/transport/engine/engine.go
+++ b/internal/transport/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/juju/errors"
 
@@ -40,6 +41,8 @@
 	Priority      int              `json:"priority"`
 	// ResumeTokens are the tokens the caller already has.
 	ResumeTokens []string `json:"resume_tokens,omitempty"`
+	// Parameters are sampling fields in the OpenAI API's names, a JSON object.
+	Parameters json.RawMessage `json:"parameters,omitempty"`
 }
 
 // Started is the first event of a stream.
