--- /dev/null
+++ b/internal/command/gateway.go
@@ -0,0 +1,225 @@
+package command
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/gateway"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/exposition"
+	"limpetwall/internal/transport/ingress"
+	"limpetwall/internal/transport/logging"
+	"limpetwall/internal/transport/settings"
+	"limpetwall/internal/transport/upstream"
+	"limpetwall/platform"
+)
+
+const (
+	// logLines held for a slow reader: about a second of the heaviest load.
+	logLines = 4096
+	// logFlush bounds the wait for the log's reader at the end.
+	logFlush = 500 * time.Millisecond
+	// connectTimeout to an endpoint: a lost opening packet is sent again after a
+	// second, by which time another endpoint could have answered.
+	connectTimeout = 400 * time.Millisecond
+	// silence after which a connection to an endpoint counts as dead. A packet lost
+	// on the way is sent again several times within it.
+	silence = 900 * time.Millisecond
+	// storeConnect is longer: there is no other store to turn to.
+	storeConnect = 700 * time.Millisecond
+	// platformRetryBurst is a process's own part of the retries that a deployment may make
+	// beyond their ratio; a few dozen processes may spend theirs at one moment.
+	platformRetryBurst = 3
+	// retryPart of the allowed ratio is used: counts of different processes overlap.
+	retryPart = 0.7
+	// contextIndex bounds the pieces of context remembered, twice over.
+	contextIndex = 20_000
+)
+
+// GatewaySettings are the settings of a gateway: the platform's own file, and what
+// the file leaves open.
+type GatewaySettings struct {
+	Platform platform.Settings
+	LogLevel string
+}
+
+func bindGateway(set *settings.Set, io IO) *GatewaySettings {
+	s := &GatewaySettings{}
+	f := set.Flags()
+	f.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	f.String("config", "", "path of the platform's settings file (required)")
+	return s
+}
+
+func gatewayMain(args []string, io IO) int {
+	set := settings.New("limpetwall gateway")
+	s := bindGateway(set, io)
+	if code, done := parse(set, args, io); done {
+		return code
+	}
+	read, err := platform.ReadSettings(set.Flags().Lookup("config").Value.String())
+	if err != nil {
+		parseFailed(io, err)
+		return ExitSettings
+	}
+	s.Platform = read
+	level, err := zapcore.ParseLevel(s.LogLevel)
+	if err != nil {
+		parseFailed(io, errors.Annotate(err, "-log-level"))
+		return ExitSettings
+	}
+	out := logging.NewBounded(io.Out, logLines)
+	logger := logging.New(out, level)
+	code := finish(logger, RunGateway(s, logger, watchSignals(io.Signals)))
+	logger.Info("stopped", zap.Int("exit", code), zap.Int64("log_lines_dropped", out.Dropped()))
+	out.Close(logFlush)
+	return code
+}
+
+// gatewayProcess is one running gateway.
+type gatewayProcess struct {
+	settings *GatewaySettings
+	log      *zap.Logger
+	gateway  *gateway.Gateway
+	clients  *ingress.Server
+	ready    *http.Server
+	metrics  *http.Server
+	duties   sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// RunGateway serves until it is told to stop.
+func RunGateway(s *GatewaySettings, log *zap.Logger, stop Stop) error {
+	p := newGatewayProcess(s, log)
+	defer p.close()
+	if err := p.listen(); err != nil {
+		return err
+	}
+	log.Info("started", zap.String("host", s.Platform.Host), zap.String("domain", s.Platform.Domain),
+		zap.String("clients", s.Platform.Clients), zap.String("store", s.Platform.Store), zap.Int("pid", os.Getpid()))
+	<-stop.Graceful
+	p.drain(stop)
+	return nil
+}
+
+func newGatewayProcess(s *GatewaySettings, log *zap.Logger) *gatewayProcess {
+	p := &gatewayProcess{settings: s, log: log}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	b := s.Platform.Bounds
+	self := fleet.Member{ID: s.Platform.Host, Incarnation: uint64(time.Now().UnixNano()), Version: 1, Domain: s.Platform.Domain, Role: fleet.RoleEntry}
+	registry := metrics.NewRegistry()
+	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) { p.clients.SetLimits(t.Limits) })
+	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
+	store := platform.NewStore(s.Platform.Store, &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true})
+	watcher := &discovery.Watcher{
+		Feed: store, Decoder: platform.Decoder{}, Kinds: platform.Kinds, State: state, Log: log,
+		Wait: watchWait(b),
+	}
+	endpointDialer := upstream.Dialer{Connect: connectTimeout, Silence: silence}
+	p.gateway = &gateway.Gateway{
+		Domain: s.Platform.Domain, State: state, Watcher: watcher,
+		Directory: routing.NewDirectory(state.Table, state.Services, contextIndex, self.Incarnation),
+		Pool:      upstream.NewPool(endpointDialer.Dial), Budget: runs.NewRetryBudget(retryPart*b.RetryRatio, platformRetryBurst),
+		Codec: platform.Codec{}, Log: log, Metrics: registry,
+	}
+	p.clients = ingress.New(p.gateway)
+	p.run(watcher.Run)
+	p.run(p.gateway.SyncDuty)
+	p.serveMetrics(registry)
+	return p
+}
+
+// watchWait keeps a silent connection to the store from hiding changes for longer
+// than a process counts as disturbed by what silenced it.
+func watchWait(b platform.Bounds) time.Duration {
+	const margin = time.Second
+	return max(time.Second, b.StableWindow-margin)
+}
+
+func (p *gatewayProcess) run(duty func(context.Context)) {
+	p.duties.Go(func() { duty(p.ctx) })
+}
+
+func (p *gatewayProcess) serveMetrics(registry metrics.Registry) {
+	if p.settings.Platform.Metrics == "" {
+		return
+	}
+	l, err := net.Listen("tcp", p.settings.Platform.Metrics)
+	if err != nil {
+		p.log.Error("metrics are not served", zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", exposition.Handler(registry))
+	p.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	p.run(func(context.Context) { p.metrics.Serve(l) })
+}
+
+func (p *gatewayProcess) listen() error {
+	clients, err := net.Listen("tcp", p.settings.Platform.Clients)
+	if err != nil {
+		return errors.Annotate(err, "listening for callers")
+	}
+	ready, err := net.Listen("tcp", p.settings.Platform.Ready)
+	if err != nil {
+		clients.Close()
+		return errors.Annotate(err, "listening for the balancer's probe")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", p.gateway.ServeReady)
+	p.ready = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	p.run(func(context.Context) { p.clients.Serve(clients) })
+	p.run(func(context.Context) { p.ready.Serve(ready) })
+	return nil
+}
+
+const (
+	// balancerNotice is the time in which the balancer finds that a process is not
+	// ready any more and sends it no new connections: two probes, one a second.
+	balancerNotice = 2500 * time.Millisecond
+	// graceMargin is left of the time to stop for the process's own end.
+	graceMargin = 500 * time.Millisecond
+)
+
+// drain stops without cutting a request: first the balancer hears of it, then idle
+// connections are closed, then requests underway have the rest of the time.
+func (p *gatewayProcess) drain(stop Stop) {
+	grace := p.settings.Platform.Bounds.StopGrace
+	p.log.Info("stopping", zap.Int64("requests_underway", p.gateway.Inflight()), zap.Duration("time", grace))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin)
+	defer cancel()
+	p.gateway.Stop()
+	p.clients.StopKeeping()
+	select {
+	case <-time.After(min(balancerNotice, grace/2)):
+	case <-stop.Now:
+	}
+	if err := p.clients.Stop(ctx); err != nil {
+		p.log.Warn("requests cut at the end of the time to stop", zap.Int64("requests", p.gateway.Inflight()), zap.Error(err))
+	}
+}
+
+func (p *gatewayProcess) close() {
+	p.cancel()
+	for _, s := range []*http.Server{p.ready, p.metrics} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	p.clients.Close()
+	p.duties.Wait()
+}
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -26,6 +26,7 @@
 
   entry      serve callers and operators
   agent      run beside one endpoint
+  gateway    forward callers' HTTP requests on the users' platform
   dev        run entries, agents and stand-ins of all outside systems in one process
   standin    run one stand-in alone: engine, store, objectapi, hostlist, service, weights
 
@@ -48,7 +49,7 @@
 		return ExitSettings
 	}
 	commands := map[string]func([]string, IO) int{
-		"entry": entryMain, "agent": agentMain, "dev": devMain, "standin": standinMain,
+		"entry": entryMain, "agent": agentMain, "gateway": gatewayMain, "dev": devMain, "standin": standinMain,
 	}
 	run, ok := commands[args[0]]
 	if !ok {
@@ -70,7 +71,7 @@
 		set.Usage(io.Out)
 		return ExitOK, true
 	case err != nil:
-		fmt.Fprintf(io.Err, "settings:\n%v\n", err)
+		parseFailed(io, err)
 		return ExitSettings, true
 	case set.PrintRequested():
 		set.Print(io.Out)
@@ -79,6 +80,8 @@
 	return ExitOK, false
 }
 
+func parseFailed(io IO, err error) { fmt.Fprintf(io.Err, "settings:\n%v\n", err) }
+
 func newLogger(level string, io IO) *zap.Logger {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
--- /dev/null
+++ b/internal/coordination/discovery/watcher.go
@@ -0,0 +1,273 @@
+package discovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/objectapi"
+)
+
+// Kinds names the store's kinds that hold each sort of object.
+type Kinds struct {
+	Config, Instances, Weights string
+	// MainConfig is the name of the one configuration object.
+	MainConfig string
+}
+
+// Decoder turns the platform's objects into the product's types.
+type Decoder interface {
+	Config(objectapi.Record) (*routes.Table, error)
+	Instance(objectapi.Record) (Instance, error)
+	Weights(objectapi.Record) (Named, error)
+}
+
+const (
+	// callMargin is how long after a watch's own wait its answer may take. A silent
+	// connection shows no other sign.
+	callMargin = 700 * time.Millisecond
+	// listTimeout bounds one list.
+	listTimeout = 2 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call. The store prices
+	// refused calls too, but a configuration must be in force within seconds of its
+	// return.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// lapsedFor is the time after the store's return in which lapsed entries of
+	// living endpoints come back, as the platform promises.
+	lapsedFor = 2 * time.Second
+	// lapseMargin is added for the way of the entry's return through the store.
+	lapseMargin = 300 * time.Millisecond
+)
+
+// Watcher follows the store's kinds, one duty each.
+type Watcher struct {
+	Feed    objectapi.Feed
+	Decoder Decoder
+	Kinds   Kinds
+	State   *State
+	Log     *zap.Logger
+	// Wait is how long one watch waits for a change. A silent connection is found
+	// when it and callMargin have passed.
+	Wait time.Duration
+
+	mu sync.Mutex
+	// failing counts the duties whose last call failed; returned is when the store
+	// last answered after a failure, heard when it last answered at all.
+	failing  map[string]bool
+	returned time.Time
+	heard    time.Time
+}
+
+// Run follows all kinds until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	for _, kind := range []string{w.Kinds.Config, w.Kinds.Instances, w.Kinds.Weights} {
+		duties.Go(func() { w.follow(ctx, kind) })
+	}
+	duties.Go(func() { w.expire(ctx) })
+	duties.Wait()
+}
+
+// Age is how long ago the store last answered; it is large before the first answer.
+func (w *Watcher) Age(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.heard)
+}
+
+// follow lists a kind and then watches it. Only a list after a gap in history can
+// tell what was removed meanwhile.
+func (w *Watcher) follow(ctx context.Context, kind string) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		revision, err := w.list(ctx, kind)
+		if err == nil {
+			pause = retryFirst
+			err = w.watch(ctx, kind, revision)
+		}
+		w.note(kind, err)
+		if errors.Is(err, objectapi.ErrCompacted) {
+			continue
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, retryMost)
+	}
+}
+
+func (w *Watcher) list(ctx context.Context, kind string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	records, revision, err := w.Feed.ListKind(ctx, kind)
+	if err != nil {
+		return 0, err
+	}
+	w.note(kind, nil)
+	w.takeList(kind, records)
+	return revision, nil
+}
+
+// watch follows a kind until a call fails twice in a row: one lost answer loses
+// no history, and the next watch goes on from the same revision.
+func (w *Watcher) watch(ctx context.Context, kind string, revision uint64) error {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, w.Wait+callMargin)
+		events, next, err := w.Feed.WatchKind(call, kind, revision, w.Wait)
+		cancel()
+		if errors.Is(err, objectapi.ErrCompacted) {
+			return err
+		}
+		w.note(kind, err)
+		if err != nil {
+			if !sleep(ctx, pause) {
+				return ctx.Err()
+			}
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryFirst
+		for _, e := range events {
+			w.takeEvent(kind, e)
+		}
+		revision = next
+	}
+	return ctx.Err()
+}
+
+// note records whether the store answers, and logs each loss and return once.
+func (w *Watcher) note(kind string, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failing == nil {
+		w.failing = map[string]bool{}
+	}
+	answered := err == nil || errors.Is(err, objectapi.ErrCompacted) || errors.Is(err, objectapi.ErrNotFound)
+	now := time.Now()
+	switch {
+	case answered && w.failing[kind]:
+		w.returned = now
+		w.Log.Info("store answers again", zap.String("kind", kind))
+	case !answered && !w.failing[kind]:
+		w.Log.Warn("store does not answer", zap.String("kind", kind), zap.Error(err))
+	}
+	w.failing[kind] = !answered
+	if answered {
+		w.heard = now
+	}
+}
+
+// storeWasAway tells whether entries may have lapsed though their endpoints live.
+func (w *Watcher) storeWasAway(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, failing := range w.failing {
+		if failing {
+			return true
+		}
+	}
+	return !w.returned.IsZero() && now.Sub(w.returned) < lapsedFor
+}
+
+func (w *Watcher) takeList(kind string, records []objectapi.Record) {
+	if kind != w.Kinds.Instances {
+		for _, r := range records {
+			w.takeEvent(kind, objectapi.Event{Record: r})
+		}
+		return
+	}
+	list := make([]Instance, 0, len(records))
+	for _, r := range records {
+		if i, err := w.Decoder.Instance(r); err != nil {
+			w.Log.Error("instance does not decode", zap.String("endpoint", r.Name), zap.Error(err))
+		} else {
+			list = append(list, i)
+		}
+	}
+	now := time.Now()
+	w.State.ReplaceInstances(list, w.storeWasAway(now), now)
+}
+
+func (w *Watcher) takeEvent(kind string, e objectapi.Event) {
+	var err error
+	switch kind {
+	case w.Kinds.Config:
+		err = w.takeConfig(e)
+	case w.Kinds.Instances:
+		err = w.takeInstance(e)
+	case w.Kinds.Weights:
+		err = w.takeWeights(e)
+	}
+	if err != nil {
+		w.Log.Error("object does not decode", zap.String("kind", kind), zap.String("name", e.Name),
+			zap.Uint64("revision", e.Revision), zap.Error(err))
+	}
+}
+
+func (w *Watcher) takeConfig(e objectapi.Event) error {
+	if e.Removed || e.Name != w.Kinds.MainConfig {
+		return nil
+	}
+	t, err := w.Decoder.Config(e.Record)
+	if err != nil {
+		return err
+	}
+	w.State.SetRoutes(t)
+	return nil
+}
+
+func (w *Watcher) takeInstance(e objectapi.Event) error {
+	if e.Removed {
+		now := time.Now()
+		w.State.Remove(e.Name, w.storeWasAway(now), now)
+		return nil
+	}
+	i, err := w.Decoder.Instance(e.Record)
+	if err != nil {
+		return err
+	}
+	w.State.SetInstance(i)
+	return nil
+}
+
+func (w *Watcher) takeWeights(e objectapi.Event) error {
+	if e.Removed {
+		return nil
+	}
+	n, err := w.Decoder.Weights(e.Record)
+	if err != nil {
+		return err
+	}
+	w.State.SetNamed(n)
+	return nil
+}
+
+// expire takes lapsed entries for gone once they have stayed missing.
+func (w *Watcher) expire(ctx context.Context) {
+	const every = 100 * time.Millisecond
+	for sleep(ctx, every) {
+		now := time.Now()
+		if w.storeWasAway(now) {
+			continue
+		}
+		w.State.Expire(now.Add(-lapseMargin))
+	}
+}
+
+// sleep waits; false means that ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/coordination/gateway/attempt.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/upstream"
+)
+
+// verdict tells what became of an attempt.
+type verdict uint8
+
+const (
+	// delivered: the answer is with the caller.
+	delivered verdict = iota
+	// notReached: no byte of the request left this process.
+	notReached
+	// rejected: the endpoint says that it did not run the request.
+	rejected
+	// answeredFailure: the endpoint ran the request and says that it failed.
+	answeredFailure
+	// broken: the answer did not come whole; the request may have run.
+	broken
+	// timedOut: the request's time ended first.
+	timedOut
+	// callerGone: the caller left.
+	callerGone
+)
+
+// String gives the verdict's name for logs.
+func (v verdict) String() string {
+	return [...]string{"delivered", "not_reached", "rejected", "answered_failure", "broken", "timed_out", "caller_gone"}[v]
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	verdict verdict
+	// answer is a failure that the endpoint gave, to be passed on if no other
+	// attempt does better.
+	answer *buffered
+	err    error
+}
+
+// buffered is a whole answer.
+type buffered struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// maxBuffered bounds the answers that are read whole before they are passed on;
+// a longer one is passed on as it comes.
+const maxBuffered = 256 << 10
+
+// send makes one attempt up to the head of the answer.
+func (x *exchange) send(ctx context.Context, c routing.Choice, s Send) (*upstream.Response, Reply, outcome) {
+	header := forwarded(x.r.Header)
+	x.g.Codec.EncodeSend(header, s)
+	request := &upstream.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header,
+		Body: x.body, HasBody: x.r.Header.Get("Content-Length") != "", Matches: x.matches,
+	}
+	resp, err := x.g.Pool.Do(ctx, c.Member.Address, request)
+	if err != nil {
+		return nil, Reply{}, x.failure(ctx, err)
+	}
+	reply := x.g.Codec.DecodeReply(resp.Status, resp.Header)
+	x.g.observe(c, reply)
+	return resp, reply, outcome{}
+}
+
+// matches accepts the answers that name this attempt. Refusals may leave the name
+// out; on a connection that carried nothing else they can be no other's.
+func (x *exchange) matches(h http.Header, fresh bool) bool {
+	id := x.g.Codec.DecodeReply(0, h).ID
+	return id == x.call.ID || (id == "" && fresh)
+}
+
+// failure tells apart why an exchange brought no answer.
+func (x *exchange) failure(ctx context.Context, err error) outcome {
+	switch {
+	case x.r.Context().Err() != nil:
+		return outcome{verdict: callerGone, err: err}
+	case errors.Is(err, upstream.ErrNotSent):
+		return outcome{verdict: notReached, err: err}
+	case ctx.Err() != nil:
+		return outcome{verdict: timedOut, err: err}
+	}
+	return outcome{verdict: broken, err: err}
+}
+
+// hopByHop headers concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwarded copies a header without what concerns one connection only.
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for _, name := range splitList(list) {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// plainAttempt runs a request whose answer is short: it is passed on when it is
+// whole, so that a broken one can be asked for again.
+func (x *exchange) plainAttempt(ctx context.Context, c routing.Choice, s Send) outcome {
+	resp, reply, out := x.send(ctx, c, s)
+	if resp == nil {
+		return out
+	}
+	defer resp.Close()
+	if reply.NotRun {
+		return outcome{verdict: rejected}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
+	if err != nil {
+		return x.failure(ctx, err)
+	}
+	answer := &buffered{status: resp.Status, header: resp.Header, body: body}
+	if len(body) == maxBuffered {
+		return x.passOn(ctx, answer, resp)
+	}
+	if resp.Status >= http.StatusInternalServerError || !x.mayPassStatus(resp.Status) {
+		return outcome{verdict: answeredFailure, answer: answer}
+	}
+	x.deliver(answer)
+	return outcome{verdict: delivered}
+}
+
+// passOn delivers an answer that is too long to be kept.
+func (x *exchange) passOn(ctx context.Context, a *buffered, rest *upstream.Response) outcome {
+	x.writeHead(a.status, a.header, rest.Length)
+	if _, err := x.w.Write(a.body); err != nil {
+		return outcome{verdict: callerGone, err: err}
+	}
+	if _, err := io.Copy(x.w, rest); err != nil {
+		return x.failure(ctx, err)
+	}
+	return outcome{verdict: delivered}
+}
+
+// mayPassStatus tells whether a status may be passed on for a request that has
+// run: some promise that it did not.
+func (x *exchange) mayPassStatus(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return x.route.Kind == routes.Idempotent
+	}
+	return true
+}
+
+func (x *exchange) deliver(a *buffered) {
+	x.writeHead(a.status, a.header, int64(len(a.body)))
+	// A caller that has left is seen by the request's context.
+	x.w.Write(a.body)
+}
+
+// writeHead passes on an answer's head; length -1 leaves the framing open.
+func (x *exchange) writeHead(status int, header http.Header, length int64) {
+	out := x.w.Header()
+	for name, values := range forwarded(header) {
+		out[name] = values
+	}
+	if _, typed := out["Content-Type"]; !typed {
+		// Without this net/http would guess one that the endpoint never gave.
+		out["Content-Type"] = nil
+	}
+	if length >= 0 && x.r.Method != http.MethodHead {
+		out.Set("Content-Length", itoa(length))
+	}
+	x.wrote = true
+	x.w.WriteHeader(status)
+}
+
+// observe takes in what an endpoint's answer tells of it.
+func (g *Gateway) observe(c routing.Choice, r Reply) {
+	if r.Weights > 0 {
+		g.State.Observe(c.Member.ID, r.Weights)
+	}
+	if r.HasLoad {
+		g.Directory.Observe(c.Member.ID, g.loadOf(c, r.Load), time.Now())
+	}
+}
--- /dev/null
+++ b/internal/coordination/gateway/gateway.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/upstream"
+)
+
+const (
+	// staleAfter without a word from the store, an unknown key or route may be one
+	// that this process has not heard of yet: the caller is told to come back.
+	staleAfter = 4 * time.Second
+	// assumedDeadline is used where neither caller nor route names one.
+	assumedDeadline = 30 * time.Second
+)
+
+// Gateway serves callers. Its fields are set before it serves.
+type Gateway struct {
+	Domain    string
+	State     *discovery.State
+	Watcher   *discovery.Watcher
+	Directory *routing.Directory
+	Pool      *upstream.Pool
+	Budget    *runs.RetryBudget
+	Codec     Codec
+	Log       *zap.Logger
+	Metrics   metrics.Registry
+
+	stopping atomic.Bool
+	inflight atomic.Int64
+}
+
+// Stop makes the gateway say that it is not ready; requests are served on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Inflight counts the requests underway.
+func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
+
+// ServeReady answers the balancer's probe.
+func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || !g.State.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+// exchange is one caller's request underway.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	call    Call
+	table   *routes.Table
+	route   *routes.Route
+	service *routes.Service
+	// customer is nil on public routes.
+	customer *routes.Customer
+	body     []byte
+	began    time.Time
+	deadline time.Time
+
+	// tries are the attempts made, for the log.
+	tries []try
+	// failed is the last failure that an endpoint itself gave.
+	failed *buffered
+	// wrote tells that the answer's head has been written.
+	wrote bool
+}
+
+// try is what became of one attempt.
+type try struct {
+	Endpoint string `json:"endpoint"`
+	Reason   string `json:"reason"`
+	Outcome  string `json:"outcome"`
+	Status   int    `json:"status,omitempty"`
+	TookMS   int64  `json:"took_ms"`
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inflight.Add(1)
+	defer g.inflight.Add(-1)
+	x := &exchange{g: g, w: w, r: r, began: time.Now()}
+	refused := x.prepare()
+	if refused == nil {
+		refused = x.serve()
+	}
+	x.end(refused)
+}
+
+// end writes an answer of the gateway's own, if one is due, and the log line.
+func (x *exchange) end(refused *apierror.Error) {
+	outcome := "answered"
+	if refused != nil {
+		outcome = refused.Code
+		x.refuse(refused)
+	}
+	x.log(refused)
+	metrics.GetOrRegisterCounter("gateway.requests."+x.kind()+"."+outcome, x.g.Metrics).Inc(1)
+	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.began)
+	if refused != nil && x.wrote {
+		// The head promised more than came: only a broken connection tells.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) kind() string {
+	if x.route == nil {
+		return "unrouted"
+	}
+	return x.route.Kind.String()
+}
+
+func (x *exchange) refuse(e *apierror.Error) {
+	if x.wrote || x.r.Context().Err() != nil {
+		return
+	}
+	x.g.Codec.EncodeID(x.w.Header(), x.call.ID)
+	if e.Retry.AfterMS > 0 {
+		x.g.Codec.EncodeRetryAfter(x.w.Header(), time.Duration(e.Retry.AfterMS)*time.Millisecond)
+	}
+	e.RequestID = x.call.ID
+	e.Write(x.w)
+}
+
+func (x *exchange) log(refused *apierror.Error) {
+	fields := []zap.Field{
+		zap.String("request_id", x.call.ID), zap.String("path", x.r.URL.Path), zap.Duration("took", time.Since(x.began)),
+		zap.Duration("time_given", x.deadline.Sub(x.began)), zap.Any("attempts", x.tries),
+	}
+	if x.table != nil {
+		fields = append(fields, zap.Uint64("config_version", x.table.Version))
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name))
+	}
+	if x.customer != nil {
+		fields = append(fields, zap.String("customer", x.customer.Name))
+	}
+	if refused != nil {
+		fields = append(fields, zap.Int("status", refused.Status), zap.String("code", refused.Code),
+			zap.String("ran", string(refused.Ran)), zap.String("reason", refused.Message))
+	}
+	x.g.Log.Info("request", fields...)
+}
+
+// prepare decides who calls what, and reads the request whole.
+func (x *exchange) prepare() *apierror.Error {
+	x.table = x.g.State.Routes()
+	if x.table == nil {
+		return notYet("the configuration is not known yet")
+	}
+	if headerSize(x.r) > x.table.Limits.HeaderBytes && x.table.Limits.HeaderBytes > 0 {
+		return apierror.New(http.StatusRequestHeaderFieldsTooLarge, apierror.CodeTooLarge, "the header is too large")
+	}
+	var err error
+	if x.call, err = x.g.Codec.DecodeCall(x.r.Header); err != nil {
+		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, err.Error())
+	}
+	if !strings.HasPrefix(x.r.RequestURI, "/") {
+		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the request target must be a path")
+	}
+	if refused := x.authorize(); refused != nil {
+		return refused
+	}
+	x.setDeadline()
+	return x.readBody()
+}
+
+func notYet(message string) *apierror.Error {
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNotReady, message, notReadyPause)
+}
+
+// notReadyPause is about the time of a start's first list.
+const notReadyPause = 500 * time.Millisecond
+
+// headerSize is the size of a request's header as it was sent.
+func headerSize(r *http.Request) int64 {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return int64(size)
+}
+
+// authorize finds the route and the customer.
+func (x *exchange) authorize() *apierror.Error {
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	route, ok := x.table.Match(x.r.Host, path)
+	if !ok {
+		return x.unknown(http.StatusNotFound, apierror.CodeNotFound, "no route leads there")
+	}
+	x.route = route
+	if x.table.Keyed && !route.Public {
+		x.customer, ok = x.table.Owner(x.call.Key)
+		if !ok {
+			return x.unknown(http.StatusUnauthorized, apierror.CodeUnauthorized, "the API key is not known")
+		}
+	}
+	x.service = x.table.Services[route.Pick(rand.Uint64())]
+	if x.service == nil {
+		return x.unknown(http.StatusNotFound, apierror.CodeNotFound, "the route's service does not exist")
+	}
+	return nil
+}
+
+// unknown refuses what the configuration in force does not hold. When it may be
+// outdated, a refusal for good would be wrong for what was added since.
+func (x *exchange) unknown(status int, code, message string) *apierror.Error {
+	if age := x.g.Watcher.Age(time.Now()); age > staleAfter {
+		return notYet(message + ", but the configuration may be outdated")
+	}
+	return apierror.New(status, code, message)
+}
+
+func (x *exchange) setDeadline() {
+	limit := x.route.Timeout
+	if limit <= 0 {
+		limit = assumedDeadline
+	}
+	if x.call.Deadline > 0 {
+		limit = min(limit, x.call.Deadline)
+	}
+	x.deadline = x.began.Add(limit)
+}
+
+func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+
+// readBody reads the body whole: it may be sent a second time, and an endpoint
+// that answers early must not leave the rest of it on a connection.
+func (x *exchange) readBody() *apierror.Error {
+	limit := x.table.Limits.BodyBytes
+	if limit > 0 && x.r.ContentLength > limit {
+		return apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge, "the body is too large")
+	}
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	if limit > 0 {
+		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
+	}
+	control := http.NewResponseController(x.w)
+	control.SetReadDeadline(x.deadline)
+	var err error
+	if x.r.ContentLength > 0 {
+		x.body = make([]byte, x.r.ContentLength)
+		_, err = io.ReadFull(x.r.Body, x.body)
+	} else {
+		x.body, err = io.ReadAll(x.r.Body)
+	}
+	control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge, "the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeTimeout, "the body did not come in time", notReadyPause)
+	case err != nil:
+		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the body is malformed: "+err.Error())
+	}
+	return nil
+}
+
+// serve carries out the request until its deadline or the caller's end.
+func (x *exchange) serve() *apierror.Error {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.g.Budget.Earn()
+	return x.run(ctx)
+}
--- /dev/null
+++ b/internal/coordination/gateway/run.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+)
+
+const (
+	// maxUnreached endpoints are tried in vain for one request: each costs the time
+	// that a connection may take to open.
+	maxUnreached = 3
+	// minLeft of a request's time is worth another attempt.
+	minLeft = 20 * time.Millisecond
+	// fullPause and fullJitter tell callers when a full service has room again: about
+	// one short run, spread so that they don't all return together.
+	fullPause  = 200 * time.Millisecond
+	fullJitter = 400 * time.Millisecond
+	// assumedPrefillRate is a model server's reading speed before any was measured,
+	// in tokens per second.
+	assumedPrefillRate = 40_000
+)
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+func splitList(list string) []string {
+	fields := strings.Split(list, ",")
+	for i := range fields {
+		fields[i] = strings.TrimSpace(fields[i])
+	}
+	return fields
+}
+
+// run makes attempts until the caller has an answer. nil means that it has one,
+// or has left.
+func (x *exchange) run(ctx context.Context) *apierror.Error {
+	request := x.routingRequest()
+	prompt := x.promptContext()
+	request.Root, request.RootKnown, request.Ends = prompt.root, true, prompt.ends
+	var stream streamState
+	var last outcome
+	sent, unreached := 0, 0
+	for {
+		request.Now = time.Now()
+		choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
+		if choice.Member.ID == "" {
+			return x.noEndpoint(choice.Refusal, sent, last)
+		}
+		started := time.Now()
+		send := x.sendFor(choice, prompt)
+		if x.route.Kind == routes.Streaming {
+			last = x.streamAttempt(ctx, choice, send, &stream)
+		} else {
+			last = x.plainAttempt(ctx, choice, send)
+		}
+		x.book(choice, last, started)
+		if last.verdict != notReached {
+			sent++
+		} else {
+			unreached++
+		}
+		if last.verdict == delivered || last.verdict == callerGone {
+			return nil
+		}
+		if !x.mayTryAgain(ctx, last, &stream, sent, unreached) {
+			return x.final(last, sent)
+		}
+		request.Exclude = append(request.Exclude, choice.Member.ID)
+	}
+}
+
+// mayTryAgain decides whether another endpoint is asked. What reached no endpoint
+// costs none of them anything; all else draws on the retry budget.
+func (x *exchange) mayTryAgain(ctx context.Context, last outcome, stream *streamState, sent, unreached int) bool {
+	if ctx.Err() != nil || x.left() < minLeft {
+		return false
+	}
+	switch last.verdict {
+	case notReached:
+		return unreached < maxUnreached
+	case rejected:
+	case answeredFailure, broken:
+		resumable := x.route.Kind == routes.Streaming && x.route.Resumable
+		if !x.route.Repeatable() && !resumable {
+			return false
+		}
+		if stream.begun && !resumable {
+			return false
+		}
+	default:
+		return false
+	}
+	return sent < x.route.MaxAttempts && x.g.Budget.Spend()
+}
+
+// book tells the directory how an attempt ended, and keeps it for the log.
+func (x *exchange) book(c routing.Choice, o outcome, started time.Time) {
+	now := time.Now()
+	t := try{Endpoint: c.Member.ID, Reason: string(c.Reason), Outcome: o.verdict.String(), TookMS: now.Sub(started).Milliseconds()}
+	if o.answer != nil {
+		t.Status = o.answer.status
+		x.failed = o.answer
+	}
+	if o.err != nil {
+		t.Outcome += ": " + o.err.Error()
+	}
+	x.tries = append(x.tries, t)
+	switch o.verdict {
+	case notReached:
+		x.g.Directory.Unreachable(c, now)
+	case rejected:
+		x.g.Directory.Refused(c, now)
+	case broken, answeredFailure:
+		x.g.Directory.Done(c, true, now)
+	case timedOut:
+		x.g.Directory.Done(c, true, now)
+	default:
+		x.g.Directory.Done(c, false, now)
+	}
+}
+
+// routingRequest is the decision's input that all attempts share.
+func (x *exchange) routingRequest() *routing.Request {
+	return &routing.Request{
+		PromptTokens: x.call.PromptTokens, Domain: x.g.Domain, HeldTokens: x.call.PromptTokens + x.call.OutputTokens,
+		ImportKnown: true,
+		Objective: config.Objective{
+			TTFTMS: int(x.route.Objective.Milliseconds()), WeightTTFT: 1, WeightRecompute: recomputeWeight,
+		},
+	}
+}
+
+// recomputeWeight weighs a thousand tokens read again against a second of waiting:
+// the engine's time for them is 20 ms, and all that wait behind them feel it.
+const recomputeWeight = 0.2
+
+// loadOf translates an endpoint's own counts.
+func (g *Gateway) loadOf(c routing.Choice, l Load) fleet.Load {
+	return fleet.Load{
+		Running: l.Running, Queued: l.Waiting, PrefillRate: assumedPrefillRate, AtMS: time.Now().UnixMilli(),
+	}
+}
+
+// sendFor says what an attempt at a chosen endpoint carries.
+func (x *exchange) sendFor(c routing.Choice, p promptContext) Send {
+	s := Send{Instance: c.Member.ID, Left: x.left(), Urgency: x.urgency(), LastEvent: x.call.LastEvent}
+	if x.customer != nil {
+		s.Customer = x.customer.Name
+	}
+	if x.service.Engine != nil && p.keys != nil {
+		p.place(&s, c)
+	}
+	return s
+}
+
+// urgency maps priorities, of which 0 is the highest, to the endpoints' scale.
+func (x *exchange) urgency() int {
+	priority := x.route.Priority
+	if x.customer != nil && x.customer.HasPriority {
+		priority = x.customer.Priority
+	}
+	return max(0, min(9, priority))
+}
+
+// noEndpoint is the final answer when none can be chosen.
+func (x *exchange) noEndpoint(why routing.Refusal, sent int, last outcome) *apierror.Error {
+	if sent > 0 {
+		return x.final(last, sent)
+	}
+	message := "no endpoint of the service is known"
+	if why == routing.RefuseFull {
+		message = "all endpoints of the service are full"
+	}
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, comeBack())
+}
+
+// comeBack spreads the callers that were refused together.
+func comeBack() time.Duration {
+	return fullPause + time.Duration(rand.Int64N(int64(fullJitter)))
+}
+
+// final is the answer when nothing more is tried. Only what is proved not to have
+// run is told so; all else is unknown.
+func (x *exchange) final(last outcome, sent int) *apierror.Error {
+	switch last.verdict {
+	case notReached:
+		if sent == 0 {
+			return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint could be reached", comeBack())
+		}
+	case rejected:
+		if x.allRejected() {
+			return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "the endpoints are full", comeBack())
+		}
+	case timedOut:
+		return unknownOutcome(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up")
+	}
+	if x.failed != nil && x.mayPassStatus(x.failed.status) && !x.wrote {
+		x.deliver(x.failed)
+		return nil
+	}
+	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the endpoint's answer was lost")
+}
+
+// allRejected tells whether no attempt can have run.
+func (x *exchange) allRejected() bool {
+	for _, t := range x.tries {
+		if !strings.HasPrefix(t.Outcome, rejected.String()) && !strings.HasPrefix(t.Outcome, notReached.String()) {
+			return false
+		}
+	}
+	return true
+}
+
+func unknownOutcome(status int, code, message string) *apierror.Error {
+	return apierror.New(status, code, message).WithRan(apierror.RanUnknown, apierror.AdviceNever)
+}
--- /dev/null
+++ b/internal/coordination/gateway/stream.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/transport/upstream"
+)
+
+// streamState is what the caller already has of a stream.
+type streamState struct {
+	// begun tells that the head is with the caller.
+	begun bool
+	// last is the id of the last event passed on, number its value.
+	last   string
+	number int64
+	// length that the first answer's head declared, -1 if none; a second answer
+	// can't keep to it.
+	length int64
+}
+
+// errTorn marks a stream that ended inside an event.
+const errTorn = errors.ConstError("stream ended inside an event")
+
+// maxEvent bounds one event of a stream.
+const maxEvent = 1 << 20
+
+// streamAttempt runs a request whose answer is a stream, and passes its events on
+// as they come, each whole and once. After a broken attempt the next goes on
+// behind the last event passed on.
+func (x *exchange) streamAttempt(ctx context.Context, c routing.Choice, s Send, st *streamState) outcome {
+	if st.last != "" {
+		s.LastEvent = st.last
+	}
+	resp, reply, out := x.send(ctx, c, s)
+	if resp == nil {
+		return out
+	}
+	defer resp.Close()
+	if reply.NotRun {
+		return outcome{verdict: rejected}
+	}
+	if resp.Status != http.StatusOK {
+		return x.streamFailure(ctx, resp, st)
+	}
+	x.g.Directory.Sent(c, x.began)
+	return x.relay(ctx, resp, st)
+}
+
+// streamFailure takes an answer that is no stream.
+func (x *exchange) streamFailure(ctx context.Context, resp *upstream.Response, st *streamState) outcome {
+	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
+	if err != nil {
+		return x.failure(ctx, err)
+	}
+	answer := &buffered{status: resp.Status, header: resp.Header, body: body}
+	if st.begun || resp.Status >= http.StatusInternalServerError || !x.mayPassStatus(resp.Status) {
+		return outcome{verdict: answeredFailure, answer: answer}
+	}
+	x.deliver(answer)
+	return outcome{verdict: delivered}
+}
+
+// relay passes events on until the stream ends.
+func (x *exchange) relay(ctx context.Context, resp *upstream.Response, st *streamState) outcome {
+	reader := bufio.NewReader(resp)
+	flush := http.NewResponseController(x.w)
+	for {
+		event, err := readEvent(reader)
+		if err == io.EOF {
+			return x.endOfStream(resp, st)
+		}
+		if err != nil {
+			return x.failure(ctx, err)
+		}
+		if !st.take(event) {
+			continue
+		}
+		x.beginStream(resp, st)
+		if _, err := x.w.Write(event); err != nil {
+			return outcome{verdict: callerGone, err: err}
+		}
+		if err := flush.Flush(); err != nil {
+			return outcome{verdict: callerGone, err: err}
+		}
+	}
+}
+
+// beginStream passes the head on with the first event: until then another
+// endpoint may still be asked as if nothing had happened.
+func (x *exchange) beginStream(resp *upstream.Response, st *streamState) {
+	if st.begun {
+		return
+	}
+	st.begun, st.length = true, resp.Length
+	x.writeHead(resp.Status, resp.Header, -1)
+}
+
+func (x *exchange) endOfStream(resp *upstream.Response, st *streamState) outcome {
+	x.beginStream(resp, st)
+	return outcome{verdict: delivered}
+}
+
+// take tells whether an event is new to the caller, and counts it as passed on.
+func (st *streamState) take(event []byte) bool {
+	id, ok := eventID(event)
+	if !ok {
+		return true
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err == nil {
+		if st.last != "" && number <= st.number {
+			return false
+		}
+		st.number = number
+	}
+	st.last = id
+	return true
+}
+
+// eventID finds an event's id field.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+// readEvent reads one whole event with the blank line that ends it; io.EOF comes
+// only between events.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for len(event) <= maxEvent {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case err == bufio.ErrBufferFull:
+			continue
+		case err == io.EOF && len(event) > 0:
+			return nil, errTorn
+		case err != nil:
+			return nil, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && endsLine(event, line) {
+			return event, nil
+		}
+	}
+	return nil, errors.New("event is too large")
+}
+
+// endsLine tells whether line, the end of event, is a line of its own and not the
+// tail of one that did not fit the buffer.
+func endsLine(event, line []byte) bool {
+	before := event[:len(event)-len(line)]
+	return len(before) == 0 || before[len(before)-1] == '\n'
+}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -175,6 +175,16 @@
 	t.SentRuns++
 }
 
+// Describe tells the fixed properties of an endpoint that its reports leave out.
+func (d *Directory) Describe(member string, slots, memoryTokens int, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(now)
+	if t, ok := d.dynamic[member]; ok {
+		t.Slots, t.MemoryTokens = slots, memoryTokens
+	}
+}
+
 // Observe takes in a load that came along with an answer.
 func (d *Directory) Observe(member string, load fleet.Load, now time.Time) {
 	d.mu.Lock()
@@ -195,6 +205,8 @@
 	keys         []contextkey.Key
 	hash         uint64
 	seen         bool
+	held         int
+	began        time.Time
 }
 
 // Choose decides for a service's request and counts it as sent; call Done when
@@ -204,22 +216,24 @@
 	defer d.mu.Unlock()
 	d.refresh(r.Now)
 	var space [holders + 1]Holding
-	r.Holdings = d.index.Lookup(keys, r.Now, space[:0])
+	r.Holdings = d.index.Lookup(keys, r.Ends, r.Now, space[:0])
 	seen := len(r.Holdings) > 0
-	r.ImportChance = d.index.ImportChance(seen)
-	r.ContextTokens, r.KnownTokens, r.Gap = len(keys)*contextkey.PieceTokens, 0, 0
+	if !r.ImportKnown {
+		r.ImportChance = d.index.ImportChance(seen)
+	}
+	r.ContextTokens, r.KnownTokens, r.Gap = tokensTo(r.Ends, len(keys)), 0, 0
 	for _, h := range r.Holdings {
 		if h.Tokens > r.KnownTokens {
 			r.KnownTokens, r.Gap = h.Tokens, h.Age
 		}
 	}
-	if len(keys) > 0 {
+	if len(keys) > 0 && !r.RootKnown {
 		root := d.index.Root(keys)
 		r.Root = RootOf([]contextkey.Key{root}, "")
 	}
 	if list := d.services[service]; len(list) > 0 {
 		home := homesOf(list, r.Root)[0].Hash
-		r.Holdings = d.index.AddHome(home, len(keys), r.Holdings)
+		r.Holdings = d.index.AddHome(home, r.ContextTokens, r.Holdings)
 	}
 	v := Decide(d.services[service], r, d.random)
 	if v.Endpoint == nil {
@@ -227,9 +241,11 @@
 	}
 	e := v.Endpoint
 	e.Running++
+	e.HeldTokens += r.HeldTokens
 	d.dynamic[e.ID].sent(v.WorkTokens, r.Now)
 	c := Choice{
 		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
+		held: r.HeldTokens, began: r.Now,
 	}
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
@@ -260,8 +276,10 @@
 		return
 	}
 	t.Running--
+	t.HeldTokens -= c.held
 	if !failed {
 		t.failures, t.ejections = 0, 0
+		t.learnRunTime(now.Sub(c.began))
 		return
 	}
 	t.failures++
@@ -270,6 +288,60 @@
 	}
 }
 
+// learnRunTime keeps a moving average of how long a whole run takes.
+func (t *tracked) learnRunTime(took time.Duration) {
+	const weight = 16
+	if t.RunTime == 0 {
+		t.RunTime = took
+		return
+	}
+	t.RunTime += (took - t.RunTime) / weight
+}
+
+// Sent records that an endpoint reads a choice's context. Started does it for
+// engines that also tell what they found.
+func (d *Directory) Sent(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index.Store(c.keys, c.hash, now)
+}
+
+// Unreachable ends a choice's run at an endpoint that could not be reached or fell
+// silent. One such failure is enough: each further try costs a caller the time
+// until it is noticed.
+func (d *Directory) Unreachable(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.dynamic[c.Member.ID]
+	if !ok || t.incarnation != c.Member.Incarnation {
+		return
+	}
+	t.Running--
+	t.HeldTokens -= c.held
+	if !t.EjectedUntil.After(now) {
+		t.eject(now, d.random)
+	}
+}
+
+// Refused ends a choice's run that the endpoint did not accept: it is full or
+// busy with an order, and others are asked for a moment.
+func (d *Directory) Refused(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.dynamic[c.Member.ID]
+	if !ok || t.incarnation != c.Member.Incarnation {
+		return
+	}
+	t.Running--
+	t.HeldTokens -= c.held
+	if until := now.Add(refusalPause); until.After(t.EjectedUntil) {
+		t.EjectedUntil = until
+	}
+}
+
+// refusalPause is about the time in which a full endpoint ends a run.
+const refusalPause = 100 * time.Millisecond
+
 // eject doubles the time out of decisions, with jitter so that entries do not
 // all return at once to an endpoint that is just recovering.
 func (t *tracked) eject(now time.Time, random *rand.Rand) {
--- a/internal/coordination/routing/index.go
+++ b/internal/coordination/routing/index.go
@@ -54,7 +54,9 @@
 }
 
 // Lookup appends to out where the longest prefixes of a context may be resident.
-func (x *Index) Lookup(keys []contextkey.Key, now time.Time, out []Holding) []Holding {
+// ends holds the tokens up to the end of each key's piece; nil means that all
+// pieces have contextkey.PieceTokens.
+func (x *Index) Lookup(keys []contextkey.Key, ends []int, now time.Time, out []Holding) []Holding {
 	for i := len(keys) - 1; i >= 0; i-- {
 		found, ok := x.current[keys[i]]
 		if !ok {
@@ -69,7 +71,7 @@
 			}
 			age := now.Sub(time.Unix(0, h.at))
 			out = append(out, Holding{
-				Endpoint: h.endpoint, Tokens: (i + 1) * contextkey.PieceTokens, Chance: x.hitRate[bucket(age)], Age: age,
+				Endpoint: h.endpoint, Tokens: tokensTo(ends, i+1), Chance: x.hitRate[bucket(age)], Age: age,
 			})
 		}
 		if len(out) >= holders {
@@ -79,6 +81,17 @@
 	return out
 }
 
+// tokensTo counts the tokens of a context's first pieces.
+func tokensTo(ends []int, pieces int) int {
+	switch {
+	case pieces == 0:
+		return 0
+	case ends == nil:
+		return pieces * contextkey.PieceTokens
+	}
+	return ends[pieces-1]
+}
+
 // branch counts how many different pieces follow a piece.
 type branch struct {
 	last  contextkey.Key
@@ -117,11 +130,11 @@
 // compute the same home, so a context that one of them sent there is found by
 // the others without a word between them; without it each entry would build a
 // copy of its own in another engine's memory.
-func (x *Index) AddHome(home uint64, pieces int, out []Holding) []Holding {
-	if pieces == 0 || has(out, home) {
+func (x *Index) AddHome(home uint64, tokens int, out []Holding) []Holding {
+	if tokens == 0 || has(out, home) {
 		return out
 	}
-	return append(out, Holding{Endpoint: home, Tokens: pieces * contextkey.PieceTokens, Chance: x.homeRate, Home: true})
+	return append(out, Holding{Endpoint: home, Tokens: tokens, Chance: x.homeRate, Home: true})
 }
 
 func has(list []Holding, endpoint uint64) bool {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -26,6 +26,8 @@
 	// defaultPrefillRate is assumed of an endpoint that has reported none, in
 	// tokens per second.
 	defaultPrefillRate = 8000
+	// assumedRunTime is used before a run of an endpoint has ended.
+	assumedRunTime = 100 * time.Millisecond
 	// otherDomain is the added round trip to another failure domain.
 	otherDomain = time.Millisecond
 	// slowStart is how long a new endpoint's estimate is raised: the first
@@ -71,6 +73,14 @@
 	EjectedUntil time.Time
 	// FirstSeen is when this incarnation appeared.
 	FirstSeen time.Time
+	// Slots is how many requests the endpoint runs at once, 0 if unknown; further
+	// ones wait there.
+	Slots int
+	// MemoryTokens is the engine's memory for context and running requests, 0 if
+	// unknown; HeldTokens is what this entry's own runs take of it.
+	MemoryTokens, HeldTokens int
+	// RunTime is the mean length of whole runs.
+	RunTime time.Duration
 }
 
 // Holding tells that an endpoint probably has a context's first tokens resident.
@@ -102,7 +112,16 @@
 	// ImportChance is the share of a missing context that stores are found to
 	// hold for requests like this one.
 	ImportChance float64
-	Objective    config.Objective
+	// ImportKnown: ImportChance is known from the stores, not learned.
+	ImportKnown bool
+	// Ends holds the tokens up to the end of each piece of context; nil if all have
+	// the same size.
+	Ends []int
+	// RootKnown keeps Root as given.
+	RootKnown bool
+	// HeldTokens of engine memory that the run takes.
+	HeldTokens int
+	Objective  config.Objective
 	// Domain of the deciding entry.
 	Domain string
 	// WeightVersion, if set, is the only one accepted (a resumed run).
@@ -439,10 +458,28 @@
 // read: what this entry sent since is added.
 func (e *Endpoint) queuedTokens() int { return e.Load.QueuedTokens + e.SentTokens }
 
+// busy is how many requests the endpoint has, as far as this entry knows.
+func (e *Endpoint) busy() int {
+	return max(e.Running, e.Load.Running+e.Load.Queued+e.SentRuns)
+}
+
+// slotWait is how long a further request waits for one of the endpoint's slots: a
+// slot comes free every RunTime/Slots.
+func (e *Endpoint) slotWait() time.Duration {
+	if e.Slots == 0 || e.busy() < e.Slots {
+		return 0
+	}
+	runTime := e.RunTime
+	if runTime == 0 {
+		runTime = assumedRunTime
+	}
+	return runTime * time.Duration(e.busy()-e.Slots+1) / time.Duration(e.Slots)
+}
+
 // overhead is the way there, a slow start, and a little for each run that shares
 // the engine with the prefill.
 func (e *Endpoint) overhead(r *Request) time.Duration {
-	d := time.Duration(e.Load.Running+e.SentRuns) * 100 * time.Microsecond
+	d := time.Duration(e.Load.Running+e.SentRuns)*100*time.Microsecond + e.slotWait()
 	if e.Domain != r.Domain {
 		d += otherDomain
 	}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -192,7 +192,7 @@
 	}
 	keys := []contextkey.Key{{200, 200}, {201, 200}}
 	x.Store(keys, 7, epoch)
-	found := x.Lookup(keys, epoch.Add(time.Minute), nil)
+	found := x.Lookup(keys, nil, epoch.Add(time.Minute), nil)
 	if len(found) != 1 || found[0].Endpoint != 7 || found[0].Tokens != 2*contextkey.PieceTokens {
 		t.Fatalf("%+v", found)
 	}
@@ -200,7 +200,7 @@
 	for range 50 {
 		x.Learn(found[0], 0)
 	}
-	if after := x.Lookup(keys, epoch.Add(time.Minute), nil)[0].Chance; after > before/4 {
+	if after := x.Lookup(keys, nil, epoch.Add(time.Minute), nil)[0].Chance; after > before/4 {
 		t.Errorf("chance %g after 50 misses, %g before", after, before)
 	}
 }
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -138,7 +138,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Limpetwall-Ran", string(e.Ran))
-	if e.Retry.AfterMS > 0 {
+	if e.Retry.AfterMS > 0 && h.Get("Retry-After") == "" {
 		// Whole seconds, rounded up: earlier would be turned away again.
 		h.Set("Retry-After", strconv.FormatInt((e.Retry.AfterMS+999)/1000, 10))
 	}
--- /dev/null
+++ b/internal/state/routes/routes.go
@@ -0,0 +1,194 @@
+// Package routes holds the routing table of one configuration: which service a
+// request's host and path lead to, on what terms, and whose key it carries. A
+// Table is immutable.
+package routes
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be repeated.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests run at most once for each attempt of the caller.
+	NonIdempotent
+	// Streaming answers are event streams.
+	Streaming
+)
+
+// String gives the kind's name for logs and metrics.
+func (k Kind) String() string {
+	return [...]string{"idempotent", "non_idempotent", "streaming"}[k]
+}
+
+// Target is one service of a route with its share of the requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route is one entry of the table.
+type Route struct {
+	Name, Host string
+	// Prefix begins and ends with a slash.
+	Prefix  string
+	Kind    Kind
+	Targets []Target
+	// Timeout is the longest time to an answer's end, Objective the time within
+	// which an answer (a stream's first event) is on time.
+	Timeout, Objective time.Duration
+	// MaxAttempts is the number of endpoints that one request may be sent to.
+	MaxAttempts int
+	// Priority 0 is the most urgent.
+	Priority int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another endpoint after the last event.
+	Resumable bool
+}
+
+// Repeatable tells whether a request that may have run may be sent again from
+// its beginning.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
+
+// Pick chooses the target for a uniform number.
+func (r *Route) Pick(random uint64) string {
+	total := uint64(0)
+	for _, t := range r.Targets {
+		total += uint64(max(0, t.Weight))
+	}
+	if total == 0 {
+		return r.Targets[0].Service
+	}
+	random %= total
+	for _, t := range r.Targets {
+		weight := uint64(max(0, t.Weight))
+		if random < weight {
+			return t.Service
+		}
+		random -= weight
+	}
+	return r.Targets[0].Service
+}
+
+// Engine describes the model servers of a service.
+type Engine struct {
+	Slots        int
+	MemoryTokens int
+	TokenBytes   int
+	// LinkBytesPerSecond is the rate at which one server imports or exports context.
+	LinkBytesPerSecond int64
+	Models             []string
+}
+
+// Store describes a store of kept context.
+type Store struct {
+	Address            string
+	Domain             string
+	MemoryTokens       int
+	LinkBytesPerSecond int64
+	// FirstByte is the fixed wait of each transfer.
+	FirstByte time.Duration
+	// Managed stores drop nothing by themselves.
+	Managed bool
+}
+
+// Service is what routes lead to. Exactly one of Engine and Store may be set.
+type Service struct {
+	Name           string
+	MaxConnections int
+	Engine         *Engine
+	Store          *Store
+}
+
+// Customer owns keys.
+type Customer struct {
+	Name string
+	Keys []string
+	// Priority, if HasPriority, goes before the route's.
+	Priority    int
+	HasPriority bool
+	// Isolated customers share no context with others.
+	Isolated bool
+}
+
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	HeaderTimeout          time.Duration
+	IdleTimeout            time.Duration
+}
+
+// Table is one configuration.
+type Table struct {
+	// Version is the operators' number, Revision the store's.
+	Version  uint64
+	Revision uint64
+	Services map[string]*Service
+	Limits   Limits
+	// Keyed tells that requests carry keys.
+	Keyed bool
+
+	byHost map[string][]*Route
+	owners map[string]*Customer
+}
+
+// New builds a table.
+func New(version, revision uint64, list []Route, services []Service, customers []Customer, limits Limits) *Table {
+	t := &Table{
+		Version: version, Revision: revision, Limits: limits, Keyed: len(customers) > 0,
+		Services: map[string]*Service{}, byHost: map[string][]*Route{}, owners: map[string]*Customer{},
+	}
+	for i := range list {
+		r := &list[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, byLength := range t.byHost {
+		sort.SliceStable(byLength, func(a, b int) bool { return len(byLength[a].Prefix) > len(byLength[b].Prefix) })
+	}
+	for i := range services {
+		t.Services[services[i].Name] = &services[i]
+	}
+	for i := range customers {
+		for _, key := range customers[i].Keys {
+			t.owners[key] = &customers[i]
+		}
+	}
+	return t
+}
+
+// Match finds the route with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Owner finds the customer that holds a key.
+func (t *Table) Owner(key string) (*Customer, bool) {
+	c, ok := t.owners[key]
+	return c, ok
+}
+
+// Each calls f for each route.
+func (t *Table) Each(f func(*Route)) {
+	for _, list := range t.byHost {
+		for _, r := range list {
+			f(r)
+		}
+	}
+}
--- a/internal/transport/httpjson/httpjson.go
+++ b/internal/transport/httpjson/httpjson.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return nil, classify(err)
--- /dev/null
+++ b/internal/transport/ingress/ingress.go
@@ -0,0 +1,108 @@
+// Package ingress serves callers' HTTP/1.1 connections under limits that may
+// change at any time, also for connections that are already open, and stops
+// without cutting a request.
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"limpetwall/internal/state/routes"
+)
+
+const (
+	// markIdle and markHeader are the fixed time limits given to net/http, which
+	// reads them without synchronisation. They are never waited for: each tells
+	// conn which of the limits in force it stands for.
+	markIdle   = 2 * time.Hour
+	markHeader = time.Hour
+	// hardHeaderBytes bounds a header while it is read; the limit in force is
+	// checked when it is whole.
+	hardHeaderBytes = 1 << 20
+	// slack above the callers' own idle limit keeps this side from closing at the
+	// moment when a caller sends.
+	slack = time.Second
+)
+
+// Server serves one address.
+type Server struct {
+	http     *http.Server
+	limits   atomic.Pointer[routes.Limits]
+	stopping atomic.Bool
+}
+
+// New returns a server; handler gets every request.
+func New(handler http.Handler) *Server {
+	s := &Server{}
+	s.limits.Store(&routes.Limits{})
+	s.http = &http.Server{
+		Handler: s.closing(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: hardHeaderBytes,
+		ErrorLog: nil,
+	}
+	return s
+}
+
+// closing asks callers to open a new connection, elsewhere, once the server stops.
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// SetLimits puts limits in force.
+func (s *Server) SetLimits(l routes.Limits) { s.limits.Store(&l) }
+
+// Serve accepts connections until Stop; it returns http.ErrServerClosed then.
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l, s}) }
+
+// StopKeeping makes every further answer the last of its connection.
+func (s *Server) StopKeeping() { s.stopping.Store(true) }
+
+// Stop closes the listener and idle connections and waits for requests underway
+// until ctx ends.
+func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close ends everything at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, server: l.server}, nil
+}
+
+// conn puts the limits in force in place of the marks.
+type conn struct {
+	net.Conn
+	server *Server
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	limits := c.server.limits.Load()
+	left := time.Until(t)
+	switch {
+	case left > markHeader+time.Minute && limits.IdleTimeout > 0:
+		t = time.Now().Add(limits.IdleTimeout + slack)
+	case left > markHeader-time.Minute && left <= markHeader && limits.HeaderTimeout > 0:
+		t = time.Now().Add(limits.HeaderTimeout)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
--- /dev/null
+++ b/internal/transport/upstream/conn.go
@@ -0,0 +1,179 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Errors of an exchange. Any other error means that the request may have reached
+// the endpoint.
+const (
+	// ErrNotSent: no byte of the request left this process.
+	ErrNotSent = errors.ConstError("request was not sent")
+	// ErrForeign: the connection brought something that is no answer to the request.
+	ErrForeign = errors.ConstError("answer belongs to no request")
+)
+
+const (
+	// readBuffer holds an answer's header and an event or two.
+	readBuffer = 8 << 10
+	// inlineBody is written before the answer is read; a peer's receive window
+	// takes it. Longer ones are written beside the reading: an endpoint that
+	// answers early without reading the body would block the writer for ever.
+	inlineBody = 16 << 10
+	// maxForeign answers in a row are skipped, of at most maxForeignBody bytes each.
+	maxForeign     = 4
+	maxForeignBody = 1 << 20
+)
+
+// Request is one request to an endpoint.
+type Request struct {
+	Method string
+	// URI is the request target as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody tells that a length is declared though Body is empty.
+	HasBody bool
+	// Matches tells whether an answer's header belongs to this request. fresh tells
+	// that nothing else was asked on the connection.
+	Matches func(h http.Header, fresh bool) bool
+}
+
+// conn is one connection; one exchange at a time uses it.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// served counts exchanges begun.
+	served int
+	// idleSince and idleFor bound its reuse.
+	idleSince time.Time
+	idleFor   time.Duration
+	// writing is closed when the current request is written; wrote tells how.
+	writing chan struct{}
+	wrote   error
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
+}
+
+// usable tells whether an idle connection may carry another request. Bytes that
+// came while it was idle are an answer to nothing, and the end means that the
+// endpoint closed it; both are seen here without waiting.
+func (c *conn) usable(now time.Time) bool {
+	if now.Sub(c.idleSince) >= c.idleFor || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(fd), one[:])
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// send writes a request; a long body goes on beside the reading of the answer.
+func (c *conn) send(r *Request) error {
+	c.served++
+	c.writing, c.wrote = make(chan struct{}), nil
+	head := r.head()
+	if len(r.Body) <= inlineBody {
+		n, err := c.Write(append(head, r.Body...))
+		c.wrote = err
+		close(c.writing)
+		if err != nil && n == 0 {
+			return errors.WithType(err, ErrNotSent)
+		}
+		// A failed write may follow an early answer that is still to be read.
+		return nil
+	}
+	if n, err := c.Write(head); err != nil {
+		c.wrote = err
+		close(c.writing)
+		if n == 0 {
+			return errors.WithType(err, ErrNotSent)
+		}
+		return nil
+	}
+	go func(done chan struct{}) {
+		defer close(done)
+		_, c.wrote = c.Write(r.Body)
+	}(c.writing)
+	return nil
+}
+
+// written tells whether the whole request has been written.
+func (c *conn) written() bool {
+	select {
+	case <-c.writing:
+		return c.wrote == nil
+	default:
+		return false
+	}
+}
+
+func (r *Request) head() []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	r.Header.Write(&b)
+	if len(r.Body) > 0 || r.HasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// answer reads the head of the answer to r, skipping interim and foreign ones. An
+// endpoint may send a second answer late, where the next one is expected; taken
+// for that, it would give one caller another's answer.
+func (c *conn) answer(r *Request) (*http.Response, error) {
+	asked := &http.Request{Method: r.Method}
+	for skipped := 0; skipped <= maxForeign; {
+		resp, err := http.ReadResponse(c.reader, asked)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if resp.StatusCode/100 == 1 {
+			continue
+		}
+		if r.Matches(resp.Header, c.served == 1) {
+			return resp, nil
+		}
+		skipped++
+		if resp.Close {
+			break
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBody)); err != nil || n == maxForeignBody {
+			break
+		}
+	}
+	return nil, ErrForeign
+}
+
+// keepAlive reads how long an endpoint keeps an idle connection.
+func keepAlive(h http.Header, standard time.Duration) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return standard
+}
--- /dev/null
+++ b/internal/transport/upstream/pool.go
@@ -0,0 +1,200 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// standardIdle is how long a connection is reused if its endpoint names no time.
+	standardIdle = 4 * time.Second
+	// idleMargin is left of the endpoint's own idle time: a request that crosses the
+	// endpoint's close has an unknown outcome.
+	idleMargin = time.Second
+	// maxIdle connections are kept for one address.
+	maxIdle = 24
+)
+
+// Pool keeps idle connections to endpoints. Safe for concurrent use.
+type Pool struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+
+	// Opened counts connections made.
+	Opened atomic.Int64
+}
+
+// NewPool returns an empty pool.
+func NewPool(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Pool {
+	return &Pool{dial: dial, idle: map[string][]*conn{}}
+}
+
+// Response is an answer whose body is read as it comes.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length of the body, -1 if it is not declared.
+	Length int64
+	// Unframed bodies end with their connection.
+	Unframed bool
+
+	body io.ReadCloser
+	conn *conn
+	pool *Pool
+	stop func() bool
+	addr string
+	err  error
+}
+
+// Do sends a request and returns the head of its answer. The request ends with
+// ctx: the connection is closed, which tells the endpoint to stop. The caller
+// must Close the response.
+func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, errors.WithType(err, ErrNotSent)
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	err = c.send(r)
+	var head *http.Response
+	if err == nil {
+		head, err = c.answer(r)
+	}
+	if err != nil {
+		stop()
+		c.Close()
+		return nil, err
+	}
+	return &Response{
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
+		Unframed: head.Close && head.ContentLength < 0 && len(head.TransferEncoding) == 0,
+		body:     head.Body, conn: c, pool: p, stop: stop, addr: address,
+		err: keepable(head, c),
+	}, nil
+}
+
+// errNotKept marks a connection that can't be used again.
+const errNotKept = errors.ConstError("connection ends with this answer")
+
+func keepable(head *http.Response, c *conn) error {
+	c.idleFor = keepAlive(head.Header, standardIdle+idleMargin) - idleMargin
+	if head.Close || c.idleFor <= 0 {
+		return errNotKept
+	}
+	return nil
+}
+
+// Read implements io.Reader; io.EOF means that the body is whole.
+func (r *Response) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if err != nil {
+		r.finish(err)
+	}
+	return n, err
+}
+
+// finish gives the connection back after a whole body.
+func (r *Response) finish(err error) {
+	if r.conn == nil {
+		return
+	}
+	c := r.conn
+	r.conn = nil
+	// The request's end must not close a connection that the next one uses.
+	alive := r.stop()
+	if err != io.EOF || r.err != nil || !alive || !c.written() {
+		c.Close()
+		return
+	}
+	r.pool.put(r.addr, c)
+}
+
+// Close ends the exchange; a body that was not read to its end costs its connection.
+func (r *Response) Close() {
+	r.finish(io.ErrUnexpectedEOF)
+}
+
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if c.usable(now) {
+			return c, nil
+		}
+		c.Close()
+	}
+	raw, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p.Opened.Add(1)
+	return newConn(raw), nil
+}
+
+// pop takes the connection that was used last: the others may then grow old and
+// be closed.
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(address string, c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) >= maxIdle {
+		list[0].Close()
+		list = list[1:]
+	}
+	p.idle[address] = append(list, c)
+}
+
+// Forget closes the idle connections of an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Sweep closes connections that have been idle too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleSince) >= c.idleFor {
+				c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
