--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"limpetwall/internal/coordination/routing"
 )
 
 // SyncDuty keeps the directory's picture of the endpoints' fixed properties, and
@@ -34,11 +36,11 @@
 	now := time.Now()
 	for _, i := range g.State.Instances() {
 		after[i.Address] = true
-		memory := 0
+		properties := routing.Properties{Slots: i.Slots, PrefillRate: assumedPrefillRate}
 		if s := table.Services[i.Service]; s != nil && s.Engine != nil {
-			memory = s.Engine.MemoryTokens
+			properties.MemoryTokens = s.Engine.MemoryTokens
 		}
-		g.Directory.Describe(i.ID, i.Slots, memory, now)
+		g.Directory.Describe(i.ID, properties, now)
 	}
 	for address := range before {
 		if !after[address] {
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -175,13 +175,30 @@
 	t.SentRuns++
 }
 
-// Describe tells the fixed properties of an endpoint that its reports leave out.
-func (d *Directory) Describe(member string, slots, memoryTokens int, now time.Time) {
+// Properties of an endpoint that do not change while it lives; 0 means unknown.
+type Properties struct {
+	// Slots is how many requests it runs at once.
+	Slots int
+	// MemoryTokens is an engine's memory.
+	MemoryTokens int
+	// PrefillRate in tokens per second is assumed until the endpoint reports one.
+	// Without it an endpoint that was never used would look slower than the others,
+	// and never be used.
+	PrefillRate int
+}
+
+// Describe tells an endpoint's properties.
+func (d *Directory) Describe(member string, p Properties, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.refresh(now)
-	if t, ok := d.dynamic[member]; ok {
-		t.Slots, t.MemoryTokens = slots, memoryTokens
+	t, ok := d.dynamic[member]
+	if !ok {
+		return
+	}
+	t.Slots, t.MemoryTokens = p.Slots, p.MemoryTokens
+	if t.Load.PrefillRate == 0 {
+		t.Load.PrefillRate = p.PrefillRate
 	}
 }
 
