Decisions read what engines say of their own memory

Cause: where a context is resident was guessed from this entry's own sends; sources that had evicted it cost re-reads.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -48,7 +48,9 @@
 	Metrics metrics.Registry
 
 	// weights holds the newest version of each model that an endpoint serves.
-	weights  atomic.Pointer[map[string]int64]
+	weights atomic.Pointer[map[string]int64]
+	// engines maps addresses to the hashes of the instances there.
+	engines  atomic.Pointer[map[string]uint64]
 	stopping atomic.Bool
 	inflight atomic.Int64
 }
--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -62,16 +62,25 @@
 	return p
 }
 
-// stored is how many tokens of a prompt stores hold, from its beginning.
-func (x *exchange) stored(p promptContext) int {
-	if len(p.parts) == 0 || x.g.Keeper == nil {
-		return 0
-	}
+// know tells a decision what stores and engines hold of a prompt.
+func (x *exchange) know(r *routing.Request, p promptContext) {
 	weights := discovery.VersionName(x.g.weightsOf(x.call.Model))
-	if weights == "" {
-		return 0
+	if len(p.parts) == 0 || x.g.Keeper == nil || weights == "" {
+		return
+	}
+	salt := kept.Salt(p.wall, x.call.Model, weights)
+	r.StoredTokens = x.g.Keeper.Stored(salt, p.parts)
+	members := *x.g.engines.Load()
+	r.HoldingsKnown = x.g.Keeper.Informed()
+	if !r.HoldingsKnown {
+		return
+	}
+	r.Holdings = r.Holdings[:0]
+	for _, e := range x.g.Keeper.Resident(salt, p.parts) {
+		if hash, ok := members[e.Address]; ok {
+			r.Holdings = append(r.Holdings, routing.Holding{Endpoint: hash, Tokens: e.Tokens, Chance: 1})
+		}
 	}
-	return x.g.Keeper.Stored(kept.Salt(p.wall, x.call.Model, weights), p.parts)
 }
 
 // place says where a send's context comes from and goes to. Without a known
@@ -83,12 +92,7 @@
 	}
 	s.Weights, s.CacheSalt = weights, kept.Salt(p.wall, x.call.Model, c.Member.Endpoint.WeightVersion)
 	from, to, stored, until := x.g.Keeper.Plan(s.CacheSalt, strconv.FormatUint(p.root, 36), p.parts)
-	source, pieces := x.g.Directory.Source(x.service.Name, c, p.keys, x.began)
-	for i := range from[:pieces] {
-		if from[i] == "" {
-			from[i] = source.Address
-		}
-	}
+	x.importFromEngine(from, s.CacheSalt, p, c)
 	s.ImportFrom, s.ExportTo = x.forAllParts(from), x.forAllParts(to)
 	if strings.Join(from, "") != "" {
 		s.ImportUntil = until
@@ -96,6 +100,28 @@
 	x.storedTokens = stored
 }
 
+// importFromEngine names another engine as source where it keeps a longer part of
+// the context than the chosen one: its link is the fastest.
+func (x *exchange) importFromEngine(from []string, salt string, p promptContext, c routing.Choice) {
+	var best kept.Resident
+	own := 0
+	for _, e := range x.g.Keeper.Resident(salt, p.parts) {
+		if e.Address == c.Member.Address {
+			own = e.Parts
+			continue
+		}
+		if e.Parts > best.Parts {
+			best = e
+		}
+	}
+	if best.Parts <= own {
+		return
+	}
+	for i := own; i < best.Parts; i++ {
+		from[i] = best.Address
+	}
+}
+
 // forAllParts adds the parts that belong to the request alone: they come from
 // nowhere and go nowhere.
 func (x *exchange) forAllParts(addresses []string) []string {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -48,7 +48,7 @@
 	request := x.routingRequest()
 	prompt := x.promptContext()
 	request.Root, request.RootKnown, request.Ends = prompt.root, true, prompt.ends
-	request.StoredTokens = x.stored(prompt)
+	x.know(request, prompt)
 	var stream streamState
 	var last outcome
 	sent, unreached := 0, 0
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -34,9 +34,13 @@
 	}
 	after := map[string]bool{}
 	now := time.Now()
-	weights := map[string]int64{}
+	weights, engines, members := map[string]int64{}, map[string]bool{}, map[string]uint64{}
 	for _, i := range g.State.Instances() {
 		after[i.Address] = true
+		if i.Model != "" {
+			engines[i.Address] = true
+			members[i.Address] = routing.HashID(i.ID)
+		}
 		weights[i.Model] = max(weights[i.Model], i.Weights)
 		properties := routing.Properties{Slots: i.Slots, PrefillRate: assumedPrefillRate, LinkRate: assumedLinkRate}
 		if s := table.Services[i.Service]; s != nil && s.Engine != nil {
@@ -45,6 +49,10 @@
 		g.Directory.Describe(i.ID, properties, now)
 	}
 	g.weights.Store(&weights)
+	g.engines.Store(&members)
+	if g.Keeper != nil {
+		g.Keeper.SetEngines(engines)
+	}
 	for address := range before {
 		if !after[address] {
 			g.Pool.Forget(address)
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -32,6 +32,8 @@
 
 	mu     sync.Mutex
 	stores map[string]*store
+	// engines hold what each engine keeps in its own memory.
+	engines map[string]*store
 	// clock is the endpoints' clock less this process's, in ms; known once told.
 	clock      int64
 	clockKnown bool
@@ -40,7 +42,7 @@
 
 // New returns a keeper that knows no store.
 func New(feed Feed, log *zap.Logger, domain string, now func() time.Time) *Keeper {
-	return &Keeper{Feed: feed, Log: log, Domain: domain, Now: now, stores: map[string]*store{}, changed: make(chan struct{}, 1)}
+	return &Keeper{Feed: feed, Log: log, Domain: domain, Now: now, stores: map[string]*store{}, engines: map[string]*store{}, changed: make(chan struct{}, 1)}
 }
 
 // SetStores tells which stores the configuration names.
@@ -60,6 +62,11 @@
 		next[s.Store.Address] = old
 	}
 	k.stores = next
+	k.wake()
+}
+
+// wake tells Run that there are other stores or engines.
+func (k *Keeper) wake() {
 	select {
 	case k.changed <- struct{}{}:
 	default:
@@ -78,21 +85,22 @@
 	storePause = 300 * time.Millisecond
 )
 
-// Run follows the stores, one duty each, until ctx ends.
+// Run follows the stores and engines, one duty each, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	defer duties.Wait()
 	running := map[string]context.CancelFunc{}
 	for {
-		for address := range k.addresses() {
+		wanted := k.followers()
+		for address, follow := range wanted {
 			if running[address] == nil {
-				storeCtx, cancel := context.WithCancel(ctx)
+				own, cancel := context.WithCancel(ctx)
 				running[address] = cancel
-				duties.Go(func() { k.follow(storeCtx, address) })
+				duties.Go(func() { follow(own, address) })
 			}
 		}
 		for address, cancel := range running {
-			if !k.addresses()[address] {
+			if wanted[address] == nil {
 				cancel()
 				delete(running, address)
 			}
@@ -105,12 +113,16 @@
 	}
 }
 
-func (k *Keeper) addresses() map[string]bool {
+// followers is what each address is followed by.
+func (k *Keeper) followers() map[string]func(context.Context, string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := map[string]bool{}
+	out := map[string]func(context.Context, string){}
+	for address := range k.engines {
+		out[address] = k.followEngine
+	}
 	for address := range k.stores {
-		out[address] = true
+		out[address] = k.follow
 	}
 	return out
 }
@@ -119,12 +131,7 @@
 	for ctx.Err() == nil {
 		if err := k.followOnce(ctx, address); err != nil && ctx.Err() == nil {
 			k.forget(address, err)
-			timer := time.NewTimer(storePause)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-			}
-			timer.Stop()
+			sleep(ctx, storePause)
 		}
 	}
 }
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -256,7 +256,9 @@
 	defer d.mu.Unlock()
 	d.refresh(r.Now)
 	var space [holders + 1]Holding
-	r.Holdings = d.index.Lookup(keys, r.Ends, r.Now, space[:0])
+	if !r.HoldingsKnown {
+		r.Holdings = d.index.Lookup(keys, r.Ends, r.Now, space[:0])
+	}
 	seen := len(r.Holdings) > 0
 	if !r.ImportKnown {
 		r.ImportChance = d.index.ImportChance(seen)
@@ -271,7 +273,7 @@
 		root := d.index.Root(keys)
 		r.Root = RootOf([]contextkey.Key{root}, "")
 	}
-	if list := d.services[service]; len(list) > 0 {
+	if list := d.services[service]; len(list) > 0 && !r.HoldingsKnown {
 		home := homesOf(list, r.Root)[0].Hash
 		r.Holdings = d.index.AddHome(home, r.ContextTokens, r.Holdings)
 	}
@@ -296,33 +298,6 @@
 	return c
 }
 
-// Source finds another endpoint of a service that probably has a context's first
-// pieces resident, made by the same weights as the choice's, and tells how many:
-// its memory is nearer than any store.
-func (d *Directory) Source(service string, c Choice, keys []contextkey.Key, now time.Time) (source fleet.Member, pieces int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	list := d.services[service]
-	for n := len(keys); n > 0; n-- {
-		for _, h := range d.index.holdersOf(keys[n-1]) {
-			e := find(list, h.endpoint)
-			if e == nil || e.ID == c.Member.ID || e.Endpoint.WeightVersion != c.Member.Endpoint.WeightVersion {
-				continue
-			}
-			if e.EjectedUntil.After(now) || now.Sub(time.Unix(0, h.at)) > sourceAge {
-				continue
-			}
-			return e.Member, n
-		}
-	}
-	return fleet.Member{}, 0
-}
-
-// sourceAge is how long an engine is taken to keep what it has used: about the
-// time in which its memory is filled once by others' contexts. What it has lost
-// costs a millisecond, and is read.
-const sourceAge = 10 * time.Second
-
 // Started tells what the engine found for a choice: cached tokens in all, and
 // those of them that were imported for it.
 func (d *Directory) Started(c Choice, cachedTokens, importedTokens int, now time.Time) {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -109,6 +109,8 @@
 	KnownTokens int
 	Gap         time.Duration
 	Holdings    []Holding
+	// HoldingsKnown: Holdings are given, from what engines say of their memory.
+	HoldingsKnown bool
 	// ImportChance is the share of a missing context that stores are found to
 	// hold for requests like this one.
 	ImportChance float64
