What would wait too long is refused before it takes anything of an engine

Cause: with two engines of nine dark, prompts arrived faster than seven engines read them; every engine's memory filled with runs that were late already, and the queues stayed after the engines were back. Ruled out: engine memory alone (93 k tokens full, but steps of 68 ms show constant reading), source order of imports. Requests are refused by expected wait, the least urgent first; the queue is counted in unread tokens and the reading rate is learned.

--- /dev/null
+++ b/internal/coordination/admission/patience.go
@@ -0,0 +1,41 @@
+package admission
+
+import "time"
+
+// Prospect is what a request would get if it were sent now.
+type Prospect struct {
+	// Wait until an endpoint begins with it, First until its first token.
+	Wait, First time.Duration
+	// Objective is the time within which its first token is on time, Left the time
+	// after which nobody waits for it.
+	Objective, Left time.Duration
+	// Rank among the kinds of requests of its service: 0 is the most urgent, 1 the
+	// least.
+	Rank float64
+}
+
+const (
+	// urgentPatience and patientPatience are the parts of the objective that the most
+	// and the least urgent requests may wait. A request that waits longer is late, and
+	// what it takes of a full engine makes others late too: beyond its capacity an
+	// engine otherwise serves everybody late and nobody in time. The least urgent are
+	// turned away first, while the queue is still short enough for the others.
+	urgentPatience  = 0.8
+	patientPatience = 0.3
+	// returnShare of the wait is asked of a caller that is turned away: by then the
+	// queue has gone down by as much.
+	returnShare = 0.7
+	// shortestReturn keeps a caller from coming back before anything has changed.
+	shortestReturn = 200 * time.Millisecond
+)
+
+// Accept tells whether a request should be sent, and if not, when its caller should
+// come back.
+func Accept(p Prospect) (ok bool, after time.Duration) {
+	patience := urgentPatience + p.Rank*(patientPatience-urgentPatience)
+	limit := time.Duration(patience * float64(p.Objective))
+	if p.Wait <= limit && p.First < p.Left {
+		return true, 0
+	}
+	return false, max(shortestReturn, time.Duration(returnShare*float64(p.Wait)))
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"limpetwall/internal/coordination/admission"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/state/config"
@@ -58,6 +59,10 @@
 		if choice.Member.ID == "" {
 			return x.noEndpoint(choice.Refusal, sent, last)
 		}
+		if refused := x.overload(choice, sent); refused != nil {
+			x.g.Directory.Release(choice)
+			return refused
+		}
 		started := time.Now()
 		send := x.sendFor(choice, prompt)
 		if x.route.Kind == routes.Streaming {
@@ -81,6 +86,23 @@
 	}
 }
 
+// overload refuses a prompt that would be answered too late to be of use, before it
+// takes anything of an engine.
+func (x *exchange) overload(c routing.Choice, sent int) *apierror.Error {
+	if x.service.Engine == nil || sent > 0 {
+		return nil
+	}
+	ok, after := admission.Accept(admission.Prospect{
+		Wait: c.Wait, First: c.TTFT, Objective: x.route.Objective, Left: x.left(), Rank: x.table.Rank(x.route, x.service.Name),
+	})
+	if ok {
+		return nil
+	}
+	after += time.Duration(rand.Int64N(int64(after)))
+	message := "the engines are full: the best would begin in " + c.Wait.Round(time.Millisecond).String()
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, message, after)
+}
+
 // mayTryAgain decides whether another endpoint is asked. What reached no endpoint
 // costs none of them anything; all else draws on the retry budget.
 func (x *exchange) mayTryAgain(ctx context.Context, last outcome, stream *streamState, sent, unreached int) bool {
@@ -144,7 +166,7 @@
 func (x *exchange) routingRequest() *routing.Request {
 	return &routing.Request{
 		PromptTokens: x.call.PromptTokens, Domain: x.g.Domain, HeldTokens: x.call.PromptTokens + x.call.OutputTokens,
-		ImportKnown: true,
+		ImportKnown: true, Urgency: x.urgency(),
 		Objective: config.Objective{
 			TTFTMS: int(x.route.Objective.Milliseconds()), WeightTTFT: 1, WeightRecompute: recomputeWeight, WeightLink: linkWeight,
 		},
@@ -162,7 +184,7 @@
 // loadOf translates an endpoint's own counts.
 func loadOf(l Load) fleet.Load {
 	return fleet.Load{
-		Running: l.Running, Queued: l.Waiting, PrefillRate: assumedPrefillRate, LinkRate: assumedLinkRate, AtMS: time.Now().UnixMilli(),
+		Running: l.Running, Queued: l.Waiting, AtMS: time.Now().UnixMilli(),
 	}
 }
 
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -53,7 +53,7 @@
 		return x.streamFailure(ctx, resp, st)
 	}
 	x.g.Directory.Sent(c, x.began)
-	return x.relay(ctx, resp, st)
+	return x.relay(ctx, c, resp, st)
 }
 
 // streamFailure takes an answer that is no stream.
@@ -71,7 +71,7 @@
 }
 
 // relay passes events on until the stream ends.
-func (x *exchange) relay(ctx context.Context, resp *upstream.Response, st *streamState) outcome {
+func (x *exchange) relay(ctx context.Context, c routing.Choice, resp *upstream.Response, st *streamState) outcome {
 	reader := bufio.NewReader(resp)
 	flush := http.NewResponseController(x.w)
 	for {
@@ -87,6 +87,7 @@
 		}
 		if x.firstEvent.IsZero() {
 			x.firstEvent = time.Now()
+			x.g.Directory.Begun(c, x.firstEvent)
 		}
 		x.beginStream(resp, st)
 		if _, err := x.w.Write(event); err != nil {
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -42,7 +42,7 @@
 			members[i.Address] = routing.HashID(i.ID)
 		}
 		weights[i.Model] = max(weights[i.Model], i.Weights)
-		properties := routing.Properties{Slots: i.Slots, PrefillRate: assumedPrefillRate, LinkRate: assumedLinkRate}
+		properties := routing.Properties{Slots: i.Slots, PrefillRate: assumedPrefillRate, LinkRate: assumedLinkRate, CountsOnly: true}
 		if s := table.Services[i.Service]; s != nil && s.Engine != nil {
 			properties.MemoryTokens = s.Engine.MemoryTokens
 		}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -46,6 +46,11 @@
 	sends     []send
 	failures  int
 	ejections int
+	// assumedRate is the prefill rate before any was learned, in tokens per second.
+	assumedRate float64
+	// allRuns and ownRuns are moving averages of the endpoint's runs and this
+	// entry's part of them, for Peers.
+	allRuns, ownRuns float64
 }
 
 // send is work that this entry sent and no load includes yet.
@@ -149,6 +154,11 @@
 	if t.stamp == 0 || difference < t.offset {
 		t.offset = difference
 	}
+	if t.CountsOnly {
+		// What such a report leaves out is learned or counted here.
+		load.PrefillRate, load.LinkRate = t.Load.PrefillRate, t.Load.LinkRate
+		t.learnPeers(load)
+	}
 	t.Load, t.stamp = load, load.AtMS
 	// The fastest message so far tells how the clocks differ, and with that when
 	// this load was taken by this entry's clock.
@@ -158,6 +168,16 @@
 	}
 }
 
+// learnPeers compares the endpoint's count of runs with this entry's own.
+func (t *tracked) learnPeers(load fleet.Load) {
+	const weight = 0.05
+	t.allRuns += weight * (float64(load.Running+load.Queued) - t.allRuns)
+	t.ownRuns += weight * (float64(t.Running) - t.ownRuns)
+	if t.ownRuns > 0 {
+		t.Peers = max(1, t.allRuns/t.ownRuns)
+	}
+}
+
 // dropOldestSend takes the oldest send for included in the load.
 func (t *tracked) dropOldestSend() {
 	t.SentTokens -= t.sends[0].tokens
@@ -188,6 +208,8 @@
 	// LinkRate in tokens per second at which context comes from stores, assumed in
 	// the same way.
 	LinkRate int
+	// CountsOnly tells that its reports hold counts of requests, but no tokens.
+	CountsOnly bool
 }
 
 // Describe tells an endpoint's properties.
@@ -199,8 +221,9 @@
 	if !ok {
 		return
 	}
-	t.Slots, t.MemoryTokens = p.Slots, p.MemoryTokens
+	t.Slots, t.MemoryTokens, t.CountsOnly = p.Slots, p.MemoryTokens, p.CountsOnly
 	if t.Load.PrefillRate == 0 {
+		t.assumedRate = float64(p.PrefillRate)
 		t.Load.PrefillRate, t.Load.LinkRate = p.PrefillRate, p.LinkRate
 	}
 }
@@ -218,7 +241,7 @@
 type Choice struct {
 	Member       fleet.Member
 	Reason       Reason
-	TTFT         time.Duration
+	TTFT, Wait   time.Duration
 	CachedTokens int
 	Refusal      Refusal
 	// Believed is what the decision took the endpoint's state to be.
@@ -229,6 +252,15 @@
 	seen     bool
 	held     int
 	began    time.Time
+	reading  *reading
+}
+
+// reading is a run's prompt until its answer begins.
+type reading struct {
+	// tokens to be read for it, and queued before them, as decided.
+	tokens, queued int
+	urgency        int
+	ended          bool
 }
 
 // Belief is an endpoint's state as a decision saw it.
@@ -285,10 +317,12 @@
 	believed := d.dynamic[e.ID].belief(r.Now)
 	e.Running++
 	e.HeldTokens += r.HeldTokens
+	read := &reading{tokens: v.WorkTokens, queued: e.queuedTokens(r.Urgency), urgency: r.Urgency}
+	e.Unread[r.Urgency] += v.WorkTokens
 	d.dynamic[e.ID].sent(v.WorkTokens, r.Now)
 	c := Choice{
-		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
-		held: r.HeldTokens, began: r.Now, Believed: believed,
+		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, Wait: v.Wait, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
+		held: r.HeldTokens, began: r.Now, Believed: believed, reading: read,
 	}
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
@@ -309,6 +343,52 @@
 	d.index.Store(c.keys, c.hash, now)
 }
 
+// Begun tells that a choice's answer has begun.
+func (d *Directory) Begun(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.dynamic[c.Member.ID]
+	if !ok || t.incarnation != c.Member.Incarnation || c.reading.ended {
+		return
+	}
+	t.endReading(c)
+	t.learnRate(c.reading.tokens+c.reading.queued, now.Sub(c.began))
+}
+
+// endReading takes a run's prompt out of what is still to be read.
+func (t *tracked) endReading(c Choice) {
+	if c.reading.ended {
+		return
+	}
+	c.reading.ended = true
+	t.Unread[c.reading.urgency] -= c.reading.tokens
+}
+
+const (
+	// learnFrom this many tokens on, the time to the first token tells how fast an
+	// engine reads; below, fixed costs outweigh it.
+	learnFrom = 2000
+	// rateWeight of one observation.
+	rateWeight = 0.1
+	// rateSpread bounds what is learned, as a factor of what was assumed: a run that
+	// waited for something else says nothing about reading.
+	rateSpread = 6
+)
+
+// learnRate corrects the assumed reading rate by what was seen. The rate of a busy
+// engine includes what it does between the pieces of a prompt.
+func (t *tracked) learnRate(tokens int, took time.Duration) {
+	if !t.CountsOnly || tokens < learnFrom || took <= 0 || t.assumedRate == 0 {
+		return
+	}
+	seen := float64(tokens) / took.Seconds()
+	seen = max(seen, t.assumedRate/rateSpread)
+	seen = min(seen, t.assumedRate*rateSpread)
+	// Times add up, rates don't: the mean is taken of the time for a token.
+	mean := (1-rateWeight)/float64(t.Load.PrefillRate) + rateWeight/seen
+	t.Load.PrefillRate = int(1 / mean)
+}
+
 // Done ends a choice's run; failed tells that the endpoint or the way to it
 // failed (a refusal for load is no failure).
 func (d *Directory) Done(c Choice, failed bool, now time.Time) {
@@ -320,6 +400,7 @@
 	}
 	t.Running--
 	t.HeldTokens -= c.held
+	t.endReading(c)
 	if !failed {
 		t.failures, t.ejections = 0, 0
 		t.learnRunTime(now.Sub(c.began))
@@ -361,11 +442,25 @@
 	}
 	t.Running--
 	t.HeldTokens -= c.held
+	t.endReading(c)
 	if !t.EjectedUntil.After(now) {
 		t.eject(now, d.random)
 	}
 }
 
+// Release takes back a choice that was not used.
+func (d *Directory) Release(c Choice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.dynamic[c.Member.ID]
+	if !ok || t.incarnation != c.Member.Incarnation {
+		return
+	}
+	t.Running--
+	t.HeldTokens -= c.held
+	t.endReading(c)
+}
+
 // Refused ends a choice's run that the endpoint did not accept: it is full or
 // busy with an order, and others are asked for a moment.
 func (d *Directory) Refused(c Choice, now time.Time) {
@@ -377,6 +472,7 @@
 	}
 	t.Running--
 	t.HeldTokens -= c.held
+	t.endReading(c)
 	if until := now.Add(refusalPause); until.After(t.EjectedUntil) {
 		t.EjectedUntil = until
 	}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -81,8 +81,20 @@
 	MemoryTokens, HeldTokens int
 	// RunTime is the mean length of whole runs.
 	RunTime time.Duration
+	// Unread is the prompt tokens of this entry's runs that have not begun to answer,
+	// by urgency. It stands for the queue where reports hold no tokens.
+	Unread [Urgencies]int
+	// CountsOnly tells that the endpoint's reports hold counts of requests, but no
+	// tokens.
+	CountsOnly bool
+	// Peers is how much of the endpoint's work this entry's own stands for: all of
+	// it divided by its own.
+	Peers float64
 }
 
+// Urgencies is the number of ranks of requests; 0 goes first.
+const Urgencies = 10
+
 // Holding tells that an endpoint probably has a context's first tokens resident.
 type Holding struct {
 	// Endpoint is the hash of the endpoint's member id.
@@ -125,7 +137,9 @@
 	RootKnown bool
 	// HeldTokens of engine memory that the run takes.
 	HeldTokens int
-	Objective  config.Objective
+	// Urgency of the request, 0 to 9: engines serve lower ones first.
+	Urgency   int
+	Objective config.Objective
 	// Domain of the deciding entry.
 	Domain string
 	// WeightVersion, if set, is the only one accepted (a resumed run).
@@ -150,8 +164,9 @@
 type Verdict struct {
 	Endpoint *Endpoint
 	Reason   Reason
-	// TTFT is the expected time to first token.
-	TTFT time.Duration
+	// TTFT is the expected time to first token, Wait the part of it before the
+	// endpoint begins with the request.
+	TTFT, Wait time.Duration
 	// CachedTokens expected to be found resident.
 	CachedTokens int
 	// WorkTokens expected to be computed.
@@ -350,7 +365,7 @@
 		cand := c.list[(start+i)%c.n]
 		e := evaluate(cand.endpoint, r, price)
 		if best.Endpoint == nil || e.score < bestScore {
-			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, CachedTokens: e.cached, WorkTokens: e.recomputed}
+			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, Wait: e.wait, CachedTokens: e.cached, WorkTokens: e.recomputed}
 			bestScore = e.score
 		}
 	}
@@ -368,7 +383,7 @@
 	}
 	queued := 0
 	for i := range c.n {
-		queued += c.list[i].endpoint.queuedTokens()
+		queued += c.list[i].endpoint.queuedTokens(r.Urgency)
 	}
 	return float64(queued) / float64(c.n) / float64(max(1, r.PromptTokens))
 }
@@ -379,7 +394,7 @@
 
 // estimate is what a request is expected to cost at an endpoint.
 type estimate struct {
-	ttft       time.Duration
+	ttft, wait time.Duration
 	cached     int
 	recomputed int
 	score      float64
@@ -417,12 +432,13 @@
 	work := float64(recomputed) / e.rate()
 	brought := r.insertion(cached) / e.rate()
 	// An import runs while the engine works off what waits before.
-	ttft := max(transfer, seconds(float64(e.queuedTokens())/e.rate())) + seconds(work) + e.overhead(r)
+	queue := seconds(float64(e.queuedTokens(r.Urgency)) / e.rate())
+	ttft := max(transfer, queue) + seconds(work) + e.overhead(r)
 	late := lateness(ttft, r)
 	// The work that a decision makes for others weighs as its own waiting does.
 	weight := r.Objective.WeightTTFT + late/max(ttft.Seconds(), 1e-9)
 	return estimate{
-		ttft: ttft, cached: cached, recomputed: recomputed,
+		ttft: ttft, wait: queue + e.slotWait() + e.memoryWait(r), cached: cached, recomputed: recomputed,
 		score: r.Objective.WeightTTFT*ttft.Seconds() + late + weight*(price*work+brought) +
 			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
 	}
@@ -478,7 +494,16 @@
 
 // queuedTokens is the work before a new request. A report is old when it is
 // read: what this entry sent since is added.
-func (e *Endpoint) queuedTokens() int { return e.Load.QueuedTokens + e.SentTokens }
+func (e *Endpoint) queuedTokens(urgency int) int {
+	if !e.CountsOnly {
+		return e.Load.QueuedTokens + e.SentTokens
+	}
+	own := 0
+	for _, tokens := range e.Unread[:urgency+1] {
+		own += tokens
+	}
+	return int(max(1, e.Peers) * float64(own))
+}
 
 // busy is how many requests the endpoint has, as far as this entry knows.
 func (e *Endpoint) busy() int {
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -138,18 +138,21 @@
 
 	byHost map[string][]*Route
 	owners map[string]*Customer
+	// priorities are the least and the greatest of each service's routes.
+	priorities map[string][2]int
 }
 
 // New builds a table.
 func New(version, revision uint64, list []Route, services []Service, customers []Customer, limits Limits) *Table {
 	t := &Table{
 		Version: version, Revision: revision, Limits: limits, Keyed: len(customers) > 0,
-		Services: map[string]*Service{}, byHost: map[string][]*Route{}, owners: map[string]*Customer{},
+		Services: map[string]*Service{}, byHost: map[string][]*Route{}, owners: map[string]*Customer{}, priorities: map[string][2]int{},
 	}
 	for i := range list {
 		r := &list[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.notePriority(r)
 	}
 	for _, byLength := range t.byHost {
 		sort.SliceStable(byLength, func(a, b int) bool { return len(byLength[a].Prefix) > len(byLength[b].Prefix) })
@@ -165,6 +168,26 @@
 	return t
 }
 
+func (t *Table) notePriority(r *Route) {
+	for _, target := range r.Targets {
+		known, ok := t.priorities[target.Service]
+		if !ok {
+			known = [2]int{r.Priority, r.Priority}
+		}
+		t.priorities[target.Service] = [2]int{min(known[0], r.Priority), max(known[1], r.Priority)}
+	}
+}
+
+// Rank is a route's place among the priorities of a service's routes: 0 for the
+// most urgent, 1 for the least; 0 where all are alike.
+func (t *Table) Rank(r *Route, service string) float64 {
+	known := t.priorities[service]
+	if known[0] == known[1] {
+		return 0
+	}
+	return float64(r.Priority-known[0]) / float64(known[1]-known[0])
+}
+
 // Match finds the route with the longest prefix that begins the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
