--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -166,13 +166,13 @@
 	// The address tells a new host from one that it replaces under the same name.
 	holder := p.settings.Platform.Host + "@" + p.settings.Platform.Clients
 	dialer := upstream.Dialer{Connect: connectTimeout, Silence: silence}
-	// A holder acts for three quarters of a term after its last renewal, and another
-	// takes over after a whole one: with three quarters more, orders of two holders
-	// are a term apart.
+	// A holder acts for act after its last renewal, and another takes over after a
+	// whole term: with act more, orders of two holders are a term apart.
+	act := b.OrderLease / 4
 	return &rollout.Director{
-		State: state, Log: p.log, Holder: holder, Handover: b.OrderLease * 3 / 4, Now: bootclock.Now,
+		State: state, Log: p.log, Holder: holder, Handover: act, Within: b.WeightsInForce, Now: bootclock.Now,
 		Lease: lease.New(lease.Config{
-			Key: rolloutLease, Holder: holder, Term: b.OrderLease, CallTimeout: leaseCallTimeout, Now: bootclock.Now,
+			Key: rolloutLease, Holder: holder, Term: b.OrderLease, Act: act, CallTimeout: leaseCallTimeout, Now: bootclock.Now,
 		}, store),
 		Engines: platform.NewEngines(&http.Transport{DialContext: dialer.Dial, IdleConnTimeout: engineIdle}),
 	}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -41,8 +41,19 @@
 	Model    string
 	Version  int64
 	Revision uint64
+	// since holds when this process learned of each version that may still be missing
+	// somewhere, oldest first.
+	since []namedAt
 }
 
+type namedAt struct {
+	version int64
+	at      time.Time
+}
+
+// keptVersions bounds the versions remembered for a model.
+const keptVersions = 16
+
 // State is what the process believes. Safe for concurrent use.
 type State struct {
 	// Table holds the instances as members, Services the services as documents:
@@ -155,6 +166,8 @@
 	if n.Version <= s.named[n.Model].Version {
 		return
 	}
+	n.since = append(s.named[n.Model].since, namedAt{n.Version, time.Now()})
+	n.since = n.since[max(0, len(n.since)-keptVersions):]
 	s.named[n.Model] = n
 	close(s.renamed)
 	s.renamed = make(chan struct{})
@@ -180,6 +193,27 @@
 	return out
 }
 
+// Behind counts the endpoints that have not the named weights of a model, and tells
+// since when the first version that the furthest behind lacks has been named.
+func (s *State) Behind(model string) (endpoints int, since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.named[model]
+	oldest := n.Version
+	for _, k := range s.instances {
+		if k.Model == model && !k.Leaving && k.Weights < n.Version {
+			endpoints++
+			oldest = min(oldest, k.Weights)
+		}
+	}
+	for _, v := range n.since {
+		if v.version > oldest {
+			return endpoints, v.at
+		}
+	}
+	return endpoints, since
+}
+
 // NamedVersion is the version asked for of one model, 0 if none is.
 func (s *State) NamedVersion(model string) int64 {
 	s.mu.Lock()
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -28,6 +28,10 @@
 	Key, Holder string
 	// Term without renewal after which others take over.
 	Term time.Duration
+	// Act is how long after the begin of its last renewal the holder may act; 0 means
+	// three quarters of the term. The shorter it is, the longer nobody acts before
+	// another takes over.
+	Act time.Duration
 	// CallTimeout bounds one platform call.
 	CallTimeout time.Duration
 	// Now is the clock; nil means time.Now. Where hosts may be suspended it must go
@@ -44,6 +48,10 @@
 	Note     json.RawMessage `json:"note,omitempty"`
 }
 
+// renewable is how long after its last renewal a holder renews; later it asks first
+// whether another has taken over.
+func (c Config) renewable() time.Duration { return c.Term - c.Term/margin }
+
 // margin is how much earlier than the others' a holder's own term ends: a call
 // that is on its way when it ends has landed or failed by then.
 const margin = 4
@@ -78,6 +86,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Act == 0 {
+		cfg.Act = cfg.renewable()
+	}
 	return &Lease{cfg: cfg, api: api}
 }
 
@@ -121,19 +132,27 @@
 func (l *Lease) Fence(now time.Time) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.fence == 0 || now.Sub(l.renewed) >= l.cfg.Term-l.cfg.Term/margin {
+	if l.fence == 0 || now.Sub(l.renewed) >= l.cfg.Act {
 		return 0, ErrNotHeld
 	}
 	return l.fence, nil
 }
 
+// Held tells whether this process is the holder as far as it knows, though it may
+// have to renew before it acts.
+func (l *Lease) Held(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence != 0 && now.Sub(l.renewed) < l.cfg.renewable()
+}
+
 // Step looks at the lease once: it renews it if held, and takes it if it has
 // lapsed. Call it a few times a term.
 func (l *Lease) Step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.CallTimeout)
 	defer cancel()
 	began := l.cfg.Now()
-	if _, err := l.Fence(began); err == nil {
+	if l.Held(began) {
 		return l.renew(ctx, began)
 	}
 	return l.tryAcquire(ctx, began)
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -65,6 +65,8 @@
 	// Handover is how long after taking the lease from another no order is given:
 	// orders of two holders must be further apart than the engines' lease.
 	Handover time.Duration
+	// Within is the time in which named weights should be in use everywhere.
+	Within time.Duration
 	// Now is a clock that goes on while the host is suspended.
 	Now func() time.Time
 
@@ -72,6 +74,8 @@
 	// lease's note says so.
 	lastOrder time.Time
 	announced bool
+	// loadTook is a moving average of how long orders take.
+	loadTook time.Duration
 	// loading are the engines that carry out an order of this process.
 	loading map[string]loadingOrder
 	// marked are the engines that another holder says are loading.
@@ -95,10 +99,18 @@
 	engineTimeout = 500 * time.Millisecond
 	// loadGivenUp is when an accepted order is looked at as lost.
 	loadGivenUp = 8 * time.Second
-	// loadingShare of a model's engines carry out orders at once, two at least. Half
-	// of that time an engine only waits for its runs to end, so that about a fifth
-	// load; more would slow each other down at the weight store.
-	loadingShare = 1.0 / 3
+	// loadingShare of a model's engines carry out orders at once, two at least: more
+	// slow each other down at the weight store.
+	loadingShare = 0.2
+	// loadTime is assumed of an order before one has ended: an engine ends its runs,
+	// then loads.
+	loadTime = 1500 * time.Millisecond
+	// hurry is the part of the time for new weights in which all engines should have
+	// them. If that takes more orders at once, more are given.
+	hurry = 0.7
+	// mostLoading is the part of a model's engines that carry out orders at once even
+	// then: the others must serve meanwhile.
+	mostLoading = 0.5
 )
 
 // Run directs until ctx ends.
@@ -127,10 +139,7 @@
 }
 
 // Leads tells whether this process holds the lease.
-func (d *Director) Leads() bool {
-	_, err := d.Lease.Fence(d.Now())
-	return err == nil
-}
+func (d *Director) Leads() bool { return d.Lease.Held(d.Now()) }
 
 func (d *Director) hasEngines() bool {
 	for _, i := range d.State.Instances() {
@@ -271,12 +280,21 @@
 		if finished || d.Now().Sub(l.since) > loadGivenUp {
 			d.Log.Info("order ended", zap.String("endpoint", id), zap.Int64("ordered", l.version), zap.Int64("weights", has),
 				zap.Duration("took", d.Now().Sub(l.since)))
+			d.learnLoadTime(d.Now().Sub(l.since))
 			delete(d.loading, id)
 			d.State.SetLoading(id, false)
 		}
 	}
 }
 
+func (d *Director) learnLoadTime(took time.Duration) {
+	const weight = 4
+	if d.loadTook == 0 {
+		d.loadTook = loadTime
+	}
+	d.loadTook += (took - d.loadTook) / weight
+}
+
 func (d *Director) report(ctx context.Context, i discovery.Instance) (EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
@@ -330,7 +348,7 @@
 		intent := config.Intent{
 			Service: service, Labels: map[string]string{discovery.ServiceLabel: service}, Model: model,
 			WeightVersion: discovery.VersionName(named), AlsoVersions: versions[model], Orders: true,
-			MaxLoading: max(2, int(loadingShare*float64(count))),
+			MaxLoading: d.atOnce(model, count),
 		}
 		spec, err := json.Marshal(intent)
 		if err != nil {
@@ -343,6 +361,24 @@
 	return config.Empty().With(change)
 }
 
+// atOnce is how many engines may carry out orders together: few, unless the time
+// for the oldest named version that is not in use everywhere runs out.
+func (d *Director) atOnce(model string, engines int) int {
+	usual := max(2, int(loadingShare*float64(engines)))
+	behind, since := d.State.Behind(model)
+	if behind == 0 {
+		return usual
+	}
+	left := time.Duration(hurry*float64(d.Within)) - time.Since(since)
+	each := d.loadTook
+	if each == 0 {
+		each = loadTime
+	}
+	rounds := max(1, int(left/each))
+	needed := (behind + rounds - 1) / rounds
+	return max(usual, min(needed, int(mostLoading*float64(engines))))
+}
+
 // give orders one engine. Its own report comes first: it tells what the engine has
 // accepted so far, which the platform's list tells late.
 func (d *Director) give(ctx context.Context, i discovery.Instance, version int64) {
