--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -133,10 +133,11 @@
 		keeper.SetStores(t.Services)
 	})
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
-	store := platform.NewStore(s.Platform.Store, &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true})
+	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
+	store := platform.NewStore(s.Platform.Store, storeTransport)
 	watcher := &discovery.Watcher{
 		Feed: store, Decoder: platform.Decoder{}, Kinds: platform.Kinds, State: state, Log: log,
-		Wait: watchWait(b),
+		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections,
 	}
 	endpointDialer := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	p.gateway = &gateway.Gateway{
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -37,6 +37,9 @@
 	// return.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// probeWait is how long a watch waits after a failed one. The sooner a call that
+	// found the store silent gives up, the sooner one finds it back.
+	probeWait = 100 * time.Millisecond
 	// lapsedFor is the time after the store's return in which lapsed entries of
 	// living endpoints come back, as the platform promises.
 	lapsedFor = 2 * time.Second
@@ -54,8 +57,13 @@
 	// Wait is how long one watch waits for a change. A silent connection is found
 	// when it and callMargin have passed.
 	Wait time.Duration
+	// Reset, if set, is called after a failed call: connections that were open may be
+	// silent for good.
+	Reset func()
 
 	mu sync.Mutex
+	// back is closed when the store answers one kind after a failure.
+	back chan struct{}
 	// failing counts the duties whose last call failed; returned is when the store
 	// last answered after a failure, heard when it last answered at all.
 	failing  map[string]bool
@@ -94,13 +102,62 @@
 		if errors.Is(err, objectapi.ErrCompacted) {
 			continue
 		}
-		if !sleep(ctx, pause) {
+		if !w.pause(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, retryMost)
 	}
 }
 
+// watchCall bounds the next watch of a kind. After a failure it is short, and ends
+// at once when another kind finds the store back: what it was sent on may be dead.
+func (w *Watcher) watchCall(ctx context.Context, kind string) (time.Duration, context.Context, context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.failing[kind] {
+		call, cancel := context.WithTimeout(ctx, w.Wait+callMargin)
+		return w.Wait, call, cancel
+	}
+	call, cancel := context.WithTimeout(ctx, probeWait+callMargin)
+	back := w.backChannel()
+	go func() {
+		select {
+		case <-back:
+			cancel()
+		case <-call.Done():
+		}
+	}()
+	return probeWait, call, cancel
+}
+
+// backChannel is closed when the store is found back; w.mu is held.
+func (w *Watcher) backChannel() chan struct{} {
+	if w.back == nil {
+		w.back = make(chan struct{})
+	}
+	return w.back
+}
+
+// pause waits after a failed call, or until another kind finds the store back;
+// false means that ctx has ended.
+func (w *Watcher) pause(ctx context.Context, d time.Duration) bool {
+	if w.Reset != nil {
+		w.Reset()
+	}
+	w.mu.Lock()
+	back := w.backChannel()
+	w.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-back:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 func (w *Watcher) list(ctx context.Context, kind string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -118,15 +175,15 @@
 func (w *Watcher) watch(ctx context.Context, kind string, revision uint64) error {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, w.Wait+callMargin)
-		events, next, err := w.Feed.WatchKind(call, kind, revision, w.Wait)
+		wait, call, cancel := w.watchCall(ctx, kind)
+		events, next, err := w.Feed.WatchKind(call, kind, revision, wait)
 		cancel()
 		if errors.Is(err, objectapi.ErrCompacted) {
 			return err
 		}
 		w.note(kind, err)
 		if err != nil {
-			if !sleep(ctx, pause) {
+			if !w.pause(ctx, pause) {
 				return ctx.Err()
 			}
 			pause = min(2*pause, retryMost)
@@ -153,6 +210,8 @@
 	switch {
 	case answered && w.failing[kind]:
 		w.returned = now
+		close(w.backChannel())
+		w.back = nil
 		w.Log.Info("store answers again", zap.String("kind", kind))
 	case !answered && !w.failing[kind]:
 		w.Log.Warn("store does not answer", zap.String("kind", kind), zap.Error(err))
