--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -313,20 +313,30 @@
 	}
 }
 
-// members are the fleet's, with newer weights than those named shown as the named
+// members are the fleet's, the oldest weights first: they are the first that must
+// not be served any more. Newer weights than those named are shown as the named
 // ones: they are never ordered back.
 func (d *Director) members() []fleet.Member {
 	members := d.State.Table.Members()
+	sort.SliceStable(members, func(a, b int) bool { return versionOf(members[a]) < versionOf(members[b]) })
 	for i := range members {
 		e := &members[i].Endpoint
-		version, err := strconv.ParseInt(e.WeightVersion, 10, 64)
-		if named := d.State.NamedVersion(e.Model); err == nil && version > named {
+		if named := d.State.NamedVersion(e.Model); versionOf(members[i]) > named {
 			e.WeightVersion = discovery.VersionName(named)
 		}
 	}
 	return members
 }
 
+// versionOf is the number of a member's weights, 0 if it has none.
+func versionOf(m fleet.Member) int64 {
+	version, err := strconv.ParseInt(m.Endpoint.WeightVersion, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return version
+}
+
 // view states what is wanted in the form that Decide reads.
 func (d *Director) view(members []fleet.Member) *config.View {
 	change := config.Change{Revision: 1}
