--- /dev/null
+++ b/internal/state/routes/routes_test.go
@@ -0,0 +1,49 @@
+package routes
+
+import "testing"
+
+func table(list ...Route) *Table { return New(1, 1, list, nil, nil, Limits{}) }
+
+func TestLongestPrefixWins(t *testing.T) {
+	x := table(
+		Route{Name: "root", Host: "h", Prefix: "/"}, Route{Name: "long", Host: "h", Prefix: "/a/b/"},
+		Route{Name: "short", Host: "h", Prefix: "/a/"}, Route{Name: "other", Host: "g", Prefix: "/a/b/c/"},
+	)
+	for path, want := range map[string]string{"/a/b/c": "long", "/a/b": "short", "/a/bc": "short", "/x": "root", "/a/b/": "long"} {
+		if r, ok := x.Match("h", path); !ok || r.Name != want {
+			t.Errorf("%s leads to %+v, want %s", path, r, want)
+		}
+	}
+	if _, ok := x.Match("unknown", "/a/"); ok {
+		t.Error("an unknown host matched")
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"old", 90}, {"new", 10}, {"never", 0}}}
+	counts := map[string]int{}
+	for i := range uint64(1000) {
+		counts[r.Pick(i)]++
+	}
+	if counts["old"] != 900 || counts["new"] != 100 || counts["never"] != 0 {
+		t.Error(counts)
+	}
+	if zero := (&Route{Targets: []Target{{"a", 0}}}).Pick(7); zero != "a" {
+		t.Error(zero)
+	}
+}
+
+func TestRank(t *testing.T) {
+	of := func(name string, priority int) Route {
+		return Route{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: priority, Targets: []Target{{"s", 1}}}
+	}
+	x := table(of("urgent", 0), of("middle", 1), of("patient", 2), Route{Host: "h", Prefix: "/x/", Priority: 7, Targets: []Target{{"alone", 1}}})
+	for name, want := range map[string]float64{"urgent": 0, "middle": 0.5, "patient": 1} {
+		if r, _ := x.Match("h", "/"+name+"/"); x.Rank(r, "s") != want {
+			t.Errorf("%s has rank %g", name, x.Rank(r, "s"))
+		}
+	}
+	if r, _ := x.Match("h", "/x/"); x.Rank(r, "alone") != 0 {
+		t.Error("a service of one priority has ranks")
+	}
+}
