--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -88,6 +88,13 @@
 	return now.Sub(w.heard)
 }
 
+// Heard records that the store has answered.
+func (w *Watcher) Heard(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard = now
+}
+
 // follow lists a kind and then watches it. Only a list after a gap in history can
 // tell what was removed meanwhile.
 func (w *Watcher) follow(ctx context.Context, kind string) {
--- /dev/null
+++ b/internal/coordination/gateway/gateway_test.go
@@ -0,0 +1,553 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/upstream"
+)
+
+// Headers of the tests' own codec.
+const (
+	testID      = "T-Id"
+	testKey     = "T-Key"
+	testNotRun  = "T-Not-Run"
+	testTarget  = "T-Instance"
+	testLast    = "T-Last"
+	testTenant  = "T-Customer"
+	testLeft    = "T-Left"
+	testWeights = "T-Weights"
+)
+
+type testCodec struct{}
+
+func (testCodec) DecodeCall(h http.Header) (Call, error) {
+	if h.Get("T-Bad") != "" {
+		return Call{}, errors.New("T-Bad: is not accepted")
+	}
+	c := Call{ID: h.Get(testID), Key: h.Get(testKey), LastEvent: h.Get(testLast)}
+	if ms, err := strconv.Atoi(h.Get(testLeft)); err == nil {
+		c.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (testCodec) EncodeSend(h http.Header, s Send) {
+	h.Del(testKey)
+	h.Set(testTarget, s.Instance)
+	h.Set(testTenant, s.Customer)
+	h.Set(testLast, s.LastEvent)
+	h.Set(testLeft, strconv.FormatInt(s.Left.Milliseconds(), 10))
+}
+
+func (testCodec) DecodeReply(_ int, h http.Header) Reply {
+	weights, _ := strconv.ParseInt(h.Get(testWeights), 10, 64)
+	return Reply{ID: h.Get(testID), NotRun: h.Get(testNotRun) != "", Weights: weights}
+}
+
+func (testCodec) EncodeRetryAfter(h http.Header, after time.Duration) {
+	h.Set("Retry-After", fmt.Sprint(after.Seconds()))
+}
+
+func (testCodec) EncodeID(h http.Header, id string) { h.Set(testID, id) }
+
+// fakeEndpoint writes its answers itself, byte by byte. Its script is asked at
+// each request; what it returns is written as it is, and the connection closed.
+type fakeEndpoint struct {
+	id      string
+	address string
+	mu      sync.Mutex
+	// requests are those that arrived.
+	requests []*http.Request
+	bodies   []string
+}
+
+func (e *fakeEndpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+// site is a gateway before fake endpoints.
+type site struct {
+	t         *testing.T
+	gateway   *Gateway
+	server    *httptest.Server
+	endpoints []*fakeEndpoint
+	feed      *silentFeed
+}
+
+// silentFeed answers a watch with nothing, or fails.
+type silentFeed struct{ down chan struct{} }
+
+func (f *silentFeed) ListKind(context.Context, string) ([]objectapi.Record, uint64, error) {
+	return nil, 1, nil
+}
+
+func (f *silentFeed) WatchKind(ctx context.Context, _ string, since uint64, _ time.Duration) ([]objectapi.Event, uint64, error) {
+	<-ctx.Done()
+	return nil, since, ctx.Err()
+}
+
+// answerer is how an endpoint answers a request.
+type answerer func(c net.Conn, r *http.Request)
+
+func newSite(t *testing.T, list []routes.Route, scripts ...answerer) *site {
+	s := &site{t: t}
+	log := zap.NewNop()
+	state := discovery.NewState(fleet.Member{ID: "self", Incarnation: 1, Version: 1, Domain: "a"}, log, time.Now(), func(*routes.Table) {})
+	state.SetRoutes(routes.New(1, 1, list, []routes.Service{{Name: "s"}}, []routes.Customer{{Name: "club", Keys: []string{"key"}}},
+		routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	for i, script := range scripts {
+		e := s.endpoint(fmt.Sprint("i-", i), script)
+		state.SetInstance(discovery.Instance{ID: e.id, Revision: uint64(i + 2), Service: "s", Address: e.address, Domain: "a", Slots: 4})
+		s.endpoints = append(s.endpoints, e)
+	}
+	state.ReplaceInstances(state.Instances(), false, time.Now())
+	s.gateway = &Gateway{
+		Domain: "a", State: state, Watcher: &discovery.Watcher{Log: log},
+		Directory: routing.NewDirectory(state.Table, state.Services, 100, 1),
+		Pool:      upstream.NewPool(upstream.Dialer{Connect: 5 * time.Second, Silence: 5 * time.Second}.Dial),
+		Budget:    runs.NewRetryBudget(1, 100), Codec: testCodec{}, Log: log, Metrics: metrics.NewRegistry(),
+	}
+	s.server = httptest.NewServer(s.gateway)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *site) endpoint(id string, script answerer) *fakeEndpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { l.Close() })
+	e := &fakeEndpoint{id: id, address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c, script)
+		}
+	}()
+	return e
+}
+
+func (e *fakeEndpoint) serve(c net.Conn, script answerer) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.requests, e.bodies = append(e.requests, r), append(e.bodies, string(body))
+	e.mu.Unlock()
+	script(c, r)
+}
+
+// say answers with a status, header lines and a body of declared length.
+func say(status int, body string, lines ...string) answerer {
+	return func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\nStamp: %d\r\nContent-Length: %d\r\n", status, testID, r.Header.Get(testID), status, len(body))
+		for _, line := range lines {
+			fmt.Fprintf(c, "%s\r\n", line)
+		}
+		fmt.Fprintf(c, "\r\n%s", body)
+	}
+}
+
+var (
+	reject = say(503, "", testNotRun+": 1")
+	hangUp = func(net.Conn, *http.Request) {}
+)
+
+// stream answers with events; rest is written after them as it is.
+func stream(rest string, events ...string) answerer {
+	return func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testID, r.Header.Get(testID))
+		for _, e := range events {
+			text := "id: " + e + "\ndata: " + e + "\n\n"
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		}
+		io.WriteString(c, rest)
+	}
+}
+
+const endOfStream = "0\r\n\r\n"
+
+func route(kind routes.Kind, attempts int) []routes.Route {
+	return []routes.Route{{
+		Name: "r", Host: "h", Prefix: "/r/", Kind: kind, Targets: []routes.Target{{Service: "s", Weight: 1}},
+		Timeout: 30 * time.Second, MaxAttempts: attempts,
+	}}
+}
+
+func (s *site) request(method, path, body string, lines ...string) *http.Request {
+	req, err := http.NewRequestWithContext(s.t.Context(), method, s.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set(testID, "id-1")
+	req.Header.Set(testKey, "key")
+	for _, line := range lines {
+		name, value, _ := strings.Cut(line, ": ")
+		req.Header.Set(name, value)
+	}
+	return req
+}
+
+// ask sends a request and reads the whole answer.
+func (s *site) ask(req *http.Request) (*http.Response, string, error) {
+	resp, err := s.server.Client().Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func (s *site) runs() int {
+	n := 0
+	for _, e := range s.endpoints {
+		n += e.count()
+	}
+	return n
+}
+
+// TestForwardedUnchanged sends a body through and looks at what arrives.
+func TestForwardedUnchanged(t *testing.T) {
+	s := newSite(t, route(routes.NonIdempotent, 1), say(201, "whole", "X-Own: yes"))
+	req := s.request("PUT", "/r/a%2Fb//c?x=%20&x=2", strings.Repeat("b", 100_000), "X-Mine: kept", "Connection: X-Hop", "X-Hop: gone")
+	resp, body, err := s.ask(req)
+	if err != nil || resp.StatusCode != 201 || body != "whole" || resp.Header.Get("Stamp") != "201" || resp.Header.Get("X-Own") != "yes" {
+		t.Fatalf("%v %q %v", resp, body, err)
+	}
+	if resp.Header.Get("Content-Type") != "" {
+		t.Errorf("a content type was made up: %s", resp.Header.Get("Content-Type"))
+	}
+	e := s.endpoints[0]
+	got := e.requests[0]
+	if got.Method != "PUT" || got.RequestURI != "/r/a%2Fb//c?x=%20&x=2" || got.Host != "h" || len(e.bodies[0]) != 100_000 {
+		t.Errorf("%s %s %s, %d bytes", got.Method, got.RequestURI, got.Host, len(e.bodies[0]))
+	}
+	if got.Header.Get("X-Mine") != "kept" || got.Header.Get("X-Hop") != "" || got.Header.Get(testKey) != "" {
+		t.Errorf("%v", got.Header)
+	}
+	if got.Header.Get(testTenant) != "club" || got.Header.Get(testTarget) != "i-0" || got.Header.Get(testID) != "id-1" {
+		t.Errorf("%v", got.Header)
+	}
+}
+
+// TestOutcomes plays each way an endpoint may end a request, for each kind.
+//
+// "Not run" (503) is said only when every endpoint that was sent the request says
+// so; a request that may not be repeated reaches one endpoint unless the first
+// rejected it.
+func TestOutcomes(t *testing.T) {
+	const safe, unsafe = routes.Idempotent, routes.NonIdempotent
+	torn := func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 50\r\n\r\nhalf", testID, r.Header.Get(testID))
+	}
+	crossed := func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 2\r\n\r\nno", testID)
+	}
+	rows := []struct {
+		name     string
+		kind     routes.Kind
+		attempts int
+		first    answerer
+		second   answerer
+		status   int
+		body     string
+		runs     int
+	}{
+		{"whole", unsafe, 2, say(200, "a"), say(200, "a"), 200, "a", 1},
+		{"rejected, then run", unsafe, 2, reject, say(200, "a"), 200, "a", 2},
+		{"rejected by all", unsafe, 2, reject, reject, 503, "", 2},
+		{"rejected, one attempt allowed", unsafe, 1, reject, reject, 503, "", 1},
+		{"hung up", unsafe, 2, hangUp, hangUp, 502, "", 1},
+		{"hung up, may be repeated", safe, 2, hangUp, say(200, "a"), 200, "a", 2},
+		{"torn", unsafe, 2, torn, torn, 502, "", 1},
+		{"torn, may be repeated", safe, 2, torn, say(200, "a"), 200, "a", 2},
+		{"another's answer", unsafe, 2, crossed, crossed, 502, "", 1},
+		{"failed", unsafe, 2, say(500, "sorry"), say(500, "sorry"), 500, "sorry", 1},
+		{"failed, may be repeated", safe, 2, say(500, "sorry"), say(200, "a"), 200, "a", 2},
+		{"failed twice", safe, 2, say(500, "sorry"), say(500, "sorry"), 500, "sorry", 2},
+		{"failed, then rejected", safe, 2, say(500, "sorry"), reject, 500, "sorry", 2},
+		{"broken, then rejected", safe, 2, hangUp, reject, 502, "", 2},
+		{"its own 503 after running", unsafe, 2, say(503, "busy"), say(503, "busy"), 502, "", 1},
+		{"its own 429 after running", unsafe, 2, say(429, "slow down"), say(429, "slow down"), 502, "", 1},
+		{"its own 404", unsafe, 2, say(404, "none"), say(404, "none"), 404, "none", 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			// Whichever endpoint is chosen first plays the first part.
+			var once sync.Mutex
+			parts := []answerer{row.first, row.second}
+			play := func(c net.Conn, r *http.Request) {
+				once.Lock()
+				part := parts[0]
+				parts = append(parts[1:], row.second)
+				once.Unlock()
+				part(c, r)
+			}
+			s := newSite(t, route(row.kind, row.attempts), play, play)
+			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
+			if err != nil || resp.StatusCode != row.status {
+				t.Fatalf("%v %v", resp, err)
+			}
+			if row.body != "" && (body != row.body || resp.Header.Get("Stamp") != fmt.Sprint(row.status)) {
+				t.Errorf("%q, stamp %q", body, resp.Header.Get("Stamp"))
+			}
+			if row.body == "" && resp.Header.Get("Stamp") != "" {
+				t.Errorf("an answer of the gateway's own bears a stamp")
+			}
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("a refusal without a time to come back")
+			}
+			if s.runs() != row.runs {
+				t.Errorf("%d endpoints were sent the request, want %d", s.runs(), row.runs)
+			}
+		})
+	}
+}
+
+// TestNobodyIsReached stops the endpoint's listener before the request comes.
+func TestNobodyIsReached(t *testing.T) {
+	s := newSite(t, route(routes.NonIdempotent, 2))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	s.gateway.State.SetInstance(discovery.Instance{ID: "i-9", Revision: 9, Service: "s", Address: l.Addr().String()})
+	resp, _, err := s.ask(s.request("POST", "/r/x", "order"))
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("X-Limpetwall-Ran") != "no" {
+		t.Errorf("%v %v", resp, err)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	rows := []struct {
+		name      string
+		resumable bool
+		first     answerer
+		second    answerer
+		body      string
+		broken    bool
+		// last is what the second endpoint was told the caller already has.
+		last string
+	}{
+		{"whole", false, stream(endOfStream, "1", "2"), nil, "1 2", false, ""},
+		{"cut between events", true, stream("", "1", "2"), stream(endOfStream, "3"), "1 2 3", false, "2"},
+		{"cut inside an event", true, stream("9\r\nid: 3\nda\r\n", "1", "2"), stream(endOfStream, "3"), "1 2 3", false, "2"},
+		{"the second repeats what is there", true, stream("", "1", "2"), stream(endOfStream, "2", "3"), "1 2 3", false, "2"},
+		{"cut before the first event", true, stream(""), stream(endOfStream, "1"), "1", false, ""},
+		{"cut, may not go on", false, stream("", "1", "2"), stream(endOfStream, "3"), "1 2", true, ""},
+		{"ended inside an event", false, stream("9\r\nid: 3\nda\r\n0\r\n\r\n", "1"), nil, "1", true, ""},
+		{"the second fails", true, stream("", "1"), say(500, "sorry"), "1", true, "1"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var mu sync.Mutex
+			n := 0
+			play := func(c net.Conn, r *http.Request) {
+				mu.Lock()
+				n++
+				part := row.first
+				if n > 1 {
+					part = row.second
+					if got := r.Header.Get(testLast); got != row.last {
+						t.Errorf("the second goes on behind %q, want %q", got, row.last)
+					}
+				}
+				mu.Unlock()
+				if part != nil {
+					part(c, r)
+				}
+			}
+			list := route(routes.Streaming, 2)
+			list[0].Resumable = row.resumable
+			s := newSite(t, list, play, play)
+			resp, body, err := s.ask(s.request("POST", "/r/x", "prompt"))
+			if resp == nil || resp.StatusCode != 200 || resp.Header.Get("Stamp") != "200" {
+				t.Fatalf("%v %v", resp, err)
+			}
+			if (err != nil) != row.broken {
+				t.Errorf("the stream ended with %v", err)
+			}
+			if got := events(body); got != row.body {
+				t.Errorf("events %q, want %q", got, row.body)
+			}
+		})
+	}
+}
+
+// events lists the ids of a stream.
+func events(body string) string {
+	var ids []string
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, strings.TrimSpace(id))
+		}
+	}
+	return strings.Join(ids, " ")
+}
+
+// TestEventsArriveAsTheyCome reads the first event while the endpoint still works.
+func TestEventsArriveAsTheyCome(t *testing.T) {
+	more := make(chan struct{})
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+		stream("", "1")(c, r)
+		<-more
+		text := "id: 2\n\n"
+		fmt.Fprintf(c, "%x\r\n%s\r\n%s", len(text), text, endOfStream)
+	})
+	resp, err := s.server.Client().Do(s.request("POST", "/r/x", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	if line, err := reader.ReadString('\n'); err != nil || line != "id: 1\n" {
+		t.Fatalf("%q %v", line, err)
+	}
+	close(more)
+	if rest, err := io.ReadAll(reader); err != nil || events(string(rest)) != "2" {
+		t.Errorf("%q %v", rest, err)
+	}
+}
+
+// TestCallerLeaves hangs up while the endpoint works.
+//
+// The endpoint's connection closes, which tells it to stop; nothing else is asked.
+func TestCallerLeaves(t *testing.T) {
+	working, stopped := make(chan struct{}), make(chan struct{})
+	s := newSite(t, route(routes.Idempotent, 2), func(c net.Conn, _ *http.Request) {
+		close(working)
+		io.Copy(io.Discard, c)
+		close(stopped)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go s.server.Client().Do(s.request("GET", "/r/x", "").WithContext(ctx))
+	<-working
+	leave()
+	<-stopped
+}
+
+func TestWhoMayCallWhat(t *testing.T) {
+	list := append(route(routes.Idempotent, 1), routes.Route{
+		Name: "open", Host: "h", Prefix: "/open/", Kind: routes.Idempotent, Targets: []routes.Target{{Service: "s", Weight: 1}}, Public: true, MaxAttempts: 1,
+	})
+	rows := []struct {
+		name   string
+		path   string
+		lines  []string
+		body   string
+		status int
+		sent   int
+	}{
+		{"known key", "/r/x", nil, "", 200, 1},
+		{"unknown key", "/r/x", []string{testKey + ": stolen"}, "", 401, 0},
+		{"no key", "/r/x", []string{testKey + ": "}, "", 401, 0},
+		{"public", "/open/x", []string{testKey + ": "}, "", 200, 1},
+		{"no route", "/s/x", nil, "", 404, 0},
+		{"bad header", "/r/x", []string{"T-Bad: 1"}, "", 400, 0},
+		{"header too large", "/r/x", []string{"X-Large: " + strings.Repeat("x", 5000)}, "", 431, 0},
+		{"body too large", "/r/x", nil, strings.Repeat("x", 1<<20+1), 413, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, list, say(200, "a"))
+			now := time.Now()
+			s.gateway.Watcher.Heard(now)
+			resp, _, err := s.ask(s.request("POST", row.path, row.body, row.lines...))
+			if err != nil || resp.StatusCode != row.status || s.runs() != row.sent {
+				t.Errorf("%v %v, sent to %d", resp, err, s.runs())
+			}
+		})
+	}
+}
+
+// TestOutdatedConfigurationRefusesNobodyForGood asks with a key that an entry, cut
+// off from the store, has not heard of yet.
+//
+// "Unknown key" would make the caller give up a key that is good: it is told to
+// come back instead.
+func TestOutdatedConfigurationRefusesNobodyForGood(t *testing.T) {
+	s := newSite(t, route(routes.Idempotent, 1), say(200, "a"))
+	s.gateway.Watcher.Heard(time.Now().Add(-staleAfter - time.Second))
+	for _, path := range []string{"/r/x", "/new/x"} {
+		resp, _, err := s.ask(s.request("GET", path, "", testKey+": new"))
+		if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: %v %v", path, resp, err)
+		}
+	}
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	s := newSite(t, nil)
+	s.gateway.State = discovery.NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	resp, _, err := s.ask(s.request("GET", "/r/x", ""))
+	if err != nil || resp.StatusCode != 503 {
+		t.Errorf("%v %v", resp, err)
+	}
+	w := httptest.NewRecorder()
+	s.gateway.ServeReady(w, nil)
+	if w.Code != 503 {
+		t.Errorf("ready says %d", w.Code)
+	}
+}
+
+// TestRouteTimeout lets an endpoint work longer than the route allows.
+//
+// The caller is told at that moment, and nothing is promised; the endpoint gets no
+// more time than the caller has.
+func TestRouteTimeout(t *testing.T) {
+	list := route(routes.NonIdempotent, 2)
+	list[0].Timeout = 50 * time.Millisecond
+	s := newSite(t, list, func(c net.Conn, _ *http.Request) { io.Copy(io.Discard, c) })
+	resp, _, err := s.ask(s.request("POST", "/r/x", "", testLeft+": 4000"))
+	if err != nil || resp.StatusCode != 504 || s.runs() != 1 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	if left, err := strconv.Atoi(s.endpoints[0].requests[0].Header.Get(testLeft)); err != nil || left > 50 {
+		t.Errorf("the endpoint was given %d ms: %v", left, err)
+	}
+}
+
+// TestRetryBudget lets every endpoint fail with the budget used up.
+func TestRetryBudget(t *testing.T) {
+	s := newSite(t, route(routes.Idempotent, 2), say(500, "sorry"), say(500, "sorry"))
+	s.gateway.Budget = runs.NewRetryBudget(0, 0)
+	if resp, _, err := s.ask(s.request("GET", "/r/x", "")); err != nil || resp.StatusCode != 500 || s.runs() != 1 {
+		t.Errorf("%v %v, sent to %d", resp, err, s.runs())
+	}
+}
