--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -31,10 +31,12 @@
 	"limpetwall/internal/transport/tlsfiles"
 )
 
-// Stop tells a process to stop: Graceful first, Now when waiting is over.
+// Stop tells a process to stop: Graceful first, Now when waiting is over. Reload
+// tells that the settings may have changed.
 type Stop struct {
 	Graceful <-chan struct{}
 	Now      <-chan struct{}
+	Reload   <-chan struct{}
 }
 
 // BaseSettings are common to entries and agents.
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -58,23 +58,25 @@
 type GatewaySettings struct {
 	Platform platform.Settings
 	LogLevel string
+	// Path of the platform's file.
+	Path string
 }
 
-func bindGateway(set *settings.Set, io IO) *GatewaySettings {
+func bindGateway(set *settings.Set) *GatewaySettings {
 	s := &GatewaySettings{}
 	f := set.Flags()
 	f.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
-	f.String("config", "", "path of the platform's settings file (required)")
+	f.StringVar(&s.Path, "config", "", "path of the platform's settings file (required)")
 	return s
 }
 
 func gatewayMain(args []string, io IO) int {
 	set := settings.New("limpetwall gateway")
-	s := bindGateway(set, io)
+	s := bindGateway(set)
 	if code, done := parse(set, args, io); done {
 		return code
 	}
-	read, err := platform.ReadSettings(set.Flags().Lookup("config").Value.String())
+	read, err := platform.ReadSettings(s.Path)
 	if err != nil {
 		parseFailed(io, err)
 		return ExitSettings
@@ -115,9 +117,29 @@
 	}
 	log.Info("started", zap.String("host", s.Platform.Host), zap.String("domain", s.Platform.Domain),
 		zap.String("clients", s.Platform.Clients), zap.String("store", s.Platform.Store), zap.Int("pid", os.Getpid()))
-	<-stop.Graceful
-	p.drain(stop)
-	return nil
+	for {
+		select {
+		case <-stop.Reload:
+			p.reload()
+		case <-stop.Graceful:
+			p.drain(stop)
+			return nil
+		}
+	}
+}
+
+// reload reads the platform's settings file again. Only the time to stop takes
+// effect at once; the rest is fixed in parts that are running.
+func (p *gatewayProcess) reload() {
+	next, err := platform.ReadSettings(p.settings.Path)
+	if err != nil {
+		p.log.Error("settings not reloaded, the old ones stay in force", zap.String("path", p.settings.Path), zap.Error(err))
+		return
+	}
+	now := p.settings.Platform
+	now.Bounds.StopGrace = next.Bounds.StopGrace
+	p.log.Info("settings reloaded", zap.Duration("time_to_stop", now.Bounds.StopGrace), zap.Bool("others_need_restart", now != next))
+	p.settings.Platform = now
 }
 
 func newGatewayProcess(s *GatewaySettings, log *zap.Logger) *gatewayProcess {
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"syscall"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -91,16 +92,26 @@
 }
 
 // watchSignals turns the first signal into a graceful stop and the second into
-// an immediate one.
+// an immediate one. SIGHUP, which would end the process, asks for a reload.
 func watchSignals(signals <-chan os.Signal) Stop {
-	graceful, now := make(chan struct{}), make(chan struct{})
+	graceful, now, reload := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	go func() {
-		<-signals
-		close(graceful)
-		<-signals
-		close(now)
+		ends := []chan struct{}{graceful, now}
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				select {
+				case reload <- struct{}{}:
+				default:
+				}
+				continue
+			}
+			close(ends[0])
+			if ends = ends[1:]; len(ends) == 0 {
+				return
+			}
+		}
 	}()
-	return Stop{Graceful: graceful, Now: now}
+	return Stop{Graceful: graceful, Now: now, Reload: reload}
 }
 
 func entryMain(args []string, io IO) int {
