--- a/internal/coordination/admission/patience.go
+++ b/internal/coordination/admission/patience.go
@@ -37,5 +37,6 @@
 	if p.Wait <= limit && p.First < p.Left {
 		return true, 0
 	}
-	return false, max(shortestReturn, time.Duration(returnShare*float64(p.Wait)))
+	after = time.Duration(returnShare * float64(p.Wait)).Round(time.Millisecond)
+	return false, max(shortestReturn, after)
 }
--- /dev/null
+++ b/internal/coordination/admission/patience_test.go
@@ -0,0 +1,125 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestAccept(t *testing.T) {
+	const objective = time.Second
+	rows := []struct {
+		name  string
+		p     Prospect
+		ok    bool
+		after time.Duration
+	}{
+		{"no queue", Prospect{First: 100 * time.Millisecond, Objective: objective, Left: 10 * time.Second, Rank: 1}, true, 0},
+		{"a long prompt without queue", Prospect{First: 2 * time.Second, Objective: objective, Left: 10 * time.Second, Rank: 1}, true, 0},
+		{"urgent, short queue", Prospect{Wait: 700 * time.Millisecond, First: 800 * time.Millisecond, Objective: objective, Left: 10 * time.Second}, true, 0},
+		{"patient, the same queue", Prospect{Wait: 700 * time.Millisecond, First: 800 * time.Millisecond, Objective: objective, Left: 10 * time.Second, Rank: 1}, false, 490 * time.Millisecond},
+		{"urgent, long queue", Prospect{Wait: 3 * time.Second, First: 3 * time.Second, Objective: objective, Left: 10 * time.Second}, false, 2100 * time.Millisecond},
+		{"not before the caller's end", Prospect{First: 600 * time.Millisecond, Objective: objective, Left: 500 * time.Millisecond}, false, shortestReturn},
+	}
+	for _, row := range rows {
+		if ok, after := Accept(row.p); ok != row.ok || after != row.after {
+			t.Errorf("%s: %v, back after %s", row.name, ok, after)
+		}
+	}
+}
+
+// kindOfLoad is one kind of request of the load below.
+type kindOfLoad struct {
+	perSecond float64
+	read      time.Duration
+	objective time.Duration
+	rank      float64
+}
+
+// The load has three kinds in the proportions of a site's day: long write-ups, the
+// least urgent, that take most of the engines; notes; and short checks, the most
+// urgent.
+var load = []kindOfLoad{
+	{14.6, 250 * time.Millisecond, 1200 * time.Millisecond, 1},
+	{26.1, 20 * time.Millisecond, time.Second, 0.5},
+	{22.4, 50 * time.Millisecond, 2 * time.Second, 0},
+}
+
+// play lets requests come to engines that read one prompt after the other, in order
+// of arrival, each at the engine with the shortest queue. From 5 s to 15 s only
+// down engines are there. It returns each kind's share in time, during that and in
+// the ten seconds after.
+func play(accept func(Prospect) bool, engines, down int) (during, after [3]float64) {
+	random := rand.New(rand.NewPCG(1, 2))
+	free := make([]time.Duration, engines)
+	var came, inTime [2][3]float64
+	const step = time.Millisecond
+	for now := time.Duration(0); now < 25*time.Second; now += step {
+		available := free
+		if now >= 5*time.Second && now < 15*time.Second {
+			available = free[:down]
+		}
+		for i, k := range load {
+			if random.Float64() >= k.perSecond*step.Seconds() {
+				continue
+			}
+			best := 0
+			for e := range available {
+				if available[e] < available[best] {
+					best = e
+				}
+			}
+			wait := max(0, available[best]-now)
+			phase := 0
+			if now >= 15*time.Second {
+				phase = 1
+			}
+			if now >= 5*time.Second {
+				came[phase][i]++
+			}
+			if !accept(Prospect{Wait: wait, First: wait + k.read, Objective: k.objective, Left: 10 * time.Second, Rank: k.rank}) {
+				continue
+			}
+			available[best] = now + wait + k.read
+			if now >= 5*time.Second && wait+k.read <= k.objective {
+				inTime[phase][i]++
+			}
+		}
+	}
+	for i := range load {
+		during[i], after[i] = inTime[0][i]/came[0][i], inTime[1][i]/came[1][i]
+	}
+	return during, after
+}
+
+// TestOverloadIsServedInTime takes half of the engines away for ten seconds, so that
+// 1.4 times as much is to be read as the rest can read.
+//
+// Without refusals the queues grow and everybody waits alike: the long ones are in
+// time in 0.19, the notes in 0.15, the checks in 0.68. With them the urgent kinds
+// are all in time, and the long ones in 0.74: they get what is left.
+func TestOverloadIsServedInTime(t *testing.T) {
+	everybody := func(Prospect) bool { return true }
+	some := func(p Prospect) bool {
+		ok, _ := Accept(p)
+		return ok
+	}
+	const engines, down = 8, 4
+	before, _ := play(everybody, engines, down)
+	during, after := play(some, engines, down)
+	t.Logf("in time without refusals: %.2f; with: %.2f, afterwards %.2f", before, during, after)
+	if before[1] > 0.3 {
+		t.Errorf("the load is no overload: %.2f", before)
+	}
+	if during[1] < 0.95 || during[2] < 0.95 {
+		t.Errorf("the urgent kinds are in time in %.2f", during)
+	}
+	if during[0] < 0.6 {
+		t.Errorf("the long ones get %.2f", during[0])
+	}
+	for i, share := range after {
+		if share < 0.95 {
+			t.Errorf("kind %d is in time in %.2f after the shortage", i, share)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/discovery/watcher_test.go
@@ -0,0 +1,378 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/objectapi"
+)
+
+var kinds = Kinds{Config: "config", Instances: "servers", Weights: "versions", MainConfig: "main"}
+
+// fakeFeed is a store in memory that may be silent, refuse or forget.
+type fakeFeed struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]objectapi.Record
+	history  []struct {
+		kind  string
+		event objectapi.Event
+	}
+	oldest  uint64
+	changed chan struct{}
+	// silent calls get no answer, not even when the store is back, as on a connection
+	// that died without a reset; refuse answers with an error at once.
+	silent, refuse bool
+	calls          int
+}
+
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{objects: map[string]map[string]objectapi.Record{}, changed: make(chan struct{})}
+}
+
+func (f *fakeFeed) put(kind, name string, spec any) uint64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	r := objectapi.Record{Name: name, Revision: f.revision, Spec: data}
+	if f.objects[kind] == nil {
+		f.objects[kind] = map[string]objectapi.Record{}
+	}
+	f.objects[kind][name] = r
+	f.tell(kind, objectapi.Event{Record: r})
+	return f.revision
+}
+
+func (f *fakeFeed) remove(kind, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	r := f.objects[kind][name]
+	r.Revision = f.revision
+	delete(f.objects[kind], name)
+	f.tell(kind, objectapi.Event{Record: r, Removed: true})
+}
+
+func (f *fakeFeed) tell(kind string, e objectapi.Event) {
+	f.history = append(f.history, struct {
+		kind  string
+		event objectapi.Event
+	}{kind, e})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeFeed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeFeed) begin(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	silent, refuse := f.silent, f.refuse
+	f.mu.Unlock()
+	if refuse {
+		return objectapi.ErrUnavailable
+	}
+	if silent {
+		<-ctx.Done()
+		return errors.WithType(ctx.Err(), objectapi.ErrUnavailable)
+	}
+	return nil
+}
+
+func (f *fakeFeed) ListKind(ctx context.Context, kind string) ([]objectapi.Record, uint64, error) {
+	if err := f.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []objectapi.Record
+	for _, r := range f.objects[kind] {
+		out = append(out, r)
+	}
+	return out, f.revision, nil
+}
+
+func (f *fakeFeed) WatchKind(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objectapi.Event, uint64, error) {
+	if err := f.begin(ctx); err != nil {
+		return nil, since, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		f.mu.Lock()
+		if since < f.oldest {
+			f.mu.Unlock()
+			return nil, since, objectapi.ErrCompacted
+		}
+		var out []objectapi.Event
+		for _, h := range f.history {
+			if h.kind == kind && h.event.Revision > since {
+				out = append(out, h.event)
+			}
+		}
+		revision, changed := f.revision, f.changed
+		f.mu.Unlock()
+		if len(out) > 0 {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, since, errors.WithType(ctx.Err(), objectapi.ErrUnavailable)
+		}
+	}
+}
+
+type fakeDecoder struct{}
+
+func (fakeDecoder) Config(r objectapi.Record) (*routes.Table, error) {
+	var version uint64
+	if err := json.Unmarshal(r.Spec, &version); err != nil {
+		return nil, err
+	}
+	return routes.New(version, r.Revision, nil, []routes.Service{{Name: "s"}}, nil, routes.Limits{}), nil
+}
+
+func (fakeDecoder) Instance(r objectapi.Record) (Instance, error) {
+	i := Instance{ID: r.Name, Revision: r.Revision, Service: "s", Model: "m", Weights: 1}
+	return i, json.Unmarshal(r.Spec, &i.Leaving)
+}
+
+func (fakeDecoder) Weights(r objectapi.Record) (Named, error) {
+	n := Named{Model: r.Name, Revision: r.Revision}
+	return n, json.Unmarshal(r.Spec, &n.Version)
+}
+
+// follow runs a watcher over a feed for the length of a test.
+func follow(t *testing.T, feed *fakeFeed) (*State, *Watcher) {
+	state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	w := &Watcher{Feed: feed, Decoder: fakeDecoder{}, Kinds: kinds, State: state, Log: zap.NewNop(), Wait: 2 * time.Second}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		w.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return state, w
+}
+
+func usable(s *State) int {
+	n := 0
+	for _, m := range s.Table.Members() {
+		if m.ID != "self" && m.State == fleet.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWhatIsWrittenIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		state, _ := follow(t, feed)
+		time.Sleep(time.Second)
+		if state.Ready() {
+			t.Error("ready without a configuration")
+		}
+		feed.put("config", "main", 3)
+		feed.put("config", "draft", 99)
+		feed.put("servers", "i-1", false)
+		feed.put("versions", "m", 2)
+		time.Sleep(10 * time.Millisecond)
+		if !state.Ready() || state.Routes().Version != 3 || usable(state) != 1 || state.NamedVersion("m") != 2 {
+			t.Errorf("%v %+v %d %d", state.Ready(), state.Routes(), usable(state), state.NamedVersion("m"))
+		}
+		feed.put("servers", "i-1", true)
+		time.Sleep(10 * time.Millisecond)
+		if usable(state) != 0 {
+			t.Error("a leaving endpoint is still used")
+		}
+	})
+}
+
+// TestSilentStoreIsFoundBack lets the store fall silent for a minute and changes
+// the configuration just before it answers again.
+//
+// Callers must be served by the new configuration within 2 s of the return, though
+// every call that began before it never ends by itself.
+func TestSilentStoreIsFoundBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("config", "main", 1)
+		state, w := follow(t, feed)
+		time.Sleep(time.Second)
+		feed.set(func() { feed.silent = true })
+		time.Sleep(time.Minute)
+		if age := w.Age(time.Now()); age < 50*time.Second {
+			t.Errorf("the store counts as heard %s ago", age)
+		}
+		feed.put("config", "main", 2)
+		feed.set(func() { feed.silent = false })
+		time.Sleep(1900 * time.Millisecond)
+		if state.Routes().Version != 2 {
+			t.Errorf("version %d is in force", state.Routes().Version)
+		}
+	})
+}
+
+// TestRefusingStoreIsNotPressed counts the calls during ten seconds of refusals.
+func TestRefusingStoreIsNotPressed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.set(func() { feed.refuse = true })
+		follow(t, feed)
+		time.Sleep(10 * time.Second)
+		calls := 0
+		feed.set(func() { calls = feed.calls })
+		if calls > 3*20 {
+			t.Errorf("%d calls in 10 s", calls)
+		}
+	})
+}
+
+// TestHistoryIsGone drops the history while an endpoint leaves.
+//
+// No event tells of it; only the list that follows does, by what it lacks.
+func TestHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("config", "main", 1)
+		feed.put("servers", "i-1", false)
+		feed.put("servers", "i-2", false)
+		state, _ := follow(t, feed)
+		time.Sleep(time.Second)
+		feed.set(func() {
+			delete(feed.objects["servers"], "i-1")
+			feed.revision += 10
+			feed.history, feed.oldest = nil, feed.revision
+		})
+		time.Sleep(3 * time.Second)
+		if usable(state) != 1 {
+			t.Errorf("%d endpoints are used", usable(state))
+		}
+	})
+}
+
+// TestConfigurationNeverGoesBack shows an older configuration after a newer one.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	for _, c := range []struct{ version, revision, want uint64 }{{5, 10, 5}, {4, 11, 5}, {6, 9, 5}, {7, 12, 7}, {7, 12, 7}} {
+		state.SetRoutes(routes.New(c.version, c.revision, nil, nil, nil, routes.Limits{}))
+		if got := state.Routes().Version; got != c.want {
+			t.Errorf("after %d at %d: %d in force, want %d", c.version, c.revision, got, c.want)
+		}
+	}
+}
+
+// TestLapsedEntries lets the store be away; meanwhile the entries of two endpoints
+// lapse. One endpoint lives and is listed again a second after the return.
+//
+// Both are used until then: their work would otherwise fall to nobody. The one that
+// stays missing is gone about two seconds after the return.
+func TestLapsedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("config", "main", 1)
+		feed.put("servers", "i-1", false)
+		feed.put("servers", "i-2", false)
+		state, _ := follow(t, feed)
+		time.Sleep(time.Second)
+		feed.set(func() { feed.refuse = true })
+		time.Sleep(10 * time.Second)
+		feed.remove("servers", "i-1")
+		feed.remove("servers", "i-2")
+		feed.set(func() { feed.refuse = false })
+		time.Sleep(time.Second)
+		if usable(state) != 2 {
+			t.Errorf("1 s after the return: %d used", usable(state))
+		}
+		feed.put("servers", "i-1", false)
+		time.Sleep(2500 * time.Millisecond)
+		if usable(state) != 1 {
+			t.Errorf("3.5 s after the return: %d used", usable(state))
+		}
+		if _, ok := state.Instance("i-2"); ok {
+			t.Error("the missing one is still known")
+		}
+	})
+}
+
+// TestRemovedEntryIsGoneAtOnce removes an entry while the store is well.
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("servers", "i-1", false)
+		state, _ := follow(t, feed)
+		time.Sleep(time.Second)
+		feed.remove("servers", "i-1")
+		time.Sleep(10 * time.Millisecond)
+		if usable(state) != 0 {
+			t.Error("still used")
+		}
+	})
+}
+
+// TestWeightsOnlyGrow lets the list lag behind what the endpoint itself has said.
+func TestWeightsOnlyGrow(t *testing.T) {
+	state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	state.SetInstance(Instance{ID: "i", Revision: 1, Model: "m", Weights: 1})
+	state.Observe("i", 3)
+	state.SetInstance(Instance{ID: "i", Revision: 2, Model: "m", Weights: 2})
+	if i, _ := state.Instance("i"); i.Weights != 3 {
+		t.Errorf("weights %d", i.Weights)
+	}
+	state.SetNamed(Named{Model: "m", Version: 4})
+	state.SetNamed(Named{Model: "m", Version: 2})
+	if state.NamedVersion("m") != 4 {
+		t.Errorf("named %d", state.NamedVersion("m"))
+	}
+}
+
+func TestBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+		state.SetInstance(Instance{ID: "a", Model: "m", Weights: 1})
+		state.SetInstance(Instance{ID: "b", Model: "m", Weights: 2})
+		first := time.Now()
+		for v := int64(2); v <= 4; v++ {
+			state.SetNamed(Named{Model: "m", Version: v})
+			time.Sleep(time.Second)
+		}
+		if n, since := state.Behind("m"); n != 2 || !since.Equal(first) {
+			t.Errorf("%d behind since %s", n, since.Sub(first))
+		}
+		state.Observe("a", 4)
+		if n, since := state.Behind("m"); n != 1 || since.Sub(first) != time.Second {
+			t.Errorf("%d behind since %s", n, since.Sub(first))
+		}
+	})
+}
+
+func ExampleVersionName() {
+	fmt.Printf("%q %q\n", VersionName(0), VersionName(12))
+	// Output: "" "12"
+}
--- /dev/null
+++ b/internal/coordination/kept/kept_test.go
@@ -0,0 +1,246 @@
+package kept
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/routes"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	near = "10.0.0.1:1"
+	far  = "10.0.0.2:1"
+)
+
+// clock is a time that tests set.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// keeper has two stores that were just listed, both empty.
+func keeper(t *testing.T) (*Keeper, *clock) {
+	c := &clock{epoch}
+	k := New(nil, zap.NewNop(), "a", c.Now)
+	k.SetStores(map[string]*routes.Service{
+		"near": {Store: &routes.Store{Address: near, Domain: "a", MemoryTokens: 10_000}},
+		"far":  {Store: &routes.Store{Address: far, Domain: "b", MemoryTokens: 10_000}},
+		"llm":  {Engine: &routes.Engine{}},
+	})
+	for _, address := range []string{near, far} {
+		if _, ok := k.takeListing(address, Listing{Epoch: 7, Whole: map[PartKey]Held{}}, c.now); !ok {
+			t.Fatal("store is not known")
+		}
+	}
+	k.takeEvents(near, Events{Epoch: 7, ClockMS: c.now.UnixMilli() + 5000}, c.now)
+	return k, c
+}
+
+func added(salt, id string, tokens int) Change {
+	return Change{Added: true, Part: PartKey{salt, id}, Held: Held{Tokens: tokens, Model: "m"}}
+}
+
+var parts = []Part{{"p1", 500}, {"p2", 1500}}
+
+func (k *Keeper) mustPlan(salt string) (from, to []string, stored int) {
+	from, to, stored, _ = k.Plan(salt, "context", parts)
+	return from, to, stored
+}
+
+// TestPartsAreImportedOnlyWhenWhole saves a prompt's parts and asks again at each
+// stage of the save.
+func TestPartsAreImportedOnlyWhenWhole(t *testing.T) {
+	k, c := keeper(t)
+	from, to, stored := k.mustPlan("s.1")
+	if from[0] != "" || to[0] == "" || to[1] != to[0] || stored != 0 {
+		t.Fatalf("empty stores: from %q to %q, %d stored", from, to, stored)
+	}
+	target := to[0]
+	if from, to, _ = k.mustPlan("s.1"); from[0] != "" || to[0] != "" {
+		t.Errorf("while the save is underway: from %q to %q", from, to)
+	}
+	k.takeEvents(target, Events{Epoch: 7, Changes: []Change{added("s.1", "p1", 300)}}, c.now)
+	if from, _, _ = k.mustPlan("s.1"); from[0] != "" {
+		t.Error("a part of fewer tokens than asked for is imported")
+	}
+	k.takeEvents(target, Events{Epoch: 7, Changes: []Change{added("s.1", "p1", 500), added("s.1", "p2", 1500)}}, c.now)
+	from, to, stored = k.mustPlan("s.1")
+	if from[0] != target || from[1] != target || to[0] != "" || stored != 2000 {
+		t.Errorf("whole: from %q to %q, %d stored", from, to, stored)
+	}
+	if from, _, stored = k.mustPlan("s.2"); from[0] != "" || stored != 0 {
+		t.Error("parts made by other weights are imported")
+	}
+	if _, _, _, until := k.Plan("s.1", "context", parts); until != c.now.UnixMilli()+5000+importTime.Milliseconds() {
+		t.Errorf("imports end at %d", until)
+	}
+}
+
+// TestStoreThatFellSilentIsNotUsed freezes this process for two seconds; the store
+// restarts meanwhile, and another process begins to save the same part again.
+//
+// The part is named by what the store said in its life before, and half of it would
+// enter an answer. A store is no source a second after its last word.
+func TestStoreThatFellSilentIsNotUsed(t *testing.T) {
+	k, c := keeper(t)
+	k.takeEvents(near, Events{Epoch: 7, Changes: []Change{added("s.1", "p1", 500)}}, c.now)
+	if from, _, _ := k.mustPlan("s.1"); from[0] != near {
+		t.Fatalf("%q", from)
+	}
+	c.now = c.now.Add(2 * time.Second)
+	if from, to, _ := k.mustPlan("s.1"); from[0] != "" || to[0] != "" {
+		t.Errorf("after the freeze: from %q to %q", from, to)
+	}
+	if k.Stored("s.1", parts) != 0 {
+		t.Error("counted as stored")
+	}
+	if _, ok := k.takeEvents(near, Events{Epoch: 8}, c.now); ok {
+		t.Error("the new life's events are taken for the old one's")
+	}
+	if from, _, _ := k.mustPlan("s.1"); from[0] != "" {
+		t.Error("a part of the life before is imported")
+	}
+	k.takeListing(near, Listing{Epoch: 8, Whole: map[PartKey]Held{}, Partial: map[PartKey]int{{"s.1", "p1"}: 500}}, c.now)
+	if from, _, _ := k.mustPlan("s.1"); from[0] != "" {
+		t.Error("a part that is being written is imported")
+	}
+}
+
+func TestGapsAndRemovals(t *testing.T) {
+	k, c := keeper(t)
+	k.takeEvents(near, Events{Epoch: 7, Changes: []Change{added("s.1", "p1", 500), added("s.1", "p2", 1500)}}, c.now)
+	k.takeEvents(near, Events{Epoch: 7, Changes: []Change{{Part: PartKey{"s.1", "p1"}}}}, c.now)
+	if got := k.Stored("s.1", parts); got != 0 {
+		t.Errorf("%d tokens stored behind a part that is gone", got)
+	}
+	if _, ok := k.takeEvents(near, Events{Epoch: 7, Lost: true}, c.now); ok {
+		t.Error("a gap is passed over")
+	}
+	if from, _, _ := k.mustPlan("s.1"); from[1] != "" {
+		t.Error("what was known before the gap is still used")
+	}
+}
+
+// TestSavesKeepToTheRoom fills a store; what is underway counts.
+func TestSavesKeepToTheRoom(t *testing.T) {
+	s := newStore(routes.Store{MemoryTokens: 10_000})
+	s.load(Listing{Whole: map[PartKey]Held{{"s", "a"}: {Tokens: 4000}}, Partial: map[PartKey]int{{"s", "b"}: 2000}}, epoch)
+	if !s.maySave(PartKey{"s", "c"}, 3000, epoch) || s.maySave(PartKey{"s", "d"}, 3000, epoch) {
+		t.Error("the room is not counted")
+	}
+	s.expire(epoch.Add(pendingFor))
+	if !s.maySave(PartKey{"s", "d"}, 3000, epoch.Add(pendingFor)) {
+		t.Error("a save that was lost keeps its room for ever")
+	}
+}
+
+// TestObsoleteContext frees parts of replaced weights, and no others.
+func TestObsoleteContext(t *testing.T) {
+	k, c := keeper(t)
+	old, now := Salt("shared", "m", "1"), Salt("shared", "m", "2")
+	k.takeEvents(near, Events{Epoch: 7, Changes: []Change{
+		added(old, "p1", 1), added(now, "p1", 1), added("somebody else's", "p1", 1), added(old, "p2", 1),
+	}}, c.now)
+	if jobs := k.obsolete(map[string]int64{"m": 1}); len(jobs) != 0 {
+		t.Errorf("freed while an engine has the old weights: %v", jobs)
+	}
+	jobs := k.obsolete(map[string]int64{"m": 2})
+	if job := jobs[near]; len(jobs) != 1 || job.epoch != 7 || len(job.parts) != 2 || job.parts[0].Salt != old {
+		t.Errorf("%v", jobs)
+	}
+	c.now = c.now.Add(2 * freshFor)
+	if jobs := k.obsolete(map[string]int64{"m": 2}); len(jobs) != 0 {
+		t.Error("freed in a store that may have restarted")
+	}
+}
+
+// TestContextsSpreadByMemory places many contexts on stores of unequal memory.
+func TestContextsSpreadByMemory(t *testing.T) {
+	counts := map[string]int{}
+	const n = 10_000
+	memory := map[string]int{"a": 100, "b": 100, "c": 800}
+	for i := range n {
+		best, rank := "", 0.0
+		for address, weight := range memory {
+			if r := rendezvous(address, fmt.Sprint(i), weight); r > rank {
+				best, rank = address, r
+			}
+		}
+		counts[best]++
+	}
+	for address, weight := range memory {
+		want := n * float64(weight) / 1000
+		if math.Abs(float64(counts[address])-want) > 0.15*want {
+			t.Errorf("%s has %d of %g", address, counts[address], want)
+		}
+	}
+}
+
+func TestEnginesMemory(t *testing.T) {
+	c := &clock{epoch}
+	k := New(nil, zap.NewNop(), "a", c.Now)
+	k.SetEngines(map[string]bool{near: true, far: true})
+	if k.Informed() {
+		t.Error("informed before any word")
+	}
+	k.takeEngineEvents(near, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p1", 500), added("s", "p2", 1500)}})
+	k.takeEngineEvents(far, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p2", 1500)}})
+	resident := k.Resident("s", parts)
+	if !k.Informed() || len(resident) != 1 || resident[0] != (Resident{near, 2000, 2}) {
+		t.Errorf("%+v", resident)
+	}
+	k.takeEngineEvents(near, Events{Epoch: 2, Next: 1})
+	if len(k.Resident("s", parts)) != 0 {
+		t.Error("a restarted engine still keeps what it had")
+	}
+	c.now = c.now.Add(2 * engineFresh)
+	if k.Informed() {
+		t.Error("informed by old words")
+	}
+}
+
+// fakeStoreFeed is one store that restarts on command.
+type fakeStoreFeed struct {
+	mu    sync.Mutex
+	epoch int64
+	down  bool
+	lists int
+	freed []PartKey
+}
+
+func (f *fakeStoreFeed) List(context.Context, string) (Listing, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists++
+	if f.down {
+		return Listing{}, errors.New("down")
+	}
+	return Listing{Epoch: f.epoch, Whole: map[PartKey]Held{{"s", "p1"}: {Tokens: 500, Model: "m"}}}, nil
+}
+
+func (f *fakeStoreFeed) Events(ctx context.Context, _ string, since int64, wait time.Duration) (Events, error) {
+	if !sleep(ctx, wait) {
+		return Events{}, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Events{}, errors.New("down")
+	}
+	return Events{Epoch: f.epoch, Next: since, ClockMS: 1}, nil
+}
+
+func (f *fakeStoreFeed) Free(_ context.Context, _ string, _ int64, parts []PartKey) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, parts...)
+	return nil
+}
--- /dev/null
+++ b/internal/transport/ingress/ingress_test.go
@@ -0,0 +1,151 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"limpetwall/internal/state/routes"
+)
+
+// pipes is a listener whose connections are pipes within this process, so that
+// tests run on a clock of their own.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{make(chan net.Conn), make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	close(p.done)
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+func (p *pipes) dial() net.Conn {
+	mine, theirs := net.Pipe()
+	p.conns <- theirs
+	return mine
+}
+
+// serving runs a test against a server whose handler waits until told to go on.
+func serving(t *testing.T, handler http.Handler, test func(s *Server, p *pipes)) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p := New(handler), newPipes()
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(p) }()
+		test(s, p)
+		s.Close()
+		if err := <-done; err != http.ErrServerClosed {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+var ok = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+
+func get(t *testing.T, c net.Conn, r *bufio.Reader) *http.Response {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp
+}
+
+// closedAfter reads until the server closes, and returns when that was.
+func closedAfter(r io.Reader) time.Duration {
+	began := time.Now()
+	io.Copy(io.Discard, r)
+	return time.Since(began)
+}
+
+// TestIdleLimitInForce changes the limit while a connection is open.
+//
+// The caller reuses connections up to its own part of the limit in force: one that
+// was opened under a shorter limit must not be closed on it.
+func TestIdleLimitInForce(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: time.Second})
+		c := p.dial()
+		r := bufio.NewReader(c)
+		get(t, c, r)
+		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: time.Second})
+		time.Sleep(4 * time.Second)
+		get(t, c, r)
+		time.Sleep(16 * time.Second)
+		get(t, c, r)
+		if idle := closedAfter(r); idle != 20*time.Second+slack {
+			t.Errorf("closed after %s", idle)
+		}
+	})
+}
+
+func TestSlowHeader(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 3 * time.Second})
+		c := p.dial()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost:")
+		if took := closedAfter(c); took != 3*time.Second {
+			t.Errorf("closed after %s", took)
+		}
+	})
+}
+
+// TestStopCutsNothing stops the server while a request runs and another connection
+// is idle.
+//
+// The running one gets its whole answer, which says that its connection ends; the
+// idle connection closes; nothing new is accepted.
+func TestStopCutsNothing(t *testing.T) {
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(4 * time.Second)
+		}
+		io.WriteString(w, "ok")
+	})
+	serving(t, slow, func(s *Server, p *pipes) {
+		idle := p.dial()
+		idleReader := bufio.NewReader(idle)
+		get(t, idle, idleReader)
+		busy := p.dial()
+		io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		s.StopKeeping()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(context.Background()) }()
+		closedAfter(idleReader)
+		resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+		if err != nil || !resp.Close {
+			t.Fatalf("%+v %v", resp, err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" {
+			t.Errorf("%q %v", body, err)
+		}
+		busy.Close()
+		if err := <-stopped; err != nil {
+			t.Errorf("%v", err)
+		}
+	})
+}
