Replaced weights are used no more once their time is up, whoever still has them

Ruled out: more orders at once (half of the engines load already). Retired by age, which holders hand on in the lease's note.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -53,6 +53,10 @@
 	contextIndex = 20_000
 )
 
+// retireEarly is how long before the end of their time replaced weights are used no
+// more: a request may wait that long in an engine before it begins.
+const retireEarly = 1500 * time.Millisecond
+
 // GatewaySettings are the settings of a gateway: the platform's own file, and what
 // the file leaves open.
 type GatewaySettings struct {
@@ -154,6 +158,7 @@
 		p.clients.SetLimits(t.Limits)
 		keeper.SetStores(t.Services)
 	})
+	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
 	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
 	store := platform.NewStore(s.Platform.Store, storeTransport)
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -61,6 +61,11 @@
 	Table    *fleet.Table
 	Services *config.Store
 	Log      *zap.Logger
+	// Now is a clock that goes on while the host is suspended, for the age of named
+	// weights; set it before use.
+	Now func() time.Time
+	// RetireAfter is how long replaced weights may be used; 0 sets no limit.
+	RetireAfter time.Duration
 
 	routes  atomic.Pointer[routes.Table]
 	onTable func(*routes.Table)
@@ -75,8 +80,9 @@
 
 type known struct {
 	Instance
-	// loading is set while an order is carried out.
-	loading bool
+	// loading is set while an order is carried out, outdated once its weights must not
+	// be used any more.
+	loading, outdated bool
 	// removedAt is when the entry was found missing, zero while it is listed.
 	removedAt time.Time
 }
@@ -87,7 +93,7 @@
 	cfg := fleet.DefaultConfig()
 	cfg.KeepDead = keepGone
 	return &State{
-		Table: fleet.NewTable(cfg, self, now), Services: config.NewStore(), Log: log, onTable: onTable,
+		Table: fleet.NewTable(cfg, self, now), Services: config.NewStore(), Log: log, Now: time.Now, onTable: onTable,
 		instances: map[string]*known{}, named: map[string]Named{}, renamed: make(chan struct{}),
 	}
 }
@@ -166,15 +172,21 @@
 	if n.Version <= s.named[n.Model].Version {
 		return
 	}
-	n.since = append(s.named[n.Model].since, namedAt{n.Version, time.Now()})
+	n.since = append(s.named[n.Model].since, namedAt{n.Version, s.Now()})
 	n.since = n.since[max(0, len(n.since)-keptVersions):]
 	s.named[n.Model] = n
+	s.wakeRollout()
+	s.Log.Info("weights named", zap.String("model", n.Model), zap.Int64("version", n.Version), zap.Uint64("revision", n.Revision))
+}
+
+// wakeRollout tells that there is something to order; s.mu is held.
+func (s *State) wakeRollout() {
 	close(s.renamed)
 	s.renamed = make(chan struct{})
-	s.Log.Info("weights named", zap.String("model", n.Model), zap.Int64("version", n.Version), zap.Uint64("revision", n.Revision))
 }
 
-// NamedChanged returns a channel that is closed when other weights are named.
+// NamedChanged returns a channel that is closed when other weights are named, or
+// an endpoint without the named ones is listed.
 func (s *State) NamedChanged() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,12 +218,96 @@
 			oldest = min(oldest, k.Weights)
 		}
 	}
+	return endpoints, n.sinceAfter(oldest)
+}
+
+// sinceAfter is when the first version above another was named.
+func (n Named) sinceAfter(version int64) time.Time {
 	for _, v := range n.since {
-		if v.version > oldest {
-			return endpoints, v.at
+		if v.version > version {
+			return v.at
+		}
+	}
+	return time.Time{}
+}
+
+// NamedAge is how long a version of a model has been named.
+type NamedAge struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	AgeMS   int64  `json:"age_ms"`
+}
+
+// Ages tells how long the versions that may still be missing somewhere have been
+// named.
+func (s *State) Ages() []NamedAge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []NamedAge
+	now := s.Now()
+	for _, n := range s.named {
+		for _, v := range n.since {
+			out = append(out, NamedAge{n.Model, v.version, now.Sub(v.at).Milliseconds()})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool {
+		return out[a].Model < out[b].Model || (out[a].Model == out[b].Model && out[a].Version < out[b].Version)
+	})
+	return out
+}
+
+// AdoptAges takes over what another process says of the age of versions. A process
+// that has started since they were named would otherwise allow the replaced ones
+// for as long again.
+func (s *State) AdoptAges(ages []NamedAge) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	for _, a := range ages {
+		since := s.named[a.Model].since
+		for i := range since {
+			at := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
+			if since[i].version == a.Version && at.Before(since[i].at) {
+				since[i].at = at
+			}
+		}
+	}
+}
+
+// RetireOutdated stops the use of endpoints whose weights were replaced more than
+// RetireAfter ago, and takes them back into use once they have newer ones. What
+// they would answer is worth nothing by then.
+func (s *State) RetireOutdated() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.instances {
+		if s.isOutdated(k) != k.outdated {
+			s.put(k, stateOf(k.Instance))
 		}
 	}
-	return endpoints, since
+}
+
+func (s *State) isOutdated(k *known) bool {
+	since := s.named[k.Model].sinceAfter(k.Weights)
+	return s.RetireAfter > 0 && k.Model != "" && !since.IsZero() && s.Now().Sub(since) > s.RetireAfter
+}
+
+// noteOutdated keeps and logs whether an endpoint's weights may be used. Each
+// write of its row asks anew: an endpoint may come back with weights that were
+// replaced long ago.
+func (s *State) noteOutdated(k *known) {
+	if outdated := s.isOutdated(k); outdated != k.outdated {
+		k.outdated = outdated
+		s.Log.Info("endpoint's weights", zap.String("endpoint", k.ID), zap.Int64("weights", k.Weights), zap.Bool("outdated", outdated))
+	}
+}
+
+// IsLoading tells whether an endpoint carries out an order.
+func (s *State) IsLoading(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.instances[id]
+	return ok && k.loading
 }
 
 // NamedVersion is the version asked for of one model, 0 if none is.
@@ -270,6 +366,9 @@
 	k.Instance, k.removedAt = i, time.Time{}
 	if changed {
 		s.put(k, stateOf(i))
+		if k.Weights < s.named[k.Model].Version {
+			s.wakeRollout()
+		}
 		s.Log.Info("endpoint listed", zap.String("endpoint", i.ID), zap.String("service", i.Service), zap.String("address", i.Address),
 			zap.String("domain", i.Domain), zap.Bool("leaving", i.Leaving), zap.Int64("weights", i.Weights),
 			zap.Bool("back", back), zap.Uint64("revision", i.Revision))
@@ -286,6 +385,7 @@
 // put writes an instance's row; each write has a higher version than the last.
 func (s *State) put(k *known, state fleet.State) {
 	s.version++
+	s.noteOutdated(k)
 	kind := fleet.KindPlain
 	if k.Model != "" {
 		kind = fleet.KindEngine
@@ -295,7 +395,7 @@
 		Address: k.Address, Host: k.Address, Domain: k.Domain, Role: fleet.RoleAgent,
 		Endpoint: fleet.Endpoint{
 			ID: k.ID, Kind: kind, Labels: map[string]string{ServiceLabel: k.Service}, Model: k.Model,
-			WeightVersion: VersionName(k.Weights), Loading: k.loading,
+			WeightVersion: VersionName(k.Weights), Loading: k.loading || k.outdated,
 		},
 	}, time.Now())
 }
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -372,6 +372,48 @@
 	})
 }
 
+// TestReplacedWeightsAreRetired lets an endpoint keep replaced weights too long, and
+// another come back with them.
+//
+// A process that started later learns from others how long they have been replaced.
+func TestReplacedWeightsAreRetired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		open := func() *State {
+			s := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+			s.RetireAfter = 8 * time.Second
+			s.SetInstance(Instance{ID: "a", Service: "s", Model: "m", Weights: 1})
+			s.SetNamed(Named{Model: "m", Version: 2})
+			return s
+		}
+		used := func(s *State, id string) bool {
+			m, ok := s.Table.Get(id)
+			return ok && !m.Endpoint.Loading
+		}
+		first := open()
+		time.Sleep(5 * time.Second)
+		second := open()
+		second.AdoptAges(first.Ages())
+		time.Sleep(3500 * time.Millisecond)
+		for i, s := range []*State{first, second} {
+			s.RetireOutdated()
+			if used(s, "a") {
+				t.Errorf("state %d: replaced weights are used after their time", i)
+			}
+			s.SetInstance(Instance{ID: "b", Service: "s", Model: "m", Weights: 1})
+			if used(s, "b") {
+				t.Errorf("state %d: an endpoint that comes with replaced weights is used", i)
+			}
+			s.Observe("a", 2)
+			if !used(s, "a") {
+				t.Errorf("state %d: not used with the new weights", i)
+			}
+			if s.IsLoading("a") {
+				t.Errorf("state %d: taken for loading", i)
+			}
+		}
+	})
+}
+
 func ExampleVersionName() {
 	fmt.Printf("%q %q\n", VersionName(0), VersionName(12))
 	// Output: "" "12"
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -23,7 +23,6 @@
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
-	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -94,19 +93,6 @@
 	gateway   *Gateway
 	server    *httptest.Server
 	endpoints []*fakeEndpoint
-	feed      *silentFeed
-}
-
-// silentFeed answers a watch with nothing, or fails.
-type silentFeed struct{ down chan struct{} }
-
-func (f *silentFeed) ListKind(context.Context, string) ([]objectapi.Record, uint64, error) {
-	return nil, 1, nil
-}
-
-func (f *silentFeed) WatchKind(ctx context.Context, _ string, since uint64, _ time.Duration) ([]objectapi.Event, uint64, error) {
-	<-ctx.Done()
-	return nil, since, ctx.Err()
 }
 
 // answerer is how an endpoint answers a request.
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -110,6 +110,13 @@
 	return l.other.Note
 }
 
+// LastNote is the note last read, of whichever holder.
+func (l *Lease) LastNote() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.other.Note
+}
+
 // Taken tells when this process took the lease over from another holder, and the
 // note that the other had left last; the zero time if it did not. What the other
 // sent just before may still be on its way then.
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -86,6 +86,8 @@
 	instance discovery.Instance
 	version  int64
 	since    time.Time
+	// heard is when the engine last reported.
+	heard time.Time
 }
 
 const (
@@ -97,8 +99,10 @@
 	busyLook = 250 * time.Millisecond
 	// engineTimeout bounds one report or order.
 	engineTimeout = 500 * time.Millisecond
-	// loadGivenUp is when an accepted order is looked at as lost.
-	loadGivenUp = 8 * time.Second
+	// loadGivenUp is when an accepted order is looked at as lost, and silentGivenUp
+	// when an engine that does not report any more leaves its place to another.
+	loadGivenUp   = 8 * time.Second
+	silentGivenUp = time.Second
 	// loadingShare of a model's engines carry out orders at once, two at least: more
 	// slow each other down at the weight store.
 	loadingShare = 0.2
@@ -164,9 +168,11 @@
 }
 
 func (d *Director) step(ctx context.Context, held bool) bool {
+	d.State.RetireOutdated()
 	ordering := d.pending() || d.Now().Sub(d.lastOrder) < d.Handover
 	d.writeNote(ordering)
 	err := d.Lease.Step(ctx)
+	d.adopt()
 	fence, notHeld := d.Lease.Fence(d.Now())
 	if (notHeld == nil) != held {
 		d.Log.Info("rollout lease", zap.Bool("held", notHeld == nil), zap.Uint64("fence", fence), zap.NamedError("last_call", err))
@@ -188,6 +194,16 @@
 	return true
 }
 
+// adopt takes over what the note last read says of the age of versions.
+func (d *Director) adopt() {
+	n, err := decodeNote(d.Lease.LastNote())
+	if err != nil {
+		d.Log.Error("lease note does not decode", zap.Error(err))
+		return
+	}
+	d.State.AdoptAges(n.Named)
+}
+
 // handingOver tells whether orders of the holder before may be too near. A holder
 // says in its note that it is about to order before it does: one that has not said
 // so has ordered nothing for long.
@@ -206,6 +222,8 @@
 	Loading []string `json:"loading"`
 	// Ordering tells that orders were sent lately or are about to be.
 	Ordering bool `json:"ordering"`
+	// Named tells how long versions have been named.
+	Named []discovery.NamedAge `json:"named"`
 }
 
 func decodeNote(data []byte) (note, error) {
@@ -218,7 +236,7 @@
 }
 
 func (d *Director) writeNote(ordering bool) {
-	n := note{Ordering: ordering, Loading: make([]string, 0, len(d.loading))}
+	n := note{Ordering: ordering, Named: d.State.Ages(), Loading: make([]string, 0, len(d.loading))}
 	for id := range d.loading {
 		n.Loading = append(n.Loading, id)
 	}
@@ -273,11 +291,14 @@
 		report, err := d.report(ctx, l.instance)
 		if err != nil {
 			d.Log.Warn("engine does not report", zap.String("endpoint", id), zap.Error(err))
+		} else {
+			l.heard = d.Now()
+			d.loading[id] = l
 		}
 		has := report.Weights[l.instance.Model]
 		d.State.Observe(id, has)
 		finished := err == nil && !report.Busy
-		if finished || d.Now().Sub(l.since) > loadGivenUp {
+		if finished || d.Now().Sub(l.since) > loadGivenUp || d.Now().Sub(l.heard) > silentGivenUp {
 			d.Log.Info("order ended", zap.String("endpoint", id), zap.Int64("ordered", l.version), zap.Int64("weights", has),
 				zap.Duration("took", d.Now().Sub(l.since)))
 			d.learnLoadTime(d.Now().Sub(l.since))
@@ -321,6 +342,8 @@
 	sort.SliceStable(members, func(a, b int) bool { return versionOf(members[a]) < versionOf(members[b]) })
 	for i := range members {
 		e := &members[i].Endpoint
+		// An endpoint that is not used for its old weights is to be ordered all the more.
+		e.Loading = d.State.IsLoading(members[i].ID)
 		if named := d.State.NamedVersion(e.Model); versionOf(members[i]) > named {
 			e.WeightVersion = discovery.VersionName(named)
 		}
@@ -379,7 +402,7 @@
 	if behind == 0 {
 		return usual
 	}
-	left := time.Duration(hurry*float64(d.Within)) - time.Since(since)
+	left := time.Duration(hurry*float64(d.Within)) - d.Now().Sub(since)
 	each := d.loadTook
 	if each == 0 {
 		each = loadTime
@@ -421,6 +444,6 @@
 }
 
 func (d *Director) track(i discovery.Instance, version int64) {
-	d.loading[i.ID] = loadingOrder{instance: i, version: version, since: d.Now()}
+	d.loading[i.ID] = loadingOrder{instance: i, version: version, since: d.Now(), heard: d.Now()}
 	d.State.SetLoading(i.ID, true)
 }
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -353,7 +353,7 @@
 		for i, m := range members {
 			loading := 0
 			for _, row := range m.state.Table.Members() {
-				if row.Endpoint.Loading {
+				if m.state.IsLoading(row.ID) {
 					loading++
 				}
 			}
@@ -364,7 +364,7 @@
 		time.Sleep(10 * time.Second)
 		for i, m := range members {
 			for _, row := range m.state.Table.Members() {
-				if row.Endpoint.Loading {
+				if m.state.IsLoading(row.ID) {
 					t.Errorf("process %d still takes %s for loading", i, row.ID)
 				}
 			}
