--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -92,7 +92,7 @@
 		return ExitSettings
 	}
 	out := logging.NewBounded(io.Out, logLines)
-	logger := logging.New(out, level)
+	logger := logging.New(out, level).With(zap.String("host", s.Platform.Host))
 	code := finish(logger, RunGateway(s, logger, watchSignals(io.Signals)))
 	logger.Info("stopped", zap.Int("exit", code), zap.Int64("log_lines_dropped", out.Dropped()))
 	out.Close(logFlush)
@@ -119,7 +119,7 @@
 	if err := p.listen(); err != nil {
 		return err
 	}
-	log.Info("started", zap.String("host", s.Platform.Host), zap.String("domain", s.Platform.Domain),
+	log.Info("started", zap.String("domain", s.Platform.Domain),
 		zap.String("clients", s.Platform.Clients), zap.String("store", s.Platform.Store), zap.Int("pid", os.Getpid()))
 	for {
 		select {
--- /dev/null
+++ b/internal/operatorcli/explain.go
@@ -0,0 +1,175 @@
+package operatorcli
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+)
+
+// logLine is one line of a process's log; fields that no rule here needs stay in raw.
+type logLine struct {
+	Time      time.Time    `json:"time"`
+	Host      string       `json:"host"`
+	Message   string       `json:"msg"`
+	RequestID string       `json:"request_id"`
+	Endpoint  string       `json:"endpoint"`
+	Took      float64      `json:"took"`
+	Attempts  []logAttempt `json:"attempts"`
+	raw       json.RawMessage
+}
+
+// logAttempt is one attempt of a request, as its line lists it.
+type logAttempt struct {
+	Endpoint string `json:"endpoint"`
+}
+
+// explanation is a request's story: its own lines, and what its process and others
+// said around it of what decided it.
+type explanation struct {
+	RequestID string            `json:"request_id"`
+	Lines     []json.RawMessage `json:"lines"`
+	// Unreadable counts input lines that are no log lines.
+	Unreadable int `json:"unreadable_lines"`
+}
+
+// explainBefore is how long before a request's end lines are looked at: the longest
+// time that a decision may rest on old knowledge, and clocks that differ by seconds.
+const explainBefore = 20 * time.Second
+
+// beliefs are the lines that change what a process believes of anything but one
+// endpoint.
+var beliefs = map[string]bool{
+	"configuration in force": true, "store does not answer": true, "store answers again": true, "weights named": true,
+	"started": true, "stopping": true, "stopped": true, "settings reloaded": true, "context store is not used": true,
+	"context store listed": true, "requests cut at the end of the time to stop": true,
+}
+
+func bindExplain(c *cli) func() int {
+	return func() int {
+		lines, unreadable, err := readLogs(c.args[1:])
+		if err != nil {
+			return c.fail(err)
+		}
+		found := explain(c.args[0], lines)
+		if len(found) == 0 {
+			fmt.Fprintf(c.Err, "no line names request %s (%d lines read, %d unreadable)\n", c.args[0], len(lines), unreadable)
+			return ExitFailed
+		}
+		if *c.format == "json" {
+			e := explanation{RequestID: c.args[0], Unreadable: unreadable}
+			for _, l := range found {
+				e.Lines = append(e.Lines, l.raw)
+			}
+			return c.printJSON(e)
+		}
+		for _, l := range found {
+			fmt.Fprintln(c.Out, l.text())
+		}
+		return ExitOK
+	}
+}
+
+// readLogs reads files, or standard input if none is named.
+func readLogs(paths []string) (lines []logLine, unreadable int, err error) {
+	if len(paths) == 0 {
+		return scanLogs(os.Stdin)
+	}
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, 0, err
+		}
+		more, bad, err := scanLogs(f)
+		f.Close()
+		if err != nil {
+			return nil, 0, err
+		}
+		lines, unreadable = append(lines, more...), unreadable+bad
+	}
+	return lines, unreadable, nil
+}
+
+// maxLogLine bounds one line.
+const maxLogLine = 1 << 20
+
+// scanLogs takes the lines that hold a JSON object, whatever stands before it.
+func scanLogs(r io.Reader) (lines []logLine, unreadable int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLogLine)
+	for scanner.Scan() {
+		at := bytes.IndexByte(scanner.Bytes(), '{')
+		var l logLine
+		if at < 0 || json.Unmarshal(scanner.Bytes()[at:], &l) != nil || l.Message == "" {
+			unreadable++
+			continue
+		}
+		l.raw = bytes.Clone(scanner.Bytes()[at:])
+		lines = append(lines, l)
+	}
+	return lines, unreadable, scanner.Err()
+}
+
+// explain picks a request's lines and those around it, in order of time.
+func explain(id string, lines []logLine) []logLine {
+	var out []logLine
+	endpoints, hosts := map[string]bool{}, map[string]bool{}
+	var begin, end time.Time
+	for _, l := range lines {
+		if l.RequestID != id {
+			continue
+		}
+		out = append(out, l)
+		hosts[l.Host] = true
+		for _, a := range l.Attempts {
+			endpoints[a.Endpoint] = true
+		}
+		began := l.Time.Add(-time.Duration(l.Took * float64(time.Second)))
+		if begin.IsZero() || began.Before(begin) {
+			begin = began
+		}
+		if l.Time.After(end) {
+			end = l.Time
+		}
+	}
+	for _, l := range lines {
+		if l.RequestID != "" || l.Time.Before(begin.Add(-explainBefore)) || l.Time.After(end) {
+			continue
+		}
+		if endpoints[l.Endpoint] || (hosts[l.Host] && beliefs[l.Message]) {
+			out = append(out, l)
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].Time.Before(out[b].Time) })
+	return out
+}
+
+// text gives a line's time, host and message, and then its other fields as written.
+func (l logLine) text() string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(l.raw, &fields) != nil {
+		return string(l.raw)
+	}
+	var rest []string
+	for name, value := range fields {
+		switch name {
+		case "time", "host", "msg", "level", "attempts":
+			continue
+		}
+		rest = append(rest, name+"="+string(value))
+	}
+	sort.Strings(rest)
+	out := fmt.Sprintf("%s %s %s: %s", l.Time.Format("15:04:05.000"), l.Host, l.Message, strings.Join(rest, " "))
+	var attempts []json.RawMessage
+	if json.Unmarshal(fields["attempts"], &attempts) == nil {
+		for i, a := range attempts {
+			out += fmt.Sprintf("\n    attempt %d: %s", i+1, a)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operatorcli/explain_test.go
@@ -0,0 +1,75 @@
+package operatorcli
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// mixedLogs are the lines of two processes, mixed, one line cut off, one not JSON;
+// the second process's clock is a second behind.
+const mixedLogs = `front-a {"level":"info","time":"2026-01-04T21:02:30.000Z","host":"front-a","msg":"configuration in force","version":3,"revision":2}
+{"level":"warn","time":"2026-01-04T21:02:31.000Z","host":"front-a","msg":"store does not answer","kind":"config"}
+{"level":"info","time":"2026-01-04T21:02:29.900Z","host":"front-b","msg":"order","endpoint":"i-1","weights":2}
+{"level":"info","time":"2026-01-04T21:02:34.000Z","host":"front-a","msg":"request","request_id":"r1","took":2.5,"status":502,"code":"outcome_unknown","ran":"unknown","attempts":[{"endpoint":"i-1","outcome":"broken"}]}
+{"level":"info","time":"2026-01-04T21:02:33.000Z","host":"front-b","msg":"endpoint no longer listed","endpoint":"i-1"}
+{"level":"info","time":"2026-01-04T21:02:33.500Z","host":"front-a","msg":"request","request_id":"r2","took":0.5,"attempts":[{"endpoint":"i-2","outcome":"delivered"}]}
+{"level":"info","time":"2026-01-04T21:02:33.000Z","host":"front-b","msg":"stopping"}
+{"level":"info","time":"2026-01-04T20:00:00.000Z","host":"front-a","msg":"configuration in force","version":1}
+{"level":"info","time":"2026-01-04T21:02:
+not a log line
+`
+
+func explainRun(t *testing.T, args ...string) (string, string, int) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(mixedLogs), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	code := Main(append(append([]string{"explain"}, args...), path), Surroundings{Out: &out, Err: &errs, Env: os.LookupEnv})
+	return out.String(), errs.String(), code
+}
+
+func TestExplain(t *testing.T) {
+	out, _, code := explainRun(t, "r1")
+	want := []string{"configuration in force: revision=2", "order: endpoint=\"i-1\"", "store does not answer", "endpoint no longer listed", "request: code=\"outcome_unknown\"", "attempt 1: {\"endpoint\":\"i-1\",\"outcome\":\"broken\"}"}
+	at := -1
+	for _, text := range want {
+		next := strings.Index(out, text)
+		if text != want[1] && next <= at {
+			t.Errorf("%q is missing or out of order", text)
+		}
+		if text != want[1] {
+			at = next
+		}
+	}
+	if code != ExitOK || !strings.Contains(out, want[1]) {
+		t.Errorf("exit code %d", code)
+	}
+	for _, foreign := range []string{"r2", "stopping", "20:00:00"} {
+		if strings.Contains(out, foreign) {
+			t.Errorf("%s does not belong to the request:\n%s", foreign, out)
+		}
+	}
+}
+
+func TestExplainAsJSON(t *testing.T) {
+	out, _, code := explainRun(t, "-o", "json", "r1")
+	var e explanation
+	if err := json.Unmarshal([]byte(out), &e); err != nil || code != ExitOK {
+		t.Fatalf("%v, exit code %d: %s", err, code, out)
+	}
+	if e.RequestID != "r1" || len(e.Lines) != 5 || e.Unreadable != 2 {
+		t.Errorf("%d lines, %d unreadable", len(e.Lines), e.Unreadable)
+	}
+}
+
+func TestExplainUnknownRequest(t *testing.T) {
+	_, errs, code := explainRun(t, "r9")
+	if code != ExitFailed || !strings.Contains(errs, "r9") {
+		t.Errorf("exit code %d: %s", code, errs)
+	}
+}
--- a/internal/operatorcli/main.go
+++ b/internal/operatorcli/main.go
@@ -33,6 +33,7 @@
   status                      show the fleet, and who lags behind the configuration
   report burn [-html FILE]    show how fast services use up their error budgets
   load                        send prompts and measure time to first token
+  explain ID [LOG...]         show from logs what decided a request (default: standard input)
   key                         make an API key and the hash to configure
   completion                  print a bash completion script
 
@@ -82,6 +83,7 @@
 		"report":     {1, 1, bindReport},
 		"load":       {0, 0, bindLoad},
 		"key":        {0, 0, bindKey},
+		"explain":    {1, 100, bindExplain},
 		"completion": {0, 0, bindCompletion},
 	}
 }
