--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -142,7 +142,7 @@
 		x.refuse(refused)
 	}
 	x.log(refused)
-	metrics.GetOrRegisterCounter("gateway.requests."+x.kind()+"."+outcome, x.g.Metrics).Inc(1)
+	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.began)
 	if refused != nil && x.wrote {
 		// The head promised more than came: only a broken connection tells.
@@ -150,6 +150,11 @@
 	}
 }
 
+// count raises a counter; names are made of words fixed in the program only.
+func (g *Gateway) count(name string) {
+	metrics.GetOrRegisterCounter("gateway."+name, g.Metrics).Inc(1)
+}
+
 func (x *exchange) kind() string {
 	if x.route == nil {
 		return "unrouted"
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -124,7 +124,14 @@
 	default:
 		return false
 	}
-	return sent < x.route.MaxAttempts && x.g.Budget.Spend()
+	if sent >= x.route.MaxAttempts {
+		return false
+	}
+	if !x.g.Budget.Spend() {
+		x.g.count("retry_budget_used_up")
+		return false
+	}
+	return true
 }
 
 // book tells the directory how an attempt ended, and keeps it for the log.
@@ -148,6 +155,10 @@
 		t.Error = o.err.Error()
 	}
 	x.tries = append(x.tries, t)
+	x.g.count("attempts." + o.verdict.String())
+	if len(x.tries) > 1 {
+		x.g.count("retries")
+	}
 	switch o.verdict {
 	case notReached:
 		x.g.Directory.Unreachable(c, now)
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/transport/upstream"
@@ -88,6 +89,7 @@
 		if x.firstEvent.IsZero() {
 			x.firstEvent = time.Now()
 			x.g.Directory.Begun(c, x.firstEvent)
+			metrics.GetOrRegisterTimer("gateway.first_event", x.g.Metrics).UpdateSince(x.began)
 		}
 		x.beginStream(resp, st)
 		if _, err := x.w.Write(event); err != nil {
