--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -353,11 +353,11 @@
 	}{
 		{"whole", false, stream(endOfStream, "1", "2"), nil, "1 2", false, ""},
 		{"cut between events", true, stream("", "1", "2"), stream(endOfStream, "3"), "1 2 3", false, "2"},
-		{"cut inside an event", true, stream("9\r\nid: 3\nda\r\n", "1", "2"), stream(endOfStream, "3"), "1 2 3", false, "2"},
+		{"cut inside an event", true, stream("8\r\nid: 3\nda\r\n", "1", "2"), stream(endOfStream, "3"), "1 2 3", false, "2"},
 		{"the second repeats what is there", true, stream("", "1", "2"), stream(endOfStream, "2", "3"), "1 2 3", false, "2"},
 		{"cut before the first event", true, stream(""), stream(endOfStream, "1"), "1", false, ""},
 		{"cut, may not go on", false, stream("", "1", "2"), stream(endOfStream, "3"), "1 2", true, ""},
-		{"ended inside an event", false, stream("9\r\nid: 3\nda\r\n0\r\n\r\n", "1"), nil, "1", true, ""},
+		{"ended inside an event", false, stream("8\r\nid: 3\nda\r\n0\r\n\r\n", "1"), nil, "1", true, ""},
 		{"the second fails", true, stream("", "1"), say(500, "sorry"), "1", true, "1"},
 	}
 	for _, row := range rows {
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -37,6 +37,8 @@
 	// after, if what the order expects still holds.
 	mute, late bool
 	most       int
+	// reportTakes is how long a report is underway.
+	reportTakes time.Duration
 }
 
 type fakeEngine struct {
@@ -60,6 +62,10 @@
 }
 
 func (f *fakeEngines) Report(_ context.Context, i discovery.Instance) (rollout.EngineReport, error) {
+	f.mu.Lock()
+	takes := f.reportTakes
+	f.mu.Unlock()
+	time.Sleep(takes)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engines[i.ID]
@@ -267,6 +273,37 @@
 	})
 }
 
+// TestHolderFreezesAfterASlowReport lets a holder order at the end of the time that
+// its last renewal gives it, and freezes it then.
+//
+// Another takes the lease over a whole term after that renewal, which is less than
+// a term after the order: it must wait for the rest before it orders.
+func TestHolderFreezesAfterASlowReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeEngines(1, 1, 1)
+		members := direct(t, f, 3)
+		time.Sleep(10 * time.Second)
+		f.reportTakes = act - 10*time.Millisecond
+		name(members, 2)
+		time.Sleep(act)
+		for _, m := range members {
+			if m.lease.Held(time.Now()) {
+				m.api.freeze()
+				defer m.api.thaw()
+			}
+		}
+		f.mu.Lock()
+		f.reportTakes = 0
+		given := len(f.orders)
+		f.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		if given != 1 || len(f.orders) < 3 {
+			t.Errorf("%d orders before the freeze, %d in all", given, len(f.orders))
+		}
+		holdersApart(t, f)
+	})
+}
+
 // TestOldestWeightsFirst names a third version while the second is on its way.
 //
 // Engines that still have the first are ordered before those with the second: their
