--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -177,7 +177,7 @@
 func (x *exchange) routingRequest() *routing.Request {
 	return &routing.Request{
 		PromptTokens: x.call.PromptTokens, Domain: x.g.Domain, HeldTokens: x.call.PromptTokens + x.call.OutputTokens,
-		ImportKnown: true, Urgency: x.urgency(),
+		ImportKnown: true, Urgency: x.urgency(), OtherDomainPrice: otherDomainPrice,
 		Objective: config.Objective{
 			TTFTMS: int(x.route.Objective.Milliseconds()), WeightTTFT: 1, WeightRecompute: recomputeWeight, WeightLink: linkWeight,
 		},
@@ -188,6 +188,13 @@
 // the engine's time for them is 20 ms, and all that wait behind them feel it.
 const recomputeWeight = 0.2
 
+// otherDomainPrice keeps requests in their failure domain unless waiting is shorter
+// elsewhere by so many seconds: bytes between domains are dear, and a link more may
+// fail. At 0.02 a tenth less crosses than without (0.031 to 0.028 GB a day of heavy
+// load, played without processor cost) and no more requests are late; at 0.04 more
+// are where engines are full.
+const otherDomainPrice = 0.02
+
 // linkWeight weighs a thousand tokens imported in the same way: the link's time for
 // them is 5 ms.
 const linkWeight = 0.02
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -137,6 +137,9 @@
 	RootKnown bool
 	// HeldTokens of engine memory that the run takes.
 	HeldTokens int
+	// OtherDomainPrice is what sending the request to another failure domain weighs,
+	// in seconds of waiting, beside the longer way.
+	OtherDomainPrice float64
 	// Urgency of the request, 0 to 9: engines serve lower ones first.
 	Urgency   int
 	Objective config.Objective
@@ -408,6 +411,9 @@
 			best = imported
 		}
 	}
+	if e.Domain != r.Domain {
+		best.score += r.OtherDomainPrice
+	}
 	if e.EjectedUntil.After(r.Now) || e.State == fleet.Suspect {
 		best.score += ejectedScore
 	}
