--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"sort"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,24 +35,6 @@
 	Orders int64
 }
 
-// Named is the version of a model that operators ask for.
-type Named struct {
-	Model    string
-	Version  int64
-	Revision uint64
-	// since holds when this process learned of each version that may still be missing
-	// somewhere, oldest first.
-	since []namedAt
-}
-
-type namedAt struct {
-	version int64
-	at      time.Time
-}
-
-// keptVersions bounds the versions remembered for a model.
-const keptVersions = 16
-
 // State is what the process believes. Safe for concurrent use.
 type State struct {
 	// Table holds the instances as members, Services the services as documents:
@@ -165,158 +146,6 @@
 	return config.Document{Ref: config.Ref{Kind: kind, ID: id}, Spec: data}
 }
 
-// SetNamed records the version of a model that operators ask for; versions grow.
-func (s *State) SetNamed(n Named) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if n.Version <= s.named[n.Model].Version {
-		return
-	}
-	n.since = append(s.named[n.Model].since, namedAt{n.Version, s.Now()})
-	n.since = n.since[max(0, len(n.since)-keptVersions):]
-	s.named[n.Model] = n
-	s.wakeRollout()
-	s.Log.Info("weights named", zap.String("model", n.Model), zap.Int64("version", n.Version), zap.Uint64("revision", n.Revision))
-}
-
-// wakeRollout tells that there is something to order; s.mu is held.
-func (s *State) wakeRollout() {
-	close(s.renamed)
-	s.renamed = make(chan struct{})
-}
-
-// NamedChanged returns a channel that is closed when other weights are named, or
-// an endpoint without the named ones is listed.
-func (s *State) NamedChanged() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.renamed
-}
-
-// NamedWeights lists the versions asked for, by model.
-func (s *State) NamedWeights() []Named {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]Named, 0, len(s.named))
-	for _, n := range s.named {
-		out = append(out, n)
-	}
-	sort.Slice(out, func(a, b int) bool { return out[a].Model < out[b].Model })
-	return out
-}
-
-// Behind counts the endpoints that have not the named weights of a model, and tells
-// since when the first version that the furthest behind lacks has been named.
-func (s *State) Behind(model string) (endpoints int, since time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := s.named[model]
-	oldest := n.Version
-	for _, k := range s.instances {
-		if k.Model == model && !k.Leaving && k.Weights < n.Version {
-			endpoints++
-			oldest = min(oldest, k.Weights)
-		}
-	}
-	return endpoints, n.sinceAfter(oldest)
-}
-
-// sinceAfter is when the first version above another was named.
-func (n Named) sinceAfter(version int64) time.Time {
-	for _, v := range n.since {
-		if v.version > version {
-			return v.at
-		}
-	}
-	return time.Time{}
-}
-
-// NamedAge is how long a version of a model has been named.
-type NamedAge struct {
-	Model   string `json:"model"`
-	Version int64  `json:"version"`
-	AgeMS   int64  `json:"age_ms"`
-}
-
-// Ages tells how long the versions that may still be missing somewhere have been
-// named.
-func (s *State) Ages() []NamedAge {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []NamedAge
-	now := s.Now()
-	for _, n := range s.named {
-		for _, v := range n.since {
-			out = append(out, NamedAge{n.Model, v.version, now.Sub(v.at).Milliseconds()})
-		}
-	}
-	sort.Slice(out, func(a, b int) bool {
-		return out[a].Model < out[b].Model || (out[a].Model == out[b].Model && out[a].Version < out[b].Version)
-	})
-	return out
-}
-
-// AdoptAges takes over what another process says of the age of versions. A process
-// that has started since they were named would otherwise allow the replaced ones
-// for as long again.
-func (s *State) AdoptAges(ages []NamedAge) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Now()
-	for _, a := range ages {
-		since := s.named[a.Model].since
-		for i := range since {
-			at := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
-			if since[i].version == a.Version && at.Before(since[i].at) {
-				since[i].at = at
-			}
-		}
-	}
-}
-
-// RetireOutdated stops the use of endpoints whose weights were replaced more than
-// RetireAfter ago, and takes them back into use once they have newer ones. What
-// they would answer is worth nothing by then.
-func (s *State) RetireOutdated() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, k := range s.instances {
-		if s.isOutdated(k) != k.outdated {
-			s.put(k, stateOf(k.Instance))
-		}
-	}
-}
-
-func (s *State) isOutdated(k *known) bool {
-	since := s.named[k.Model].sinceAfter(k.Weights)
-	return s.RetireAfter > 0 && k.Model != "" && !since.IsZero() && s.Now().Sub(since) > s.RetireAfter
-}
-
-// noteOutdated keeps and logs whether an endpoint's weights may be used. Each
-// write of its row asks anew: an endpoint may come back with weights that were
-// replaced long ago.
-func (s *State) noteOutdated(k *known) {
-	if outdated := s.isOutdated(k); outdated != k.outdated {
-		k.outdated = outdated
-		s.Log.Info("endpoint's weights", zap.String("endpoint", k.ID), zap.Int64("weights", k.Weights), zap.Bool("outdated", outdated))
-	}
-}
-
-// IsLoading tells whether an endpoint carries out an order.
-func (s *State) IsLoading(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	k, ok := s.instances[id]
-	return ok && k.loading
-}
-
-// NamedVersion is the version asked for of one model, 0 if none is.
-func (s *State) NamedVersion(model string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.named[model].Version
-}
-
 // Instance returns one instance that has not been found gone.
 func (s *State) Instance(id string) (Instance, bool) {
 	s.mu.Lock()
@@ -400,27 +229,6 @@
 	}, time.Now())
 }
 
-// VersionName is the form in which decisions compare versions of weights.
-func VersionName(version int64) string {
-	if version == 0 {
-		return ""
-	}
-	return strconv.FormatInt(version, 10)
-}
-
-// Observe takes in what an endpoint itself said of its weights.
-func (s *State) Observe(id string, weights int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	k, ok := s.instances[id]
-	if !ok || weights <= k.Weights {
-		return
-	}
-	s.Log.Info("endpoint has new weights", zap.String("endpoint", id), zap.Int64("weights", weights), zap.Int64("before", k.Weights))
-	k.Weights = weights
-	s.put(k, stateOf(k.Instance))
-}
-
 // SetLoading marks an endpoint that carries out an order: it takes no new work.
 func (s *State) SetLoading(id string, loading bool) {
 	s.mu.Lock()
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -10,6 +10,7 @@
 
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/pause"
 )
 
 // Kinds names the store's kinds that hold each sort of object.
@@ -317,7 +318,7 @@
 // expire takes lapsed entries for gone once they have stayed missing.
 func (w *Watcher) expire(ctx context.Context) {
 	const every = 100 * time.Millisecond
-	for sleep(ctx, every) {
+	for pause.For(ctx, every) {
 		now := time.Now()
 		if w.storeWasAway(now) {
 			continue
@@ -325,15 +326,3 @@
 		w.State.Expire(now.Add(-lapseMargin))
 	}
 }
-
-// sleep waits; false means that ctx has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/pause"
 )
 
 const (
@@ -102,7 +103,7 @@
 		if err != nil {
 			k.forgetEngine(address, err)
 			next = 0
-			if !sleep(ctx, enginePause/2+time.Duration(rand.Int64N(int64(enginePause)))) {
+			if !pause.For(ctx, enginePause/2+time.Duration(rand.Int64N(int64(enginePause)))) {
 				return
 			}
 			continue
@@ -138,14 +139,3 @@
 	e.apply(events, now)
 	return e.next
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/pause"
 )
 
 // Feed reads a store's contents.
@@ -131,7 +132,7 @@
 	for ctx.Err() == nil {
 		if err := k.followOnce(ctx, address); err != nil && ctx.Err() == nil {
 			k.forget(address, err)
-			sleep(ctx, storePause)
+			pause.For(ctx, storePause)
 		}
 	}
 }
--- a/internal/coordination/kept/kept_test.go
+++ b/internal/coordination/kept/kept_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/pause"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -227,7 +228,7 @@
 }
 
 func (f *fakeStoreFeed) Events(ctx context.Context, _ string, since int64, wait time.Duration) (Events, error) {
-	if !sleep(ctx, wait) {
+	if !pause.For(ctx, wait) {
 		return Events{}, ctx.Err()
 	}
 	f.mu.Lock()
--- /dev/null
+++ b/internal/coordination/routing/estimate.go
@@ -0,0 +1,198 @@
+package routing
+
+import (
+	"time"
+
+	"limpetwall/internal/state/fleet"
+)
+
+// price is how many requests wait behind a token's computation: the average
+// queue of the candidates in requests of this size. Recomputing delays all of
+// them, not only its own caller. Without the price, long queues make every
+// request flee to the shortest one, contexts are computed anew wherever it lands,
+// and that work keeps the queues long after the peak that made them is over.
+func (c *candidates) price(r *Request) float64 {
+	if c.n == 0 {
+		return 0
+	}
+	queued := 0
+	for i := range c.n {
+		queued += c.list[i].endpoint.queuedTokens(r.Urgency)
+	}
+	return float64(queued) / float64(c.n) / float64(max(1, r.PromptTokens))
+}
+
+// ejectedScore ranks ejected endpoints behind all others, but before a refusal:
+// when every endpoint has failed lately, one of them is still the best try.
+const ejectedScore = 1e6
+
+// estimate is what a request is expected to cost at an endpoint.
+type estimate struct {
+	ttft, wait time.Duration
+	cached     int
+	recomputed int
+	score      float64
+}
+
+func evaluate(e *Endpoint, r *Request, price float64) estimate {
+	cached := expectedCached(e, r)
+	best := cost(e, r, price, cached, 0)
+	if moved := r.importable(cached); moved > 0 && e.Load.LinkRate > 0 {
+		if imported := cost(e, r, price, cached, moved); imported.score < best.score {
+			best = imported
+		}
+	}
+	if e.Domain != r.Domain {
+		best.score += r.OtherDomainPrice
+	}
+	if e.EjectedUntil.After(r.Now) || e.State == fleet.Suspect {
+		best.score += ejectedScore
+	}
+	return best
+}
+
+// importable is how many of the tokens that are not resident stores hold.
+func (r *Request) importable(cached int) int {
+	if r.ImportKnown {
+		return max(0, r.StoredTokens-cached)
+	}
+	return int(r.ImportChance * float64(r.PromptTokens-cached))
+}
+
+// cost of serving a request with moved of its missing tokens imported.
+func cost(e *Endpoint, r *Request, price float64, cached, moved int) estimate {
+	recomputed := r.PromptTokens - cached - moved
+	transfer := time.Duration(0)
+	if moved > 0 {
+		transfer = seconds(float64(moved) / float64(e.Load.LinkRate))
+	}
+	work := float64(recomputed) / e.rate()
+	brought := r.insertion(cached) / e.rate()
+	// An import runs while the engine works off what waits before.
+	queue := seconds(float64(e.queuedTokens(r.Urgency)) / e.rate())
+	ttft := max(transfer, queue) + seconds(work) + e.overhead(r)
+	late := lateness(ttft, r)
+	// The work that a decision makes for others weighs as its own waiting does.
+	weight := r.Objective.WeightTTFT + late/max(ttft.Seconds(), 1e-9)
+	return estimate{
+		ttft: ttft, wait: queue + e.slotWait() + e.memoryWait(r), cached: cached, recomputed: recomputed,
+		score: r.Objective.WeightTTFT*ttft.Seconds() + late + weight*(price*work+brought) +
+			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
+	}
+}
+
+// insertion is the price, in tokens, of bringing what is not resident into an
+// engine's memory. What returns within seconds, such as a prefix that many
+// prompts share, pays it once for many uses; with the full price it would be
+// tied to one engine until that drowned.
+func (r *Request) insertion(cached int) float64 {
+	known := max(0, r.KnownTokens-cached)
+	fresh := max(0, r.ContextTokens-max(cached, r.KnownTokens))
+	price := evictionPrice * (float64(fresh) + float64(known)*min(1, float64(r.Gap)/float64(longGap)))
+	if r.ImportKnown && r.ContextTokens > 0 {
+		// What is pushed out comes back by import instead of computation, as far as
+		// stores hold as much of other contexts as of this one.
+		price *= 1 - importSaves*float64(min(r.StoredTokens, r.ContextTokens))/float64(r.ContextTokens)
+	}
+	return price
+}
+
+// importSaves is the part of a context's computation that its import saves: links
+// carry 200,000 tokens a second and more, engines read 50,000.
+const importSaves = 0.8
+
+// lateness makes each second beyond the service's own objective cost something,
+// however little it weighs waiting otherwise: patient is not endless.
+func lateness(ttft time.Duration, r *Request) float64 {
+	objective := time.Duration(r.Objective.TTFTMS) * time.Millisecond
+	if objective == 0 {
+		return 0
+	}
+	return latePrice * max(0, 1-r.Objective.WeightTTFT) * max(0, (ttft-objective).Seconds())
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func expectedCached(e *Endpoint, r *Request) int {
+	for _, h := range r.Holdings {
+		if h.Endpoint == e.Hash {
+			return min(r.PromptTokens, int(float64(h.Tokens)*h.Chance))
+		}
+	}
+	return 0
+}
+
+func (e *Endpoint) rate() float64 {
+	if e.Load.PrefillRate > 0 {
+		return float64(e.Load.PrefillRate)
+	}
+	return defaultPrefillRate
+}
+
+// queuedTokens is the work before a new request. A report is old when it is
+// read: what this entry sent since is added.
+func (e *Endpoint) queuedTokens(urgency int) int {
+	if !e.CountsOnly {
+		return e.Load.QueuedTokens + e.SentTokens
+	}
+	own := 0
+	for _, tokens := range e.Unread[:urgency+1] {
+		own += tokens
+	}
+	return int(max(1, e.Peers) * float64(own))
+}
+
+// busy is how many requests the endpoint has, as far as this entry knows.
+func (e *Endpoint) busy() int {
+	return max(e.Running, e.Load.Running+e.Load.Queued+e.SentRuns)
+}
+
+// slotWait is how long a further request waits for one of the endpoint's slots: a
+// slot comes free every RunTime/Slots.
+func (e *Endpoint) slotWait() time.Duration {
+	if e.Slots == 0 || e.busy() < e.Slots {
+		return 0
+	}
+	runTime := e.RunTime
+	if runTime == 0 {
+		runTime = assumedRunTime
+	}
+	return runTime * time.Duration(e.busy()-e.Slots+1) / time.Duration(e.Slots)
+}
+
+// memoryWait is how long a run waits until an engine's memory has room for it, or
+// preempts others that then wait as long: all memory is given back once in RunTime.
+// A run's share is taken from this entry's own runs, as others' look alike.
+func (e *Endpoint) memoryWait(r *Request) time.Duration {
+	if e.MemoryTokens == 0 || r.HeldTokens == 0 {
+		return 0
+	}
+	each := r.HeldTokens
+	if e.Running > 0 {
+		each = e.HeldTokens / e.Running
+	}
+	others := max(0, e.busy()-e.Running)
+	over := e.HeldTokens + others*each + r.HeldTokens - e.MemoryTokens
+	if over <= 0 {
+		return 0
+	}
+	runTime := max(e.RunTime, assumedRunTime)
+	return time.Duration(float64(runTime) * float64(over) / float64(e.MemoryTokens) * memoryPressure)
+}
+
+// memoryPressure makes a full engine less attractive than its wait alone: a run
+// that does not fit preempts another, which is read in again.
+const memoryPressure = 2
+
+// overhead is the way there, a slow start, and a little for each run that shares
+// the engine with the prefill.
+func (e *Endpoint) overhead(r *Request) time.Duration {
+	d := time.Duration(e.Load.Running+e.SentRuns)*100*time.Microsecond + e.slotWait() + e.memoryWait(r)
+	if e.Domain != r.Domain {
+		d += otherDomain
+	}
+	if age := r.Now.Sub(e.FirstSeen); age < slowStart {
+		d += time.Duration(float64(slowStartPenalty) * (1 - float64(age)/float64(slowStart)))
+	}
+	return d
+}
--- /dev/null
+++ b/internal/coordination/routing/outcome.go
@@ -0,0 +1,157 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Begun tells that a choice's answer has begun.
+func (d *Directory) Begun(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.open(c)
+	if t == nil || c.reading.ended {
+		return
+	}
+	t.endReading(c)
+	t.learnRate(c.reading.tokens+c.reading.queued, now.Sub(c.began))
+}
+
+// endReading takes a run's prompt out of what is still to be read.
+func (t *tracked) endReading(c Choice) {
+	if c.reading.ended {
+		return
+	}
+	c.reading.ended = true
+	t.Unread[c.reading.urgency] -= c.reading.tokens
+}
+
+const (
+	// learnFrom this many tokens on, the time to the first token tells how fast an
+	// engine reads; below, fixed costs outweigh it.
+	learnFrom = 2000
+	// rateWeight of one observation.
+	rateWeight = 0.1
+	// rateSpread bounds what is learned, as a factor of what was assumed: a run that
+	// waited for something else says nothing about reading.
+	rateSpread = 6
+)
+
+// learnRate corrects the assumed reading rate by what was seen. The rate of a busy
+// engine includes what it does between the pieces of a prompt.
+func (t *tracked) learnRate(tokens int, took time.Duration) {
+	if !t.CountsOnly || tokens < learnFrom || took <= 0 || t.assumedRate == 0 {
+		return
+	}
+	seen := float64(tokens) / took.Seconds()
+	seen = max(seen, t.assumedRate/rateSpread)
+	seen = min(seen, t.assumedRate*rateSpread)
+	// Times add up, rates don't: the mean is taken of the time for a token.
+	mean := (1-rateWeight)/float64(t.Load.PrefillRate) + rateWeight/seen
+	t.Load.PrefillRate = int(1 / mean)
+}
+
+// open finds a choice's endpoint if it is still the one that was chosen; d.mu is
+// held.
+func (d *Directory) open(c Choice) *tracked {
+	t, ok := d.dynamic[c.Member.ID]
+	if !ok || t.incarnation != c.Member.Incarnation {
+		return nil
+	}
+	return t
+}
+
+// end takes a choice's run out of the counts; d.mu is held. nil means that its
+// endpoint is gone.
+func (d *Directory) end(c Choice) *tracked {
+	t := d.open(c)
+	if t == nil {
+		return nil
+	}
+	t.Running--
+	t.HeldTokens -= c.held
+	t.endReading(c)
+	return t
+}
+
+// Done ends a choice's run; failed tells that the endpoint or the way to it
+// failed (a refusal for load is no failure).
+func (d *Directory) Done(c Choice, failed bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.end(c)
+	if t == nil {
+		return
+	}
+	if !failed {
+		t.failures, t.ejections = 0, 0
+		t.learnRunTime(now.Sub(c.began))
+		return
+	}
+	t.failures++
+	if t.failures >= failuresToEject {
+		t.eject(now, d.random)
+	}
+}
+
+// Unreachable ends a choice's run at an endpoint that could not be reached or fell
+// silent. One such failure is enough: each further try costs a caller the time
+// until it is noticed.
+func (d *Directory) Unreachable(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t := d.end(c); t != nil && !t.EjectedUntil.After(now) {
+		t.eject(now, d.random)
+	}
+}
+
+// Release takes back a choice that was not used.
+func (d *Directory) Release(c Choice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.end(c)
+}
+
+// refusalPause is about the time in which a full endpoint ends a run.
+const refusalPause = 100 * time.Millisecond
+
+// Refused ends a choice's run that the endpoint did not accept: it is full or
+// busy with an order, and others are asked for a moment.
+func (d *Directory) Refused(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.end(c)
+	if t == nil {
+		return
+	}
+	if until := now.Add(refusalPause); until.After(t.EjectedUntil) {
+		t.EjectedUntil = until
+	}
+}
+
+// Sent records that an endpoint reads a choice's context. Started does it for
+// engines that also tell what they found.
+func (d *Directory) Sent(c Choice, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index.Store(c.keys, c.hash, now)
+}
+
+// learnRunTime keeps a moving average of how long a whole run takes.
+func (t *tracked) learnRunTime(took time.Duration) {
+	const weight = 16
+	if t.RunTime == 0 {
+		t.RunTime = took
+		return
+	}
+	t.RunTime += (took - t.RunTime) / weight
+}
+
+// eject doubles the time out of decisions, with jitter so that entries do not
+// all return at once to an endpoint that is just recovering.
+func (t *tracked) eject(now time.Time, random *rand.Rand) {
+	length := min(maxEjection, firstEjection<<min(t.ejections, 5))
+	t.EjectedUntil = now.Add(length/2 + time.Duration(random.Int64N(int64(length/2)+1)))
+	t.failures = 0
+	t.ejections++
+}
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -15,6 +15,7 @@
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/hostlist"
+	"limpetwall/internal/transport/pause"
 	"limpetwall/internal/transport/ring"
 )
 
@@ -160,17 +161,6 @@
 // probe.
 func (n *Node) Announce() { n.news.TryPush(struct{}{}) }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // jitter spreads periods by ±20% so that processes started together do not
 // stay in step.
 func jitter(d time.Duration) time.Duration {
@@ -178,7 +168,7 @@
 }
 
 func (n *Node) probeDuty(ctx context.Context) {
-	for sleep(ctx, jitter(n.cfg.ProbeEvery)) {
+	for pause.For(ctx, jitter(n.cfg.ProbeEvery)) {
 		if target, ok := n.probeTarget(); ok {
 			// A slow answer must not delay the next probe: with it, one dead
 			// successor would hide the death of another.
@@ -257,7 +247,7 @@
 			n.calls.Go(func() { n.exchange(ctx, m.ID, m.Address) })
 		}
 		// News that arrives in a burst goes out together.
-		if !sleep(ctx, 50*time.Millisecond) {
+		if !pause.For(ctx, 50*time.Millisecond) {
 			return
 		}
 	}
@@ -271,7 +261,7 @@
 			Incarnation: self.Incarnation, Version: version,
 			Load: load(), Revision: n.store.View().Revision, At: time.Now(),
 		})
-		if !sleep(ctx, jitter(n.reportPeriod())) {
+		if !pause.For(ctx, jitter(n.reportPeriod())) {
 			return
 		}
 	}
@@ -415,7 +405,7 @@
 }
 
 func (n *Node) expireDuty(ctx context.Context) {
-	for sleep(ctx, n.cfg.ProbeEvery/2) {
+	for pause.For(ctx, n.cfg.ProbeEvery/2) {
 		for _, m := range n.table.Expire(time.Now()) {
 			n.zap.Info("member dead", zap.String("member", m.ID), zap.String("host", m.Host))
 			n.Announce()
@@ -427,7 +417,7 @@
 // sides hold the other for dead and would never speak again by themselves; one
 // exchange lets the member refute, and the news spreads from there.
 func (n *Node) reconnectDuty(ctx context.Context) {
-	for sleep(ctx, jitter(n.cfg.ReconnectEvery)) {
+	for pause.For(ctx, jitter(n.cfg.ReconnectEvery)) {
 		dead := n.table.DeadMembers()
 		if len(dead) > 0 {
 			m := dead[rand.IntN(len(dead))]
@@ -440,7 +430,7 @@
 // host list may have lagged or named only hosts that are gone.
 func (n *Node) joinDuty(ctx context.Context) {
 	const every = time.Second
-	for sleep(ctx, jitter(every)) {
+	for pause.For(ctx, jitter(every)) {
 		if n.table.Size() == 1 && n.join(ctx) {
 			n.Announce()
 		}
--- a/internal/coordination/spread/platform.go
+++ b/internal/coordination/spread/platform.go
@@ -12,6 +12,7 @@
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/hostlist"
+	"limpetwall/internal/transport/pause"
 )
 
 func (n *Node) isWatcher() bool {
@@ -32,7 +33,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !n.isWatcher() {
-			if !sleep(ctx, n.rescueWait()) {
+			if !pause.For(ctx, n.rescueWait()) {
 				return
 			}
 			if n.isWatcher() || n.platformAge() < n.cfg.PlatformStale {
@@ -42,7 +43,7 @@
 		next, err := n.readHead(ctx, head)
 		if err != nil {
 			failures++
-			if !sleep(ctx, backoff(failures)) {
+			if !pause.For(ctx, backoff(failures)) {
 				return
 			}
 			continue
@@ -93,7 +94,7 @@
 // hostsDuty reads the host list while this process is a watcher and spreads
 // which hosts are leaving.
 func (n *Node) hostsDuty(ctx context.Context) {
-	for sleep(ctx, jitter(n.cfg.HostsEvery)) {
+	for pause.For(ctx, jitter(n.cfg.HostsEvery)) {
 		if n.hosts == nil || !n.isWatcher() {
 			continue
 		}
@@ -230,7 +231,7 @@
 			return
 		}
 		n.repairFrom(ctx, job)
-		if !sleep(ctx, jitter(200*time.Millisecond)) {
+		if !pause.For(ctx, jitter(200*time.Millisecond)) {
 			return
 		}
 	}
