--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -17,6 +17,11 @@
 	// engineFresh is how long an engine's last word is used. Nothing rests on it: a
 	// part that is gone costs a millisecond, and is read.
 	engineFresh = 3 * time.Second
+	// startSpread is the time over which a process begins to follow engines, one
+	// after the other: each tells all that it remembers at first, 4,000 events, and
+	// reading them all at once would take a starting process's whole processor for
+	// most of a second while callers wait.
+	startSpread = 4 * time.Second
 	// enginePause follows a failed call. An engine holds a bounded number of calls;
 	// those beyond it are refused and cost as much as a report, so that processes
 	// that come too late ask seldom, and not in step.
@@ -96,6 +101,9 @@
 // never listed: that would stall its work.
 func (k *Keeper) followEngine(ctx context.Context, address string) {
 	next := int64(0)
+	if !pause.For(ctx, time.Duration(rand.Int64N(int64(startSpread)))) {
+		return
+	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, engineWait+callMargin)
 		events, err := k.Feed.Events(call, address, next, engineWait)
