In a large fleet engines are followed by the processes of their own failure domain

An engine of another domain that refuses is asked again after a minute; events go on where they stopped.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -50,9 +50,8 @@
 	platformRetryBurst = 3
 	// retryPart of the allowed ratio is used: counts of different processes overlap.
 	retryPart = 0.7
-	// gcPercent lets the heap grow to four times what is in use before it is collected,
-	// memoryPart of the process's memory bounds that.
-	gcPercent  = 300
+	// memoryPart of the process's memory is the heap's; the rest holds stacks and what
+	// connections have received.
 	memoryPart = 0.6
 	// contextIndex bounds the pieces of context remembered, twice over.
 	contextIndex = 20_000
@@ -96,9 +95,7 @@
 		parseFailed(io, errors.Annotate(err, "-log-level"))
 		return ExitSettings
 	}
-	// A small heap is collected often: with the standard setting collection takes a
-	// fifth of the processor time, and memory is there.
-	debug.SetGCPercent(gcPercent)
+	// A process over its memory is killed: near that, collecting more often is better.
 	debug.SetMemoryLimit(int64(memoryPart * float64(read.MemoryBytes)))
 	out := logging.NewBounded(io.Out, logLines)
 	logger := logging.New(out, level).With(zap.String("host", s.Platform.Host))
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -34,11 +34,11 @@
 	}
 	after := map[string]bool{}
 	now := time.Now()
-	weights, engines, members := map[string]int64{}, map[string]bool{}, map[string]uint64{}
+	weights, engines, members := map[string]int64{}, map[string]string{}, map[string]uint64{}
 	for _, i := range g.State.Instances() {
 		after[i.Address] = true
 		if i.Model != "" {
-			engines[i.Address] = true
+			engines[i.Address] = i.Domain
 			members[i.Address] = routing.HashID(i.ID)
 		}
 		weights[i.Model] = max(weights[i.Model], i.Weights)
--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
@@ -22,12 +23,17 @@
 	// reading them all at once would take a starting process's whole processor for
 	// most of a second while callers wait.
 	startSpread = 4 * time.Second
-	// enginePause follows a failed call. An engine holds a bounded number of calls;
-	// those beyond it are refused and cost as much as a report, so that processes
-	// that come too late ask seldom, and not in step.
+	// enginePause follows a failed call, farPause the refusal by an engine of another
+	// failure domain. An engine holds a bounded number of calls; those beyond it are
+	// refused and cost as much as a report. In a large fleet its own domain's
+	// processes, who send it most, are to find room.
 	enginePause = 4 * time.Second
+	farPause    = time.Minute
 )
 
+// ErrTooMany tells that an engine holds as many calls as it takes.
+const ErrTooMany = errors.ConstError("too many calls are held")
+
 // Resident tells how much of a prompt's context an engine keeps.
 type Resident struct {
 	Address string
@@ -35,18 +41,19 @@
 	Tokens, Parts int
 }
 
-// SetEngines tells the addresses of the engines whose memory is followed.
-func (k *Keeper) SetEngines(addresses map[string]bool) {
+// SetEngines tells the addresses of the engines whose memory is followed, with
+// their failure domains.
+func (k *Keeper) SetEngines(domains map[string]string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for address := range addresses {
+	for address, domain := range domains {
 		if k.engines[address] == nil {
-			k.engines[address] = newStore(routes.Store{Address: address})
+			k.engines[address] = newStore(routes.Store{Address: address, Domain: domain})
 			k.wake()
 		}
 	}
 	for address := range k.engines {
-		if !addresses[address] {
+		if _, still := domains[address]; !still {
 			delete(k.engines, address)
 			k.wake()
 		}
@@ -71,18 +78,30 @@
 	return out
 }
 
-// Informed tells whether most engines' memory is known, so that what none of them
-// is said to keep is kept by none.
+// Informed tells whether the memory of most engines of this failure domain is
+// known, so that what none of them is said to keep is taken to be kept by none.
+// Where the domain has no engine, all count.
 func (k *Keeper) Informed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now, known := k.Now(), 0
+	now := k.Now()
+	known, near, knownNear := 0, 0, 0
 	for _, e := range k.engines {
-		if e.known && now.Sub(e.heard) <= engineFresh {
+		fresh := e.known && now.Sub(e.heard) <= engineFresh
+		if fresh {
 			known++
 		}
+		if e.config.Domain == k.Domain {
+			near++
+			if fresh {
+				knownNear++
+			}
+		}
+	}
+	if near == 0 {
+		return known > 0 && 2*known >= len(k.engines)
 	}
-	return known > 0 && 2*known >= len(k.engines)
+	return knownNear > 0 && 2*knownNear >= near
 }
 
 func (s *store) resident(salt string, parts []Part) Resident {
@@ -109,9 +128,8 @@
 		events, err := k.Feed.Events(call, address, next, engineWait)
 		cancel()
 		if err != nil {
-			k.forgetEngine(address, err)
-			next = 0
-			if !pause.For(ctx, enginePause/2+time.Duration(rand.Int64N(int64(enginePause)))) {
+			wait := k.forgetEngine(address, err)
+			if !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
 				return
 			}
 			continue
@@ -120,13 +138,23 @@
 	}
 }
 
-func (k *Keeper) forgetEngine(address string, err error) {
+// forgetEngine stops the use of what an engine has told, and says how long to wait
+// before it is asked again.
+func (k *Keeper) forgetEngine(address string, err error) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if e := k.engines[address]; e != nil && e.known {
+	e := k.engines[address]
+	if e == nil {
+		return enginePause
+	}
+	if e.known {
 		e.known = false
 		k.Log.Info("engine's memory is not known", zap.String("address", address), zap.Error(err))
 	}
+	if errors.Is(err, ErrTooMany) && e.config.Domain != k.Domain {
+		return farPause
+	}
+	return enginePause
 }
 
 func (k *Keeper) takeEngineEvents(address string, events Events) (next int64) {
@@ -140,10 +168,12 @@
 	if events.ClockMS > 0 {
 		k.clock, k.clockKnown = events.ClockMS-now.UnixMilli(), true
 	}
-	if !e.known || e.epoch != events.Epoch || events.Lost {
+	if e.epoch != events.Epoch || events.Lost {
 		e.load(Listing{Epoch: events.Epoch, Next: events.Next, Whole: map[PartKey]Held{}}, now)
 		events.Lost = false
 	}
+	// After a failed call the events go on where they stopped.
+	e.known = true
 	e.apply(events, now)
 	return e.next
 }
--- a/internal/coordination/kept/kept_test.go
+++ b/internal/coordination/kept/kept_test.go
@@ -188,7 +188,7 @@
 func TestEnginesMemory(t *testing.T) {
 	c := &clock{epoch}
 	k := New(nil, zap.NewNop(), "a", c.Now)
-	k.SetEngines(map[string]bool{near: true, far: true})
+	k.SetEngines(map[string]string{near: "a", far: "b"})
 	if k.Informed() {
 		t.Error("informed before any word")
 	}
@@ -245,3 +245,48 @@
 	f.freed = append(f.freed, parts...)
 	return nil
 }
+
+// TestEnginesThatHoldTooManyCalls lets engines of both domains refuse.
+//
+// One of another domain is left to its own domain's processes for long; what the
+// engines of this domain tell is enough to decide by.
+func TestEnginesThatHoldTooManyCalls(t *testing.T) {
+	c := &clock{epoch}
+	k := New(nil, zap.NewNop(), "a", c.Now)
+	k.SetEngines(map[string]string{near: "a", far: "b", "10.0.0.3:1": "b"})
+	k.takeEngineEvents(near, Events{Epoch: 1, Next: 5})
+	if !k.Informed() {
+		t.Error("not informed though its own domain's engine is known")
+	}
+	rows := []struct {
+		address string
+		err     error
+		want    time.Duration
+	}{
+		{far, ErrTooMany, farPause}, {far, errors.New("reset"), enginePause}, {near, ErrTooMany, enginePause}, {"gone", ErrTooMany, enginePause},
+	}
+	for _, row := range rows {
+		if got := k.forgetEngine(row.address, row.err); got != row.want {
+			t.Errorf("%s after %v: %s", row.address, row.err, got)
+		}
+	}
+	if k.Informed() {
+		t.Error("informed by an engine that refuses")
+	}
+}
+
+// TestEventsGoOnAfterAFailedCall loses one call; the engine lives on.
+func TestEventsGoOnAfterAFailedCall(t *testing.T) {
+	c := &clock{epoch}
+	k := New(nil, zap.NewNop(), "a", c.Now)
+	k.SetEngines(map[string]string{near: "a"})
+	k.takeEngineEvents(near, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p1", 500)}})
+	k.forgetEngine(near, errors.New("reset"))
+	if len(k.Resident("s", parts)) != 0 {
+		t.Error("used while it does not answer")
+	}
+	k.takeEngineEvents(near, Events{Epoch: 1, Next: 6, Changes: []Change{added("s", "p2", 1500)}})
+	if r := k.Resident("s", parts); len(r) != 1 || r[0].Parts != 2 {
+		t.Errorf("what was known before the failure is lost: %+v", r)
+	}
+}
