--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -127,6 +127,20 @@
 	return n
 }
 
+// given lists the orders so far.
+func (f *fakeEngines) given() []givenOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]givenOrder(nil), f.orders...)
+}
+
+// set changes how the engines behave.
+func (f *fakeEngines) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 // frozen is a store's client that a test may stop, as a freeze of its process does.
 type frozen struct {
 	objectapi.API
@@ -211,10 +225,9 @@
 // falls: engines that check nothing would obey both.
 func holdersApart(t *testing.T, f *fakeEngines) {
 	t.Helper()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := 1; i < len(f.orders); i++ {
-		a, b := f.orders[i-1], f.orders[i]
+	orders := f.given()
+	for i := 1; i < len(orders); i++ {
+		a, b := orders[i-1], orders[i]
 		if b.Fence < a.Fence {
 			t.Errorf("order %d has number %d after %d", i, b.Fence, a.Fence)
 		}
@@ -234,11 +247,13 @@
 		if f.at(2) != 9 {
 			t.Errorf("%d of 9 engines have the named weights", f.at(2))
 		}
-		if f.most > 4 {
-			t.Errorf("%d engines loaded at once", f.most)
+		most := 0
+		f.set(func() { most = f.most })
+		if most > 4 {
+			t.Errorf("%d engines loaded at once", most)
 		}
-		if len(f.orders) != 9 {
-			t.Errorf("%d orders", len(f.orders))
+		if orders := f.given(); len(orders) != 9 {
+			t.Errorf("%d orders", len(orders))
 		}
 		holdersApart(t, f)
 	})
@@ -283,7 +298,7 @@
 		f := newFakeEngines(1, 1, 1)
 		members := direct(t, f, 3)
 		time.Sleep(10 * time.Second)
-		f.reportTakes = act - 10*time.Millisecond
+		f.set(func() { f.reportTakes = act - 10*time.Millisecond })
 		name(members, 2)
 		time.Sleep(act)
 		for _, m := range members {
@@ -292,13 +307,11 @@
 				defer m.api.thaw()
 			}
 		}
-		f.mu.Lock()
-		f.reportTakes = 0
-		given := len(f.orders)
-		f.mu.Unlock()
+		f.set(func() { f.reportTakes = 0 })
+		before := len(f.given())
 		time.Sleep(8 * time.Second)
-		if given != 1 || len(f.orders) < 3 {
-			t.Errorf("%d orders before the freeze, %d in all", given, len(f.orders))
+		if all := len(f.given()); before != 1 || all < 3 {
+			t.Errorf("%d orders before the freeze, %d in all", before, all)
 		}
 		holdersApart(t, f)
 	})
@@ -321,7 +334,7 @@
 			t.Errorf("%d of 9 engines have the newest weights", f.at(3))
 		}
 		second := false
-		for _, o := range f.orders {
+		for _, o := range f.given() {
 			if o.Version == 3 && o.before == 2 {
 				second = true
 			}
@@ -344,14 +357,10 @@
 				f := newFakeEngines(1, 1, 1)
 				members := direct(t, f, 2)
 				time.Sleep(5 * time.Second)
-				f.mu.Lock()
-				f.mute, f.late = true, late
-				f.mu.Unlock()
+				f.set(func() { f.mute, f.late = true, late })
 				name(members, 2)
 				time.Sleep(3 * time.Second)
-				f.mu.Lock()
-				f.mute, f.late = false, false
-				f.mu.Unlock()
+				f.set(func() { f.mute, f.late = false, false })
 				name(members, 3)
 				time.Sleep(15 * time.Second)
 				if f.at(3) != 3 {
@@ -370,8 +379,8 @@
 		members := direct(t, f, 1)
 		name(members, 2)
 		time.Sleep(10 * time.Second)
-		if f.at(3) != 1 || f.at(2) != 1 || len(f.orders) != 1 {
-			t.Errorf("orders %+v", f.orders)
+		if orders := f.given(); f.at(3) != 1 || f.at(2) != 1 || len(orders) != 1 {
+			t.Errorf("orders %+v", orders)
 		}
 	})
 }
