--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -24,9 +24,8 @@
 	// most of a second while callers wait.
 	startSpread = 4 * time.Second
 	// enginePause follows a failed call, farPause the refusal by an engine of another
-	// failure domain. An engine holds a bounded number of calls; those beyond it are
-	// refused and cost as much as a report. In a large fleet its own domain's
-	// processes, who send it most, are to find room.
+	// failure domain that holds as many calls as it takes. In a large fleet its own
+	// domain's processes, who send it most, are to find room.
 	enginePause = 4 * time.Second
 	farPause    = time.Minute
 )
@@ -123,37 +122,42 @@
 	if !pause.For(ctx, time.Duration(rand.Int64N(int64(startSpread)))) {
 		return
 	}
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, engineWait+callMargin)
-		events, err := k.Feed.Events(call, address, next, engineWait)
+	p := pace{usual: engineWait}
+	for p.rest(ctx) {
+		call, cancel := context.WithTimeout(ctx, p.wait()+callMargin)
+		events, err := k.Feed.Events(call, address, next, p.wait())
 		cancel()
-		if err != nil {
-			wait := k.forgetEngine(address, err)
-			if !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
-				return
-			}
+		if err == nil {
+			next = k.takeEngineEvents(address, events)
 			continue
 		}
-		next = k.takeEngineEvents(address, events)
+		p.crowded = p.crowded || errors.Is(err, ErrTooMany)
+		if wait := k.afterFailure(address, err); wait > 0 && !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
+			return
+		}
 	}
 }
 
-// forgetEngine stops the use of what an engine has told, and says how long to wait
-// before it is asked again.
-func (k *Keeper) forgetEngine(address string, err error) time.Duration {
+// afterFailure says how long to wait before an engine is asked again, beside its
+// pace. An engine of this domain that holds too many calls is only asked less; of
+// one that does not answer nothing is used any more.
+func (k *Keeper) afterFailure(address string, err error) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e := k.engines[address]
 	if e == nil {
 		return enginePause
 	}
+	if errors.Is(err, ErrTooMany) {
+		if e.config.Domain != k.Domain {
+			return farPause
+		}
+		return 0
+	}
 	if e.known {
 		e.known = false
 		k.Log.Info("engine's memory is not known", zap.String("address", address), zap.Error(err))
 	}
-	if errors.Is(err, ErrTooMany) && e.config.Domain != k.Domain {
-		return farPause
-	}
 	return enginePause
 }
 
--- a/internal/coordination/kept/follow_test.go
+++ b/internal/coordination/kept/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,3 +54,80 @@
 		<-done
 	})
 }
+
+// crowdedFeed is a store that holds a bounded number of waiting calls and refuses
+// those beyond it.
+type crowdedFeed struct {
+	fakeStoreFeed
+	mu      sync.Mutex
+	most    int
+	held    int
+	refused int
+}
+
+func (f *crowdedFeed) Events(ctx context.Context, address string, since int64, wait time.Duration) (Events, error) {
+	f.mu.Lock()
+	if f.held == f.most {
+		f.refused++
+		f.mu.Unlock()
+		return Events{}, ErrTooMany
+	}
+	f.held++
+	f.mu.Unlock()
+	events, err := f.fakeStoreFeed.Events(ctx, address, since, wait)
+	f.mu.Lock()
+	f.held--
+	f.mu.Unlock()
+	return events, err
+}
+
+// TestMoreProcessesThanAStoreHoldsCalls lets thirty processes follow a store that
+// holds twelve waiting calls.
+//
+// They take turns with shorter waits. Without that, those that found no place would
+// list the store three times a second, and import nothing meanwhile.
+func TestMoreProcessesThanAStoreHoldsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &crowdedFeed{fakeStoreFeed: fakeStoreFeed{epoch: 1}, most: 12}
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		var keepers []*Keeper
+		const processes = 30
+		for range processes {
+			k := New(feed, zap.NewNop(), "a", time.Now)
+			done.Go(func() { k.Run(ctx) })
+			k.SetStores(map[string]*routes.Service{"s": {Store: &routes.Store{Address: near, MemoryTokens: 1000}}})
+			keepers = append(keepers, k)
+		}
+		time.Sleep(5 * time.Second)
+		feed.fakeStoreFeed.mu.Lock()
+		feed.lists = 0
+		feed.fakeStoreFeed.mu.Unlock()
+		feed.mu.Lock()
+		feed.refused = 0
+		feed.mu.Unlock()
+		usable := 0
+		const looks = 100
+		for range looks {
+			time.Sleep(100 * time.Millisecond)
+			for _, k := range keepers {
+				if k.Stored("s", parts[:1]) > 0 {
+					usable++
+				}
+			}
+		}
+		cancel()
+		done.Wait()
+		share := float64(usable) / (looks * processes)
+		t.Logf("used in %.2f of the looks, %d lists, %d calls refused", share, feed.lists, feed.refused)
+		if share < 0.8 {
+			t.Errorf("the store is used in %.2f of the looks", share)
+		}
+		if feed.lists > 0 {
+			t.Errorf("%d lists in 10 s", feed.lists)
+		}
+		if feed.refused > processes*10 {
+			t.Errorf("%d calls refused in 10 s", feed.refused)
+		}
+	})
+}
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
@@ -157,11 +158,17 @@
 		return err
 	}
 	next, ok := k.takeListing(address, listing, began)
-	for ok && ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, eventWait+callMargin)
+	p := pace{usual: eventWait}
+	for ok && p.rest(ctx) {
+		call, cancel := context.WithTimeout(ctx, p.wait()+callMargin)
 		began := k.Now()
-		events, err := k.Feed.Events(call, address, next, eventWait)
+		events, err := k.Feed.Events(call, address, next, p.wait())
 		cancel()
+		if errors.Is(err, ErrTooMany) {
+			// What is known stays good for as long as it is fresh; a list would cost more.
+			p.crowded = true
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/coordination/kept/pace.go
@@ -0,0 +1,45 @@
+package kept
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"limpetwall/internal/transport/pause"
+)
+
+const (
+	// crowdedWait and crowdedPause are used towards a store or engine that has refused
+	// a call for holding too many: with them it serves about twice as many processes
+	// as it holds calls. A call that waits less would cost as much as a report; the
+	// longest round, with its pause and a half, stays below freshFor.
+	crowdedWait  = 200 * time.Millisecond
+	crowdedPause = 400 * time.Millisecond
+	// usualPause is short, but lets a process in that found no place: it is how those
+	// that have one learn that they are too many.
+	usualPause = 100 * time.Millisecond
+)
+
+// pace is how one store or engine is asked for events.
+type pace struct {
+	usual   time.Duration
+	crowded bool
+}
+
+// wait is how long the next call waits for events.
+func (p *pace) wait() time.Duration {
+	if p.crowded {
+		return crowdedWait
+	}
+	return p.usual
+}
+
+// rest leaves room for others between two calls, out of step with them; false means
+// that ctx has ended.
+func (p *pace) rest(ctx context.Context) bool {
+	mean := usualPause
+	if p.crowded {
+		mean = crowdedPause
+	}
+	return pause.For(ctx, mean/2+time.Duration(rand.Int64N(int64(mean))))
+}
