--- a/internal/coordination/kept/pace.go
+++ b/internal/coordination/kept/pace.go
@@ -15,15 +15,18 @@
 	// longest round, with its pause and a half, stays below freshFor.
 	crowdedWait  = 200 * time.Millisecond
 	crowdedPause = 400 * time.Millisecond
-	// usualPause is short, but lets a process in that found no place: it is how those
-	// that have one learn that they are too many.
-	usualPause = 100 * time.Millisecond
+	// usualPause, after every usualRounds calls, lets a process in that found no place:
+	// it is how those that have one learn that they are too many. Between the other
+	// calls there is none, since events that come later make decisions worse.
+	usualPause  = 100 * time.Millisecond
+	usualRounds = 4
 )
 
 // pace is how one store or engine is asked for events.
 type pace struct {
 	usual   time.Duration
 	crowded bool
+	rounds  int
 }
 
 // wait is how long the next call waits for events.
@@ -37,9 +40,13 @@
 // rest leaves room for others between two calls, out of step with them; false means
 // that ctx has ended.
 func (p *pace) rest(ctx context.Context) bool {
+	p.rounds++
 	mean := usualPause
-	if p.crowded {
+	switch {
+	case p.crowded:
 		mean = crowdedPause
+	case p.rounds%usualRounds != 0:
+		return ctx.Err() == nil
 	}
 	return pause.For(ctx, mean/2+time.Duration(rand.Int64N(int64(mean))))
 }
