--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -58,8 +58,9 @@
 )
 
 // retireEarly is how long before the end of their time replaced weights are used no
-// more: a request may wait that long in an engine before it begins.
-const retireEarly = 1500 * time.Millisecond
+// more: a request may wait that long in an engine before it begins. Waits of over
+// 1.6 s are refused where they are foreseen, and 1.5 s was seen to be too short.
+const retireEarly = 2500 * time.Millisecond
 
 // GatewaySettings are the settings of a gateway: the platform's own file, and what
 // the file leaves open.
