A request that waits in an engine with replaced weights is given up before it could begin

Ruled out: a longer margin before retiring alone, since waits have no bound. Attempts at replaced weights end at their time less 0.3 s unless they have begun; the test failed before with a wait to the deadline.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -57,6 +57,10 @@
 	contextIndex = 20_000
 )
 
+// beginMargin is left of the time of replaced weights for an endpoint to hear that a
+// request is given up.
+const beginMargin = 300 * time.Millisecond
+
 // retireEarly is how long before the end of their time replaced weights are used no
 // more: a request may wait that long in an engine before it begins. Waits of over
 // 1.6 s are refused where they are foreseen, and 1.5 s was seen to be too short.
@@ -166,6 +170,7 @@
 		keeper.SetStores(t.Services)
 	})
 	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
+	state.BeginWithin = b.WeightsInForce - beginMargin
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
 	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
 	store := platform.NewStore(s.Platform.Store, storeTransport)
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -47,6 +47,9 @@
 	Now func() time.Time
 	// RetireAfter is how long replaced weights may be used; 0 sets no limit.
 	RetireAfter time.Duration
+	// BeginWithin is how long after their replacement weights may still begin to
+	// answer a request that was sent before; 0 sets no limit.
+	BeginWithin time.Duration
 
 	routes  atomic.Pointer[routes.Table]
 	onTable func(*routes.Table)
--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -153,6 +153,22 @@
 	return s.RetireAfter > 0 && k.Model != "" && !since.IsZero() && s.Now().Sub(since) > s.RetireAfter
 }
 
+// BeginLeft is the time within which an endpoint must begin to answer what it has
+// been sent; false if its weights are the named ones.
+func (s *State) BeginLeft(id string) (left time.Duration, limited bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.instances[id]
+	if !ok || s.BeginWithin == 0 {
+		return 0, false
+	}
+	since := s.named[k.Model].sinceAfter(k.Weights)
+	if since.IsZero() {
+		return 0, false
+	}
+	return s.BeginWithin - s.Now().Sub(since), true
+}
+
 // noteOutdated keeps and logs whether an endpoint's weights may be used. Each
 // write of its row asks anew: an endpoint may come back with weights that were
 // replaced long ago.
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -89,6 +89,8 @@
 		return outcome{verdict: callerGone, err: err}
 	case errors.Is(err, upstream.ErrNotSent):
 		return outcome{verdict: notReached, err: err}
+	case errors.Is(context.Cause(ctx), errReplacedWeights):
+		return outcome{verdict: broken, err: errReplacedWeights}
 	case ctx.Err() != nil:
 		return outcome{verdict: timedOut, err: err}
 	}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -87,6 +87,8 @@
 
 	// tries are the attempts made, for the log.
 	tries []try
+	// begun tells that the present attempt's stream has begun.
+	begun func()
 	// firstEvent of the present attempt came then.
 	firstEvent time.Time
 	// storedTokens of the last attempt's context that stores held, for the log.
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -529,6 +529,28 @@
 	}
 }
 
+// TestReplacedWeightsThatDoNotBegin sends a prompt to an endpoint whose weights are
+// replaced meanwhile; it waits in the endpoint's queue.
+//
+// Before the endpoint could begin with the old weights the request is given up, its
+// connection closes, and the caller is told at once.
+func TestReplacedWeightsThatDoNotBegin(t *testing.T) {
+	left := make(chan struct{}, 1)
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, _ *http.Request) {
+		io.Copy(io.Discard, c)
+		left <- struct{}{}
+	})
+	state := s.gateway.State
+	state.BeginWithin = 50 * time.Millisecond
+	state.SetInstance(discovery.Instance{ID: "i-0", Revision: 9, Service: "s", Address: s.endpoints[0].address, Domain: "a", Model: "m", Weights: 1})
+	state.SetNamed(discovery.Named{Model: "m", Version: 2})
+	resp, _, err := s.ask(s.request("POST", "/r/x", "prompt"))
+	if err != nil || resp.StatusCode != 502 || resp.Header.Get("X-Limpetwall-Ran") != "unknown" {
+		t.Errorf("%v %v", resp, err)
+	}
+	<-left
+}
+
 // TestRetryBudget lets every endpoint fail with the budget used up.
 func TestRetryBudget(t *testing.T) {
 	s := newSite(t, route(routes.Idempotent, 2), say(500, "sorry"), say(500, "sorry"))
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -42,6 +42,8 @@
 	if st.last != "" {
 		s.LastEvent = st.last
 	}
+	ctx, stop := x.beginInTime(ctx, c)
+	defer stop()
 	resp, reply, out := x.send(ctx, c, s)
 	if resp == nil {
 		return out
@@ -57,6 +59,26 @@
 	return x.relay(ctx, c, resp, st)
 }
 
+// errReplacedWeights ends an attempt that has not begun when its endpoint's weights
+// may not be used any more.
+const errReplacedWeights = errors.ConstError("the endpoint's weights were replaced before it began")
+
+// beginInTime ends an attempt at replaced weights that does not begin before their
+// time is up. Endpoints that load others are the fullest: a request may wait in one
+// for seconds longer than was foreseen, and its answer would be worth nothing.
+func (x *exchange) beginInTime(ctx context.Context, c routing.Choice) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	x.begun = func() {}
+	if left, limited := x.g.State.BeginLeft(c.Member.ID); limited {
+		timer := time.AfterFunc(max(0, left), func() { cancel(errReplacedWeights) })
+		x.begun = func() { timer.Stop() }
+	}
+	return ctx, func() {
+		x.begun()
+		cancel(nil)
+	}
+}
+
 // streamFailure takes an answer that is no stream.
 func (x *exchange) streamFailure(ctx context.Context, resp *upstream.Response, st *streamState) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
@@ -88,6 +110,7 @@
 		}
 		if x.firstEvent.IsZero() {
 			x.firstEvent = time.Now()
+			x.begun()
 			x.g.Directory.Begun(c, x.firstEvent)
 			metrics.GetOrRegisterTimer("gateway.first_event", x.g.Metrics).UpdateSince(x.began)
 		}
