A long answer that is torn is not followed by another one; dead code out

Found by reading: an idempotent answer over 256 KB is passed on as it comes; torn midway, the request was sent again and a second answer written behind the part of the first. The test fails before (two endpoints asked). The stream's length and Table.Each were never read.

--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -325,6 +325,23 @@
 	}
 }
 
+// TestLongAnswerIsTorn cuts an answer too long to be kept whole, after a part of it
+// is with the caller.
+//
+// Though the request may be repeated, nothing else is asked: a second answer would
+// be joined to the first.
+func TestLongAnswerIsTorn(t *testing.T) {
+	long := strings.Repeat("a", 2*maxBuffered)
+	torn := func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", testID, r.Header.Get(testID), len(long)+1, long)
+	}
+	s := newSite(t, route(routes.Idempotent, 2), torn, torn)
+	_, body, err := s.ask(s.request("GET", "/r/x", ""))
+	if err == nil || len(body) > len(long) || s.runs() != 1 {
+		t.Errorf("%d bytes, %v, sent to %d", len(body), err, s.runs())
+	}
+}
+
 // TestNobodyIsReached stops the endpoint's listener before the request comes.
 func TestNobodyIsReached(t *testing.T) {
 	s := newSite(t, route(routes.NonIdempotent, 2))
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -79,7 +79,7 @@
 		if last.verdict == delivered || last.verdict == callerGone {
 			return nil
 		}
-		if !x.mayTryAgain(ctx, last, &stream, sent, unreached) {
+		if !x.mayTryAgain(ctx, last, sent, unreached) {
 			return x.final(last, sent)
 		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
@@ -105,7 +105,7 @@
 
 // mayTryAgain decides whether another endpoint is asked. What reached no endpoint
 // costs none of them anything; all else draws on the retry budget.
-func (x *exchange) mayTryAgain(ctx context.Context, last outcome, stream *streamState, sent, unreached int) bool {
+func (x *exchange) mayTryAgain(ctx context.Context, last outcome, sent, unreached int) bool {
 	if ctx.Err() != nil || x.left() < minLeft {
 		return false
 	}
@@ -118,7 +118,8 @@
 		if !x.route.Repeatable() && !resumable {
 			return false
 		}
-		if stream.begun && !resumable {
+		if x.wrote && !resumable {
+			// The caller has a part already: another answer would be joined to it.
 			return false
 		}
 	default:
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -23,9 +23,6 @@
 	// last is the id of the last event passed on, number its value.
 	last   string
 	number int64
-	// length that the first answer's head declared, -1 if none; a second answer
-	// can't keep to it.
-	length int64
 }
 
 // errTorn marks a stream that ended inside an event.
@@ -130,7 +127,7 @@
 	if st.begun {
 		return
 	}
-	st.begun, st.length = true, resp.Length
+	st.begun = true
 	x.writeHead(resp.Status, resp.Header, -1)
 }
 
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -206,12 +206,3 @@
 	c, ok := t.owners[key]
 	return c, ok
 }
-
-// Each calls f for each route.
-func (t *Table) Each(f func(*Route)) {
-	for _, list := range t.byHost {
-		for _, r := range list {
-			f(r)
-		}
-	}
-}
