--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -29,9 +29,10 @@
 	// script returns the events of the n-th call, counted from 1.
 	script func(n int, r *wire.RunRequest) []*wire.RunEvent
 	// silent is the attempt that says nothing until its caller leaves, which ended
-	// then receives.
-	silent uint32
-	ended  chan uint32
+	// then receives; arrived is closed when it has reached the agent.
+	silent  uint32
+	arrived chan struct{}
+	ended   chan uint32
 }
 
 func (f *fakeAgent) count() int {
@@ -46,6 +47,7 @@
 	n := f.calls
 	f.mu.Unlock()
 	if f.silent != 0 && f.silent == r.GetAttempt() {
+		close(f.arrived)
 		<-s.Context().Done()
 		f.ended <- r.GetAttempt()
 		return nil
@@ -258,14 +260,17 @@
 //
 // The caller gets the whole answer from the second endpoint, once; the silent
 // attempt is ended. Without budget, or for a plain call, there is no
-// second attempt.
+// second attempt. The second endpoint answers only when the silent one has been
+// reached: an attempt that is overtaken while it still connects reaches nobody.
 func TestLateFirstTokenIsHedged(t *testing.T) {
+	arrived := make(chan struct{})
 	whole := func(_ int, r *wire.RunRequest) []*wire.RunEvent {
+		<-arrived
 		return []*wire.RunEvent{event(r, started()), event(r, tokens(0, "a", "b")), event(r, finished(2))}
 	}
 	r, fake := runner(t, 2, whole)
 	r.HedgeAfter = time.Millisecond
-	fake.silent, fake.ended = 1, make(chan uint32, 1)
+	fake.silent, fake.arrived, fake.ended = 1, arrived, make(chan uint32, 1)
 	sink := &collect{}
 	result, err := r.Run(t.Context(), promptJob(), sink)
 	if err != nil || strings.Join(sink.tokens, "") != "ab" || result.Attempts != 2 {
