Crowds of changes cost few calls to the store; what has loaded is known to all

Watches of a kind now begin 250 ms apart, but for four. Followers look at the idle lease every 2.4 s instead of 1.2. Second cause: in a rollout, requests were rejected for a median of 1.45 s after an order: only the holder asks engines for their weights, the others named the old ones until the platform's list said otherwise. The lease's note now tells what has loaded. Tests fail before: TestCrowdOfChangesCostsFewCalls, TestOthersKnowWhatHasLoaded.

--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/objectapi"
@@ -33,6 +34,12 @@
 	callMargin = 700 * time.Millisecond
 	// listTimeout bounds one list.
 	listTimeout = 2 * time.Second
+	// watchEvery is the shortest time between the beginnings of two watches of a kind,
+	// but for quickWatches of them. Changes come in crowds: 55 starting or loading
+	// endpoints otherwise cost every process 55 calls within seconds, 940 before 370
+	// processes a third of a million. A few changes are still known at once.
+	watchEvery   = 250 * time.Millisecond
+	quickWatches = 4
 	// retryFirst and retryMost bound the pause after a failed call. The store prices
 	// refused calls too, but a configuration must be in force within seconds of its
 	// return.
@@ -181,8 +188,9 @@
 // watch follows a kind until a call fails twice in a row: one lost answer loses
 // no history, and the next watch goes on from the same revision.
 func (w *Watcher) watch(ctx context.Context, kind string, revision uint64) error {
-	pause := retryFirst
-	for ctx.Err() == nil {
+	failed := retryFirst
+	quick := rate.NewLimiter(rate.Every(watchEvery), quickWatches)
+	for quick.Wait(ctx) == nil {
 		wait, call, cancel := w.watchCall(ctx, kind)
 		events, next, err := w.Feed.WatchKind(call, kind, revision, wait)
 		cancel()
@@ -191,13 +199,13 @@
 		}
 		w.note(kind, err)
 		if err != nil {
-			if !w.pause(ctx, pause) {
+			if !w.pause(ctx, failed) {
 				return ctx.Err()
 			}
-			pause = min(2*pause, retryMost)
+			failed = min(2*failed, retryMost)
 			continue
 		}
-		pause = retryFirst
+		failed = retryFirst
 		for _, e := range events {
 			w.takeEvent(kind, e)
 		}
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -254,6 +254,36 @@
 	})
 }
 
+// TestCrowdOfChangesCostsFewCalls starts 100 endpoints within two seconds.
+//
+// The first is known at once and the last within the pause between two watches; each
+// change alone would cost a call, in every process of the fleet.
+func TestCrowdOfChangesCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		state, _ := follow(t, feed)
+		time.Sleep(2 * time.Second)
+		feed.set(func() { feed.calls = 0 })
+		const endpoints, every = 100, 20 * time.Millisecond
+		for n := range endpoints {
+			feed.put("servers", fmt.Sprint("i", n), false)
+			time.Sleep(every)
+			if n == 0 && len(state.Instances()) != 1 {
+				t.Error("the first change is not known at once")
+			}
+		}
+		time.Sleep(watchEvery)
+		if got := len(state.Instances()); got != endpoints {
+			t.Errorf("%d of %d endpoints are known", got, endpoints)
+		}
+		var calls int
+		feed.set(func() { calls = feed.calls })
+		if most := int(endpoints*every/watchEvery) + quickWatches + 6; calls > most {
+			t.Errorf("%d calls to the store, at most %d", calls, most)
+		}
+	})
+}
+
 // TestHistoryIsGone drops the history while an endpoint leaves.
 //
 // No event tells of it; only the list that follows does, by what it lacks.
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -261,13 +261,6 @@
 	return out
 }
 
-// Target is the engine that a prompt is sent to.
-type Target struct {
-	Address, Domain string
-	// Import tells that what stores hold is to be imported.
-	Import bool
-}
-
 // Plan says for each part of a prompt where it comes from and goes to.
 type Plan struct {
 	// From and To hold an address for each part, "" for none.
@@ -279,8 +272,9 @@
 }
 
 // Plan decides where a prompt's parts are imported from and where they are saved.
-// Another engine is a source before a store is: its link is faster and less asked for.
-func (k *Keeper) Plan(salt, context string, parts []Part, target Target) Plan {
+// target is the address of the engine that the prompt is sent to. Another engine is a
+// source before a store is: its link is faster and less asked for.
+func (k *Keeper) Plan(salt, context string, parts []Part, target string) Plan {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
@@ -289,7 +283,7 @@
 		return p
 	}
 	p.Until = now.UnixMilli() + k.clock + importTime.Milliseconds()
-	own, other := k.holders(salt, parts, target.Address, now)
+	own, other := k.holders(salt, parts, target, now)
 	unbroken := true
 	for i, part := range parts {
 		key := PartKey{salt, part.ID}
@@ -303,7 +297,7 @@
 		case i < own:
 		case i < other.Parts:
 			p.From[i] = other.Address
-		case holder != "" && target.Import:
+		default:
 			p.From[i] = holder
 		}
 		if holder == "" {
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -80,6 +80,13 @@
 	loading map[string]loadingOrder
 	// marked are the engines that another holder says are loading.
 	marked map[string]bool
+	// loaded are the engines that this process saw load lately.
+	loaded map[string]loadedWeights
+}
+
+type loadedWeights struct {
+	version int64
+	at      time.Time
 }
 
 type loadingOrder struct {
@@ -91,9 +98,11 @@
 }
 
 const (
-	// idleLook is how often the lease is looked at while nothing is to be ordered:
-	// often enough to see it lapse in one term.
-	idleLook = 1200 * time.Millisecond
+	// idleLook is how often the holder renews the lease while nothing is to be ordered,
+	// and followerLook how often the others look at it: all processes do, and every call
+	// counts at the store. When weights are named they look at once.
+	idleLook     = 1200 * time.Millisecond
+	followerLook = 2400 * time.Millisecond
 	// busyLook is how often the holder decides while engines are to be ordered, and
 	// the others read which of them load.
 	busyLook = 250 * time.Millisecond
@@ -112,6 +121,9 @@
 	// hurry is the part of the time for new weights in which all engines should have
 	// them. If that takes more orders at once, more are given.
 	hurry = 0.7
+	// loadedTold is how long the note tells what an engine has loaded: in that time the
+	// platform's list does so too.
+	loadedTold = 5 * time.Second
 	// mostLoading is the part of a model's engines that carry out orders at once even
 	// then: the others must serve meanwhile.
 	mostLoading = 0.5
@@ -119,14 +131,10 @@
 
 // Run directs until ctx ends.
 func (d *Director) Run(ctx context.Context) {
-	d.loading, d.marked = map[string]loadingOrder{}, map[string]bool{}
+	d.loading, d.marked, d.loaded = map[string]loadingOrder{}, map[string]bool{}, map[string]loadedWeights{}
 	held := false
 	for {
-		pause := idleLook
-		if d.pending() {
-			pause = busyLook
-		}
-		timer := time.NewTimer(pause)
+		timer := time.NewTimer(d.untilNextLook(held))
 		select {
 		case <-timer.C:
 		case <-d.State.NamedChanged():
@@ -142,6 +150,16 @@
 	}
 }
 
+func (d *Director) untilNextLook(held bool) time.Duration {
+	switch {
+	case d.pending():
+		return busyLook
+	case held:
+		return idleLook
+	}
+	return followerLook
+}
+
 // Leads tells whether this process holds the lease.
 func (d *Director) Leads() bool { return d.Lease.Held(d.Now()) }
 
@@ -224,6 +242,9 @@
 	Ordering bool `json:"ordering"`
 	// Named tells how long versions have been named.
 	Named []discovery.NamedAge `json:"named"`
+	// Loaded holds the weights of engines that carried out orders lately. Engines reject
+	// what is sent to them under others, and the platform's list lags behind.
+	Loaded map[string]int64 `json:"loaded,omitempty"`
 }
 
 func decodeNote(data []byte) (note, error) {
@@ -241,6 +262,7 @@
 		n.Loading = append(n.Loading, id)
 	}
 	sort.Strings(n.Loading)
+	n.Loaded = d.lately()
 	data, err := json.Marshal(n)
 	if err != nil {
 		d.Log.Error("lease note", zap.Error(err))
@@ -249,7 +271,20 @@
 	d.Lease.SetNote(data)
 }
 
-// follow takes over which engines the holder says are loading.
+// lately lists the engines that have carried out orders within loadedTold.
+func (d *Director) lately() map[string]int64 {
+	out := map[string]int64{}
+	for id, l := range d.loaded {
+		if d.Now().Sub(l.at) > loadedTold {
+			delete(d.loaded, id)
+			continue
+		}
+		out[id] = l.version
+	}
+	return out
+}
+
+// follow takes over which engines the holder says are loading, and which have loaded.
 func (d *Director) follow() {
 	others, err := decodeNote(d.Lease.OthersNote())
 	if err != nil {
@@ -260,6 +295,9 @@
 		d.State.SetLoading(id, false)
 		delete(d.loading, id)
 	}
+	for id, version := range others.Loaded {
+		d.State.Observe(id, version)
+	}
 	d.unmark(others.Loading)
 	for _, id := range others.Loading {
 		d.marked[id] = true
@@ -302,6 +340,7 @@
 			d.Log.Info("order ended", zap.String("endpoint", id), zap.Int64("ordered", l.version), zap.Int64("weights", has),
 				zap.Duration("took", d.Now().Sub(l.since)))
 			d.learnLoadTime(d.Now().Sub(l.since))
+			d.loaded[id] = loadedWeights{has, d.Now()}
 			delete(d.loading, id)
 			d.State.SetLoading(id, false)
 		}
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -417,3 +417,25 @@
 		}
 	})
 }
+
+// TestOthersKnowWhatHasLoaded lets engines load while the platform's list still shows
+// their old weights.
+//
+// Only the holder asks the engines. Without its word the other processes go on to name
+// the old weights in what they send, and the engines reject it for a second or two.
+func TestOthersKnowWhatHasLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeEngines(1, 1, 1)
+		members := direct(t, f, 3)
+		time.Sleep(10 * time.Second)
+		name(members, 2)
+		time.Sleep(6 * time.Second)
+		for i, m := range members {
+			for _, instance := range m.state.Instances() {
+				if instance.Weights != 2 {
+					t.Errorf("process %d takes %s to have weights %d", i, instance.ID, instance.Weights)
+				}
+			}
+		}
+	})
+}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -280,9 +280,7 @@
 	Reason       Reason
 	TTFT, Wait   time.Duration
 	CachedTokens int
-	// ImportedTokens are worth bringing from stores; 0 if reading them anew is better.
-	ImportedTokens int
-	Refusal        Refusal
+	Refusal      Refusal
 	// Believed is what the decision took the endpoint's state to be.
 	Believed Belief
 	holding  Holding
@@ -369,7 +367,7 @@
 	e.Unread[r.Urgency] += v.WorkTokens
 	d.dynamic[e.ID].sent(v.WorkTokens, r.Now)
 	c := Choice{
-		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, Wait: v.Wait, CachedTokens: v.CachedTokens, ImportedTokens: v.ImportedTokens, keys: keys, hash: e.Hash, seen: seen,
+		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, Wait: v.Wait, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
 		held: r.HeldTokens, began: r.Now, Believed: believed, reading: read,
 	}
 	for _, h := range r.Holdings {
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -30,7 +30,6 @@
 type estimate struct {
 	ttft, wait time.Duration
 	cached     int
-	imported   int
 	recomputed int
 	score      float64
 }
@@ -93,7 +92,7 @@
 	// The work that a decision makes for others weighs as its own waiting does.
 	weight := r.Objective.WeightTTFT + late/max(ttft.Seconds(), 1e-9)
 	return estimate{
-		ttft: ttft, wait: queue + e.slotWait(r.Now) + e.memoryWait(r), cached: cached, imported: moved, recomputed: recomputed,
+		ttft: ttft, wait: queue + e.slotWait(r.Now) + e.memoryWait(r), cached: cached, recomputed: recomputed,
 		score: r.Objective.WeightTTFT*ttft.Seconds() + late + weight*(price*work+brought) +
 			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
 	}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -195,8 +195,8 @@
 	TTFT, Wait time.Duration
 	// CachedTokens expected to be found resident.
 	CachedTokens int
-	// ImportedTokens expected to come from stores, WorkTokens to be computed.
-	ImportedTokens, WorkTokens int
+	// WorkTokens expected to be computed.
+	WorkTokens int
 	// Refusal says why there is no endpoint.
 	Refusal Refusal
 }
@@ -429,7 +429,7 @@
 		cand := c.list[(start+i)%c.n]
 		e := evaluate(cand.endpoint, r, price)
 		if best.Endpoint == nil || e.score < bestScore {
-			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, Wait: e.wait, CachedTokens: e.cached, ImportedTokens: e.imported, WorkTokens: e.recomputed}
+			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, Wait: e.wait, CachedTokens: e.cached, WorkTokens: e.recomputed}
 			bestScore = e.score
 		}
 	}
