--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -87,19 +87,19 @@
 	return 0
 }
 
-// followed tells whether an engine's memory is followed; k.mu is held.
-func (k *Keeper) followed(e *store) bool {
-	return len(k.engines) <= smallFleet || e.config.Domain == k.Domain || !k.hasNear()
-}
-
-// hasNear tells whether this failure domain has engines; k.mu is held.
-func (k *Keeper) hasNear() bool {
-	for _, e := range k.engines {
+// followedEngines lists the engines whose memory is followed; k.mu is held.
+func (k *Keeper) followedEngines() []string {
+	var near, all []string
+	for address, e := range k.engines {
+		all = append(all, address)
 		if e.config.Domain == k.Domain {
-			return true
+			near = append(near, address)
 		}
 	}
-	return false
+	if len(all) <= smallFleet || len(near) == 0 {
+		return all
+	}
+	return near
 }
 
 // Resident lists the engines that keep the beginning of a prompt.
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -122,10 +122,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	out := map[string]func(context.Context, string){}
-	for address, e := range k.engines {
-		if k.followed(e) {
-			out[address] = k.followEngine
-		}
+	for _, address := range k.followedEngines() {
+		out[address] = k.followEngine
 	}
 	for address := range k.stores {
 		out[address] = k.follow
