A restarted endpoint's entry supersedes the one before; large files split by job

Ruled out: ejection (the entries were not ejected), a full endpoint. The entry with the highest revision of an address is the living one; older ones are dropped at once, in whatever order they are read. The test fails before on all four rows.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -185,6 +185,9 @@
 		return
 	}
 	if !ok {
+		if s.superseded(i) {
+			return
+		}
 		k = &known{}
 		s.instances[i.ID] = k
 	}
@@ -207,6 +210,25 @@
 	}
 }
 
+// superseded drops the older lives of a new instance's address; true tells that the
+// address has a newer life already. A restarted endpoint's old entry stays for seconds,
+// and for longer while the store is away: what is sent to it is rejected. Revisions
+// grow, and a life begins after the one before it has ended, so the newest has the
+// highest.
+func (s *State) superseded(i Instance) bool {
+	for _, other := range s.instances {
+		if other.Address != i.Address || i.Address == "" {
+			continue
+		}
+		if other.Revision > i.Revision {
+			return true
+		}
+		s.Log.Info("endpoint restarted", zap.String("endpoint", i.ID), zap.String("before", other.ID), zap.String("address", i.Address))
+		s.drop(other)
+	}
+	return false
+}
+
 func stateOf(i Instance) fleet.State {
 	if i.Leaving {
 		return fleet.Leaving
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -367,6 +367,49 @@
 }
 
 // TestWeightsOnlyGrow lets the list lag behind what the endpoint itself has said.
+// TestRestartSupersedes restarts an endpoint at its address, as a crash does: its old
+// entry stays for seconds, longer if the store is away meanwhile.
+//
+// What is sent to the life before is rejected, and a caller whose attempts all meet such
+// entries is refused though the endpoints are idle. Only the newest life is used, in
+// whatever order the entries are read.
+func TestRestartSupersedes(t *testing.T) {
+	old := Instance{ID: "old", Revision: 5, Service: "s", Address: "10.0.0.1:1"}
+	restarted := Instance{ID: "new", Revision: 9, Service: "s", Address: "10.0.0.1:1"}
+	other := Instance{ID: "other", Revision: 7, Service: "s", Address: "10.0.0.2:1"}
+	rows := []struct {
+		name string
+		play func(s *State, now time.Time)
+	}{
+		{"the entry is still there", func(s *State, _ time.Time) { s.SetInstance(old); s.SetInstance(restarted) }},
+		{"the new one is read first", func(s *State, _ time.Time) { s.SetInstance(restarted); s.SetInstance(old) }},
+		{"lapsed while the store was away", func(s *State, now time.Time) {
+			s.SetInstance(old)
+			s.ReplaceInstances([]Instance{restarted, other}, true, now)
+		}},
+		{"removed afterwards", func(s *State, now time.Time) {
+			s.SetInstance(old)
+			s.SetInstance(restarted)
+			s.Remove("old", false, now)
+		}},
+	}
+	for _, row := range rows {
+		s := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+		s.SetInstance(other)
+		row.play(s, time.Now())
+		var ids []string
+		for _, i := range s.Instances() {
+			ids = append(ids, i.ID)
+		}
+		if len(ids) != 2 || ids[0] != "new" || ids[1] != "other" {
+			t.Errorf("%s: %v are used", row.name, ids)
+		}
+		if m, _ := s.Table.Get("old"); m.State == fleet.Alive && m.ID != "" {
+			t.Errorf("%s: the old life is still a member", row.name)
+		}
+	}
+}
+
 func TestWeightsOnlyGrow(t *testing.T) {
 	state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
 	state.SetInstance(Instance{ID: "i", Revision: 1, Model: "m", Weights: 1})
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
@@ -215,151 +213,6 @@
 	return s.next, ok
 }
 
-// Part is one part of a prompt.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
-// importTime is how long an import may take; one that is not complete then is
-// thrown away by the engine. A store's parts are freed only later than that.
-const importTime = 1500 * time.Millisecond
-
-// Import is a part of a prompt as stores and engines know it.
-type Import struct {
-	Tokens int
-	// Stored tells that a store or an engine holds the part whole: Domain is its own, and
-	// Time what the transfer takes within it.
-	Stored bool
-	Domain string
-	Time   time.Duration
-}
-
-// Imports tells of each part of a prompt whether it can be brought to an engine, and from
-// where Plan would bring it.
-func (k *Keeper) Imports(salt string, parts []Part) []Import {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.Now()
-	out := make([]Import, 0, len(parts))
-	_, engine := k.holders(salt, parts, "", now)
-	for n, p := range parts {
-		out = append(out, Import{Tokens: p.Tokens})
-		if !k.clockKnown {
-			continue
-		}
-		source := k.engines[engine.Address]
-		if n >= engine.Parts {
-			source = k.stores[k.holderOf(PartKey{salt, p.ID}, p.Tokens, now)]
-		}
-		if source != nil {
-			out[n].Stored, out[n].Domain, out[n].Time = true, source.config.Domain, source.transfer(p.Tokens, k.tokenBytes)
-		}
-	}
-	return out
-}
-
-// Plan says for each part of a prompt where it comes from and goes to.
-type Plan struct {
-	// From and To hold an address for each part, "" for none.
-	From, To []string
-	// Stored tokens, from the first part on, are held by stores.
-	Stored int
-	// Until is the end of imports by the endpoints' clock, 0 if it is not known.
-	Until int64
-}
-
-// Plan decides where a prompt's parts are imported from and where they are saved.
-// target is the address of the engine that the prompt is sent to. Another engine is a
-// source before a store is: its link is faster and less asked for.
-func (k *Keeper) Plan(salt, context string, parts []Part, target string) Plan {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.Now()
-	p := Plan{From: make([]string, len(parts)), To: make([]string, len(parts))}
-	if !k.clockKnown {
-		return p
-	}
-	p.Until = now.UnixMilli() + k.clock + importTime.Milliseconds()
-	own, other := k.holders(salt, parts, target, now)
-	unbroken := true
-	for i, part := range parts {
-		key := PartKey{salt, part.ID}
-		holder := k.holderOf(key, part.Tokens, now)
-		if holder != "" && unbroken {
-			p.Stored += part.Tokens
-		} else {
-			unbroken = false
-		}
-		switch {
-		case i < own:
-		case i < other.Parts:
-			p.From[i] = other.Address
-		default:
-			p.From[i] = holder
-		}
-		if holder == "" {
-			p.To[i] = k.keep(key, context, part.Tokens, now)
-		}
-	}
-	return p
-}
-
-// holders tells how many of a prompt's first parts the target keeps, and which other
-// engine keeps most.
-func (k *Keeper) holders(salt string, parts []Part, target string, now time.Time) (own int, other Resident) {
-	for _, r := range k.resident(salt, parts, now) {
-		switch {
-		case r.Address == target:
-			own = r.Parts
-		case r.Parts > other.Parts:
-			other = r
-		}
-	}
-	return own, other
-}
-
-// holderOf finds a store that holds a part, one of this failure domain first.
-func (k *Keeper) holderOf(key PartKey, tokens int, now time.Time) string {
-	best := ""
-	for address, s := range k.stores {
-		if !s.usable(now) || !s.holds(key, tokens) {
-			continue
-		}
-		if best == "" || s.config.Domain == k.Domain {
-			best = address
-		}
-	}
-	return best
-}
-
-// keep picks the store that a part is saved in, "" for none: all processes choose the
-// same, by a hash of the context, in proportion to the stores' memory. A full one is
-// followed by the next in its order.
-func (k *Keeper) keep(key PartKey, context string, tokens int, now time.Time) string {
-	best, bestRank := "", 0.0
-	for address, s := range k.stores {
-		if !s.usable(now) || s.holds(key, 1) || !s.hasRoom(key, tokens, now) {
-			continue
-		}
-		rank := rendezvous(address, context, s.config.MemoryTokens)
-		if best == "" || rank > bestRank {
-			best, bestRank = address, rank
-		}
-	}
-	if best == "" || !k.stores[best].maySave(key, tokens, now) {
-		return ""
-	}
-	return best
-}
-
-// rendezvous ranks a store for a context by weighted highest random weight.
-func rendezvous(address, context string, weight int) float64 {
-	const unit = 1.0 / (1 << 53)
-	u := (float64(xxhash.Sum64String(address+"\x00"+context)>>11) + 0.5) * unit
-	return float64(weight) / -math.Log(u)
-}
-
 // maxFreed bounds one call; a store answers it within its listing's time.
 const maxFreed = 200
 
