Work reports: a living peer stays in the registry; the size of a fleet is known within seconds

The first processes of a fleet read a registry with few entries and took the fleet for a small one, reporting to other domains until the next read, 30 to 90 s later. Behind it stood a second fault: a peer told meanwhile and then told no more was taken for silent after 30 s, and its entry was removed (22 to 24 removals of living processes in 5 minutes of twelve). Ruled out: a race in the test; both faults show on a synthetic clock. Change: silence counts only while a peer is told; the registry is read a second time 2.5 to 7.5 s after the start.

--- a/internal/coordination/workshare/sharer.go
+++ b/internal/coordination/workshare/sharer.go
@@ -33,6 +33,9 @@
 	// registerEvery is how often the registry is read again: it heals what a start
 	// during a partition left out.
 	registerEvery = time.Minute
+	// settleAfter is when the registry is read for the second time: the first to start
+	// of a fleet finds few there and would take it for a small one until registerEvery.
+	settleAfter = 5 * time.Second
 	// registerTimeout bounds one call to the registry, registerPause follows a failed one.
 	registerTimeout = 2 * time.Second
 	registerPause   = 2 * time.Second
@@ -73,8 +76,17 @@
 	domain string
 	// heard is when it last reported, or when the registry named it.
 	heard time.Time
-	// told tells that it was sent a report.
-	told bool
+	// toldSince is when reports to it began; zero while it is sent none.
+	toldSince time.Time
+}
+
+// silentFor is how long it has said nothing although it was told of this process. One that
+// is told nothing has no reason to report.
+func (p *peer) silentFor(now time.Time) time.Duration {
+	if p.toldSince.IsZero() {
+		return 0
+	}
+	return min(now.Sub(p.heard), now.Sub(p.toldSince))
 }
 
 // Run exchanges reports until ctx ends, and then says that this process leaves.
@@ -122,12 +134,16 @@
 func (s *Sharer) targets(most int) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.forgetSilent(time.Now())
+	now := time.Now()
+	s.forgetSilent(now)
 	list := make([]netip.AddrPort, 0, len(s.peers))
 	for address, p := range s.peers {
 		if p.domain == s.Domain || len(s.peers) <= wholeFleet {
 			list = append(list, address)
+			continue
 		}
+		// The fleet has grown beyond a small one.
+		p.toldSince = time.Time{}
 	}
 	slices.SortFunc(list, netip.AddrPort.Compare)
 	most = min(most, len(list))
@@ -135,7 +151,9 @@
 	for range most {
 		s.turn = (s.turn + 1) % len(list)
 		out = append(out, list[s.turn])
-		s.peers[list[s.turn]].told = true
+		if p := s.peers[list[s.turn]]; p.toldSince.IsZero() {
+			p.toldSince = now
+		}
 	}
 	return out
 }
@@ -143,8 +161,7 @@
 // forgetSilent drops the peers that say nothing; s.mu is held.
 func (s *Sharer) forgetSilent(now time.Time) {
 	for address, p := range s.peers {
-		// One that is not told of this process has no reason to report to it.
-		if p.told && now.Sub(p.heard) > silentAfter {
+		if p.silentFor(now) > silentAfter {
 			delete(s.peers, address)
 			s.silent[address] = true
 		}
@@ -189,8 +206,9 @@
 	}
 	if s.peers[address] == nil {
 		s.Log.Info("peer heard", zap.Stringer("address", address), zap.String("domain", r.Domain))
+		s.peers[address] = &peer{}
 	}
-	s.peers[address] = &peer{domain: r.Domain, heard: now, told: true}
+	s.peers[address].domain, s.peers[address].heard = r.Domain, now
 	delete(s.silent, address)
 }
 
@@ -198,11 +216,13 @@
 // that start together the later finds the earlier there and reports to it, so each
 // learns of the other.
 func (s *Sharer) register(ctx context.Context) {
+	next := settleAfter
 	for ctx.Err() == nil {
-		wait := registerEvery
+		wait := registerPause
 		if err := s.registerOnce(ctx); err != nil {
 			s.Log.Warn("registry of peers does not answer", zap.Error(err))
-			wait = registerPause
+		} else {
+			wait, next = next, registerEvery
 		}
 		pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait))))
 	}
@@ -241,7 +261,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, p := range s.peers {
-		if !p.told && !present[address] {
+		if p.toldSince.IsZero() && !present[address] {
 			delete(s.peers, address)
 		}
 	}
--- a/internal/coordination/workshare/sharer_test.go
+++ b/internal/coordination/workshare/sharer_test.go
@@ -144,6 +144,13 @@
 type registry struct {
 	*objectstandin.Store
 	down atomic.Bool
+	// deleted counts the entries that were taken out.
+	deleted atomic.Int64
+}
+
+func (r *registry) Delete(ctx context.Context, key string, version int64) error {
+	r.deleted.Add(1)
+	return r.Store.Delete(ctx, key, version)
 }
 
 func (r *registry) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
@@ -255,6 +262,30 @@
 	})
 }
 
+// TestLivingProcessesStayInTheRegistry starts twelve processes of two domains one after the
+// other, as on hosts that come up within 0.3 s.
+//
+// The first ones read a registry that names few, take the fleet for a small one, and report
+// to the other domain until they have read it again. Who is no longer told has no reason to
+// answer: its silence says nothing, and its entry stays for those that start later.
+func TestLivingProcessesStayInTheRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var members []*member
+		for n := 1; n <= 12; n++ {
+			members = append(members, f.start(t, n, fmt.Sprint("d", n%2)))
+			time.Sleep(25 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Minute)
+		if deleted := f.registry.deleted.Load(); deleted != 0 {
+			t.Errorf("%d entries of living processes taken out", deleted)
+		}
+		for _, m := range members {
+			m.stop()
+		}
+	})
+}
+
 // TestGoneProcessesLeaveTheRegistry loses a process without a word, and cuts off
 // another for a while.
 //
