What stores and engines hold of a prompt is asked for once a decision; one type of import

Cause: kept.Import and routing.Import were one type written twice, and a decision walked the engines two times; the sum of unread tokens stood three times. No change of behaviour: the tests are the same but for the call they make.

--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -69,16 +69,14 @@
 		return
 	}
 	salt := kept.Salt(p.wall, x.call.Model, weights)
-	for _, i := range x.g.Keeper.Imports(salt, p.parts) {
-		r.Imports = append(r.Imports, routing.Import(i))
-	}
-	members := *x.g.engines.Load()
-	r.HoldingsKnown = x.g.Keeper.Informed()
+	contents := x.g.Keeper.Contents(salt, p.parts)
+	r.Imports, r.HoldingsKnown = contents.Imports, contents.Informed
 	if !r.HoldingsKnown {
 		return
 	}
+	members := *x.g.engines.Load()
 	r.Holdings = r.Holdings[:0]
-	for _, e := range x.g.Keeper.Resident(salt, p.parts) {
+	for _, e := range contents.Resident {
 		if hash, ok := members[e.Address]; ok {
 			r.Holdings = append(r.Holdings, routing.Holding{Endpoint: hash, Tokens: e.Tokens, Chance: 1})
 		}
--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -102,13 +102,7 @@
 	return near
 }
 
-// Resident lists the engines that keep the beginning of a prompt.
-func (k *Keeper) Resident(salt string, parts []Part) []Resident {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.resident(salt, parts, k.Now())
-}
-
+// resident lists the engines that keep the beginning of a prompt; k.mu is held.
 func (k *Keeper) resident(salt string, parts []Part, now time.Time) []Resident {
 	var out []Resident
 	for address, e := range k.engines {
@@ -123,13 +117,8 @@
 	return out
 }
 
-// Informed tells whether the memory of most engines of this failure domain is
-// known, so that what none of them is said to keep is taken to be kept by none.
-// Where the domain has no engine, all count.
-func (k *Keeper) Informed() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.Now()
+// informed decides Contents.Informed; k.mu is held.
+func (k *Keeper) informed(now time.Time) bool {
 	known, near, knownNear := 0, 0, 0
 	for _, e := range k.engines {
 		fresh := e.known && now.Sub(e.heard) <= engineFresh
--- a/internal/coordination/kept/kept_test.go
+++ b/internal/coordination/kept/kept_test.go
@@ -60,7 +60,7 @@
 // part on.
 func (k *Keeper) stored(salt string, parts []Part) int {
 	tokens := 0
-	for _, i := range k.Imports(salt, parts) {
+	for _, i := range k.Contents(salt, parts).Imports {
 		if !i.Stored {
 			break
 		}
@@ -202,21 +202,21 @@
 	c := &clock{epoch}
 	k := New(nil, zap.NewNop(), "a", c.Now)
 	k.SetEngines(map[string]Engine{near: {Domain: "a"}, far: {Domain: "b"}})
-	if k.Informed() {
+	if k.Contents("s", nil).Informed {
 		t.Error("informed before any word")
 	}
 	k.takeEngineEvents(near, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p1", 500), added("s", "p2", 1500)}})
 	k.takeEngineEvents(far, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p2", 1500)}})
-	resident := k.Resident("s", parts)
-	if !k.Informed() || len(resident) != 1 || resident[0] != (Resident{near, 2000, 2}) {
+	resident := k.Contents("s", parts).Resident
+	if !k.Contents("s", nil).Informed || len(resident) != 1 || resident[0] != (Resident{near, 2000, 2}) {
 		t.Errorf("%+v", resident)
 	}
 	k.takeEngineEvents(near, Events{Epoch: 2, Next: 1})
-	if len(k.Resident("s", parts)) != 0 {
+	if len(k.Contents("s", parts).Resident) != 0 {
 		t.Error("a restarted engine still keeps what it had")
 	}
 	c.now = c.now.Add(2 * engineFresh)
-	if k.Informed() {
+	if k.Contents("s", nil).Informed {
 		t.Error("informed by old words")
 	}
 }
@@ -268,7 +268,7 @@
 	k := New(nil, zap.NewNop(), "a", c.Now)
 	k.SetEngines(map[string]Engine{near: {Domain: "a"}, far: {Domain: "b"}, "10.0.0.3:1": {Domain: "b"}})
 	k.takeEngineEvents(near, Events{Epoch: 1, Next: 5})
-	if !k.Informed() {
+	if !k.Contents("s", nil).Informed {
 		t.Error("not informed though its own domain's engine is known")
 	}
 	rows := []struct {
@@ -283,11 +283,11 @@
 			t.Errorf("%s after %v: %s", row.address, row.err, got)
 		}
 	}
-	if !k.Informed() {
+	if !k.Contents("s", nil).Informed {
 		t.Error("what an engine told is forgotten because it holds too many calls")
 	}
 	c.now = c.now.Add(2 * engineFresh)
-	if k.Informed() {
+	if k.Contents("s", nil).Informed {
 		t.Error("informed by an engine that refuses for long")
 	}
 }
@@ -299,11 +299,11 @@
 	k.SetEngines(map[string]Engine{near: {Domain: "a"}})
 	k.takeEngineEvents(near, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p1", 500)}})
 	k.afterFailure(near, errors.New("reset"))
-	if len(k.Resident("s", parts)) != 0 {
+	if len(k.Contents("s", parts).Resident) != 0 {
 		t.Error("used while it does not answer")
 	}
 	k.takeEngineEvents(near, Events{Epoch: 1, Next: 6, Changes: []Change{added("s", "p2", 1500)}})
-	if r := k.Resident("s", parts); len(r) != 1 || r[0].Parts != 2 {
+	if r := k.Contents("s", parts).Resident; len(r) != 1 || r[0].Parts != 2 {
 		t.Errorf("what was known before the failure is lost: %+v", r)
 	}
 }
@@ -349,7 +349,7 @@
 	if p := k.Plan("s.1", "context", parts, target); p.From[0] != "" || p.From[1] != other {
 		t.Errorf("%q", p.From)
 	}
-	imports := k.Imports("s.1", parts)
+	imports := k.Contents("s.1", parts).Imports
 	if len(imports) != 2 || !imports[1].Stored || imports[1].Domain != "b" || imports[1].Time != 1500*time.Millisecond {
 		t.Errorf("%+v", imports)
 	}
--- a/internal/coordination/kept/plan.go
+++ b/internal/coordination/kept/plan.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"limpetwall/internal/coordination/routing"
 )
 
 // Part is one part of a prompt.
@@ -17,26 +19,35 @@
 // thrown away by the engine. A store's parts are freed only later than that.
 const importTime = 1500 * time.Millisecond
 
-// Import is a part of a prompt as stores and engines know it.
-type Import struct {
-	Tokens int
-	// Stored tells that a store or an engine holds the part whole: Domain is its own, and
-	// Time what the transfer takes within it.
-	Stored bool
-	Domain string
-	Time   time.Duration
+// Contents is what stores and engines hold of a prompt.
+type Contents struct {
+	// Imports tells of each part whether it can be brought to an engine, and from where
+	// Plan would bring it.
+	Imports []routing.Import
+	// Resident lists the engines that keep the beginning.
+	Resident []Resident
+	// Informed tells whether the memory of most engines of this failure domain is known, so
+	// that what none of them is said to keep is taken to be kept by none. Where the domain
+	// has no engine, all count.
+	Informed bool
 }
 
-// Imports tells of each part of a prompt whether it can be brought to an engine, and from
-// where Plan would bring it.
-func (k *Keeper) Imports(salt string, parts []Part) []Import {
+// Contents looks a prompt up in all stores and engines.
+func (k *Keeper) Contents(salt string, parts []Part) Contents {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
-	out := make([]Import, 0, len(parts))
-	_, engine := k.holders(salt, parts, "", now)
+	c := Contents{Resident: k.resident(salt, parts, now), Informed: k.informed(now)}
+	c.Imports = k.imports(salt, parts, c.Resident, now)
+	return c
+}
+
+// imports needs k.mu.
+func (k *Keeper) imports(salt string, parts []Part, resident []Resident, now time.Time) []routing.Import {
+	out := make([]routing.Import, 0, len(parts))
+	_, engine := holders(resident, "")
 	for n, p := range parts {
-		out = append(out, Import{Tokens: p.Tokens})
+		out = append(out, routing.Import{Tokens: p.Tokens})
 		if !k.clockKnown {
 			continue
 		}
@@ -73,7 +84,7 @@
 		return p
 	}
 	p.Until = now.UnixMilli() + k.clock + importTime.Milliseconds()
-	own, other := k.holders(salt, parts, target, now)
+	own, other := holders(k.resident(salt, parts, now), target)
 	unbroken := true
 	for i, part := range parts {
 		key := PartKey{salt, part.ID}
@@ -99,8 +110,8 @@
 
 // holders tells how many of a prompt's first parts the target keeps, and which other
 // engine keeps most.
-func (k *Keeper) holders(salt string, parts []Part, target string, now time.Time) (own int, other Resident) {
-	for _, r := range k.resident(salt, parts, now) {
+func holders(resident []Resident, target string) (own int, other Resident) {
+	for _, r := range resident {
 		switch {
 		case r.Address == target:
 			own = r.Parts
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -87,12 +87,13 @@
 	brought := r.insertion(cached) / e.rate()
 	// An import runs while the engine works off what waits before.
 	queue := seconds(float64(e.queuedTokens(r.Urgency)) / e.rate())
-	ttft := max(transfer, queue) + seconds(work) + e.overhead(r)
+	full := e.slotWait(r.Now) + e.memoryWait(r)
+	ttft := max(transfer, queue) + seconds(work) + full + e.overhead(r)
 	late := lateness(ttft, r)
 	// The work that a decision makes for others weighs as its own waiting does.
 	weight := r.Objective.WeightTTFT + late/max(ttft.Seconds(), 1e-9)
 	return estimate{
-		ttft: ttft, wait: queue + e.slotWait(r.Now) + e.memoryWait(r), cached: cached, recomputed: recomputed,
+		ttft: ttft, wait: queue + full, cached: cached, recomputed: recomputed,
 		score: r.Objective.WeightTTFT*ttft.Seconds() + late + weight*(price*work+brought) +
 			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
 	}
@@ -256,7 +257,7 @@
 // overhead is the way there, a slow start, and a little for each run that shares
 // the engine with the prefill.
 func (e *Endpoint) overhead(r *Request) time.Duration {
-	d := time.Duration(e.Load.Running+e.SentRuns)*100*time.Microsecond + e.slotWait(r.Now) + e.memoryWait(r)
+	d := time.Duration(e.Load.Running+e.SentRuns) * 100 * time.Microsecond
 	if e.Domain != r.Domain {
 		d += otherDomain
 	}
--- a/internal/coordination/routing/peers.go
+++ b/internal/coordination/routing/peers.go
@@ -13,6 +13,9 @@
 	Unread [Urgencies]int
 }
 
+// UnreadTokens of all urgencies.
+func (w Work) UnreadTokens() int { return sum(w.Unread[:]) }
+
 // WorkID names an endpoint in reports of work: half of a hash is enough to tell a
 // thousand endpoints apart, and reports are many.
 func WorkID(id string) uint32 { return uint32(HashID(id) >> 32) }
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -104,9 +104,6 @@
 	if t.stamp != 0 {
 		b.LoadAge = now.Sub(time.UnixMilli(t.stamp).Add(t.offset))
 	}
-	b.PeerRunning = t.PeerWork.Running
-	for _, tokens := range t.PeerWork.Unread {
-		b.PeerUnread += tokens
-	}
+	b.PeerRunning, b.PeerUnread = t.PeerWork.Running, t.PeerWork.UnreadTokens()
 	return b
 }
--- a/internal/coordination/workshare/format.go
+++ b/internal/coordination/workshare/format.go
@@ -30,7 +30,7 @@
 
 func encode(r routing.PeerReport) ([]byte, error) {
 	work := slices.Clone(r.Work)
-	slices.SortFunc(work, func(a, b routing.Work) int { return cmp.Compare(unread(b), unread(a)) })
+	slices.SortFunc(work, func(a, b routing.Work) int { return cmp.Compare(b.UnreadTokens(), a.UnreadTokens()) })
 	m := &wire.WorkReport{Domain: r.Domain, Incarnation: r.Sender, Number: r.Number, Leaving: r.Leaving}
 	for _, w := range work[:min(len(work), maxWork)] {
 		m.Work = append(m.Work, encodeWork(w))
@@ -54,14 +54,6 @@
 
 func units(tokens int) uint32 { return uint32((max(0, tokens) + tokenUnit - 1) / tokenUnit) }
 
-func unread(w routing.Work) int {
-	total := 0
-	for _, tokens := range w.Unread {
-		total += tokens
-	}
-	return total
-}
-
 func decode(data []byte) (routing.PeerReport, error) {
 	var m wire.WorkReport
 	if err := proto.Unmarshal(data, &m); err != nil {
