--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -30,6 +30,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"site": scriptSite, "http": scriptHTTP, "signal": scriptSignal, "fault": scriptFault,
 			"inforce": scriptInForce, "exited": scriptExited, "bookings": scriptBookings, "oversize": scriptOversize,
+			"serving": scriptServing,
 		},
 		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
 	})
@@ -147,6 +148,16 @@
 	write(ts, "bookings", string(data)+"\n")
 }
 
+// scriptServing waits until an entry sees so many engines with a version of weights:
+// serving ENTRY VERSION COUNT
+func scriptServing(ts *testscript.TestScript, _ bool, args []string) {
+	s := siteOf(ts)
+	s.eventually(args[0]+" sees "+args[1]+" at "+args[2]+" engines", func() bool {
+		status := s.try(http.MethodGet, s.url(args[0], "/v1/status"), operatorKey, nil, "").body
+		return fmt.Sprint(strings.Count(status, fmt.Sprintf(`"weight_version":%q`, args[1]))) == args[2]
+	})
+}
+
 // scriptOversize writes a file of so many bytes.
 func scriptOversize(ts *testscript.TestScript, _ bool, args []string) {
 	write(ts, filepath.Base(args[0]), `{"model":"describe","messages":[{"role":"user","content":"`+strings.Repeat("x", 9<<20)+`"}]}`)
