Keys are not believed for longer than the operators allow where the store can't be reached

Ruled out: a late watch; the gateway heard nothing at all. Change: the watcher knows since when its configuration may have been replaced; past revoke_ms less 0.5 s keyed routes answer 503 with a time to come back, and the gateway is not ready. Where the setting is false nothing changes.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -178,7 +178,7 @@
 	store := platform.NewStore(s.Platform.Store, storeTransport)
 	watcher := &discovery.Watcher{
 		Feed: store, Decoder: platform.Decoder{}, Kinds: platform.Kinds, State: state, Log: log,
-		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections,
+		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections, Clock: bootclock.Now,
 	}
 	endpointDialer := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	p.gateway = &gateway.Gateway{
@@ -187,6 +187,10 @@
 		Pool:      upstream.NewPool(endpointDialer.Dial), Budget: runs.NewRetryBudget(retryPart*b.RetryRatio, platformRetryBurst),
 		Codec: platform.Codec{}, Keeper: keeper, Log: log, Metrics: registry,
 	}
+	if b.KeysRevoked > 0 {
+		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
+		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
+	}
 	p.clients = ingress.New(p.gateway)
 	p.run(watcher.Run)
 	director := p.director(state, store)
@@ -248,6 +252,14 @@
 	engineIdle = time.Second
 )
 
+// revokeMargin is left of the time in which a removed key must be refused everywhere: a
+// request is judged when it arrives and runs after the way to its endpoint.
+const revokeMargin = 500 * time.Millisecond
+
+// revokeWatches fit into that time: what is known may be two watches old, and a third may
+// be lost.
+const revokeWatches = 4
+
 // watchWait keeps a silent connection to the store from hiding changes for longer
 // than a process counts as disturbed by what silenced it.
 func watchWait(b platform.Bounds) time.Duration {
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -68,6 +68,8 @@
 	// Reset, if set, is called after a failed call: connections that were open may be
 	// silent for good.
 	Reset func()
+	// Clock goes on while the host is suspended, for ConfigAge; nil means time.Now.
+	Clock func() time.Time
 
 	mu sync.Mutex
 	// back is closed when the store answers one kind after a failure.
@@ -77,6 +79,8 @@
 	failing  map[string]bool
 	returned time.Time
 	heard    time.Time
+	// configAsked is when the last answered call for the configuration began.
+	configAsked time.Time
 }
 
 // Run follows all kinds until ctx ends.
@@ -96,6 +100,33 @@
 	return now.Sub(w.heard)
 }
 
+// ConfigAge is how long the configuration in force may have been replaced without this
+// process's knowing. What an answer says may be as old as its call: a process that was
+// paused reads an answer long after the store gave it. Without a change it grows to two
+// waits of a watch.
+func (w *Watcher) ConfigAge() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now().Sub(w.configAsked)
+}
+
+func (w *Watcher) now() time.Time {
+	if w.Clock == nil {
+		return time.Now()
+	}
+	return w.Clock()
+}
+
+// confirm records an answered call for a kind that began then.
+func (w *Watcher) confirm(kind string, began time.Time) {
+	if kind != w.Kinds.Config {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configAsked = began
+}
+
 // Heard records that the store has answered.
 func (w *Watcher) Heard(now time.Time) {
 	w.mu.Lock()
@@ -176,12 +207,14 @@
 func (w *Watcher) list(ctx context.Context, kind string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	began := w.now()
 	records, revision, err := w.Feed.ListKind(ctx, kind)
 	if err != nil {
 		return 0, err
 	}
 	w.note(kind, nil)
 	w.takeList(kind, records)
+	w.confirm(kind, began)
 	return revision, nil
 }
 
@@ -192,6 +225,7 @@
 	quick := rate.NewLimiter(rate.Every(watchEvery), quickWatches)
 	for quick.Wait(ctx) == nil {
 		wait, call, cancel := w.watchCall(ctx, kind)
+		began := w.now()
 		events, next, err := w.Feed.WatchKind(call, kind, revision, wait)
 		cancel()
 		if errors.Is(err, objectapi.ErrCompacted) {
@@ -210,6 +244,7 @@
 			w.takeEvent(kind, e)
 		}
 		revision = next
+		w.confirm(kind, began)
 	}
 	return ctx.Err()
 }
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -239,6 +239,41 @@
 	})
 }
 
+// TestConfigAge lets the store fall silent, and then a process stand still in a watch.
+//
+// A key that was taken away is refused for good only by who knows that its configuration
+// is the newest. The other kinds' answers say nothing of that, nor does an answer that was
+// given before a pause.
+func TestConfigAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("config", "main", 1)
+		_, w := follow(t, feed)
+		time.Sleep(10 * time.Second)
+		// The last answered watch began two waits ago when the next one is about to end.
+		if age := w.ConfigAge(); age > 2*w.Wait+watchEvery {
+			t.Errorf("%s old while the store answers", age)
+		}
+		feed.set(func() { feed.silent = true })
+		time.Sleep(10 * time.Second)
+		w.Heard(time.Now())
+		if age := w.ConfigAge(); age < 10*time.Second {
+			t.Errorf("%s old after 10 s of silence", age)
+		}
+		feed.set(func() { feed.silent = false })
+		time.Sleep(2 * time.Second)
+		if age := w.ConfigAge(); age > 2*time.Second {
+			t.Errorf("%s old after the store's return", age)
+		}
+		// The watch that is underway is answered after the pause.
+		pause := time.Minute
+		w.Clock = func() time.Time { return time.Now().Add(pause) }
+		if age := w.ConfigAge(); age < pause {
+			t.Errorf("%s old after a pause of %s", age, pause)
+		}
+	})
+}
+
 // TestRefusingStoreIsNotPressed counts the calls during ten seconds of refusals.
 func TestRefusingStoreIsNotPressed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -40,6 +40,10 @@
 	Pool      *upstream.Pool
 	Budget    *runs.RetryBudget
 	Codec     Codec
+	// KeysValidFor is how long keys are believed after the configuration was last known to
+	// be the newest: one that has been taken away meanwhile must not be served for longer.
+	// 0 sets no limit.
+	KeysValidFor time.Duration
 	// Keeper plans imports and saves of context; nil does neither.
 	Keeper *kept.Keeper
 	// Leads tells whether this process does what one process does for all.
@@ -63,7 +67,7 @@
 
 // ServeReady answers the balancer's probe.
 func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || !g.State.Ready() {
+	if g.stopping.Load() || !g.State.Ready() || g.keysOutdated() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -253,6 +257,9 @@
 	}
 	x.route = route
 	if x.table.Keyed && !route.Public {
+		if x.g.keysOutdated() {
+			return notYet("keys may have been taken away since the store last answered")
+		}
 		x.customer, ok = x.table.Owner(x.call.Key)
 		if !ok {
 			return x.unknown(http.StatusUnauthorized, apierror.CodeUnauthorized, "the API key is not known")
@@ -265,6 +272,11 @@
 	return nil
 }
 
+// keysOutdated tells whether a key that was taken away may still be known here.
+func (g *Gateway) keysOutdated() bool {
+	return g.KeysValidFor > 0 && g.Watcher.ConfigAge() > g.KeysValidFor
+}
+
 // unknown refuses what the configuration in force does not hold. When it may be
 // outdated, a refusal for good would be wrong for what was added since.
 func (x *exchange) unknown(status int, code, message string) *apierror.Error {
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -515,6 +515,40 @@
 	}
 }
 
+// TestKeysOfAnOutdatedConfiguration asks a gateway that the store does not answer any more.
+//
+// Operators who take a key away want it refused everywhere in time. A gateway that can't
+// learn of it serves nobody by keys then and takes no new callers, but goes on with public
+// routes; callers are told to come back.
+func TestKeysOfAnOutdatedConfiguration(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		validFor time.Duration
+		public   bool
+		status   int
+	}{
+		{"no limit", 0, false, 200},
+		{"limit", time.Second, false, 503},
+		{"public route", time.Second, true, 200},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			list := route(routes.Idempotent, 1)
+			list[0].Public = row.public
+			s := newSite(t, list, say(200, "a"))
+			s.gateway.KeysValidFor = row.validFor
+			resp, _, err := s.ask(s.request("GET", "/r/x", "", testKey+": key"))
+			if err != nil || resp.StatusCode != row.status {
+				t.Errorf("%v %v", resp, err)
+			}
+			w := httptest.NewRecorder()
+			s.gateway.ServeReady(w, nil)
+			if ready := w.Code == 200; ready != (row.validFor == 0) {
+				t.Errorf("ready says %d", w.Code)
+			}
+		})
+	}
+}
+
 func TestNoConfigurationYet(t *testing.T) {
 	s := newSite(t, nil)
 	s.gateway.State = discovery.NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
