--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,8 +166,12 @@
 
 // follow runs a watcher over a feed for the length of a test.
 func follow(t *testing.T, feed *fakeFeed) (*State, *Watcher) {
+	return followBy(t, feed, time.Now)
+}
+
+func followBy(t *testing.T, feed *fakeFeed, clock func() time.Time) (*State, *Watcher) {
 	state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
-	w := &Watcher{Feed: feed, Decoder: fakeDecoder{}, Kinds: kinds, State: state, Log: zap.NewNop(), Wait: 2 * time.Second}
+	w := &Watcher{Feed: feed, Decoder: fakeDecoder{}, Kinds: kinds, State: state, Log: zap.NewNop(), Wait: 2 * time.Second, Clock: clock}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -248,7 +253,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		feed := newFakeFeed()
 		feed.put("config", "main", 1)
-		_, w := follow(t, feed)
+		var pause atomic.Int64
+		_, w := followBy(t, feed, func() time.Time { return time.Now().Add(time.Duration(pause.Load())) })
 		time.Sleep(10 * time.Second)
 		// The last answered watch began two waits ago when the next one is about to end.
 		if age := w.ConfigAge(); age > 2*w.Wait+watchEvery {
@@ -266,10 +272,9 @@
 			t.Errorf("%s old after the store's return", age)
 		}
 		// The watch that is underway is answered after the pause.
-		pause := time.Minute
-		w.Clock = func() time.Time { return time.Now().Add(pause) }
-		if age := w.ConfigAge(); age < pause {
-			t.Errorf("%s old after a pause of %s", age, pause)
+		pause.Store(int64(time.Minute))
+		if age := w.ConfigAge(); age < time.Minute {
+			t.Errorf("%s old after a pause of a minute", age)
 		}
 	})
 }
