A route without an objective is not refused for the shortest queue

Cause: with no objective the time that a request may wait was 0. The caller's remaining time stands in for it.

--- a/internal/coordination/admission/patience.go
+++ b/internal/coordination/admission/patience.go
@@ -6,7 +6,8 @@
 type Prospect struct {
 	// Wait until an endpoint begins with it, First until its first token.
 	Wait, First time.Duration
-	// Objective is the time within which its first token is on time, Left the time
+	// Objective is the time within which its first token is on time, 0 if none is asked
+	// for; Left the time
 	// after which nobody waits for it.
 	Objective, Left time.Duration
 	// Rank among the kinds of requests of its service: 0 is the most urgent, 1 the
@@ -32,8 +33,13 @@
 // Accept tells whether a request should be sent, and if not, when its caller should
 // come back.
 func Accept(p Prospect) (ok bool, after time.Duration) {
+	objective := p.Objective
+	if objective <= 0 {
+		// Where nobody asks for a time, an answer is on time while it is waited for.
+		objective = p.Left
+	}
 	patience := urgentPatience + p.Rank*(patientPatience-urgentPatience)
-	limit := time.Duration(patience * float64(p.Objective))
+	limit := time.Duration(patience * float64(objective))
 	if p.Wait <= limit && p.First < p.Left {
 		return true, 0
 	}
--- a/internal/coordination/admission/patience_test.go
+++ b/internal/coordination/admission/patience_test.go
@@ -19,6 +19,8 @@
 		{"urgent, short queue", Prospect{Wait: 700 * time.Millisecond, First: 800 * time.Millisecond, Objective: objective, Left: 10 * time.Second}, true, 0},
 		{"patient, the same queue", Prospect{Wait: 700 * time.Millisecond, First: 800 * time.Millisecond, Objective: objective, Left: 10 * time.Second, Rank: 1}, false, 490 * time.Millisecond},
 		{"urgent, long queue", Prospect{Wait: 3 * time.Second, First: 3 * time.Second, Objective: objective, Left: 10 * time.Second}, false, 2100 * time.Millisecond},
+		{"no objective, short queue", Prospect{Wait: 700 * time.Millisecond, First: 800 * time.Millisecond, Left: 10 * time.Second, Rank: 1}, true, 0},
+		{"no objective, long queue", Prospect{Wait: 4 * time.Second, First: 5 * time.Second, Left: 10 * time.Second, Rank: 1}, false, 2800 * time.Millisecond},
 		{"not before the caller's end", Prospect{First: 600 * time.Millisecond, Objective: objective, Left: 500 * time.Millisecond}, false, shortestReturn},
 	}
 	for _, row := range rows {
