--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -29,6 +29,7 @@
 	"limpetwall/internal/transport/exposition"
 	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/logging"
+	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/settings"
 	"limpetwall/internal/transport/upstream"
 	"limpetwall/platform"
@@ -195,7 +196,13 @@
 	p.run(watcher.Run)
 	director := p.director(state, store)
 	p.gateway.Leads = director.Leads
+	p.gateway.Doubts = ring.New[string](gateway.DoubtsHeld)
+	p.gateway.AskWeights = func(ctx context.Context, i discovery.Instance) (int64, error) {
+		report, err := director.Engines.Report(ctx, i)
+		return report.Weights[i.Model], err
+	}
 	p.run(director.Run)
+	p.run(p.gateway.LearnDuty)
 	p.run(p.gateway.SyncDuty)
 	p.run(keeper.Run)
 	p.run(p.gateway.CleanDuty)
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -97,6 +97,14 @@
 	return outcome{verdict: broken, err: err}
 }
 
+// rejectedBy ends an attempt that the endpoint did not run.
+func (x *exchange) rejectedBy(c routing.Choice, s Send, r Reply) outcome {
+	if r.Misdirected && s.Weights > 0 {
+		x.g.doubt(c.Member.ID)
+	}
+	return outcome{verdict: rejected}
+}
+
 // hopByHop headers concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
@@ -126,7 +134,7 @@
 	}
 	defer resp.Close()
 	if reply.NotRun {
-		return outcome{verdict: rejected}
+		return x.rejectedBy(c, s, reply)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
 	if err != nil {
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -62,6 +62,9 @@
 	ID string
 	// NotRun tells that the endpoint did not run the request and never will.
 	NotRun bool
+	// Misdirected tells that the endpoint is not the instance that the request names, or
+	// has other weights.
+	Misdirected bool
 	// Load, if HasLoad.
 	Load    Load
 	HasLoad bool
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -46,6 +47,9 @@
 	KeysValidFor time.Duration
 	// Keeper plans imports and saves of context; nil does neither.
 	Keeper *kept.Keeper
+	// Doubts holds the engines that LearnDuty asks by AskWeights, see doubt; nil asks none.
+	Doubts     *ring.Ring[string]
+	AskWeights WeightsOf
 	// Leads tells whether this process does what one process does for all.
 	Leads   func() bool
 	Log     *zap.Logger
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,10 +20,12 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -36,6 +39,8 @@
 	testTenant  = "T-Customer"
 	testLeft    = "T-Left"
 	testWeights = "T-Weights"
+	// testPart names the one shared part of a prompt.
+	testPart = "T-Part"
 )
 
 type testCodec struct{}
@@ -48,6 +53,9 @@
 	if ms, err := strconv.Atoi(h.Get(testLeft)); err == nil {
 		c.Deadline = time.Duration(ms) * time.Millisecond
 	}
+	if part := h.Get(testPart); part != "" {
+		c.Model, c.PromptTokens, c.Parts = "m", 100, []Part{{ID: part, Tokens: 90}, {ID: "own", Tokens: 10}}
+	}
 	return c, nil
 }
 
@@ -57,11 +65,13 @@
 	h.Set(testTenant, s.Customer)
 	h.Set(testLast, s.LastEvent)
 	h.Set(testLeft, strconv.FormatInt(s.Left.Milliseconds(), 10))
+	h.Set(testWeights, strconv.FormatInt(s.Weights, 10))
 }
 
-func (testCodec) DecodeReply(_ int, h http.Header) Reply {
+func (testCodec) DecodeReply(status int, h http.Header) Reply {
 	weights, _ := strconv.ParseInt(h.Get(testWeights), 10, 64)
-	return Reply{ID: h.Get(testID), NotRun: h.Get(testNotRun) != "", Weights: weights}
+	misdirected := status == http.StatusMisdirectedRequest
+	return Reply{ID: h.Get(testID), NotRun: misdirected || h.Get(testNotRun) != "", Misdirected: misdirected, Weights: weights}
 }
 
 func (testCodec) EncodeRetryAfter(h http.Header, after time.Duration) {
@@ -610,3 +620,62 @@
 		t.Errorf("%v %v, sent to %d", resp, err, s.runs())
 	}
 }
+
+// TestEngineWithOtherWeightsIsAsked sends prompts to an engine that has loaded new weights,
+// from a process that the store does not answer.
+//
+// The engine rejects what names the old ones. Asked, it tells what it has, and the next
+// prompt names that; a crowd of rejections asks once.
+func TestEngineWithOtherWeightsIsAsked(t *testing.T) {
+	list := route(routes.Streaming, 1)
+	misdirect := say(421, "")
+	s := newSite(t, list, func(c net.Conn, r *http.Request) {
+		if r.Header.Get(testWeights) != "2" {
+			misdirect(c, r)
+			return
+		}
+		stream(endOfStream, "1")(c, r)
+	})
+	engine := s.endpoints[0]
+	s.gateway.State.SetInstance(discovery.Instance{
+		ID: "i-0", Revision: 9, Service: "s", Address: engine.address, Domain: "a", Model: "m", Weights: 1, Slots: 4,
+	})
+	s.gateway.State.SetRoutes(routes.New(2, 10, list, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
+		[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	s.gateway.Keeper = kept.New(nil, zap.NewNop(), "a", time.Now)
+	s.gateway.Doubts = ring.New[string](DoubtsHeld)
+	asked := make(chan string, DoubtsHeld)
+	s.gateway.AskWeights = func(_ context.Context, i discovery.Instance) (int64, error) {
+		asked <- i.ID
+		return 2, nil
+	}
+	prompt := func() int {
+		resp, _, err := s.ask(s.request("POST", "/r/x", "", testPart+": part"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	const crowd = 3
+	for range crowd {
+		if status := prompt(); status != 503 {
+			t.Errorf("old weights get %d", status)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.gateway.LearnDuty(ctx)
+	<-asked
+	for {
+		if i, _ := s.gateway.State.Instance("i-0"); i.Weights == 2 {
+			break
+		}
+		runtime.Gosched()
+	}
+	if status := prompt(); status != 200 {
+		t.Errorf("the weights that it told of get %d", status)
+	}
+	if len(asked) > 0 {
+		t.Errorf("asked %d times more", len(asked))
+	}
+}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -47,7 +47,7 @@
 	}
 	defer resp.Close()
 	if reply.NotRun {
-		return outcome{verdict: rejected}
+		return x.rejectedBy(c, s, reply)
 	}
 	if resp.Status != http.StatusOK {
 		return x.streamFailure(ctx, resp, st)
--- /dev/null
+++ b/internal/coordination/gateway/weights.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/discovery"
+)
+
+const (
+	// DoubtsHeld bounds the engines that wait to be asked; one that finds no room is named
+	// again by its next rejection.
+	DoubtsHeld = 64
+	// askEvery is the shortest time between two questions to one engine: each counts as a
+	// health check there, and its answer is some 100 ms old.
+	askEvery = 250 * time.Millisecond
+	// askTimeout bounds one question.
+	askTimeout = 500 * time.Millisecond
+)
+
+// doubt has an engine asked which weights it has. It rejected a prompt that named those
+// which the store told of: a process that the store does not answer hears nothing of a
+// rollout, and every engine that has loaded would reject all it sends for as long as that
+// lasts.
+func (g *Gateway) doubt(id string) {
+	if g.Doubts != nil && !g.Doubts.TryPush(id) {
+		g.count("doubts_dropped")
+	}
+}
+
+// LearnDuty asks the engines in doubt until ctx ends.
+func (g *Gateway) LearnDuty(ctx context.Context) {
+	asked := map[string]time.Time{}
+	for {
+		id, err := g.Doubts.Pop(ctx)
+		if err != nil {
+			return
+		}
+		now := time.Now()
+		if now.Sub(asked[id]) < askEvery {
+			continue
+		}
+		for other, at := range asked {
+			if now.Sub(at) >= askEvery {
+				delete(asked, other)
+			}
+		}
+		asked[id] = now
+		g.learn(ctx, id)
+	}
+}
+
+func (g *Gateway) learn(ctx context.Context, id string) {
+	instance, known := g.State.Instance(id)
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	weights, err := g.AskWeights(ctx, instance)
+	if err != nil {
+		g.Log.Info("engine does not tell its weights", zap.String("endpoint", id), zap.Error(err))
+		return
+	}
+	g.State.Observe(id, weights)
+}
+
+// WeightsOf asks an engine for the version of its model.
+type WeightsOf func(ctx context.Context, i discovery.Instance) (int64, error)
