A process that is cut off keeps what it knows of loading engines for as long as orders take

Cause: a holder that lost the lease took the engines that it had just ordered for free, and one that could not read the holder's note kept its last word for as long as the cut lasted, however soon the engines were back.

--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -78,8 +78,9 @@
 	loadTook time.Duration
 	// loading are the engines that carry out an order of this process.
 	loading map[string]loadingOrder
-	// marked are the engines that another holder says are loading.
-	marked map[string]bool
+	// marked are the engines that another holder says are loading, or that this process
+	// ordered before it lost the lease, with when that was last known.
+	marked map[string]time.Time
 	// loaded are the engines that this process saw load lately.
 	loaded map[string]loadedWeights
 }
@@ -121,9 +122,6 @@
 	// hurry is the part of the time for new weights in which all engines should have
 	// them. If that takes more orders at once, more are given.
 	hurry = 0.7
-	// loadedTold is how long the note tells what an engine has loaded: in that time the
-	// platform's list does so too.
-	loadedTold = 5 * time.Second
 	// mostLoading is the part of a model's engines that carry out orders at once even
 	// then: the others must serve meanwhile.
 	mostLoading = 0.5
@@ -131,7 +129,7 @@
 
 // Run directs until ctx ends.
 func (d *Director) Run(ctx context.Context) {
-	d.loading, d.marked, d.loaded = map[string]loadingOrder{}, map[string]bool{}, map[string]loadedWeights{}
+	d.loading, d.marked, d.loaded = map[string]loadingOrder{}, map[string]time.Time{}, map[string]loadedWeights{}
 	held := false
 	for {
 		timer := time.NewTimer(d.untilNextLook(held))
@@ -197,7 +195,7 @@
 	}
 	if notHeld != nil {
 		d.announced = false
-		d.follow()
+		d.follow(errors.Is(err, lease.ErrNotHeld))
 		return false
 	}
 	if err == nil {
@@ -206,22 +204,12 @@
 	if !d.announced || d.handingOver() {
 		return true
 	}
-	d.unmark(nil)
+	d.unmarkAll()
 	d.survey(ctx)
 	d.order(ctx)
 	return true
 }
 
-// adopt takes over what the note last read says of the age of versions.
-func (d *Director) adopt() {
-	n, err := decodeNote(d.Lease.LastNote())
-	if err != nil {
-		d.Log.Error("lease note does not decode", zap.Error(err))
-		return
-	}
-	d.State.AdoptAges(n.Named)
-}
-
 // handingOver tells whether orders of the holder before may be too near. A holder
 // says in its note that it is about to order before it does: one that has not said
 // so has ordered nothing for long.
@@ -234,91 +222,6 @@
 	return err != nil || before.Ordering
 }
 
-// note is what a holder tells the others.
-type note struct {
-	// Loading engines are to be sent nothing.
-	Loading []string `json:"loading"`
-	// Ordering tells that orders were sent lately or are about to be.
-	Ordering bool `json:"ordering"`
-	// Named tells how long versions have been named.
-	Named []discovery.NamedAge `json:"named"`
-	// Loaded holds the weights of engines that carried out orders lately. Engines reject
-	// what is sent to them under others, and the platform's list lags behind.
-	Loaded map[string]int64 `json:"loaded,omitempty"`
-}
-
-func decodeNote(data []byte) (note, error) {
-	var n note
-	if len(data) == 0 {
-		return n, nil
-	}
-	err := json.Unmarshal(data, &n)
-	return n, errors.Trace(err)
-}
-
-func (d *Director) writeNote(ordering bool) {
-	n := note{Ordering: ordering, Named: d.State.Ages(), Loading: make([]string, 0, len(d.loading))}
-	for id := range d.loading {
-		n.Loading = append(n.Loading, id)
-	}
-	sort.Strings(n.Loading)
-	n.Loaded = d.lately()
-	data, err := json.Marshal(n)
-	if err != nil {
-		d.Log.Error("lease note", zap.Error(err))
-		return
-	}
-	d.Lease.SetNote(data)
-}
-
-// lately lists the engines that have carried out orders within loadedTold.
-func (d *Director) lately() map[string]int64 {
-	out := map[string]int64{}
-	for id, l := range d.loaded {
-		if d.Now().Sub(l.at) > loadedTold {
-			delete(d.loaded, id)
-			continue
-		}
-		out[id] = l.version
-	}
-	return out
-}
-
-// follow takes over which engines the holder says are loading, and which have loaded.
-func (d *Director) follow() {
-	others, err := decodeNote(d.Lease.OthersNote())
-	if err != nil {
-		d.Log.Error("lease note does not decode", zap.Error(err))
-	}
-	for id := range d.loading {
-		// This process's own orders are the next holder's to look after.
-		d.State.SetLoading(id, false)
-		delete(d.loading, id)
-	}
-	for id, version := range others.Loaded {
-		d.State.Observe(id, version)
-	}
-	d.unmark(others.Loading)
-	for _, id := range others.Loading {
-		d.marked[id] = true
-		d.State.SetLoading(id, true)
-	}
-}
-
-// unmark frees the engines that are no longer said to be loading.
-func (d *Director) unmark(still []string) {
-	keep := map[string]bool{}
-	for _, id := range still {
-		keep[id] = true
-	}
-	for id := range d.marked {
-		if !keep[id] {
-			d.State.SetLoading(id, false)
-			delete(d.marked, id)
-		}
-	}
-}
-
 // survey asks the engines that were given orders how far they are.
 func (d *Director) survey(ctx context.Context) {
 	for id, l := range d.loading {
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -39,6 +39,8 @@
 	most       int
 	// reportTakes is how long a report is underway.
 	reportTakes time.Duration
+	// loads is how long an order takes.
+	loads time.Duration
 }
 
 type fakeEngine struct {
@@ -54,7 +56,7 @@
 }
 
 func newFakeEngines(weights ...int64) *fakeEngines {
-	f := &fakeEngines{engines: map[string]*fakeEngine{}}
+	f := &fakeEngines{engines: map[string]*fakeEngine{}, loads: loading}
 	for i, w := range weights {
 		f.engines[fmt.Sprint("e", i)] = &fakeEngine{weights: w}
 	}
@@ -107,7 +109,7 @@
 		}
 	}
 	f.most = max(f.most, busy)
-	time.AfterFunc(loading, func() {
+	time.AfterFunc(f.loads, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		e.weights, e.busy = o.Version, false
@@ -146,6 +148,14 @@
 	objectapi.API
 	mu   sync.Mutex
 	wait chan struct{}
+	away bool
+}
+
+// cut makes the store answer nothing, without stopping the process.
+func (f *frozen) cut(away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = away
 }
 
 func (f *frozen) freeze() {
@@ -161,22 +171,30 @@
 	f.wait = nil
 }
 
-func (f *frozen) pass(ctx context.Context) {
+func (f *frozen) pass(ctx context.Context) error {
 	f.mu.Lock()
-	wait := f.wait
+	wait, away := f.wait, f.away
 	f.mu.Unlock()
+	if away {
+		return objectapi.ErrUnavailable
+	}
 	if wait != nil {
 		<-wait
 	}
+	return nil
 }
 
 func (f *frozen) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	f.pass(ctx)
+	if err := f.pass(ctx); err != nil {
+		return objectapi.Object{}, err
+	}
 	return f.API.Get(ctx, key)
 }
 
 func (f *frozen) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
-	f.pass(ctx)
+	if err := f.pass(ctx); err != nil {
+		return objectapi.Object{}, err
+	}
 	return f.API.Put(ctx, key, value, version)
 }
 
@@ -187,6 +205,17 @@
 	lease *lease.Lease
 }
 
+// loading counts the engines that the process takes for loading.
+func (m *member) loading() int {
+	loading := 0
+	for _, row := range m.state.Table.Members() {
+		if m.state.IsLoading(row.ID) {
+			loading++
+		}
+	}
+	return loading
+}
+
 // direct starts n processes over the same store and engines.
 func direct(t *testing.T, engines *fakeEngines, n int) []*member {
 	store := standin.New()
@@ -397,14 +426,8 @@
 		name(members, 2)
 		time.Sleep(800 * time.Millisecond)
 		for i, m := range members {
-			loading := 0
-			for _, row := range m.state.Table.Members() {
-				if m.state.IsLoading(row.ID) {
-					loading++
-				}
-			}
-			if loading != 2 {
-				t.Errorf("process %d takes %d engines for loading", i, loading)
+			if got := m.loading(); got != 2 {
+				t.Errorf("process %d takes %d engines for loading", i, got)
 			}
 		}
 		time.Sleep(10 * time.Second)
@@ -418,6 +441,38 @@
 	})
 }
 
+// TestCutHolderKeepsItsOrders cuts the holder off from the store while its engines load.
+//
+// It can't renew the lease and must not act any more, but what it has ordered goes on. If
+// it took these engines for free, it would send them requests that they reject, until it
+// reads the next holder's note. Engines that others have ordered stay marked in the same
+// way, and none for longer than orders take.
+func TestCutHolderKeepsItsOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeEngines(1, 1, 1, 1, 1)
+		f.loads = 3 * time.Second
+		members := direct(t, f, 2)
+		time.Sleep(5 * time.Second)
+		name(members, 2)
+		time.Sleep(800 * time.Millisecond)
+		for _, m := range members {
+			m.api.cut(true)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i, m := range members {
+			if got := m.loading(); got != 2 {
+				t.Errorf("process %d takes %d engines for loading", i, got)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		for i, m := range members {
+			if got := m.loading(); got != 0 {
+				t.Errorf("process %d still takes %d engines for loading", i, got)
+			}
+		}
+	})
+}
+
 // TestOthersKnowWhatHasLoaded lets engines load while the platform's list still shows
 // their old weights.
 //
