--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -40,9 +40,6 @@
 const (
 	// logLines held for a slow reader: about a second of the heaviest load.
 	logLines = 4096
-	// standardRequestLines is six times the most that a process was seen to write in a
-	// second of the heaviest day (81 lines, 45 KB).
-	standardRequestLines = 500
 	// logFlush bounds the wait for the log's reader at the end.
 	logFlush = 500 * time.Millisecond
 	// connectTimeout to an endpoint: a lost opening packet is sent again after a
@@ -74,26 +71,6 @@
 // 1.6 s are refused where they are foreseen, and 1.5 s was seen to be too short.
 const retireEarly = 2500 * time.Millisecond
 
-// GatewaySettings are the settings of a gateway: the platform's own file, and what
-// the file leaves open.
-type GatewaySettings struct {
-	Platform platform.Settings
-	LogLevel string
-	// RequestLines is the number of requests a second that the log tells of.
-	RequestLines *int
-	// Path of the platform's file.
-	Path string
-}
-
-func bindGateway(set *settings.Set) *GatewaySettings {
-	s := &GatewaySettings{}
-	f := set.Flags()
-	f.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
-	s.RequestLines = set.Int("log-requests", standardRequestLines, 1, 100_000, "lines of requests a second in the log; those beyond are counted only")
-	f.StringVar(&s.Path, "config", "", "path of the platform's settings file (required)")
-	return s
-}
-
 func gatewayMain(args []string, io IO) int {
 	set := settings.New("limpetwall gateway")
 	s := bindGateway(set)
@@ -161,34 +138,6 @@
 	}
 }
 
-// reload reads the platform's settings file again. Only the time to stop takes
-// effect at once; the rest is fixed in parts that are running.
-func (p *gatewayProcess) reload() {
-	next, err := platform.ReadSettings(p.settings.Path)
-	if err != nil {
-		p.log.Error("settings not reloaded, the old ones stay in force", zap.String("path", p.settings.Path), zap.Error(err))
-		return
-	}
-	now := p.settings.Platform
-	changed := changedPlaces(now, next)
-	now.Bounds.StopGrace = next.Bounds.StopGrace
-	p.log.Info("settings reloaded", zap.Duration("time_to_stop", now.Bounds.StopGrace),
-		zap.Strings("changed", changed), zap.Strings("need_restart", changedPlaces(now, next)))
-	p.settings.Platform = now
-}
-
-// changedPlaces names the settings in which two files differ, with both values.
-func changedPlaces(old, next platform.Settings) []string {
-	out := []string{}
-	before := old.Values()
-	for i, v := range next.Values() {
-		if v != before[i] {
-			out = append(out, fmt.Sprintf("%s: %s to %s", v.Place, before[i].Value, v.Value))
-		}
-	}
-	return out
-}
-
 func newGatewayProcess(s *GatewaySettings, log *zap.Logger) *gatewayProcess {
 	p := &gatewayProcess{settings: s, log: log}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/command/gateway_settings.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/transport/settings"
+	"limpetwall/platform"
+)
+
+// standardRequestLines is six times the most that a process was seen to write in a
+// second of the heaviest day (81 lines, 45 KB).
+const standardRequestLines = 500
+
+// GatewaySettings are the settings of a gateway: the platform's own file, and what
+// the file leaves open.
+type GatewaySettings struct {
+	Platform platform.Settings
+	LogLevel string
+	// RequestLines is the number of requests a second that the log tells of.
+	RequestLines *int
+	// Path of the platform's file.
+	Path string
+}
+
+func bindGateway(set *settings.Set) *GatewaySettings {
+	s := &GatewaySettings{}
+	f := set.Flags()
+	f.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	s.RequestLines = set.Int("log-requests", standardRequestLines, 1, 100_000, "lines of requests a second in the log; those beyond are counted only")
+	f.StringVar(&s.Path, "config", "", "path of the platform's settings file (required)")
+	return s
+}
+
+// reload reads the platform's settings file again. Only the time to stop takes
+// effect at once; the rest is fixed in parts that are running.
+func (p *gatewayProcess) reload() {
+	next, err := platform.ReadSettings(p.settings.Path)
+	if err != nil {
+		p.log.Error("settings not reloaded, the old ones stay in force", zap.String("path", p.settings.Path), zap.Error(err))
+		return
+	}
+	now := p.settings.Platform
+	changed := changedPlaces(now, next)
+	now.Bounds.StopGrace = next.Bounds.StopGrace
+	p.log.Info("settings reloaded", zap.Duration("time_to_stop", now.Bounds.StopGrace),
+		zap.Strings("changed", changed), zap.Strings("need_restart", changedPlaces(now, next)))
+	p.settings.Platform = now
+}
+
+// changedPlaces names the settings in which two files differ, with both values.
+func changedPlaces(old, next platform.Settings) []string {
+	out := []string{}
+	before := old.Values()
+	for i, v := range next.Values() {
+		if v != before[i] {
+			out = append(out, fmt.Sprintf("%s: %s to %s", v.Place, before[i].Value, v.Value))
+		}
+	}
+	return out
+}
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,17 +17,12 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-	"go.uber.org/zap/zaptest/observer"
-	"golang.org/x/time/rate"
 
 	"limpetwall/internal/coordination/discovery"
-	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
-	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -512,92 +506,6 @@
 	}
 }
 
-// TestOutdatedConfigurationRefusesNobodyForGood asks with a key that an entry, cut
-// off from the store, has not heard of yet.
-//
-// "Unknown key" would make the caller give up a key that is good: it is told to
-// come back instead.
-func TestOutdatedConfigurationRefusesNobodyForGood(t *testing.T) {
-	s := newSite(t, route(routes.Idempotent, 1), say(200, "a"))
-	s.gateway.Watcher.Heard(time.Now().Add(-staleAfter - time.Second))
-	for _, path := range []string{"/r/x", "/new/x"} {
-		resp, _, err := s.ask(s.request("GET", path, "", testKey+": new"))
-		if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
-			t.Errorf("%s: %v %v", path, resp, err)
-		}
-	}
-}
-
-// TestKeysOfAnOutdatedConfiguration asks a gateway that the store does not answer any more.
-//
-// Operators who take a key away want it refused everywhere in time. A gateway that can't
-// learn of it serves nobody by keys then and takes no new callers, but goes on with public
-// routes; callers are told to come back.
-func TestKeysOfAnOutdatedConfiguration(t *testing.T) {
-	for _, row := range []struct {
-		name     string
-		validFor time.Duration
-		public   bool
-		status   int
-	}{
-		{"no limit", 0, false, 200},
-		{"limit", time.Second, false, 503},
-		{"public route", time.Second, true, 200},
-	} {
-		t.Run(row.name, func(t *testing.T) {
-			list := route(routes.Idempotent, 1)
-			list[0].Public = row.public
-			s := newSite(t, list, say(200, "a"))
-			s.gateway.KeysValidFor = row.validFor
-			resp, _, err := s.ask(s.request("GET", "/r/x", "", testKey+": key"))
-			if err != nil || resp.StatusCode != row.status {
-				t.Errorf("%v %v", resp, err)
-			}
-			w := httptest.NewRecorder()
-			s.gateway.ServeReady(w, nil)
-			if ready := w.Code == 200; ready != (row.validFor == 0) {
-				t.Errorf("ready says %d", w.Code)
-			}
-		})
-	}
-}
-
-func TestNoConfigurationYet(t *testing.T) {
-	s := newSite(t, nil)
-	s.gateway.State = discovery.NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
-	resp, _, err := s.ask(s.request("GET", "/r/x", ""))
-	if err != nil || resp.StatusCode != 503 {
-		t.Errorf("%v %v", resp, err)
-	}
-	w := httptest.NewRecorder()
-	s.gateway.ServeReady(w, nil)
-	if w.Code != 503 {
-		t.Errorf("ready says %d", w.Code)
-	}
-}
-
-// TestRequestLinesAreBounded sends more requests than the log may tell of.
-//
-// All are answered; what the log leaves out is counted.
-func TestRequestLinesAreBounded(t *testing.T) {
-	s := newSite(t, route(routes.Idempotent, 1), say(200, "a"))
-	core, lines := observer.New(zapcore.InfoLevel)
-	s.gateway.Log = zap.New(core)
-	const told, sent = 3, 8
-	s.gateway.RequestLines = rate.NewLimiter(0, told)
-	for range sent {
-		if resp, _, err := s.ask(s.request("GET", "/r/x", "")); err != nil || resp.StatusCode != 200 {
-			t.Fatalf("%v %v", resp, err)
-		}
-	}
-	// A request's line is written after its answer: the server's end waits for both.
-	s.server.Close()
-	dropped := metrics.GetOrRegisterCounter("gateway.request_lines_dropped", s.gateway.Metrics).Count()
-	if got := lines.FilterMessage("request").Len(); got != told || dropped != sent-told {
-		t.Errorf("%d lines, %d dropped", got, dropped)
-	}
-}
-
 // TestRouteTimeout lets an endpoint work longer than the route allows.
 //
 // The caller is told at that moment, and nothing is promised; the endpoint gets no
@@ -615,28 +523,6 @@
 	}
 }
 
-// TestReplacedWeightsThatDoNotBegin sends a prompt to an endpoint whose weights are
-// replaced meanwhile; it waits in the endpoint's queue.
-//
-// Before the endpoint could begin with the old weights the request is given up, its
-// connection closes, and the caller is told at once.
-func TestReplacedWeightsThatDoNotBegin(t *testing.T) {
-	left := make(chan struct{}, 1)
-	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, _ *http.Request) {
-		io.Copy(io.Discard, c)
-		left <- struct{}{}
-	})
-	state := s.gateway.State
-	state.BeginWithin = 50 * time.Millisecond
-	state.SetInstance(discovery.Instance{ID: "i-0", Revision: 9, Service: "s", Address: s.endpoints[0].address, Domain: "a", Model: "m", Weights: 1})
-	state.SetNamed(discovery.Named{Model: "m", Version: 2})
-	resp, _, err := s.ask(s.request("POST", "/r/x", "prompt"))
-	if err != nil || resp.StatusCode != 502 || resp.Header.Get("X-Limpetwall-Ran") != "unknown" {
-		t.Errorf("%v %v", resp, err)
-	}
-	<-left
-}
-
 // TestRetryBudget lets every endpoint fail with the budget used up.
 func TestRetryBudget(t *testing.T) {
 	s := newSite(t, route(routes.Idempotent, 2), say(500, "sorry"), say(500, "sorry"))
@@ -645,62 +531,3 @@
 		t.Errorf("%v %v, sent to %d", resp, err, s.runs())
 	}
 }
-
-// TestEngineWithOtherWeightsIsAsked sends prompts to an engine that has loaded new weights,
-// from a process that the store does not answer.
-//
-// The engine rejects what names the old ones. Asked, it tells what it has, and the next
-// prompt names that; a crowd of rejections asks once.
-func TestEngineWithOtherWeightsIsAsked(t *testing.T) {
-	list := route(routes.Streaming, 1)
-	misdirect := say(421, "")
-	s := newSite(t, list, func(c net.Conn, r *http.Request) {
-		if r.Header.Get(testWeights) != "2" {
-			misdirect(c, r)
-			return
-		}
-		stream(endOfStream, "1")(c, r)
-	})
-	engine := s.endpoints[0]
-	s.gateway.State.SetInstance(discovery.Instance{
-		ID: "i-0", Revision: 9, Service: "s", Address: engine.address, Domain: "a", Model: "m", Weights: 1, Slots: 4,
-	})
-	s.gateway.State.SetRoutes(routes.New(2, 10, list, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
-		[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
-	s.gateway.Keeper = kept.New(nil, zap.NewNop(), "a", time.Now)
-	s.gateway.Doubts = ring.New[string](DoubtsHeld)
-	asked := make(chan string, DoubtsHeld)
-	s.gateway.AskWeights = func(_ context.Context, i discovery.Instance) (int64, error) {
-		asked <- i.ID
-		return 2, nil
-	}
-	prompt := func() int {
-		resp, _, err := s.ask(s.request("POST", "/r/x", "", testPart+": part"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		return resp.StatusCode
-	}
-	const crowd = 3
-	for range crowd {
-		if status := prompt(); status != 503 {
-			t.Errorf("old weights get %d", status)
-		}
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go s.gateway.LearnDuty(ctx)
-	<-asked
-	for {
-		if i, _ := s.gateway.State.Instance("i-0"); i.Weights == 2 {
-			break
-		}
-		runtime.Gosched()
-	}
-	if status := prompt(); status != 200 {
-		t.Errorf("the weights that it told of get %d", status)
-	}
-	if len(asked) > 0 {
-		t.Errorf("asked %d times more", len(asked))
-	}
-}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -165,9 +165,7 @@
 		x.g.Directory.Unreachable(c, now)
 	case rejected:
 		x.g.Directory.Refused(c, now)
-	case broken, answeredFailure:
-		x.g.Directory.Done(c, true, now)
-	case timedOut:
+	case broken, answeredFailure, timedOut:
 		x.g.Directory.Done(c, true, now)
 	default:
 		x.g.Directory.Done(c, false, now)
--- /dev/null
+++ b/internal/coordination/gateway/weights_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/kept"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ring"
+)
+
+// TestReplacedWeightsThatDoNotBegin sends a prompt to an endpoint whose weights are
+// replaced meanwhile; it waits in the endpoint's queue.
+//
+// Before the endpoint could begin with the old weights the request is given up, its
+// connection closes, and the caller is told at once.
+func TestReplacedWeightsThatDoNotBegin(t *testing.T) {
+	left := make(chan struct{}, 1)
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, _ *http.Request) {
+		io.Copy(io.Discard, c)
+		left <- struct{}{}
+	})
+	state := s.gateway.State
+	state.BeginWithin = 50 * time.Millisecond
+	state.SetInstance(discovery.Instance{ID: "i-0", Revision: 9, Service: "s", Address: s.endpoints[0].address, Domain: "a", Model: "m", Weights: 1})
+	state.SetNamed(discovery.Named{Model: "m", Version: 2})
+	resp, _, err := s.ask(s.request("POST", "/r/x", "prompt"))
+	if err != nil || resp.StatusCode != 502 || resp.Header.Get("X-Limpetwall-Ran") != "unknown" {
+		t.Errorf("%v %v", resp, err)
+	}
+	<-left
+}
+
+// TestEngineWithOtherWeightsIsAsked sends prompts to an engine that has loaded new weights,
+// from a process that the store does not answer.
+//
+// The engine rejects what names the old ones. Asked, it tells what it has, and the next
+// prompt names that; a crowd of rejections asks once.
+func TestEngineWithOtherWeightsIsAsked(t *testing.T) {
+	list := route(routes.Streaming, 1)
+	misdirect := say(421, "")
+	s := newSite(t, list, func(c net.Conn, r *http.Request) {
+		if r.Header.Get(testWeights) != "2" {
+			misdirect(c, r)
+			return
+		}
+		stream(endOfStream, "1")(c, r)
+	})
+	engine := s.endpoints[0]
+	s.gateway.State.SetInstance(discovery.Instance{
+		ID: "i-0", Revision: 9, Service: "s", Address: engine.address, Domain: "a", Model: "m", Weights: 1, Slots: 4,
+	})
+	s.gateway.State.SetRoutes(routes.New(2, 10, list, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
+		[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	s.gateway.Keeper = kept.New(nil, zap.NewNop(), "a", time.Now)
+	s.gateway.Doubts = ring.New[string](DoubtsHeld)
+	asked := make(chan string, DoubtsHeld)
+	s.gateway.AskWeights = func(_ context.Context, i discovery.Instance) (int64, error) {
+		asked <- i.ID
+		return 2, nil
+	}
+	prompt := func() int {
+		resp, _, err := s.ask(s.request("POST", "/r/x", "", testPart+": part"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	const crowd = 3
+	for range crowd {
+		if status := prompt(); status != 503 {
+			t.Errorf("old weights get %d", status)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.gateway.LearnDuty(ctx)
+	<-asked
+	for {
+		if i, _ := s.gateway.State.Instance("i-0"); i.Weights == 2 {
+			break
+		}
+		runtime.Gosched()
+	}
+	if status := prompt(); status != 200 {
+		t.Errorf("the weights that it told of get %d", status)
+	}
+	if len(asked) > 0 {
+		t.Errorf("asked %d times more", len(asked))
+	}
+}
