A customer's own priority decides refusals too

Cause: refusals went by the route's priority alone, while engines were told the customer's. Found by reading. What lies beyond the routes' priorities counts as the most or the least urgent of them.

--- a/internal/coordination/gateway/config_test.go
+++ b/internal/coordination/gateway/config_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
 )
@@ -101,3 +102,36 @@
 		t.Errorf("%d lines, %d dropped", got, dropped)
 	}
 }
+
+// TestCustomersPriorityDecidesRefusals asks whether a prompt should wait for half of its
+// objective, for customers with a priority of their own on an urgent route.
+//
+// What operators say of a customer goes before what they say of the route, in refusals as
+// at the engines.
+func TestCustomersPriorityDecidesRefusals(t *testing.T) {
+	list := []routes.Route{
+		{Name: "urgent", Host: "h", Prefix: "/u/", Priority: 0, Objective: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
+		{Name: "patient", Host: "h", Prefix: "/p/", Priority: 2, Objective: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
+	}
+	services := []routes.Service{{Name: "s", Engine: &routes.Engine{}}}
+	table := routes.New(1, 1, list, services, nil, routes.Limits{})
+	for _, row := range []struct {
+		name     string
+		route    int
+		customer *routes.Customer
+		refused  bool
+	}{
+		{"urgent route", 0, nil, false},
+		{"patient route", 1, nil, true},
+		{"customer without a priority", 0, &routes.Customer{}, false},
+		{"patient customer on the urgent route", 0, &routes.Customer{HasPriority: true, Priority: 2}, true},
+		{"urgent customer on the patient route", 1, &routes.Customer{HasPriority: true, Priority: 0}, false},
+		{"customer beyond all routes", 0, &routes.Customer{HasPriority: true, Priority: 9}, true},
+	} {
+		x := &exchange{table: table, route: &list[row.route], service: &services[0], customer: row.customer, deadline: time.Now().Add(time.Minute)}
+		refused := x.overload(routing.Choice{Wait: 500 * time.Millisecond, TTFT: 600 * time.Millisecond}, 0)
+		if (refused != nil) != row.refused {
+			t.Errorf("%s: %v", row.name, refused)
+		}
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	ok, after := admission.Accept(admission.Prospect{
-		Wait: c.Wait, First: c.TTFT, Objective: x.route.Objective, Left: x.left(), Rank: x.table.Rank(x.route, x.service.Name),
+		Wait: c.Wait, First: c.TTFT, Objective: x.route.Objective, Left: x.left(), Rank: x.table.Rank(x.priority(), x.service.Name),
 	})
 	if ok {
 		return nil
@@ -218,15 +218,17 @@
 	return s
 }
 
-// urgency maps priorities, of which 0 is the highest, to the endpoints' scale.
-func (x *exchange) urgency() int {
-	priority := x.route.Priority
+// priority is the customer's own, or else the route's; 0 is the highest.
+func (x *exchange) priority() int {
 	if x.customer != nil && x.customer.HasPriority {
-		priority = x.customer.Priority
+		return x.customer.Priority
 	}
-	return max(0, min(9, priority))
+	return x.route.Priority
 }
 
+// urgency maps priorities to the endpoints' scale.
+func (x *exchange) urgency() int { return max(0, min(9, x.priority())) }
+
 // noEndpoint is the final answer when none can be chosen.
 func (x *exchange) noEndpoint(why routing.Refusal, sent int, last outcome) *apierror.Error {
 	if sent > 0 {
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -178,14 +178,17 @@
 	}
 }
 
-// Rank is a route's place among the priorities of a service's routes: 0 for the
-// most urgent, 1 for the least; 0 where all are alike.
-func (t *Table) Rank(r *Route, service string) float64 {
+// Rank is a priority's place among those of a service's routes: 0 for the most urgent and
+// all beyond, 1 for the least and all beyond. A customer's own priority may lie outside.
+func (t *Table) Rank(priority int, service string) float64 {
 	known := t.priorities[service]
-	if known[0] == known[1] {
+	switch {
+	case priority <= known[0]:
 		return 0
+	case priority >= known[1]:
+		return 1
 	}
-	return float64(r.Priority-known[0]) / float64(known[1]-known[0])
+	return float64(priority-known[0]) / float64(known[1]-known[0])
 }
 
 // Match finds the route with the longest prefix that begins the path.
