--- a/internal/coordination/gateway/weights_test.go
+++ b/internal/coordination/gateway/weights_test.go
@@ -46,7 +46,8 @@
 // prompt names that; a crowd of rejections asks once.
 func TestEngineWithOtherWeightsIsAsked(t *testing.T) {
 	list := route(routes.Streaming, 1)
-	misdirect := say(421, "")
+	// The engine closes each connection: the next prompt must not go out on it.
+	misdirect := say(421, "", "Connection: close")
 	s := newSite(t, list, func(c net.Conn, r *http.Request) {
 		if r.Header.Get(testWeights) != "2" {
 			misdirect(c, r)
