--- a/bench/decisions/policies.go
+++ b/bench/decisions/policies.go
@@ -65,7 +65,7 @@
 	index := int(c.Member.Incarnation) - 1
 	return index, func(cached, imported int) {
 		d.Started(c, cached*contextkey.PieceTokens, imported*contextkey.PieceTokens, w.clock())
-		d.Observe(c.Member.ID, w.loadOf(index), w.clock())
+		d.Observe(c, w.loadOf(index), w.clock())
 		d.Done(c, false, w.clock())
 	}
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -153,9 +153,11 @@
 	})
 	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
 	state.BeginWithin = b.WeightsInForce - beginMargin
+	keeper.Started = state.StartedAt
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
 	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
 	store := platform.NewStore(s.Platform.Store, storeTransport)
+	store.Log = log
 	watcher := &discovery.Watcher{
 		Feed: store, Decoder: platform.Decoder{}, Kinds: platform.Kinds, State: state, Log: log,
 		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections, Clock: bootclock.Now,
@@ -177,9 +179,9 @@
 	director := p.director(state, store)
 	p.gateway.Leads = director.Leads
 	p.gateway.Doubts = ring.New[string](gateway.DoubtsHeld)
-	p.gateway.AskWeights = func(ctx context.Context, i discovery.Instance) (int64, error) {
+	p.gateway.AskWeights = func(ctx context.Context, i discovery.Instance) (gateway.OwnWord, error) {
 		report, err := director.Engines.Report(ctx, i)
-		return report.Weights[i.Model], err
+		return gateway.OwnWord{Born: report.Born, Weights: report.Weights[i.Model]}, err
 	}
 	p.run(director.Run)
 	p.run(p.gateway.LearnDuty)
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -2,12 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/config"
@@ -20,8 +21,9 @@
 
 // Instance is one start of an endpoint as the platform lists it.
 type Instance struct {
-	// ID is new at each start.
-	ID       string
+	ID string
+	// Born tells apart the starts under one id, see fleet.Incarnation.
+	Born     int64
 	Revision uint64
 	Service  string
 	Address  string
@@ -35,6 +37,11 @@
 	Orders int64
 }
 
+// Incarnation names this start.
+func (i Instance) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{ID: i.ID, Born: i.Born}
+}
+
 // State is what the process believes. Safe for concurrent use.
 type State struct {
 	// Table holds the instances as members, Services the services as documents:
@@ -160,18 +167,29 @@
 	return k.Instance, true
 }
 
-// Instances lists all instances, by id.
+// Instances lists the instances of services that the configuration names, by id; before
+// the first configuration all. An entry of a service that it does not name may be anybody's:
+// nothing is asked of its address, and no order is sent there.
 func (s *State) Instances() []Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]Instance, 0, len(s.instances))
 	for _, k := range s.instances {
-		out = append(out, k.Instance)
+		if s.Serves(k.Service) {
+			out = append(out, k.Instance)
+		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
 	return out
 }
 
+// Serves tells whether the configuration in force names a service; before the first one
+// every service counts as named.
+func (s *State) Serves(service string) bool {
+	t := s.routes.Load()
+	return t == nil || t.Services[service] != nil
+}
+
 // SetInstance records a listed instance.
 func (s *State) SetInstance(i Instance) {
 	s.mu.Lock()
@@ -181,7 +199,7 @@
 
 func (s *State) setInstance(i Instance) {
 	k, ok := s.instances[i.ID]
-	if ok && i.Revision < k.Revision {
+	if ok && (i.Revision < k.Revision || i.Incarnation().Before(k.Incarnation())) {
 		return
 	}
 	if !ok {
@@ -191,13 +209,19 @@
 		k = &known{}
 		s.instances[i.ID] = k
 	}
-	if k.Weights > i.Weights {
+	if i.Born == 0 {
+		i.Born = k.Born
+	}
+	restarted := ok && i.Born != k.Born
+	if restarted {
+		s.restart(k, i.Born)
+	} else if k.Weights > i.Weights {
 		// The list lags behind what the endpoint itself has said; weights of one
 		// start only grow.
 		i.Weights = k.Weights
 	}
 	back := !k.removedAt.IsZero()
-	changed := !ok || back || k.Leaving != i.Leaving || k.Weights != i.Weights
+	changed := !ok || back || restarted || !sameRow(k.Instance, i)
 	k.Instance, k.removedAt = i, time.Time{}
 	if changed {
 		s.put(k, stateOf(i))
@@ -210,6 +234,12 @@
 	}
 }
 
+// sameRow tells whether two entries of one start make the same row for decisions.
+func sameRow(a, b Instance) bool {
+	return a.Leaving == b.Leaving && a.Weights == b.Weights && a.Model == b.Model &&
+		a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain
+}
+
 // superseded drops the older lives of a new instance's address; true tells that the
 // address has a newer life already. A restarted endpoint's old entry stays for seconds,
 // and for longer while the store is away: what is sent to it is rejected. Revisions
@@ -229,6 +259,39 @@
 	return false
 }
 
+// Started takes in an endpoint's own word of its start and its weights. It may come before
+// the entry that tells of the same start: a restarted endpoint writes its entry a second
+// or more later. An endpoint that tells of no start is taken for the one that is known.
+func (s *State) Started(id string, born, weights int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.instances[id]
+	if !ok || born == 0 || born == k.Born || (fleet.Incarnation{ID: id, Born: born}).Before(k.Incarnation()) {
+		return
+	}
+	s.restart(k, born)
+	if weights > 0 {
+		k.Weights = weights
+	}
+	s.put(k, stateOf(k.Instance))
+}
+
+// StartedAt is Started for an endpoint that is known by its address only.
+func (s *State) StartedAt(address string, born int64) {
+	for _, i := range s.Instances() {
+		if i.Address == address {
+			s.Started(i.ID, born, 0)
+		}
+	}
+}
+
+// restart forgets what belonged to an instance's earlier start: its orders, and what it had
+// underway. Its weights are those it had, unless it says otherwise.
+func (s *State) restart(k *known, born int64) {
+	s.Log.Info("endpoint restarted under its id", zap.String("endpoint", k.ID), zap.Int64("born", born), zap.Int64("before", k.Born))
+	k.Born, k.Orders, k.loading = born, 0, false
+}
+
 func stateOf(i Instance) fleet.State {
 	if i.Leaving {
 		return fleet.Leaving
@@ -245,7 +308,7 @@
 		kind = fleet.KindEngine
 	}
 	s.Table.Learn(fleet.Member{
-		ID: k.ID, Incarnation: xxhash.Sum64String(k.ID), Version: s.version, State: state,
+		ID: k.ID, Incarnation: k.Incarnation().Hash(), Version: s.version, State: state,
 		Address: k.Address, Host: k.Address, Domain: k.Domain, Role: fleet.RoleAgent,
 		Endpoint: fleet.Endpoint{
 			ID: k.ID, Kind: kind, Labels: map[string]string{ServiceLabel: k.Service}, Model: k.Model,
@@ -295,9 +358,9 @@
 		present[i.ID] = true
 		s.SetInstance(i)
 	}
-	for _, i := range s.Instances() {
-		if !present[i.ID] {
-			s.Remove(i.ID, lapsed, now)
+	for _, id := range s.ids() {
+		if !present[id] {
+			s.Remove(id, lapsed, now)
 		}
 	}
 	s.mu.Lock()
@@ -305,6 +368,13 @@
 	s.mu.Unlock()
 }
 
+// ids lists the instances of all services.
+func (s *State) ids() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.instances))
+}
+
 // Expire drops the instances that have stayed missing since before.
 func (s *State) Expire(before time.Time) {
 	s.mu.Lock()
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -340,6 +340,9 @@
 	}
 	i, err := w.Decoder.Instance(e.Record)
 	if err != nil {
+		// Another writer's entry names no endpoint; the endpoint whose id it has is back
+		// with its own next entry.
+		w.State.Remove(e.Name, false, time.Now())
 		return err
 	}
 	w.State.SetInstance(i)
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -6,6 +6,7 @@
 
 	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/state/fleet"
 )
 
 // SyncDuty keeps the directory's picture of the endpoints' fixed properties, and
@@ -14,7 +15,7 @@
 	const sweepEvery = time.Second
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
-	addresses := map[string]bool{}
+	addresses := map[string]fleet.Incarnation{}
 	for {
 		changed := g.State.Table.Changed()
 		addresses = g.sync(addresses)
@@ -28,16 +29,17 @@
 	}
 }
 
-func (g *Gateway) sync(before map[string]bool) map[string]bool {
+// sync returns what stands at each address, given what stood there before.
+func (g *Gateway) sync(before map[string]fleet.Incarnation) map[string]fleet.Incarnation {
 	table := g.State.Routes()
 	if table == nil {
 		return before
 	}
-	after := map[string]bool{}
+	after := map[string]fleet.Incarnation{}
 	now := time.Now()
 	weights, engines, members := map[string]int64{}, map[string]kept.Engine{}, map[string]uint64{}
 	for _, i := range g.State.Instances() {
-		after[i.Address] = true
+		after[i.Address] = i.Incarnation()
 		weights[i.Model] = max(weights[i.Model], i.Weights)
 		properties := routing.Properties{Slots: i.Slots, PrefillRate: assumedPrefillRate, LinkRate: assumedLinkRate, CountsOnly: true}
 		engine := kept.Engine{Domain: i.Domain}
@@ -58,8 +60,10 @@
 	if g.Keeper != nil {
 		g.Keeper.SetEngines(engines)
 	}
-	for address := range before {
-		if !after[address] {
+	for address, stood := range before {
+		// What was open to an earlier start is dead: a request sent on it would be lost
+		// without a word of whether it ran.
+		if after[address] != stood {
 			g.Pool.Forget(address)
 		}
 	}
--- a/internal/coordination/gateway/weights.go
+++ b/internal/coordination/gateway/weights.go
@@ -59,13 +59,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	weights, err := g.AskWeights(ctx, instance)
+	told, err := g.AskWeights(ctx, instance)
 	if err != nil {
 		g.Log.Info("engine does not tell its weights", zap.String("endpoint", id), zap.Error(err))
 		return
 	}
-	g.State.Observe(id, weights)
+	g.State.Started(id, told.Born, told.Weights)
+	g.State.Observe(id, told.Weights)
+}
+
+// OwnWord is what an engine says of itself when it is asked.
+type OwnWord struct {
+	// Born is its start, 0 if it does not say.
+	Born int64
+	// Weights is the version of its model.
+	Weights int64
 }
 
 // WeightsOf asks an engine for the version of its model.
-type WeightsOf func(ctx context.Context, i discovery.Instance) (int64, error)
+type WeightsOf func(ctx context.Context, i discovery.Instance) (OwnWord, error)
--- a/internal/coordination/gateway/weights_test.go
+++ b/internal/coordination/gateway/weights_test.go
@@ -64,9 +64,9 @@
 	s.gateway.Keeper = kept.New(nil, zap.NewNop(), "a", time.Now)
 	s.gateway.Doubts = ring.New[string](DoubtsHeld)
 	asked := make(chan string, DoubtsHeld)
-	s.gateway.AskWeights = func(_ context.Context, i discovery.Instance) (int64, error) {
+	s.gateway.AskWeights = func(_ context.Context, i discovery.Instance) (OwnWord, error) {
 		asked <- i.ID
-		return 2, nil
+		return OwnWord{Weights: 2}, nil
 	}
 	prompt := func() int {
 		resp, _, err := s.ask(s.request("POST", "/r/x", "", testPart+": part"))
--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -184,6 +184,7 @@
 		cancel()
 		if err == nil {
 			next = k.takeEngineEvents(address, events)
+			k.tellStart(address, events.Born)
 			continue
 		}
 		p.crowded = p.crowded || errors.Is(err, ErrTooMany)
@@ -216,6 +217,20 @@
 	return enginePause
 }
 
+// tellStart passes on that an engine has told of another start than before.
+func (k *Keeper) tellStart(address string, born int64) {
+	k.mu.Lock()
+	e := k.engines[address]
+	news := e != nil && born != 0 && e.born != born
+	if news {
+		e.born = born
+	}
+	k.mu.Unlock()
+	if news && k.Started != nil {
+		k.Started(address, born)
+	}
+}
+
 func (k *Keeper) takeEngineEvents(address string, events Events) (next int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -31,6 +31,9 @@
 	Self string
 	// Now is a clock that goes on while the host is suspended.
 	Now func() time.Time
+	// Started, if set, is called when an engine's events tell of a start that they had not
+	// told of before.
+	Started func(address string, born int64)
 
 	mu     sync.Mutex
 	stores map[string]*store
--- a/internal/coordination/kept/store.go
+++ b/internal/coordination/kept/store.go
@@ -49,6 +49,8 @@
 	Changes []Change
 	// ClockMS is the endpoints' clock, 0 if not told.
 	ClockMS int64
+	// Born is the Unix millisecond of the teller's start, 0 if not told.
+	Born int64
 }
 
 const (
@@ -73,6 +75,8 @@
 	// reserved is what partial parts keep.
 	reserved int
 	used     int
+	// born is the teller's start as it last said.
+	born int64
 	// heard is when the store last answered, by a clock that goes on while the host
 	// is suspended.
 	heard time.Time
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sort"
@@ -24,6 +25,8 @@
 	Busy bool
 	// Orders is the number of orders accepted since the engine's start.
 	Orders int64
+	// Born is that start, 0 if the engine does not say.
+	Born int64
 }
 
 // WeightsOrder makes an engine load a version of a model.
@@ -225,11 +228,14 @@
 // survey asks the engines that were given orders how far they are.
 func (d *Director) survey(ctx context.Context) {
 	for id, l := range d.loading {
-		if _, known := d.State.Instance(id); !known {
+		report, err := d.report(ctx, l.instance)
+		now, known := d.State.Instance(id)
+		if !known || now.Born != l.instance.Born {
+			// An order ends with the start that accepted it; the engine is ordered anew.
+			d.Log.Info("order lost with its engine", zap.String("endpoint", id), zap.Bool("known", known), zap.Int64("ordered", l.version))
 			delete(d.loading, id)
 			continue
 		}
-		report, err := d.report(ctx, l.instance)
 		if err != nil {
 			d.Log.Warn("engine does not report", zap.String("endpoint", id), zap.Error(err))
 		} else {
@@ -261,7 +267,11 @@
 func (d *Director) report(ctx context.Context, i discovery.Instance) (EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	return d.Engines.Report(ctx, i)
+	report, err := d.Engines.Report(ctx, i)
+	if err == nil {
+		d.State.Started(i.ID, report.Born, report.Weights[i.Model])
+	}
+	return report, err
 }
 
 // order gives the orders that Decide asks for.
@@ -308,7 +318,7 @@
 	engines, versions := map[[2]string]int{}, map[string][]string{}
 	for _, m := range members {
 		e := m.Endpoint
-		if e.Kind != fleet.KindEngine || m.State != fleet.Alive {
+		if e.Kind != fleet.KindEngine || m.State != fleet.Alive || !d.State.Serves(e.Labels[discovery.ServiceLabel]) {
 			continue
 		}
 		engines[[2]string{e.Labels[discovery.ServiceLabel], e.Model}]++
@@ -381,6 +391,7 @@
 	d.Log.Info("order", zap.String("endpoint", i.ID), zap.String("model", i.Model), zap.Int64("weights", version),
 		zap.Int64("before", report.Weights[i.Model]), zap.Uint64("fence", fence), zap.Int64("expect", report.Orders), zap.Error(err))
 	if err == nil {
+		i.Born = cmp.Or(report.Born, i.Born)
 		d.track(i, version)
 	}
 }
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -103,8 +103,12 @@
 func (d *Directory) track(m fleet.Member, now time.Time) *tracked {
 	t, ok := d.dynamic[m.ID]
 	if !ok || t.incarnation != m.Incarnation {
+		if ok {
+			// An endpoint that has started anew holds nothing of what it was sent.
+			d.index.Forget(HashID(m.ID))
+		}
 		t = &tracked{incarnation: m.Incarnation, domain: m.Domain, Dynamic: Dynamic{
-			FirstSeen: now, PeerWork: d.workAt(WorkID(m.ID)), Shared: d.heardFrom[m.Domain] > 0,
+			FirstSeen: now, PeerWork: d.workAt(WorkID(m.ID, m.Incarnation)), Shared: d.heardFrom[m.Domain] > 0,
 		}}
 		if len(d.dynamic) == 0 || d.generation == 0 {
 			// What this entry finds at its own start is not new to the fleet.
@@ -131,8 +135,8 @@
 // forgetIdleWork drops the sums of endpoints that are not known and have no work.
 func (d *Directory) forgetIdleWork() {
 	known := make(map[uint32]bool, len(d.dynamic))
-	for id := range d.dynamic {
-		known[WorkID(id)] = true
+	for id, t := range d.dynamic {
+		known[WorkID(id, t.incarnation)] = true
 	}
 	for endpoint, sum := range d.peerWork {
 		if !known[endpoint] && *sum == (Work{Endpoint: endpoint}) {
@@ -185,11 +189,12 @@
 	}
 }
 
-// Observe takes in a load that came along with an answer.
-func (d *Directory) Observe(member string, load fleet.Load, now time.Time) {
+// Observe takes in a load that came along with a choice's answer. That of an endpoint that
+// has started anew meanwhile says nothing of the present start.
+func (d *Directory) Observe(c Choice, load fleet.Load, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t, ok := d.dynamic[member]; ok {
+	if t := d.open(c); t != nil {
 		t.observe(load, now)
 	}
 }
--- a/internal/coordination/routing/index.go
+++ b/internal/coordination/routing/index.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// Forget drops all that an endpoint is remembered to hold.
+func (x *Index) Forget(endpoint uint64) {
+	for _, generation := range []map[contextkey.Key][holders]holder{x.current, x.previous} {
+		for key, list := range generation {
+			left := [holders]holder{}
+			n := 0
+			for _, h := range list {
+				if h.endpoint != endpoint {
+					left[n] = h
+					n++
+				}
+			}
+			if left != list {
+				generation[key] = left
+			}
+		}
+	}
+}
+
 // Learn compares what was expected of a holding with what the engine found.
 func (x *Index) Learn(h Holding, cachedTokens int) {
 	if h.Tokens == 0 {
--- a/internal/coordination/routing/peers.go
+++ b/internal/coordination/routing/peers.go
@@ -16,9 +16,12 @@
 // UnreadTokens of all urgencies.
 func (w Work) UnreadTokens() int { return sum(w.Unread[:]) }
 
-// WorkID names an endpoint in reports of work: half of a hash is enough to tell a
-// thousand endpoints apart, and reports are many.
-func WorkID(id string) uint32 { return uint32(HashID(id) >> 32) }
+// WorkID names an endpoint's incarnation in reports of work: half of a hash is enough to
+// tell a thousand apart, and reports are many. What processes had underway at an earlier
+// start is no work of the present one.
+func WorkID(id string, incarnation uint64) uint32 {
+	return uint32((HashID(id) ^ mix(incarnation)) >> 32)
+}
 
 // PeerReport is all that another process has underway.
 type PeerReport struct {
@@ -50,7 +53,7 @@
 	var out []Work
 	for id, t := range d.dynamic {
 		if t.Running > 0 {
-			out = append(out, Work{Endpoint: WorkID(id), Running: t.Running, HeldTokens: t.HeldTokens, Unread: t.Unread})
+			out = append(out, Work{Endpoint: WorkID(id, t.incarnation), Running: t.Running, HeldTokens: t.HeldTokens, Unread: t.Unread})
 		}
 	}
 	return out
--- a/internal/coordination/routing/peers_test.go
+++ b/internal/coordination/routing/peers_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,8 +14,16 @@
 	"limpetwall/internal/state/fleet"
 )
 
+// workID of an endpoint "eN" of directoryOf, whose incarnation is N+1; of any other 9.
+func workID(id string) uint32 {
+	if n, err := strconv.ParseUint(strings.TrimPrefix(id, "e"), 10, 64); err == nil {
+		return WorkID(id, n+1)
+	}
+	return WorkID(id, 9)
+}
+
 func work(id string, running int, unread int) Work {
-	w := Work{Endpoint: WorkID(id), Running: running, HeldTokens: 10 * unread}
+	w := Work{Endpoint: workID(id), Running: running, HeldTokens: 10 * unread}
 	w.Unread[2] = unread
 	return w
 }
@@ -86,12 +96,39 @@
 	}
 }
 
+// TestEndpointThatStartsAnewHasNothing lets an endpoint start again under its id while runs
+// of this process and of others are underway there, and contexts were sent there.
+//
+// The runs have ended with the earlier start: they must not make the new one look full, and
+// their late ends must not be counted there. It holds no context.
+func TestEndpointThatStartsAnewHasNothing(t *testing.T) {
+	d, table := directoryOf(t, 1)
+	countsOnly(d, "e0")
+	keys := []contextkey.Key{{1}, {2}, {3}}
+	underway := d.Choose("s", keys, &Request{PromptTokens: 900, HeldTokens: 1000, Urgency: 1, Now: epoch})
+	d.Sent(underway, epoch)
+	d.TakePeer(PeerReport{Sender: 7, Number: 1, Domain: "d", Work: []Work{work("e0", 5, 800)}}, epoch)
+	m, _ := table.Get("e0")
+	m.Incarnation, m.Version = 77, m.Version+1
+	table.Merge(m, epoch)
+	d.Usable("s", epoch)
+	e := d.dynamic["e0"]
+	if e.Running != 0 || e.HeldTokens != 0 || e.PeerWork.Running != 0 || len(d.index.Lookup(keys, nil, epoch, nil)) != 0 {
+		t.Errorf("the new start has %+v, peers' %+v", e.Dynamic, e.PeerWork)
+	}
+	d.Observe(underway, fleet.Load{Running: 40, AtMS: epoch.UnixMilli()}, epoch)
+	d.Done(underway, true, epoch)
+	if e.Running != 0 || e.Load.Running != 0 || e.failures != 0 {
+		t.Errorf("after the earlier start's end: %+v", e.Dynamic)
+	}
+}
+
 func TestOwnWork(t *testing.T) {
 	d, _ := directoryOf(t, 1)
 	countsOnly(d, "e0")
 	c := d.Choose("s", nil, &Request{PromptTokens: 900, HeldTokens: 1000, Urgency: 1, Now: epoch})
 	own := d.OwnWork()
-	if len(own) != 1 || own[0].Endpoint != WorkID("e0") || own[0].Running != 1 || own[0].HeldTokens != 1000 || own[0].Unread[1] != 900 {
+	if len(own) != 1 || own[0].Endpoint != workID("e0") || own[0].Running != 1 || own[0].HeldTokens != 1000 || own[0].Unread[1] != 900 {
 		t.Errorf("%+v", own)
 	}
 	d.Done(c, false, epoch)
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -235,7 +235,8 @@
 	now := epoch.Add(time.Minute)
 	stamp := func(at time.Time) int64 { return at.Add(time.Hour).UnixMilli() }
 	d.Usable("s", now)
-	d.Observe("e0", fleet.Load{QueuedTokens: 100, AtMS: stamp(now)}, now.Add(time.Millisecond))
+	answered := Choice{Member: fleet.Member{ID: "e0", Incarnation: 1}}
+	d.Observe(answered, fleet.Load{QueuedTokens: 100, AtMS: stamp(now)}, now.Add(time.Millisecond))
 	d.Choose("s", nil, &Request{PromptTokens: 500, Now: now.Add(time.Second)})
 	table.SetReport(fleet.Report{Incarnation: 1, Version: 9, Load: fleet.Load{QueuedTokens: 9000, AtMS: stamp(now.Add(-time.Second))}, At: now.Add(2 * time.Second)})
 	d.TakeReports()
@@ -248,7 +249,7 @@
 	if e.Load.QueuedTokens != 300 || e.SentTokens != 500 {
 		t.Errorf("a report taken before the send: %+v", e.Dynamic)
 	}
-	d.Observe("e0", fleet.Load{QueuedTokens: 600, AtMS: stamp(now.Add(2 * time.Second))}, now.Add(2*time.Second))
+	d.Observe(answered, fleet.Load{QueuedTokens: 600, AtMS: stamp(now.Add(2 * time.Second))}, now.Add(2*time.Second))
 	if e.Load.QueuedTokens != 600 || e.SentTokens != 0 || e.SentRuns != 0 {
 		t.Errorf("a load taken after the send: %+v", e.Dynamic)
 	}
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -116,7 +116,7 @@
 		return nil
 	}
 	if l := e.GetLoad(); l != nil {
-		a.runner.Directory.Observe(a.choice.Member.ID, fleet.LoadFromWire(l), time.Now())
+		a.runner.Directory.Observe(a.choice, fleet.LoadFromWire(l), time.Now())
 	}
 	if e.GetRefused() == nil && !a.progress.claim(a) {
 		return hedgeLost()
