--- a/internal/coordination/kept/kept_test.go
+++ b/internal/coordination/kept/kept_test.go
@@ -176,24 +176,32 @@
 	}
 }
 
-// TestContextsSpreadByMemory places many contexts on stores of unequal memory.
-func TestContextsSpreadByMemory(t *testing.T) {
-	counts := map[string]int{}
+// TestContextsSpreadByLinks places many contexts on stores of unequal links, of which the
+// slowest has the most memory, and on stores that tell no link's rate.
+//
+// Links are what imports and saves wait for: each store gets contexts as its link goes.
+// Where no rate is told, memory decides.
+func TestContextsSpreadByLinks(t *testing.T) {
 	const n = 10_000
-	memory := map[string]int{"a": 100, "b": 100, "c": 800}
-	for i := range n {
-		best, rank := "", 0.0
-		for address, weight := range memory {
-			if r := rendezvous(address, fmt.Sprint(i), weight); r > rank {
-				best, rank = address, r
+	linked := map[string]routes.Store{
+		"a": {LinkBytesPerSecond: 100, MemoryTokens: 9000}, "b": {LinkBytesPerSecond: 100, MemoryTokens: 10}, "c": {LinkBytesPerSecond: 800, MemoryTokens: 10},
+	}
+	untold := map[string]routes.Store{"a": {MemoryTokens: 100}, "b": {MemoryTokens: 100}, "c": {MemoryTokens: 800}}
+	for _, stores := range []map[string]routes.Store{linked, untold} {
+		counts := map[string]int{}
+		for i := range n {
+			best, rank := "", 0.0
+			for address, config := range stores {
+				if r := rendezvous(address, fmt.Sprint(i), newStore(config).saveWeight()); r > rank {
+					best, rank = address, r
+				}
 			}
+			counts[best]++
 		}
-		counts[best]++
-	}
-	for address, weight := range memory {
-		want := n * float64(weight) / 1000
-		if math.Abs(float64(counts[address])-want) > 0.15*want {
-			t.Errorf("%s has %d of %g", address, counts[address], want)
+		for address, share := range map[string]float64{"a": 0.1, "b": 0.1, "c": 0.8} {
+			if want := n * share; math.Abs(float64(counts[address])-want) > 0.15*want {
+				t.Errorf("%s has %d of %g", address, counts[address], want)
+			}
 		}
 	}
 }
--- a/internal/coordination/kept/plan.go
+++ b/internal/coordination/kept/plan.go
@@ -162,7 +162,7 @@
 }
 
 // keep picks the store that a part is saved in, "" for none: all processes choose the
-// same, by a hash of the context, in proportion to the stores' memory. A full one is
+// same, by a hash of the context, in proportion to the stores' links. A full one is
 // followed by the next in its order.
 func (k *Keeper) keep(key PartKey, context string, tokens int, now time.Time) string {
 	best, bestRank := "", 0.0
@@ -170,7 +170,7 @@
 		if !s.usable(now) || s.holds(key, 1) || !s.hasRoom(key, tokens, now) {
 			continue
 		}
-		rank := rendezvous(address, context, s.config.MemoryTokens)
+		rank := rendezvous(address, context, s.saveWeight())
 		if best == "" || rank > bestRank {
 			best, bestRank = address, rank
 		}
@@ -182,8 +182,8 @@
 }
 
 // rendezvous ranks a store for a context by weighted highest random weight.
-func rendezvous(address, context string, weight int) float64 {
+func rendezvous(address, context string, weight float64) float64 {
 	const unit = 1.0 / (1 << 53)
 	u := (float64(xxhash.Sum64String(address+"\x00"+context)>>11) + 0.5) * unit
-	return float64(weight) / -math.Log(u)
+	return weight / -math.Log(u)
 }
--- a/internal/coordination/kept/store.go
+++ b/internal/coordination/kept/store.go
@@ -170,6 +170,18 @@
 	return true
 }
 
+// saveWeight is a store's share of the contexts that are saved while it has room: its link's
+// rate. Imports and saves ask more of the links than of the memory: in proportion to memory
+// five stores of 29 GB/s and 1,450,000 tokens got nine tenths of all contexts while four of
+// 97 GB/s and 230,000 tokens filled slowly, and with 41 engines 0.02 fewer of all requests
+// were served.
+func (s *store) saveWeight() float64 {
+	if s.config.LinkBytesPerSecond > 0 {
+		return float64(s.config.LinkBytesPerSecond)
+	}
+	return float64(s.config.MemoryTokens)
+}
+
 // hasRoom tells whether a part finds room, or has it already by a save underway.
 func (s *store) hasRoom(key PartKey, tokens int, now time.Time) bool {
 	if p, ok := s.pending[key]; ok && now.Sub(p.at) < pendingFor {
