--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -63,6 +63,7 @@
 
 	mu        sync.Mutex
 	instances map[string]*known
+	lives     lives
 	named     map[string]Named
 	renamed   chan struct{}
 	version   uint64
@@ -87,7 +88,8 @@
 	cfg.KeepDead = keepGone
 	return &State{
 		Table: fleet.NewTable(cfg, self, now), Services: config.NewStore(), Log: log, Now: time.Now, onTable: onTable,
-		instances: map[string]*known{}, named: map[string]Named{}, renamed: make(chan struct{}),
+		instances: map[string]*known{}, lives: lives{first: map[string]uint64{}, waiting: map[string]Instance{}},
+		named: map[string]Named{}, renamed: make(chan struct{}),
 	}
 }
 
@@ -205,7 +207,7 @@
 		return
 	}
 	if !ok {
-		if s.superseded(i) {
+		if !s.takeAddress(i) {
 			return
 		}
 		k = &known{emptying: make(chan struct{})}
@@ -242,25 +244,6 @@
 		a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain
 }
 
-// superseded drops the older lives of a new instance's address; true tells that the
-// address has a newer life already. A restarted endpoint's old entry stays for seconds,
-// and for longer while the store is away: what is sent to it is rejected. Revisions
-// grow, and a life begins after the one before it has ended, so the newest has the
-// highest.
-func (s *State) superseded(i Instance) bool {
-	for _, other := range s.instances {
-		if other.Address != i.Address || i.Address == "" {
-			continue
-		}
-		if other.Revision > i.Revision {
-			return true
-		}
-		s.Log.Info("endpoint restarted", zap.String("endpoint", i.ID), zap.String("before", other.ID), zap.String("address", i.Address))
-		s.drop(other)
-	}
-	return false
-}
-
 // Started takes in an endpoint's own word of its start and its weights. It may come before
 // the entry that tells of the same start: a restarted endpoint writes its entry a second
 // or more later. An endpoint that tells of no start is taken for the one that is known.
@@ -367,6 +350,7 @@
 func (s *State) Remove(id string, lapsed bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.lives.waiting, id)
 	k, ok := s.instances[id]
 	if !ok || !k.removedAt.IsZero() {
 		return
@@ -378,11 +362,6 @@
 	}
 }
 
-func (s *State) drop(k *known) {
-	delete(s.instances, k.ID)
-	s.put(k, fleet.Dead)
-}
-
 // ReplaceInstances records a whole list; what it lacks is gone.
 func (s *State) ReplaceInstances(list []Instance, lapsed bool, now time.Time) {
 	present := make(map[string]bool, len(list))
@@ -400,11 +379,12 @@
 	s.mu.Unlock()
 }
 
-// ids lists the instances of all services.
+// ids lists all instances: of services that are not named, and those that wait for their
+// address too.
 func (s *State) ids() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.instances))
+	return slices.Concat(slices.Sorted(maps.Keys(s.instances)), slices.Sorted(maps.Keys(s.lives.waiting)))
 }
 
 // Expire drops the instances that have stayed missing since before.
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -432,6 +432,42 @@
 			s.SetInstance(restarted)
 			s.Remove("old", false, now)
 		}},
+		{"lapsed, and its last entry arrives after the new one's", func(s *State, now time.Time) {
+			s.SetInstance(old)
+			s.Remove("old", false, now)
+			s.SetInstance(restarted)
+			late := old
+			late.Revision = 12
+			s.SetInstance(late)
+		}},
+		{"a process that finds both, until the old one lapses", func(s *State, now time.Time) {
+			late := old
+			late.Revision = 12
+			s.ReplaceInstances([]Instance{other, restarted, late}, false, now)
+			s.Remove("old", false, now)
+		}},
+		{"a process that finds both, and is rejected at the address", func(s *State, now time.Time) {
+			late := old
+			late.Revision = 12
+			s.ReplaceInstances([]Instance{other, restarted, late}, false, now)
+			s.Misdirected("old")
+		}},
+		{"both tell their starts", func(s *State, now time.Time) {
+			late, born := old, restarted
+			late.Revision, late.Born, born.Born = 12, 100, 200
+			s.ReplaceInstances([]Instance{other, born, late}, false, now)
+		}},
+		{"rejected, but no other entry is there", func(s *State, _ time.Time) { s.SetInstance(restarted); s.Misdirected("new") }},
+		{"the new one is gone, and the old one had lapsed before", func(s *State, now time.Time) {
+			s.SetInstance(old)
+			s.Remove("old", true, now)
+			s.SetInstance(restarted)
+			s.Remove("new", false, now)
+			if len(s.Instances()) != 1 {
+				t.Error("a lapsed entry is used again")
+			}
+			s.SetInstance(restarted)
+		}},
 	}
 	for _, row := range rows {
 		s := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -103,8 +103,11 @@
 
 // rejectedBy ends an attempt that the endpoint did not run.
 func (x *exchange) rejectedBy(c routing.Choice, s Send, r Reply) outcome {
-	if r.Misdirected && s.Weights > 0 {
+	switch {
+	case r.Misdirected && s.Weights > 0:
 		x.g.doubt(c.Member.ID)
+	case r.Misdirected:
+		x.g.State.Misdirected(c.Member.ID)
 	}
 	return outcome{verdict: rejected}
 }
--- a/internal/coordination/gateway/weights.go
+++ b/internal/coordination/gateway/weights.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/rollout"
 )
 
 const (
@@ -60,6 +62,9 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	told, err := g.AskWeights(ctx, instance)
+	if errors.Is(err, rollout.ErrOtherInstance) {
+		g.State.Misdirected(id)
+	}
 	if err != nil {
 		g.Log.Info("engine does not tell its weights", zap.String("endpoint", id), zap.Error(err))
 		return
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -48,6 +48,8 @@
 	ErrFenced = errors.ConstError("fencing number is too low")
 	// ErrOrderRefused: the engine does not know the order.
 	ErrOrderRefused = errors.ConstError("engine refuses the order")
+	// ErrOtherInstance: another instance has the engine's address.
+	ErrOtherInstance = errors.ConstError("another instance answers at the engine's address")
 )
 
 // Engines speaks to engines directly.
@@ -270,7 +272,10 @@
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	report, err := d.Engines.Report(ctx, i)
-	if err == nil {
+	switch {
+	case errors.Is(err, ErrOtherInstance):
+		d.State.Misdirected(i.ID)
+	case err == nil:
 		d.State.Started(i.ID, report.Born, report.Weights[i.Model])
 	}
 	return report, err
