--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -200,9 +200,12 @@
 
 // routingRequest is the decision's input that all attempts share.
 func (x *exchange) routingRequest() *routing.Request {
-	held := x.call.PromptTokens + x.call.OutputTokens
+	held, usual := x.call.PromptTokens+x.call.OutputTokens, 0
+	if held > 0 {
+		usual = x.g.sizes.take(x.route.Name, held)
+	}
 	return &routing.Request{
-		PromptTokens: x.call.PromptTokens, Domain: x.g.Domain, HeldTokens: held, UsualTokens: x.g.sizes.take(x.route.Name, held),
+		PromptTokens: x.call.PromptTokens, Domain: x.g.Domain, HeldTokens: held, UsualTokens: usual,
 		ImportKnown: true, Urgency: x.urgency(), OtherDomainPrice: otherDomainPrice,
 		Objective: config.Objective{
 			TTFTMS: int(x.route.Objective.Milliseconds()), WeightTTFT: 1, WeightRecompute: recomputeWeight, WeightLink: linkWeight,
