--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -43,8 +43,10 @@
 	// shortestLeft of the time in which replaced weights may begin is needed at the
 	// destination: one whose own turn to load comes sooner gains nothing.
 	shortestLeft = time.Second
-	// mostWait at the destination: where runs already wait, one more would push another
-	// out of memory.
+	// mostWait for a slot and memory at the destination: where runs already wait for them,
+	// one more would push another out. Prompts that wait there to be read are no hindrance,
+	// a copied run goes before them: counted in, they left most runs of busy engines where
+	// they were, and an engine waits for its last.
 	mostWait = 50 * time.Millisecond
 )
 
@@ -157,7 +159,7 @@
 		return target
 	}
 	left, limited := x.g.State.BeginLeft(target.Member.ID)
-	if target.Wait > mostWait || (limited && left < shortestLeft) {
+	if target.Room > mostWait || (limited && left < shortestLeft) {
 		x.g.Directory.Release(target)
 		return routing.Choice{}
 	}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -201,9 +201,11 @@
 
 // Choice is a decision with what its outcome will be compared to.
 type Choice struct {
-	Member       fleet.Member
-	Reason       Reason
-	TTFT, Wait   time.Duration
+	Member     fleet.Member
+	Reason     Reason
+	TTFT, Wait time.Duration
+	// Room is the part of Wait that is for a slot and memory.
+	Room         time.Duration
 	CachedTokens int
 	Refusal      Refusal
 	// Believed is what the decision took the endpoint's state to be.
@@ -268,7 +270,7 @@
 	e.Unread[r.Urgency] += v.WorkTokens
 	d.dynamic[e.ID].sent(v.WorkTokens, r.Now)
 	c := Choice{
-		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, Wait: v.Wait, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
+		Member: e.Member, Reason: v.Reason, TTFT: v.TTFT, Wait: v.Wait, Room: v.Room, CachedTokens: v.CachedTokens, keys: keys, hash: e.Hash, seen: seen,
 		held: r.HeldTokens, began: r.Now, Believed: believed, reading: read,
 	}
 	for _, h := range r.Holdings {
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -29,6 +29,8 @@
 // estimate is what a request is expected to cost at an endpoint.
 type estimate struct {
 	ttft, wait time.Duration
+	// room is the part of wait that is for a slot and memory.
+	room       time.Duration
 	cached     int
 	recomputed int
 	score      float64
@@ -90,10 +92,11 @@
 	slot := e.slotWait(r.Now)
 	ttft := max(transfer, queue) + seconds(work) + slot + e.memoryWait(r, r.HeldTokens) + e.overhead(r)
 	late := lateness(ttft, r)
+	room := slot + e.memoryWait(r, r.usual())
 	// The work that a decision makes for others weighs as its own waiting does.
 	weight := r.Objective.WeightTTFT + late/max(ttft.Seconds(), 1e-9)
 	return estimate{
-		ttft: ttft, wait: queue + slot + e.memoryWait(r, r.usual()), cached: cached, recomputed: recomputed,
+		ttft: ttft, wait: queue + room, room: room, cached: cached, recomputed: recomputed,
 		score: r.Objective.WeightTTFT*ttft.Seconds() + late + weight*(price*work+brought) +
 			r.Objective.WeightRecompute*float64(recomputed)/1000 + r.Objective.WeightLink*float64(moved)/1000,
 	}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -119,6 +119,8 @@
 	// TTFT is the expected time to first token, Wait the part of it before the
 	// endpoint begins with the request.
 	TTFT, Wait time.Duration
+	// Room is the part of Wait that is for a slot and memory.
+	Room time.Duration
 	// CachedTokens expected to be found resident.
 	CachedTokens int
 	// WorkTokens expected to be computed.
@@ -355,7 +357,7 @@
 		cand := c.list[(start+i)%c.n]
 		e := evaluate(cand.endpoint, r, price)
 		if best.Endpoint == nil || e.score < bestScore {
-			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, Wait: e.wait, CachedTokens: e.cached, WorkTokens: e.recomputed}
+			best = Verdict{Endpoint: cand.endpoint, Reason: cand.reason, TTFT: e.ttft, Wait: e.wait, Room: e.room, CachedTokens: e.cached, WorkTokens: e.recomputed}
 			bestScore = e.score
 		}
 	}
