--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -129,7 +130,9 @@
 		err = ctx.Err()
 	}
 	if err == nil {
-		handle, err = x.g.Copier.Copy(call, source, x.call.ID, target.Member.Address, true)
+		var last string
+		last, err = x.g.Copier.Copy(call, source, x.call.ID, target.Member.Address, true)
+		handle = cmp.Or(last, handle)
 	}
 	moved := err == nil
 	x.g.Log.Info("run moved", zap.String("request_id", x.call.ID), zap.String("from", c.Member.ID), zap.String("to", target.Member.ID),
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -18,8 +18,8 @@
 type fakeCopier struct {
 	// first and last are what the two copies answer.
 	first, last error
-	// stopped is closed by the last copy.
-	stopped chan struct{}
+	// asked is closed by the first copy, stopped by the last.
+	asked, stopped chan struct{}
 
 	mu      sync.Mutex
 	calls   []string
@@ -30,11 +30,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls = append(f.calls, fmt.Sprint(source.ID, " ", call, " ", last))
-	if !last {
-		return "h1", f.first
+	answer, stage := f.first, f.asked
+	if last {
+		answer, stage = f.last, f.stopped
 	}
-	close(f.stopped)
-	return "h1", f.last
+	close(stage)
+	if answer != nil {
+		return "", answer
+	}
+	return "h1", nil
 }
 
 func (f *fakeCopier) Drop(_ context.Context, _ discovery.Instance, handle string) error {
@@ -70,12 +74,13 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			copier := &fakeCopier{first: row.first, last: row.last, stopped: make(chan struct{})}
+			copier := &fakeCopier{first: row.first, last: row.last, asked: make(chan struct{}), stopped: make(chan struct{})}
 			begun := make(chan struct{})
 			moves := row.first == nil && row.last == nil
 			s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
 				stream("", "1", "2")(c, r)
 				close(begun)
+				<-copier.asked
 				if row.first == nil {
 					<-copier.stopped
 				}
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -336,19 +336,23 @@
 	})
 }
 
-// TestEnginesOfUnknownServicesAreNotOrdered lists an engine of a service that the
-// configuration does not name: its entry may be anybody's.
+// TestEnginesOfUnknownServicesAreNotOrdered lists two engines of a service that the
+// configuration does not name: their entries may be anybody's.
 func TestEnginesOfUnknownServicesAreNotOrdered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeEngines(1, 1, 1)
+		f := newFakeEngines(1, 1, 1, 1)
 		members := direct(t, f, 1)
 		known := routes.New(1, 1, nil, []routes.Service{{Name: "llm"}}, nil, routes.Limits{})
 		members[0].state.SetRoutes(known)
-		members[0].state.SetInstance(discovery.Instance{ID: "e2", Revision: 2, Service: "unheard of", Model: "m", Weights: 1, Address: "10.0.0.9:1"})
+		for _, id := range []string{"e2", "e3"} {
+			members[0].state.SetInstance(discovery.Instance{
+				ID: id, Revision: 2, Service: "unheard of", Model: "m", Weights: 1, Address: net.JoinHostPort("10.0.0.9", id),
+			})
+		}
 		name(members, 2)
 		time.Sleep(10 * time.Second)
 		for _, o := range f.given() {
-			if o.engine == "e2" {
+			if o.engine == "e2" || o.engine == "e3" {
 				t.Errorf("%s is ordered", o.engine)
 			}
 		}
