--- a/internal/coordination/discovery/lives.go
+++ b/internal/coordination/discovery/lives.go
@@ -54,7 +54,8 @@
 }
 
 // takeAddress decides which instance has a new one's address; false tells that another has
-// it, and the new one waits. s.mu is held.
+// it, and the new one waits. An entry that lapsed before does not wait: its endpoint is
+// gone. s.mu is held.
 func (s *State) takeAddress(i Instance) bool {
 	s.lives.see(i)
 	delete(s.lives.waiting, i.ID)
@@ -90,8 +91,8 @@
 }
 
 // Misdirected records that another instance answers at an instance's address. An entry
-// that waits for it is used from now on: this process may have seen the entries first when
-// the earlier life's was already the newer.
+// that waits for it is used from now on: a process that starts when both are listed can't
+// tell by their revisions which came first.
 func (s *State) Misdirected(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -22,7 +22,7 @@
 // Instance is one start of an endpoint as the platform lists it.
 type Instance struct {
 	ID string
-	// Born tells apart the starts under one id, see fleet.Incarnation.
+	// Born is the Unix millisecond of the start, 0 where it was not told. It tells apart the starts under one id, see fleet.Incarnation.
 	Born     int64
 	Revision uint64
 	Service  string
