--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -21,6 +21,9 @@
 	ErrNoRun = errors.ConstError("the run is not there")
 	// ErrNoRoom: the destination has no room or can't be reached.
 	ErrNoRoom = errors.ConstError("no room for the run")
+
+	// errEnded: the attempt ended before its run was stopped.
+	errEnded = errors.ConstError("the run has ended")
 )
 
 // RunCopier copies a running request's memory from one engine to another. With last the
@@ -39,6 +42,9 @@
 	// copyTimeout bounds one copy. A run of 1,000 tokens of 160 KB takes 5 ms over links of
 	// 280 Gbit/s, and waits behind others.
 	copyTimeout = time.Second
+	// closeWithin is how long after its stop a run's stream may take to close; it is cut
+	// then. What was still on the way comes again where the run goes on.
+	closeWithin = 200 * time.Millisecond
 	// dropTimeout bounds the release of a copy.
 	dropTimeout = 500 * time.Millisecond
 	// shortestLeft of the time in which replaced weights may begin is needed at the
@@ -69,13 +75,16 @@
 type relocation struct {
 	begun atomic.Bool
 	stop  context.CancelFunc
-	done  chan struct{}
+	// settled is set once, by whoever is first: the run's stop, or the attempt's end. An
+	// answer that is complete does not wait for a copy that is still underway.
+	settled atomic.Bool
+	done    chan struct{}
 	// next is set before done is closed if the run has been stopped and copied.
 	next *continuation
 }
 
-// watchRelocation starts a relocation for an attempt; ctx is the attempt's.
-func (x *exchange) watchRelocation(ctx context.Context, c routing.Choice, send Send) *relocation {
+// watchRelocation starts a relocation for an attempt; ctx is the attempt's, and cut ends it.
+func (x *exchange) watchRelocation(ctx context.Context, cut func(), c routing.Choice, send Send) *relocation {
 	r := &relocation{done: make(chan struct{})}
 	ctx, r.stop = context.WithCancel(ctx)
 	leave := x.g.State.Emptying(c.Member.ID)
@@ -93,7 +102,9 @@
 		if !pause.For(ctx, relocateAfter) || !r.begun.Load() {
 			return
 		}
-		r.next = x.relocate(ctx, c, send)
+		if r.next = x.relocate(ctx, r, c); r.next != nil && pause.For(ctx, closeWithin) {
+			cut()
+		}
 	}()
 	return r
 }
@@ -102,6 +113,9 @@
 // has then closed without its end, however that looked.
 func (r *relocation) outcome() (*continuation, bool) {
 	r.stop()
+	if r.settled.CompareAndSwap(false, true) {
+		return nil, false
+	}
 	<-r.done
 	return r.next, r.next != nil
 }
@@ -109,7 +123,7 @@
 // relocate copies a run and stops it; nil if it goes on where it is. The first copy, made
 // while the run goes on, finds out whether there is room: a run that is stopped and finds
 // none could only go on at its source, which may already refuse it.
-func (x *exchange) relocate(ctx context.Context, c routing.Choice, send Send) *continuation {
+func (x *exchange) relocate(ctx context.Context, r *relocation, c routing.Choice) *continuation {
 	source, known := x.g.State.Instance(c.Member.ID)
 	if !known {
 		return nil
@@ -124,10 +138,8 @@
 	defer cancel()
 	began := time.Now()
 	handle, err := x.g.Copier.Copy(call, source, x.call.ID, target.Member.Address, false)
-	if err == nil {
-		// A run that has ended meanwhile is not stopped; one that is stopped ends the
-		// attempt, and with it ctx.
-		err = ctx.Err()
+	if err == nil && !r.settled.CompareAndSwap(false, true) {
+		err = errEnded
 	}
 	if err == nil {
 		var last string
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -89,16 +89,8 @@
 					fmt.Fprintf(c, "%x\r\n%s\r\n%s", len(text), text, endOfStream)
 				}
 			}, row.second)
+			s.engines(copier)
 			state := s.gateway.State
-			engineList := route(routes.Streaming, 1)
-			state.SetRoutes(routes.New(2, 9, engineList, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
-				[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
-			for i, e := range s.endpoints {
-				state.SetInstance(discovery.Instance{ID: e.id, Revision: uint64(20 + i), Service: "s", Address: e.address, Domain: "a", Slots: 4, Model: "m", Weights: 1})
-			}
-			s.gateway.Copier = copier
-			s.gateway.Keeper = newKeeper()
-			state.SetLoading("i-1", true)
 			done := make(chan struct{})
 			var body string
 			var err error
@@ -144,6 +136,79 @@
 	}
 }
 
+// engines makes a site's endpoints engines of one model, and has runs copied by copier.
+func (s *site) engines(copier RunCopier) {
+	state := s.gateway.State
+	state.SetRoutes(routes.New(2, 9, route(routes.Streaming, 1), []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
+		[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	for i, e := range s.endpoints {
+		state.SetInstance(discovery.Instance{ID: e.id, Revision: uint64(20 + i), Service: "s", Address: e.address, Domain: "a", Slots: 4, Model: "m", Weights: 1})
+	}
+	s.gateway.Copier, s.gateway.Keeper = copier, newKeeper()
+	// Streams begin at the first engine.
+	state.SetLoading("i-1", true)
+}
+
+// TestStreamThatDoesNotCloseAfterItsStop stops a run whose connection says nothing of it, as
+// one that fell silent.
+//
+// The caller gets the rest from the other engine all the same; its time does not pass before
+// a connection that nothing will come from.
+func TestStreamThatDoesNotCloseAfterItsStop(t *testing.T) {
+	copier := &fakeCopier{asked: make(chan struct{}), stopped: make(chan struct{})}
+	begun := make(chan struct{})
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+		stream("", "1")(c, r)
+		close(begun)
+		io.Copy(io.Discard, c)
+	}, stream(endOfStream, "2"))
+	s.engines(copier)
+	go func() {
+		<-begun
+		s.gateway.State.SetLoading("i-1", false)
+		leave(s.gateway.State)
+	}()
+	_, body, err := s.ask(s.request("POST", "/r/x", "prompt", testPart+": part"))
+	if err != nil || !strings.Contains(body, "id: 2") {
+		t.Errorf("%q %v", body, err)
+	}
+}
+
+// hangingCopier answers the first copy when it is released.
+type hangingCopier struct {
+	fakeCopier
+	released chan struct{}
+}
+
+func (h *hangingCopier) Copy(context.Context, discovery.Instance, string, string, bool) (string, error) {
+	close(h.asked)
+	<-h.released
+	return "", ErrNoRoom
+}
+
+// TestCompleteAnswerDoesNotWaitForACopy ends a stream while its first copy hangs: the
+// caller has its end though the copy is not released before.
+func TestCompleteAnswerDoesNotWaitForACopy(t *testing.T) {
+	copier := &hangingCopier{fakeCopier: fakeCopier{asked: make(chan struct{})}, released: make(chan struct{})}
+	defer close(copier.released)
+	begun := make(chan struct{})
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+		stream("", "1")(c, r)
+		close(begun)
+		<-copier.asked
+		io.WriteString(c, endOfStream)
+	}, reject)
+	s.engines(copier)
+	go func() {
+		<-begun
+		s.gateway.State.SetLoading("i-1", false)
+		leave(s.gateway.State)
+	}()
+	if _, body, err := s.ask(s.request("POST", "/r/x", "prompt", testPart+": part")); err != nil || !strings.Contains(body, "id: 1") {
+		t.Errorf("%q %v", body, err)
+	}
+}
+
 // leave has the first engine leave.
 func leave(s *discovery.State) {
 	i, _ := s.Instance("i-0")
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -53,7 +53,7 @@
 		return x.streamFailure(ctx, resp, st)
 	}
 	x.g.Directory.Sent(c, x.began)
-	x.relocation = x.watchRelocation(ctx, c, s)
+	x.relocation = x.watchRelocation(ctx, stop, c, s)
 	out = x.relay(ctx, c, resp, st)
 	next, moved := x.relocation.outcome()
 	switch {
