--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -40,6 +40,13 @@
 	// processes a third of a million. A few changes are still known at once.
 	watchEvery   = 250 * time.Millisecond
 	quickWatches = 4
+	// fleetWatch is the mean time between the beginnings of all processes' watches of a kind
+	// in such a crowd, and slowestWatch bounds a process's own pause for it. While 180 engines
+	// load, their entries change all the time, and a hundred processes that watched every
+	// watchEvery made 400 calls a second. What must be known soonest, that an endpoint
+	// leaves, has seconds.
+	fleetWatch   = 10 * time.Millisecond
+	slowestWatch = time.Second
 	// retryFirst and retryMost bound the pause after a failed call. The store prices
 	// refused calls too, but a configuration must be in force within seconds of its
 	// return.
@@ -68,6 +75,8 @@
 	// Reset, if set, is called after a failed call: connections that were open may be
 	// silent for good.
 	Reset func()
+	// Processes, if set, counts those that watch.
+	Processes func() int
 	// Clock goes on while the host is suspended, for ConfigAge; nil means time.Now.
 	Clock func() time.Time
 
@@ -222,8 +231,9 @@
 // no history, and the next watch goes on from the same revision.
 func (w *Watcher) watch(ctx context.Context, kind string, revision uint64) error {
 	failed := retryFirst
-	quick := rate.NewLimiter(rate.Every(watchEvery), quickWatches)
+	quick := rate.NewLimiter(rate.Every(w.pace()), quickWatches)
 	for quick.Wait(ctx) == nil {
+		quick.SetLimit(rate.Every(w.pace()))
 		wait, call, cancel := w.watchCall(ctx, kind)
 		began := w.now()
 		events, next, err := w.Feed.WatchKind(call, kind, revision, wait)
@@ -249,6 +259,15 @@
 	return ctx.Err()
 }
 
+// pace is the shortest time between the beginnings of two watches of a kind, but for the
+// first few.
+func (w *Watcher) pace() time.Duration {
+	if w.Processes == nil {
+		return watchEvery
+	}
+	return min(max(watchEvery, time.Duration(w.Processes())*fleetWatch), slowestWatch)
+}
+
 // note records whether the store answers, and logs each loss and return once.
 func (w *Watcher) note(kind string, err error) {
 	w.mu.Lock()
