--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -21,6 +21,7 @@
 	"limpetwall/internal/coordination/gateway"
 	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/lease"
+	"limpetwall/internal/coordination/notice"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
@@ -175,8 +176,12 @@
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
 	p.clients = ingress.New(p.gateway)
-	p.run(watcher.Run)
 	director := p.director(state, store)
+	if sharer := p.shareWork(self, store); sharer != nil {
+		watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
+		p.shareNotices(sharer, director)
+	}
+	p.run(watcher.Run)
 	p.gateway.Leads = director.Leads
 	p.gateway.Doubts = ring.New[string](gateway.DoubtsHeld)
 	p.gateway.AskWeights = func(ctx context.Context, i discovery.Instance) (gateway.OwnWord, error) {
@@ -191,28 +196,45 @@
 	p.run(p.gateway.SyncDuty)
 	p.run(keeper.Run)
 	p.run(p.gateway.CleanDuty)
-	p.shareWork(self, store)
 	p.serveMetrics(registry)
 	return p
 }
 
 // shareWork tells the other gateways what this one has underway, and hears of theirs.
-// A gateway that can't do so serves by what endpoints say alone.
-func (p *gatewayProcess) shareWork(self fleet.Member, store *platform.Store) {
+// A gateway that can't do so serves by what endpoints say alone; nil is returned then.
+func (p *gatewayProcess) shareWork(self fleet.Member, store *platform.Store) *workshare.Sharer {
 	if p.settings.Platform.Peers == "" {
-		return
+		return nil
 	}
 	address := netip.MustParseAddrPort(p.settings.Platform.Peers)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		p.log.Error("work is not shared with other gateways", zap.Error(err))
-		return
+		return nil
 	}
 	sharer := &workshare.Sharer{
 		Conn: conn, Address: address, Domain: self.Domain, Incarnation: self.Incarnation,
 		Directory: p.gateway.Directory, Registry: store, Log: p.log,
 	}
 	p.run(sharer.Run)
+	return sharer
+}
+
+// shareNotices has the director tell the other gateways what it writes to the rollout lease,
+// and hear what they write. Without, all look at the lease themselves.
+func (p *gatewayProcess) shareNotices(sharer *workshare.Sharer, director *rollout.Director) {
+	if p.settings.Platform.Notices == "" {
+		return
+	}
+	address := netip.MustParseAddrPort(p.settings.Platform.Notices)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		p.log.Error("the rollout lease is not told to other gateways", zap.Error(err))
+		return
+	}
+	caster := &notice.Caster{Conn: conn, Hosts: sharer.Hosts, Port: address.Port(), Take: director.Lease.Told, Log: p.log}
+	director.Notices = caster
+	p.run(caster.Run)
 }
 
 // rolloutLease is the key of the lease under which engines are ordered.
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -79,6 +79,11 @@
 	takeover  bool
 	takenAt   time.Time
 	takenNote json.RawMessage
+	// written is the value of this process's last write that won.
+	written []byte
+	// toldAt is when the holder itself last told of a renewal, news has an item then.
+	toldAt time.Time
+	news   chan struct{}
 }
 
 // New returns a lease that is not held.
@@ -89,7 +94,7 @@
 	if cfg.Act == 0 {
 		cfg.Act = cfg.renewable()
 	}
-	return &Lease{cfg: cfg, api: api}
+	return &Lease{cfg: cfg, api: api, news: make(chan struct{}, 1)}
 }
 
 // SetNote leaves a note for the others, JSON, with the next renewal.
@@ -117,6 +122,46 @@
 	return l.other.Note
 }
 
+// Written is this process's last write that won: the object's version after it, and its
+// value.
+func (l *Lease) Written() (version int64, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.version, l.written
+}
+
+// Told takes in what the holder says that it has written, as if it had been read from the
+// store. Versions grow, so a word that was delayed or repeated changes nothing; a late one
+// only lets the lease lapse later before this process's eyes.
+func (l *Lease) Told(version int64, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version <= l.seen || version <= l.version {
+		return
+	}
+	c := decodeContent(value)
+	if c.Holder == l.cfg.Holder {
+		return
+	}
+	now := l.cfg.Now()
+	l.fence = 0
+	l.other, l.seen, l.seenAt, l.toldAt = c, version, now, now
+	select {
+	case l.news <- struct{}{}:
+	default:
+	}
+}
+
+// ToldAt is when the holder last told of a renewal, the zero time if it never did.
+func (l *Lease) ToldAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.toldAt
+}
+
+// News has an item when the holder has told of a renewal.
+func (l *Lease) News() <-chan struct{} { return l.news }
+
 // Taken tells when this process took the lease over from another holder, and the
 // note that the other had left last; the zero time if it did not. What the other
 // sent just before may still be on its way then.
@@ -184,7 +229,7 @@
 		}
 		return err
 	}
-	l.version, l.renewed = o.Version, began
+	l.version, l.renewed, l.written = o.Version, began, value
 	return nil
 }
 
@@ -213,7 +258,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fence, l.version, l.renewed = uint64(o.Version), o.Version, began
+	l.fence, l.version, l.renewed, l.written = uint64(o.Version), o.Version, began, value
 	l.seen, l.seenAt = o.Version, began
 	if l.takeover {
 		l.takenAt, l.takeover = began, false
@@ -233,18 +278,27 @@
 // is from its earlier life, or from a write whose answer was lost: nobody else can
 // act under it, so it is taken again at once, under a higher number.
 func (l *Lease) read(o objectapi.Object) content {
-	var c content
-	// A value that does not decode is from an older release; its holder counts as
-	// another.
-	if err := json.Unmarshal(o.Value, &c); err != nil {
-		c = content{Holder: string(o.Value)}
-	}
+	c := decodeContent(o.Value)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.Holder != l.cfg.Holder {
+		// Another holds it now: its note is the one to follow.
+		l.fence = 0
+	}
 	l.other = c
 	return c
 }
 
+// decodeContent reads an object's value. One that does not decode is from an older
+// release; its holder counts as another.
+func decodeContent(value []byte) content {
+	var c content
+	if err := json.Unmarshal(value, &c); err != nil {
+		return content{Holder: string(value)}
+	}
+	return c
+}
+
 // lapsed tells whether the object has stayed at a version for a whole term before
 // this process's eyes. A lease that never existed has lapsed.
 func (l *Lease) lapsed(version int64, now time.Time) bool {
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -163,3 +163,43 @@
 		}
 	})
 }
+
+// TestToldOfRenewals has a candidate hear of renewals from the holder instead of the store.
+//
+// What it is told counts as seen: the lease lapses a whole term after the last word, not
+// after its last look, and a word that was delayed or comes twice does not put that off. A
+// process that believes to hold the lease gives it up when it is told of a later holder.
+func TestToldOfRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		a, b := open(store, "a"), open(store, "b")
+		a.Step(t.Context())
+		b.Step(t.Context())
+		first, firstValue := a.Written()
+		time.Sleep(term / 2)
+		a.SetNote([]byte(`"later"`))
+		a.Step(t.Context())
+		b.Told(a.Written())
+		if note := string(b.OthersNote()); note != `"later"` {
+			t.Errorf("note %q", note)
+		}
+		time.Sleep(term - time.Millisecond)
+		b.Told(first, firstValue)
+		b.Told(a.Written())
+		if b.Step(t.Context()); b.Held(time.Now()) {
+			t.Error("taken over within a term of the last word")
+		}
+		time.Sleep(time.Millisecond)
+		b.SetNote([]byte(`"of b"`))
+		if err := b.Step(t.Context()); err != nil {
+			t.Errorf("not taken over a term after the last word: %v", err)
+		}
+		if _, held := holds(b); !held {
+			t.Error("not held")
+		}
+		a.Told(b.Written())
+		if note := string(a.OthersNote()); a.Held(time.Now()) || note != `"of b"` {
+			t.Error("the old holder does not follow the new one")
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/notice/notice.go
@@ -0,0 +1,136 @@
+// Package notice carries what the holder of a lease has written to the platform's store
+// to the processes that would otherwise read it there. Where a hundred processes looked
+// four times a second while engines load weights, their looks were half of all calls to
+// the store; a datagram is there sooner and costs the store nothing. A lost one is
+// followed by the next, and who hears nothing reads the store: nothing that must hold
+// rests on notices.
+package notice
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"limpetwall/internal/protocol/wire"
+)
+
+const (
+	// maxNotice bounds a datagram, in bytes: it should travel in one packet. Deflated, it
+	// holds the ids of about 140 engines.
+	maxNotice = 1400
+	// maxValue bounds what a notice may inflate to, in bytes.
+	maxValue = 64 << 10
+)
+
+// errTooLarge tells that a value does not fit a notice.
+const errTooLarge = errors.ConstError("value does not fit a datagram")
+
+// Caster sends notices to the other processes and receives theirs. Its fields are set
+// before Run.
+type Caster struct {
+	// Conn sends and receives.
+	Conn net.PacketConn
+	// Hosts lists the addresses of the other processes, who listen on the same port.
+	Hosts func() []netip.Addr
+	Port  uint16
+	// Take is called with each notice received.
+	Take func(version int64, value []byte)
+	Log  *zap.Logger
+
+	mu sync.Mutex
+	// sent is the version last sent.
+	sent int64
+}
+
+// Announce sends a version of the lease's object to all others, once.
+func (c *Caster) Announce(version int64, value []byte) {
+	c.mu.Lock()
+	known := version <= c.sent
+	c.sent = max(c.sent, version)
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	data, err := encode(version, value)
+	if err != nil {
+		c.Log.Warn("lease notice is not sent", zap.Int64("version", version), zap.Int("bytes", len(value)), zap.Error(err))
+		return
+	}
+	hosts := c.Hosts()
+	failed := 0
+	for _, host := range hosts {
+		if _, err := c.Conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, c.Port))); err != nil {
+			failed++
+		}
+	}
+	c.Log.Debug("lease notice", zap.Int64("version", version), zap.Int("hosts", len(hosts)), zap.Int("not_sent", failed))
+}
+
+// Run takes in notices until ctx ends, and closes Conn.
+func (c *Caster) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	defer stop()
+	c.receive()
+}
+
+func (c *Caster) receive() {
+	buffer := make([]byte, maxNotice)
+	for {
+		n, from, err := c.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Such as another host saying that nobody listens there.
+			continue
+		}
+		version, value, err := decode(buffer[:n])
+		if err != nil {
+			c.Log.Warn("lease notice does not decode", zap.Stringer("from", from), zap.Int("bytes", n), zap.Error(err))
+			continue
+		}
+		c.Take(version, value)
+	}
+}
+
+func encode(version int64, value []byte) ([]byte, error) {
+	var deflated bytes.Buffer
+	w, err := flate.NewWriter(&deflated, flate.DefaultCompression)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, err := w.Write(value); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	data, err := proto.Marshal(&wire.LeaseNotice{Version: version, Value: deflated.Bytes()})
+	if err == nil && len(data) > maxNotice {
+		err = errTooLarge
+	}
+	return data, errors.Trace(err)
+}
+
+func decode(data []byte) (version int64, value []byte, err error) {
+	var m wire.LeaseNotice
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return 0, nil, errors.Trace(err)
+	}
+	if m.GetVersion() <= 0 {
+		return 0, nil, errors.Errorf("version %d is not above 0", m.GetVersion())
+	}
+	value, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.GetValue())), maxValue+1))
+	if err == nil && len(value) > maxValue {
+		err = errTooLarge
+	}
+	return m.GetVersion(), value, errors.Trace(err)
+}
--- /dev/null
+++ b/internal/coordination/notice/notice_test.go
@@ -0,0 +1,121 @@
+package notice
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+type told struct {
+	version int64
+	value   string
+}
+
+// openCaster starts a caster on an address of the loopback network.
+func openCaster(t *testing.T, host string, port uint16, others ...string) (*Caster, chan told) {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(host), port)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := make(chan told, 8)
+	c := &Caster{
+		Conn: conn, Port: conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(), Log: zap.NewNop(),
+		Hosts: func() []netip.Addr {
+			var out []netip.Addr
+			for _, o := range others {
+				out = append(out, netip.MustParseAddr(o))
+			}
+			return out
+		},
+		Take: func(version int64, value []byte) { heard <- told{version, string(value)} },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return c, heard
+}
+
+func next(t *testing.T, heard chan told) told {
+	t.Helper()
+	select {
+	case got := <-heard:
+		return got
+	case <-time.After(5 * time.Second):
+		t.Fatal("no notice came")
+		return told{}
+	}
+}
+
+// TestNoticesReachAllOthers sends two versions, one of them twice; bytes that are no notice
+// come between.
+//
+// Each version comes once: the holder's step is repeated whether or not it wrote anew. What
+// does not decode changes nothing, whoever sends it.
+func TestNoticesReachAllOthers(t *testing.T) {
+	a, _ := openCaster(t, "127.0.0.41", 0, "127.0.0.42", "127.0.0.43")
+	_, heardB := openCaster(t, "127.0.0.42", a.Port)
+	_, heardC := openCaster(t, "127.0.0.43", a.Port)
+	a.Announce(7, []byte(`{"holder":"a"}`))
+	a.Announce(7, []byte(`{"holder":"a"}`))
+	for _, host := range a.Hosts() {
+		a.Conn.WriteTo([]byte("\xff\xffnot a notice"), net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, a.Port)))
+	}
+	a.Announce(8, []byte(`{"holder":"a","sequence":2}`))
+	for _, heard := range []chan told{heardB, heardC} {
+		if got := next(t, heard); got != (told{7, `{"holder":"a"}`}) {
+			t.Errorf("first notice %+v", got)
+		}
+		if got := next(t, heard); got != (told{8, `{"holder":"a","sequence":2}`}) {
+			t.Errorf("second notice %+v", got)
+		}
+	}
+}
+
+// TestNoticeIsBounded encodes values that do not fit, and decodes one that inflates to more
+// than any value has: a notice must not take a process's memory.
+func TestNoticeIsBounded(t *testing.T) {
+	random := make([]byte, maxNotice)
+	rand.Read(random)
+	if _, err := encode(1, []byte(hex.EncodeToString(random))); err == nil {
+		t.Error("a value that does not fit was encoded")
+	}
+	data, err := encode(1, bytes.Repeat([]byte("a"), maxValue+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := decode(data); err == nil {
+		t.Error("a notice that inflates beyond the bound was decoded")
+	}
+	if _, _, err := decode(nil); err == nil {
+		t.Error("a notice without a version was decoded")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := encode(3, []byte(`{"holder":"a"}`))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		version, value, err := decode(data)
+		if err == nil && (version <= 0 || len(value) > maxValue) {
+			t.Errorf("version %d with %d bytes", version, len(value))
+		}
+	})
+}
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sort"
 	"strconv"
 	"time"
@@ -59,6 +60,11 @@
 	Order(ctx context.Context, i discovery.Instance, o WeightsOrder) error
 }
 
+// Announcer tells the other processes what this one has written to the lease.
+type Announcer interface {
+	Announce(version int64, value []byte)
+}
+
 // Director brings engines to the weights that operators name, by orders of its
 // own, while this process holds the lease. All processes run one.
 type Director struct {
@@ -74,6 +80,10 @@
 	Within time.Duration
 	// Now is a clock that goes on while the host is suspended.
 	Now func() time.Time
+	// Notices, if set, tells the followers of each renewal; see informed.
+	Notices Announcer
+	// Fleet, if set, counts the processes that look at the lease.
+	Fleet func() int
 
 	// lastOrder is when this process last sent an order; announced tells that the
 	// lease's note says so.
@@ -112,6 +122,17 @@
 	// busyLook is how often the holder decides while engines are to be ordered, and
 	// the others read which of them load.
 	busyLook = 250 * time.Millisecond
+	// fleetLook is the mean time between two looks of all followers together while engines
+	// are to be ordered and the holder tells them nothing: a hundred that looked every
+	// busyLook made 400 calls a second.
+	fleetLook = 10 * time.Millisecond
+	// slowestLook bounds a follower's pause for it: to take over it must have seen the lease
+	// unchanged for a term.
+	slowestLook = time.Second
+	// toldBusy and toldIdle are how long a follower goes by what the holder told it last,
+	// while engines are to be ordered and else: five notices, and two, that may be lost.
+	toldBusy = 5 * busyLook
+	toldIdle = 2*idleLook + idleLook/2
 	// engineTimeout bounds one report or order.
 	engineTimeout = 500 * time.Millisecond
 	// loadGivenUp is when an accepted order is looked at as lost, and silentGivenUp
@@ -143,6 +164,7 @@
 		select {
 		case <-timer.C:
 		case <-d.State.NamedChanged():
+		case <-d.Lease.News():
 		case <-ctx.Done():
 			timer.Stop()
 			return
@@ -156,15 +178,47 @@
 }
 
 func (d *Director) untilNextLook(held bool) time.Duration {
+	pending := d.pending()
 	switch {
-	case d.pending():
+	case held && pending:
 		return busyLook
 	case held:
 		return idleLook
 	}
+	if left := d.informed(pending); left > 0 {
+		// Followers that all miss a notice should not all look at the same moment.
+		return left + rand.N(idleLook)
+	}
+	if pending {
+		return d.pendingLook()
+	}
 	return followerLook
 }
 
+// pendingLook is a follower's pause between looks while engines are to be ordered.
+func (d *Director) pendingLook() time.Duration {
+	if d.Fleet == nil {
+		return busyLook
+	}
+	return min(max(busyLook, time.Duration(d.Fleet())*fleetLook), slowestLook)
+}
+
+// informed is how much longer a follower may go by the holder's notices instead of looking
+// at the lease. In half a minute with two rollouts a hundred followers' looks were 10,000 of
+// 22,000 calls to the store. A holder that dies or is cut off falls silent, and the followers
+// look again before its term is over: nobody takes over later for the notices.
+func (d *Director) informed(pending bool) time.Duration {
+	told := d.Lease.ToldAt()
+	if told.IsZero() {
+		return 0
+	}
+	trusted := toldIdle
+	if pending {
+		trusted = toldBusy
+	}
+	return trusted - d.Now().Sub(told)
+}
+
 // Leads tells whether this process holds the lease.
 func (d *Director) Leads() bool { return d.Lease.Held(d.Now()) }
 
@@ -192,6 +246,11 @@
 
 func (d *Director) step(ctx context.Context, held bool) bool {
 	d.State.RetireOutdated()
+	if !held && d.informed(d.pending()) > 0 {
+		d.adopt()
+		d.follow(true)
+		return false
+	}
 	ordering := d.pending() || d.Now().Sub(d.lastOrder) < d.Handover
 	d.writeNote(ordering)
 	err := d.Lease.Step(ctx)
@@ -207,6 +266,7 @@
 	}
 	if err == nil {
 		d.announced = ordering
+		d.tell()
 	}
 	if !d.announced || d.handingOver() {
 		return true
@@ -217,6 +277,13 @@
 	return true
 }
 
+// tell passes on what was just written to the lease.
+func (d *Director) tell() {
+	if d.Notices != nil {
+		d.Notices.Announce(d.Lease.Written())
+	}
+}
+
 // handingOver tells whether orders of the holder before may be too near. A holder
 // says in its note that it is about to order before it does: one that has not said
 // so has ordered nothing for long.
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -130,6 +130,19 @@
 	return n
 }
 
+// loadingNow counts the engines that carry out an order.
+func (f *fakeEngines) loadingNow() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		if e.busy {
+			n++
+		}
+	}
+	return n
+}
+
 // given lists the orders so far.
 func (f *fakeEngines) given() []givenOrder {
 	f.mu.Lock()
@@ -150,6 +163,8 @@
 	mu   sync.Mutex
 	wait chan struct{}
 	away bool
+	// gets counts reads.
+	gets int
 }
 
 // cut makes the store answer nothing, without stopping the process.
@@ -186,6 +201,9 @@
 }
 
 func (f *frozen) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	f.mu.Lock()
+	f.gets++
+	f.mu.Unlock()
 	if err := f.pass(ctx); err != nil {
 		return objectapi.Object{}, err
 	}
@@ -219,6 +237,11 @@
 
 // direct starts n processes over the same store and engines.
 func direct(t *testing.T, engines *fakeEngines, n int) []*member {
+	return directTold(t, engines, n, nil)
+}
+
+// directTold does so with holders that tell the others over a network.
+func directTold(t *testing.T, engines *fakeEngines, n int, between *network) []*member {
 	store := standin.New()
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
@@ -239,6 +262,9 @@
 			State: m.state, Lease: m.lease, Engines: engines, Log: zap.NewNop(), Holder: holder, Handover: act,
 			Within: 10 * time.Second, Now: time.Now,
 		}
+		if between != nil {
+			d.Notices, d.Fleet = between.join(m), func() int { return n }
+		}
 		done.Go(func() { d.Run(ctx) })
 		out = append(out, m)
 	}
--- a/internal/coordination/workshare/sharer.go
+++ b/internal/coordination/workshare/sharer.go
@@ -91,7 +91,9 @@
 
 // Run exchanges reports until ctx ends, and then says that this process leaves.
 func (s *Sharer) Run(ctx context.Context) {
+	s.mu.Lock()
 	s.peers, s.silent = map[netip.AddrPort]*peer{}, map[netip.AddrPort]bool{}
+	s.mu.Unlock()
 	var duties sync.WaitGroup
 	duties.Go(s.receive)
 	duties.Go(func() { s.register(ctx) })
@@ -110,6 +112,24 @@
 	duties.Wait()
 }
 
+// Hosts lists the hosts of the other processes that are known, of all failure domains.
+func (s *Sharer) Hosts() []netip.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]netip.Addr, 0, len(s.peers))
+	for address := range s.peers {
+		out = append(out, address.Addr())
+	}
+	return out
+}
+
+// Processes counts the known processes, this one included.
+func (s *Sharer) Processes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers) + 1
+}
+
 // report sends what is underway to the next peers in turn.
 func (s *Sharer) report(leaving bool, most int) {
 	targets := s.targets(most)
