--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 
+	"limpetwall/internal/coordination/contentshare"
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/gateway"
 	"limpetwall/internal/coordination/kept"
@@ -29,6 +30,7 @@
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/bootclock"
+	"limpetwall/internal/transport/datagram"
 	"limpetwall/internal/transport/exposition"
 	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/logging"
@@ -147,7 +149,7 @@
 	registry := metrics.NewRegistry()
 	storeClient := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	keeper := kept.New(platform.NewContextStores(&http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}), log, self.Domain, bootclock.Now)
-	keeper.Self = s.Platform.Clients
+	keeper.Self = hostOf(s.Platform.Clients)
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
 		p.clients.SetLimits(t.Limits)
 		keeper.SetStores(t.Services)
@@ -180,6 +182,7 @@
 	if sharer := p.shareWork(self, store); sharer != nil {
 		watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
 		p.shareNotices(sharer, director)
+		p.shareContents(sharer, keeper)
 	}
 	p.run(watcher.Run)
 	p.gateway.Leads = director.Leads
@@ -226,17 +229,41 @@
 	if p.settings.Platform.Notices == "" {
 		return
 	}
-	address := netip.MustParseAddrPort(p.settings.Platform.Notices)
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Notices))
 	if err != nil {
 		p.log.Error("the rollout lease is not told to other gateways", zap.Error(err))
 		return
 	}
-	caster := &notice.Caster{Conn: conn, Hosts: sharer.Hosts, Port: address.Port(), Take: director.Lease.Told, Log: p.log}
+	caster := &notice.Caster{Group: group, Hosts: sharer.Hosts, Take: director.Lease.Told, Log: p.log}
 	director.Notices = caster
 	p.run(caster.Run)
 }
 
+// shareContents has the gateways of the failure domain share the following of stores and
+// engines. Without, each follows all.
+func (p *gatewayProcess) shareContents(sharer *workshare.Sharer, keeper *kept.Keeper) {
+	if p.settings.Platform.Contents == "" {
+		return
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Contents))
+	if err != nil {
+		p.log.Error("what stores hold is not told to other gateways", zap.Error(err))
+		return
+	}
+	keeper.Peers = func() []string {
+		var names []string
+		for _, host := range sharer.NearHosts() {
+			names = append(names, host.String())
+		}
+		return names
+	}
+	contents := &contentshare.Sharer{Group: group, Hosts: sharer.NearHosts, Contents: keeper, Log: p.log}
+	p.run(contents.Run)
+}
+
+// hostOf is the host of an address that has been checked.
+func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
+
 // rolloutLease is the key of the lease under which engines are ordered.
 const rolloutLease = "lease.rollout"
 
--- /dev/null
+++ b/internal/coordination/contentshare/format.go
@@ -0,0 +1,143 @@
+package contentshare
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"limpetwall/internal/coordination/kept"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/transport/datagram"
+)
+
+// Bytes that the parts of a message take at most, besides their texts: two indices, tokens,
+// a number and the fields' own keys.
+const (
+	reportBytes = 40
+	changeBytes = 24
+	textBytes   = 3
+)
+
+// errReport tells that a message does not say what a report says.
+const errReport = errors.ConstError("not a report of contents")
+
+// message is one datagram in the making.
+type message struct {
+	wire.ContentReport
+	size int
+}
+
+// encode packs reports into as few messages as hold them. A report is divided where a
+// message is full.
+func encode(reports []kept.Report) ([][]byte, error) {
+	var out [][]byte
+	m := &message{}
+	flush := func() error {
+		data, err := proto.Marshal(&m.ContentReport)
+		if err == nil && len(m.Contents) > 0 {
+			out = append(out, data)
+		}
+		m = &message{}
+		return errors.Trace(err)
+	}
+	for _, r := range reports {
+		if !m.begin(r) {
+			if err := flush(); err != nil {
+				return out, err
+			}
+			m.begin(r)
+		}
+		for _, c := range r.Changes {
+			if m.add(r, c) {
+				continue
+			}
+			if err := flush(); err != nil {
+				return out, err
+			}
+			m.begin(r)
+			m.add(r, c)
+		}
+	}
+	return out, flush()
+}
+
+// begin starts a report; false if the message has no room for it.
+func (m *message) begin(r kept.Report) bool {
+	size := reportBytes + len(r.Address)
+	if m.size+size > datagram.MaxSize {
+		return false
+	}
+	m.size += size
+	m.Contents = append(m.Contents, &wire.Contents{Address: r.Address, Epoch: r.Epoch, AsOfMs: r.AsOf, Next: r.Next})
+	return true
+}
+
+// add adds a change to the report that was begun last; false if there is no room for it.
+func (m *message) add(r kept.Report, c kept.Change) bool {
+	size := changeBytes + len(c.Part.ID)
+	salt, model := slices.Index(m.Salts, c.Part.Salt), slices.Index(m.Models, c.Model)
+	if salt < 0 {
+		size += textBytes + len(c.Part.Salt)
+	}
+	if model < 0 {
+		size += textBytes + len(c.Model)
+	}
+	if m.size+size > datagram.MaxSize {
+		return false
+	}
+	if salt < 0 {
+		salt, m.Salts = len(m.Salts), append(m.Salts, c.Part.Salt)
+	}
+	if model < 0 {
+		model, m.Models = len(m.Models), append(m.Models, c.Model)
+	}
+	m.size += size
+	tokens := c.Tokens
+	if !c.Added {
+		tokens = 0
+	}
+	last := m.Contents[len(m.Contents)-1]
+	last.Changes = append(last.Changes, &wire.ContentChange{
+		Salt: uint32(salt), Model: uint32(model), Id: c.Part.ID, Tokens: uint32(max(0, tokens)), BeforeNext: uint64(max(0, r.Next-c.Number)),
+	})
+	return true
+}
+
+func decode(data []byte) ([]kept.Report, error) {
+	var m wire.ContentReport
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, errors.Trace(err)
+	}
+	out := make([]kept.Report, 0, len(m.GetContents()))
+	for i, contents := range m.GetContents() {
+		r, err := decodeContents(&m, contents)
+		if err != nil {
+			return nil, errors.Annotatef(err, "contents %d", i)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func decodeContents(m *wire.ContentReport, contents *wire.Contents) (kept.Report, error) {
+	r := kept.Report{Address: contents.GetAddress(), Epoch: contents.GetEpoch(), AsOf: contents.GetAsOfMs(), Next: contents.GetNext()}
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return r, errors.WithType(err, errReport)
+	}
+	if r.AsOf < 0 || r.Next < 0 {
+		return r, errors.Annotatef(errReport, "as of %d, next %d", r.AsOf, r.Next)
+	}
+	for i, c := range contents.GetChanges() {
+		if int(c.GetSalt()) >= len(m.GetSalts()) || int(c.GetModel()) >= len(m.GetModels()) || c.GetId() == "" || c.GetBeforeNext() > uint64(r.Next) {
+			return r, errors.Annotatef(errReport, "change %d", i)
+		}
+		r.Changes = append(r.Changes, kept.Change{
+			Number: r.Next - int64(c.GetBeforeNext()), Added: c.GetTokens() > 0,
+			Part: kept.PartKey{Salt: m.GetSalts()[c.GetSalt()], ID: c.GetId()},
+			Held: kept.Held{Tokens: int(c.GetTokens()), Model: m.GetModels()[c.GetModel()]},
+		})
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/coordination/contentshare/format_test.go
@@ -0,0 +1,122 @@
+package contentshare
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"limpetwall/internal/coordination/kept"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/transport/datagram"
+)
+
+// manyReports are of some stores, with more changes than one datagram holds.
+func manyReports() []kept.Report {
+	var out []kept.Report
+	for i := range 5 {
+		r := kept.Report{Address: fmt.Sprintf("10.0.0.%d:8080", i), Epoch: int64(1000 + i), AsOf: 1_700_000_000_000 + int64(i), Next: 900}
+		for n := range 60 {
+			c := kept.Change{Number: int64(800 + n), Added: n%3 != 0, Part: kept.PartKey{Salt: fmt.Sprint("salt.", n%2), ID: fmt.Sprintf("%08x", n)}, Held: kept.Held{Model: "m"}}
+			if c.Added {
+				c.Tokens = 100 * n
+			}
+			r.Changes = append(r.Changes, c)
+		}
+		out = append(out, r)
+	}
+	return append(out, kept.Report{Address: "10.0.0.9:8080", Epoch: 1, Next: 1})
+}
+
+// TestReportsAreDivided encodes more than a datagram holds: each fits, and together they say
+// the same, also of a store that has no change.
+func TestReportsAreDivided(t *testing.T) {
+	want := manyReports()
+	messages, err := encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	joined := map[string]kept.Report{}
+	for _, data := range messages {
+		if len(data) > datagram.MaxSize {
+			t.Errorf("%d bytes in a datagram", len(data))
+		}
+		got, err := decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range got {
+			r.Changes = append(joined[r.Address].Changes, r.Changes...)
+			joined[r.Address] = r
+		}
+	}
+	if len(messages) < 5 {
+		t.Errorf("%d datagrams", len(messages))
+	}
+	for _, r := range want {
+		if !reflect.DeepEqual(joined[r.Address], r) {
+			t.Errorf("%s: %+v, not %+v", r.Address, joined[r.Address], r)
+		}
+	}
+}
+
+// TestReportsThatSayNothing refuses what no process would tell.
+func TestReportsThatSayNothing(t *testing.T) {
+	good := func() *wire.ContentReport {
+		return &wire.ContentReport{Salts: []string{"s"}, Models: []string{"m"}, Contents: []*wire.Contents{{
+			Address: "10.0.0.1:1", Next: 5, Changes: []*wire.ContentChange{{Id: "p", Tokens: 1, BeforeNext: 1}},
+		}}}
+	}
+	rows := map[string]func(*wire.ContentReport){
+		"no address":            func(m *wire.ContentReport) { m.Contents[0].Address = "store" },
+		"a number below 0":      func(m *wire.ContentReport) { m.Contents[0].Next = -1 },
+		"a time below 0":        func(m *wire.ContentReport) { m.Contents[0].AsOfMs = -1 },
+		"a salt that is not":    func(m *wire.ContentReport) { m.Contents[0].Changes[0].Salt = 1 },
+		"a model that is not":   func(m *wire.ContentReport) { m.Contents[0].Changes[0].Model = 9 },
+		"a part without id":     func(m *wire.ContentReport) { m.Contents[0].Changes[0].Id = "" },
+		"an event before any":   func(m *wire.ContentReport) { m.Contents[0].Changes[0].BeforeNext = 6 },
+		"an event far before 0": func(m *wire.ContentReport) { m.Contents[0].Changes[0].BeforeNext = 1 << 63 },
+	}
+	for name, spoil := range rows {
+		m := good()
+		spoil(m)
+		data, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, err := decode(data); err == nil {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	data, err := proto.Marshal(good())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decode(data); err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	messages, err := encode(manyReports())
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, data := range messages {
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reports, err := decode(data)
+		if err != nil {
+			return
+		}
+		for _, r := range reports {
+			for _, c := range r.Changes {
+				if c.Number < 0 || c.Number > r.Next || c.Tokens < 0 || c.Part.ID == "" {
+					t.Errorf("%+v", c)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/contentshare/sharer.go
@@ -0,0 +1,70 @@
+package contentshare
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/kept"
+	"limpetwall/internal/transport/datagram"
+	"limpetwall/internal/transport/pause"
+)
+
+// tellEvery is the time between two rounds of reports: what a store holds must be fresh
+// within a second, and one of its followers' calls waits 0.3 s of that.
+const tellEvery = 200 * time.Millisecond
+
+// Contents knows what stores and engines hold.
+type Contents interface {
+	// Outgoing takes what is to be told now.
+	Outgoing() []kept.Report
+	TakeReport(kept.Report)
+}
+
+// Sharer exchanges reports. Its fields are set before Run.
+type Sharer struct {
+	Group *datagram.Group
+	// Hosts lists the other processes of the failure domain.
+	Hosts    func() []netip.Addr
+	Contents Contents
+	Log      *zap.Logger
+}
+
+// Run exchanges reports until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { s.Group.Receive(ctx, s.take) })
+	for pause.For(ctx, tellEvery) {
+		s.tell()
+	}
+	duties.Wait()
+}
+
+func (s *Sharer) tell() {
+	hosts := s.Hosts()
+	if len(hosts) == 0 {
+		return
+	}
+	messages, err := encode(s.Contents.Outgoing())
+	if err != nil {
+		s.Log.Error("content report", zap.Error(err))
+	}
+	for _, data := range messages {
+		s.Group.Send(data, hosts)
+	}
+}
+
+func (s *Sharer) take(data []byte, from net.Addr) {
+	reports, err := decode(data)
+	if err != nil {
+		s.Log.Warn("content report does not decode", zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	for _, r := range reports {
+		s.Contents.TakeReport(r)
+	}
+}
--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
@@ -72,6 +72,8 @@
 	for address, e := range engines {
 		if k.engines[address] == nil {
 			k.engines[address] = newStore(routes.Store{Address: address, Domain: e.Domain, LinkBytesPerSecond: e.LinkBytesPerSecond})
+			// Engines are not listed.
+			k.engines[address].listed = true
 			k.wake()
 		}
 		k.tokenBytes = max(k.tokenBytes, e.TokenBytes)
@@ -84,18 +86,22 @@
 	}
 }
 
-// firstEvent is the number from which a new engine's events are followed.
-func (k *Keeper) firstEvent() int64 {
+// firstEvent is the number from which an engine's events are followed: where others have
+// told of it, the next one.
+func (k *Keeper) firstEvent(address string) int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if e := k.engines[address]; e != nil && e.known && e.next > 0 {
+		return e.next
+	}
 	if len(k.engines) > smallFleet {
 		return fromNow
 	}
 	return 0
 }
 
-// followedEngines lists the engines whose memory is followed; k.mu is held.
-func (k *Keeper) followedEngines() []string {
+// followedEngines lists the engines whose memory this process follows itself; k.mu is held.
+func (k *Keeper) followedEngines(now time.Time) []string {
 	var near, all []string
 	for address, e := range k.engines {
 		all = append(all, address)
@@ -109,8 +115,14 @@
 	if len(near) == 0 {
 		near = all
 	}
+	near = slices.DeleteFunc(near, func(address string) bool {
+		return !k.follows(address, k.engines[address], engineUntold, now)
+	})
 	if len(near) > mostFollowed {
 		sort.Slice(near, func(a, b int) bool { return k.followRank(near[a]) < k.followRank(near[b]) })
+		for _, address := range near[mostFollowed:] {
+			delete(k.telling, address)
+		}
 		near = near[:mostFollowed]
 	}
 	return near
@@ -118,9 +130,7 @@
 
 // followRank orders engines differently in each process, and nearly the same when some
 // come or go.
-func (k *Keeper) followRank(address string) uint64 {
-	return xxhash.Sum64String(k.Self + "\x00" + address)
-}
+func (k *Keeper) followRank(address string) uint64 { return rank(k.Self, address) }
 
 // resident lists the engines that keep the beginning of a prompt; k.mu is held.
 func (k *Keeper) resident(salt string, parts []Part, now time.Time) []Resident {
@@ -173,7 +183,7 @@
 // followEngine follows an engine's events from the oldest it still has. It is
 // never listed: that would stall its work.
 func (k *Keeper) followEngine(ctx context.Context, address string) {
-	next := k.firstEvent()
+	next := k.firstEvent(address)
 	if !pause.For(ctx, time.Duration(rand.Int64N(int64(startSpread)))) {
 		return
 	}
@@ -187,6 +197,10 @@
 			k.tellStart(address, events.Born)
 			continue
 		}
+		if ctx.Err() != nil {
+			// Others tell of it from now on.
+			return
+		}
 		p.crowded = p.crowded || errors.Is(err, ErrTooMany)
 		if wait := k.afterFailure(address, err); wait > 0 && !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
 			return
@@ -240,7 +254,7 @@
 	}
 	now := k.Now()
 	if events.ClockMS > 0 {
-		k.clock, k.clockKnown = events.ClockMS-now.UnixMilli(), true
+		k.takeClock(events.ClockMS, now)
 	}
 	if e.epoch != events.Epoch || events.Lost {
 		e.load(Listing{Epoch: events.Epoch, Next: events.Next, Whole: map[PartKey]Held{}}, now)
@@ -249,5 +263,6 @@
 	// After a failed call the events go on where they stopped.
 	e.known = true
 	e.apply(events, now)
+	k.keepUntold(address, e, events.Changes)
 	return e.next
 }
--- a/internal/coordination/kept/keeper.go
+++ b/internal/coordination/kept/keeper.go
@@ -27,8 +27,11 @@
 	Log  *zap.Logger
 	// Domain of this process.
 	Domain string
-	// Self names this process among those that share its domain's engines.
+	// Self names this process among those of its domain.
 	Self string
+	// Peers, if set, lists the others of its domain that tell what they follow, by the names
+	// that they have there; see Outgoing.
+	Peers func() []string
 	// Now is a clock that goes on while the host is suspended.
 	Now func() time.Time
 	// Started, if set, is called when an engine's events tell of a start that they had not
@@ -45,6 +48,11 @@
 	// tokenBytes is the size of a token's context, the largest of all engines'.
 	tokenBytes int
 	changed    chan struct{}
+	// peers as last told; chosen remembers for each address whether they leave it to this
+	// process, telling holds those that it follows for them.
+	peers           []string
+	chosen, telling map[string]bool
+	endpointClock   endpointClock
 }
 
 // New returns a keeper that knows no store.
@@ -90,6 +98,9 @@
 	listTimeout = time.Second
 	// storePause follows a failed call.
 	storePause = 300 * time.Millisecond
+	// reviewEvery is how often a process looks whether it is told of all that it does not
+	// follow.
+	reviewEvery = 200 * time.Millisecond
 )
 
 // Run follows the stores and engines, one duty each, until ctx ends.
@@ -97,6 +108,8 @@
 	var duties sync.WaitGroup
 	defer duties.Wait()
 	running := map[string]context.CancelFunc{}
+	ticker := time.NewTicker(reviewEvery)
+	defer ticker.Stop()
 	for {
 		wanted := k.followers()
 		for address, follow := range wanted {
@@ -114,6 +127,7 @@
 		}
 		select {
 		case <-k.changed:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
@@ -124,12 +138,16 @@
 func (k *Keeper) followers() map[string]func(context.Context, string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := k.Now()
+	k.setPeers()
 	out := map[string]func(context.Context, string){}
-	for _, address := range k.followedEngines() {
+	for _, address := range k.followedEngines(now) {
 		out[address] = k.followEngine
 	}
-	for address := range k.stores {
-		out[address] = k.follow
+	for address, s := range k.stores {
+		if k.follows(address, s, storeUntold, now) {
+			out[address] = k.follow
+		}
 	}
 	return out
 }
@@ -153,18 +171,23 @@
 	}
 }
 
-// followOnce lists a store and follows its events until a call fails.
+// followOnce follows a store's events until a call fails, from a list on if what it holds is
+// not known.
 func (k *Keeper) followOnce(ctx context.Context, address string) error {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	began := k.Now()
-	listing, err := k.Feed.List(call, address)
-	cancel()
-	if err != nil {
-		return err
-	}
-	next, ok := k.takeListing(address, listing, began)
+	next, ok := k.goOn(address)
+	if !ok {
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		began := k.Now()
+		listing, err := k.Feed.List(call, address)
+		cancel()
+		if err != nil {
+			return err
+		}
+		next, ok = k.takeListing(address, listing, began)
+	}
 	p := pace{usual: eventWait}
 	for ok && p.rest(ctx) {
+		p.telling = k.tellsOf(address)
 		call, cancel := context.WithTimeout(ctx, p.wait()+callMargin)
 		began := k.Now()
 		events, err := k.Feed.Events(call, address, next, p.wait())
@@ -182,6 +205,25 @@
 	return nil
 }
 
+// goOn is the number from which a store's events are to be followed, if what it held before
+// is known.
+func (k *Keeper) goOn(address string) (next int64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.stores[address]
+	if s == nil || !s.usable(k.Now()) {
+		return 0, false
+	}
+	return s.next, true
+}
+
+// tellsOf tells whether this process follows an address for its domain.
+func (k *Keeper) tellsOf(address string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.telling[address]
+}
+
 // takeListing records a list as of when it was asked for.
 func (k *Keeper) takeListing(address string, l Listing, asked time.Time) (next int64, ok bool) {
 	k.mu.Lock()
@@ -205,7 +247,7 @@
 	}
 	now := k.Now()
 	if e.ClockMS > 0 {
-		k.clock, k.clockKnown = e.ClockMS-now.UnixMilli(), true
+		k.takeClock(e.ClockMS, now)
 	}
 	// A call that waited was answered at its end: what it says is as of then, less
 	// the way of the answer, which callMargin bounds.
@@ -214,10 +256,17 @@
 		heard = asked
 	}
 	ok = s.apply(e, heard)
+	k.keepUntold(address, s, e.Changes)
 	s.expire(now)
 	return s.next, ok
 }
 
+// takeClock takes in a reading of the endpoints' clock; k.mu is held.
+func (k *Keeper) takeClock(told int64, now time.Time) {
+	k.clock, k.clockKnown = told-now.UnixMilli(), true
+	k.endpointClock.observe(told, now)
+}
+
 // maxFreed bounds one call; a store answers it within its listing's time.
 const maxFreed = 200
 
--- a/internal/coordination/kept/kept_test.go
+++ b/internal/coordination/kept/kept_test.go
@@ -336,7 +336,7 @@
 			engines[fmt.Sprintf("10.0.0.%d:1", i)] = Engine{Domain: string(rune('a' + i%3))}
 		}
 		k.SetEngines(engines)
-		if got, from := len(k.followers()), k.firstEvent(); got != row.want || from != row.from {
+		if got, from := len(k.followers()), k.firstEvent("10.0.0.0:1"); got != row.want || from != row.from {
 			t.Errorf("%d engines: %d followed from %d", row.engines, got, from)
 		}
 	}
--- a/internal/coordination/kept/pace.go
+++ b/internal/coordination/kept/pace.go
@@ -26,13 +26,18 @@
 type pace struct {
 	usual   time.Duration
 	crowded bool
+	// telling tells that other processes are told what is heard.
+	telling bool
 	rounds  int
 }
 
 // wait is how long the next call waits for events.
 func (p *pace) wait() time.Duration {
-	if p.crowded {
+	switch {
+	case p.crowded:
 		return crowdedWait
+	case p.telling:
+		return min(p.usual, tellerWait)
 	}
 	return p.usual
 }
--- a/internal/coordination/kept/store.go
+++ b/internal/coordination/kept/store.go
@@ -25,8 +25,10 @@
 
 // Change is one event of a store.
 type Change struct {
-	Added bool
-	Part  PartKey
+	// Number of the event.
+	Number int64
+	Added  bool
+	Part   PartKey
 	Held
 }
 
@@ -83,6 +85,7 @@
 	// pending saves, with when they were asked for and their tokens.
 	pending       map[PartKey]pendingSave
 	pendingTokens int
+	sharing
 }
 
 type pendingSave struct {
@@ -95,7 +98,8 @@
 }
 
 func (s *store) load(l Listing, now time.Time) {
-	s.known, s.epoch, s.next, s.heard = true, l.Epoch, l.Next, now
+	s.known, s.listed, s.epoch, s.next, s.heard = true, true, l.Epoch, l.Next, now
+	s.untold = nil
 	s.whole = l.Whole
 	s.used, s.reserved = 0, 0
 	for _, h := range l.Whole {
@@ -114,18 +118,22 @@
 	}
 	s.next, s.heard = e.Next, now
 	for _, c := range e.Changes {
-		s.used -= s.whole[c.Part].Tokens
-		if !c.Added || c.Tokens <= 0 {
-			delete(s.whole, c.Part)
-			continue
-		}
-		s.whole[c.Part] = c.Held
-		s.used += c.Tokens
-		s.settle(c.Part)
+		s.change(c)
 	}
 	return true
 }
 
+func (s *store) change(c Change) {
+	s.used -= s.whole[c.Part].Tokens
+	if !c.Added || c.Tokens <= 0 {
+		delete(s.whole, c.Part)
+		return
+	}
+	s.whole[c.Part] = c.Held
+	s.used += c.Tokens
+	s.settle(c.Part)
+}
+
 func (s *store) settle(key PartKey) {
 	if p, ok := s.pending[key]; ok {
 		s.pendingTokens -= p.tokens
@@ -184,13 +192,19 @@
 
 // hasRoom tells whether a part finds room, or has it already by a save underway.
 func (s *store) hasRoom(key PartKey, tokens int, now time.Time) bool {
-	if p, ok := s.pending[key]; ok && now.Sub(p.at) < pendingFor {
+	if s.saving(key, now) {
 		return true
 	}
 	room := int(roomShare*float64(s.config.MemoryTokens)) - s.used - s.reserved - s.pendingTokens
 	return tokens <= room
 }
 
+// saving tells whether a save of a part that this process asked for is underway.
+func (s *store) saving(key PartKey, now time.Time) bool {
+	p, ok := s.pending[key]
+	return ok && now.Sub(p.at) < pendingFor
+}
+
 // expire forgets saves that nobody has heard of for long.
 func (s *store) expire(now time.Time) {
 	for key, p := range s.pending {
--- a/internal/coordination/notice/notice.go
+++ b/internal/coordination/notice/notice.go
@@ -20,15 +20,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/transport/datagram"
 )
 
-const (
-	// maxNotice bounds a datagram, in bytes: it should travel in one packet. Deflated, it
-	// holds the ids of about 140 engines.
-	maxNotice = 1400
-	// maxValue bounds what a notice may inflate to, in bytes.
-	maxValue = 64 << 10
-)
+// maxValue bounds what a notice may inflate to, in bytes. Deflated, the ids of about 140
+// engines fit a datagram.
+const maxValue = 64 << 10
 
 // errTooLarge tells that a value does not fit a notice.
 const errTooLarge = errors.ConstError("value does not fit a datagram")
@@ -36,11 +33,9 @@
 // Caster sends notices to the other processes and receives theirs. Its fields are set
 // before Run.
 type Caster struct {
-	// Conn sends and receives.
-	Conn net.PacketConn
-	// Hosts lists the addresses of the other processes, who listen on the same port.
+	Group *datagram.Group
+	// Hosts lists the other processes.
 	Hosts func() []netip.Addr
-	Port  uint16
 	// Take is called with each notice received.
 	Take func(version int64, value []byte)
 	Log  *zap.Logger
@@ -52,11 +47,7 @@
 
 // Announce sends a version of the lease's object to all others, once.
 func (c *Caster) Announce(version int64, value []byte) {
-	c.mu.Lock()
-	known := version <= c.sent
-	c.sent = max(c.sent, version)
-	c.mu.Unlock()
-	if known {
+	if !c.isNew(version) {
 		return
 	}
 	data, err := encode(version, value)
@@ -65,40 +56,31 @@
 		return
 	}
 	hosts := c.Hosts()
-	failed := 0
-	for _, host := range hosts {
-		if _, err := c.Conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, c.Port))); err != nil {
-			failed++
-		}
-	}
+	failed := c.Group.Send(data, hosts)
 	c.Log.Debug("lease notice", zap.Int64("version", version), zap.Int("hosts", len(hosts)), zap.Int("not_sent", failed))
 }
 
-// Run takes in notices until ctx ends, and closes Conn.
-func (c *Caster) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	defer stop()
-	c.receive()
+// isNew tells whether a version is to be sent; a later call with it says no.
+func (c *Caster) isNew(version int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.sent {
+		return false
+	}
+	c.sent = version
+	return true
 }
 
-func (c *Caster) receive() {
-	buffer := make([]byte, maxNotice)
-	for {
-		n, from, err := c.Conn.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// Such as another host saying that nobody listens there.
-			continue
-		}
-		version, value, err := decode(buffer[:n])
+// Run takes in notices until ctx ends.
+func (c *Caster) Run(ctx context.Context) {
+	c.Group.Receive(ctx, func(data []byte, from net.Addr) {
+		version, value, err := decode(data)
 		if err != nil {
-			c.Log.Warn("lease notice does not decode", zap.Stringer("from", from), zap.Int("bytes", n), zap.Error(err))
-			continue
+			c.Log.Warn("lease notice does not decode", zap.Stringer("from", from), zap.Int("bytes", len(data)), zap.Error(err))
+			return
 		}
 		c.Take(version, value)
-	}
+	})
 }
 
 func encode(version int64, value []byte) ([]byte, error) {
@@ -114,7 +96,7 @@
 		return nil, errors.Trace(err)
 	}
 	data, err := proto.Marshal(&wire.LeaseNotice{Version: version, Value: deflated.Bytes()})
-	if err == nil && len(data) > maxNotice {
+	if err == nil && len(data) > datagram.MaxSize {
 		err = errTooLarge
 	}
 	return data, errors.Trace(err)
--- a/internal/coordination/notice/notice_test.go
+++ b/internal/coordination/notice/notice_test.go
@@ -5,12 +5,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+
+	"limpetwall/internal/transport/datagram"
 )
 
 type told struct {
@@ -21,13 +22,13 @@
 // openCaster starts a caster on an address of the loopback network.
 func openCaster(t *testing.T, host string, port uint16, others ...string) (*Caster, chan told) {
 	t.Helper()
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(host), port)))
+	group, err := datagram.Listen(netip.AddrPortFrom(netip.MustParseAddr(host), port))
 	if err != nil {
 		t.Fatal(err)
 	}
 	heard := make(chan told, 8)
 	c := &Caster{
-		Conn: conn, Port: conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(), Log: zap.NewNop(),
+		Group: group, Log: zap.NewNop(),
 		Hosts: func() []netip.Addr {
 			var out []netip.Addr
 			for _, o := range others {
@@ -68,13 +69,11 @@
 // does not decode changes nothing, whoever sends it.
 func TestNoticesReachAllOthers(t *testing.T) {
 	a, _ := openCaster(t, "127.0.0.41", 0, "127.0.0.42", "127.0.0.43")
-	_, heardB := openCaster(t, "127.0.0.42", a.Port)
-	_, heardC := openCaster(t, "127.0.0.43", a.Port)
+	_, heardB := openCaster(t, "127.0.0.42", a.Group.Port)
+	_, heardC := openCaster(t, "127.0.0.43", a.Group.Port)
 	a.Announce(7, []byte(`{"holder":"a"}`))
 	a.Announce(7, []byte(`{"holder":"a"}`))
-	for _, host := range a.Hosts() {
-		a.Conn.WriteTo([]byte("\xff\xffnot a notice"), net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, a.Port)))
-	}
+	a.Group.Send([]byte("\xff\xffnot a notice"), a.Hosts())
 	a.Announce(8, []byte(`{"holder":"a","sequence":2}`))
 	for _, heard := range []chan told{heardB, heardC} {
 		if got := next(t, heard); got != (told{7, `{"holder":"a"}`}) {
@@ -89,7 +88,7 @@
 // TestNoticeIsBounded encodes values that do not fit, and decodes one that inflates to more
 // than any value has: a notice must not take a process's memory.
 func TestNoticeIsBounded(t *testing.T) {
-	random := make([]byte, maxNotice)
+	random := make([]byte, datagram.MaxSize)
 	rand.Read(random)
 	if _, err := encode(1, []byte(hex.EncodeToString(random))); err == nil {
 		t.Error("a value that does not fit was encoded")
--- a/internal/coordination/workshare/format.go
+++ b/internal/coordination/workshare/format.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// maxReport bounds a datagram, in bytes: it should travel in one packet.
-	maxReport = 1400
 	// maxWork bounds the endpoints in one report; each takes 40 bytes or less. Those with
 	// most to read are named first.
 	maxWork = 32
--- a/internal/coordination/workshare/sharer.go
+++ b/internal/coordination/workshare/sharer.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/transport/datagram"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/pause"
 )
@@ -114,11 +115,22 @@
 
 // Hosts lists the hosts of the other processes that are known, of all failure domains.
 func (s *Sharer) Hosts() []netip.Addr {
+	return s.hosts(func(*peer) bool { return true })
+}
+
+// NearHosts lists those of this process's own failure domain.
+func (s *Sharer) NearHosts() []netip.Addr {
+	return s.hosts(func(p *peer) bool { return p.domain == s.Domain })
+}
+
+func (s *Sharer) hosts(which func(*peer) bool) []netip.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]netip.Addr, 0, len(s.peers))
-	for address := range s.peers {
-		out = append(out, address.Addr())
+	for address, p := range s.peers {
+		if which(p) {
+			out = append(out, address.Addr())
+		}
 	}
 	return out
 }
@@ -191,23 +203,14 @@
 // receive takes in reports until the connection is closed. A sender that the registry
 // has not named yet is a peer from now on.
 func (s *Sharer) receive() {
-	buffer := make([]byte, maxReport)
-	for {
-		n, from, err := s.Conn.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// Such as a peer's host saying that nobody listens there.
-			continue
-		}
-		report, err := decode(buffer[:n])
+	datagram.Each(s.Conn, func(data []byte, from net.Addr) {
+		report, err := decode(data)
 		if err != nil {
 			s.Log.Warn("work report does not decode", zap.Stringer("from", from), zap.Error(err))
-			continue
+			return
 		}
 		s.take(report, from)
-	}
+	})
 }
 
 func (s *Sharer) take(r routing.PeerReport, from net.Addr) {
--- a/internal/coordination/workshare/sharer_test.go
+++ b/internal/coordination/workshare/sharer_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/transport/datagram"
 	"limpetwall/internal/transport/objectapi"
 	objectstandin "limpetwall/internal/transport/objectapi/standin"
 )
@@ -34,17 +35,17 @@
 	net.PacketConn
 	network *network
 	address netip.AddrPort
-	inbox   chan datagram
+	inbox   chan packet
 	closed  chan struct{}
 }
 
-type datagram struct {
+type packet struct {
 	from netip.AddrPort
 	data []byte
 }
 
 func (n *network) open(address netip.AddrPort) *conn {
-	c := &conn{network: n, address: address, inbox: make(chan datagram, 64), closed: make(chan struct{})}
+	c := &conn{network: n, address: address, inbox: make(chan packet, 64), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[address] = c
@@ -63,7 +64,7 @@
 		return len(data), nil
 	}
 	select {
-	case peer.inbox <- datagram{c.address, slices.Clone(data)}:
+	case peer.inbox <- packet{c.address, slices.Clone(data)}:
 	default:
 	}
 	return len(data), nil
@@ -336,7 +337,7 @@
 		r.Work = append(r.Work, w)
 	}
 	data, err := encode(r)
-	if err != nil || len(data) > maxReport {
+	if err != nil || len(data) > datagram.MaxSize {
 		t.Fatalf("%d bytes, %v", len(data), err)
 	}
 	got, err := decode(data)
