--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -39,7 +39,9 @@
 	peers     map[uint64]peer
 	peerWork  map[uint32]*Work
 	heardFrom map[string]int
-	random    *rand.Rand
+	// rates by model.
+	rates  map[string]*rates
+	random *rand.Rand
 }
 
 // NewDirectory returns a directory over a fleet table and a configuration. The
@@ -49,7 +51,7 @@
 		table: table, store: store, index: NewIndex(indexSize),
 		services: map[string][]Endpoint{}, dynamic: map[string]*tracked{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, heardFrom: map[string]int{},
-		random: rand.New(rand.NewPCG(seed, seed)),
+		rates: map[string]*rates{}, random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -109,6 +111,7 @@
 		}
 		t = &tracked{incarnation: m.Incarnation, domain: m.Domain, Dynamic: Dynamic{
 			FirstSeen: now, PeerWork: d.workAt(WorkID(m.ID, m.Incarnation)), Shared: d.heardFrom[m.Domain] > 0,
+			AllRates: d.ratesOf(m.Endpoint.Model),
 		}}
 		if len(d.dynamic) == 0 || d.generation == 0 {
 			// What this entry finds at its own start is not new to the fleet.
@@ -119,6 +122,13 @@
 	return t
 }
 
+func (d *Directory) ratesOf(model string) *rates {
+	if d.rates[model] == nil {
+		d.rates[model] = &rates{}
+	}
+	return d.rates[model]
+}
+
 func (d *Directory) forgetGone(members []fleet.Member) {
 	live := map[string]bool{}
 	for _, m := range members {
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -169,7 +169,7 @@
 
 func (e *Endpoint) rate() float64 {
 	if e.Load.PrefillRate > 0 {
-		return float64(e.Load.PrefillRate)
+		return e.AllRates.rate(float64(e.Load.PrefillRate), e.RatesSeen)
 	}
 	return defaultPrefillRate
 }
--- a/internal/coordination/routing/outcome.go
+++ b/internal/coordination/routing/outcome.go
@@ -35,8 +35,39 @@
 	// rateSpread bounds what is learned, as a factor of what was assumed: a run that
 	// waited for something else says nothing about reading.
 	rateSpread = 6
+	// allRatesWeight of one observation among those of all engines of a model: with five a
+	// second the mean follows within seconds.
+	allRatesWeight = 0.05
+	// allRatesStand is how many of an engine's own observations the mean of all engines
+	// stands for, and mostRatesSeen how many of its own count at most.
+	allRatesStand = 8
+	mostRatesSeen = 24
 )
 
+// rates is how fast all engines of a model are seen to read, by this process. In a large fleet
+// a process sees each engine's rate every few seconds at best: with 36 engines to each of a
+// hundred processes, prompts that were expected to begin after 0.45 s did so after 1.5 s, and
+// were sent to full engines instead of being refused.
+type rates struct {
+	// mean in tokens per second, 0 before the first observation.
+	mean float64
+}
+
+func (r *rates) learn(assumed, seen float64) {
+	if r.mean == 0 {
+		r.mean = assumed
+	}
+	r.mean = meanRate(r.mean, seen, allRatesWeight)
+}
+
+// rate is an engine's own, as far as it was seen, and else that of all.
+func (r *rates) rate(own float64, seen int) float64 {
+	if r == nil || r.mean == 0 {
+		return own
+	}
+	return meanRate(r.mean, own, float64(seen)/float64(seen+allRatesStand))
+}
+
 // learnRate corrects the assumed reading rate by what was seen. The rate of a busy
 // engine includes what it does between the pieces of a prompt.
 func (t *tracked) learnRate(tokens int, took time.Duration) {
@@ -46,11 +77,15 @@
 	seen := float64(tokens) / took.Seconds()
 	seen = max(seen, t.assumedRate/rateSpread)
 	seen = min(seen, t.assumedRate*rateSpread)
-	// Times add up, rates don't: the mean is taken of the time for a token.
-	mean := (1-rateWeight)/float64(t.Load.PrefillRate) + rateWeight/seen
-	t.Load.PrefillRate = int(1 / mean)
+	t.Load.PrefillRate = int(meanRate(float64(t.Load.PrefillRate), seen, rateWeight))
+	t.RatesSeen = min(t.RatesSeen+1, mostRatesSeen)
+	t.AllRates.learn(t.assumedRate, seen)
 }
 
+// meanRate moves a mean rate towards one that was seen. Times add up, rates don't: the mean
+// is taken of the time for a token.
+func meanRate(mean, seen, weight float64) float64 { return 1 / ((1-weight)/mean + weight/seen) }
+
 // open finds a choice's endpoint if it is still the one that was chosen; d.mu is
 // held.
 func (d *Directory) open(c Choice) *tracked {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,9 @@
 	homes = 2
 	// randomProbes is the number of random candidates beside them.
 	randomProbes = 2
+	// holderProbes is the number of holders of the context that are looked at, those of
+	// most of it.
+	holderProbes = 4
 	// nearProbes is the number of random candidates in the deciding process's own
 	// failure domain, where it is told apart.
 	nearProbes = 4
@@ -89,6 +93,10 @@
 	// CountsOnly tells that the endpoint's reports hold counts of requests, but no
 	// tokens.
 	CountsOnly bool
+	// AllRates is how fast the model's engines read, and RatesSeen how often this one was
+	// seen, where reports hold no rate.
+	AllRates  *rates
+	RatesSeen int
 	// Peers is how much of the endpoint's work this entry's own stands for: all of
 	// it divided by its own.
 	Peers float64
@@ -230,11 +238,7 @@
 
 // choose needs endpoints ordered by Hash.
 func (c *candidates) choose(endpoints []Endpoint, r *Request, random Random) {
-	for _, h := range r.Holdings {
-		if e := find(endpoints, h.Endpoint); e != nil {
-			c.add(e, ReasonHolds, r)
-		}
-	}
+	c.addHolders(endpoints, r, random)
 	homely := endpoints
 	if len(r.Near) > 0 {
 		homely = r.Near
@@ -250,6 +254,34 @@
 	}
 }
 
+// addHolders adds the endpoints that hold most of the context. Where all prompts of a kind begin
+// alike, every endpoint holds their beginning: 36 of them filled a decision's candidates, so
+// that the one with the whole context was left out as often as not, and so were homes and random
+// ones. All processes then chose the least busy of the same endpoints: the busiest had 2.7 of
+// the mean's work.
+func (c *candidates) addHolders(endpoints []Endpoint, r *Request, random Random) {
+	n := len(r.Holdings)
+	if n == 0 {
+		return
+	}
+	// A random start decides between those that hold as much.
+	start := int(random.Uint64() % uint64(n))
+	var added [holderProbes]int
+	for k := range min(n, holderProbes) {
+		best := -1
+		for i := range n {
+			at := (start + i) % n
+			if !slices.Contains(added[:k], at) && (best < 0 || r.Holdings[at].Tokens > r.Holdings[best].Tokens) {
+				best = at
+			}
+		}
+		added[k] = best
+		if e := find(endpoints, r.Holdings[best].Endpoint); e != nil {
+			c.add(e, ReasonHolds, r)
+		}
+	}
+}
+
 // addUsable adds n endpoints that are not avoided, from a random one on.
 func (c *candidates) addUsable(endpoints []Endpoint, n int, r *Request, random Random) {
 	start := int(random.Uint64() % uint64(len(endpoints)))
