--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -17,20 +16,16 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 
-	"limpetwall/internal/coordination/contentshare"
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/gateway"
 	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/lease"
-	"limpetwall/internal/coordination/notice"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
-	"limpetwall/internal/coordination/workshare"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/bootclock"
-	"limpetwall/internal/transport/datagram"
 	"limpetwall/internal/transport/exposition"
 	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/logging"
@@ -178,21 +173,18 @@
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
 	p.clients = ingress.New(p.gateway)
-	director := p.director(state, store)
-	if sharer := p.shareWork(self, store); sharer != nil {
-		watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
-		p.shareNotices(sharer, director)
-		p.shareContents(sharer, keeper)
-	}
+	engines := platform.NewEngines(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle})
+	director := p.director(state, store, engines)
+	p.share(self, store, watcher, director, keeper)
 	p.run(watcher.Run)
 	p.gateway.Leads = director.Leads
 	p.gateway.Doubts = ring.New[string](gateway.DoubtsHeld)
 	p.gateway.AskWeights = func(ctx context.Context, i discovery.Instance) (gateway.OwnWord, error) {
-		report, err := director.Engines.Report(ctx, i)
+		report, err := engines.Report(ctx, i)
 		return gateway.OwnWord{Born: report.Born, Weights: report.Weights[i.Model]}, err
 	}
 	if *s.MoveRuns {
-		p.gateway.Copier = platform.NewEngines(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle})
+		p.gateway.Copier = engines
 	}
 	p.run(director.Run)
 	p.run(p.gateway.LearnDuty)
@@ -203,76 +195,14 @@
 	return p
 }
 
-// shareWork tells the other gateways what this one has underway, and hears of theirs.
-// A gateway that can't do so serves by what endpoints say alone; nil is returned then.
-func (p *gatewayProcess) shareWork(self fleet.Member, store *platform.Store) *workshare.Sharer {
-	if p.settings.Platform.Peers == "" {
-		return nil
-	}
-	address := netip.MustParseAddrPort(p.settings.Platform.Peers)
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		p.log.Error("work is not shared with other gateways", zap.Error(err))
-		return nil
-	}
-	sharer := &workshare.Sharer{
-		Conn: conn, Address: address, Domain: self.Domain, Incarnation: self.Incarnation,
-		Directory: p.gateway.Directory, Registry: store, Log: p.log,
-	}
-	p.run(sharer.Run)
-	return sharer
-}
-
-// shareNotices has the director tell the other gateways what it writes to the rollout lease,
-// and hear what they write. Without, all look at the lease themselves.
-func (p *gatewayProcess) shareNotices(sharer *workshare.Sharer, director *rollout.Director) {
-	if p.settings.Platform.Notices == "" {
-		return
-	}
-	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Notices))
-	if err != nil {
-		p.log.Error("the rollout lease is not told to other gateways", zap.Error(err))
-		return
-	}
-	caster := &notice.Caster{Group: group, Hosts: sharer.Hosts, Take: director.Lease.Told, Log: p.log}
-	director.Notices = caster
-	p.run(caster.Run)
-}
-
-// shareContents has the gateways of the failure domain share the following of stores and
-// engines. Without, each follows all.
-func (p *gatewayProcess) shareContents(sharer *workshare.Sharer, keeper *kept.Keeper) {
-	if p.settings.Platform.Contents == "" {
-		return
-	}
-	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Contents))
-	if err != nil {
-		p.log.Error("what stores hold is not told to other gateways", zap.Error(err))
-		return
-	}
-	keeper.Peers = func() []string {
-		var names []string
-		for _, host := range sharer.NearHosts() {
-			names = append(names, host.String())
-		}
-		return names
-	}
-	contents := &contentshare.Sharer{Group: group, Hosts: sharer.NearHosts, Contents: keeper, Log: p.log}
-	p.run(contents.Run)
-}
-
-// hostOf is the host of an address that has been checked.
-func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
-
 // rolloutLease is the key of the lease under which engines are ordered.
 const rolloutLease = "lease.rollout"
 
 // director brings engines to the weights that operators name.
-func (p *gatewayProcess) director(state *discovery.State, store *platform.Store) *rollout.Director {
+func (p *gatewayProcess) director(state *discovery.State, store *platform.Store, engines rollout.Engines) *rollout.Director {
 	b := p.settings.Platform.Bounds
 	// The address tells a new host from one that it replaces under the same name.
 	holder := p.settings.Platform.Host + "@" + p.settings.Platform.Clients
-	dialer := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	// A holder acts for act after its last renewal, and another takes over after a
 	// whole term: with act more, orders of two holders are a term apart.
 	act := b.OrderLease / 4
@@ -281,7 +211,7 @@
 		Lease: lease.New(lease.Config{
 			Key: rolloutLease, Holder: holder, Term: b.OrderLease, Act: act, CallTimeout: leaseCallTimeout, Now: bootclock.Now,
 		}, store),
-		Engines: platform.NewEngines(&http.Transport{DialContext: dialer.Dial, IdleConnTimeout: engineIdle}),
+		Engines: engines,
 	}
 }
 
--- /dev/null
+++ b/internal/command/gateway_peers.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"net"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/contentshare"
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/kept"
+	"limpetwall/internal/coordination/notice"
+	"limpetwall/internal/coordination/rollout"
+	"limpetwall/internal/coordination/workshare"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/datagram"
+	"limpetwall/platform"
+)
+
+// share has this gateway tell the others what it knows, and hear what they know.
+func (p *gatewayProcess) share(self fleet.Member, store *platform.Store, watcher *discovery.Watcher, director *rollout.Director, keeper *kept.Keeper) {
+	sharer := p.shareWork(self, store)
+	if sharer == nil {
+		return
+	}
+	watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
+	p.shareNotices(sharer, director)
+	p.shareContents(sharer, keeper)
+}
+
+// shareWork tells the other gateways what this one has underway, and hears of theirs.
+// A gateway that can't do so serves by what endpoints say alone; nil is returned then.
+func (p *gatewayProcess) shareWork(self fleet.Member, store *platform.Store) *workshare.Sharer {
+	if p.settings.Platform.Peers == "" {
+		return nil
+	}
+	address := netip.MustParseAddrPort(p.settings.Platform.Peers)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		p.log.Error("work is not shared with other gateways", zap.Error(err))
+		return nil
+	}
+	sharer := &workshare.Sharer{
+		Conn: conn, Address: address, Domain: self.Domain, Incarnation: self.Incarnation,
+		Directory: p.gateway.Directory, Registry: store, Log: p.log,
+	}
+	p.run(sharer.Run)
+	return sharer
+}
+
+// shareNotices has the director tell the other gateways what it writes to the rollout lease,
+// and hear what they write. Without, all look at the lease themselves.
+func (p *gatewayProcess) shareNotices(sharer *workshare.Sharer, director *rollout.Director) {
+	if p.settings.Platform.Notices == "" {
+		return
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Notices))
+	if err != nil {
+		p.log.Error("the rollout lease is not told to other gateways", zap.Error(err))
+		return
+	}
+	caster := &notice.Caster{Group: group, Hosts: sharer.Hosts, Take: director.Lease.Told, Log: p.log}
+	director.Notices = caster
+	p.run(caster.Run)
+}
+
+// shareContents has the gateways of the failure domain share the following of stores and
+// engines. Without, each follows all.
+func (p *gatewayProcess) shareContents(sharer *workshare.Sharer, keeper *kept.Keeper) {
+	if p.settings.Platform.Contents == "" {
+		return
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Contents))
+	if err != nil {
+		p.log.Error("what stores hold is not told to other gateways", zap.Error(err))
+		return
+	}
+	keeper.Peers = func() []string {
+		var names []string
+		for _, host := range sharer.NearHosts() {
+			names = append(names, host.String())
+		}
+		return names
+	}
+	contents := &contentshare.Sharer{Group: group, Hosts: sharer.NearHosts, Contents: keeper, Log: p.log}
+	p.run(contents.Run)
+}
+
+// hostOf is the host of an address that has been checked.
+func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
