--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -174,11 +174,13 @@
 	s := newSite(t)
 	s.env = []string{"GOMAXPROCS=1"}
 	s.whole(2, "-slots", "256", "-token-time", "10ms", "-prefill-rate", "0")
-	const streams = 200
+	// Six seconds of each stream leave a busy machine the time to begin all before the first
+	// ends: with 1.5 s of each, beside twenty busy processes, they never all ran together.
+	const streams, words = 200, 600
 	results := make(chan answer, streams)
 	for i := range streams {
 		go func() {
-			results <- s.try(http.MethodPost, s.url("entry-1", "/v1/chat/completions"), customerKey, nil, chatBody(fmt.Sprint("chair ", i), 150, true))
+			results <- s.try(http.MethodPost, s.url("entry-1", "/v1/chat/completions"), customerKey, nil, chatBody(fmt.Sprint("chair ", i), words, true))
 		}()
 	}
 	s.eventually("all streams run", func() bool {
@@ -188,7 +190,7 @@
 	s.signal("agent-1", syscall.SIGTERM)
 	for range streams {
 		a := <-results
-		if a.err != nil || !strings.HasSuffix(a.body, "data: [DONE]\n\n") || strings.Count(a.body, `"content":"w`) != 150 {
+		if a.err != nil || !strings.HasSuffix(a.body, "data: [DONE]\n\n") || strings.Count(a.body, `"content":"w`) != words {
 			t.Errorf("stream was cut: %v, %d bytes, ends %q", a.err, len(a.body), a.body[max(0, len(a.body)-200):])
 		}
 	}
