--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -226,14 +226,6 @@
 	return runTime * time.Duration(busy-e.Slots+1) / time.Duration(e.Slots)
 }
 
-// runsShare of an engine's memory is for running requests before further ones are taken to
-// wait. What is left keeps contexts until the prompt that they are brought for begins: with a
-// quarter of 180 engines gone, running requests filled nearly all of the others' memory, and
-// imports were pushed out again before they were used. In the mean of four heavy days of each
-// of three small fleets all of it gave 0.606 of worth, 0.85 gave 0.615, 0.7 gave 0.609,
-// and half, 0.580; engines of 52,000 tokens lose with less than 0.85.
-const runsShare = 0.85
-
 // memoryWait is how long a run of so many tokens waits until an engine's memory has room
 // for it, or preempts others that then wait as long: all memory is given back once in
 // RunTime.
@@ -241,7 +233,7 @@
 	if e.MemoryTokens == 0 || tokens == 0 {
 		return 0
 	}
-	over := e.heldTokens(r) + tokens - int(runsShare*float64(e.MemoryTokens))
+	over := e.heldTokens(r) + tokens - e.MemoryTokens
 	if over <= 0 {
 		return 0
 	}
