A request's line tells what its caller got; cut answers are counted

An answer that is begun and then cut was written to the log as the status decided afterwards, which no caller saw. Of twelve lookups whose callers saw a closed connection on-call could read only '502, outcome unknown'; whether a head had been written, and who broke the connection, stood nowhere.

The line has caller_got (answer, refusal, part, nothing) and caller_status, the counter answers_cut counts the parts. No decision changes. The line and the choice of its fields have a file of their own. Test: each way an exchange ends, compared with what the caller saw; a caller that left.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -199,7 +199,7 @@
 	if length >= 0 && x.r.Method != http.MethodHead {
 		out.Set("Content-Length", itoa(length))
 	}
-	x.wrote = true
+	x.wrote, x.status = true, status
 	x.w.WriteHeader(status)
 }
 
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -113,36 +113,9 @@
 	failed *buffered
 	// relocation watches over the present attempt's run.
 	relocation *relocation
-	// wrote tells that the answer's head has been written.
-	wrote bool
-}
-
-// try is what became of one attempt, and what was believed when it was made.
-type try struct {
-	Endpoint string `json:"endpoint"`
-	Reason   string `json:"reason"`
-	Outcome  string `json:"outcome"`
-	Error    string `json:"error,omitempty"`
-	Status   int    `json:"status,omitempty"`
-	Weights  string `json:"weights,omitempty"`
-	// TookMS is the attempt's length, FirstMS the time to its first event.
-	TookMS  int64 `json:"took_ms"`
-	FirstMS int64 `json:"first_ms,omitempty"`
-	// ExpectedMS to the first event and CachedTokens as decided.
-	ExpectedMS   int64 `json:"expected_ms"`
-	CachedTokens int   `json:"cached_tokens,omitempty"`
-	// Imported lists where context was to come from, Saved where to.
-	Imported string `json:"imported,omitempty"`
-	Saved    string `json:"saved,omitempty"`
-	// The endpoint's load as it said, LoadAgeMS before, and as counted here.
-	Running   int   `json:"running"`
-	Queued    int   `json:"queued"`
-	Sent      int   `json:"sent"`
-	Own       int   `json:"own"`
-	LoadAgeMS int64 `json:"load_age_ms"`
-	// What other processes said that they had underway there.
-	PeerRunning int `json:"peer_running"`
-	PeerUnread  int `json:"peer_unread"`
+	// wrote tells that the answer's head has been written, status is the one it bears.
+	wrote  bool
+	status int
 }
 
 // ServeHTTP implements http.Handler.
@@ -169,6 +142,7 @@
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.began)
 	if refused != nil && x.wrote {
 		// The head promised more than came: only a broken connection tells.
+		x.g.count("answers_cut")
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -194,37 +168,10 @@
 		x.g.Codec.EncodeRetryAfter(x.w.Header(), time.Duration(e.Retry.AfterMS)*time.Millisecond)
 	}
 	e.RequestID = x.call.ID
+	x.status = e.Status
 	e.Write(x.w)
 }
 
-func (x *exchange) log(refused *apierror.Error) {
-	if x.g.RequestLines != nil && !x.g.RequestLines.Allow() {
-		x.g.count("request_lines_dropped")
-		return
-	}
-	fields := []zap.Field{
-		zap.String("request_id", x.call.ID), zap.String("path", x.r.URL.Path), zap.Duration("took", time.Since(x.began)),
-		zap.Duration("time_given", x.deadline.Sub(x.began)), zap.Any("attempts", x.tries),
-	}
-	if x.call.PromptTokens > 0 {
-		fields = append(fields, zap.Int("prompt_tokens", x.call.PromptTokens), zap.Int("stored_tokens", x.storedTokens))
-	}
-	if x.table != nil {
-		fields = append(fields, zap.Uint64("config_version", x.table.Version))
-	}
-	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name))
-	}
-	if x.customer != nil {
-		fields = append(fields, zap.String("customer", x.customer.Name))
-	}
-	if refused != nil {
-		fields = append(fields, zap.Int("status", refused.Status), zap.String("code", refused.Code),
-			zap.String("ran", string(refused.Ran)), zap.String("reason", refused.Message))
-	}
-	x.g.Log.Info("request", fields...)
-}
-
 // prepare decides who calls what, and reads the request whole.
 func (x *exchange) prepare() *apierror.Error {
 	x.table = x.g.State.Routes()
--- /dev/null
+++ b/internal/coordination/gateway/requestline.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/protocol/apierror"
+)
+
+// try is what became of one attempt, and what was believed when it was made.
+type try struct {
+	Endpoint string `json:"endpoint"`
+	Reason   string `json:"reason"`
+	Outcome  string `json:"outcome"`
+	Error    string `json:"error,omitempty"`
+	Status   int    `json:"status,omitempty"`
+	Weights  string `json:"weights,omitempty"`
+	// TookMS is the attempt's length, FirstMS the time to its first event.
+	TookMS  int64 `json:"took_ms"`
+	FirstMS int64 `json:"first_ms,omitempty"`
+	// ExpectedMS to the first event and CachedTokens as decided.
+	ExpectedMS   int64 `json:"expected_ms"`
+	CachedTokens int   `json:"cached_tokens,omitempty"`
+	// Imported lists where context was to come from, Saved where to.
+	Imported string `json:"imported,omitempty"`
+	Saved    string `json:"saved,omitempty"`
+	// The endpoint's load as it said, LoadAgeMS before, and as counted here.
+	Running   int   `json:"running"`
+	Queued    int   `json:"queued"`
+	Sent      int   `json:"sent"`
+	Own       int   `json:"own"`
+	LoadAgeMS int64 `json:"load_age_ms"`
+	// What other processes said that they had underway there.
+	PeerRunning int `json:"peer_running"`
+	PeerUnread  int `json:"peer_unread"`
+}
+
+// received is what a caller has of an exchange that has ended.
+type received string
+
+const (
+	// receivedAnswer: an endpoint's whole answer.
+	receivedAnswer received = "answer"
+	// receivedRefusal: an answer of the gateway's own.
+	receivedRefusal received = "refusal"
+	// receivedPart: an answer's beginning, and then a broken connection.
+	receivedPart received = "part"
+	// receivedNothing: the caller left before its answer was whole.
+	receivedNothing received = "nothing"
+)
+
+// received tells what the caller has. The decision alone doesn't: a refusal that comes after
+// a head was written is decided and counted like any other, but its status reaches nobody.
+func (x *exchange) received(refused *apierror.Error) received {
+	switch {
+	case x.r.Context().Err() != nil:
+		return receivedNothing
+	case refused == nil:
+		return receivedAnswer
+	case x.wrote:
+		return receivedPart
+	}
+	return receivedRefusal
+}
+
+// log writes the exchange's one line.
+func (x *exchange) log(refused *apierror.Error) {
+	if x.g.RequestLines != nil && !x.g.RequestLines.Allow() {
+		x.g.count("request_lines_dropped")
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request_id", x.call.ID), zap.String("path", x.r.URL.Path), zap.Duration("took", time.Since(x.began)),
+		zap.Duration("time_given", x.deadline.Sub(x.began)), zap.Any("attempts", x.tries),
+	}
+	got := x.received(refused)
+	fields = append(fields, zap.String("caller_got", string(got)))
+	if got != receivedNothing {
+		fields = append(fields, zap.Int("caller_status", x.status))
+	}
+	if x.call.PromptTokens > 0 {
+		fields = append(fields, zap.Int("prompt_tokens", x.call.PromptTokens), zap.Int("stored_tokens", x.storedTokens))
+	}
+	if x.table != nil {
+		fields = append(fields, zap.Uint64("config_version", x.table.Version))
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name))
+	}
+	if x.customer != nil {
+		fields = append(fields, zap.String("customer", x.customer.Name))
+	}
+	if refused != nil {
+		fields = append(fields, zap.Int("status", refused.Status), zap.String("code", refused.Code),
+			zap.String("ran", string(refused.Ran)), zap.String("reason", refused.Message))
+	}
+	x.g.Log.Info("request", fields...)
+}
--- /dev/null
+++ b/internal/coordination/gateway/requestline_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"limpetwall/internal/state/routes"
+)
+
+// TestRequestLineTellsWhatTheCallerGot ends exchanges in each way and compares the request's
+// line with what its caller saw.
+//
+// A stream that breaks after its first event ends with a decision of 502, and its caller
+// has a 200 and a cut connection. A line that says 502 alone sends on-call looking for a 502
+// that nobody received.
+func TestRequestLineTellsWhatTheCallerGot(t *testing.T) {
+	rows := []struct {
+		name     string
+		kind     routes.Kind
+		endpoint answerer
+		got      received
+		status   int64
+		cuts     int64
+	}{
+		{"an endpoint's answer", routes.NonIdempotent, say(201, "a"), receivedAnswer, 201, 0},
+		{"an endpoint's failure", routes.NonIdempotent, say(500, "sorry"), receivedAnswer, 500, 0},
+		{"a refusal", routes.NonIdempotent, reject, receivedRefusal, 503, 0},
+		{"an unknown outcome", routes.NonIdempotent, hangUp, receivedRefusal, 502, 0},
+		{"a stream", routes.Streaming, stream(endOfStream, "1"), receivedAnswer, 200, 0},
+		{"a stream that breaks", routes.Streaming, stream("", "1"), receivedPart, 200, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			core, lines := observer.New(zap.InfoLevel)
+			s := newSite(t, route(row.kind, 1), row.endpoint)
+			s.gateway.Log = zap.New(core)
+			resp, _, err := s.ask(s.request("POST", "/r/x", "b"))
+			if cut := err != nil; cut != (row.got == receivedPart) || (resp != nil && int64(resp.StatusCode) != row.status) {
+				t.Errorf("the caller saw %v, %v", resp, err)
+			}
+			s.server.Close()
+			line := lines.FilterMessage("request").All()[0].ContextMap()
+			if line["caller_got"] != string(row.got) || line["caller_status"] != row.status {
+				t.Errorf("the line says %v, status %v; want %v, %v", line["caller_got"], line["caller_status"], row.got, row.status)
+			}
+			if cuts := metrics.GetOrRegisterCounter("gateway.answers_cut", s.gateway.Metrics).Count(); cuts != row.cuts {
+				t.Errorf("answers cut: %d, want %d", cuts, row.cuts)
+			}
+		})
+	}
+}
+
+// TestCallerThatLeftGotNothing lets a caller leave while an endpoint is at work: the line
+// names no status, as none arrived.
+func TestCallerThatLeftGotNothing(t *testing.T) {
+	arrived := make(chan struct{})
+	atWork := func(c net.Conn, _ *http.Request) {
+		close(arrived)
+		io.Copy(io.Discard, c)
+	}
+	core, lines := observer.New(zap.InfoLevel)
+	s := newSite(t, route(routes.NonIdempotent, 1), atWork)
+	s.gateway.Log = zap.New(core)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		leave()
+	}()
+	if _, _, err := s.ask(s.request("POST", "/r/x", "b").WithContext(ctx)); err == nil {
+		t.Error("the caller did not leave")
+	}
+	s.server.Close()
+	line := lines.FilterMessage("request").All()[0].ContextMap()
+	if _, told := line["caller_status"]; told || line["caller_got"] != string(receivedNothing) {
+		t.Errorf("the line says %v, status %v", line["caller_got"], line["caller_status"])
+	}
+}
