A failing test: the last endpoint's failure does not reach its caller

A request that may be repeated is sent to the only endpoint left, which runs it, fails and says so. Fails always: EOF in place of 500, 503 and a resumable stream's 500; with a broken connection (502) and a rejection (503) the caller is told.

--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -260,6 +260,45 @@
 	}
 }
 
+// TestLastEndpointsFailureReachesItsCaller asks where only one endpoint is left.
+//
+// The endpoint runs the request, fails and says so. The request may be repeated, but there is
+// nobody else to ask: the caller must get the endpoint's failure, or 502 or 503 of the gateway's
+// own if there is none to pass on. What it saw was a connection that closed without an answer.
+func TestLastEndpointsFailureReachesItsCaller(t *testing.T) {
+	rows := []struct {
+		name      string
+		kind      routes.Kind
+		resumable bool
+		endpoint  answerer
+		status    int
+		body      string
+	}{
+		{"failed", routes.Idempotent, false, say(500, "sorry"), 500, "sorry"},
+		{"failed with a status that callers may hear", routes.Idempotent, false, say(503, "busy"), 503, "busy"},
+		{"a stream that failed before it began", routes.Streaming, true, say(500, "sorry"), 500, "sorry"},
+		{"broken", routes.Idempotent, false, hangUp, 502, ""},
+		{"rejected", routes.Idempotent, false, reject, 503, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			list := route(row.kind, 3)
+			list[0].Resumable = row.resumable
+			s := newSite(t, list, row.endpoint)
+			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
+			if err != nil || resp.StatusCode != row.status {
+				t.Fatalf("the caller got %v, %v; want status %d", resp, err, row.status)
+			}
+			if row.body != "" && (body != row.body || resp.Header.Get("Stamp") != fmt.Sprint(row.status)) {
+				t.Errorf("%q, stamp %q", body, resp.Header.Get("Stamp"))
+			}
+			if attempts := metrics.GetOrRegisterCounter("gateway.attempts.not_reached", s.gateway.Metrics).Count(); attempts != 0 || s.runs() != 1 {
+				t.Errorf("the endpoint got %d requests, and %d attempts went nowhere; want 1 and none", s.runs(), attempts)
+			}
+		})
+	}
+}
+
 // TestOutcomes plays each way an endpoint may end a request, for each kind.
 //
 // "Not run" (503) is said only when every endpoint that was sent the request says
