Whether an exchange ends and how is one value; only its single end writes it

Callers of requests that may be repeated saw their connection closed with neither an answer nor a refusal when the last endpoint of a service answered with a failure of its own (twelve of twelve in the incident's logs, after one of two endpoints had left).

Cause: final() both decided and wrote. When it passed the endpoint's kept failure on it returned nil for 'answered'; choose() handed that nil on, where it means 'an endpoint was chosen'. run() made one more attempt at an empty endpoint, which ended not_reached, and final() now returned an error; end() met a head that was written, took it for an answer cut short and broke the connection, with the whole failure still in net/http's buffer. Class: a nil that means both 'go on' and 'done', between a decision and its effect that were one.

Ruled out: changes of the configuration (ten of twelve lay beside none, and the test needs none); torn answers (the attempt is answered_failure with a status, read whole).

Why it holds: a decision returns an ending, which is never empty when nothing was chosen, and writes nothing; run() alone writes, after the last attempt. A second write or a further attempt after an answer can no longer be expressed there.

--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -262,9 +262,12 @@
 
 // TestLastEndpointsFailureReachesItsCaller asks where only one endpoint is left.
 //
-// The endpoint runs the request, fails and says so. The request may be repeated, but there is
-// nobody else to ask: the caller must get the endpoint's failure, or 502 or 503 of the gateway's
-// own if there is none to pass on. What it saw was a connection that closed without an answer.
+// Callers saw their connection closed without an answer. The last endpoint ran the request, failed and
+// said so; it might be repeated, but nobody else was left to ask. The failure was written to the caller by
+// the decision "nobody left", whose absent refusal the loop of attempts took for "go on": the next attempt had no
+// endpoint and failed, and that error cut the connection before the answer had left its buffer.
+// Evidence: in the log of each such request the 500 was followed by an attempt at an empty endpoint
+// ("dial tcp: missing address"), and with one endpoint that fails it happened always.
 func TestLastEndpointsFailureReachesItsCaller(t *testing.T) {
 	rows := []struct {
 		name      string
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -46,6 +46,29 @@
 // run makes attempts until the caller has an answer. nil means that it has one,
 // or has left.
 func (x *exchange) run(ctx context.Context) *apierror.Error {
+	end := x.attempt(ctx)
+	if end.answer != nil {
+		x.deliver(end.answer)
+		return nil
+	}
+	return end.refusal
+}
+
+// ending is how an exchange ends when no more is tried: an endpoint's answer that was kept,
+// or a refusal. With neither the caller has its answer already, or has left.
+//
+// Invariant: what decides on an ending writes nothing to the caller; run alone does, and
+// nothing follows it. A decision that wrote the kept answer itself could only say so by an
+// absent refusal, which also means "go on": one more attempt, at no endpoint, would fail, its
+// error would meet a head that is already written, and the connection would be cut with the
+// answer still in its buffer.
+type ending struct {
+	answer  *buffered
+	refusal *apierror.Error
+}
+
+// attempt makes attempts until one of them answers the caller or no more is tried.
+func (x *exchange) attempt(ctx context.Context) ending {
 	request := x.routingRequest()
 	prompt := x.promptContext()
 	request.Root, request.RootKnown, request.Ends = prompt.root, true, prompt.ends
@@ -54,9 +77,9 @@
 	var last outcome
 	sent, unreached := 0, 0
 	for {
-		choice, refused := x.choose(request, prompt, last, sent)
-		if refused != nil {
-			return refused
+		choice, end := x.choose(request, prompt, last, sent)
+		if end != nil {
+			return *end
 		}
 		started := time.Now()
 		send := x.sendFor(choice, prompt)
@@ -75,7 +98,7 @@
 			unreached++
 		}
 		if last.verdict == delivered || last.verdict == callerGone {
-			return nil
+			return ending{}
 		}
 		if last.verdict == movedOn {
 			continue
@@ -87,19 +110,21 @@
 	}
 }
 
-// choose picks the next attempt's endpoint: the one that a moved run goes on at, or the best.
-func (x *exchange) choose(request *routing.Request, prompt promptContext, last outcome, sent int) (routing.Choice, *apierror.Error) {
+// choose picks the next attempt's endpoint, the one that a moved run goes on at or the best, or
+// else how the exchange ends.
+func (x *exchange) choose(request *routing.Request, prompt promptContext, last outcome, sent int) (routing.Choice, *ending) {
 	if last.next != nil {
 		return last.next.choice, nil
 	}
 	request.Now = time.Now()
 	choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
 	if choice.Member.ID == "" {
-		return choice, x.noEndpoint(choice.Refusal, sent, last)
+		end := x.noEndpoint(choice.Refusal, sent, last)
+		return choice, &end
 	}
-	if refused := x.overload(choice, sent); refused != nil {
+	if refusal := x.overload(choice, sent); refusal != nil {
 		x.g.Directory.Release(choice)
-		return choice, refused
+		return choice, &ending{refusal: refusal}
 	}
 	return choice, nil
 }
@@ -258,8 +283,8 @@
 // urgency maps priorities to the endpoints' scale.
 func (x *exchange) urgency() int { return max(0, min(9, x.priority())) }
 
-// noEndpoint is the final answer when none can be chosen.
-func (x *exchange) noEndpoint(why routing.Refusal, sent int, last outcome) *apierror.Error {
+// noEndpoint is the ending when none can be chosen.
+func (x *exchange) noEndpoint(why routing.Refusal, sent int, last outcome) ending {
 	if sent > 0 {
 		return x.final(last, sent)
 	}
@@ -267,7 +292,12 @@
 	if why == routing.RefuseFull {
 		message = "all endpoints of the service are full"
 	}
-	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, comeBack())
+	return notRun(apierror.CodeNoEndpoint, message)
+}
+
+// notRun tells a caller to come back with a request that no endpoint ran.
+func notRun(code, message string) ending {
+	return ending{refusal: apierror.Later(http.StatusServiceUnavailable, code, message, comeBack())}
 }
 
 // comeBack spreads the callers that were refused together.
@@ -275,24 +305,23 @@
 	return fullPause + time.Duration(rand.Int64N(int64(fullJitter)))
 }
 
-// final is the answer when nothing more is tried. Only what is proved not to have
+// final is the ending when nothing more is tried. Only what is proved not to have
 // run is told so; all else is unknown.
-func (x *exchange) final(last outcome, sent int) *apierror.Error {
+func (x *exchange) final(last outcome, sent int) ending {
 	switch last.verdict {
 	case notReached:
 		if sent == 0 {
-			return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint could be reached", comeBack())
+			return notRun(apierror.CodeNoEndpoint, "no endpoint could be reached")
 		}
 	case rejected:
 		if x.allRejected() {
-			return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "the endpoints are full", comeBack())
+			return notRun(apierror.CodeOverloaded, "the endpoints are full")
 		}
 	case timedOut:
 		return unknownOutcome(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up")
 	}
 	if x.failed != nil && x.mayPassStatus(x.failed.status) && !x.wrote {
-		x.deliver(x.failed)
-		return nil
+		return ending{answer: x.failed}
 	}
 	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the endpoint's answer was lost")
 }
@@ -307,6 +336,6 @@
 	return true
 }
 
-func unknownOutcome(status int, code, message string) *apierror.Error {
-	return apierror.New(status, code, message).WithRan(apierror.RanUnknown, apierror.AdviceNever)
+func unknownOutcome(status int, code, message string) ending {
+	return ending{refusal: apierror.New(status, code, message).WithRan(apierror.RanUnknown, apierror.AdviceNever)}
 }
