The entry's line and counters tell a broken stream from a whole answer

Callers of streamed prompts saw an error event after the first tokens; the entry logged the request like a whole answer, without code and reason, and entry.errors.CODE did not count it.

Cause: promptSink.fail returned nil after it had written the error event, so as not to have the error written once more. caller() read that nil as "answered". Class: a nil that means both "whole" and "already told".

Ruled out: the prompt that is not streamed, and the stream that breaks before its first token; both were logged and counted.

Why it holds: fail returns nothing, so the error always reaches the log. Whether it may still be written is decided from the head itself, which the answer's writer remembers, at the request's single end. The line has caller_got and caller_status, the counter entry.answers_cut counts the parts. A forced stop ends the request's context like a caller that leaves; the context's cause tells the two apart.

Tests, before: "a stream that breaks: the line's code is "", want "stream_lost"; the line says <nil>, status <nil>; want part, 200; errors counted as stream_lost: 0, want 1; answers cut: 0, want 1". The table's other rows failed only for want of the fields. TestRequestLineOfAnEndedRequest, before: within a stream "the line says <nil>, <nil>, status <nil>; want client_gone, nothing" and "want stopping, part, 200"; before the first token the code was there and the fields were not.

--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -212,7 +212,7 @@
 	bodyTime time.Duration
 	customer *config.Customer
 	view     *config.View
-	w        http.ResponseWriter
+	w        *answerWriter
 	r        *http.Request
 	started  time.Time
 }
@@ -230,18 +230,17 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.inflight.Add(1)
 		defer e.inflight.Add(-1)
-		c := &call{id: newRequestID(), bodyTime: e.cfg.BodyTime, view: e.Store.View(), w: w, r: r, started: time.Now()}
+		c := &call{
+			id: newRequestID(), bodyTime: e.cfg.BodyTime, view: e.Store.View(), w: &answerWriter{ResponseWriter: w}, r: r,
+			started: time.Now(),
+		}
 		w.Header().Set(RequestIDHeader, c.id)
 		r.Body = http.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
 		err := e.authenticate(c)
 		if err == nil {
 			err = next(c)
 		}
-		if err != nil {
-			err.RequestID = c.id
-			err.Write(w)
-		}
-		e.logCall(c, err)
+		e.end(c, err)
 	}
 }
 
@@ -257,22 +256,6 @@
 	return nil
 }
 
-func (e *Entry) logCall(c *call, err *apierror.Error) {
-	fields := []zap.Field{
-		zap.String("request_id", c.id), zap.String("method", c.r.Method), zap.String("path", c.r.URL.Path),
-		zap.Duration("took", time.Since(c.started)),
-	}
-	if c.customer != nil {
-		fields = append(fields, zap.String("customer", c.customer.ID))
-	}
-	if err != nil {
-		fields = append(fields, zap.String("code", err.Code), zap.String("ran", string(err.Ran)), zap.String("reason", err.Message))
-		metrics.GetOrRegisterCounter("entry.errors."+err.Code, e.Metrics).Inc(1)
-	}
-	metrics.GetOrRegisterTimer("entry.request", e.Metrics).UpdateSince(c.started)
-	e.Zap.Info("request", fields...)
-}
-
 // service finds a service that the customer may call. A service that exists but
 // is closed to the customer answers like a missing one: its name is another
 // customer's business.
--- a/internal/coordination/entry/plain.go
+++ b/internal/coordination/entry/plain.go
@@ -110,11 +110,10 @@
 
 // fail breaks the connection of an answer that has begun: an ordinary end would
 // make the part look whole.
-func (s *plainSink) fail(err *apierror.Error) *apierror.Error {
-	if !s.sent {
-		return err
+func (s *plainSink) fail(*apierror.Error) {
+	if s.sent {
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // serveTicket gives a caller a ticket to use as idempotency key. Calls with it
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -141,9 +141,9 @@
 	firstAt() time.Time
 	// finish writes the end of a whole answer.
 	finish(result runs.Result)
-	// fail ends an answer that broke off; it returns the error if nothing has been
-	// written yet.
-	fail(err *apierror.Error) *apierror.Error
+	// fail ends an answer that broke off after it was begun. Before that it writes nothing,
+	// and the request gets an error answer.
+	fail(err *apierror.Error)
 }
 
 // run admits a job, carries it out and books its outcome.
@@ -168,7 +168,10 @@
 	result, refused := e.Runner.Run(ctx, job, sink)
 	e.observe(c, job.Service, sink.firstAt(), refused)
 	if refused != nil {
-		return sink.fail(refused)
+		// The error goes on whether fail wrote or not: no error means a whole answer, and the
+		// log and the counters would show a broken one as such.
+		sink.fail(refused)
+		return refused
 	}
 	sink.finish(result)
 	return nil
@@ -283,13 +286,12 @@
 
 // fail ends a stream that has begun with an error event and without the end
 // mark, so that no caller takes the part for the whole.
-func (s *promptSink) fail(err *apierror.Error) *apierror.Error {
+func (s *promptSink) fail(err *apierror.Error) {
 	if !s.opened {
-		return err
+		return
 	}
 	err.RequestID = s.c.id
 	s.c.w.Write(openai.ErrorEvent(err.Body()))
-	return nil
 }
 
 func (e *Entry) modelIDs(c *call) []string {
--- /dev/null
+++ b/internal/coordination/entry/requestline.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/protocol/apierror"
+)
+
+// answerWriter remembers the status of the head that was written; 0 before.
+type answerWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status)
+	informational := status < 200 && status != http.StatusSwitchingProtocols
+	if w.status == 0 && !informational {
+		w.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(data []byte) (int, error) {
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap serves http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// received is what a caller has of a request that has ended.
+type received string
+
+const (
+	receivedAnswer received = "answer"
+	// receivedRefusal: an error answer.
+	receivedRefusal received = "refusal"
+	// receivedPart: an answer's beginning, and then an error event or a broken connection.
+	receivedPart received = "part"
+	// receivedNothing: the caller left before its answer was whole.
+	receivedNothing received = "nothing"
+)
+
+// received tells what the caller has, before an error answer is written. The error alone
+// doesn't: one that comes after a head was written is counted like any other, but its status
+// reaches nobody.
+func (c *call) received(err *apierror.Error) received {
+	switch {
+	case c.left(err):
+		return receivedNothing
+	case err == nil:
+		return receivedAnswer
+	case c.w.status != 0:
+		return receivedPart
+	}
+	return receivedRefusal
+}
+
+// left tells whether the caller is gone. A forced stop ends the request's context as well, with
+// a cause of its own, and its callers are still there.
+func (c *call) left(err *apierror.Error) bool {
+	cause := context.Cause(c.r.Context())
+	if errors.Is(cause, runs.ErrStopping) {
+		return false
+	}
+	return cause != nil || (err != nil && err.Code == apierror.CodeClientGone)
+}
+
+// end writes the error answer, if one is due, and the log line.
+func (e *Entry) end(c *call, err *apierror.Error) {
+	got := c.received(err)
+	if err != nil && c.w.status == 0 {
+		err.RequestID = c.id
+		err.Write(c.w)
+	}
+	e.logCall(c, err, got)
+}
+
+// logCall writes the request's one line and counts it.
+func (e *Entry) logCall(c *call, err *apierror.Error, got received) {
+	fields := []zap.Field{
+		zap.String("request_id", c.id), zap.String("method", c.r.Method), zap.String("path", c.r.URL.Path),
+		zap.Duration("took", time.Since(c.started)), zap.String("caller_got", string(got)),
+	}
+	if got != receivedNothing {
+		fields = append(fields, zap.Int("caller_status", c.w.status))
+	}
+	if c.customer != nil {
+		fields = append(fields, zap.String("customer", c.customer.ID))
+	}
+	if err != nil {
+		fields = append(fields, zap.String("code", err.Code), zap.String("ran", string(err.Ran)), zap.String("reason", err.Message))
+		metrics.GetOrRegisterCounter("entry.errors."+err.Code, e.Metrics).Inc(1)
+	}
+	if got == receivedPart {
+		metrics.GetOrRegisterCounter("entry.answers_cut", e.Metrics).Inc(1)
+	}
+	metrics.GetOrRegisterTimer("entry.request", e.Metrics).UpdateSince(c.started)
+	e.Zap.Info("request", fields...)
+}
--- /dev/null
+++ b/internal/coordination/entry/requestline_test.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"limpetwall/internal/coordination/burn"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/rpc"
+)
+
+// scriptedAgent sends the same events to each run and then ends its stream. With held it
+// closes held instead and goes on only when the entry ends the run.
+type scriptedAgent struct {
+	wire.UnimplementedAgentServer
+	events []*wire.RunEvent
+	held   chan struct{}
+}
+
+func (a *scriptedAgent) Run(r *wire.RunRequest, s wire.Agent_RunServer) error {
+	for _, e := range a.events {
+		if err := s.Send(&wire.RunEvent{RequestId: r.GetRequestId(), Attempt: r.GetAttempt(), Event: e.GetEvent()}); err != nil {
+			return err
+		}
+	}
+	if a.held != nil {
+		close(a.held)
+		<-s.Context().Done()
+	}
+	return nil
+}
+
+func started() *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{WeightVersion: "v1"}}}
+}
+
+func token(text string) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Tokens{Tokens: &wire.Tokens{Tokens: []string{text}}}}
+}
+
+func head(status int32) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_PlainHead{PlainHead: &wire.PlainHead{Status: status}}}
+}
+
+func body(text string) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: []byte(text)}}
+}
+
+func finished(tokens uint32) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_Finished{Finished: &wire.Finished{Reason: "stop", CompletionTokens: tokens}}}
+}
+
+// site is an entry with callers on one side and one agent on the other.
+type site struct {
+	server  *httptest.Server
+	lines   *observer.ObservedLogs
+	metrics metrics.Registry
+	// stop ends the requests underway, as a forced stop does.
+	stop context.CancelCauseFunc
+}
+
+const callerKey = "key"
+
+func newSite(t *testing.T, scripted *scriptedAgent) *site {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := rpc.NewServer(nil)
+	wire.RegisterAgentServer(agent, scripted)
+	go agent.Serve(listener)
+	t.Cleanup(agent.Stop)
+	now := time.Now()
+	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{ID: "entry", Role: fleet.RoleEntry}, now)
+	table.Merge(fleet.Member{
+		ID: "agent", Incarnation: 1, Version: 1, Address: listener.Addr().String(), Role: fleet.RoleAgent,
+		Endpoint: fleet.Endpoint{ID: "agent", Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
+	}, now)
+	store := config.NewStore()
+	put := func(kind config.Kind, id, spec string) config.Document {
+		return config.Document{Ref: config.Ref{Kind: kind, ID: id}, Spec: []byte(spec)}
+	}
+	err = store.Apply(config.Change{Revision: 1, Puts: []config.Document{
+		put(config.KindCustomer, "club", `{"key_hashes":["`+config.HashKey(callerKey)+`"]}`),
+		put(config.KindService, "prompts", `{"kind":"prompt","customers":["*"]}`),
+		put(config.KindService, "lookups", `{"kind":"plain","customers":["*"]}`),
+		put(config.KindIntent, "a", `{"service":"prompts","labels":{"pool":"x"},"model":"m"}`),
+		put(config.KindIntent, "b", `{"service":"lookups","labels":{"pool":"x"},"model":"m"}`),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := rpc.NewPool(nil)
+	t.Cleanup(pool.Close)
+	core, lines := observer.New(zap.InfoLevel)
+	directory := routing.NewDirectory(table, store, 100, 1)
+	e := New(DefaultConfig(), Deps{
+		Store: store, Directory: directory, Book: burn.NewBook(), Zap: zap.New(core), Metrics: metrics.NewRegistry(),
+		Runner: &runs.Runner{
+			Directory: directory, Table: table, Pool: pool, Tickets: runs.NewTicketPool(pool),
+			Budget: runs.NewRetryBudget(0.1, 10), Store: store, Zap: zap.NewNop(),
+		},
+	})
+	e.SetReady()
+	hard, stop := context.WithCancelCause(context.Background())
+	s := &site{server: httptest.NewUnstartedServer(e.Handler()), lines: lines, metrics: e.Metrics, stop: stop}
+	s.server.Config.BaseContext = func(net.Listener) context.Context { return hard }
+	s.server.Start()
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// open sends one request and returns when its answer begins.
+func (s *site) open(t *testing.T, ctx context.Context, key, path, content string) (*http.Response, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+path, strings.NewReader(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	return s.server.Client().Do(r)
+}
+
+// ask sends one request and returns what its caller sees: the status, what came of the
+// body, and whether the connection broke before the answer's end.
+func (s *site) ask(t *testing.T, key, path, content string) (status int, text string, cut bool) {
+	t.Helper()
+	resp, err := s.open(t, t.Context(), key, path, content)
+	if err != nil {
+		return 0, "", true
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err != nil
+}
+
+// line waits for the handlers' end and returns the request's only line.
+func (s *site) line(t *testing.T) map[string]any {
+	t.Helper()
+	s.server.Close()
+	all := s.lines.FilterMessage("request").All()
+	if len(all) != 1 {
+		t.Fatalf("%d request lines, want 1", len(all))
+	}
+	return all[0].ContextMap()
+}
+
+func (s *site) counter(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, s.metrics).Count()
+}
+
+const (
+	streamed  = `{"model":"prompts","prompt":"chair","stream":true}`
+	whole     = `{"model":"prompts","prompt":"chair"}`
+	promptURL = "/v1/completions"
+)
+
+// TestRequestLineTellsWhatTheCallerGot ends requests in each way and compares the request's
+// line and the counters with what its caller saw.
+//
+// A prompt's stream that breaks after its first token ends with an error event under a status
+// of 200. A line without that error, and a counter that stays, report a whole answer that the
+// caller has not got.
+func TestRequestLineTellsWhatTheCallerGot(t *testing.T) {
+	rows := []struct {
+		name, key, path, content string
+		events                   []*wire.RunEvent
+		// What the caller sees: the status, and the end of the text.
+		status int
+		end    string
+		cut    bool
+		// What the line and the counters say; no code: a whole answer.
+		code string
+		got  string
+	}{
+		{"a whole stream", callerKey, promptURL, streamed, []*wire.RunEvent{started(), token("a"), finished(1)},
+			200, "data: [DONE]\n\n", false, "", "answer"},
+		{"a whole answer", callerKey, promptURL, whole, []*wire.RunEvent{started(), token("a"), finished(1)},
+			200, "}\n", false, "", "answer"},
+		{"a stream that breaks", callerKey, promptURL, streamed, []*wire.RunEvent{started(), token("a")},
+			200, "}}\n\n", false, apierror.CodeStreamLost, "part"},
+		{"a stream that breaks before its first token", callerKey, promptURL, streamed, []*wire.RunEvent{started()},
+			502, "}}\n", false, apierror.CodeStreamLost, "refusal"},
+		{"an answer that breaks", callerKey, promptURL, whole, []*wire.RunEvent{started(), token("a")},
+			502, "}}\n", false, apierror.CodeStreamLost, "refusal"},
+		{"a key that is not known", "other", promptURL, whole, nil,
+			401, "}}\n", false, apierror.CodeUnauthorized, "refusal"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, &scriptedAgent{events: row.events})
+			status, text, cut := s.ask(t, row.key, row.path, row.content)
+			if status != row.status || cut != row.cut || !strings.HasSuffix(text, row.end) {
+				t.Errorf("the caller saw %d, %q, cut %v; want %d, …%q, %v", status, text, cut, row.status, row.end, row.cut)
+			}
+			line := s.line(t)
+			if code, _ := line["code"].(string); code != row.code {
+				t.Errorf("the line's code is %q, want %q", code, row.code)
+			}
+			if line["caller_got"] != row.got || line["caller_status"] != int64(row.status) {
+				t.Errorf("the line says %v, status %v; want %v, %v", line["caller_got"], line["caller_status"], row.got, row.status)
+			}
+			if row.code != "" && s.counter("entry.errors."+row.code) != 1 {
+				t.Errorf("errors counted as %s: %d, want 1", row.code, s.counter("entry.errors."+row.code))
+			}
+			wantCut := int64(0)
+			if row.got == "part" {
+				wantCut = 1
+			}
+			if n := s.counter("entry.answers_cut"); n != wantCut {
+				t.Errorf("answers cut: %d, want %d", n, wantCut)
+			}
+			if n := metrics.GetOrRegisterTimer("entry.request", s.metrics).Count(); n != 1 {
+				t.Errorf("requests timed: %d, want 1", n)
+			}
+		})
+	}
+}
+
+// TestRequestLineOfAnEndedRequest ends a request from outside while the agent holds it.
+//
+// A caller that leaves has nothing, so no status may be named. A forced stop ends the
+// request's context too, but its caller is there and gets an error: taking the one for the
+// other hides the answers that a stop cut.
+func TestRequestLineOfAnEndedRequest(t *testing.T) {
+	rows := []struct {
+		name    string
+		content string
+		events  []*wire.RunEvent
+		leaves  bool
+		code    string
+		got     string
+		status  any
+	}{
+		{"the caller leaves", whole, []*wire.RunEvent{started()}, true, apierror.CodeClientGone, "nothing", nil},
+		{"the caller leaves within a stream", streamed, []*wire.RunEvent{started(), token("a")}, true, apierror.CodeClientGone, "nothing", nil},
+		{"a forced stop", whole, []*wire.RunEvent{started()}, false, apierror.CodeStopping, "refusal", int64(503)},
+		{"a forced stop within a stream", streamed, []*wire.RunEvent{started(), token("a")}, false, apierror.CodeStopping, "part", int64(200)},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			agent := &scriptedAgent{events: row.events, held: make(chan struct{})}
+			s := newSite(t, agent)
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			begun, ended := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(ended)
+				resp, err := s.open(t, ctx, callerKey, promptURL, row.content)
+				close(begun)
+				if err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			}()
+			<-agent.held
+			if row.content == streamed {
+				<-begun
+			}
+			if row.leaves {
+				leave()
+			} else {
+				s.stop(runs.ErrStopping)
+			}
+			<-ended
+			line := s.line(t)
+			if line["code"] != row.code || line["caller_got"] != row.got || line["caller_status"] != row.status {
+				t.Errorf("the line says %v, %v, status %v; want %v, %v, %v",
+					line["code"], line["caller_got"], line["caller_status"], row.code, row.got, row.status)
+			}
+		})
+	}
+}
