The entry logs, counts and times a plain answer before it cuts it

Callers of plain services saw their connection break within an answer; the entry's log had no line of the request, no entry.errors.CODE counted it and entry.request did not time it.

Cause: plainSink.fail panicked with http.ErrAbortHandler to have net/http break the connection. The panic unwound caller() before it logged.

Ruled out: an answer whose head was not written yet; it was refused with 502 and logged.

Why it holds: the sink only says that the connection is to be cut. The request's single end breaks it, after the line and the counters, and nothing of the request runs later.

Test, before, for a plain answer that breaks after its first bytes, with 201 as with 502: "0 request lines, want 1; errors counted as stream_lost: 0, want 1; answers cut: 0, want 1; requests timed: 0, want 1".

--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -215,6 +215,8 @@
 	w        *answerWriter
 	r        *http.Request
 	started  time.Time
+	// cut tells that the connection must be broken at the request's end.
+	cut bool
 }
 
 func newRequestID() string {
--- a/internal/coordination/entry/plain.go
+++ b/internal/coordination/entry/plain.go
@@ -108,13 +108,9 @@
 	s.writeHead()
 }
 
-// fail breaks the connection of an answer that has begun: an ordinary end would
+// fail has the connection of an answer that has begun broken: an ordinary end would
 // make the part look whole.
-func (s *plainSink) fail(*apierror.Error) {
-	if s.sent {
-		panic(http.ErrAbortHandler)
-	}
-}
+func (s *plainSink) fail(*apierror.Error) { s.c.cut = s.sent }
 
 // serveTicket gives a caller a ticket to use as idempotency key. Calls with it
 // need no platform, so they go on through its outages.
--- a/internal/coordination/entry/requestline.go
+++ b/internal/coordination/entry/requestline.go
@@ -77,7 +77,9 @@
 	return cause != nil || (err != nil && err.Code == apierror.CodeClientGone)
 }
 
-// end writes the error answer, if one is due, and the log line.
+// end writes the error answer, if one is due, and the log line. Only then it breaks the
+// connection of an answer that was cut: net/http does so on a panic, which ends the handler,
+// so a sink that panicked itself would leave the request without line, counter and timer.
 func (e *Entry) end(c *call, err *apierror.Error) {
 	got := c.received(err)
 	if err != nil && c.w.status == 0 {
@@ -85,6 +87,9 @@
 		err.Write(c.w)
 	}
 	e.logCall(c, err, got)
+	if c.cut {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // logCall writes the request's one line and counts it.
--- a/internal/coordination/entry/requestline_test.go
+++ b/internal/coordination/entry/requestline_test.go
@@ -156,7 +156,8 @@
 	s.server.Close()
 	all := s.lines.FilterMessage("request").All()
 	if len(all) != 1 {
-		t.Fatalf("%d request lines, want 1", len(all))
+		t.Errorf("%d request lines, want 1", len(all))
+		return nil
 	}
 	return all[0].ContextMap()
 }
@@ -169,6 +170,7 @@
 	streamed  = `{"model":"prompts","prompt":"chair","stream":true}`
 	whole     = `{"model":"prompts","prompt":"chair"}`
 	promptURL = "/v1/completions"
+	plainURL  = "/v1/services/lookups/a"
 )
 
 // TestRequestLineTellsWhatTheCallerGot ends requests in each way and compares the request's
@@ -176,7 +178,9 @@
 //
 // A prompt's stream that breaks after its first token ends with an error event under a status
 // of 200. A line without that error, and a counter that stays, report a whole answer that the
-// caller has not got.
+// caller has not got. A plain service's answer that breaks off can only be told by a cut
+// connection, after which nothing more of the handler runs: what is logged after the cut is
+// never logged.
 func TestRequestLineTellsWhatTheCallerGot(t *testing.T) {
 	rows := []struct {
 		name, key, path, content string
@@ -199,6 +203,14 @@
 			502, "}}\n", false, apierror.CodeStreamLost, "refusal"},
 		{"an answer that breaks", callerKey, promptURL, whole, []*wire.RunEvent{started(), token("a")},
 			502, "}}\n", false, apierror.CodeStreamLost, "refusal"},
+		{"a plain answer", callerKey, plainURL, "", []*wire.RunEvent{head(201), body("a"), finished(0)},
+			201, "a", false, "", "answer"},
+		{"a plain answer that breaks", callerKey, plainURL, "", []*wire.RunEvent{head(201), body("a")},
+			201, "a", true, apierror.CodeStreamLost, "part"},
+		{"a plain failure that breaks", callerKey, plainURL, "", []*wire.RunEvent{head(502), body("a")},
+			502, "a", true, apierror.CodeStreamLost, "part"},
+		{"a plain answer that breaks before its body", callerKey, plainURL, "", []*wire.RunEvent{head(201)},
+			502, "}}\n", false, apierror.CodeStreamLost, "refusal"},
 		{"a key that is not known", "other", promptURL, whole, nil,
 			401, "}}\n", false, apierror.CodeUnauthorized, "refusal"},
 	}
