A plain answer without a head is refused by the entry, not passed on as status 0

Callers of a plain service whose agent ended an answer without a head saw their connection break; nothing was logged. When a body came before a head, or a head bore a status that HTTP has not (0, 1000), the whole entry process ended, and every caller's request with it. A head with 100 was passed on as 200.

Cause: plainSink wrote the head with whatever status it had. net/http panics on those it can't write: at the answer's end in the handler, which costs the connection; in Body in the attempt's goroutine, where nothing recovers.

Ruled out: a break before the head without an end; the runner's own error is answered.

Why it holds: Head takes only a final status (200 to 999), and Body and finish go on only with a head that was taken, so writeHead can't meet another. Callers get 502, outcome_unknown, ran unknown, do_not_retry, as the request may have run. finish may now refuse as fail does, so the outcome is booked after it: the burn report sees this answer as failed.

Test, before: "an end only: the caller saw 0, "", cut true; want 502; 0 request lines, want 1" after "http: panic serving: invalid WriteHeader code 0"; a body only, a body before its head, a head with 0 and one with 1000: the test process ended with "panic: invalid WriteHeader code 0" (1000), goroutine created by runs.(*Runner).round; a head with 100: "the caller saw 200, "a", cut false; want 502; the line says <nil>, answer, status 200". An end only was booked as "1 served and 0 not, want 0 and 1".

--- a/internal/coordination/entry/plain.go
+++ b/internal/coordination/entry/plain.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/wire"
@@ -54,13 +56,22 @@
 	return &runs.Job{RequestID: c.id, Customer: c.customer, Service: s, Digest: digest[:], Plain: plain}
 }
 
+// errNoHead ends an answer that has no status to pass on.
+const errNoHead = errors.ConstError("the answer has no head with a final status")
+
 // plainSink passes a plain service's answer through.
+//
+// Invariant: head is nil or bears a final status, and writeHead is called only with a head.
+// net/http panics on a status it can't write. In Body that would be in the attempt's
+// goroutine, where nothing recovers, and would end the process with all its callers' requests.
 type plainSink struct {
 	c     *call
 	first time.Time
 	head  *wire.PlainHead
 	sent  bool
-	flush *http.ResponseController
+	// headless tells that the answer was given up on for want of a head.
+	headless bool
+	flush    *http.ResponseController
 }
 
 // Started implements runs.Sink; plain answers have no tokens.
@@ -72,10 +83,17 @@
 // Head implements runs.Sink. The head is written with the first bytes of the
 // body or at the end: until then a fault can still become an error answer.
 func (s *plainSink) Head(h *wire.PlainHead) error {
+	if !isFinalStatus(h.GetStatus()) {
+		s.headless = true
+		return errNoHead
+	}
 	s.first, s.head = time.Now(), h
 	return nil
 }
 
+// isFinalStatus tells whether net/http writes a status as an answer's last one.
+func isFinalStatus(status int32) bool { return status >= 200 && status <= 999 }
+
 func (s *plainSink) firstAt() time.Time { return s.first }
 
 func (s *plainSink) writeHead() {
@@ -97,6 +115,10 @@
 
 // Body implements runs.Sink.
 func (s *plainSink) Body(data []byte) error {
+	if s.head == nil {
+		s.headless = true
+		return errNoHead
+	}
 	s.writeHead()
 	if _, err := s.c.w.Write(data); err != nil {
 		return err
@@ -104,13 +126,30 @@
 	return s.flush.Flush()
 }
 
-func (s *plainSink) finish(runs.Result) {
+func (s *plainSink) finish(runs.Result) *apierror.Error {
+	if s.head == nil {
+		return noHead()
+	}
 	s.writeHead()
+	return nil
 }
 
 // fail has the connection of an answer that has begun broken: an ordinary end would
 // make the part look whole.
-func (s *plainSink) fail(*apierror.Error) { s.c.cut = s.sent }
+func (s *plainSink) fail(err *apierror.Error) *apierror.Error {
+	s.c.cut = s.sent
+	if s.headless {
+		// The runner takes a sink's error for a caller that left.
+		return noHead()
+	}
+	return err
+}
+
+// noHead is the answer to a request that may have run and whose own answer is unusable.
+func noHead() *apierror.Error {
+	return apierror.New(http.StatusBadGateway, apierror.CodeOutcomeUnknown, errNoHead.Error()).
+		WithRan(apierror.RanUnknown, apierror.AdviceNever)
+}
 
 // serveTicket gives a caller a ticket to use as idempotency key. Calls with it
 // need no platform, so they go on through its outages.
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -139,11 +139,11 @@
 	runs.Sink
 	// firstAt is when the first token or the head arrived.
 	firstAt() time.Time
-	// finish writes the end of a whole answer.
-	finish(result runs.Result)
-	// fail ends an answer that broke off after it was begun. Before that it writes nothing,
-	// and the request gets an error answer.
-	fail(err *apierror.Error)
+	// finish writes the end of a whole answer, or tells why it is none.
+	finish(result runs.Result) *apierror.Error
+	// fail ends an answer that broke off after it was begun, and returns the request's error,
+	// never nil. Before that it writes nothing, and the error becomes the answer.
+	fail(err *apierror.Error) *apierror.Error
 }
 
 // run admits a job, carries it out and books its outcome.
@@ -166,15 +166,15 @@
 	}
 	defer leave()
 	result, refused := e.Runner.Run(ctx, job, sink)
-	e.observe(c, job.Service, sink.firstAt(), refused)
-	if refused != nil {
+	if refused == nil {
+		refused = sink.finish(result)
+	} else {
 		// The error goes on whether fail wrote or not: no error means a whole answer, and the
 		// log and the counters would show a broken one as such.
-		sink.fail(refused)
-		return refused
+		refused = sink.fail(refused)
 	}
-	sink.finish(result)
-	return nil
+	e.observe(c, job.Service, sink.firstAt(), refused)
+	return refused
 }
 
 // wirePrompt names the model of the service's first intent; endpoints of all
@@ -269,12 +269,12 @@
 // Body implements runs.Sink; prompts have no plain answers.
 func (s *promptSink) Body([]byte) error { return nil }
 
-func (s *promptSink) finish(result runs.Result) {
+func (s *promptSink) finish(result runs.Result) *apierror.Error {
 	usage := openai.NewUsage(s.prompts, s.cached, result.CompletionTokens)
 	if s.prompt.Stream {
 		s.open()
 		s.c.w.Write(s.out.Last(result.Reason, usage))
-		return
+		return nil
 	}
 	h := s.c.w.Header()
 	h.Set("Content-Type", "application/json")
@@ -282,16 +282,17 @@
 		h.Set(ReplayedHeader, "true")
 	}
 	s.c.w.Write(s.out.Whole(s.text.String(), result.Reason, usage))
+	return nil
 }
 
 // fail ends a stream that has begun with an error event and without the end
 // mark, so that no caller takes the part for the whole.
-func (s *promptSink) fail(err *apierror.Error) {
-	if !s.opened {
-		return
+func (s *promptSink) fail(err *apierror.Error) *apierror.Error {
+	if s.opened {
+		err.RequestID = s.c.id
+		s.c.w.Write(openai.ErrorEvent(err.Body()))
 	}
-	err.RequestID = s.c.id
-	s.c.w.Write(openai.ErrorEvent(err.Body()))
+	return err
 }
 
 func (e *Entry) modelIDs(c *call) []string {
--- a/internal/coordination/entry/requestline_test.go
+++ b/internal/coordination/entry/requestline_test.go
@@ -70,6 +70,7 @@
 	server  *httptest.Server
 	lines   *observer.ObservedLogs
 	metrics metrics.Registry
+	book    *burn.Book
 	// stop ends the requests underway, as a forced stop does.
 	stop context.CancelCauseFunc
 }
@@ -109,9 +110,9 @@
 	pool := rpc.NewPool(nil)
 	t.Cleanup(pool.Close)
 	core, lines := observer.New(zap.InfoLevel)
-	directory := routing.NewDirectory(table, store, 100, 1)
+	directory, book := routing.NewDirectory(table, store, 100, 1), burn.NewBook()
 	e := New(DefaultConfig(), Deps{
-		Store: store, Directory: directory, Book: burn.NewBook(), Zap: zap.New(core), Metrics: metrics.NewRegistry(),
+		Store: store, Directory: directory, Book: book, Zap: zap.New(core), Metrics: metrics.NewRegistry(),
 		Runner: &runs.Runner{
 			Directory: directory, Table: table, Pool: pool, Tickets: runs.NewTicketPool(pool),
 			Budget: runs.NewRetryBudget(0.1, 10), Store: store, Zap: zap.NewNop(),
@@ -119,7 +120,7 @@
 	})
 	e.SetReady()
 	hard, stop := context.WithCancelCause(context.Background())
-	s := &site{server: httptest.NewUnstartedServer(e.Handler()), lines: lines, metrics: e.Metrics, stop: stop}
+	s := &site{server: httptest.NewUnstartedServer(e.Handler()), lines: lines, metrics: e.Metrics, book: book, stop: stop}
 	s.server.Config.BaseContext = func(net.Listener) context.Context { return hard }
 	s.server.Start()
 	t.Cleanup(s.server.Close)
@@ -166,6 +167,16 @@
 	return metrics.GetOrRegisterCounter(name, s.metrics).Count()
 }
 
+// booked counts the requests that the burn report has as served and as not served.
+func (s *site) booked() (good, bad int64) {
+	for _, series := range s.book.Snapshot(time.Now()).Series {
+		for _, m := range series.Minutes {
+			good, bad = good+m.Good, bad+m.Bad
+		}
+	}
+	return good, bad
+}
+
 const (
 	streamed  = `{"model":"prompts","prompt":"chair","stream":true}`
 	whole     = `{"model":"prompts","prompt":"chair"}`
@@ -299,3 +310,47 @@
 		})
 	}
 }
+
+// TestPlainAnswerWithoutHead has an agent end a plain answer, or begin its body, without a
+// head that names a status.
+//
+// There is no status to pass on: net/http panics on the 0 that stands for it, which breaks
+// the connection and leaves the request unlogged. As the request may have run, its caller must
+// be told that the outcome is unknown, and not to send it again.
+func TestPlainAnswerWithoutHead(t *testing.T) {
+	rows := []struct {
+		name   string
+		events []*wire.RunEvent
+	}{
+		{"an end only", []*wire.RunEvent{finished(0)}},
+		{"a body only", []*wire.RunEvent{body("a"), finished(0)}},
+		{"a body before its head", []*wire.RunEvent{body("a"), head(200), finished(0)}},
+		{"a head without a status", []*wire.RunEvent{head(0), body("a"), finished(0)}},
+		{"a head with no final status", []*wire.RunEvent{head(100), body("a"), finished(0)}},
+		{"a head with a status of four digits", []*wire.RunEvent{head(1000), body("a"), finished(0)}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, &scriptedAgent{events: row.events})
+			status, text, cut := s.ask(t, callerKey, plainURL, "")
+			if status != http.StatusBadGateway || cut {
+				t.Errorf("the caller saw %d, %q, cut %v; want 502", status, text, cut)
+			}
+			for _, told := range []string{`"code":"outcome_unknown"`, `"ran":"unknown"`, `"advice":"do_not_retry"`} {
+				if !strings.Contains(text, told) {
+					t.Errorf("the caller is not told %s but %q", told, text)
+				}
+			}
+			line := s.line(t)
+			if line["code"] != apierror.CodeOutcomeUnknown || line["caller_got"] != "refusal" || line["caller_status"] != int64(502) {
+				t.Errorf("the line says %v, %v, status %v", line["code"], line["caller_got"], line["caller_status"])
+			}
+			if n := s.counter("entry.errors." + apierror.CodeOutcomeUnknown); n != 1 {
+				t.Errorf("errors counted as %s: %d, want 1", apierror.CodeOutcomeUnknown, n)
+			}
+			if good, bad := s.booked(); good != 0 || bad != 1 {
+				t.Errorf("the burn report has %d served and %d not, want 0 and 1", good, bad)
+			}
+		})
+	}
+}
