A handler's own read deadline is never taken for one of ingress's marks

On a route with a time of 59 to 60 minutes, or over 61, the read of a body that paused for longer than the header or idle limit in force timed out, though the route's time was far from up; the gateway refuses the request then.

Cause: net/http's fixed limits, which conn replaces by the limits in force, were one and two hours, and conn told them by the time left alone. A handler's deadline comes by the same method.

Why it holds: the marks are 100 and 200 years, within a year; a route's time doesn't reach there, and a paused process doesn't make conn miss a mark. While no limit is in force the marks themselves had been the limits; an hour and two hours stay in force then, under names of their own.

Tests: TestHandlersOwnDeadline, before, for 59m30s, 1h, 1h2m, 2h, a year and 40 years: "the handler read "a" read pipe: i/o timeout"; 30m and 1h0m30s passed. TestNoLimitsInForce passed before and guards what the old marks did beside.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -17,8 +17,18 @@
 	// markIdle and markHeader are the fixed time limits given to net/http, which
 	// reads them without synchronisation. They are never waited for: each tells
 	// conn which of the limits in force it stands for.
-	markIdle   = 2 * time.Hour
-	markHeader = time.Hour
+	//
+	// A handler's own deadline comes to conn by the same call and must not be taken for
+	// one of them, or a body's time would be cut to the idle or header limit. So they lie
+	// decades beyond the time of any request, and yet below the 292 years that a
+	// time.Duration holds. The year that conn allows for is for a process that was paused
+	// between net/http's look at the clock and its own.
+	markIdle   = 200 * year
+	markHeader = 100 * year
+	year       = 365 * 24 * time.Hour
+	// unsetIdle and unsetHeader apply while no limit is in force.
+	unsetIdle   = 2 * time.Hour
+	unsetHeader = time.Hour
 	// hardHeaderBytes bounds a header while it is read; the limit in force is
 	// checked when it is whole.
 	hardHeaderBytes = 1 << 20
@@ -97,12 +107,25 @@
 		return c.Conn.SetReadDeadline(t)
 	}
 	limits := c.server.limits.Load()
-	left := time.Until(t)
-	switch {
-	case left > markHeader+time.Minute && limits.IdleTimeout > 0:
-		t = time.Now().Add(limits.IdleTimeout + slack)
-	case left > markHeader-time.Minute && left <= markHeader && limits.HeaderTimeout > 0:
-		t = time.Now().Add(limits.HeaderTimeout)
+	switch left := time.Until(t); {
+	case left > markIdle-year:
+		t = time.Now().Add(idleLimit(limits))
+	case left > markHeader-year:
+		t = time.Now().Add(headerLimit(limits))
 	}
 	return c.Conn.SetReadDeadline(t)
 }
+
+func idleLimit(l *routes.Limits) time.Duration {
+	if l.IdleTimeout <= 0 {
+		return unsetIdle
+	}
+	return l.IdleTimeout + slack
+}
+
+func headerLimit(l *routes.Limits) time.Duration {
+	if l.HeaderTimeout <= 0 {
+		return unsetHeader
+	}
+	return l.HeaderTimeout
+}
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -149,3 +149,75 @@
 		}
 	})
 }
+
+// TestHandlersOwnDeadline sets a read deadline in the handler, as for a body on a route with
+// that time, and sends the body's end later than any limit in force.
+//
+// net/http's own limits and the handler's deadline come by the same method. A deadline taken
+// for a mark is cut to the idle or header limit, and the caller's body ends early.
+func TestHandlersOwnDeadline(t *testing.T) {
+	const day = 24 * time.Hour
+	rows := []struct{ own, late time.Duration }{
+		{30 * time.Minute, 29 * time.Minute},
+		{59*time.Minute + 30*time.Second, 59 * time.Minute},
+		{time.Hour, 59 * time.Minute},
+		{time.Hour + 30*time.Second, time.Hour},
+		{time.Hour + 2*time.Minute, time.Hour},
+		{2 * time.Hour, 119 * time.Minute},
+		{365 * day, 364 * day},
+		{40 * 365 * day, 39 * 365 * day},
+	}
+	for _, row := range rows {
+		t.Run(row.own.String(), func(t *testing.T) {
+			serving(t, readBody(row.own), func(s *Server, p *pipes) {
+				s.SetLimits(routes.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: time.Second})
+				c := p.dial()
+				defer c.Close()
+				io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+				rest := time.AfterFunc(row.late, func() { io.WriteString(c, "b") })
+				defer rest.Stop()
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if answer, err := io.ReadAll(resp.Body); err != nil || string(answer) != `"ab" <nil>` {
+					t.Errorf("the handler read %s, %v", answer, err)
+				}
+			})
+		})
+	}
+}
+
+// readBody answers with what it read of the body within its own time.
+func readBody(own time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(own))
+		body, err := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%q %v", body, err)
+	})
+}
+
+// TestNoLimitsInForce serves without limits, as before the first configuration.
+//
+// Connections of callers that are gone or send no header still end: without a limit they
+// would stay for as long as the marks, which is for good.
+func TestNoLimitsInForce(t *testing.T) {
+	rows := []struct {
+		name, sent string
+		want       time.Duration
+	}{
+		{"an idle connection", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2 * time.Hour},
+		{"a header that does not come", "GET / HTTP/1.1\r\nHost:", time.Hour},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			serving(t, ok, func(_ *Server, p *pipes) {
+				c := p.dial()
+				io.WriteString(c, row.sent)
+				if took := closedAfter(c); took != row.want {
+					t.Errorf("closed after %s, want %s", took, row.want)
+				}
+			})
+		})
+	}
+}
