A caller that stops sending gets no empty 200 and no false end of a stream

A caller that closes only its sending side and reads on got '200 OK' with an empty body that no endpoint gave, or, in the middle of a stream, the end that marks it whole.

The handler returned as after an answer, and net/http completes what a returning handler leaves: nothing written becomes an empty 200, a begun chunked body gets its last chunk.

Why it holds: the ending says that the caller left; whatever is neither a whole answer nor a refusal that was written ends by breaking the connection. The request's line and counters tell it apart from an answer (requests.KIND.left). Tests of endings have a file of their own.

--- /dev/null
+++ b/internal/coordination/gateway/ending_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"limpetwall/internal/state/routes"
+)
+
+// TestLastEndpointsFailureReachesItsCaller asks where only one endpoint is left.
+//
+// Callers saw their connection closed without an answer. The last endpoint ran the request, failed and
+// said so; it might be repeated, but nobody else was left to ask. The failure was written to the caller by
+// the decision "nobody left", whose absent refusal the loop of attempts took for "go on": the next attempt had no
+// endpoint and failed, and that error cut the connection before the answer had left its buffer.
+// Evidence: in the log of each such request the 500 was followed by an attempt at an empty endpoint
+// ("dial tcp: missing address"), and with one endpoint that fails it happened always.
+func TestLastEndpointsFailureReachesItsCaller(t *testing.T) {
+	rows := []struct {
+		name      string
+		kind      routes.Kind
+		resumable bool
+		endpoint  answerer
+		status    int
+		body      string
+	}{
+		{"failed", routes.Idempotent, false, say(500, "sorry"), 500, "sorry"},
+		{"failed with a status that callers may hear", routes.Idempotent, false, say(503, "busy"), 503, "busy"},
+		{"a stream that failed before it began", routes.Streaming, true, say(500, "sorry"), 500, "sorry"},
+		{"broken", routes.Idempotent, false, hangUp, 502, ""},
+		{"rejected", routes.Idempotent, false, reject, 503, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			list := route(row.kind, 3)
+			list[0].Resumable = row.resumable
+			s := newSite(t, list, row.endpoint)
+			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
+			if err != nil || resp.StatusCode != row.status {
+				t.Fatalf("the caller got %v, %v; want status %d", resp, err, row.status)
+			}
+			if row.body != "" && (body != row.body || resp.Header.Get("Stamp") != fmt.Sprint(row.status)) {
+				t.Errorf("%q, stamp %q", body, resp.Header.Get("Stamp"))
+			}
+			if attempts := metrics.GetOrRegisterCounter("gateway.attempts.not_reached", s.gateway.Metrics).Count(); attempts != 0 || s.runs() != 1 {
+				t.Errorf("the endpoint got %d requests, and %d attempts went nowhere; want 1 and none", s.runs(), attempts)
+			}
+		})
+	}
+}
+
+// TestCallerThatStopsSendingGetsNoEmptyAnswer lets a caller close its sending side and read on.
+//
+// Its end of input counts as leaving: the endpoint is told to stop. A handler that returns then without
+// having written makes net/http answer an empty 200, and one that returns in the middle of a stream
+// makes it write the stream's end: the caller would take either for an endpoint's whole answer. The
+// connection must break instead.
+func TestCallerThatStopsSendingGetsNoEmptyAnswer(t *testing.T) {
+	untilLeft := func(c net.Conn, r *http.Request) { io.Copy(io.Discard, c) }
+	begins := func(c net.Conn, r *http.Request) {
+		stream("", "1")(c, r)
+		untilLeft(c, r)
+	}
+	rows := []struct {
+		name     string
+		kind     routes.Kind
+		endpoint answerer
+		// before is what the caller has read when it stops sending.
+		before string
+	}{
+		{"idempotent", routes.Idempotent, untilLeft, ""},
+		{"non-idempotent", routes.NonIdempotent, untilLeft, ""},
+		{"a stream before its first event", routes.Streaming, untilLeft, ""},
+		{"a stream", routes.Streaming, begins, "data: 1\n"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			arrived := make(chan struct{})
+			s := newSite(t, route(row.kind, 2), func(c net.Conn, r *http.Request) {
+				close(arrived)
+				row.endpoint(c, r)
+			})
+			c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\nContent-Length: 2\r\n\r\nab", testID, testKey)
+			<-arrived
+			reader := bufio.NewReader(c)
+			read := ""
+			for row.before != "" && !strings.HasSuffix(read, row.before) {
+				line, err := reader.ReadString('\n')
+				if err != nil {
+					t.Fatalf("after %q: %v", read, err)
+				}
+				read += line
+			}
+			c.(*net.TCPConn).CloseWrite()
+			rest, err := io.ReadAll(reader)
+			if err == nil && row.before == "" && len(rest) > 0 {
+				t.Errorf("the caller got an answer that nobody gave: %q", rest)
+			}
+			if strings.HasSuffix(string(rest), endOfStream) {
+				t.Errorf("the stream ends as if it were whole: %q", rest)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -123,28 +123,38 @@
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
 	x := &exchange{g: g, w: w, r: r, began: time.Now()}
-	refused := x.prepare()
-	if refused == nil {
-		refused = x.serve()
+	end := ending{refusal: x.prepare()}
+	if end.refusal == nil {
+		end = x.serve()
 	}
-	x.end(refused)
+	x.end(end)
 }
 
-// end writes an answer of the gateway's own, if one is due, and the log line.
-func (x *exchange) end(refused *apierror.Error) {
+// end writes a refusal, if one is due, and the log line.
+//
+// An exchange that ends without a whole answer must break the connection: when a handler returns,
+// net/http completes what was written, a begun stream with its end and nothing at all with an
+// empty 200. A caller that closed only its sending side would take either for an endpoint's answer.
+func (x *exchange) end(e ending) {
 	outcome := "answered"
-	if refused != nil {
-		outcome = refused.Code
-		x.refuse(refused)
+	switch {
+	case e.left:
+		outcome = "left"
+	case e.refusal != nil:
+		outcome = e.refusal.Code
+		x.refuse(e.refusal)
 	}
-	x.log(refused)
+	got := x.received(e)
+	x.log(e.refusal, got)
 	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.began)
-	if refused != nil && x.wrote {
-		// The head promised more than came: only a broken connection tells.
+	if got == receivedAnswer || got == receivedRefusal {
+		return
+	}
+	if e.refusal != nil && x.wrote {
 		x.g.count("answers_cut")
-		panic(http.ErrAbortHandler)
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // count raises a counter; names are made of words fixed in the program only.
@@ -300,7 +310,7 @@
 }
 
 // serve carries out the request until its deadline or the caller's end.
-func (x *exchange) serve() *apierror.Error {
+func (x *exchange) serve() ending {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.Budget.Earn()
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -260,48 +260,6 @@
 	}
 }
 
-// TestLastEndpointsFailureReachesItsCaller asks where only one endpoint is left.
-//
-// Callers saw their connection closed without an answer. The last endpoint ran the request, failed and
-// said so; it might be repeated, but nobody else was left to ask. The failure was written to the caller by
-// the decision "nobody left", whose absent refusal the loop of attempts took for "go on": the next attempt had no
-// endpoint and failed, and that error cut the connection before the answer had left its buffer.
-// Evidence: in the log of each such request the 500 was followed by an attempt at an empty endpoint
-// ("dial tcp: missing address"), and with one endpoint that fails it happened always.
-func TestLastEndpointsFailureReachesItsCaller(t *testing.T) {
-	rows := []struct {
-		name      string
-		kind      routes.Kind
-		resumable bool
-		endpoint  answerer
-		status    int
-		body      string
-	}{
-		{"failed", routes.Idempotent, false, say(500, "sorry"), 500, "sorry"},
-		{"failed with a status that callers may hear", routes.Idempotent, false, say(503, "busy"), 503, "busy"},
-		{"a stream that failed before it began", routes.Streaming, true, say(500, "sorry"), 500, "sorry"},
-		{"broken", routes.Idempotent, false, hangUp, 502, ""},
-		{"rejected", routes.Idempotent, false, reject, 503, ""},
-	}
-	for _, row := range rows {
-		t.Run(row.name, func(t *testing.T) {
-			list := route(row.kind, 3)
-			list[0].Resumable = row.resumable
-			s := newSite(t, list, row.endpoint)
-			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
-			if err != nil || resp.StatusCode != row.status {
-				t.Fatalf("the caller got %v, %v; want status %d", resp, err, row.status)
-			}
-			if row.body != "" && (body != row.body || resp.Header.Get("Stamp") != fmt.Sprint(row.status)) {
-				t.Errorf("%q, stamp %q", body, resp.Header.Get("Stamp"))
-			}
-			if attempts := metrics.GetOrRegisterCounter("gateway.attempts.not_reached", s.gateway.Metrics).Count(); attempts != 0 || s.runs() != 1 {
-				t.Errorf("the endpoint got %d requests, and %d attempts went nowhere; want 1 and none", s.runs(), attempts)
-			}
-		})
-	}
-}
-
 // TestOutcomes plays each way an endpoint may end a request, for each kind.
 //
 // "Not run" (503) is said only when every endpoint that was sent the request says
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -46,26 +46,26 @@
 	receivedRefusal received = "refusal"
 	// receivedPart: an answer's beginning, and then a broken connection.
 	receivedPart received = "part"
-	// receivedNothing: the caller left before its answer was whole.
+	// receivedNothing: the caller left before anything was written to it.
 	receivedNothing received = "nothing"
 )
 
 // received tells what the caller has. The decision alone doesn't: a refusal that comes after
 // a head was written is decided and counted like any other, but its status reaches nobody.
-func (x *exchange) received(refused *apierror.Error) received {
+func (x *exchange) received(e ending) received {
 	switch {
-	case x.r.Context().Err() != nil:
-		return receivedNothing
-	case refused == nil:
+	case e.refusal == nil && !e.left:
 		return receivedAnswer
 	case x.wrote:
 		return receivedPart
+	case x.status != 0:
+		return receivedRefusal
 	}
-	return receivedRefusal
+	return receivedNothing
 }
 
 // log writes the exchange's one line.
-func (x *exchange) log(refused *apierror.Error) {
+func (x *exchange) log(refused *apierror.Error, got received) {
 	if x.g.RequestLines != nil && !x.g.RequestLines.Allow() {
 		x.g.count("request_lines_dropped")
 		return
@@ -74,7 +74,6 @@
 		zap.String("request_id", x.call.ID), zap.String("path", x.r.URL.Path), zap.Duration("took", time.Since(x.began)),
 		zap.Duration("time_given", x.deadline.Sub(x.began)), zap.Any("attempts", x.tries),
 	}
-	got := x.received(refused)
 	fields = append(fields, zap.String("caller_got", string(got)))
 	if got != receivedNothing {
 		fields = append(fields, zap.Int("caller_status", x.status))
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -43,19 +43,18 @@
 	return fields
 }
 
-// run makes attempts until the caller has an answer. nil means that it has one,
-// or has left.
-func (x *exchange) run(ctx context.Context) *apierror.Error {
+// run makes attempts until one answers the caller or no more is tried, and delivers an answer
+// that was kept.
+func (x *exchange) run(ctx context.Context) ending {
 	end := x.attempt(ctx)
 	if end.answer != nil {
 		x.deliver(end.answer)
-		return nil
 	}
-	return end.refusal
+	return end
 }
 
-// ending is how an exchange ends when no more is tried: an endpoint's answer that was kept,
-// or a refusal. With neither the caller has its answer already, or has left.
+// ending is how an exchange ends when no more is tried: an endpoint's answer that was kept, a
+// refusal, or a caller that has left. With none of them an attempt has answered the caller.
 //
 // Invariant: what decides on an ending writes nothing to the caller; run alone does, and
 // nothing follows it. A decision that wrote the kept answer itself could only say so by an
@@ -65,6 +64,8 @@
 type ending struct {
 	answer  *buffered
 	refusal *apierror.Error
+	// left: the caller was gone before its answer was whole.
+	left bool
 }
 
 // attempt makes attempts until one of them answers the caller or no more is tried.
@@ -97,10 +98,12 @@
 		} else {
 			unreached++
 		}
-		if last.verdict == delivered || last.verdict == callerGone {
+		switch last.verdict {
+		case delivered:
 			return ending{}
-		}
-		if last.verdict == movedOn {
+		case callerGone:
+			return ending{left: true}
+		case movedOn:
 			continue
 		}
 		if !x.mayTryAgain(ctx, last, sent, unreached) {
