An endpoint's kept failure goes out when the request's time is up

A request that may be repeated was answered 500 by one endpoint and sent to another, which fell silent. At the end of its time its caller got 504 with an unknown outcome, though the first endpoint's whole answer was kept for it. Cause: the ending looked at the last attempt's verdict before what an endpoint had said. What is ready now goes first; refusals that promise 'not run' are not touched, as a kept failure means that the request has run. Test failed before (504).

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -114,3 +114,17 @@
 		})
 	}
 }
+
+// TestKeptFailureGoesOutWhenTheTimeIsUp lets the first endpoint fail and the second fall silent.
+//
+// The first one's whole failure is kept while the second is asked. When the request's time ends
+// the caller must get it: it tells what went wrong, and 504 with an unknown outcome does not.
+func TestKeptFailureGoesOutWhenTheTimeIsUp(t *testing.T) {
+	silent := func(c net.Conn, r *http.Request) { io.Copy(io.Discard, c) }
+	play := inTurn(say(500, "sorry"), silent)
+	s := newSite(t, route(routes.Idempotent, 2), play, play)
+	resp, body, err := s.ask(s.request("POST", "/r/x", "x", testLeft+": 200"))
+	if err != nil || resp.StatusCode != 500 || body != "sorry" {
+		t.Errorf("%v %q %v, want the endpoint's own 500", resp, body, err)
+	}
+}
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,6 +196,19 @@
 
 const endOfStream = "0\r\n\r\n"
 
+// inTurn plays first to the request that comes first, whichever endpoint it reaches, and then
+// second to all others.
+func inTurn(first, second answerer) answerer {
+	var begun atomic.Bool
+	return func(c net.Conn, r *http.Request) {
+		if begun.Swap(true) {
+			second(c, r)
+			return
+		}
+		first(c, r)
+	}
+}
+
 func route(kind routes.Kind, attempts int) []routes.Route {
 	return []routes.Route{{
 		Name: "r", Host: "h", Prefix: "/r/", Kind: kind, Targets: []routes.Target{{Service: "s", Weight: 1}},
@@ -303,16 +317,7 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			// Whichever endpoint is chosen first plays the first part.
-			var once sync.Mutex
-			parts := []answerer{row.first, row.second}
-			play := func(c net.Conn, r *http.Request) {
-				once.Lock()
-				part := parts[0]
-				parts = append(parts[1:], row.second)
-				once.Unlock()
-				part(c, r)
-			}
+			play := inTurn(row.first, row.second)
 			s := newSite(t, route(row.kind, row.attempts), play, play)
 			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
 			if err != nil || resp.StatusCode != row.status {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -311,6 +311,11 @@
 // final is the ending when nothing more is tried. Only what is proved not to have
 // run is told so; all else is unknown.
 func (x *exchange) final(last outcome, sent int) ending {
+	// First of all what an endpoint has said: it is ready and tells more than any error of the
+	// gateway's own, also than that the time is up.
+	if x.failed != nil && x.mayPassStatus(x.failed.status) && !x.wrote {
+		return ending{answer: x.failed}
+	}
 	switch last.verdict {
 	case notReached:
 		if sent == 0 {
@@ -323,9 +328,6 @@
 	case timedOut:
 		return unknownOutcome(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up")
 	}
-	if x.failed != nil && x.mayPassStatus(x.failed.status) && !x.wrote {
-		return ending{answer: x.failed}
-	}
 	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the endpoint's answer was lost")
 }
 
