Answers too long to be kept follow the same rules as short ones

On streaming routes an answer that is no stream was cut at 256 KB and told to the caller as whole. On plain routes a 503 or 429 of a request that had run was passed on when it was longer, though callers take it for 'not run' and send their order again.

Cause: the length was looked at before the status on one path and not at all on the other. Both now go through one function: what may not be passed on is not, whatever its length; what is too long to be kept is passed on as it comes. Left as it was: a long failure is passed on at once, so nobody else is asked.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -143,15 +143,26 @@
 	if reply.NotRun {
 		return x.rejectedBy(c, s, reply)
 	}
+	return x.answered(ctx, resp)
+}
+
+// answered takes an answer that is no stream. A failure is kept, as another endpoint may do
+// better, unless it is too long for that.
+//
+// Whether a status may be passed on is asked before the length is: a long 503 of a request
+// that ran would promise just as falsely that it did not.
+func (x *exchange) answered(ctx context.Context, resp *upstream.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
 	if err != nil {
 		return x.failure(ctx, err)
 	}
 	answer := &buffered{status: resp.Status, header: resp.Header, body: body}
-	if len(body) == maxBuffered {
+	switch {
+	case x.wrote || !x.mayPassStatus(resp.Status):
+		return outcome{verdict: answeredFailure, answer: answer}
+	case len(body) == maxBuffered:
 		return x.passOn(ctx, answer, resp)
-	}
-	if resp.Status >= http.StatusInternalServerError || !x.mayPassStatus(resp.Status) {
+	case resp.Status >= http.StatusInternalServerError:
 		return outcome{verdict: answeredFailure, answer: answer}
 	}
 	x.deliver(answer)
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -128,3 +128,35 @@
 		t.Errorf("%v %q %v, want the endpoint's own 500", resp, body, err)
 	}
 }
+
+// TestLongAnswersKeepTheRules lets endpoints give answers too long to be kept whole.
+//
+// A failure on a streaming route was cut at the most that is kept, and told as whole. A status
+// that promises "not run" was passed on for a request that had run, as only short answers
+// were looked at: the caller would send its order again.
+func TestLongAnswersKeepTheRules(t *testing.T) {
+	long := strings.Repeat("b", maxBuffered+1000)
+	rows := []struct {
+		name   string
+		kind   routes.Kind
+		answer answerer
+		status int
+		whole  bool
+	}{
+		{"a stream's failure", routes.Streaming, say(400, long), 400, true},
+		{"no stream at all", routes.Streaming, say(201, long), 201, true},
+		{"503 after running", routes.NonIdempotent, say(503, long), 502, false},
+		{"429 after running", routes.NonIdempotent, say(429, long), 502, false},
+		{"a stream's 503 after running", routes.Streaming, say(503, long), 502, false},
+		{"503 of what may be repeated", routes.Idempotent, say(503, long), 503, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, route(row.kind, 1), row.answer)
+			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
+			if err != nil || resp.StatusCode != row.status || (body == long) != row.whole {
+				t.Errorf("%v, %d bytes of %d, %v; want %d", resp, len(body), len(long), err, row.status)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -50,7 +50,7 @@
 		return x.rejectedBy(c, s, reply)
 	}
 	if resp.Status != http.StatusOK {
-		return x.streamFailure(ctx, resp, st)
+		return x.answered(ctx, resp)
 	}
 	x.g.Directory.Sent(c, x.began)
 	x.relocation = x.watchRelocation(ctx, stop, c, s)
@@ -86,20 +86,6 @@
 	}
 }
 
-// streamFailure takes an answer that is no stream.
-func (x *exchange) streamFailure(ctx context.Context, resp *upstream.Response, st *streamState) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
-	if err != nil {
-		return x.failure(ctx, err)
-	}
-	answer := &buffered{status: resp.Status, header: resp.Header, body: body}
-	if st.begun || resp.Status >= http.StatusInternalServerError || !x.mayPassStatus(resp.Status) {
-		return outcome{verdict: answeredFailure, answer: answer}
-	}
-	x.deliver(answer)
-	return outcome{verdict: delivered}
-}
-
 // relay passes events on until the stream ends.
 func (x *exchange) relay(ctx context.Context, c routing.Choice, resp *upstream.Response, st *streamState) outcome {
 	reader := bufio.NewReader(resp)
