What a caller has of an answer is gone on behind only if an event's id says where

On routes whose streams may be resumed a broken answer was followed by another endpoint's from the start, and the caller read both as one, when its events bore no ids or it was no stream at all (a long failure). Cause: 'may be resumed' was asked of the route alone, not of what the caller has. Test failed in both rows before ('one' and then events 1 and 2, told as whole). What the caller has of a stream is part of the exchange now; 'begun' stood twice.

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -160,3 +160,30 @@
 		})
 	}
 }
+
+// TestBegunAnswerIsNotJoinedToAnother breaks answers on a route whose streams may be resumed, before
+// the caller has an event that a second run could go on behind.
+//
+// Events without ids can't be gone on behind, nor can an answer that is no stream: another endpoint
+// would begin anew, and the caller would read both as one answer. The connection must break.
+func TestBegunAnswerIsNotJoinedToAnother(t *testing.T) {
+	noIDs := func(c net.Conn, r *http.Request) {
+		text := "data: one\n\n"
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", testID, r.Header.Get(testID), len(text), text)
+	}
+	torn := func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 201 X\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", testID, r.Header.Get(testID), 2*maxBuffered, strings.Repeat("b", maxBuffered))
+	}
+	for name, first := range map[string]answerer{"events without ids": noIDs, "no stream": torn} {
+		t.Run(name, func(t *testing.T) {
+			list := route(routes.Streaming, 2)
+			list[0].Resumable = true
+			play := inTurn(first, stream(endOfStream, "1", "2"))
+			s := newSite(t, list, play, play)
+			_, body, err := s.ask(s.request("POST", "/r/x", "prompt"))
+			if err == nil || s.runs() != 1 {
+				t.Errorf("%d runs, the caller got %d bytes that end in %q, %v", s.runs(), len(body), body[max(0, len(body)-40):], err)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -111,6 +111,8 @@
 	storedTokens int
 	// failed is the last failure that an endpoint itself gave.
 	failed *buffered
+	// stream is what the caller has of it.
+	stream streamState
 	// relocation watches over the present attempt's run.
 	relocation *relocation
 	// wrote tells that the answer's head has been written, status is the one it bears.
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -74,7 +74,6 @@
 	prompt := x.promptContext()
 	request.Root, request.RootKnown, request.Ends = prompt.root, true, prompt.ends
 	x.know(request, prompt)
-	var stream streamState
 	var last outcome
 	sent, unreached := 0, 0
 	for {
@@ -88,7 +87,7 @@
 			send.continueFrom(last.next.from())
 		}
 		if x.route.Kind == routes.Streaming {
-			last = x.streamAttempt(ctx, choice, send, &stream)
+			last = x.streamAttempt(ctx, choice, send)
 		} else {
 			last = x.plainAttempt(ctx, choice, send)
 		}
@@ -160,7 +159,7 @@
 	if ctx.Err() != nil || x.left() < minLeft {
 		return false
 	}
-	resumable := x.route.Kind == routes.Streaming && x.route.Resumable
+	resumable := x.resumable()
 	if x.wrote && !resumable {
 		// The caller has a part already: another answer would be joined to it. A run that
 		// was moved and is rejected where it should go on has run as well.
@@ -187,6 +186,12 @@
 	return true
 }
 
+// resumable tells whether another endpoint may go on where the last one broke off. What the
+// caller has must end with an event that bears an id: without one the other would begin anew.
+func (x *exchange) resumable() bool {
+	return x.route.Kind == routes.Streaming && x.route.Resumable && (!x.wrote || x.stream.last != "")
+}
+
 // book tells the directory how an attempt ended, and keeps it for the log.
 func (x *exchange) book(c routing.Choice, sent Send, o outcome, started time.Time) {
 	now := time.Now()
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -18,8 +18,6 @@
 
 // streamState is what the caller already has of a stream.
 type streamState struct {
-	// begun tells that the head is with the caller.
-	begun bool
 	// last is the id of the last event passed on, number its value.
 	last   string
 	number int64
@@ -34,10 +32,10 @@
 // streamAttempt runs a request whose answer is a stream, and passes its events on
 // as they come, each whole and once. After a broken attempt the next goes on
 // behind the last event passed on.
-func (x *exchange) streamAttempt(ctx context.Context, c routing.Choice, s Send, st *streamState) outcome {
+func (x *exchange) streamAttempt(ctx context.Context, c routing.Choice, s Send) outcome {
 	x.firstEvent = time.Time{}
-	if st.last != "" {
-		s.LastEvent = st.last
+	if x.stream.last != "" {
+		s.LastEvent = x.stream.last
 	}
 	ctx, stop := x.beginInTime(ctx, c)
 	defer stop()
@@ -54,7 +52,7 @@
 	}
 	x.g.Directory.Sent(c, x.began)
 	x.relocation = x.watchRelocation(ctx, stop, c, s)
-	out = x.relay(ctx, c, resp, st)
+	out = x.relay(ctx, c, resp)
 	next, moved := x.relocation.outcome()
 	switch {
 	case !moved:
@@ -87,30 +85,30 @@
 }
 
 // relay passes events on until the stream ends.
-func (x *exchange) relay(ctx context.Context, c routing.Choice, resp *upstream.Response, st *streamState) outcome {
+func (x *exchange) relay(ctx context.Context, c routing.Choice, resp *upstream.Response) outcome {
 	reader := bufio.NewReader(resp)
 	flush := http.NewResponseController(x.w)
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF {
-			return x.endOfStream(resp, st)
+			return x.endOfStream(resp)
 		}
 		if err != nil {
 			return x.failure(ctx, err)
 		}
-		if !st.take(event) {
+		if !x.stream.take(event) {
 			continue
 		}
 		if x.firstEvent.IsZero() {
 			x.firstEvent = time.Now()
 			x.begun()
 			x.g.Directory.Begun(c, x.firstEvent)
-			if !st.begun {
+			if !x.wrote {
 				metrics.GetOrRegisterTimer("gateway.first_event", x.g.Metrics).UpdateSince(x.began)
 			}
 		}
 		x.relocation.begun.Store(true)
-		x.beginStream(resp, st)
+		x.beginStream(resp)
 		if _, err := x.w.Write(event); err != nil {
 			return outcome{verdict: callerGone, err: err}
 		}
@@ -122,16 +120,15 @@
 
 // beginStream passes the head on with the first event: until then another
 // endpoint may still be asked as if nothing had happened.
-func (x *exchange) beginStream(resp *upstream.Response, st *streamState) {
-	if st.begun {
+func (x *exchange) beginStream(resp *upstream.Response) {
+	if x.wrote {
 		return
 	}
-	st.begun = true
 	x.writeHead(resp.Status, resp.Header, -1)
 }
 
-func (x *exchange) endOfStream(resp *upstream.Response, st *streamState) outcome {
-	x.beginStream(resp, st)
+func (x *exchange) endOfStream(resp *upstream.Response) outcome {
+	x.beginStream(resp)
 	return outcome{verdict: delivered}
 }
 
