A status under 100 is no answer

An endpoint that spoils its answer into a status like 099 broke its caller's connection without an answer, left no log line and stayed booked as busy: the status is read without complaint and panics on writing. It now counts as an answer to nothing, like other bytes that are no HTTP, so that another endpoint may be asked or 502 is said. Test row failed before. A field that nobody read goes.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -150,7 +150,12 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if resp.StatusCode/100 == 1 {
+		switch resp.StatusCode / 100 {
+		case 0:
+			// net/http reads such a status and panics on writing it: the caller's connection
+			// would break without an answer, and the endpoint's work would stay booked.
+			return nil, ErrForeign
+		case 1:
 			continue
 		}
 		if r.Matches(resp.Header, c.served == 1) {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -44,8 +44,6 @@
 	Header http.Header
 	// Length of the body, -1 if it is not declared.
 	Length int64
-	// Unframed bodies end with their connection.
-	Unframed bool
 
 	body io.ReadCloser
 	conn *conn
@@ -76,8 +74,7 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
-		Unframed: head.Close && head.ContentLength < 0 && len(head.TransferEncoding) == 0,
-		body:     head.Body, conn: c, pool: p, stop: stop, addr: address,
+		body: head.Body, conn: c, pool: p, stop: stop, addr: address,
 		err: keepable(head, c),
 	}, nil
 }
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -157,6 +157,9 @@
 		}, "", true},
 		{"no answer at all", func(net.Conn, string) {}, "", true},
 		{"bytes that are no answer", func(c net.Conn, _ string) { io.WriteString(c, "garbage\r\n\r\n") }, "", true},
+		{"a status that does not exist", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 099 X\r\n%s: %s\r\nContent-Length: 1\r\n\r\na", idHeader, id)
+		}, "", true},
 		{"an answer to another request", func(c net.Conn, _ string) { answer(c, "other", "x") }, "", true},
 	}
 	for _, row := range rows {
