--- a/internal/coordination/entry/requestline.go
+++ b/internal/coordination/entry/requestline.go
@@ -11,6 +11,7 @@
 
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/receipt"
 )
 
 // answerWriter remembers the status of the head that was written; 0 before.
@@ -39,32 +40,19 @@
 // Unwrap serves http.ResponseController.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// received is what a caller has of a request that has ended.
-type received string
-
-const (
-	receivedAnswer received = "answer"
-	// receivedRefusal: an error answer.
-	receivedRefusal received = "refusal"
-	// receivedPart: an answer's beginning, and then an error event or a broken connection.
-	receivedPart received = "part"
-	// receivedNothing: the caller left before its answer was whole.
-	receivedNothing received = "nothing"
-)
-
 // received tells what the caller has, before an error answer is written. The error alone
 // doesn't: one that comes after a head was written is counted like any other, but its status
 // reaches nobody.
-func (c *call) received(err *apierror.Error) received {
+func (c *call) received(err *apierror.Error) receipt.Receipt {
 	switch {
 	case c.left(err):
-		return receivedNothing
+		return receipt.Nothing
 	case err == nil:
-		return receivedAnswer
+		return receipt.Answer
 	case c.w.status != 0:
-		return receivedPart
+		return receipt.Part
 	}
-	return receivedRefusal
+	return receipt.Refusal
 }
 
 // left tells whether the caller is gone. A forced stop ends the request's context as well, with
@@ -93,12 +81,12 @@
 }
 
 // logCall writes the request's one line and counts it.
-func (e *Entry) logCall(c *call, err *apierror.Error, got received) {
+func (e *Entry) logCall(c *call, err *apierror.Error, got receipt.Receipt) {
 	fields := []zap.Field{
 		zap.String("request_id", c.id), zap.String("method", c.r.Method), zap.String("path", c.r.URL.Path),
 		zap.Duration("took", time.Since(c.started)), zap.String("caller_got", string(got)),
 	}
-	if got != receivedNothing {
+	if got != receipt.Nothing {
 		fields = append(fields, zap.Int("caller_status", c.w.status))
 	}
 	if c.customer != nil {
@@ -108,7 +96,7 @@
 		fields = append(fields, zap.String("code", err.Code), zap.String("ran", string(err.Ran)), zap.String("reason", err.Message))
 		metrics.GetOrRegisterCounter("entry.errors."+err.Code, e.Metrics).Inc(1)
 	}
-	if got == receivedPart {
+	if got == receipt.Part {
 		metrics.GetOrRegisterCounter("entry.answers_cut", e.Metrics).Inc(1)
 	}
 	metrics.GetOrRegisterTimer("entry.request", e.Metrics).UpdateSince(c.started)
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/receipt"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/upstream"
@@ -150,7 +151,7 @@
 	x.log(e.refusal, got)
 	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.began)
-	if got == receivedAnswer || got == receivedRefusal {
+	if got == receipt.Answer || got == receipt.Refusal {
 		return
 	}
 	if e.refusal != nil && x.wrote {
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/protocol/receipt"
 )
 
 // try is what became of one attempt, and what was believed when it was made.
@@ -36,36 +37,22 @@
 	PeerUnread  int `json:"peer_unread"`
 }
 
-// received is what a caller has of an exchange that has ended.
-type received string
-
-const (
-	// receivedAnswer: an endpoint's whole answer.
-	receivedAnswer received = "answer"
-	// receivedRefusal: an answer of the gateway's own.
-	receivedRefusal received = "refusal"
-	// receivedPart: an answer's beginning, and then a broken connection.
-	receivedPart received = "part"
-	// receivedNothing: the caller left before anything was written to it.
-	receivedNothing received = "nothing"
-)
-
 // received tells what the caller has. The decision alone doesn't: a refusal that comes after
 // a head was written is decided and counted like any other, but its status reaches nobody.
-func (x *exchange) received(e ending) received {
+func (x *exchange) received(e ending) receipt.Receipt {
 	switch {
 	case e.refusal == nil && !e.left:
-		return receivedAnswer
+		return receipt.Answer
 	case x.wrote:
-		return receivedPart
+		return receipt.Part
 	case x.status != 0:
-		return receivedRefusal
+		return receipt.Refusal
 	}
-	return receivedNothing
+	return receipt.Nothing
 }
 
 // log writes the exchange's one line.
-func (x *exchange) log(refused *apierror.Error, got received) {
+func (x *exchange) log(refused *apierror.Error, got receipt.Receipt) {
 	if x.g.RequestLines != nil && !x.g.RequestLines.Allow() {
 		x.g.count("request_lines_dropped")
 		return
@@ -75,7 +62,7 @@
 		zap.Duration("time_given", x.deadline.Sub(x.began)), zap.Any("attempts", x.tries),
 	}
 	fields = append(fields, zap.String("caller_got", string(got)))
-	if got != receivedNothing {
+	if got != receipt.Nothing {
 		fields = append(fields, zap.Int("caller_status", x.status))
 	}
 	if x.call.PromptTokens > 0 {
--- a/internal/coordination/gateway/requestline_test.go
+++ b/internal/coordination/gateway/requestline_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"limpetwall/internal/protocol/receipt"
 	"limpetwall/internal/state/routes"
 )
 
@@ -25,16 +26,16 @@
 		name     string
 		kind     routes.Kind
 		endpoint answerer
-		got      received
+		got      receipt.Receipt
 		status   int64
 		cuts     int64
 	}{
-		{"an endpoint's answer", routes.NonIdempotent, say(201, "a"), receivedAnswer, 201, 0},
-		{"an endpoint's failure", routes.NonIdempotent, say(500, "sorry"), receivedAnswer, 500, 0},
-		{"a refusal", routes.NonIdempotent, reject, receivedRefusal, 503, 0},
-		{"an unknown outcome", routes.NonIdempotent, hangUp, receivedRefusal, 502, 0},
-		{"a stream", routes.Streaming, stream(endOfStream, "1"), receivedAnswer, 200, 0},
-		{"a stream that breaks", routes.Streaming, stream("", "1"), receivedPart, 200, 1},
+		{"an endpoint's answer", routes.NonIdempotent, say(201, "a"), receipt.Answer, 201, 0},
+		{"an endpoint's failure", routes.NonIdempotent, say(500, "sorry"), receipt.Answer, 500, 0},
+		{"a refusal", routes.NonIdempotent, reject, receipt.Refusal, 503, 0},
+		{"an unknown outcome", routes.NonIdempotent, hangUp, receipt.Refusal, 502, 0},
+		{"a stream", routes.Streaming, stream(endOfStream, "1"), receipt.Answer, 200, 0},
+		{"a stream that breaks", routes.Streaming, stream("", "1"), receipt.Part, 200, 1},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -42,7 +43,7 @@
 			s := newSite(t, route(row.kind, 1), row.endpoint)
 			s.gateway.Log = zap.New(core)
 			resp, _, err := s.ask(s.request("POST", "/r/x", "b"))
-			if cut := err != nil; cut != (row.got == receivedPart) || (resp != nil && int64(resp.StatusCode) != row.status) {
+			if cut := err != nil; cut != (row.got == receipt.Part) || (resp != nil && int64(resp.StatusCode) != row.status) {
 				t.Errorf("the caller saw %v, %v", resp, err)
 			}
 			s.server.Close()
@@ -78,7 +79,7 @@
 	}
 	s.server.Close()
 	line := lines.FilterMessage("request").All()[0].ContextMap()
-	if _, told := line["caller_status"]; told || line["caller_got"] != string(receivedNothing) {
+	if _, told := line["caller_status"]; told || line["caller_got"] != string(receipt.Nothing) {
 		t.Errorf("the line says %v, status %v", line["caller_got"], line["caller_status"])
 	}
 }
