No absent or zero value says how an exchange ends

An ending names which of four it is; an endpoint is chosen or it isn't. No behaviour changes; the tests of endings pass as before.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -112,7 +112,7 @@
 	storedTokens int
 	// failed is the last failure that an endpoint itself gave.
 	failed *buffered
-	// stream is what the caller has of it.
+	// stream is what the caller has of a stream.
 	stream streamState
 	// relocation watches over the present attempt's run.
 	relocation *relocation
@@ -126,11 +126,11 @@
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
 	x := &exchange{g: g, w: w, r: r, began: time.Now()}
-	end := ending{refusal: x.prepare()}
-	if end.refusal == nil {
-		end = x.serve()
+	if refusal := x.prepare(); refusal != nil {
+		x.end(refuseWith(refusal))
+		return
 	}
-	x.end(end)
+	x.end(x.serve())
 }
 
 // end writes a refusal, if one is due, and the log line.
@@ -140,10 +140,10 @@
 // empty 200. A caller that closed only its sending side would take either for an endpoint's answer.
 func (x *exchange) end(e ending) {
 	outcome := "answered"
-	switch {
-	case e.left:
+	switch e.how {
+	case callerLeft:
 		outcome = "left"
-	case e.refusal != nil:
+	case refused:
 		outcome = e.refusal.Code
 		x.refuse(e.refusal)
 	}
@@ -154,7 +154,7 @@
 	if got == receipt.Answer || got == receipt.Refusal {
 		return
 	}
-	if e.refusal != nil && x.wrote {
+	if e.how == refused && x.wrote {
 		x.g.count("answers_cut")
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -41,7 +41,7 @@
 // a head was written is decided and counted like any other, but its status reaches nobody.
 func (x *exchange) received(e ending) receipt.Receipt {
 	switch {
-	case e.refusal == nil && !e.left:
+	case e.how == answered || e.how == keptAnswer:
 		return receipt.Answer
 	case x.wrote:
 		return receipt.Part
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -46,30 +46,45 @@
 // run makes attempts until one answers the caller or no more is tried, and delivers an answer
 // that was kept.
 func (x *exchange) run(ctx context.Context) ending {
-	end := x.attempt(ctx)
-	if end.answer != nil {
+	end := x.attempts(ctx)
+	if end.how == keptAnswer {
 		x.deliver(end.answer)
 	}
 	return end
 }
 
-// ending is how an exchange ends when no more is tried: an endpoint's answer that was kept, a
-// refusal, or a caller that has left. With none of them an attempt has answered the caller.
+// how an exchange ends. No value stands for "not yet": a decision either names an ending or
+// an endpoint.
+type how uint8
+
+const (
+	// answered: an attempt has answered the caller.
+	answered how = iota + 1
+	// keptAnswer: an endpoint's answer that was kept goes to the caller.
+	keptAnswer
+	// refused: the caller gets an answer of the gateway's own, if none was begun.
+	refused
+	// callerLeft: the caller was gone before its answer was whole.
+	callerLeft
+)
+
+// ending is how an exchange ends when no more is tried.
 //
 // Invariant: what decides on an ending writes nothing to the caller; run alone does, and
-// nothing follows it. A decision that wrote the kept answer itself could only say so by an
-// absent refusal, which also means "go on": one more attempt, at no endpoint, would fail, its
-// error would meet a head that is already written, and the connection would be cut with the
-// answer still in its buffer.
+// nothing follows it. Otherwise a further attempt could meet a head that is already written,
+// and its error would cut the connection with the answer still in its buffer.
 type ending struct {
-	answer  *buffered
+	how how
+	// answer of keptAnswer.
+	answer *buffered
+	// refusal of refused, nil else.
 	refusal *apierror.Error
-	// left: the caller was gone before its answer was whole.
-	left bool
 }
 
-// attempt makes attempts until one of them answers the caller or no more is tried.
-func (x *exchange) attempt(ctx context.Context) ending {
+func refuseWith(e *apierror.Error) ending { return ending{how: refused, refusal: e} }
+
+// attempts asks one endpoint after the other until one answers the caller or no more is tried.
+func (x *exchange) attempts(ctx context.Context) ending {
 	request := x.routingRequest()
 	prompt := x.promptContext()
 	request.Root, request.RootKnown, request.Ends = prompt.root, true, prompt.ends
@@ -77,9 +92,13 @@
 	var last outcome
 	sent, unreached := 0, 0
 	for {
-		choice, end := x.choose(request, prompt, last, sent)
-		if end != nil {
-			return *end
+		choice := x.choose(request, prompt, last)
+		if choice.Member.ID == "" {
+			return x.noEndpoint(choice.Refusal, sent, last)
+		}
+		if refusal := x.overload(choice, sent); refusal != nil {
+			x.g.Directory.Release(choice)
+			return refuseWith(refusal)
 		}
 		started := time.Now()
 		send := x.sendFor(choice, prompt)
@@ -99,9 +118,9 @@
 		}
 		switch last.verdict {
 		case delivered:
-			return ending{}
+			return ending{how: answered}
 		case callerGone:
-			return ending{left: true}
+			return ending{how: callerLeft}
 		case movedOn:
 			continue
 		}
@@ -112,23 +131,14 @@
 	}
 }
 
-// choose picks the next attempt's endpoint, the one that a moved run goes on at or the best, or
-// else how the exchange ends.
-func (x *exchange) choose(request *routing.Request, prompt promptContext, last outcome, sent int) (routing.Choice, *ending) {
+// choose picks the next attempt's endpoint: the one that a moved run goes on at, or the best; an
+// empty choice if there is none.
+func (x *exchange) choose(request *routing.Request, prompt promptContext, last outcome) routing.Choice {
 	if last.next != nil {
-		return last.next.choice, nil
+		return last.next.choice
 	}
 	request.Now = time.Now()
-	choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
-	if choice.Member.ID == "" {
-		end := x.noEndpoint(choice.Refusal, sent, last)
-		return choice, &end
-	}
-	if refusal := x.overload(choice, sent); refusal != nil {
-		x.g.Directory.Release(choice)
-		return choice, &ending{refusal: refusal}
-	}
-	return choice, nil
+	return x.g.Directory.Choose(x.service.Name, prompt.keys, request)
 }
 
 // continueFrom makes a send go on with a copied run, whose memory holds all context.
@@ -305,7 +315,7 @@
 
 // notRun tells a caller to come back with a request that no endpoint ran.
 func notRun(code, message string) ending {
-	return ending{refusal: apierror.Later(http.StatusServiceUnavailable, code, message, comeBack())}
+	return refuseWith(apierror.Later(http.StatusServiceUnavailable, code, message, comeBack()))
 }
 
 // comeBack spreads the callers that were refused together.
@@ -319,7 +329,7 @@
 	// First of all what an endpoint has said: it is ready and tells more than any error of the
 	// gateway's own, also than that the time is up.
 	if x.failed != nil && x.mayPassStatus(x.failed.status) && !x.wrote {
-		return ending{answer: x.failed}
+		return ending{how: keptAnswer, answer: x.failed}
 	}
 	switch last.verdict {
 	case notReached:
@@ -347,5 +357,5 @@
 }
 
 func unknownOutcome(status int, code, message string) ending {
-	return ending{refusal: apierror.New(status, code, message).WithRan(apierror.RanUnknown, apierror.AdviceNever)}
+	return refuseWith(apierror.New(status, code, message).WithRan(apierror.RanUnknown, apierror.AdviceNever))
 }
