A failure that may not be passed on does not displace one that may

A stream that two endpoints failed before it began, with 500 and then with 503, was answered 502 'unknown' though the 500 was kept: the last failure took its place, and a 503 of a request that ran may not go out. Only failures that may go out are kept. Test failed before (502).

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -187,3 +187,18 @@
 		})
 	}
 }
+
+// TestKeptFailureIsNotDisplaced lets two endpoints fail a stream before it begins, the second with
+// a status that promises "not run" and so may not be passed on.
+//
+// The first one's failure is ready and tells what went wrong: it goes out, not 502.
+func TestKeptFailureIsNotDisplaced(t *testing.T) {
+	list := route(routes.Streaming, 2)
+	list[0].Resumable = true
+	play := inTurn(say(500, "sorry"), say(503, "busy"))
+	s := newSite(t, list, play, play)
+	resp, body, err := s.ask(s.request("POST", "/r/x", "prompt"))
+	if err != nil || resp.StatusCode != 500 || body != "sorry" {
+		t.Errorf("%v %q %v, want the first endpoint's 500", resp, body, err)
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -110,7 +110,7 @@
 	firstEvent time.Time
 	// storedTokens of the last attempt's context that stores held, for the log.
 	storedTokens int
-	// failed is the last failure that an endpoint itself gave.
+	// failed is the last failure that an endpoint itself gave and that may be passed on.
 	failed *buffered
 	// stream is what the caller has of a stream.
 	stream streamState
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -217,7 +217,9 @@
 	}
 	if o.answer != nil {
 		t.Status = o.answer.status
-		x.failed = o.answer
+		if x.mayPassStatus(o.answer.status) {
+			x.failed = o.answer
+		}
 	}
 	if o.err != nil {
 		t.Error = o.err.Error()
@@ -328,7 +330,7 @@
 func (x *exchange) final(last outcome, sent int) ending {
 	// First of all what an endpoint has said: it is ready and tells more than any error of the
 	// gateway's own, also than that the time is up.
-	if x.failed != nil && x.mayPassStatus(x.failed.status) && !x.wrote {
+	if x.failed != nil && !x.wrote {
 		return ending{how: keptAnswer, answer: x.failed}
 	}
 	switch last.verdict {
