A request that one endpoint rejected and another did not get is told that it did not run

Rejected by one endpoint and with nobody at the next, a request was answered 502 'unknown, do not repeat'; in the other order 503 'not run, come back'. Cause: only the last attempt decided which question was asked. Both now ask whether any attempt can have run.

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/state/routes"
 )
 
@@ -202,3 +203,21 @@
 		t.Errorf("%v %q %v, want the first endpoint's 500", resp, body, err)
 	}
 }
+
+// TestRejectedThenNotReached lets one endpoint reject a request and finds nobody at the other.
+//
+// Nothing ran, in whichever order the two are asked. A caller that hears "unknown" of a request
+// that may run only once must never send it again; it has to hear that it may.
+func TestRejectedThenNotReached(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.NonIdempotent} {
+		// Which endpoint is asked first is chance: most of these meet the one that rejects.
+		for range 10 {
+			s := newSite(t, route(kind, 3), reject)
+			s.gateway.State.SetInstance(discovery.Instance{ID: "nobody", Revision: 9, Service: "s", Address: "127.0.0.1:1", Domain: "a", Slots: 4})
+			resp, body, err := s.ask(s.request("POST", "/r/x", "order"))
+			if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+				t.Fatalf("%v %q %v, want 503 and a time to come back", resp, body, err)
+			}
+		}
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -334,13 +334,10 @@
 		return ending{how: keptAnswer, answer: x.failed}
 	}
 	switch last.verdict {
-	case notReached:
-		if sent == 0 {
-			return notRun(apierror.CodeNoEndpoint, "no endpoint could be reached")
-		}
-	case rejected:
+	case notReached, rejected:
+		// Whichever came last: what was asked before may have run.
 		if x.allRejected() {
-			return notRun(apierror.CodeOverloaded, "the endpoints are full")
+			return notRun(refusalCode(sent))
 		}
 	case timedOut:
 		return unknownOutcome(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up")
@@ -348,6 +345,14 @@
 	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the endpoint's answer was lost")
 }
 
+// refusalCode tells why no endpoint ran a request, and says so.
+func refusalCode(sent int) (code, message string) {
+	if sent == 0 {
+		return apierror.CodeNoEndpoint, "no endpoint could be reached"
+	}
+	return apierror.CodeOverloaded, "the endpoints are full"
+}
+
 // allRejected tells whether no attempt can have run.
 func (x *exchange) allRejected() bool {
 	for _, t := range x.tries {
