The retry budget is spent on retries only

A service down to one failing endpoint used up the retry budget that all services share without making one retry: it was spent before anybody knew whether another endpoint can be asked. Ten failed requests took all five retries of the test's budget. It is now spent once an endpoint is chosen, which is given back if nothing is left (without that the test finds a run booked for good).

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/routes"
 )
 
@@ -221,3 +222,39 @@
 		}
 	}
 }
+
+// TestLastEndpointSpendsNoRetryBudget fails requests where nobody else can be asked.
+//
+// The retry budget is one for all services. A service down to one failing endpoint would use
+// it up without a single retry, and requests of other services would not be retried.
+func TestLastEndpointSpendsNoRetryBudget(t *testing.T) {
+	s := newSite(t, route(routes.Idempotent, 3), say(500, "sorry"))
+	s.gateway.Budget = runs.NewRetryBudget(0, 5)
+	for range 10 {
+		if resp, _, err := s.ask(s.request("POST", "/r/x", "order")); err != nil || resp.StatusCode != 500 {
+			t.Fatalf("%v %v", resp, err)
+		}
+	}
+	left := 0
+	for s.gateway.Budget.Spend() {
+		left++
+	}
+	if left != 5 {
+		t.Errorf("%d retries are left of 5, none was made", left)
+	}
+}
+
+// TestBudgetUsedUpGivesTheEndpointBack fails a request when no retry may be made: the endpoint chosen for
+// one must not stay booked as if it were at work.
+func TestBudgetUsedUpGivesTheEndpointBack(t *testing.T) {
+	s := newSite(t, route(routes.Idempotent, 3), say(500, "sorry"), say(500, "sorry"))
+	s.gateway.Budget = runs.NewRetryBudget(0, 0)
+	if resp, _, err := s.ask(s.request("POST", "/r/x", "order")); err != nil || resp.StatusCode != 500 || s.runs() != 1 {
+		t.Fatalf("%v %v, %d runs", resp, err, s.runs())
+	}
+	for _, w := range s.gateway.Directory.OwnWork() {
+		if w.Running != 0 {
+			t.Errorf("%d runs are booked at an endpoint that has none", w.Running)
+		}
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -100,6 +100,11 @@
 			x.g.Directory.Release(choice)
 			return refuseWith(refusal)
 		}
+		if last.costsRetry() && !x.g.Budget.Spend() {
+			x.g.count("retry_budget_used_up")
+			x.g.Directory.Release(choice)
+			return x.final(last, sent)
+		}
 		started := time.Now()
 		send := x.sendFor(choice, prompt)
 		if last.next != nil {
@@ -163,8 +168,20 @@
 	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, message, after)
 }
 
-// mayTryAgain decides whether another endpoint is asked. What reached no endpoint
-// costs none of them anything; all else draws on the retry budget.
+// costsRetry tells whether another attempt draws on the retry budget. What reached no endpoint
+// costs none of them anything, and a run that was moved goes on.
+//
+// It is asked when an endpoint has been chosen: a service whose last endpoint fails would
+// otherwise use up the budget of all services without a single retry.
+func (o outcome) costsRetry() bool {
+	switch o.verdict {
+	case rejected, answeredFailure, broken:
+		return true
+	}
+	return false
+}
+
+// mayTryAgain decides whether another endpoint is asked.
 func (x *exchange) mayTryAgain(ctx context.Context, last outcome, sent, unreached int) bool {
 	if ctx.Err() != nil || x.left() < minLeft {
 		return false
@@ -186,14 +203,7 @@
 	default:
 		return false
 	}
-	if sent >= x.route.MaxAttempts {
-		return false
-	}
-	if !x.g.Budget.Spend() {
-		x.g.count("retry_budget_used_up")
-		return false
-	}
-	return true
+	return sent < x.route.MaxAttempts
 }
 
 // resumable tells whether another endpoint may go on where the last one broke off. What the
