A stream is gone on behind its last event only if nothing without an id came after it; comments don't count

Found by a reviewer: with 'id: 1', an event without id and a break, another endpoint went on behind 1 and the caller got the event without id twice, told as whole; and a comment before the first event, a keep-alive, cost a caller its stream that could have gone on. What the caller has is asked for its end now, and comments are part of no answer. Both tests failed before. The test of callers that stop sending is stricter: any byte counts, and the endpoint must be told to stop.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -172,6 +172,7 @@
 // passOn delivers an answer that is too long to be kept.
 func (x *exchange) passOn(ctx context.Context, a *buffered, rest *upstream.Response) outcome {
 	x.writeHead(a.status, a.header, rest.Length)
+	x.stream.unnamed = true
 	if _, err := x.w.Write(a.body); err != nil {
 		return outcome{verdict: callerGone, err: err}
 	}
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -84,10 +84,11 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			arrived := make(chan struct{})
+			arrived, told := make(chan struct{}), make(chan struct{})
 			s := newSite(t, route(row.kind, 2), func(c net.Conn, r *http.Request) {
 				close(arrived)
 				row.endpoint(c, r)
+				close(told)
 			})
 			c, err := net.Dial("tcp", s.server.Listener.Addr().String())
 			if err != nil {
@@ -106,13 +107,15 @@
 				read += line
 			}
 			c.(*net.TCPConn).CloseWrite()
-			rest, err := io.ReadAll(reader)
-			if err == nil && row.before == "" && len(rest) > 0 {
+			// However the connection ends, what came before counts.
+			rest, _ := io.ReadAll(reader)
+			if row.before == "" && len(rest) > 0 {
 				t.Errorf("the caller got an answer that nobody gave: %q", rest)
 			}
 			if strings.HasSuffix(string(rest), endOfStream) {
 				t.Errorf("the stream ends as if it were whole: %q", rest)
 			}
+			<-told
 		})
 	}
 }
@@ -169,14 +172,15 @@
 // Events without ids can't be gone on behind, nor can an answer that is no stream: another endpoint
 // would begin anew, and the caller would read both as one answer. The connection must break.
 func TestBegunAnswerIsNotJoinedToAnother(t *testing.T) {
-	noIDs := func(c net.Conn, r *http.Request) {
-		text := "data: one\n\n"
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", testID, r.Header.Get(testID), len(text), text)
-	}
 	torn := func(c net.Conn, r *http.Request) {
 		fmt.Fprintf(c, "HTTP/1.1 201 X\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", testID, r.Header.Get(testID), 2*maxBuffered, strings.Repeat("b", maxBuffered))
 	}
-	for name, first := range map[string]answerer{"events without ids": noIDs, "no stream": torn} {
+	rows := map[string]answerer{
+		"events without ids":       breaksAfter("data: one\n\n"),
+		"an event without id last": breaksAfter("id: 1\ndata: 1\n\ndata: two\n\n"),
+		"no stream":                torn,
+	}
+	for name, first := range rows {
 		t.Run(name, func(t *testing.T) {
 			list := route(routes.Streaming, 2)
 			list[0].Resumable = true
@@ -190,6 +194,40 @@
 	}
 }
 
+// breaksAfter begins a stream with text and breaks it off.
+func breaksAfter(text string) answerer {
+	return func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", testID, r.Header.Get(testID), len(text), text)
+	}
+}
+
+// TestCommentsAreNoEvents breaks a stream of which the caller has a comment only, or an event and
+// a comment behind it: another endpoint goes on, as comments are part of no answer.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const one, two, comment = "id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n", ": wait\n\n"
+	rows := []struct{ begun, whole string }{
+		{comment, comment + one + two},
+		{one + comment, one + comment + two},
+	}
+	for _, row := range rows {
+		list := route(routes.Streaming, 2)
+		list[0].Resumable = true
+		goesOn := func(c net.Conn, r *http.Request) {
+			if r.Header.Get(testLast) == "1" {
+				stream(endOfStream, "2")(c, r)
+				return
+			}
+			stream(endOfStream, "1", "2")(c, r)
+		}
+		play := inTurn(breaksAfter(row.begun), goesOn)
+		s := newSite(t, list, play, play)
+		_, body, err := s.ask(s.request("POST", "/r/x", "prompt"))
+		if err != nil || body != row.whole {
+			t.Errorf("after %q the caller got %q, %v; want %q", row.begun, body, err, row.whole)
+		}
+	}
+}
+
 // TestKeptFailureIsNotDisplaced lets two endpoints fail a stream before it begins, the second with
 // a status that promises "not run" and so may not be passed on.
 //
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -207,9 +207,10 @@
 }
 
 // resumable tells whether another endpoint may go on where the last one broke off. What the
-// caller has must end with an event that bears an id: without one the other would begin anew.
+// caller has must end with an event that bears an id, as the other would otherwise repeat what
+// came behind it, and the caller would read both as one answer.
 func (x *exchange) resumable() bool {
-	return x.route.Kind == routes.Streaming && x.route.Resumable && (!x.wrote || x.stream.last != "")
+	return x.route.Kind == routes.Streaming && x.route.Resumable && !x.stream.unnamed
 }
 
 // book tells the directory how an attempt ended, and keeps it for the log.
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -21,6 +21,8 @@
 	// last is the id of the last event passed on, number its value.
 	last   string
 	number int64
+	// unnamed tells that it has something behind the last event that bore an id.
+	unnamed bool
 }
 
 // errTorn marks a stream that ended inside an event.
@@ -136,6 +138,7 @@
 func (st *streamState) take(event []byte) bool {
 	id, ok := eventID(event)
 	if !ok {
+		st.unnamed = st.unnamed || !isComment(event)
 		return true
 	}
 	number, err := strconv.ParseInt(id, 10, 64)
@@ -145,7 +148,17 @@
 		}
 		st.number = number
 	}
-	st.last = id
+	st.last, st.unnamed = id, false
+	return true
+}
+
+// isComment tells whether an event carries nothing: such lines only keep a connection busy.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
 	return true
 }
 
