"Ran: no" is told only if every attempt of a request says so

Callers of prompts and other repeatable requests were told `503 endpoint_busy, ran: no, retry` of requests that may have run: one endpoint's answer was lost, the next one refused, and the last outcome spoke for all attempts. The same with a last attempt that reached nobody, and within a round whose second attempt is refused after the first broke. What attempts tell about execution is now joined as they end: "no" stays only where both say it. Which endpoint is asked next doesn't change. Requests that may not be repeated go to another endpoint only after a proven "no", so the last one spoke truly for them. Without the mend the test's rows print "the caller is told 503 endpoint_busy, ran no, retry_after; want 502, ran unknown" (endpoint_not_reached where nobody was reached).

--- a/internal/coordination/runs/final.go
+++ b/internal/coordination/runs/final.go
@@ -26,6 +26,25 @@
 	}
 }
 
+// withRanOf is the outcome with what it and another one of the same request tell together
+// about execution; other may be nil.
+//
+// Each outcome speaks for its own attempt only. If the last one spoke for the request, an
+// endpoint that refuses after another one's answer was lost would have the caller told "not
+// run" of a request that may have run. "No" is kept only where both say so, and "yes" where
+// either does.
+func (o *outcome) withRanOf(other *outcome) *outcome {
+	if other == nil || o.done || o.ran == other.ran {
+		return o
+	}
+	both := *o
+	both.ran = wire.Ran_RAN_UNKNOWN
+	if o.ran == wire.Ran_RAN_YES || other.ran == wire.Ran_RAN_YES {
+		both.ran = wire.Ran_RAN_YES
+	}
+	return &both
+}
+
 // statusOf maps the codes that agents raise to HTTP; others are 503 if the
 // request did not run and 502 if it may have.
 var statusOf = map[string]int{
--- a/internal/coordination/runs/hedge.go
+++ b/internal/coordination/runs/hedge.go
@@ -116,10 +116,7 @@
 		select {
 		case e := <-results:
 			running--
-			// The owner's end counts, whatever the other says after it.
-			if last.attempt == nil || !in.p.owns(last.attempt) {
-				last = e
-			}
+			last = in.p.counted(last, e)
 		case <-late.C:
 			if second := r.hedge(in, first); second != nil {
 				start(second)
@@ -130,6 +127,19 @@
 	return last.out, last.attempt.choice, max(in.number, last.attempt.number)
 }
 
+// counted is the end that counts after another attempt of the round has ended: the owner's,
+// whatever the other says after it, or else the later. What it tells about execution is told
+// for both.
+func (p *progress) counted(before, now ended) ended {
+	if before.attempt == nil {
+		return now
+	}
+	if p.owns(before.attempt) {
+		before, now = now, before
+	}
+	return ended{now.attempt, now.out.withRanOf(before.out)}
+}
+
 // lateTimer fires when the first token is late; never for runs that must not be
 // doubled or have begun.
 func (r *Runner) lateTimer(in *round, choice routing.Choice) *time.Timer {
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -157,7 +157,7 @@
 		if out.done {
 			return out.result(number, choice), nil
 		}
-		last = out
+		last = out.withRanOf(last)
 		if ctx.Err() != nil {
 			return Result{}, contextError(ctx, p, apierror.RanUnknown)
 		}
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"limpetwall/internal/coordination/claims"
 	"limpetwall/internal/coordination/routing"
@@ -242,6 +244,124 @@
 	}
 }
 
+// closedAddress is one that nobody listens on.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func plainJob(method string) *Job {
+	job := promptJob()
+	job.Prompt, job.Plain = nil, &wire.PlainCall{Method: method, Path: "/"}
+	job.Service.Kind = config.ServicePlain
+	return job
+}
+
+// TestNotRunSpeaksForAllAttempts loses the answer of a request at one endpoint and has the
+// next one not run it.
+//
+// The caller must not be told "ran: no" with 503: the first endpoint may have run it, and
+// only the attempt after it provably did not, as it was refused or reached nobody.
+func TestNotRunSpeaksForAllAttempts(t *testing.T) {
+	refusedAfterLoss := func(n int, q *wire.RunRequest) []*wire.RunEvent {
+		if n == 1 {
+			return nil
+		}
+		return []*wire.RunEvent{event(q, refused("endpoint_busy", wire.Ran_RAN_NO))}
+	}
+	t.Run("a prompt is refused", func(t *testing.T) {
+		r, fake := runner(t, 2, refusedAfterLoss)
+		checkRanUnknown(t, r, fake, promptJob(), 2)
+	})
+	t.Run("a GET is refused", func(t *testing.T) {
+		r, fake := runner(t, 2, refusedAfterLoss)
+		checkRanUnknown(t, r, fake, plainJob(http.MethodGet), 2)
+	})
+	t.Run("two are refused", func(t *testing.T) {
+		r, fake := runner(t, 3, refusedAfterLoss)
+		checkRanUnknown(t, r, fake, promptJob(), 3)
+	})
+	t.Run("the budget is used up after a refusal", func(t *testing.T) {
+		r, fake := runner(t, 3, refusedAfterLoss)
+		r.Budget = NewRetryBudget(0, 1)
+		checkRanUnknown(t, r, fake, promptJob(), 2)
+	})
+	t.Run("the other is not reached", func(t *testing.T) {
+		var r *Runner
+		r, fake := runner(t, 1, func(int, *wire.RunRequest) []*wire.RunEvent {
+			// Only now is there another endpoint, so that it is the second that is chosen.
+			r.Table.Merge(fleet.Member{
+				ID: "closed", Incarnation: 9, Version: 1, Address: closedAddress(t), Role: fleet.RoleAgent,
+				Endpoint: fleet.Endpoint{ID: "closed", Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
+			}, time.Now())
+			return nil
+		})
+		checkRanUnknown(t, r, fake, promptJob(), 1)
+	})
+}
+
+// TestNotRunSpeaksForBothOfARound loses the answer of an attempt whose first token is late,
+// and has the second attempt beside it refused.
+//
+// The caller must not be told "ran: no" with 503: the refusal comes last and counts, but the
+// first endpoint may have run the prompt.
+func TestNotRunSpeaksForBothOfARound(t *testing.T) {
+	second, firstEnded := make(chan struct{}), make(chan struct{})
+	r, fake := runner(t, 2, func(n int, q *wire.RunRequest) []*wire.RunEvent {
+		switch n {
+		case 1:
+			<-second
+			return nil
+		case 2:
+			close(second)
+			<-firstEnded
+		}
+		return []*wire.RunEvent{event(q, refused("endpoint_busy", wire.Ran_RAN_NO))}
+	})
+	r.HedgeAfter = time.Millisecond
+	var once sync.Once
+	onAttemptEnd(r, func() { once.Do(func() { close(firstEnded) }) })
+	checkRanUnknown(t, r, fake, promptJob(), 3)
+}
+
+// onAttemptEnd calls back at the log line of each attempt's end, when its outcome is decided.
+func onAttemptEnd(r *Runner, callback func()) {
+	core, _ := observer.New(zap.InfoLevel)
+	r.Zap = zap.New(core, zap.Hooks(func(e zapcore.Entry) error {
+		if e.Message == "attempt" {
+			callback()
+		}
+		return nil
+	}))
+}
+
+// told is what a caller reads of an error.
+func told(err *apierror.Error) string {
+	if err == nil {
+		return "nothing"
+	}
+	return fmt.Sprintf("%d %s, ran %s, %s", err.Status, err.Code, err.Ran, err.Retry.Advice)
+}
+
+// checkRanUnknown runs a job that fails and may have run.
+func checkRanUnknown(t *testing.T, r *Runner, fake *fakeAgent, job *Job, calls int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := r.Run(ctx, job, &collect{})
+	if err == nil || err.Ran != apierror.RanUnknown || err.Status != http.StatusBadGateway {
+		t.Errorf("the caller is told %s; want 502, ran unknown", told(err))
+	}
+	if fake.count() != calls {
+		t.Errorf("%d runs arrived, want %d", fake.count(), calls)
+	}
+}
+
 // TestResumeKeepsItsVersion breaks a stream and leaves only another weight
 // version: the answer is not continued by it.
 func TestResumeKeepsItsVersion(t *testing.T) {
