The retry budget pays only for attempts that are made

Callers of healthy services got errors that a retry would have saved them from ("the retry budget is used up") while another service's only endpoint failed. The budget is shared, and a retry was paid before an endpoint for it was looked for: each request of the failing service spent one and retried nothing. The same for second attempts of late prompts, also where the first brings something meanwhile. An endpoint is now chosen first; without budget the choice is taken back, so that it does not count as a run, and a second attempt that is not made is refunded. A failing request with no other endpoint is thus told so, not that the budget is used up.

--- a/internal/coordination/runs/hedge.go
+++ b/internal/coordination/runs/hedge.go
@@ -153,9 +153,6 @@
 // hedge prepares a second attempt, or returns nil if there is no need, no budget
 // or no other endpoint.
 func (r *Runner) hedge(in *round, first *attempt) *attempt {
-	if !r.Budget.Spend() {
-		return nil
-	}
 	request := *in.request
 	request.Now = time.Now()
 	request.Exclude = append(append([]string(nil), in.request.Exclude...), first.choice.Member.ID)
@@ -163,8 +160,14 @@
 	if choice.Member.ID == "" {
 		return nil
 	}
+	// As for retries, the budget pays only for attempts that are made.
+	if !r.Budget.Spend() {
+		r.Directory.Release(choice)
+		return nil
+	}
 	second := in.p.addAttempt(first, choice, in.number+1)
 	if second == nil {
+		r.Budget.Refund()
 		r.Directory.Done(choice, false, time.Now())
 		return nil
 	}
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -144,14 +144,19 @@
 	request := r.routingRequest(job, keys)
 	var last *outcome
 	for number := uint32(1); number <= maxAttempts; number++ {
-		if number > 1 && !r.Budget.Spend() {
-			return Result{}, last.final(p, "the retry budget is used up")
-		}
 		request.Now, request.WeightVersion = time.Now(), p.weightVersion
 		choice := r.Directory.Choose(job.Service.ID, keys, request)
 		if choice.Member.ID == "" {
 			return Result{}, noEndpoint(choice.Refusal, last, p)
 		}
+		// All services share the budget. Spent before an endpoint is chosen, it would be
+		// drained by a service whose only endpoint fails, without a retry, and the others'
+		// callers would get errors that a retry saves them from. From here on the retry is
+		// made.
+		if number > 1 && !r.Budget.Spend() {
+			r.Directory.Release(choice)
+			return Result{}, last.final(p, "the retry budget is used up")
+		}
 		var out *outcome
 		out, choice, number = r.round(ctx, &round{job: job, keys: keys, request: request, number: number, p: p}, choice)
 		if out.done {
@@ -296,6 +301,13 @@
 	return true
 }
 
+// Refund gives back what was spent on a retry that was not made.
+func (b *RetryBudget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.most, b.tokens+1)
+}
+
 // pause waits between reattachments, with full jitter.
 func pause(ctx context.Context, number uint32) {
 	limit := min(time.Second, 20*time.Millisecond<<min(number, 8))
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -484,6 +484,87 @@
 	}
 }
 
+// TestBudgetPaysOnlyForRetriesMade has a request fail where no other endpoint is left.
+//
+// The budget is shared by all services: if it is spent before an endpoint is looked for, a
+// service whose only endpoint fails drains it without a retry, and callers of the others get
+// errors that a retry would have saved them from.
+func TestBudgetPaysOnlyForRetriesMade(t *testing.T) {
+	broken := func(int, *wire.RunRequest) []*wire.RunEvent { return nil }
+	t.Run("no other endpoint for a retry", func(t *testing.T) {
+		r, _ := runner(t, 1, broken)
+		r.Budget = NewRetryBudget(0, 1)
+		if _, err := r.Run(t.Context(), promptJob(), &collect{}); err == nil || err.Code != "stream_broke" {
+			t.Errorf("the caller is told %s; want stream_broke", told(err))
+		}
+		checkUnspent(t, r)
+	})
+	t.Run("no other endpoint for a second attempt", func(t *testing.T) {
+		r, in, first := lateRound(t, 1)
+		r.Budget = NewRetryBudget(0, 1)
+		if r.hedge(in, first) != nil {
+			t.Error("a second attempt without an endpoint")
+		}
+		checkUnspent(t, r)
+	})
+	t.Run("the first attempt has brought something meanwhile", func(t *testing.T) {
+		r, in, first := lateRound(t, 2)
+		r.Budget = NewRetryBudget(0, 1)
+		in.p.claim(first)
+		if r.hedge(in, first) != nil {
+			t.Error("a second attempt after the first token")
+		}
+		checkUnspent(t, r)
+	})
+}
+
+// TestChoiceIsReleasedWithoutBudget has the budget used up where another endpoint is left.
+//
+// The choice of that endpoint counts as a run. If it is not taken back, the endpoint looks
+// busier with each such request, though it gets none, and is avoided in the end.
+func TestChoiceIsReleasedWithoutBudget(t *testing.T) {
+	t.Run("a retry", func(t *testing.T) {
+		r, fake := runner(t, 2, func(int, *wire.RunRequest) []*wire.RunEvent { return nil })
+		r.Budget = NewRetryBudget(0, 0)
+		if _, err := r.Run(t.Context(), promptJob(), &collect{}); err == nil || fake.count() != 1 {
+			t.Errorf("the caller is told %s after %d runs; want an error after 1", told(err), fake.count())
+		}
+		if work := r.Directory.OwnWork(); len(work) != 0 {
+			t.Errorf("counted as underway: %+v", work)
+		}
+	})
+	t.Run("a second attempt", func(t *testing.T) {
+		r, in, first := lateRound(t, 2)
+		r.Budget = NewRetryBudget(0, 0)
+		if r.hedge(in, first) != nil {
+			t.Error("a second attempt without a budget")
+		}
+		r.Directory.Release(first.choice)
+		if work := r.Directory.OwnWork(); len(work) != 0 {
+			t.Errorf("counted as underway: %+v", work)
+		}
+	})
+}
+
+// lateRound is a round whose first attempt has brought nothing yet.
+func lateRound(t *testing.T, agents int) (*Runner, *round, *attempt) {
+	t.Helper()
+	r, _ := runner(t, agents, nil)
+	job, p := promptJob(), &progress{}
+	in := &round{job: job, request: r.routingRequest(job, nil), number: 1, p: p}
+	in.request.Now = time.Now()
+	choice := r.Directory.Choose("s", nil, in.request)
+	return r, in, p.newAttempt(r, job, choice, 1, nil)
+}
+
+// checkUnspent looks for the one retry that a budget held at first.
+func checkUnspent(t *testing.T, r *Runner) {
+	t.Helper()
+	if !r.Budget.Spend() {
+		t.Error("the budget was spent without a retry")
+	}
+}
+
 func TestTicketKeys(t *testing.T) {
 	mine := &config.Customer{ID: "a", Salt: []byte("a")}
 	ticket := claims.Ticket{Incarnation: 1 << 60, Sequence: 7}
