An endpoint's definite word goes before the end of the time

Callers whose time was up, or whose entry stopped, just after an endpoint's refusal had arrived were told "504 timeout" or "503 stopping", "ran: unknown", in place of what the endpoint had said: of requests that provably did not run, and with "retry" of keyed calls that can never be answered (409, 410). The runner asked for the context's end before the outcome. A refusal that settles the request now wins, unless the caller has left: it reads neither, and a 5xx would be booked against the service. A stream that broke at the agent settles nothing, as the same end may have broken it. Where the context's end is told, of a request without key, it tells with it what all attempts know of execution. A whole answer went first before. The test ends the context at the log line of the attempt, after its outcome is decided; without the mend it prints "the caller is told 504 timeout, ran unknown, retry_after; want 503 endpoint_busy, ran no, retry_after" and the like for seven of its eight rows. The keyed call that reaches nobody passes there too: it keeps "unknown", as an earlier call may have run.

--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -144,7 +144,7 @@
 
 func refusedOutcome(f *wire.Refused) *outcome {
 	return &outcome{
-		sent: true, ran: f.GetRan(), code: f.GetCode(), message: f.GetMessage(),
+		sent: true, refused: true, ran: f.GetRan(), code: f.GetCode(), message: f.GetMessage(),
 		failed:     f.GetCode() == "endpoint_not_reached" || f.GetCode() == "endpoint_stream_broke",
 		retryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
 	}
--- a/internal/coordination/runs/final.go
+++ b/internal/coordination/runs/final.go
@@ -117,6 +117,26 @@
 	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint serves this now", time.Second)
 }
 
+// outlasts tells whether the caller is told of an outcome though the request's context has
+// ended meanwhile.
+//
+// What an endpoint has said for certain goes first: the end of the time, or of this entry,
+// would only replace "not run" or "fix the request" by "unknown". A caller that left reads
+// neither, and its request must not be booked as one that the service failed.
+func (o *outcome) outlasts(ctx context.Context, p *progress) bool {
+	cause := context.Cause(ctx)
+	waits := errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, ErrStopping)
+	return waits && o.definite() && !p.started && !p.head
+}
+
+// definite tells whether an agent has said what became of the request, so that asking on
+// would bring nothing else. A stream that broke at the agent is none: the same end of the
+// context may have broken it.
+func (o *outcome) definite() bool {
+	_, known := statusOf[o.code]
+	return o.refused && (o.ran == wire.Ran_RAN_NO || known)
+}
+
 // contextError is the answer when the request's time is up or its caller left.
 func contextError(ctx context.Context, p *progress, ran apierror.Ran) *apierror.Error {
 	if p.started || p.head {
--- a/internal/coordination/runs/once.go
+++ b/internal/coordination/runs/once.go
@@ -55,6 +55,9 @@
 			return result, nil
 		}
 		if ctx.Err() != nil {
+			if out.outlasts(ctx, p) {
+				return Result{}, out.finalOnce(p, false)
+			}
 			return Result{}, contextError(ctx, p, ranOf(out.ran))
 		}
 		if out.ran != wire.Ran_RAN_NO || out.clientGone {
@@ -91,7 +94,8 @@
 	switch {
 	case out == nil:
 		return result, nil
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !out.outlasts(ctx, p):
+		// An earlier call with the same key may have run, whatever became of this one.
 		return Result{}, contextError(ctx, p, apierror.RanUnknown)
 	default:
 		return Result{}, out.finalOnce(p, true)
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -164,7 +164,10 @@
 		}
 		last = out.withRanOf(last)
 		if ctx.Err() != nil {
-			return Result{}, contextError(ctx, p, apierror.RanUnknown)
+			if last.outlasts(ctx, p) {
+				return Result{}, last.final(p, "")
+			}
+			return Result{}, contextError(ctx, p, ranOf(last.ran))
 		}
 		if out.clientGone || (out.ran != wire.Ran_RAN_NO && (p.head || !job.mayRepeat())) {
 			return Result{}, out.final(p, "")
@@ -181,7 +184,9 @@
 	// failed: the endpoint or the way to it failed.
 	failed bool
 	// sent: the request may have reached the agent.
-	sent       bool
+	sent bool
+	// refused: it is the agent's own word.
+	refused    bool
 	clientGone bool
 	ran        wire.Ran
 	code       string
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -244,15 +244,21 @@
 	}
 }
 
-// closedAddress is one that nobody listens on.
-func closedAddress(t *testing.T) string {
+const closedIncarnation = 9
+
+// addClosed adds an agent at an address that nobody listens on.
+func addClosed(t *testing.T, r *Runner) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+		t.Error(err)
+		return
+	}
+	listener.Close()
+	r.Table.Merge(fleet.Member{
+		ID: "closed", Incarnation: closedIncarnation, Version: 1, Address: listener.Addr().String(), Role: fleet.RoleAgent,
+		Endpoint: fleet.Endpoint{ID: "closed", Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
+	}, time.Now())
 }
 
 func plainJob(method string) *Job {
@@ -295,10 +301,7 @@
 		var r *Runner
 		r, fake := runner(t, 1, func(int, *wire.RunRequest) []*wire.RunEvent {
 			// Only now is there another endpoint, so that it is the second that is chosen.
-			r.Table.Merge(fleet.Member{
-				ID: "closed", Incarnation: 9, Version: 1, Address: closedAddress(t), Role: fleet.RoleAgent,
-				Endpoint: fleet.Endpoint{ID: "closed", Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
-			}, time.Now())
+			addClosed(t, r)
 			return nil
 		})
 		checkRanUnknown(t, r, fake, promptJob(), 1)
@@ -362,6 +365,90 @@
 	}
 }
 
+// TestRefusalGoesBeforeTheContextsEnd ends a request's context just after an endpoint's word
+// has arrived, and before the runner goes on.
+//
+// The caller must read that word. "The time is up, ran: unknown" in its place has it doubt a
+// request that provably did not run, or repeat one that can never be answered. Only a word
+// that is not certain, or one that comes to a caller that left, gives way.
+func TestRefusalGoesBeforeTheContextsEnd(t *testing.T) {
+	rows := []struct {
+		name  string
+		job   *Job
+		lost  bool // the first answer, before another endpoint refuses
+		code  string
+		ran   wire.Ran
+		cause error
+		want  string
+	}{
+		{"a prompt's refusal, the time is up", promptJob(), false, "endpoint_busy", wire.Ran_RAN_NO, context.DeadlineExceeded,
+			"503 endpoint_busy, ran no, retry_after"},
+		{"a prompt's refusal, the entry stops", promptJob(), false, "endpoint_busy", wire.Ran_RAN_NO, ErrStopping,
+			"503 endpoint_busy, ran no, retry_after"},
+		{"a prompt's refusal, the caller leaves", promptJob(), false, "endpoint_busy", wire.Ran_RAN_NO, context.Canceled,
+			"499 client_gone, ran no, fix_request"},
+		{"a prompt's refusal after a lost answer", promptJob(), true, "endpoint_busy", wire.Ran_RAN_NO, context.DeadlineExceeded,
+			"504 timeout, ran unknown, retry_after"},
+		{"a prompt broken at the agent", promptJob(), false, "endpoint_stream_broke", wire.Ran_RAN_YES, context.DeadlineExceeded,
+			"504 timeout, ran yes, retry_after"},
+		{"a keyed call's key is used", keyedJob(1), false, "key_used_for_other_request", wire.Ran_RAN_NO, context.DeadlineExceeded,
+			"409 key_used_for_other_request, ran no, fix_request"},
+		{"a keyed call's answer is not kept", keyedJob(1), false, "answer_not_kept", wire.Ran_RAN_YES, context.DeadlineExceeded,
+			"410 answer_not_kept, ran yes, do_not_retry"},
+		{"a keyed call's record is gone", keyedJob(1), false, "outcome_unknown", wire.Ran_RAN_UNKNOWN, ErrStopping,
+			"409 outcome_unknown, ran unknown, do_not_retry"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r, _ := runner(t, 2, func(n int, q *wire.RunRequest) []*wire.RunEvent {
+				if row.lost && n == 1 {
+					return nil
+				}
+				return []*wire.RunEvent{event(q, refused(row.code, row.ran))}
+			})
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			left := 1
+			if row.lost {
+				left = 2
+			}
+			onAttemptEnd(r, func() {
+				if left--; left == 0 {
+					cancel(row.cause)
+				}
+			})
+			_, err := r.Run(ctx, row.job, &collect{})
+			if got := told(err); got != row.want {
+				t.Errorf("the caller is told %s; want %s", got, row.want)
+			}
+		})
+	}
+}
+
+// TestKeyedCallThatReachesNobody ends the time of a call whose agent can't be reached.
+//
+// Nothing was sent, but the caller must not be told "ran: no": an earlier call with the same
+// key may have reached the agent and run.
+func TestKeyedCallThatReachesNobody(t *testing.T) {
+	r, _ := runner(t, 0, nil)
+	addClosed(t, r)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
+	onAttemptEnd(r, func() { cancel(context.DeadlineExceeded) })
+	_, err := r.Run(ctx, keyedJob(closedIncarnation), &collect{})
+	if got, want := told(err), "504 timeout, ran unknown, retry_after"; got != want {
+		t.Errorf("the caller is told %s; want %s", got, want)
+	}
+}
+
+// keyedJob is a call that may not be repeated, with a ticket of an agent as key.
+func keyedJob(incarnation uint64) *Job {
+	job := plainJob(http.MethodPost)
+	job.Service.NotRepeatable = true
+	job.Key = TicketKey(job.Customer, job.Service.ID, claims.Ticket{Incarnation: incarnation, Sequence: 1})
+	return job
+}
+
 // TestResumeKeepsItsVersion breaks a stream and leaves only another weight
 // version: the answer is not continued by it.
 func TestResumeKeepsItsVersion(t *testing.T) {
