A caller that waits in the queue is told that the entry stops

Callers that waited for an endpoint when a stop was forced read "499 the caller left", with advice to change the request, though they were there and it had run nowhere: clients don't repeat that. The stop ends a wait as a caller's leaving does, and only the cause of the context tells them apart; the runner and the request's log line look at it, the queue's answer did not. It is now 503 stopping, not run, with the queue's time to come back. The stop alone has this cause, so a caller that left is still logged as such. Without the mend the test prints "the caller saw 499, want 503".

--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -103,6 +103,11 @@
 		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, err.Error(), after)
 	case errors.Is(err, context.DeadlineExceeded):
 		return apierror.Later(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time was up before an endpoint was free", after)
+	case errors.Is(err, runs.ErrStopping):
+		// A forced stop ends the wait like a caller that leaves, but this one is still there.
+		// Taken for gone, it would read 499 and "fix the request" and not come back with a
+		// request that ran nowhere. Nothing else ends a request's context with this cause.
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeStopping, "this entry stopped before an endpoint was free", after)
 	default:
 		return apierror.New(499, apierror.CodeClientGone, "the caller left")
 	}
--- a/internal/coordination/entry/requestline_test.go
+++ b/internal/coordination/entry/requestline_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"limpetwall/internal/coordination/admission"
 	"limpetwall/internal/coordination/burn"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
@@ -67,6 +69,7 @@
 
 // site is an entry with callers on one side and one agent on the other.
 type site struct {
+	entry   *Entry
 	server  *httptest.Server
 	lines   *observer.ObservedLogs
 	metrics metrics.Registry
@@ -103,6 +106,8 @@
 		put(config.KindService, "lookups", `{"kind":"plain","customers":["*"]}`),
 		put(config.KindIntent, "a", `{"service":"prompts","labels":{"pool":"x"},"model":"m"}`),
 		put(config.KindIntent, "b", `{"service":"lookups","labels":{"pool":"x"},"model":"m"}`),
+		put(config.KindService, "singles", `{"kind":"plain","customers":["*"]}`),
+		put(config.KindIntent, "c", `{"service":"singles","labels":{"pool":"x"},"model":"m","max_concurrent":1}`),
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -120,7 +125,7 @@
 	})
 	e.SetReady()
 	hard, stop := context.WithCancelCause(context.Background())
-	s := &site{server: httptest.NewUnstartedServer(e.Handler()), lines: lines, metrics: e.Metrics, book: book, stop: stop}
+	s := &site{entry: e, server: httptest.NewUnstartedServer(e.Handler()), lines: lines, metrics: e.Metrics, book: book, stop: stop}
 	s.server.Config.BaseContext = func(net.Listener) context.Context { return hard }
 	s.server.Start()
 	t.Cleanup(s.server.Close)
@@ -182,6 +187,8 @@
 	whole     = `{"model":"prompts","prompt":"chair"}`
 	promptURL = "/v1/completions"
 	plainURL  = "/v1/services/lookups/a"
+	// singleURL is of a service with one place.
+	singleURL = "/v1/services/singles/a"
 )
 
 // TestRequestLineTellsWhatTheCallerGot ends requests in each way and compares the request's
@@ -311,6 +318,49 @@
 	}
 }
 
+// TestStopWhileWaitingInQueue has a caller wait for the one place of a service, which is taken,
+// until a forced stop.
+//
+// The waiting caller is still there and must read 503 with "ran: no" and when to come back.
+// The stop ends its context as a caller that leaves does, and 499 with "fix the request" keeps
+// it from repeating a request that ran nowhere.
+func TestStopWhileWaitingInQueue(t *testing.T) {
+	s := newSite(t, &scriptedAgent{})
+	queue := s.entry.queue("singles")
+	release, err := queue.Enter(t.Context(), admission.Request{Customer: "other", Share: 1, Cost: 1, Time: time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	type answer struct {
+		status int
+		text   string
+	}
+	waiting := make(chan answer)
+	go func() {
+		status, text, _ := s.ask(t, callerKey, singleURL, "")
+		waiting <- answer{status, text}
+	}()
+	for queue.Waiting() == 0 {
+		select {
+		case got := <-waiting:
+			t.Fatalf("the request did not wait: %d %s", got.status, got.text)
+		default:
+			runtime.Gosched()
+		}
+	}
+	s.stop(runs.ErrStopping)
+	got := <-waiting
+	if got.status != http.StatusServiceUnavailable {
+		t.Errorf("the caller saw %d, want 503", got.status)
+	}
+	for _, told := range []string{`"code":"stopping"`, `"ran":"no"`, `"advice":"retry_after","after_ms":`} {
+		if !strings.Contains(got.text, told) {
+			t.Errorf("the caller is not told %s but %q", told, got.text)
+		}
+	}
+}
+
 // TestPlainAnswerWithoutHead has an agent end a plain answer, or begin its body, without a
 // head that names a status.
 //
