Gateway and entry tell the same of a caller that left within its answer

The gateway's line called it a part, the entry's nothing, by one type. Both now say part, with the status that arrived; only answers that were broken off here count as cut. A caller that closes right after its whole answer has it.

--- a/internal/coordination/entry/requestline.go
+++ b/internal/coordination/entry/requestline.go
@@ -45,12 +45,12 @@
 // reaches nobody.
 func (c *call) received(err *apierror.Error) receipt.Receipt {
 	switch {
-	case c.left(err):
-		return receipt.Nothing
 	case err == nil:
 		return receipt.Answer
 	case c.w.status != 0:
 		return receipt.Part
+	case c.left(err):
+		return receipt.Nothing
 	}
 	return receipt.Refusal
 }
@@ -96,7 +96,7 @@
 		fields = append(fields, zap.String("code", err.Code), zap.String("ran", string(err.Ran)), zap.String("reason", err.Message))
 		metrics.GetOrRegisterCounter("entry.errors."+err.Code, e.Metrics).Inc(1)
 	}
-	if got == receipt.Part {
+	if got == receipt.Part && !c.left(err) {
 		metrics.GetOrRegisterCounter("entry.answers_cut", e.Metrics).Inc(1)
 	}
 	metrics.GetOrRegisterTimer("entry.request", e.Metrics).UpdateSince(c.started)
--- a/internal/protocol/receipt/receipt.go
+++ b/internal/protocol/receipt/receipt.go
@@ -11,8 +11,9 @@
 	Answer Receipt = "answer"
 	// Refusal: an error answer of this process's own.
 	Refusal Receipt = "refusal"
-	// Part: an answer's beginning, and then an error event or a broken connection.
+	// Part: an answer's beginning. This process broke it off, by an error event or by breaking the
+	// connection, or the caller left.
 	Part Receipt = "part"
-	// Nothing: the caller left before it was answered.
+	// Nothing: the caller left before anything was written to it.
 	Nothing Receipt = "nothing"
 )
