A raised idle limit holds for connections that already wait

Callers that kept a connection under the limit in force got it closed as they sent, without an answer: net/http sets the deadline when a wait begins, so a connection idle at 5 s was closed after 6 s though the limit had been raised to 20 s meanwhile. A header underway was cut in the same way. A read whose time is up now looks at the limit in force and waits on for what that leaves. A deadline of another kind clears the mark under the same lock, so net/http's way of ending a read by a deadline in the past still works, and a handler's own deadline is not lengthened. A lowered limit applies from the next wait on.

The test before the mend: idle: "sent after 19s: <nil>, unexpected EOF", "closed after 6s, want 21s"; within a header: 400 for a request sent in time, "closed after 5s, want 20s".

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -7,9 +7,13 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"limpetwall/internal/state/routes"
 )
 
@@ -99,21 +103,65 @@
 type conn struct {
 	net.Conn
 	server *Server
+
+	// mu orders the deadlines that net/http sets and those that Read sets again: it ends a
+	// read that is underway by a deadline in the past, which must stand.
+	mu sync.Mutex
+	// limit is the one that the read deadline stands for, since its wait began; nil for a
+	// deadline of another kind.
+	limit func(*routes.Limits) time.Duration
+	since time.Time
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = limitMarked(t)
+	if c.limit == nil {
 		return c.Conn.SetReadDeadline(t)
 	}
-	limits := c.server.limits.Load()
+	c.since = time.Now()
+	return c.Conn.SetReadDeadline(c.since.Add(c.limit(c.server.limits.Load())))
+}
+
+// limitMarked returns the limit that a deadline marks, nil if it is none of the marks.
+func limitMarked(t time.Time) func(*routes.Limits) time.Duration {
+	if t.IsZero() {
+		return nil
+	}
 	switch left := time.Until(t); {
 	case left > markIdle-year:
-		t = time.Now().Add(idleLimit(limits))
+		return idleLimit
 	case left > markHeader-year:
-		t = time.Now().Add(headerLimit(limits))
+		return headerLimit
+	}
+	return nil
+}
+
+// Read implements net.Conn. A wait that began under a shorter limit goes on when it is over.
+//
+// The deadline was set when the wait began. Closed on it, a connection would end while its
+// caller, who knows the longer limit, may be sending: the request gets no answer. A limit that
+// was shortened meanwhile applies from the next wait on.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitOn() {
+			return n, err
+		}
+	}
+}
+
+// waitOn sets the read deadline again if the limit in force leaves time.
+func (c *conn) waitOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit == nil {
+		return false
 	}
-	return c.Conn.SetReadDeadline(t)
+	deadline := c.since.Add(c.limit(c.server.limits.Load()))
+	return time.Now().Before(deadline) && c.Conn.SetReadDeadline(deadline) == nil
 }
 
 func idleLimit(l *routes.Limits) time.Duration {
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -102,6 +102,76 @@
 	})
 }
 
+// TestLimitRaisedDuringAWait raises a limit while a connection already waits under it.
+//
+// The caller keeps to the new limit and sends after the old one is over. A connection closed on
+// the old one, as its deadline was set when the wait began, meets the request on its way: the
+// caller gets no answer, and can't tell whether it ran.
+func TestLimitRaisedDuringAWait(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	short := routes.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: 5 * time.Second}
+	long := routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 20 * time.Second}
+	rows := []struct {
+		name string
+		// first is sent before the wait, rest after it.
+		first, rest string
+		wait        time.Duration
+		// ends is when the wait itself ends the connection.
+		ends time.Duration
+	}{
+		{"idle", request, request, 19 * time.Second, 20*time.Second + slack},
+		{"within a header", request + request[:20], request[20:], 19 * time.Second, 20 * time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			begin := func(t *testing.T, s *Server, p *pipes) (net.Conn, *bufio.Reader) {
+				s.SetLimits(short)
+				c := p.dial()
+				r := bufio.NewReader(c)
+				go io.WriteString(c, row.first)
+				if _, err := http.ReadResponse(r, nil); err != nil {
+					t.Fatal(err)
+				}
+				r.Discard(len("ok"))
+				synctest.Wait()
+				s.SetLimits(long)
+				return c, r
+			}
+			serving(t, ok, func(s *Server, p *pipes) {
+				c, r := begin(t, s, p)
+				time.Sleep(row.wait)
+				go io.WriteString(c, row.rest)
+				if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("sent after %s: %v, %v", row.wait, resp, err)
+				}
+				c.Close()
+			})
+			serving(t, ok, func(s *Server, p *pipes) {
+				_, r := begin(t, s, p)
+				if took := closedAfter(r); took != row.ends {
+					t.Errorf("closed after %s, want %s", took, row.ends)
+				}
+			})
+		})
+	}
+}
+
+// TestLimitLoweredDuringAWait lowers the limit while a connection is idle: it may stay for the
+// old one, and not for longer.
+func TestLimitLoweredDuringAWait(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second})
+		c := p.dial()
+		r := bufio.NewReader(c)
+		get(t, c, r)
+		synctest.Wait()
+		s.SetLimits(routes.Limits{IdleTimeout: 5 * time.Second})
+		if idle := closedAfter(r); idle > 20*time.Second+slack {
+			t.Errorf("closed after %s", idle)
+		}
+	})
+}
+
 func TestSlowHeader(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 3 * time.Second})
