A forced stop of the gateway gives its callers a last answer

Callers that still waited at the end of the time to stop got the connection's end, neither answer nor refusal, and the request's line booked them as having left. Closing the connections ended the requests' contexts, which is just what a caller that leaves does. The stop now ends the contexts first, with a cause of its own (runs.ErrStopping, as for the entry). Callers are told 502 with an unknown outcome, or 503 to come back if no endpoint can have run the request; a kept failure of an endpoint goes first, and a begun stream is cut. A body underway is no longer read: the context's end does not wake its reader, a read deadline in the past does. The last answers have 0.2 s and the handlers' lines 0.1 s of the 0.5 s that were left before; the time before the cut is as it was. An attempt that was cut so is `stopped` and not held against its endpoint.

The ingress tests need Cut, which did not exist.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -281,10 +281,14 @@
 	balancerNotice = 2500 * time.Millisecond
 	// graceMargin is left of the time to stop for the process's own end.
 	graceMargin = 500 * time.Millisecond
+	// lastAnswers is the part of graceMargin in which the callers of requests that are cut are
+	// told so. The rest is for closing connections and for the log.
+	lastAnswers = 200 * time.Millisecond
 )
 
 // drain stops without cutting a request: first the balancer hears of it, then idle
-// connections are closed, then requests underway have the rest of the time.
+// connections are closed, then requests underway have the rest of the time. What is still
+// underway then is cut, and its callers are told.
 func (p *gatewayProcess) drain(stop Stop) {
 	grace := p.settings.Platform.Bounds.StopGrace
 	p.log.Info("stopping", zap.Int64("requests_underway", p.gateway.Inflight()), zap.Duration("time", grace))
@@ -298,6 +302,17 @@
 	}
 	if err := p.clients.Stop(ctx); err != nil {
 		p.log.Warn("requests cut at the end of the time to stop", zap.Int64("requests", p.gateway.Inflight()), zap.Error(err))
+		p.cut()
+	}
+}
+
+// cut ends the requests underway. The cause tells the gateway that their callers are still
+// there; a context that merely ends would count as their leaving.
+func (p *gatewayProcess) cut() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := p.clients.Cut(ctx, runs.ErrStopping); err != nil {
+		p.log.Warn("requests without a last answer", zap.Int64("requests", p.gateway.Inflight()), zap.Error(err))
 	}
 }
 
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -33,11 +33,13 @@
 	callerGone
 	// movedOn: the run was copied to another endpoint and stopped; it goes on there.
 	movedOn
+	// stopped: this process was forced to stop; the request may have run.
+	stopped
 )
 
 // String gives the verdict's name for logs.
 func (v verdict) String() string {
-	return [...]string{"delivered", "not_reached", "rejected", "answered_failure", "broken", "timed_out", "caller_gone", "moved_on"}[v]
+	return [...]string{"delivered", "not_reached", "rejected", "answered_failure", "broken", "timed_out", "caller_gone", "moved_on", "stopped"}[v]
 }
 
 // outcome is how one attempt ended.
@@ -89,10 +91,12 @@
 // failure tells apart why an exchange brought no answer.
 func (x *exchange) failure(ctx context.Context, err error) outcome {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		return outcome{verdict: callerGone, err: err}
 	case errors.Is(err, upstream.ErrNotSent):
 		return outcome{verdict: notReached, err: err}
+	case x.stopping():
+		return outcome{verdict: stopped, err: err}
 	case errors.Is(context.Cause(ctx), errReplacedWeights):
 		return outcome{verdict: broken, err: errReplacedWeights}
 	case ctx.Err() != nil:
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -172,8 +172,18 @@
 	return x.route.Kind.String()
 }
 
+// stopping tells whether a forced stop of this process has ended the request's context. Its
+// caller is still there then, and has a last answer to get unless one has begun. The first cause
+// of a context stands: a caller that had left before stays one that left.
+func (x *exchange) stopping() bool {
+	return errors.Is(context.Cause(x.r.Context()), runs.ErrStopping)
+}
+
+// callerLeft tells whether the caller is gone.
+func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil && !x.stopping() }
+
 func (x *exchange) refuse(e *apierror.Error) {
-	if x.wrote || x.r.Context().Err() != nil {
+	if x.wrote || x.callerLeft() {
 		return
 	}
 	x.g.Codec.EncodeID(x.w.Header(), x.call.ID)
@@ -292,6 +302,9 @@
 	}
 	control := http.NewResponseController(x.w)
 	control.SetReadDeadline(x.deadline)
+	// The end of the request's context doesn't end a read of its body; a deadline in the past does.
+	// It stays: net/http reads the body's rest before the answer and would wait for it.
+	defer context.AfterFunc(x.r.Context(), func() { control.SetReadDeadline(time.Unix(1, 0)) })()
 	var err error
 	if x.r.ContentLength > 0 {
 		x.body = make([]byte, x.r.ContentLength)
@@ -299,6 +312,9 @@
 	} else {
 		x.body, err = io.ReadAll(x.r.Body)
 	}
+	if x.stopping() {
+		return x.cutShort().refusal
+	}
 	control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -317,5 +333,9 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.Budget.Earn()
+	if x.stopping() {
+		// Nothing may be sent any more: a connection to an endpoint closes too late to prevent it.
+		return x.cutShort()
+	}
 	return x.run(ctx)
 }
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -115,6 +115,10 @@
 		} else {
 			last = x.plainAttempt(ctx, choice, send)
 		}
+		if last.verdict == callerGone && x.stopping() {
+			// A write fails, too, when this process closes the connection.
+			last.verdict = stopped
+		}
 		x.book(choice, send, last, started)
 		if last.verdict != notReached {
 			sent++
@@ -344,6 +348,9 @@
 	if x.failed != nil && !x.wrote {
 		return ending{how: keptAnswer, answer: x.failed}
 	}
+	if x.stopping() {
+		return x.cutShort()
+	}
 	switch last.verdict {
 	case notReached, rejected:
 		// Whichever came last: what was asked before may have run.
@@ -364,6 +371,14 @@
 	return apierror.CodeOverloaded, "the endpoints are full"
 }
 
+// cutShort is the ending of a request that a forced stop of this process cuts.
+func (x *exchange) cutShort() ending {
+	if x.allRejected() {
+		return notRun(apierror.CodeStopping, "the gateway stops, and no endpoint has run the request")
+	}
+	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the gateway stopped before the answer was whole")
+}
+
 // allRejected tells whether no attempt can have run.
 func (x *exchange) allRejected() bool {
 	for _, t := range x.tries {
--- /dev/null
+++ b/internal/coordination/gateway/stop_test.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/protocol/receipt"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/upstream"
+)
+
+// stoppable serves a site's gateway such that a test can cut its requests by a forced stop.
+func (s *site) stoppable() (stop func()) {
+	hard, cut := context.WithCancelCause(context.Background())
+	s.server = httptest.NewUnstartedServer(s.gateway)
+	s.server.Config.BaseContext = func(net.Listener) context.Context { return hard }
+	s.server.Start()
+	s.t.Cleanup(s.server.Close)
+	return func() { cut(runs.ErrStopping) }
+}
+
+// announce tells, once, that a script is played to its end and that its endpoint waits.
+func announce(waiting chan<- struct{}, before answerer) answerer {
+	return func(c net.Conn, r *http.Request) {
+		before(c, r)
+		waiting <- struct{}{}
+		io.Copy(io.Discard, c)
+	}
+}
+
+// TestForcedStopAnswersItsCallers forces a stop at each stage of a request.
+//
+// Callers that still waited got the connection's end in place of an answer, and the request's
+// line said that they had left: the stop ended the requests' contexts just as a caller that
+// leaves does. What is said must be true: 503, after which callers send again, only if no
+// endpoint can have run the request; a stream that has begun must not look whole.
+func TestForcedStopAnswersItsCallers(t *testing.T) {
+	const order = "Content-Length: 5\r\n\r\norder"
+	rows := []struct {
+		name string
+		kind routes.Kind
+		// before is what the endpoint that is asked first says, then it waits.
+		before answerer
+		// second is what an endpoint says before that one is asked; nil if there is none.
+		second answerer
+		// unreachable endpoints can't be connected to, but for the first connection with second.
+		unreachable bool
+		sent        string
+		got         receipt.Receipt
+		status      int
+		code        string
+	}{
+		{"an order at work", routes.NonIdempotent, hangUp, nil, false, order, receipt.Refusal, 502, "outcome_unknown"},
+		{"what may be repeated", routes.Idempotent, hangUp, nil, false, order, receipt.Refusal, 502, "outcome_unknown"},
+		{"a stream before its first event", routes.Streaming, hangUp, nil, false, order, receipt.Refusal, 502, "outcome_unknown"},
+		{"a stream", routes.Streaming, stream("", "1"), nil, false, order, receipt.Part, 200, "outcome_unknown"},
+		{"a failure kept", routes.Idempotent, hangUp, say(500, "sorry"), false, order, receipt.Answer, 500, "answered"},
+		{"rejected, and at work", routes.NonIdempotent, hangUp, reject, false, order, receipt.Refusal, 502, "outcome_unknown"},
+		{"rejected, and not reached", routes.NonIdempotent, hangUp, reject, true, order, receipt.Refusal, 503, "stopping"},
+		{"not reached", routes.NonIdempotent, hangUp, nil, true, order, receipt.Refusal, 503, "stopping"},
+		{"a body underway", routes.NonIdempotent, hangUp, nil, false, "Content-Length: 5\r\n\r\nor", receipt.Refusal, 503, "stopping"},
+		{"a chunked body underway", routes.NonIdempotent, hangUp, nil, false, "Transfer-Encoding: chunked\r\n\r\n5\r\nor", receipt.Refusal, 503, "stopping"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			waiting := make(chan struct{}, 1)
+			scripts := []answerer{announce(waiting, row.before)}
+			if row.second != nil {
+				both := inTurn(row.second, scripts[0])
+				scripts = []answerer{both, both}
+			}
+			s := newSite(t, route(row.kind, 2), scripts...)
+			if row.unreachable {
+				s.gateway.Pool = upstream.NewPool(hangingDial(waiting, row.second != nil))
+			}
+			core, lines := observer.New(zap.InfoLevel)
+			s.gateway.Log = zap.New(core)
+			stop := s.stoppable()
+			c := s.send(row.sent)
+			reader := bufio.NewReader(c)
+			switch {
+			case !strings.HasSuffix(row.sent, order):
+				s.untilInflight()
+			case row.got == receipt.Part:
+				<-waiting
+				if line, err := reader.ReadString('\n'); err != nil || line != "HTTP/1.1 200 OK\r\n" {
+					t.Fatalf("%q %v", line, err)
+				}
+			default:
+				<-waiting
+			}
+			stop()
+			s.compareAnswer(reader, row.got, row.status)
+			c.Close()
+			s.server.Close()
+			line := lines.FilterMessage("request").All()[0].ContextMap()
+			if line["caller_got"] != string(row.got) || line["caller_status"] != int64(row.status) {
+				t.Errorf("the line says %v, status %v; want %v, %v", line["caller_got"], line["caller_status"], row.got, row.status)
+			}
+			counter := "gateway.requests." + row.kind.String() + "." + row.code
+			if n := metrics.GetOrRegisterCounter(counter, s.gateway.Metrics).Count(); n != 1 {
+				t.Errorf("%s is %d", counter, n)
+			}
+		})
+	}
+}
+
+// send opens a connection and sends a request whose framing and body are given.
+func (s *site) send(framed string) net.Conn {
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	// A caller that gets neither an answer nor the connection's end must not hang the test.
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\n%s", testID, testKey, framed)
+	return c
+}
+
+// untilInflight waits until the gateway has a request.
+func (s *site) untilInflight() {
+	for s.gateway.Inflight() == 0 {
+		runtime.Gosched()
+	}
+}
+
+// compareAnswer reads what a caller gets of a request that is cut.
+func (s *site) compareAnswer(r *bufio.Reader, got receipt.Receipt, status int) {
+	s.t.Helper()
+	if got == receipt.Part {
+		if rest, err := io.ReadAll(r); strings.HasSuffix(string(rest), endOfStream) {
+			s.t.Errorf("the stream ends as if it were whole: %q %v", rest, err)
+		}
+		return
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		s.t.Errorf("the caller got %v, want status %d", err, status)
+		return
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != status || resp.Header.Get(testID) != "id-1" {
+		s.t.Errorf("the caller got %v, %q, %v; want status %d", resp, body, err, status)
+	}
+	if again := resp.Header.Get("Retry-After") != ""; again != (status == http.StatusServiceUnavailable) {
+		s.t.Errorf("told to come back: %v", again)
+	}
+	if ran := resp.Header.Get("X-Limpetwall-Ran"); got == receipt.Refusal && (ran == "no") != (status == http.StatusServiceUnavailable) {
+		s.t.Errorf("%d with ran: %q", status, ran)
+	}
+}
+
+// hangingDial opens no connection, but for the first one if it may.
+func hangingDial(waiting chan<- struct{}, first bool) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if first {
+			first = false
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+		waiting <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+}
+
+// TestCallerThatLeftBeforeAForcedStop lets a caller leave, and forces the stop before its request
+// has ended: it is still one that left and got nothing.
+func TestCallerThatLeftBeforeAForcedStop(t *testing.T) {
+	waiting := make(chan struct{}, 1)
+	s := newSite(t, route(routes.NonIdempotent, 1), hangUp)
+	gone := make(chan struct{})
+	var stop func()
+	s.gateway.Pool = upstream.NewPool(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		waiting <- struct{}{}
+		<-ctx.Done()
+		stop()
+		close(gone)
+		return nil, ctx.Err()
+	})
+	core, lines := observer.New(zap.InfoLevel)
+	s.gateway.Log = zap.New(core)
+	stop = s.stoppable()
+	c := s.send("Content-Length: 5\r\n\r\norder")
+	<-waiting
+	c.Close()
+	<-gone
+	s.server.Close()
+	line := lines.FilterMessage("request").All()[0].ContextMap()
+	if _, told := line["caller_status"]; told || line["caller_got"] != string(receipt.Nothing) {
+		t.Errorf("the line says %v, status %v", line["caller_got"], line["caller_status"])
+	}
+	if n := metrics.GetOrRegisterCounter("gateway.requests.non_idempotent.left", s.gateway.Metrics).Count(); n != 1 {
+		t.Errorf("%d callers left", n)
+	}
+}
--- a/internal/coordination/runs/final.go
+++ b/internal/coordination/runs/final.go
@@ -13,7 +13,7 @@
 )
 
 // ErrStopping is the cause of contexts ended by a forced shutdown.
-const ErrStopping = errors.ConstError("the entry is stopping")
+const ErrStopping = errors.ConstError("the process is stopping")
 
 func ranOf(r wire.Ran) apierror.Ran {
 	switch r {
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -46,15 +46,22 @@
 	http     *http.Server
 	limits   atomic.Pointer[routes.Limits]
 	stopping atomic.Bool
+	// cut ends the contexts of all requests with a cause.
+	cut context.CancelCauseFunc
+	// underway counts the handlers that have not returned.
+	underway atomic.Int64
 }
 
 // New returns a server; handler gets every request.
 func New(handler http.Handler) *Server {
 	s := &Server{}
 	s.limits.Store(&routes.Limits{})
+	hard, cut := context.WithCancelCause(context.Background())
+	s.cut = cut
 	s.http = &http.Server{
 		Handler: s.closing(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: hardHeaderBytes,
-		ErrorLog: nil,
+		ErrorLog:    nil,
+		BaseContext: func(net.Listener) context.Context { return hard },
 	}
 	return s
 }
@@ -62,6 +69,8 @@
 // closing asks callers to open a new connection, elsewhere, once the server stops.
 func (s *Server) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.underway.Add(1)
+		defer s.underway.Add(-1)
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -82,8 +91,31 @@
 // until ctx ends.
 func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
-// Close ends everything at once.
-func (s *Server) Close() error { return s.http.Close() }
+// Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
+// caller that has left, and waits until ctx ends for their last answers. Stop comes before.
+//
+// Without it Close ends the requests' contexts as if the callers had left: they wait for an
+// answer and get the connection's end.
+func (s *Server) Cut(ctx context.Context, cause error) error {
+	s.cut(cause)
+	return s.http.Shutdown(ctx)
+}
+
+const (
+	// closeWait bounds the time for handlers to return once their connections are closed.
+	closeWait = 100 * time.Millisecond
+	closePoll = 2 * time.Millisecond
+)
+
+// Close ends all connections at once. What handlers do after their answers, such as logging,
+// is done when it returns, unless that takes longer than closeWait. It polls, as Shutdown does.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	for end := time.Now().Add(closeWait); s.underway.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(closePoll)
+	}
+	return err
+}
 
 type listener struct {
 	net.Listener
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -291,3 +292,89 @@
 		})
 	}
 }
+
+// TestCutGivesLastAnswers cuts requests at the end of the time to stop.
+//
+// A handler is told by the context's cause that its caller is still there: its answer must reach
+// the caller before the connection ends, and what it does afterwards, its log line, must be done
+// when Close returns. One that doesn't end must not hold the stop up.
+func TestCutGivesLastAnswers(t *testing.T) {
+	const bound = 200 * time.Millisecond
+	cause := errors.New("stopping")
+	rows := []struct {
+		name string
+		// stuck handlers write to a caller that doesn't read.
+		stuck bool
+	}{
+		{"a handler that answers", false},
+		{"a handler that writes to a caller that does not read", true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var told error
+			logged := false
+			last := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+				told = context.Cause(r.Context())
+				w.WriteHeader(http.StatusBadGateway)
+				http.NewResponseController(w).Flush()
+				time.Sleep(closeWait / 2)
+				logged = true
+			})
+			serving(t, last, func(s *Server, p *pipes) {
+				c := p.dial()
+				io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				synctest.Wait()
+				expired, cancel := context.WithCancel(context.Background())
+				cancel()
+				if err := s.Stop(expired); err == nil {
+					t.Error("the server stopped while a request was underway")
+				}
+				answer := make(chan *http.Response, 1)
+				if !row.stuck {
+					go func() {
+						resp, _ := http.ReadResponse(bufio.NewReader(c), nil)
+						answer <- resp
+						io.Copy(io.Discard, c)
+					}()
+				}
+				ctx, done := context.WithTimeout(context.Background(), bound)
+				defer done()
+				began := time.Now()
+				s.Cut(ctx, cause)
+				s.Close()
+				if took := time.Since(began); took > bound+closeWait {
+					t.Errorf("the stop took %s", took)
+				}
+				if told != cause || !logged {
+					t.Errorf("the handler was told %v, and had logged: %v", told, logged)
+				}
+				if row.stuck {
+					return
+				}
+				if resp := <-answer; resp == nil || resp.StatusCode != http.StatusBadGateway {
+					t.Errorf("the caller got %v", resp)
+				}
+			})
+		})
+	}
+}
+
+// TestHandlerThatDoesNotEnd lets a handler go on for long after the cut: the stop does not wait.
+func TestHandlerThatDoesNotEnd(t *testing.T) {
+	endless := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
+	serving(t, endless, func(s *Server, p *pipes) {
+		io.WriteString(p.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		ctx, done := context.WithTimeout(context.Background(), time.Second)
+		defer done()
+		began := time.Now()
+		s.Cut(ctx, context.Canceled)
+		s.Close()
+		if took := time.Since(began); took > time.Second+closeWait {
+			t.Errorf("the stop took %s", took)
+		}
+		// The handler must end within the test's bubble.
+		time.Sleep(time.Minute)
+	})
+}
