A lapsed entry is used for two seconds after the store is heard of endpoints again, whatever other kinds do

Traced from the gateway's lines: cut off from the store until 7.24 s, it was answered for configuration at 7.58, for endpoints at 8.39, where the entry was missing, for weights at 9.31; 'endpoint is gone' at 11.40, 100 ms after the request was sent.

Cause: each kind's return counted as the store's anew, so the two seconds in which a lapsed entry may come back began with the last.

Why it holds: whether an entry comes back is told by answers for endpoints alone; the time begins with the first of these, or with the removal if only other kinds had failed. Two tests failed before: still used 2.1 s after the return, and 2.8 s after a lapse that only other kinds saw.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -387,15 +387,29 @@
 	return slices.Concat(slices.Sorted(maps.Keys(s.instances)), slices.Sorted(maps.Keys(s.lives.waiting)))
 }
 
-// Expire drops the instances that have stayed missing since before.
-func (s *State) Expire(before time.Time) {
+// missingUntil is when a lapsed entry that is still missing names an endpoint that is gone.
+// returned is when the store was last heard of endpoints again.
+func (k *known) missingUntil(returned time.Time) time.Time {
+	if k.removedAt.Sub(returned) >= lapsedFor {
+		// The store was away for others only: it returned at the removal or before.
+		return k.removedAt.Add(lapsedFor)
+	}
+	until := returned.Add(lapsedFor)
+	if late := k.removedAt.Add(lapseMargin); late.After(until) {
+		return late
+	}
+	return until
+}
+
+// Expire drops the instances whose entries lapsed and did not come back.
+func (s *State) Expire(now, returned time.Time) {
 	s.mu.Lock()
 	for _, k := range s.instances {
-		if !k.removedAt.IsZero() && k.removedAt.Before(before) {
+		if !k.removedAt.IsZero() && !now.Before(k.missingUntil(returned)) {
 			s.Log.Info("endpoint is gone", zap.String("endpoint", k.ID))
 			s.drop(k)
 		}
 	}
 	s.mu.Unlock()
-	s.Table.Expire(time.Now())
+	s.Table.Expire(now)
 }
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -88,6 +88,8 @@
 	failing  map[string]bool
 	returned time.Time
 	heard    time.Time
+	// entriesReturned is when the store last answered for endpoints after a failure.
+	entriesReturned time.Time
 	// configAsked is when the last answered call for the configuration began.
 	configAsked time.Time
 }
@@ -280,6 +282,9 @@
 	switch {
 	case answered && w.failing[kind]:
 		w.returned = now
+		if kind == w.Kinds.Instances {
+			w.entriesReturned = now
+		}
 		close(w.backChannel())
 		w.back = nil
 		w.Log.Info("store answers again", zap.String("kind", kind))
@@ -380,14 +385,22 @@
 	return nil
 }
 
+// entriesBack is when the store could last be heard of endpoints again; false if it can't be.
+//
+// Other kinds don't count. Their calls may take seconds longer to find the store back, and lapsed
+// entries that stayed in use for as long got requests after their endpoints had drained.
+func (w *Watcher) entriesBack() (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entriesReturned, !w.failing[w.Kinds.Instances]
+}
+
 // expire takes lapsed entries for gone once they have stayed missing.
 func (w *Watcher) expire(ctx context.Context) {
 	const every = 100 * time.Millisecond
 	for pause.For(ctx, every) {
-		now := time.Now()
-		if w.storeWasAway(now) {
-			continue
+		if returned, back := w.entriesBack(); back {
+			w.State.Expire(time.Now(), returned)
 		}
-		w.State.Expire(now.Add(-lapseMargin))
 	}
 }
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -34,7 +34,9 @@
 	// silent calls get no answer, not even when the store is back, as on a connection
 	// that died without a reset; refuse answers with an error at once.
 	silent, refuse bool
-	calls          int
+	// refusedKind is refused alone.
+	refusedKind string
+	calls       int
 }
 
 func newFakeFeed() *fakeFeed {
@@ -83,10 +85,10 @@
 	change()
 }
 
-func (f *fakeFeed) begin(ctx context.Context) error {
+func (f *fakeFeed) begin(ctx context.Context, kind string) error {
 	f.mu.Lock()
 	f.calls++
-	silent, refuse := f.silent, f.refuse
+	silent, refuse := f.silent, f.refuse || f.refusedKind == kind
 	f.mu.Unlock()
 	if refuse {
 		return objectapi.ErrUnavailable
@@ -99,7 +101,7 @@
 }
 
 func (f *fakeFeed) ListKind(ctx context.Context, kind string) ([]objectapi.Record, uint64, error) {
-	if err := f.begin(ctx); err != nil {
+	if err := f.begin(ctx, kind); err != nil {
 		return nil, 0, err
 	}
 	f.mu.Lock()
@@ -112,7 +114,7 @@
 }
 
 func (f *fakeFeed) WatchKind(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objectapi.Event, uint64, error) {
-	if err := f.begin(ctx); err != nil {
+	if err := f.begin(ctx, kind); err != nil {
 		return nil, since, err
 	}
 	end := time.NewTimer(wait)
@@ -365,6 +367,63 @@
 	})
 }
 
+// TestLapsedEntriesWaitForTheirOwnKind lets an endpoint leave for good while the store is away, and
+// the store answer another kind two seconds later than it answers for endpoints.
+//
+// Whether an entry comes back is told by the answers for endpoints alone. Counted anew from each kind's return, the
+// time in which the endpoint is still used grew by those two seconds: callers' requests reached it
+// 4.5 s after it had said that it leaves, of the 3 s that it goes on serving.
+func TestLapsedEntriesWaitForTheirOwnKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("config", "main", 1)
+		feed.put("servers", "i-1", false)
+		state, _ := follow(t, feed)
+		time.Sleep(time.Second)
+		feed.set(func() { feed.refuse = true })
+		time.Sleep(10 * time.Second)
+		feed.remove("servers", "i-1")
+		feed.set(func() { feed.refuse, feed.refusedKind = false, kinds.Weights })
+		time.Sleep(time.Second)
+		if usable(state) != 1 {
+			t.Error("not used 1 s after the return, in which it may come back")
+		}
+		time.Sleep(time.Second)
+		feed.set(func() { feed.refusedKind = "" })
+		// The kind's own return came within a second of the store's; a look each 0.1 s.
+		time.Sleep(1100 * time.Millisecond)
+		if usable(state) != 0 {
+			t.Error("still used 2.1 s after the store could be heard of endpoints again")
+		}
+	})
+}
+
+// TestLapseThatOnlyOtherKindsSaw lets the store refuse a kind other than endpoints, and an endpoint's entry
+// lapse and come back: it stays in use.
+func TestLapseThatOnlyOtherKindsSaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		feed.put("config", "main", 1)
+		feed.put("servers", "i-1", false)
+		feed.put("servers", "i-2", false)
+		state, _ := follow(t, feed)
+		time.Sleep(time.Second)
+		feed.set(func() { feed.refusedKind = kinds.Weights })
+		time.Sleep(5 * time.Second)
+		feed.remove("servers", "i-1")
+		feed.remove("servers", "i-2")
+		time.Sleep(1800 * time.Millisecond)
+		if usable(state) != 2 {
+			t.Errorf("%d used 1.8 s after the entries lapsed, want 2", usable(state))
+		}
+		feed.put("servers", "i-1", false)
+		time.Sleep(time.Second)
+		if usable(state) != 1 {
+			t.Errorf("%d used 2.8 s after the entries lapsed, want the one that is back", usable(state))
+		}
+	})
+}
+
 // TestRemovedEntryIsGoneAtOnce removes an entry while the store is well.
 func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
