A caller whose body does not come in time is told so

The 503 'the body did not come in time' never reached its caller: net/http ends the request's context on a read of the body that times out, as it does when a caller leaves, and to callers that left nothing is written. Its connection closed without an answer, and its line said that it had left. The late body is remembered, and the read deadline stays in the past, so that net/http does not wait for the rest before it writes. Test failed before (EOF), with a length and with chunks.

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -296,3 +296,28 @@
 		}
 	}
 }
+
+// TestBodyThatDoesNotComeInTime sends half a body and waits.
+//
+// At the end of the request's time the read of its body ends, and net/http ends the request's context
+// as it does when a caller leaves. This caller is still there: it must be told that nothing
+// ran and that it may come back.
+func TestBodyThatDoesNotComeInTime(t *testing.T) {
+	for _, head := range []string{"Content-Length: 4\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"} {
+		s := newSite(t, route(routes.NonIdempotent, 1), say(201, "whole"))
+		c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\n%s: 100\r\n%s", testID, testKey, testLeft, head)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || s.runs() != 0 {
+			t.Errorf("%v %q %v, %d runs", resp, body, err, s.runs())
+		}
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -116,6 +116,8 @@
 	stream streamState
 	// relocation watches over the present attempt's run.
 	relocation *relocation
+	// bodyLate tells that the body had not come when the request's time was up.
+	bodyLate bool
 	// wrote tells that the answer's head has been written, status is the one it bears.
 	wrote  bool
 	status int
@@ -179,8 +181,11 @@
 	return errors.Is(context.Cause(x.r.Context()), runs.ErrStopping)
 }
 
-// callerLeft tells whether the caller is gone.
-func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil && !x.stopping() }
+// callerLeft tells whether the caller is gone. net/http ends the request's context also when a
+// read of the body times out; that caller is still there.
+func (x *exchange) callerLeft() bool {
+	return x.r.Context().Err() != nil && !x.stopping() && !x.bodyLate
+}
 
 func (x *exchange) refuse(e *apierror.Error) {
 	if x.wrote || x.callerLeft() {
@@ -305,29 +310,37 @@
 	// The end of the request's context doesn't end a read of its body; a deadline in the past does.
 	// It stays: net/http reads the body's rest before the answer and would wait for it.
 	defer context.AfterFunc(x.r.Context(), func() { control.SetReadDeadline(time.Unix(1, 0)) })()
-	var err error
-	if x.r.ContentLength > 0 {
-		x.body = make([]byte, x.r.ContentLength)
-		_, err = io.ReadFull(x.r.Body, x.body)
-	} else {
-		x.body, err = io.ReadAll(x.r.Body)
-	}
+	err := x.readWhole()
 	if x.stopping() {
 		return x.cutShort().refusal
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline stays, for the same reason.
+		x.bodyLate = true
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeTimeout, "the body did not come in time", notReadyPause)
+	}
 	control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge, "the body is too large")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeTimeout, "the body did not come in time", notReadyPause)
 	case err != nil:
 		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the body is malformed: "+err.Error())
 	}
 	return nil
 }
 
+func (x *exchange) readWhole() error {
+	var err error
+	if x.r.ContentLength > 0 {
+		x.body = make([]byte, x.r.ContentLength)
+		_, err = io.ReadFull(x.r.Body, x.body)
+	} else {
+		x.body, err = io.ReadAll(x.r.Body)
+	}
+	return err
+}
+
 // serve carries out the request until its deadline or the caller's end.
 func (x *exchange) serve() ending {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
