--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -22,10 +22,6 @@
 	maxUnreached = 3
 	// minLeft of a request's time is worth another attempt.
 	minLeft = 20 * time.Millisecond
-	// fullPause and fullJitter tell callers when a full service has room again: about
-	// one short run, spread so that they don't all return together.
-	fullPause  = 200 * time.Millisecond
-	fullJitter = 400 * time.Millisecond
 	// assumedPrefillRate is a model server's reading speed before any was measured,
 	// in tokens per second.
 	assumedPrefillRate = 40_000
@@ -53,36 +49,6 @@
 	return end
 }
 
-// how an exchange ends. No value stands for "not yet": a decision either names an ending or
-// an endpoint.
-type how uint8
-
-const (
-	// answered: an attempt has answered the caller.
-	answered how = iota + 1
-	// keptAnswer: an endpoint's answer that was kept goes to the caller.
-	keptAnswer
-	// refused: the caller gets an answer of the gateway's own, if none was begun.
-	refused
-	// callerLeft: the caller was gone before its answer was whole.
-	callerLeft
-)
-
-// ending is how an exchange ends when no more is tried.
-//
-// Invariant: what decides on an ending writes nothing to the caller; run alone does, and
-// nothing follows it. Otherwise a further attempt could meet a head that is already written,
-// and its error would cut the connection with the answer still in its buffer.
-type ending struct {
-	how how
-	// answer of keptAnswer.
-	answer *buffered
-	// refusal of refused, nil else.
-	refusal *apierror.Error
-}
-
-func refuseWith(e *apierror.Error) ending { return ending{how: refused, refusal: e} }
-
 // attempts asks one endpoint after the other until one answers the caller or no more is tried.
 func (x *exchange) attempts(ctx context.Context) ending {
 	request := x.routingRequest()
@@ -317,78 +283,3 @@
 
 // urgency maps priorities to the endpoints' scale.
 func (x *exchange) urgency() int { return max(0, min(9, x.priority())) }
-
-// noEndpoint is the ending when none can be chosen.
-func (x *exchange) noEndpoint(why routing.Refusal, sent int, last outcome) ending {
-	if sent > 0 {
-		return x.final(last, sent)
-	}
-	message := "no endpoint of the service is known"
-	if why == routing.RefuseFull {
-		message = "all endpoints of the service are full"
-	}
-	return notRun(apierror.CodeNoEndpoint, message)
-}
-
-// notRun tells a caller to come back with a request that no endpoint ran.
-func notRun(code, message string) ending {
-	return refuseWith(apierror.Later(http.StatusServiceUnavailable, code, message, comeBack()))
-}
-
-// comeBack spreads the callers that were refused together.
-func comeBack() time.Duration {
-	return fullPause + time.Duration(rand.Int64N(int64(fullJitter)))
-}
-
-// final is the ending when nothing more is tried. Only what is proved not to have
-// run is told so; all else is unknown.
-func (x *exchange) final(last outcome, sent int) ending {
-	// First of all what an endpoint has said: it is ready and tells more than any error of the
-	// gateway's own, also than that the time is up.
-	if x.failed != nil && !x.wrote {
-		return ending{how: keptAnswer, answer: x.failed}
-	}
-	if x.stopping() {
-		return x.cutShort()
-	}
-	switch last.verdict {
-	case notReached, rejected:
-		// Whichever came last: what was asked before may have run.
-		if x.allRejected() {
-			return notRun(refusalCode(sent))
-		}
-	case timedOut:
-		return unknownOutcome(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up")
-	}
-	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the endpoint's answer was lost")
-}
-
-// refusalCode tells why no endpoint ran a request, and says so.
-func refusalCode(sent int) (code, message string) {
-	if sent == 0 {
-		return apierror.CodeNoEndpoint, "no endpoint could be reached"
-	}
-	return apierror.CodeOverloaded, "the endpoints are full"
-}
-
-// cutShort is the ending of a request that a forced stop of this process cuts.
-func (x *exchange) cutShort() ending {
-	if x.allRejected() {
-		return notRun(apierror.CodeStopping, "the gateway stops, and no endpoint has run the request")
-	}
-	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the gateway stopped before the answer was whole")
-}
-
-// allRejected tells whether no attempt can have run.
-func (x *exchange) allRejected() bool {
-	for _, t := range x.tries {
-		if t.Outcome != rejected.String() && t.Outcome != notReached.String() {
-			return false
-		}
-	}
-	return true
-}
-
-func unknownOutcome(status int, code, message string) ending {
-	return refuseWith(apierror.New(status, code, message).WithRan(apierror.RanUnknown, apierror.AdviceNever))
-}
