A stopped server's connections close without a reset

Traced: the agent's runs are done, the entry on its one processor is seconds behind with reading; grpc closes a connection one second after a gracefully stopped server's last write, the entry's window updates meet a closed socket, and the reset throws away what has not left its send buffer.

Connections of the processes' servers end their sending side first and go on reading until the peer closes, 5 s at most.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -172,7 +172,7 @@
 	p := &base{
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
 		api: objectapi.NewClient(b.ObjectAPI, client), pool: rpc.NewPool(clientTLS),
-		server: rpc.NewServer(serverTLS), listener: listener,
+		server: rpc.NewServer(serverTLS), listener: rpc.Linger(listener),
 	}
 	p.log = configlog.New(p.api)
 	now := time.Now()
