The entry's caller whose body does not come in time reads 408

Half a body and then nothing: the caller read nothing at all, not even at the end of the body's time, and the line said that it had left. net/http ends the request's context on a read that times out, and before it answers it reads the body's rest, for which there was no deadline any more. The late body is remembered and its deadline stays. Test failed before (no answer within 5 s).

--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -215,6 +215,8 @@
 	w        *answerWriter
 	r        *http.Request
 	started  time.Time
+	// bodyLate tells that the body had not come within its time.
+	bodyLate bool
 	// cut tells that the connection must be broken at the request's end.
 	cut bool
 }
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -41,11 +41,15 @@
 	control := http.NewResponseController(c.w)
 	control.SetReadDeadline(time.Now().Add(c.bodyTime))
 	body, err := io.ReadAll(c.r.Body)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline stays: before it answers, net/http reads the rest of a body, and would
+		// wait for it.
+		c.bodyLate = true
+		return nil, apierror.New(http.StatusRequestTimeout, apierror.CodeTimeout, "the body did not come within "+c.bodyTime.String())
+	}
 	control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, apierror.New(http.StatusRequestTimeout, apierror.CodeTimeout, "the body did not come within "+c.bodyTime.String())
 	case errors.As(err, &tooLarge):
 		return nil, apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge,
 			"the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
--- a/internal/coordination/entry/requestline.go
+++ b/internal/coordination/entry/requestline.go
@@ -56,10 +56,11 @@
 }
 
 // left tells whether the caller is gone. A forced stop ends the request's context as well, with
-// a cause of its own, and its callers are still there.
+// a cause of its own, and so does net/http when a read of the body times out; those callers are
+// still there.
 func (c *call) left(err *apierror.Error) bool {
 	cause := context.Cause(c.r.Context())
-	if errors.Is(cause, runs.ErrStopping) {
+	if c.bodyLate || errors.Is(cause, runs.ErrStopping) {
 		return false
 	}
 	return cause != nil || (err != nil && err.Code == apierror.CodeClientGone)
--- a/internal/coordination/entry/requestline_test.go
+++ b/internal/coordination/entry/requestline_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -408,3 +410,27 @@
 		})
 	}
 }
+
+// TestBodyThatDoesNotComeInTime sends half a body and waits.
+//
+// The caller must read 408 at the end of its body's time. net/http ends the request's context then as it
+// does when a caller leaves, and before it answers it waits for the body's rest: the caller would
+// read nothing, and the line would say so.
+func TestBodyThatDoesNotComeInTime(t *testing.T) {
+	s := newSite(t, &scriptedAgent{})
+	s.entry.cfg.BodyTime = 50 * time.Millisecond
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\n{}", promptURL, callerKey)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("%v %v, want 408", resp, err)
+	}
+	if line := s.line(t); line["caller_got"] != "refusal" || line["caller_status"] != int64(http.StatusRequestTimeout) {
+		t.Errorf("the line says %v, status %v", line["caller_got"], line["caller_status"])
+	}
+}
