No ending but 'left' for a caller that has left; names of endings

A caller that left between an endpoint's failure and the decision on it was logged and counted as answered (test: how 2 in place of 4 without the check). Endings and the methods beside them no longer share names; comments say what end and a late body's deadline do.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -147,15 +147,15 @@
 	if reply.NotRun {
 		return x.rejectedBy(c, s, reply)
 	}
-	return x.answered(ctx, resp)
+	return x.takeAnswer(ctx, resp)
 }
 
-// answered takes an answer that is no stream. A failure is kept, as another endpoint may do
+// takeAnswer takes an answer that is no stream. A failure is kept, as another endpoint may do
 // better, unless it is too long for that.
 //
 // Whether a status may be passed on is asked before the length is: a long 503 of a request
 // that ran would promise just as falsely that it did not.
-func (x *exchange) answered(ctx context.Context, resp *upstream.Response) outcome {
+func (x *exchange) takeAnswer(ctx context.Context, resp *upstream.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
 	if err != nil {
 		return x.failure(ctx, err)
@@ -176,7 +176,7 @@
 // passOn delivers an answer that is too long to be kept.
 func (x *exchange) passOn(ctx context.Context, a *buffered, rest *upstream.Response) outcome {
 	x.writeHead(a.status, a.header, rest.Length)
-	x.stream.unnamed = true
+	x.stream.unresumable = true
 	if _, err := x.w.Write(a.body); err != nil {
 		return outcome{verdict: callerGone, err: err}
 	}
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -20,30 +20,30 @@
 type endingKind uint8
 
 const (
-	// answered: an attempt has answered the caller.
-	answered endingKind = iota + 1
-	// keptAnswer: an endpoint's answer that was kept goes to the caller.
-	keptAnswer
-	// refused: the caller gets an answer of the gateway's own, if none was begun.
-	refused
-	// callerLeft: the caller was gone before its answer was whole.
-	callerLeft
+	// endAnswered: an attempt has answered the caller.
+	endAnswered endingKind = iota + 1
+	// endKept: an endpoint's answer that was kept goes to the caller.
+	endKept
+	// endRefused: the caller gets an answer of the gateway's own, if none was begun.
+	endRefused
+	// endCallerLeft: the caller was gone before its answer was whole.
+	endCallerLeft
 )
 
 // ending is how an exchange ends when no more is tried.
 //
-// Invariant: what decides on an ending writes nothing to the caller; run alone does, and
-// nothing follows it. Otherwise a further attempt could meet a head that is already written,
+// Invariant: what decides on an ending writes nothing to the caller. A kept answer is written by
+// run and a refusal by end, each after the last attempt. Otherwise a further attempt could meet a head that is already written,
 // and its error would cut the connection with the answer still in its buffer.
 type ending struct {
 	how endingKind
-	// answer of keptAnswer.
+	// answer of endKept.
 	answer *buffered
-	// refusal of refused, nil else.
+	// refusal of endRefused, nil else.
 	refusal *apierror.Error
 }
 
-func refuseWith(e *apierror.Error) ending { return ending{how: refused, refusal: e} }
+func refuseWith(e *apierror.Error) ending { return ending{how: endRefused, refusal: e} }
 
 // noEndpoint is the ending when none can be chosen.
 func (x *exchange) noEndpoint(why routing.Refusal, sent int, last outcome) ending {
@@ -70,18 +70,21 @@
 // final is the ending when nothing more is tried. Only what is proved not to have
 // run is told so; all else is unknown.
 func (x *exchange) final(last outcome, sent int) ending {
+	if x.callerLeft() {
+		return ending{how: endCallerLeft}
+	}
 	// First of all what an endpoint has said: it is ready and tells more than any error of the
 	// gateway's own, also than that the time is up.
 	if x.failed != nil && !x.wrote {
-		return ending{how: keptAnswer, answer: x.failed}
+		return ending{how: endKept, answer: x.failed}
 	}
 	if x.stopping() {
 		return x.cutShort()
 	}
 	switch last.verdict {
 	case notReached, rejected:
-		// Whichever came last: what was asked before may have run.
-		if x.allRejected() {
+		// The last attempt did not run, but an earlier one may have.
+		if x.noneRan() {
 			return notRun(refusalCode(sent))
 		}
 	case timedOut:
@@ -100,14 +103,14 @@
 
 // cutShort is the ending of a request that a forced stop of this process cuts.
 func (x *exchange) cutShort() ending {
-	if x.allRejected() {
+	if x.noneRan() {
 		return notRun(apierror.CodeStopping, "the gateway stops, and no endpoint has run the request")
 	}
 	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the gateway stopped before the answer was whole")
 }
 
-// allRejected tells whether no attempt can have run.
-func (x *exchange) allRejected() bool {
+// noneRan tells whether no attempt can have run.
+func (x *exchange) noneRan() bool {
 	for _, t := range x.tries {
 		if t.Outcome != rejected.String() && t.Outcome != notReached.String() {
 			return false
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -322,3 +323,15 @@
 		}
 	}
 }
+
+// TestNothingIsKeptForACallerThatLeft decides on an ending when a failure is kept and its caller has just
+// left: told as an answer, the request's line and counters would name one that nobody got.
+func TestNothingIsKeptForACallerThatLeft(t *testing.T) {
+	s := newSite(t, route(routes.Idempotent, 2))
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	x := &exchange{g: s.gateway, r: s.request("GET", "/r/x", "").WithContext(ctx), failed: &buffered{status: 500}}
+	if end := x.final(outcome{verdict: answeredFailure}, 1); end.how != endCallerLeft {
+		t.Errorf("the exchange ends as %d, want %d", end.how, endCallerLeft)
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -135,7 +135,8 @@
 	x.end(x.serve())
 }
 
-// end writes a refusal, if one is due, and the log line.
+// end finishes an exchange: it writes a refusal that is due, logs and counts, and breaks the
+// connection unless the caller has a whole answer or a refusal.
 //
 // An exchange that ends without a whole answer must break the connection: when a handler returns,
 // net/http completes what was written, a begun stream with its end and nothing at all with an
@@ -143,9 +144,9 @@
 func (x *exchange) end(e ending) {
 	outcome := "answered"
 	switch e.how {
-	case callerLeft:
+	case endCallerLeft:
 		outcome = "left"
-	case refused:
+	case endRefused:
 		outcome = e.refusal.Code
 		x.refuse(e.refusal)
 	}
@@ -156,7 +157,7 @@
 	if got == receipt.Answer || got == receipt.Refusal {
 		return
 	}
-	if e.how == refused && x.wrote {
+	if e.how == endRefused && x.wrote {
 		x.g.count("answers_cut")
 	}
 	panic(http.ErrAbortHandler)
@@ -308,14 +309,14 @@
 	control := http.NewResponseController(x.w)
 	control.SetReadDeadline(x.deadline)
 	// The end of the request's context doesn't end a read of its body; a deadline in the past does.
-	// It stays: net/http reads the body's rest before the answer and would wait for it.
+	// No path that leaves the body unread clears the deadline: before it answers, net/http reads the
+	// rest of the body, and would wait for it.
 	defer context.AfterFunc(x.r.Context(), func() { control.SetReadDeadline(time.Unix(1, 0)) })()
 	err := x.readWhole()
 	if x.stopping() {
 		return x.cutShort().refusal
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The deadline stays, for the same reason.
 		x.bodyLate = true
 		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeTimeout, "the body did not come in time", notReadyPause)
 	}
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -41,7 +41,7 @@
 // a head was written is decided and counted like any other, but its status reaches nobody.
 func (x *exchange) received(e ending) receipt.Receipt {
 	switch {
-	case e.how == answered || e.how == keptAnswer:
+	case e.how == endAnswered || e.how == endKept:
 		return receipt.Answer
 	case x.wrote:
 		return receipt.Part
@@ -52,7 +52,7 @@
 }
 
 // log writes the exchange's one line.
-func (x *exchange) log(refused *apierror.Error, got receipt.Receipt) {
+func (x *exchange) log(refusal *apierror.Error, got receipt.Receipt) {
 	if x.g.RequestLines != nil && !x.g.RequestLines.Allow() {
 		x.g.count("request_lines_dropped")
 		return
@@ -77,9 +77,9 @@
 	if x.customer != nil {
 		fields = append(fields, zap.String("customer", x.customer.Name))
 	}
-	if refused != nil {
-		fields = append(fields, zap.Int("status", refused.Status), zap.String("code", refused.Code),
-			zap.String("ran", string(refused.Ran)), zap.String("reason", refused.Message))
+	if refusal != nil {
+		fields = append(fields, zap.Int("status", refusal.Status), zap.String("code", refusal.Code),
+			zap.String("ran", string(refusal.Ran)), zap.String("reason", refusal.Message))
 	}
 	x.g.Log.Info("request", fields...)
 }
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -43,7 +43,7 @@
 // that was kept.
 func (x *exchange) run(ctx context.Context) ending {
 	end := x.attempts(ctx)
-	if end.how == keptAnswer {
+	if end.how == endKept {
 		x.deliver(end.answer)
 	}
 	return end
@@ -82,7 +82,7 @@
 			last = x.plainAttempt(ctx, choice, send)
 		}
 		if last.verdict == callerGone && x.stopping() {
-			// A write fails, too, when this process closes the connection.
+			// A forced stop, too, ends the context and makes writes fail; its caller has not left.
 			last.verdict = stopped
 		}
 		x.book(choice, send, last, started)
@@ -93,9 +93,9 @@
 		}
 		switch last.verdict {
 		case delivered:
-			return ending{how: answered}
+			return ending{how: endAnswered}
 		case callerGone:
-			return ending{how: callerLeft}
+			return ending{how: endCallerLeft}
 		case movedOn:
 			continue
 		}
@@ -180,7 +180,7 @@
 // caller has must end with an event that bears an id, as the other would otherwise repeat what
 // came behind it, and the caller would read both as one answer.
 func (x *exchange) resumable() bool {
-	return x.route.Kind == routes.Streaming && x.route.Resumable && !x.stream.unnamed
+	return x.route.Kind == routes.Streaming && x.route.Resumable && !x.stream.unresumable
 }
 
 // book tells the directory how an attempt ended, and keeps it for the log.
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -21,8 +21,9 @@
 	// last is the id of the last event passed on, number its value.
 	last   string
 	number int64
-	// unnamed tells that it has something behind the last event that bore an id.
-	unnamed bool
+	// unresumable tells that the caller has bytes behind the last event with an id, or of an
+	// answer that is no stream: nothing can be joined to them.
+	unresumable bool
 }
 
 // errTorn marks a stream that ended inside an event.
@@ -50,7 +51,7 @@
 		return x.rejectedBy(c, s, reply)
 	}
 	if resp.Status != http.StatusOK {
-		return x.answered(ctx, resp)
+		return x.takeAnswer(ctx, resp)
 	}
 	x.g.Directory.Sent(c, x.began)
 	x.relocation = x.watchRelocation(ctx, stop, c, s)
@@ -138,7 +139,7 @@
 func (st *streamState) take(event []byte) bool {
 	id, ok := eventID(event)
 	if !ok {
-		st.unnamed = st.unnamed || !isComment(event)
+		st.unresumable = st.unresumable || !isComment(event)
 		return true
 	}
 	number, err := strconv.ParseInt(id, 10, 64)
@@ -148,7 +149,7 @@
 		}
 		st.number = number
 	}
-	st.last, st.unnamed = id, false
+	st.last, st.unresumable = id, false
 	return true
 }
 
