Clearer words on lapsed entries; a lingering connection ends with its peer also under TLS; the joined outcome is told

crypto/tls passes only the first Close on: such a connection stayed for all of its time after its peer had gone. Read now ends it. By reading; not shown by a test of its own.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -387,11 +387,11 @@
 	return slices.Concat(slices.Sorted(maps.Keys(s.instances)), slices.Sorted(maps.Keys(s.lives.waiting)))
 }
 
-// missingUntil is when a lapsed entry that is still missing names an endpoint that is gone.
-// returned is when the store was last heard of endpoints again.
-func (k *known) missingUntil(returned time.Time) time.Time {
+// goneAt is the time from which a lapsed entry that has not come back counts as gone. returned is
+// when the store was last heard of endpoints again.
+func (k *known) goneAt(returned time.Time) time.Time {
 	if k.removedAt.Sub(returned) >= lapsedFor {
-		// The store was away for others only: it returned at the removal or before.
+		// The store had answered for endpoints for longer when the entry went: only other kinds failed.
 		return k.removedAt.Add(lapsedFor)
 	}
 	until := returned.Add(lapsedFor)
@@ -405,7 +405,7 @@
 func (s *State) Expire(now, returned time.Time) {
 	s.mu.Lock()
 	for _, k := range s.instances {
-		if !k.removedAt.IsZero() && !now.Before(k.missingUntil(returned)) {
+		if !k.removedAt.IsZero() && !now.Before(k.goneAt(returned)) {
 			s.Log.Info("endpoint is gone", zap.String("endpoint", k.ID))
 			s.drop(k)
 		}
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -385,11 +385,11 @@
 	return nil
 }
 
-// entriesBack is when the store could last be heard of endpoints again; false if it can't be.
+// entriesReturnedAt is when the store could last be heard of endpoints again; false if it can't be.
 //
-// Other kinds don't count. Their calls may take seconds longer to find the store back, and lapsed
-// entries that stayed in use for as long got requests after their endpoints had drained.
-func (w *Watcher) entriesBack() (time.Time, bool) {
+// Other kinds don't count: their calls may find the store back seconds later, and lapsed entries
+// that stayed in use for as long would get requests after their endpoints have drained.
+func (w *Watcher) entriesReturnedAt() (time.Time, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.entriesReturned, !w.failing[w.Kinds.Instances]
@@ -399,7 +399,7 @@
 func (w *Watcher) expire(ctx context.Context) {
 	const every = 100 * time.Millisecond
 	for pause.For(ctx, every) {
-		if returned, back := w.entriesBack(); back {
+		if returned, back := w.entriesReturnedAt(); back {
 			w.State.Expire(time.Now(), returned)
 		}
 	}
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -170,7 +170,7 @@
 			return Result{}, contextError(ctx, p, ranOf(last.ran))
 		}
 		if out.clientGone || (out.ran != wire.Ran_RAN_NO && (p.head || !job.mayRepeat())) {
-			return Result{}, out.final(p, "")
+			return Result{}, last.final(p, "")
 		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
 	}
--- a/internal/transport/rpc/linger.go
+++ b/internal/transport/rpc/linger.go
@@ -33,8 +33,8 @@
 	return c, nil
 }
 
-// lingerConn ends its sending side at the first Close, and itself at the second or after
-// lingerTime. Meanwhile the server goes on reading, until the peer has read all and closes.
+// lingerConn ends its sending side at the first Close, and itself when the peer has closed, at the
+// second Close or after lingerTime. Meanwhile the server goes on reading.
 type lingerConn struct {
 	*net.TCPConn
 
@@ -43,6 +43,21 @@
 	end *time.Timer
 }
 
+// Read implements net.Conn. Under TLS only the first Close arrives, so the peer's end must do.
+func (c *lingerConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err != nil && c.lingers() {
+		c.Close()
+	}
+	return n, err
+}
+
+func (c *lingerConn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end != nil
+}
+
 // Close implements net.Conn.
 func (c *lingerConn) Close() error {
 	c.mu.Lock()
