--- /dev/null
+++ b/internal/coordination/discovery/feed_test.go
@@ -0,0 +1,195 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/objectapi"
+)
+
+// fakeFeed is a store in memory that may be silent, refuse or forget.
+type fakeFeed struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]objectapi.Record
+	history  []struct {
+		kind  string
+		event objectapi.Event
+	}
+	oldest  uint64
+	changed chan struct{}
+	// silent calls get no answer, not even when the store is back, as on a connection
+	// that died without a reset; refuse answers with an error at once.
+	silent, refuse bool
+	// refusedKind is refused alone.
+	refusedKind string
+	calls       int
+}
+
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{objects: map[string]map[string]objectapi.Record{}, changed: make(chan struct{})}
+}
+
+func (f *fakeFeed) put(kind, name string, spec any) uint64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	r := objectapi.Record{Name: name, Revision: f.revision, Spec: data}
+	if f.objects[kind] == nil {
+		f.objects[kind] = map[string]objectapi.Record{}
+	}
+	f.objects[kind][name] = r
+	f.tell(kind, objectapi.Event{Record: r})
+	return f.revision
+}
+
+func (f *fakeFeed) remove(kind, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	r := f.objects[kind][name]
+	r.Revision = f.revision
+	delete(f.objects[kind], name)
+	f.tell(kind, objectapi.Event{Record: r, Removed: true})
+}
+
+func (f *fakeFeed) tell(kind string, e objectapi.Event) {
+	f.history = append(f.history, struct {
+		kind  string
+		event objectapi.Event
+	}{kind, e})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeFeed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeFeed) begin(ctx context.Context, kind string) error {
+	f.mu.Lock()
+	f.calls++
+	silent, refuse := f.silent, f.refuse || f.refusedKind == kind
+	f.mu.Unlock()
+	if refuse {
+		return objectapi.ErrUnavailable
+	}
+	if silent {
+		<-ctx.Done()
+		return errors.WithType(ctx.Err(), objectapi.ErrUnavailable)
+	}
+	return nil
+}
+
+func (f *fakeFeed) ListKind(ctx context.Context, kind string) ([]objectapi.Record, uint64, error) {
+	if err := f.begin(ctx, kind); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []objectapi.Record
+	for _, r := range f.objects[kind] {
+		out = append(out, r)
+	}
+	return out, f.revision, nil
+}
+
+func (f *fakeFeed) WatchKind(ctx context.Context, kind string, since uint64, wait time.Duration) ([]objectapi.Event, uint64, error) {
+	if err := f.begin(ctx, kind); err != nil {
+		return nil, since, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		f.mu.Lock()
+		if since < f.oldest {
+			f.mu.Unlock()
+			return nil, since, objectapi.ErrCompacted
+		}
+		var out []objectapi.Event
+		for _, h := range f.history {
+			if h.kind == kind && h.event.Revision > since {
+				out = append(out, h.event)
+			}
+		}
+		revision, changed := f.revision, f.changed
+		f.mu.Unlock()
+		if len(out) > 0 {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, since, errors.WithType(ctx.Err(), objectapi.ErrUnavailable)
+		}
+	}
+}
+
+type fakeDecoder struct{}
+
+func (fakeDecoder) Config(r objectapi.Record) (*routes.Table, error) {
+	var version uint64
+	if err := json.Unmarshal(r.Spec, &version); err != nil {
+		return nil, err
+	}
+	return routes.New(version, r.Revision, nil, []routes.Service{{Name: "s"}}, nil, routes.Limits{}), nil
+}
+
+func (fakeDecoder) Instance(r objectapi.Record) (Instance, error) {
+	i := Instance{ID: r.Name, Revision: r.Revision, Service: "s", Model: "m", Weights: 1}
+	return i, json.Unmarshal(r.Spec, &i.Leaving)
+}
+
+func (fakeDecoder) Weights(r objectapi.Record) (Named, error) {
+	n := Named{Model: r.Name, Revision: r.Revision}
+	return n, json.Unmarshal(r.Spec, &n.Version)
+}
+
+// follow runs a watcher over a feed for the length of a test.
+func follow(t *testing.T, feed *fakeFeed) (*State, *Watcher) {
+	return followBy(t, feed, func(*Watcher) {})
+}
+
+// followBy does so with a watcher that is changed before it runs.
+func followBy(t *testing.T, feed *fakeFeed, change func(*Watcher)) (*State, *Watcher) {
+	state := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	w := &Watcher{Feed: feed, Decoder: fakeDecoder{}, Kinds: kinds, State: state, Log: zap.NewNop(), Wait: 2 * time.Second}
+	change(w)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		w.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return state, w
+}
+
+func usable(s *State) int {
+	n := 0
+	for _, m := range s.Table.Members() {
+		if m.ID != "self" && m.State == fleet.Alive {
+			n++
+		}
+	}
+	return n
+}
