A share that is drawn is asked of five fleets

Traced: virtual time, so no matter of load; who finds a place is drawn. In 1,500 runs of the unchanged package the share is 0.90 in the mean, 0.79 to 0.97, and under 0.8 in three. One draw is the wrong thing to ask; the mean of five fleets must reach the same 0.8, which a lower mean fails more surely than one draw did. Lists and refused calls are checked in each fleet as they were.

--- a/internal/coordination/kept/follow_test.go
+++ b/internal/coordination/kept/follow_test.go
@@ -86,7 +86,22 @@
 //
 // They take turns with shorter waits. Without that, those that found no place would
 // list the store three times a second, and import nothing meanwhile.
+//
+// Who finds a place is drawn: of 1,500 fleets the share was 0.90 in the mean and under 0.8 in three.
+// The mean of five is asked for as much.
 func TestMoreProcessesThanAStoreHoldsCalls(t *testing.T) {
+	const fleets = 5
+	sum := 0.0
+	for range fleets {
+		sum += crowdedStoreShare(t)
+	}
+	if share := sum / fleets; share < 0.8 {
+		t.Errorf("the store is used in %.2f of the looks", share)
+	}
+}
+
+// crowdedStoreShare plays one fleet and returns the share of looks in which a process may use the store.
+func crowdedStoreShare(t *testing.T) (share float64) {
 	synctest.Test(t, func(t *testing.T) {
 		feed := &crowdedFeed{fakeStoreFeed: fakeStoreFeed{epoch: 1}, most: 12}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -118,11 +133,8 @@
 		}
 		cancel()
 		done.Wait()
-		share := float64(usable) / (looks * processes)
+		share = float64(usable) / (looks * processes)
 		t.Logf("used in %.2f of the looks, %d lists, %d calls refused", share, feed.lists, feed.refused)
-		if share < 0.8 {
-			t.Errorf("the store is used in %.2f of the looks", share)
-		}
 		if feed.lists > 0 {
 			t.Errorf("%d lists in 10 s", feed.lists)
 		}
@@ -130,4 +142,5 @@
 			t.Errorf("%d calls refused in 10 s", feed.refused)
 		}
 	})
+	return share
 }
