The log tells an endpoint's crash from a lost answer, and which runs it ended

On-call saw "unexpected EOF" for a crashed, a killed and a resetting endpoint alike, and could not tell whether two requests were the same one. When a connection ends under a run, the endpoint's address is now tried once: only a refused connection means that no process listens any more. The line "endpoint crashed" names the broken runs with their fingerprints (customer, host, method, target and body; no body is kept), when each was sent and had its first event; request lines of broken runs bear the fingerprint.

No decision uses any of it yet.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -164,7 +164,7 @@
 	p.gateway = &gateway.Gateway{
 		Domain: s.Platform.Domain, State: state, Watcher: watcher,
 		Directory: routing.NewDirectory(state.Table, state.Services, contextIndex, self.Incarnation),
-		Pool:      upstream.NewPool(endpointDialer.Dial), Budget: runs.NewRetryBudget(retryPart*b.RetryRatio, platformRetryBurst),
+		Pool:      upstream.NewPool(endpointDialer.Dial), Dial: endpointDialer.Dial, Budget: runs.NewRetryBudget(retryPart*b.RetryRatio, platformRetryBurst),
 		Codec: platform.Codec{}, Keeper: keeper, Log: log, Metrics: registry,
 		RequestLines: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
--- /dev/null
+++ b/internal/coordination/gateway/crash.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/state/fingerprint"
+	"limpetwall/internal/transport/upstream"
+)
+
+const (
+	// inquiryTimeout bounds the connection that tells whether an endpoint's process still listens:
+	// a host that is up answers within a round trip.
+	inquiryTimeout = 300 * time.Millisecond
+	// keepInquiry is how long the end of an endpoint is remembered for runs whose connections break later.
+	keepInquiry = 10 * time.Second
+	// runsLogged bounds the requests named in the line on an endpoint's end.
+	runsLogged = 16
+)
+
+// brokenRun is an attempt whose connection ended without a whole answer.
+type brokenRun struct {
+	requestID string
+	key       fingerprint.Key
+	sent      time.Time
+	// output is when its first event came; zero if none did.
+	output time.Time
+}
+
+// inquiry finds out what became of an endpoint when a run's connection had ended.
+type inquiry struct {
+	opened time.Time
+	// done is closed when the answer is known; crashed and runs are not changed by others then.
+	done    chan struct{}
+	crashed bool
+	runs    []brokenRun
+}
+
+// inquiries are open or recent ones, by incarnation.
+type inquiries struct {
+	underway sync.WaitGroup
+	mu       sync.Mutex
+	open     map[uint64]*inquiry
+}
+
+// wait returns when no inquiry is underway.
+func (q *inquiries) wait() { q.underway.Wait() }
+
+// join adds a run to its endpoint's inquiry, and tells whether the caller has to carry it out.
+func (q *inquiries) join(incarnation uint64, run brokenRun) (in *inquiry, first bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if in := q.open[incarnation]; in != nil {
+		in.runs = append(in.runs, run)
+		return in, false
+	}
+	if q.open == nil {
+		q.open = map[uint64]*inquiry{}
+	}
+	in = &inquiry{opened: time.Now(), done: make(chan struct{}), runs: []brokenRun{run}}
+	q.open[incarnation] = in
+	return in, true
+}
+
+// conclude notes what was found. An endpoint that lives may end later: only an end is remembered.
+func (q *inquiries) conclude(incarnation uint64, in *inquiry, crashed bool) []brokenRun {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	in.crashed = crashed
+	if !crashed {
+		delete(q.open, incarnation)
+	} else {
+		time.AfterFunc(keepInquiry, func() { q.forget(incarnation) })
+	}
+	close(in.done)
+	return in.runs
+}
+
+func (q *inquiries) forget(incarnation uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.open, incarnation)
+}
+
+// inquire has an endpoint looked at under which a run broke; the channel is closed when that is done.
+// nil means that there is nothing to find out.
+func (x *exchange) inquire(c routing.Choice, o outcome, sent time.Time) *inquiry {
+	if o.verdict != broken || x.g.Dial == nil || !connectionEnded(o.err) {
+		return nil
+	}
+	instance, listed := x.g.State.Instance(c.Member.ID)
+	if !listed || instance.Leaving {
+		// One that leaves ends by itself, and cuts what it still runs.
+		return nil
+	}
+	run := brokenRun{requestID: x.call.ID, key: x.fingerprint(), sent: sent, output: x.firstEvent}
+	in, first := x.g.inquiries.join(c.Member.Incarnation, run)
+	if first {
+		x.g.inquiries.underway.Go(func() { x.g.lookAt(instance, c.Member.Incarnation, in) })
+	}
+	return in
+}
+
+// connectionEnded tells an end of the connection from silence: a process that crashes has its
+// connections closed by its host, one that is cut off or paused has not.
+func connectionEnded(err error) bool {
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() {
+		return false
+	}
+	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errReplacedWeights)
+}
+
+// lookAt carries out an inquiry. Only a refused connection tells that no process listens any more; a
+// reset connection, a lost answer or a cut link leaves one that does, or says nothing.
+func (g *Gateway) lookAt(i discovery.Instance, incarnation uint64, in *inquiry) {
+	ctx, cancel := context.WithTimeout(context.Background(), inquiryTimeout)
+	defer cancel()
+	conn, err := g.Dial(ctx, "tcp", i.Address)
+	if err == nil {
+		conn.Close()
+	}
+	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	runs := g.inquiries.conclude(incarnation, in, crashed)
+	if !crashed {
+		g.count("connections_ended")
+		return
+	}
+	g.count("endpoints_crashed")
+	g.Log.Warn("endpoint crashed", zap.String("endpoint", i.ID), zap.String("service", i.Service), zap.String("address", i.Address),
+		zap.Int("runs_broken", len(runs)), zap.Any("runs", linesOf(runs[:min(len(runs), runsLogged)], in.opened)))
+}
+
+// runLine is a broken run as the log tells of it.
+type runLine struct {
+	RequestID   string          `json:"request_id"`
+	Fingerprint fingerprint.Key `json:"fingerprint"`
+	// SentMS and OutputMS tell how long before the endpoint's end it was sent, and had its first event.
+	SentMS   int64 `json:"sent_ms"`
+	OutputMS int64 `json:"output_ms,omitempty"`
+}
+
+func linesOf(broken []brokenRun, end time.Time) []runLine {
+	out := make([]runLine, 0, len(broken))
+	for _, run := range broken {
+		line := runLine{RequestID: run.requestID, Fingerprint: run.key, SentMS: end.Sub(run.sent).Milliseconds()}
+		if !run.output.IsZero() {
+			line.OutputMS = end.Sub(run.output).Milliseconds()
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+// fingerprint names the request; it is computed only where something is to be found out.
+func (x *exchange) fingerprint() fingerprint.Key {
+	if x.key == nil {
+		request := fingerprint.Request{Host: x.r.Host, Method: x.r.Method, Target: x.r.RequestURI}
+		if x.customer != nil {
+			request.Customer = x.customer.Name
+		}
+		key := fingerprint.Of(request, x.body)
+		x.key = &key
+	}
+	return *x.key
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -21,6 +22,7 @@
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/receipt"
+	"limpetwall/internal/state/fingerprint"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/upstream"
@@ -41,8 +43,10 @@
 	Watcher   *discovery.Watcher
 	Directory *routing.Directory
 	Pool      *upstream.Pool
-	Budget    *runs.RetryBudget
-	Codec     Codec
+	// Dial opens a connection to an endpoint whose runs have broken; nil finds out nothing.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Budget *runs.RetryBudget
+	Codec  Codec
 	// KeysValidFor is how long keys are believed after the configuration was last known to
 	// be the newest: one that has been taken away meanwhile must not be served for longer.
 	// 0 sets no limit.
@@ -67,9 +71,10 @@
 	// sizes of each route's prompts.
 	sizes sizes
 	// engines maps addresses to the hashes of the instances there.
-	engines  atomic.Pointer[map[string]uint64]
-	stopping atomic.Bool
-	inflight atomic.Int64
+	engines   atomic.Pointer[map[string]uint64]
+	inquiries inquiries
+	stopping  atomic.Bool
+	inflight  atomic.Int64
 }
 
 // Stop makes the gateway say that it is not ready; requests are served on.
@@ -102,6 +107,8 @@
 	began    time.Time
 	deadline time.Time
 
+	// key is the request's fingerprint, nil until it is needed.
+	key *fingerprint.Key
 	// tries are the attempts made, for the log.
 	tries []try
 	// begun tells that the present attempt's stream has begun.
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -83,9 +83,10 @@
 // fakeEndpoint writes its answers itself, byte by byte. Its script is asked at
 // each request; what it returns is written as it is, and the connection closed.
 type fakeEndpoint struct {
-	id      string
-	address string
-	mu      sync.Mutex
+	id       string
+	address  string
+	listener net.Listener
+	mu       sync.Mutex
 	// requests are those that arrived.
 	requests []*http.Request
 	bodies   []string
@@ -120,11 +121,12 @@
 		s.endpoints = append(s.endpoints, e)
 	}
 	state.ReplaceInstances(state.Instances(), false, time.Now())
+	dial := upstream.Dialer{Connect: 5 * time.Second, Silence: 5 * time.Second}.Dial
 	s.gateway = &Gateway{
 		Domain: "a", State: state, Watcher: &discovery.Watcher{Log: log},
 		Directory: routing.NewDirectory(state.Table, state.Services, 100, 1),
-		Pool:      upstream.NewPool(upstream.Dialer{Connect: 5 * time.Second, Silence: 5 * time.Second}.Dial),
-		Budget:    runs.NewRetryBudget(1, 100), Codec: testCodec{}, Log: log, Metrics: metrics.NewRegistry(),
+		Pool:      upstream.NewPool(dial), Dial: dial,
+		Budget: runs.NewRetryBudget(1, 100), Codec: testCodec{}, Log: log, Metrics: metrics.NewRegistry(),
 	}
 	s.server = httptest.NewServer(s.gateway)
 	t.Cleanup(s.server.Close)
@@ -137,7 +139,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { l.Close() })
-	e := &fakeEndpoint{id: id, address: l.Addr().String()}
+	e := &fakeEndpoint{id: id, address: l.Addr().String(), listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -77,6 +77,9 @@
 	if x.customer != nil {
 		fields = append(fields, zap.String("customer", x.customer.Name))
 	}
+	if x.key != nil {
+		fields = append(fields, zap.Stringer("fingerprint", *x.key))
+	}
 	if refusal != nil {
 		fields = append(fields, zap.Int("status", refusal.Status), zap.String("code", refusal.Code),
 			zap.String("ran", string(refusal.Ran)), zap.String("reason", refusal.Message))
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -86,6 +86,7 @@
 			last.verdict = stopped
 		}
 		x.book(choice, send, last, started)
+		x.inquire(choice, last, started)
 		if last.verdict != notReached {
 			sent++
 		} else {
