--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -63,6 +63,7 @@
 			s = newSite(t, route(row.kind, 1), leave)
 			lines := s.observed()
 			s.ask(s.request("POST", "/r/x", "b"))
+			s.server.Close()
 			s.gateway.inquiries.wait()
 			if got := lines.FilterMessage("endpoint crashed").Len() > 0; got != row.crashed {
 				t.Errorf("told as a crash: %v, want %v", got, row.crashed)
