Evidence against requests that crash endpoints, and their quarantine

The decision core of the mend, not used yet. A book holds at which crashes each request was underway. A crash is blamed on the request that was at most of them; a request is in quarantine once three crashes are its own and it is at most of those since it came, or five whatever else crashed. A run that ends well clears it.

A guard keeps quarantines in one object of the platform's store, so that they outlive the processes; when one is over a single trial is taken there by a conditional write that already holds the next, twice as long. Operators lift quarantines there.

--- /dev/null
+++ b/internal/coordination/quarantine/book_test.go
@@ -0,0 +1,394 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/state/fingerprint"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func keyOf(name string) fingerprint.Key {
+	return fingerprint.Of(fingerprint.Request{Target: name}, nil)
+}
+
+// at lists who was at each crash: crash 1, crash 2 and so on.
+func bookOf(crashes ...[]string) *Book {
+	b := NewBook()
+	for i, names := range crashes {
+		for _, name := range names {
+			b.Crashed(keyOf(name), uint64(i+1), About{Target: name}, start)
+		}
+	}
+	return b
+}
+
+// TestWhoseDoing guards against a request being blamed for the crashes of another that ran beside it, and
+// against the culprit hiding behind those.
+func TestWhoseDoing(t *testing.T) {
+	rows := []struct {
+		name    string
+		crashes [][]string
+		blamed  string
+		others  []string
+	}{
+		{"at two crashes", [][]string{{"a"}, {"a"}}, "", []string{"a"}},
+		{"alone at three", [][]string{{"a"}, {"a"}, {"a"}}, "a", nil},
+		{"with others at three", [][]string{{"a", "b"}, {"a", "c"}, {"a", "b"}}, "a", []string{"b", "c"}},
+		{"beside it at each", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}}, "", []string{"a", "b"}},
+		{"beside it at each but one", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a"}}, "a", []string{"b"}},
+		{"always together", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}}, "b", nil},
+		{"at three, two of them another's", [][]string{{"a", "b"}, {"a", "b"}, {"a"}, {"a"}, {"b"}}, "a", []string{"b"}},
+		{"two at crashes of their own", [][]string{{"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}}, "b", nil},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := bookOf(row.crashes...)
+			if row.blamed != "" {
+				if v := b.Check(keyOf(row.blamed), start); v.Standing != Held {
+					t.Errorf("%s is not held: %+v", row.blamed, v)
+				}
+			}
+			for _, other := range row.others {
+				if v := b.Check(keyOf(other), start); v.Standing != Clear {
+					t.Errorf("%s: %+v", other, v)
+				}
+			}
+			b.Settle(start.Add(settleTime))
+			if row.blamed != "" {
+				v := b.Check(keyOf(row.blamed), start.Add(settleTime))
+				if v.Standing != Quarantined || v.After != firstQuarantine {
+					t.Errorf("%s is not in quarantine: %+v", row.blamed, v)
+				}
+			}
+			for _, other := range row.others {
+				if v := b.Check(keyOf(other), start.Add(settleTime)); v.Standing != Clear {
+					t.Errorf("%s: %+v", other, v)
+				}
+			}
+		})
+	}
+}
+
+// TestVerdictWaitsForWordOfOthers guards against a quarantine that rests on half of the evidence: a request that ran beside
+// the culprit is known to be at a third crash before the culprit is.
+func TestVerdictWaitsForWordOfOthers(t *testing.T) {
+	b := bookOf([]string{"culprit", "beside"}, []string{"culprit", "beside"}, []string{"beside"})
+	if v := b.Check(keyOf("beside"), start); v.Standing != Held || v.After != heldPause {
+		t.Errorf("%+v", v)
+	}
+	if found := b.Settle(start.Add(settleTime - 1)); len(found) != 0 {
+		t.Errorf("%+v", found)
+	}
+	later := start.Add(settleTime - 1)
+	b.Crashed(keyOf("culprit"), 3, About{}, later)
+	if found := b.Settle(later.Add(settleTime)); len(found) != 0 {
+		t.Errorf("%+v", found)
+	}
+	later = later.Add(settleTime)
+	b.Crashed(keyOf("culprit"), 4, About{}, later)
+	found := b.Settle(later.Add(settleTime))
+	if len(found) != 1 || found[0].Key != keyOf("culprit") {
+		t.Errorf("%+v", found)
+	}
+	if v := b.Check(keyOf("beside"), later.Add(settleTime)); v.Standing != Clear {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestCrashesOfAQuarantinedRequest guards against one request's crashes being held against those beside it after the
+// quarantine began.
+func TestCrashesOfAQuarantinedRequest(t *testing.T) {
+	b := bookOf([]string{"culprit"}, []string{"culprit"}, []string{"culprit"})
+	b.Settle(start.Add(settleTime))
+	for crash := uint64(4); crash < 9; crash++ {
+		b.Crashed(keyOf("culprit"), crash, About{}, start)
+		b.Crashed(keyOf("beside"), crash, About{}, start)
+	}
+	if v := b.Check(keyOf("beside"), start); v.Standing != Clear {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestWhoRunsToTheEndIsCleared guards against a request that comes often, and so was at many crashes, being refused
+// though endpoints run it.
+func TestWhoRunsToTheEndIsCleared(t *testing.T) {
+	b := NewBook()
+	for crash := uint64(1); crash < 20; crash++ {
+		b.Crashed(keyOf("often"), crash, About{}, start)
+		b.Survived(keyOf("often"), start)
+		if v := b.Check(keyOf("often"), start); v.Standing != Clear {
+			t.Fatalf("after %d crashes: %+v", crash, v)
+		}
+	}
+	late := Case{Key: keyOf("often"), Round: 3, Crashes: []uint64{101, 102, 103, 104}}
+	if b.Merge(late, start) {
+		t.Error("word of an earlier round counts")
+	}
+}
+
+// TestQuarantineEndsWithATrial follows a quarantine over its end: one run, a longer quarantine when that crashes its endpoint
+// too, and freedom when it ends well.
+func TestQuarantineEndsWithATrial(t *testing.T) {
+	b := bookOf([]string{"a"}, []string{"a"}, []string{"a"})
+	now := start.Add(settleTime)
+	b.Settle(now)
+	for level := uint32(1); level < 8; level++ {
+		want := min(maxQuarantine, firstQuarantine<<(level-1))
+		if v := b.Check(keyOf("a"), now.Add(want-1)); v.Standing != Quarantined {
+			t.Fatalf("level %d: %+v", level, v)
+		}
+		now = now.Add(want)
+		if v := b.Check(keyOf("a"), now); v.Standing != OnTrial {
+			t.Fatalf("level %d: %+v", level, v)
+		}
+		b.BeginTrial(keyOf("a"), now)
+	}
+	if v := b.Check(keyOf("a"), now); v.Standing != Quarantined || v.After != maxQuarantine {
+		t.Errorf("during its trial: %+v", v)
+	}
+	if !b.Survived(keyOf("a"), now) {
+		t.Error("the quarantine is not lifted")
+	}
+	if v := b.Check(keyOf("a"), now); v.Standing != Clear {
+		t.Errorf("after its trial: %+v", v)
+	}
+}
+
+// TestExpiredCasesAreForgotten guards against a book that grows with all that ever was at a crash.
+func TestExpiredCasesAreForgotten(t *testing.T) {
+	b := bookOf([]string{"a", "b"}, []string{"a"})
+	b.Survived(keyOf("b"), start)
+	b.Settle(start.Add(clearedLasts))
+	if len(b.cases) != 1 {
+		t.Errorf("%d cases", len(b.cases))
+	}
+	if v := b.Check(keyOf("a"), start); v.Standing != Clear {
+		t.Errorf("%+v", v)
+	}
+	b.Settle(start.Add(evidenceLasts))
+	if !b.IsEmpty() || len(b.crashes) != 0 || len(b.rumours) != 0 {
+		t.Errorf("%d cases, %d crashes, %d rumours", len(b.cases), len(b.crashes), len(b.rumours))
+	}
+}
+
+// TestBookIsBounded fills a book beyond its bound, as the crash of many busy endpoints does: quarantines stay, and what is
+// at most crashes.
+func TestBookIsBounded(t *testing.T) {
+	b := bookOf([]string{"q"}, []string{"q"}, []string{"q"})
+	b.Settle(start.Add(settleTime))
+	b.Crashed(keyOf("twice"), 10, About{}, start)
+	b.Crashed(keyOf("twice"), 11, About{}, start)
+	for i := range 3 * maxCases {
+		b.Crashed(keyOf(fmt.Sprint(i)), uint64(100+i%50), About{}, start)
+	}
+	if len(b.cases) > maxCases || len(b.rumours) > maxCases || int(b.size.Load()) != len(b.cases) {
+		t.Errorf("%d cases, %d rumours, size %d", len(b.cases), len(b.rumours), b.size.Load())
+	}
+	if v := b.Check(keyOf("q"), start.Add(settleTime)); v.Standing != Quarantined {
+		t.Errorf("%+v", v)
+	}
+	if c := b.cases[keyOf("twice")]; c == nil {
+		t.Error("what was at two crashes is forgotten before what was at one")
+	}
+}
+
+// TestOrderOfWordDoesNotMatter merges the same reports in any order, with repeats: all processes come to the same cases.
+func TestOrderOfWordDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Case {
+			c := Case{
+				Key: keyOf(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")), Round: rapid.Uint32Range(0, 2).Draw(t, "round"),
+				Level: rapid.Uint32Range(0, 2).Draw(t, "level"), Lifted: rapid.Bool().Draw(t, "lifted"),
+			}
+			for _, crash := range rapid.SliceOfN(rapid.Uint64Range(1, 20), 0, maxCrashes).Draw(t, "crashes") {
+				c.addCrash(crash)
+			}
+			if c.Level > 0 {
+				c.Until = start.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "left")) * time.Second)
+			}
+			return c
+		}), 1, 12).Draw(t, "reports")
+		one, other := NewBook(), NewBook()
+		for _, c := range reports {
+			one.Merge(c, start)
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, seed))
+		twice := append(slices.Clone(reports), reports...)
+		random.Shuffle(len(twice), func(i, j int) { twice[i], twice[j] = twice[j], twice[i] })
+		for _, c := range twice {
+			other.Merge(c, start)
+		}
+		for key, c := range one.cases {
+			if !reflect.DeepEqual(c, other.cases[key]) {
+				t.Fatalf("%+v\n%+v", c, other.cases[key])
+			}
+		}
+		if one.Digest() != other.Digest() || len(one.cases) != len(other.cases) {
+			t.Fatal("digests differ")
+		}
+		for _, b := range []*Book{one, other} {
+			checkIndex(t, b)
+		}
+	})
+}
+
+// checkIndex compares the lists of who was at each crash with the cases.
+func checkIndex(t *rapid.T, b *Book) {
+	entries := 0
+	for incarnation, at := range b.crashes {
+		entries += len(at.present)
+		for _, key := range at.present {
+			if c := b.cases[key]; c == nil || !slices.Contains(c.Crashes, incarnation) {
+				t.Fatalf("%s is listed at crash %d", key, incarnation)
+			}
+		}
+	}
+	for _, c := range b.cases {
+		entries -= len(c.Crashes)
+	}
+	if entries != 0 {
+		t.Fatalf("%d entries too many", entries)
+	}
+}
+
+// TestKillsBlameNobody plays endpoints that are killed under requests whose callers try again, for many days, with and without
+// a request among them that crashes endpoints. No request that only ran beside gets into quarantine; the culprit does, soon.
+func TestKillsBlameNobody(t *testing.T) {
+	const days = 60
+	for _, killEvery := range []int{0, 10, 5, 3} {
+		for _, withCulprit := range []bool{false, true} {
+			t.Run(fmt.Sprintf("a kill each %d steps, culprit %v", killEvery, withCulprit), func(t *testing.T) {
+				var sum dayResult
+				for day := range days {
+					d := newDay(rand.New(rand.NewPCG(uint64(day), 7)), killEvery)
+					d.play(withCulprit)
+					sum.held += d.held
+					sum.quarantined += d.quarantined
+					sum.lost += d.lost
+					sum.crashes += d.crashes
+					sum.most = max(sum.most, d.crashes)
+				}
+				t.Logf("%d others lost a run, %d were held for a moment; the culprit crashed %.1f endpoints in the mean, %d at most",
+					sum.lost, sum.held, float64(sum.crashes)/days, sum.most)
+				if sum.quarantined > 0 {
+					t.Errorf("%d requests that only ran beside are in quarantine", sum.quarantined)
+				}
+				if withCulprit && sum.most > crashesEnough {
+					t.Errorf("the culprit crashed %d endpoints", sum.most)
+				}
+			})
+		}
+	}
+}
+
+type dayResult struct {
+	// lost, held and quarantined count others, crashes those of the culprit, most the most of one day.
+	lost, held, quarantined, crashes, most int
+}
+
+// day has nine endpoints. 24 requests begin at each step of 200 ms and are done after three. Endpoints are killed, one each
+// killEvery steps; who ran there tries again at another, five times in all.
+type day struct {
+	dayResult
+	random      *rand.Rand
+	killEvery   int
+	book        *Book
+	running     [9][]run
+	begun       int
+	incarnation uint64
+}
+
+type run struct {
+	name         string
+	tries, since int
+}
+
+const (
+	dayStep   = 200 * time.Millisecond
+	daySteps  = 150
+	runSteps  = 3
+	mostTries = 5
+	culprit   = "culprit"
+)
+
+func newDay(random *rand.Rand, killEvery int) *day {
+	return &day{random: random, killEvery: killEvery, book: NewBook()}
+}
+
+func (d *day) place(r run, step int) {
+	r.since = step
+	e := d.random.IntN(len(d.running))
+	d.running[e] = append(d.running[e], r)
+}
+
+func (d *day) play(withCulprit bool) {
+	for step := range daySteps {
+		now := start.Add(time.Duration(step) * dayStep)
+		for range 24 {
+			d.begun++
+			d.place(run{name: fmt.Sprint(d.begun)}, step)
+		}
+		if withCulprit && step%2 == 0 && d.book.Check(keyOf(culprit), now).Standing == Clear {
+			d.place(run{name: culprit}, step)
+		}
+		killed := -1
+		if d.killEvery > 0 && step%d.killEvery == 0 {
+			killed = d.random.IntN(len(d.running))
+		}
+		for e := range d.running {
+			d.finish(e, step, now)
+			if e == killed || slices.ContainsFunc(d.running[e], func(r run) bool { return r.name == culprit }) {
+				d.crash(e, step, now)
+			}
+		}
+		for _, c := range d.book.Settle(now) {
+			if c.Key != keyOf(culprit) {
+				d.quarantined++
+			}
+		}
+	}
+}
+
+// finish ends the runs of an endpoint that are done.
+func (d *day) finish(e, step int, now time.Time) {
+	d.running[e] = slices.DeleteFunc(d.running[e], func(r run) bool {
+		done := step-r.since >= runSteps
+		if done {
+			d.book.Survived(keyOf(r.name), now)
+		}
+		return done
+	})
+}
+
+func (d *day) crash(e, step int, now time.Time) {
+	d.incarnation++
+	lost := d.running[e]
+	d.running[e] = nil
+	for _, r := range lost {
+		d.book.Crashed(keyOf(r.name), d.incarnation, About{}, now)
+	}
+	for _, r := range lost {
+		if r.name == culprit {
+			d.crashes++
+			continue
+		}
+		d.lost++
+		if r.tries++; r.tries >= mostTries {
+			continue
+		}
+		if d.book.Check(keyOf(r.name), now).Standing != Clear {
+			d.held++
+			continue
+		}
+		d.place(r, step)
+	}
+}
--- /dev/null
+++ b/internal/coordination/quarantine/guard_test.go
@@ -0,0 +1,262 @@
+package quarantine
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/fingerprint"
+	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/objectapi/standin"
+)
+
+// store is an object API that can be away, and can lose the answers of writes.
+type store struct {
+	*standin.Store
+	down, loses atomic.Bool
+	calls       atomic.Int64
+}
+
+func (s *store) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	s.calls.Add(1)
+	if s.down.Load() {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *store) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	s.calls.Add(1)
+	if s.down.Load() {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	o, err := s.Store.Put(ctx, key, value, version)
+	if s.loses.Load() {
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
+	}
+	return o, err
+}
+
+// process is a guard that runs in the test's bubble.
+type process struct {
+	*Guard
+	stop func()
+}
+
+func startGuard(t *testing.T, s *store) *process {
+	g := NewGuard(s, zap.NewNop(), metrics.NewRegistry(), time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	return &process{g, func() {
+		cancel()
+		<-done
+	}}
+}
+
+// crash lets a request be at three crashes.
+func (p *process) crash(key fingerprint.Key) {
+	for incarnation := range uint64(crashesToBlame) {
+		p.Crashed(key, incarnation+1, About{Service: "s", Customer: "club", Method: "GET", Target: "/x"})
+	}
+}
+
+// tell passes on what the processes know, as they do among themselves.
+func tell(all ...*process) {
+	for _, from := range all {
+		for _, c := range from.Book.Durable() {
+			for _, to := range all {
+				to.Book.Merge(c, time.Now())
+			}
+		}
+	}
+}
+
+// code is what a request's caller is told, empty if it runs.
+func (p *process) code(t *testing.T, key fingerprint.Key) string {
+	if refused := p.Admit(t.Context(), key); refused != nil {
+		if refused.Ran != apierror.RanNo || refused.Retry.AfterMS <= 0 {
+			t.Errorf("%+v", refused)
+		}
+		return refused.Code
+	}
+	return ""
+}
+
+// TestQuarantineOutlivesItsProcess guards against a request that crashes as many endpoints again once all processes that knew it have
+// been restarted: also where the store was away when it was put into quarantine.
+func TestQuarantineOutlivesItsProcess(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &store{Store: standin.New()}
+			s.down.Store(down)
+			first := startGuard(t, s)
+			first.crash(keyOf("a"))
+			time.Sleep(5 * time.Second)
+			s.down.Store(false)
+			time.Sleep(2 * syncPause)
+			first.stop()
+			second := startGuard(t, s)
+			time.Sleep(time.Second)
+			if got := second.code(t, keyOf("a")); got != apierror.CodeQuarantined {
+				t.Errorf("store down %v: %q", down, got)
+			}
+			if got := second.code(t, keyOf("b")); got != "" {
+				t.Errorf("another request: %q", got)
+			}
+			entries, err := ReadEntries(t.Context(), s)
+			if err != nil || len(entries) != 1 || entries[0].Target != "/x" || entries[0].Crashes != crashesToBlame {
+				t.Errorf("%+v %v", entries, err)
+			}
+			second.stop()
+		})
+	}
+}
+
+// TestOperatorLifts guards against a request that stays refused though an operator has found it harmless.
+func TestOperatorLifts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const inForce = 10 * time.Second
+		s := &store{Store: standin.New()}
+		p, other := startGuard(t, s), startGuard(t, s)
+		p.crash(keyOf("a"))
+		time.Sleep(inForce)
+		tell(p, other)
+		if err := LiftEntry(t.Context(), s, keyOf("b")); !errors.Is(err, ErrNoQuarantine) {
+			t.Errorf("another request: %v", err)
+		}
+		if err := LiftEntry(t.Context(), s, keyOf("a")); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(inForce)
+		tell(p, other)
+		for _, g := range []*process{p, other} {
+			if got := g.code(t, keyOf("a")); got != "" {
+				t.Errorf("after it was lifted: %q", got)
+			}
+		}
+		if entries, err := ReadEntries(t.Context(), s); err != nil || len(entries) != 0 {
+			t.Errorf("%+v %v", entries, err)
+		}
+		// What is lifted at a process goes the same way.
+		p.crash(keyOf("c"))
+		time.Sleep(inForce)
+		tell(p, other)
+		if other.Lift(keyOf("d"), "ana") || !other.Lift(keyOf("c"), "ana") {
+			t.Error("lifted the wrong one")
+		}
+		tell(p, other)
+		if got := p.code(t, keyOf("c")); got != "" {
+			t.Errorf("after it was lifted elsewhere: %q", got)
+		}
+		p.stop()
+		other.stop()
+	})
+}
+
+// TestOneTrialForAll guards against each process trying a request whose quarantine is over: together they would
+// crash as many endpoints as there are processes.
+func TestOneTrialForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{Store: standin.New()}
+		var all []*process
+		for range 5 {
+			all = append(all, startGuard(t, s))
+		}
+		all[0].crash(keyOf("a"))
+		time.Sleep(time.Second)
+		tell(all...)
+		time.Sleep(firstQuarantine + syncActive)
+		s.down.Store(true)
+		if got := all[0].code(t, keyOf("a")); got != apierror.CodeQuarantined {
+			t.Errorf("a trial without the store: %q", got)
+		}
+		s.down.Store(false)
+		for round, want := range []int{1, 1} {
+			var trials atomic.Int64
+			for _, p := range all {
+				go func() {
+					if p.code(t, keyOf("a")) == "" {
+						trials.Add(1)
+					}
+				}()
+			}
+			synctest.Wait()
+			if trials.Load() != int64(want) {
+				t.Errorf("round %d: %d trials", round, trials.Load())
+			}
+			// The trial ends without a word: its process may have been killed.
+			time.Sleep(2*firstQuarantine<<round + syncIdle)
+		}
+		all[2].Survived(keyOf("a"))
+		tell(all...)
+		for i, p := range all {
+			if got := p.code(t, keyOf("a")); got != "" {
+				t.Errorf("process %d after the trial: %q", i, got)
+			}
+			p.stop()
+		}
+	})
+}
+
+// TestLostAnswerGivesNoTrial guards against two trials where the write that takes one has an unknown outcome.
+func TestLostAnswerGivesNoTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{Store: standin.New()}
+		p, other := startGuard(t, s), startGuard(t, s)
+		p.crash(keyOf("a"))
+		time.Sleep(time.Second)
+		tell(p, other)
+		time.Sleep(firstQuarantine + syncActive)
+		s.loses.Store(true)
+		if got := p.code(t, keyOf("a")); got != apierror.CodeQuarantined {
+			t.Errorf("a trial on an unknown outcome: %q", got)
+		}
+		s.loses.Store(false)
+		if got := other.code(t, keyOf("a")); got != apierror.CodeQuarantined {
+			t.Errorf("a trial that another may have taken: %q", got)
+		}
+		p.stop()
+		other.stop()
+	})
+}
+
+// TestUnreadableRecord guards against bytes of another writer ending quarantines for good.
+func TestUnreadableRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{Store: standin.New()}
+		if _, err := s.Store.Put(t.Context(), recordKey, []byte(`{"entries":[{"fingerprint":"short"}]}`), 0); err != nil {
+			t.Fatal(err)
+		}
+		p := startGuard(t, s)
+		p.crash(keyOf("a"))
+		time.Sleep(5 * time.Second)
+		if entries, err := ReadEntries(t.Context(), s); err != nil || len(entries) != 1 {
+			t.Errorf("%+v %v", entries, err)
+		}
+		p.stop()
+	})
+}
+
+// TestQuietFleetCostsTheStoreLittle guards against calls that the platform charges while no request is in quarantine.
+func TestQuietFleetCostsTheStoreLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{Store: standin.New()}
+		p := startGuard(t, s)
+		time.Sleep(time.Hour)
+		if calls := s.calls.Load(); calls > 2*int64(time.Hour/syncIdle) {
+			t.Errorf("%d calls in an hour", calls)
+		}
+		p.stop()
+	})
+}
--- /dev/null
+++ b/internal/coordination/quarantine/wire.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/fingerprint"
+)
+
+// errCase tells that a message does not say what a case says.
+const errCase = errors.ConstError("not a case of a quarantine")
+
+// ToWire converts a case for its transport. Clocks differ, so that what is left of a quarantine travels.
+func (c Case) ToWire(now time.Time) *wire.QuarantineCase {
+	w := &wire.QuarantineCase{Fingerprint: c.Key[:], Round: c.Round, Crashes: c.Crashes, Level: c.Level, Lifted: c.Lifted}
+	if c.Level > 0 {
+		w.LeftMs = uint32(max(0, c.Until.Sub(now).Milliseconds()))
+	}
+	return w
+}
+
+// CaseFromWire converts a case from its transport.
+func CaseFromWire(w *wire.QuarantineCase, now time.Time) (Case, error) {
+	if len(w.GetFingerprint()) != fingerprint.Size {
+		return Case{}, errors.Annotatef(errCase, "fingerprint of %d bytes", len(w.GetFingerprint()))
+	}
+	if len(w.GetCrashes()) > maxCrashes {
+		return Case{}, errors.Annotatef(errCase, "%d crashes", len(w.GetCrashes()))
+	}
+	c := Case{Key: fingerprint.Key(w.GetFingerprint()), Round: w.GetRound(), Level: w.GetLevel(), Lifted: w.GetLifted()}
+	for _, crash := range w.GetCrashes() {
+		c.addCrash(crash)
+	}
+	if c.Level > 0 {
+		c.Until = now.Add(time.Duration(w.GetLeftMs()) * time.Millisecond)
+	}
+	return c, nil
+}
+
+// MergeWire takes in what a peer told; the error names the first case that can't be read, and does not keep the others out.
+func (b *Book) MergeWire(cases []*wire.QuarantineCase, now time.Time) (changed bool, err error) {
+	for i, w := range cases {
+		c, bad := CaseFromWire(w, now)
+		if bad != nil {
+			if err == nil {
+				err = errors.Annotatef(bad, "case %d", i)
+			}
+			continue
+		}
+		changed = b.Merge(c, now) || changed
+	}
+	return changed, err
+}
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -58,6 +58,8 @@
 	CodeKeyStoreFull    = "key_store_full"
 	CodeClientGone      = "client_gone"
 	CodeInternalFailure = "internal"
+	// CodeQuarantined: the request has crashed the endpoints that ran it.
+	CodeQuarantined = "request_quarantined"
 )
 
 // Retry is the advice with its time.
--- a/internal/state/fingerprint/fingerprint.go
+++ b/internal/state/fingerprint/fingerprint.go
@@ -8,12 +8,17 @@
 	"encoding/hex"
 	"hash"
 	"io"
+
+	"github.com/juju/errors"
 )
 
 // Size of a key in bytes. A collision of 128 bits of SHA-256 would block another request; the customer is hashed too,
 // so that one who could find two such requests blocks only himself.
 const Size = 16
 
+// ErrMalformed tells that a text is no key.
+const ErrMalformed = errors.ConstError("fingerprint must be 32 hexadecimal digits")
+
 // Key is a request's fingerprint.
 type Key [Size]byte
 
@@ -23,6 +28,16 @@
 // MarshalText implements encoding.TextMarshaler.
 func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error {
+	parsed, ok := Parse(string(text))
+	if !ok {
+		return ErrMalformed
+	}
+	*k = parsed
+	return nil
+}
+
 // Parse reads a key's hexadecimal form.
 func Parse(s string) (Key, bool) {
 	var k Key
