A request that crashes the endpoints which run it is refused

What callers saw: for 10 to 20 s at a time dues queries and reconciliations failed or were refused, while most model servers were down. One request came again and again at all gateways, each time ending a server with all that ran there.

Cause: to a gateway each attempt of a caller was a new request. Whatever had become of the last attempt was forgotten with it, in the process that saw it as in all others; nothing in the system counted what one request had done to endpoints. Evidence: of all requests in the logs it alone was at each of eleven servers' ends, no other at more than four, where no event had come at more than two.

The gateway now tells its guard of each run that a crash ended, asks it before a request runs and before each further attempt, and clears what an endpoint has run to the end. A refusal is 503, not run, with the time to come back. A run that had streamed for over a second, one sent to an endpoint that had crashed already, and one on an endpoint that leaves are not blamed.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -20,6 +20,7 @@
 	"limpetwall/internal/coordination/gateway"
 	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/lease"
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
@@ -168,6 +169,7 @@
 		Codec: platform.Codec{}, Keeper: keeper, Log: log, Metrics: registry,
 		RequestLines: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
+	p.gateway.Guard = quarantine.NewGuard(store, log, registry, bootclock.Now)
 	if b.KeysRevoked > 0 {
 		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
@@ -177,6 +179,7 @@
 	director := p.director(state, store, engines)
 	p.share(self, store, watcher, director, keeper)
 	p.run(watcher.Run)
+	p.run(p.gateway.Guard.Run)
 	p.gateway.Leads = director.Leads
 	p.gateway.Doubts = ring.New[string](gateway.DoubtsHeld)
 	p.gateway.AskWeights = func(ctx context.Context, i discovery.Instance) (gateway.OwnWord, error) {
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -10,6 +10,7 @@
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/kept"
 	"limpetwall/internal/coordination/notice"
+	"limpetwall/internal/coordination/quarantineshare"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/workshare"
 	"limpetwall/internal/state/fleet"
@@ -26,6 +27,7 @@
 	watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
 	p.shareNotices(sharer, director)
 	p.shareContents(sharer, keeper)
+	p.shareQuarantines(sharer)
 }
 
 // shareWork tells the other gateways what this one has underway, and hears of theirs.
@@ -86,5 +88,22 @@
 	p.run(contents.Run)
 }
 
+// shareQuarantines tells the other gateways of requests that crash endpoints. Without, each hears of
+// quarantines from the store, and finds others itself.
+func (p *gatewayProcess) shareQuarantines(sharer *workshare.Sharer) {
+	guard := p.gateway.Guard
+	guard.Processes = sharer.Processes
+	if p.settings.Platform.Quarantines == "" {
+		return
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Quarantines))
+	if err != nil {
+		p.log.Error("quarantines are not told to other gateways", zap.Error(err))
+		return
+	}
+	shared := &quarantineshare.Sharer{Group: group, Hosts: sharer.Hosts, Book: guard.Book, Now: guard.Now, Log: p.log}
+	p.run(shared.Run)
+}
+
 // hostOf is the host of an address that has been checked.
 func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/state/fingerprint"
 	"limpetwall/internal/transport/upstream"
 )
@@ -24,12 +26,16 @@
 	keepInquiry = 10 * time.Second
 	// runsLogged bounds the requests named in the line on an endpoint's end.
 	runsLogged = 16
+	// blameWithin is how long after its first event a run may still be what crashed its endpoint: a longer one has
+	// shown that it can be run.
+	blameWithin = time.Second
 )
 
 // brokenRun is an attempt whose connection ended without a whole answer.
 type brokenRun struct {
 	requestID string
 	key       fingerprint.Key
+	about     quarantine.About
 	sent      time.Time
 	// output is when its first event came; zero if none did.
 	output time.Time
@@ -38,7 +44,7 @@
 // inquiry finds out what became of an endpoint when a run's connection had ended.
 type inquiry struct {
 	opened time.Time
-	// done is closed when the answer is known; crashed and runs are not changed by others then.
+	// done is closed when what was found is in the evidence.
 	done    chan struct{}
 	crashed bool
 	runs    []brokenRun
@@ -54,20 +60,21 @@
 // wait returns when no inquiry is underway.
 func (q *inquiries) wait() { q.underway.Wait() }
 
-// join adds a run to its endpoint's inquiry, and tells whether the caller has to carry it out.
-func (q *inquiries) join(incarnation uint64, run brokenRun) (in *inquiry, first bool) {
+// join adds a run to its endpoint's inquiry. The caller has to carry out the first of an incarnation, and to
+// report a run that comes late, when the inquiry has been concluded.
+func (q *inquiries) join(incarnation uint64, run brokenRun) (in *inquiry, first, late bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if in := q.open[incarnation]; in != nil {
 		in.runs = append(in.runs, run)
-		return in, false
+		return in, false, in.crashed
 	}
 	if q.open == nil {
 		q.open = map[uint64]*inquiry{}
 	}
 	in = &inquiry{opened: time.Now(), done: make(chan struct{}), runs: []brokenRun{run}}
 	q.open[incarnation] = in
-	return in, true
+	return in, true, false
 }
 
 // conclude notes what was found. An endpoint that lives may end later: only an end is remembered.
@@ -80,7 +87,6 @@
 	} else {
 		time.AfterFunc(keepInquiry, func() { q.forget(incarnation) })
 	}
-	close(in.done)
 	return in.runs
 }
 
@@ -90,8 +96,7 @@
 	delete(q.open, incarnation)
 }
 
-// inquire has an endpoint looked at under which a run broke; the channel is closed when that is done.
-// nil means that there is nothing to find out.
+// inquire has an endpoint looked at under which a run broke. nil means that there is nothing to find out.
 func (x *exchange) inquire(c routing.Choice, o outcome, sent time.Time) *inquiry {
 	if o.verdict != broken || x.g.Dial == nil || !connectionEnded(o.err) {
 		return nil
@@ -101,14 +106,25 @@
 		// One that leaves ends by itself, and cuts what it still runs.
 		return nil
 	}
-	run := brokenRun{requestID: x.call.ID, key: x.fingerprint(), sent: sent, output: x.firstEvent}
-	in, first := x.g.inquiries.join(c.Member.Incarnation, run)
-	if first {
+	run := brokenRun{requestID: x.call.ID, key: x.fingerprint(), about: x.about(), sent: sent, output: x.firstEvent}
+	in, first, late := x.g.inquiries.join(c.Member.Incarnation, run)
+	switch {
+	case first:
 		x.g.inquiries.underway.Go(func() { x.g.lookAt(instance, c.Member.Incarnation, in) })
+	case late:
+		x.g.blame(run, c.Member.Incarnation, in.opened)
 	}
 	return in
 }
 
+// blame holds a crash against a run, unless it was sent to an endpoint that had crashed or had run well for long.
+func (g *Gateway) blame(run brokenRun, incarnation uint64, crashed time.Time) {
+	ranWell := !run.output.IsZero() && crashed.Sub(run.output) > blameWithin
+	if g.Guard != nil && !ranWell && run.sent.Before(crashed) {
+		g.Guard.Crashed(run.key, incarnation, run.about)
+	}
+}
+
 // connectionEnded tells an end of the connection from silence: a process that crashes has its
 // connections closed by its host, one that is cut off or paused has not.
 func connectionEnded(err error) bool {
@@ -130,10 +146,14 @@
 	}
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
 	runs := g.inquiries.conclude(incarnation, in, crashed)
+	defer close(in.done)
 	if !crashed {
 		g.count("connections_ended")
 		return
 	}
+	for _, run := range runs {
+		g.blame(run, incarnation, in.opened)
+	}
 	g.count("endpoints_crashed")
 	g.Log.Warn("endpoint crashed", zap.String("endpoint", i.ID), zap.String("service", i.Service), zap.String("address", i.Address),
 		zap.Int("runs_broken", len(runs)), zap.Any("runs", linesOf(runs[:min(len(runs), runsLogged)], in.opened)))
@@ -160,6 +180,42 @@
 	return out
 }
 
+// quarantined refuses a request that crashes endpoints.
+func (x *exchange) quarantined(ctx context.Context) *apierror.Error {
+	if x.g.Guard.IsIdle() {
+		return nil
+	}
+	return x.g.Guard.Admit(ctx, x.fingerprint())
+}
+
+// hasCrashedTooMany tells whether a request must not be sent to another endpoint after one broke. It waits for what
+// became of that one: otherwise a request that may be repeated would crash a second before the first counts.
+func (x *exchange) hasCrashedTooMany(ctx context.Context, in *inquiry) bool {
+	if in != nil {
+		select {
+		case <-in.done:
+		case <-ctx.Done():
+		}
+	}
+	return !x.g.Guard.IsIdle() && x.g.Guard.Blocks(x.fingerprint())
+}
+
+// noteSurvival clears a request that an endpoint has run to its end, also to one that is a failure.
+func (x *exchange) noteSurvival(o outcome) {
+	if (o.verdict == delivered || o.verdict == answeredFailure) && !x.g.Guard.IsIdle() {
+		x.g.Guard.Survived(x.fingerprint())
+	}
+}
+
+// about describes the request to operators.
+func (x *exchange) about() quarantine.About {
+	about := quarantine.About{Service: x.service.Name, Method: x.r.Method, Target: x.r.RequestURI}
+	if x.customer != nil {
+		about.Customer = x.customer.Name
+	}
+	return about
+}
+
 // fingerprint names the request; it is computed only where something is to be found out.
 func (x *exchange) fingerprint() fingerprint.Key {
 	if x.key == nil {
--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -4,13 +4,20 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/quarantine"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/fingerprint"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/objectapi/standin"
 )
 
 // crash ends an endpoint as the end of its process does: it listens no more, and its connections close.
@@ -71,3 +78,148 @@
 		})
 	}
 }
+
+// guarded gives a site's gateway a guard whose duties don't run.
+func (s *site) guarded() *quarantine.Guard {
+	s.gateway.Guard = quarantine.NewGuard(standin.New(), zap.NewNop(), metrics.NewRegistry(), time.Now)
+	return s.gateway.Guard
+}
+
+// crashingSite has endpoints that crash on the body "poison", by ending the answer that begin makes.
+func crashingSite(t *testing.T, kind routes.Kind, attempts, endpoints int, begin answerer) *site {
+	var s *site
+	scripts := make([]answerer, endpoints)
+	for i := range scripts {
+		scripts[i] = func(c net.Conn, r *http.Request) {
+			if s.endpoints[i].lastBody() == "poison" {
+				s.crash(i)(c, r)
+				begin(c, r)
+				return
+			}
+			stream(endOfStream, "1")(c, r)
+		}
+	}
+	list := route(kind, attempts)
+	list[0].Resumable = true
+	s = newSite(t, list, scripts...)
+	s.guarded()
+	return s
+}
+
+func (e *fakeEndpoint) lastBody() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bodies[len(e.bodies)-1]
+}
+
+// TestCrashingRequestIsRefused guards against a request that goes on crashing endpoints: by attempts of one exchange, by
+// exchanges one after the other, or by a stream that goes on elsewhere. Its caller is told, and others are served.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	rows := []struct {
+		name     string
+		kind     routes.Kind
+		attempts int
+		begin    answerer
+		// asks until the first refusal.
+		asks int
+	}{
+		{"one attempt an exchange", routes.NonIdempotent, 1, hangUp, 3},
+		{"two attempts", routes.Idempotent, 2, hangUp, 2},
+		{"attempts without end", routes.Idempotent, 9, hangUp, 1},
+		{"a stream that never begins", routes.Streaming, 1, hangUp, 3},
+		{"a stream that goes on elsewhere", routes.Streaming, 9, stream("", "1"), 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := crashingSite(t, row.kind, row.attempts, 9, row.begin)
+			for n := range row.asks {
+				if resp, body, err := s.ask(s.request("POST", "/r/x", "poison")); err == nil && strings.Contains(body, apierror.CodeQuarantined) {
+					t.Errorf("ask %d: %v", n, resp.Status)
+				}
+				s.gateway.inquiries.settled(t)
+			}
+			if got := s.runs(); got != 3 {
+				t.Errorf("it reached %d endpoints, want 3", got)
+			}
+			resp, body, err := s.ask(s.request("POST", "/r/x", "poison"))
+			if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" ||
+				!strings.Contains(body, apierror.CodeQuarantined) || !strings.Contains(body, `"ran":"no"`) {
+				t.Errorf("its caller got %v %v %s", resp, err, body)
+			}
+			if got := s.runs(); got != 3 {
+				t.Errorf("it reached %d endpoints when it was refused", got)
+			}
+			for _, other := range []*http.Request{s.request("POST", "/r/x", "other"), s.request("POST", "/r/y", "other"), s.request("PUT", "/r/x", "other")} {
+				if resp, _, err := s.ask(other); err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("another request got %v %v", resp, err)
+				}
+			}
+		})
+	}
+}
+
+// settled returns when what broke is in the evidence.
+func (q *inquiries) settled(t *testing.T) {
+	t.Helper()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, in := range q.open {
+		q.mu.Unlock()
+		<-in.done
+		q.mu.Lock()
+	}
+}
+
+// TestCrashesThatAreNotItsDoing guards against blame for what a request did not do: it lost its answer, its endpoint left, or it had
+// run well for long.
+func TestCrashesThatAreNotItsDoing(t *testing.T) {
+	t.Run("lost answers", func(t *testing.T) {
+		s := newSite(t, route(routes.Idempotent, 9), hangUp, hangUp, hangUp, hangUp)
+		guard := s.guarded()
+		s.ask(s.request("POST", "/r/x", "b"))
+		s.server.Close()
+		s.gateway.inquiries.wait()
+		if s.runs() != 4 || !guard.IsIdle() {
+			t.Errorf("%d runs, idle %v", s.runs(), guard.IsIdle())
+		}
+	})
+	t.Run("runs", func(t *testing.T) {
+		s := newSite(t, route(routes.Streaming, 1), hangUp)
+		guard := s.guarded()
+		crashed := time.Now()
+		rows := map[string]brokenRun{
+			"sent after the crash": {sent: crashed.Add(time.Millisecond)},
+			"ran well":             {sent: crashed.Add(-3 * time.Second), output: crashed.Add(-blameWithin - time.Millisecond)},
+		}
+		for name, run := range rows {
+			run.key = fingerprint.Of(fingerprint.Request{Target: name}, nil)
+			if s.gateway.blame(run, 1, crashed); !guard.IsIdle() {
+				t.Errorf("%s: is blamed", name)
+			}
+		}
+		s.gateway.blame(brokenRun{sent: crashed.Add(-3 * time.Second), output: crashed.Add(-blameWithin + time.Millisecond)}, 1, crashed)
+		if guard.IsIdle() {
+			t.Error("one that had just begun is not blamed")
+		}
+	})
+}
+
+// TestLateRunsOfACrashCount guards against a culprit whose own connection is the last to be seen closed.
+func TestLateRunsOfACrashCount(t *testing.T) {
+	s := newSite(t, route(routes.NonIdempotent, 1), hangUp)
+	guard := s.guarded()
+	s.endpoints[0].listener.Close()
+	instance, _ := s.gateway.State.Instance("i-0")
+	in, first, _ := s.gateway.inquiries.join(7, brokenRun{key: fingerprint.Key{1}})
+	if !first {
+		t.Fatal("not the first")
+	}
+	s.gateway.lookAt(instance, 7, in)
+	again, first, late := s.gateway.inquiries.join(7, brokenRun{key: fingerprint.Key{2}})
+	if first || !late || again != in {
+		t.Errorf("first %v, late %v", first, late)
+	}
+	if guard.IsIdle() {
+		t.Error("no crash is recorded")
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/kept"
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
@@ -44,7 +45,9 @@
 	Directory *routing.Directory
 	Pool      *upstream.Pool
 	// Dial opens a connection to an endpoint whose runs have broken; nil finds out nothing.
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Guard keeps requests that crash endpoints from being run; nil lets all run.
+	Guard  *quarantine.Guard
 	Budget *runs.RetryBudget
 	Codec  Codec
 	// KeysValidFor is how long keys are believed after the configuration was last known to
@@ -358,5 +361,8 @@
 		// Nothing may be sent any more: a connection to an endpoint closes too late to prevent it.
 		return x.cutShort()
 	}
+	if refusal := x.quarantined(ctx); refusal != nil {
+		return refuseWith(refusal)
+	}
 	return x.run(ctx)
 }
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -56,6 +56,7 @@
 // stopped and rejected at the other engine is cut, and never run from its beginning.
 func TestRunsGoOnElsewhere(t *testing.T) {
 	const whole = "123"
+	var s *site
 	rows := []struct {
 		name        string
 		first, last error
@@ -64,20 +65,23 @@
 		events      string
 		complete    bool
 		sent        int
+		// crashed: the second engine did, under the run.
+		crashed bool
 	}{
-		{"to load", nil, nil, func(s *discovery.State) { s.SetLoading("i-0", true) }, stream(endOfStream, "2", "3"), whole, true, 1},
-		{"to leave", nil, nil, leave, stream(endOfStream, "3"), whole, true, 1},
-		{"no room", ErrNoRoom, nil, leave, stream(endOfStream), whole, true, 0},
-		{"ended meanwhile", nil, ErrNoRun, leave, stream(endOfStream), whole, true, 0},
-		{"rejected where it should go on", nil, nil, leave, reject, "12", false, 1},
-		{"torn where it goes on", nil, nil, leave, stream("", "3"), whole, false, 1},
+		{"to load", nil, nil, func(s *discovery.State) { s.SetLoading("i-0", true) }, stream(endOfStream, "2", "3"), whole, true, 1, false},
+		{"to leave", nil, nil, leave, stream(endOfStream, "3"), whole, true, 1, false},
+		{"no room", ErrNoRoom, nil, leave, stream(endOfStream), whole, true, 0, false},
+		{"ended meanwhile", nil, ErrNoRun, leave, stream(endOfStream), whole, true, 0, false},
+		{"rejected where it should go on", nil, nil, leave, reject, "12", false, 1, false},
+		{"torn where it goes on", nil, nil, leave, stream("", "3"), whole, false, 1, false},
+		{"crashed where it goes on", nil, nil, leave, func(c net.Conn, r *http.Request) { s.crash(1)(c, r); stream("", "3")(c, r) }, whole, false, 1, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			copier := &fakeCopier{first: row.first, last: row.last, asked: make(chan struct{}), stopped: make(chan struct{})}
 			begun := make(chan struct{})
 			moves := row.first == nil && row.last == nil
-			s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+			s = newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
 				stream("", "1", "2")(c, r)
 				close(begun)
 				<-copier.asked
@@ -90,6 +94,7 @@
 				}
 			}, row.second)
 			s.engines(copier)
+			guard := s.guarded()
 			state := s.gateway.State
 			done := make(chan struct{})
 			var body string
@@ -118,6 +123,9 @@
 			if events != row.events || (err == nil) != row.complete {
 				t.Errorf("events %s, error %v", events, err)
 			}
+			if s.gateway.inquiries.settled(t); guard.IsIdle() == row.crashed {
+				t.Errorf("blamed for a crash: %v", !guard.IsIdle())
+			}
 			if got := s.endpoints[1].count(); got != row.sent {
 				t.Errorf("the second engine was sent %d requests", got)
 			}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -86,12 +86,13 @@
 			last.verdict = stopped
 		}
 		x.book(choice, send, last, started)
-		x.inquire(choice, last, started)
+		inquiry := x.inquire(choice, last, started)
 		if last.verdict != notReached {
 			sent++
 		} else {
 			unreached++
 		}
+		x.noteSurvival(last)
 		switch last.verdict {
 		case delivered:
 			return ending{how: endAnswered}
@@ -100,7 +101,7 @@
 		case movedOn:
 			continue
 		}
-		if !x.mayTryAgain(ctx, last, sent, unreached) {
+		if !x.canRetry(ctx, last, sent, unreached) || x.hasCrashedTooMany(ctx, inquiry) {
 			return x.final(last, sent)
 		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
@@ -152,8 +153,8 @@
 	return false
 }
 
-// mayTryAgain decides whether another endpoint is asked.
-func (x *exchange) mayTryAgain(ctx context.Context, last outcome, sent, unreached int) bool {
+// canRetry decides whether another endpoint is asked.
+func (x *exchange) canRetry(ctx context.Context, last outcome, sent, unreached int) bool {
 	if ctx.Err() != nil || x.left() < minLeft {
 		return false
 	}
