The product's own interface refuses requests that crash endpoints, by the same decisions

The same fault looked for elsewhere: an entry sent such a request to four endpoints in each exchange, and a prompt that was late, because its endpoint was crashing, to a second one beside it. An agent now looks whether its endpoint's process listens no more when a run broke, and names the crash in its answer; entries blame, refuse, clear and record by the guard that gateways use, and don't hedge a suspect. A call with an idempotency key is refused with "may have run": an earlier one under the key may have. The evidence spreads with the exchanges between processes. Operators list and lift quarantines at /v1/quarantines.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -1,7 +1,10 @@
 package command
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -15,6 +18,7 @@
 	"limpetwall/internal/transport/engine"
 	"limpetwall/internal/transport/plainservice"
 	"limpetwall/internal/transport/settings"
+	"limpetwall/internal/transport/upstream"
 )
 
 // AgentSettings are an agent's settings.
@@ -83,6 +87,7 @@
 	built(p)
 	p.start(stop)
 	p.run(a.RunDuties)
+	p.run(func(ctx context.Context) { p.node.Quarantines().Keep(ctx, time.Now) })
 	p.zap.Info("agent ready", zap.String("peer_listen", p.listener.Addr().String()), zap.Uint64("revision", p.store.View().Revision))
 	<-stop.Graceful
 	drainAgent(p, a, stop)
@@ -90,11 +95,25 @@
 }
 
 func buildAgent(s *AgentSettings, p *base) *agent.Agent {
+	var a *agent.Agent
 	if s.Engine != "" {
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute}}
-		return agent.New(s.Agent, p.node, p.store, engine.NewClient(s.Engine, client), nil, movement.HTTPStore(), p.zap, p.metrics)
+		a = agent.New(s.Agent, p.node, p.store, engine.NewClient(s.Engine, client), nil, movement.HTTPStore(), p.zap, p.metrics)
+	} else {
+		a = agent.New(s.Agent, p.node, p.store, nil, plainservice.NewClient(s.Plain), nil, p.zap, p.metrics)
 	}
-	return agent.New(s.Agent, p.node, p.store, nil, plainservice.NewClient(s.Plain), nil, p.zap, p.metrics)
+	a.HasEnded = hasEnded(s.Engine + s.Plain)
+	return a
+}
+
+// hasEnded looks at the address of a URL that has been checked to name a host and a port; nil if it names none.
+func hasEnded(endpoint string) func(context.Context) bool {
+	u, err := url.Parse(endpoint)
+	if err != nil || u.Port() == "" {
+		return nil
+	}
+	var dialer net.Dialer
+	return func(ctx context.Context) bool { return upstream.HasEnded(ctx, dialer.DialContext, u.Host) }
 }
 
 // drainAgent tells the fleet first: entries stop sending within a moment, and
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -16,6 +16,7 @@
 	"limpetwall/internal/coordination/entry"
 	"limpetwall/internal/coordination/lease"
 	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
@@ -109,6 +110,7 @@
 	}
 	p.run(binder.Run)
 	p.run(runner.WatchDuty)
+	p.run(runner.Guard.Run)
 	p.run(e.ReportsDuty)
 	p.run(e.Rollout.Duty)
 	p.run(func(ctx context.Context) {
@@ -139,6 +141,8 @@
 		Binder: binder, Budget: runs.NewRetryBudget(retryShare, retryBurst), Store: p.store, Zap: p.zap,
 		HedgeAfter: s.HedgeAfter,
 	}
+	runner.Guard = quarantine.NewGuard(p.node.Quarantines(), p.api, p.zap, p.metrics, time.Now)
+	runner.Guard.Processes = table.Size
 	confirmer := &plan.Confirmer{Log: p.log, Store: p.store, Salt: newSalt, Now: time.Now, MaxTries: maxConfirmTries}
 	e := entry.New(s.Entry, entry.Deps{
 		Node: p.node, Store: p.store, Directory: directory, Runner: runner, Confirmer: confirmer,
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -53,6 +53,10 @@
 	zap     *zap.Logger
 	metrics metrics.Registry
 
+	// HasEnded tells whether the endpoint's process listens no more; set it before use, nil finds out nothing.
+	HasEnded func(ctx context.Context) bool
+	crashes  crashes
+
 	draining atomic.Bool
 	inflight sync.WaitGroup
 	running  atomic.Int64
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -196,10 +196,16 @@
 
 func (a *Agent) execute(ctx context.Context, r *wire.RunRequest, send emit) {
 	started := time.Now()
+	noting := func(e *wire.RunEvent) error {
+		if refused := e.GetRefused(); refused != nil && ctx.Err() == nil {
+			a.withCrash(refused, started)
+		}
+		return send(e)
+	}
 	if p := r.GetPrompt(); p != nil {
-		a.executePrompt(ctx, r, p, send)
+		a.executePrompt(ctx, r, p, noting)
 	} else {
-		a.executePlain(ctx, r, r.GetPlain(), send)
+		a.executePlain(ctx, r, r.GetPlain(), noting)
 	}
 	metrics.GetOrRegisterTimer("agent.run", a.metrics).UpdateSince(started)
 }
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -171,6 +171,8 @@
 	mux.HandleFunc("GET /v1/config/{kind}/{id}", e.operator(e.serveDocument))
 	mux.HandleFunc("GET /v1/status", e.operator(e.serveStatus))
 	mux.HandleFunc("GET /v1/reports/burn", e.operator(e.serveBurn))
+	mux.HandleFunc("GET /v1/quarantines", e.operator(e.serveQuarantines))
+	mux.HandleFunc("DELETE /v1/quarantines/{fingerprint}", e.operator(e.serveLift))
 	mux.HandleFunc("GET /healthz", e.serveHealth)
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -26,6 +26,8 @@
 	skip   int
 	// offset is the index of the next token of this attempt's stream.
 	offset int
+	// output is when the endpoint's answer began; zero before.
+	output time.Time
 }
 
 func (a *attempt) run(ctx context.Context) *outcome {
@@ -121,6 +123,9 @@
 	if e.GetRefused() == nil && !a.progress.claim(a) {
 		return hedgeLost()
 	}
+	if a.output.IsZero() && (e.GetTokens() != nil || e.GetPlainHead() != nil) {
+		a.output = time.Now()
+	}
 	switch event := e.GetEvent().(type) {
 	case *wire.RunEvent_Started:
 		return a.started(event.Started)
@@ -144,7 +149,7 @@
 
 func refusedOutcome(f *wire.Refused) *outcome {
 	return &outcome{
-		sent: true, refused: true, ran: f.GetRan(), code: f.GetCode(), message: f.GetMessage(),
+		sent: true, refused: true, ran: f.GetRan(), code: f.GetCode(), message: f.GetMessage(), crashed: f.GetCrashed(),
 		failed:     f.GetCode() == "endpoint_not_reached" || f.GetCode() == "endpoint_stream_broke",
 		retryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
 	}
--- /dev/null
+++ b/internal/coordination/runs/crash.go
@@ -0,0 +1,49 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"limpetwall/internal/coordination/quarantine"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/fingerprint"
+)
+
+// fingerprint names the request by what it asks. Its digest stands for path and body.
+func (j *Job) fingerprint() fingerprint.Key {
+	return fingerprint.Of(fingerprint.Request{Customer: j.Customer.ID, Host: j.Service.ID}, j.Digest)
+}
+
+// about describes the request to operators.
+func (j *Job) about() quarantine.About {
+	about := quarantine.About{Service: j.Service.ID, Customer: j.Customer.ID, Method: "prompt"}
+	if j.Plain != nil {
+		about.Method, about.Target = j.Plain.GetMethod(), j.Plain.GetPath()
+	}
+	return about
+}
+
+// quarantined refuses a request that crashes endpoints. Of one with a key an earlier call may have run, though this
+// one did not.
+func (r *Runner) quarantined(ctx context.Context, job *Job) *apierror.Error {
+	if r.Guard.IsIdle() {
+		return nil
+	}
+	refused := r.Guard.Admit(ctx, job.fingerprint())
+	if refused != nil && job.Key != "" {
+		refused = refused.WithRan(apierror.RanUnknown, apierror.AdviceSameKey)
+	}
+	return refused
+}
+
+// judge tells the guard how an attempt ended.
+func (r *Runner) judge(a *attempt, out *outcome, sent time.Time) {
+	switch {
+	case r.Guard == nil:
+	case out.crashed != 0:
+		run := quarantine.Run{Key: a.job.fingerprint(), About: a.job.about(), Sent: sent, Output: a.output}
+		r.Guard.Blame(run, out.crashed, time.Now())
+	case out.done && !r.Guard.IsIdle():
+		r.Guard.Survived(a.job.fingerprint())
+	}
+}
--- a/internal/coordination/runs/hedge.go
+++ b/internal/coordination/runs/hedge.go
@@ -153,6 +153,10 @@
 // hedge prepares a second attempt, or returns nil if there is no need, no budget
 // or no other endpoint.
 func (r *Runner) hedge(in *round, first *attempt) *attempt {
+	if r.Guard.IsSuspect(in.job.fingerprint()) {
+		// It may be late because it is crashing its endpoint.
+		return nil
+	}
 	request := *in.request
 	request.Now = time.Now()
 	request.Exclude = append(append([]string(nil), in.request.Exclude...), first.choice.Member.ID)
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/wire"
@@ -83,6 +84,8 @@
 	Budget    *RetryBudget
 	Store     *config.Store
 	Zap       *zap.Logger
+	// Guard keeps requests that crash endpoints from being run; nil lets all run.
+	Guard *quarantine.Guard
 	// HedgeAfter is the shortest wait for a first token before a second attempt;
 	// 0 never makes one.
 	HedgeAfter time.Duration
@@ -109,6 +112,9 @@
 // Run carries out a job. The error is its final answer.
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) (Result, *apierror.Error) {
 	r.Budget.Earn()
+	if refused := r.quarantined(ctx, job); refused != nil {
+		return Result{}, refused
+	}
 	p := &progress{sink: sink}
 	if job.Service.NotRepeatable {
 		return r.runOnce(ctx, job, p)
@@ -172,6 +178,9 @@
 		if out.clientGone || (out.ran != wire.Ran_RAN_NO && (p.head || !job.mayRepeat())) {
 			return Result{}, last.final(p, "")
 		}
+		if r.Guard.Blocks(job.fingerprint()) {
+			return Result{}, last.final(p, "the request has crashed too many endpoints")
+		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
 	}
 	return Result{}, last.final(p, "all attempts failed")
@@ -193,6 +202,8 @@
 	message    string
 	cause      error
 	retryAfter time.Duration
+	// crashed names the endpoint's incarnation that ended under the attempt, 0 if none did.
+	crashed uint64
 }
 
 func (o *outcome) result(number uint32, c routing.Choice) Result {
@@ -213,13 +224,15 @@
 	a.setCancel(cancel)
 	r.register(a)
 	defer r.unregister(a)
+	sent := time.Now()
 	out := a.run(ctx)
+	r.judge(a, out, sent)
 	r.Zap.Info("attempt",
 		zap.String("request_id", a.job.RequestID), zap.String("customer", a.job.Customer.ID),
 		zap.String("service", a.job.Service.ID), zap.String("endpoint", a.choice.Member.Endpoint.ID),
 		zap.Uint32("attempt", a.number), zap.String("decision", string(a.choice.Reason)),
 		zap.Duration("expected_ttft", a.choice.TTFT), zap.Bool("done", out.done), zap.String("code", out.code),
-		zap.String("reason", out.message))
+		zap.String("reason", out.message), zap.Bool("endpoint_crashed", out.crashed != 0))
 	return out
 }
 
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
@@ -96,6 +98,10 @@
 	hosts hostlist.List
 	peers Peers
 	zap   *zap.Logger
+	// book holds the evidence against requests that crash endpoints; it spreads with all else.
+	book *quarantine.Book
+	// tellQuarantines tells that a peer's quarantines differ from this process's.
+	tellQuarantines atomic.Bool
 	// news wakes the push duty; one waiting wake-up is enough.
 	news   *ring.Ring[struct{}]
 	repair *ring.Ring[repairJob]
@@ -129,7 +135,7 @@
 // New returns a node; nothing runs yet.
 func New(cfg Config, table *fleet.Table, store *config.Store, log *configlog.Log, hosts hostlist.List, peers Peers, logger *zap.Logger) *Node {
 	return &Node{
-		cfg: cfg, table: table, store: store, log: log, hosts: hosts, peers: peers, zap: logger,
+		cfg: cfg, table: table, store: store, log: log, hosts: hosts, peers: peers, zap: logger, book: quarantine.NewBook(),
 		news: ring.New[struct{}](1), repair: ring.New[repairJob](16), mismatches: map[string]int{},
 	}
 }
@@ -137,6 +143,9 @@
 // Table gives the node's view of the fleet.
 func (n *Node) Table() *fleet.Table { return n.table }
 
+// Quarantines gives what the fleet knows of requests that crash endpoints.
+func (n *Node) Quarantines() *quarantine.Book { return n.book }
+
 // Counts returns the message counts so far.
 func (n *Node) Counts() Counts {
 	n.mu.Lock()
@@ -148,6 +157,7 @@
 func (n *Node) Run(ctx context.Context) {
 	duties := []func(context.Context){
 		n.probeDuty, n.pushDuty, n.watchDuty, n.hostsDuty, n.expireDuty, n.reconnectDuty, n.joinDuty, n.repairDuty,
+		n.quarantineDuty,
 	}
 	var group sync.WaitGroup
 	for _, duty := range duties {
@@ -291,6 +301,7 @@
 	n.count(proto.Size(req), proto.Size(resp))
 	n.RaiseFence(resp.GetFence())
 	n.takeIn(address, resp.GetMembers(), resp.GetLoads(), resp.GetChanges(), resp.GetPlatformAgeMs())
+	n.takeQuarantines(address, resp.GetQuarantine(), resp.GetQuarantineDigest())
 	n.compare(id, address, resp.GetRevision(), resp.GetMemberDigest())
 	return nil
 }
@@ -330,7 +341,7 @@
 	return &wire.ExchangeRequest{
 		From: n.table.Self().ID, Revision: n.store.View().Revision, MemberDigest: n.table.Digest(),
 		Members: members, Loads: loads, Changes: n.recentChanges(), PlatformAgeMs: n.platformAge().Milliseconds(),
-		Fence: n.Fence(),
+		Fence: n.Fence(), QuarantineDigest: n.book.Digest(), Quarantine: n.quarantineNews(),
 	}
 }
 
@@ -449,6 +460,7 @@
 	}
 	n.RaiseFence(resp.GetFence())
 	n.takeIn(m.Address, resp.GetMembers(), resp.GetLoads(), resp.GetChanges(), resp.GetPlatformAgeMs())
+	n.takeQuarantines(m.Address, resp.GetQuarantine(), resp.GetQuarantineDigest())
 	n.repair.TryPush(repairJob{address: m.Address, members: true})
 	n.Announce()
 }
--- /dev/null
+++ b/internal/coordination/spread/quarantine.go
@@ -0,0 +1,59 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/protocol/wire"
+)
+
+const (
+	// quarantineNewsPerExchange bounds what an exchange carries of them: 400 bytes at most.
+	quarantineNewsPerExchange = 4
+	// quarantinesPerRepair are told at once to a peer that lacks some.
+	quarantinesPerRepair = 14
+)
+
+// quarantineDuty has news of requests that crash endpoints pushed at once.
+func (n *Node) quarantineDuty(ctx context.Context) {
+	for {
+		select {
+		case <-n.book.News():
+			n.Announce()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// quarantineNews is what an exchange carries: news, and quarantines if some peer has others.
+func (n *Node) quarantineNews() []*wire.QuarantineCase {
+	if n.book.IsEmpty() {
+		return nil
+	}
+	cases := n.book.TakeRumours(quarantineNewsPerExchange)
+	if n.tellQuarantines.Swap(false) {
+		durable := n.book.Durable()
+		rand.Shuffle(len(durable), func(i, j int) { durable[i], durable[j] = durable[j], durable[i] })
+		cases = append(cases, durable[:min(len(durable), quarantinesPerRepair)]...)
+	}
+	now := time.Now()
+	out := make([]*wire.QuarantineCase, 0, len(cases))
+	for _, c := range cases {
+		out = append(out, c.ToWire(now))
+	}
+	return out
+}
+
+// takeQuarantines takes in what a peer told, and notes whether it has other quarantines.
+func (n *Node) takeQuarantines(peer string, cases []*wire.QuarantineCase, digest uint64) {
+	if _, err := n.book.MergeWire(cases, time.Now()); err != nil {
+		n.zap.Warn("quarantines of a peer do not decode", zap.String("peer", peer), zap.Error(err))
+	}
+	if n.book.Digest() != digest {
+		n.tellQuarantines.Store(true)
+	}
+}
--- a/internal/coordination/spread/serve.go
+++ b/internal/coordination/spread/serve.go
@@ -13,10 +13,12 @@
 func (n *Node) HandleExchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	n.RaiseFence(r.GetFence())
 	n.takeIn("", r.GetMembers(), r.GetLoads(), r.GetChanges(), r.GetPlatformAgeMs())
+	n.takeQuarantines(r.GetFrom(), r.GetQuarantine(), r.GetQuarantineDigest())
 	members, loads := n.fresh()
 	resp := &wire.ExchangeResponse{
 		Revision: n.store.View().Revision, MemberDigest: n.table.Digest(),
 		Members: members, Loads: loads, PlatformAgeMs: n.platformAge().Milliseconds(), Fence: n.Fence(),
+		QuarantineDigest: n.book.Digest(), Quarantine: n.quarantineNews(),
 	}
 	if changes, ok := n.store.Since(r.GetRevision()); ok && len(changes) <= maxChangesPerExchange {
 		resp.Changes = toWire(changes)
