--- a/internal/operatorcli/main.go
+++ b/internal/operatorcli/main.go
@@ -34,6 +34,8 @@
   report burn [-html FILE]    show how fast services use up their error budgets
   load                        send prompts and measure time to first token
   explain ID [LOG...]         show from logs what decided a request (default: standard input)
+  quarantines                 show requests that are not run because they crash endpoints
+  lift FINGERPRINT            have one run again
   key                         make an API key and the hash to configure
   completion                  print a bash completion script
 
@@ -41,6 +43,7 @@
   -entry URL   an entry (default http://127.0.0.1:8080)
   -key KEY     operator key (load: customer key)
   -o FORMAT    json or table
+  -store IP:PORT  quarantines, lift: the platform's metadata store, where gateways run in place of entries
 
 Examples:
   limpetctl plan -f shop.json -save shop.plan && limpetctl confirm shop.plan
@@ -76,15 +79,17 @@
 
 func commands() map[string]command {
 	return map[string]command{
-		"plan":       {0, 0, bindPlan},
-		"confirm":    {1, 1, bindConfirm},
-		"get":        {1, 2, bindGet},
-		"status":     {0, 0, bindStatus},
-		"report":     {1, 1, bindReport},
-		"load":       {0, 0, bindLoad},
-		"key":        {0, 0, bindKey},
-		"explain":    {1, 100, bindExplain},
-		"completion": {0, 0, bindCompletion},
+		"plan":        {0, 0, bindPlan},
+		"confirm":     {1, 1, bindConfirm},
+		"get":         {1, 2, bindGet},
+		"status":      {0, 0, bindStatus},
+		"report":      {1, 1, bindReport},
+		"load":        {0, 0, bindLoad},
+		"key":         {0, 0, bindKey},
+		"explain":     {1, 100, bindExplain},
+		"quarantines": {0, 0, bindQuarantines},
+		"lift":        {1, 1, bindLift},
+		"completion":  {0, 0, bindCompletion},
 	}
 }
 
