Crashes of another cause speak for a request before and beside it

A request now has to be at most of the crashes since 30 s before its first one (those of a request in quarantine aside), or at five; and a run that had streamed for half a second, not one, is not blamed.

--- a/internal/coordination/quarantine/book.go
+++ b/internal/coordination/quarantine/book.go
@@ -25,6 +25,8 @@
 	ownCrashes = 2
 	// crashesEnough is enough also for requests that can't be told apart, or among many crashes of another cause.
 	crashesEnough = 5
+	// background is how long before a request's first crash others still speak for another cause.
+	background = 30 * time.Second
 	// settleTime after the last crash a verdict stands: by then what other processes know of the same crash has
 	// come. The request is refused meanwhile.
 	settleTime = 750 * time.Millisecond
@@ -172,8 +174,8 @@
 // isBlamed tells whether the crashes that a request was at are its doing.
 //
 // A crash is that of the request that was at most crashes: one that only ran beside a culprit is at some of the
-// culprit's, and hardly at all. And a culprit is at most of the crashes since it came: while endpoints are killed,
-// a request that is tried again may be at several, but endpoints without it are killed as well.
+// culprit's, and hardly at all. And a culprit is at most of the crashes since shortly before it came: while endpoints are
+// killed, a request that is tried again may be at several, but endpoints without it are killed as well.
 func (b *Book) isBlamed(c *Case) bool {
 	if len(c.Crashes) < crashesToBlame {
 		return false
@@ -197,7 +199,7 @@
 	if blamed >= crashesEnough {
 		return true
 	}
-	return blamed >= crashesToBlame && own >= ownCrashes && blamed > b.crashesWithout(c, first)
+	return blamed >= crashesToBlame && own >= ownCrashes && blamed > b.crashesWithout(c, first.Add(-background))
 }
 
 // likelihood compares a request with the others that were at a crash.
@@ -224,18 +226,20 @@
 	return found
 }
 
-// crashesWithout counts the crashes since a time at which neither the request nor one as likely was present.
+// crashesWithout counts the crashes since a time at which neither the request nor one in quarantine was present.
 func (b *Book) crashesWithout(c *Case, since time.Time) int {
 	n := 0
 	for incarnation, at := range b.crashes {
 		_, present := slices.BinarySearch(c.Crashes, incarnation)
-		if !present && !at.seen.Before(since) && b.likeliest(at, c) == likeliestSelf {
+		if !present && !at.seen.Before(since) && !slices.ContainsFunc(at.present, b.isQuarantined) {
 			n++
 		}
 	}
 	return n
 }
 
+func (b *Book) isQuarantined(key fingerprint.Key) bool { return b.cases[key].Level > 0 }
+
 // BeginTrial records the only run that a request gets when its quarantine is over. The next quarantine counts
 // from now: nobody else may try meanwhile, also if this process ends.
 func (b *Book) BeginTrial(key fingerprint.Key, now time.Time) {
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -102,7 +102,7 @@
 
 // blameWithin is how long after its first output a run may still be what crashed its endpoint: a longer one has
 // shown that it can be run.
-const blameWithin = time.Second
+const blameWithin = 500 * time.Millisecond
 
 // Run is one attempt of a request at one endpoint.
 type Run struct {
--- a/internal/coordination/quarantineshare/sharer_test.go
+++ b/internal/coordination/quarantineshare/sharer_test.go
@@ -97,10 +97,10 @@
 
 func (f *fleet) address(n int) netip.AddrPort { return netip.AddrPortFrom(f.hosts[n], port) }
 
-// quarantine has a process put requests into quarantine.
+// quarantine has a process put requests into quarantine: five crashes are enough whatever else crashed.
 func (f *fleet) quarantine(n int, keys ...fingerprint.Key) {
 	for _, key := range keys {
-		for crash := range uint64(3) {
+		for crash := range uint64(5) {
 			f.books[n].Crashed(key, binary.BigEndian.Uint64(key[:])+crash, quarantine.About{}, time.Now())
 		}
 	}
--- /dev/null
+++ b/internal/coordination/spread/quarantine_test.go
@@ -0,0 +1,47 @@
+package spread_test
+
+import (
+	"testing"
+	"time"
+
+	"limpetwall/internal/coordination/quarantine"
+	"limpetwall/internal/state/fingerprint"
+)
+
+// TestQuarantinesReachAll tells one process of 60 of two crashes, another of a third, and lets both find that a request is to be
+// quarantined; a process starts later, and one was cut off.
+//
+// Wherever the request comes next it is known within seconds, also at those that heard nothing of the crashes.
+func TestQuarantinesReachAll(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startMany(60, domains...)
+		c.until("all know all", 30*time.Second, c.everyoneSees(60))
+		key := fingerprint.Of(fingerprint.Request{Target: "/x"}, nil)
+		everyoneRefuses := func() bool {
+			for _, m := range c.all() {
+				if m.node.Quarantines().Check(key, time.Now()).Standing == quarantine.Clear {
+					return false
+				}
+			}
+			return true
+		}
+		cutOff := c.all()[59]
+		c.setCut(func(from, to *member) bool { return from == cutOff || to == cutOff })
+		all := c.all()
+		for crash := range uint64(3) {
+			all[crash/2].node.Quarantines().Crashed(key, crash, quarantine.About{}, time.Now())
+		}
+		c.kill(all[2].id)
+		time.Sleep(3 * time.Second)
+		for _, m := range all[:2] {
+			m.node.Quarantines().Settle(time.Now())
+		}
+		if len(all[0].node.Quarantines().Durable())+len(all[1].node.Quarantines().Durable()) == 0 {
+			t.Fatal("no quarantine")
+		}
+		time.Sleep(2 * time.Second)
+		c.setCut(func(_, _ *member) bool { return false })
+		c.start("late", "a1", "region-a")
+		c.until("every process refuses the request", 10*time.Second, everyoneRefuses)
+	})
+}
--- a/internal/state/fingerprint/fingerprint_test.go
+++ b/internal/state/fingerprint/fingerprint_test.go
@@ -17,6 +17,7 @@
 		"method":                     Of(Request{Customer: "a", Host: "h", Method: "PUT", Target: "/x"}, []byte("body")),
 		"target":                     Of(Request{Customer: "a", Host: "h", Method: "GET", Target: "/x?"}, []byte("body")),
 		"body":                       Of(base, []byte("bodies")),
+		"a body of that length":      Of(base, []byte("BODY")),
 		"no body":                    Of(base, nil),
 		"end of one, begin of other": Of(Request{Customer: "ah", Host: "", Method: "GET", Target: "/x"}, []byte("body")),
 		"body in target":             Of(Request{Customer: "a", Host: "h", Method: "GET", Target: "/xbody"}, nil),
