A full endpoint does not waste a request's trial

Found by reading: after its quarantine a request got one trial, and a first endpoint that rejected it for being full ended that, as the next attempt is not made for a request in quarantine; it stayed there for twice as long. Only a run that broke is followed by the question now. TestFullEndpointsDoNotWasteATrial failed before.

--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -49,9 +49,6 @@
 	open     map[uint64]*inquiry
 }
 
-// wait returns when no inquiry is underway.
-func (q *inquiries) wait() { q.underway.Wait() }
-
 // join adds a run to its endpoint's inquiry. The caller has to carry out the first of an incarnation, and to
 // report a run that comes late, when the inquiry has been concluded.
 func (q *inquiries) join(incarnation uint64, run brokenRun) (in *inquiry, first, late bool) {
@@ -167,16 +164,18 @@
 	return x.g.Guard.Admit(ctx, x.fingerprint())
 }
 
-// hasCrashedTooMany tells whether a request must not be sent to another endpoint after one broke. It waits for what
-// became of that one: otherwise a request that may be repeated would crash a second before the first counts.
+// hasCrashedTooMany tells whether a request must not be sent to another endpoint after its run at one broke. It waits
+// for what became of that one: otherwise a request that may be repeated would crash a second before the first counts.
+// One that no endpoint ran, as they were full, may go on: it would else waste its trial.
 func (x *exchange) hasCrashedTooMany(ctx context.Context, in *inquiry) bool {
-	if in != nil {
-		select {
-		case <-in.done:
-		case <-ctx.Done():
-		}
+	if in == nil {
+		return false
+	}
+	select {
+	case <-in.done:
+	case <-ctx.Done():
 	}
-	return !x.g.Guard.IsIdle() && x.g.Guard.Blocks(x.fingerprint())
+	return x.g.Guard.Blocks(x.fingerprint())
 }
 
 // noteSurvival clears a request that an endpoint has run to its end, also to one that is a failure.
--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// wait returns when no inquiry is underway; the requests have ended.
+func (q *inquiries) wait() { q.underway.Wait() }
+
 // settled returns when what broke is in the evidence.
 func (q *inquiries) settled(t *testing.T) {
 	t.Helper()
@@ -185,6 +188,27 @@
 	}
 }
 
+// TestFullEndpointsDoNotWasteATrial guards against a request that stays in quarantine because the first endpoint of its only
+// trial was full.
+func TestFullEndpointsDoNotWasteATrial(t *testing.T) {
+	play := inTurn(reject, say(200, "a"))
+	s := newSite(t, route(routes.NonIdempotent, 2), play, play)
+	guard := s.guarded()
+	later := time.Now()
+	guard.Now = func() time.Time { return later }
+	key := fingerprint.Of(fingerprint.Request{Customer: "club", Host: "h", Method: "POST", Target: "/r/x"}, []byte("b"))
+	guard.Book.Merge(quarantine.Case{Key: key, Level: 1, Until: later.Add(time.Second)}, later)
+	if resp, _, err := s.ask(s.request("POST", "/r/x", "b")); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("in quarantine: %v %v", resp, err)
+	}
+	later = later.Add(2 * time.Second)
+	for _, when := range []string{"on trial", "after it"} {
+		if resp, _, err := s.ask(s.request("POST", "/r/x", "b")); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: %v %v", when, resp, err)
+		}
+	}
+}
+
 // TestLateRunsOfACrashCount guards against a culprit going free whose own connection is the last to be seen closed.
 func TestLateRunsOfACrashCount(t *testing.T) {
 	s := newSite(t, route(routes.NonIdempotent, 1), hangUp)
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -74,7 +74,7 @@
 	return g.refusal(v)
 }
 
-// Blocks is Admit for a request that has run already: it gets no trial.
+// Blocks tells whether a request must not be run again after a run of it broke.
 func (g *Guard) Blocks(key fingerprint.Key) bool {
 	return !g.IsIdle() && g.Book.Check(key, g.Now()).Standing != Clear
 }
@@ -84,7 +84,10 @@
 		return nil
 	}
 	g.count("refused")
-	message := "this request was underway at " + strconv.Itoa(v.Crashes) + " endpoints when they crashed"
+	message := "this request has crashed the endpoints that ran it"
+	if v.Crashes > 0 {
+		message = "this request was underway at " + strconv.Itoa(v.Crashes) + " endpoints when they crashed"
+	}
 	switch v.Standing {
 	case Held:
 		message += "; whether it is the cause is being settled"
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -178,7 +178,7 @@
 		if out.clientGone || (out.ran != wire.Ran_RAN_NO && (p.head || !job.mayRepeat())) {
 			return Result{}, last.final(p, "")
 		}
-		if r.Guard.Blocks(job.fingerprint()) {
+		if out.crashed != 0 && r.Guard.Blocks(job.fingerprint()) {
 			return Result{}, last.final(p, "the request has crashed too many endpoints")
 		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
