--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -183,8 +183,12 @@
 	g.noted = digest
 	wait = jitter(syncActive)
 	levels := map[fingerprint.Key]uint32{}
+	inForce := int64(0)
 	for _, c := range g.Book.Durable() {
 		levels[c.Key] = c.Level
+		if c.Level > 0 {
+			inForce++
+		}
 		switch before := g.levels[c.Key]; {
 		case c.Level > before:
 			g.logQuarantine(c)
@@ -199,6 +203,7 @@
 		}
 	}
 	g.levels = levels
+	metrics.GetOrRegisterGauge("quarantine.in_force", g.Metrics).Update(inForce)
 	return wait, true
 }
 
