Evidence that is no news any more is not passed on

Found by reckoning: after a crash of many busy endpoints a process would go on telling its peers of up to 4,096 suspects for half an hour, at 3 KB/s. Evidence older than five seconds is dropped from what is passed on; quarantines stay. TestOldEvidenceIsNoNews failed before.

--- a/internal/coordination/quarantine/book.go
+++ b/internal/coordination/quarantine/book.go
@@ -37,6 +37,9 @@
 	// rumourSends is how often this process passes a change on: with a few receivers each time, all of several
 	// hundred processes have it though a third of the messages is lost.
 	rumourSends = 8
+	// rumourLasts is how long evidence is news: in a crowd of suspects what has not been told by then would keep
+	// processes talking for half an hour, and helps nobody any more.
+	rumourLasts = 5 * time.Second
 )
 
 // Standing is how a request stands with the book.
@@ -412,12 +415,17 @@
 
 // TakeRumours returns changes that are to be passed on in a message of about so many bytes, at least one if there
 // are any; those that must be known first come first.
-func (b *Book) TakeRumours(bytes int) []Case {
+func (b *Book) TakeRumours(bytes int, now time.Time) []Case {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var hot []*Case
 	for key := range b.rumours {
-		hot = append(hot, b.cases[key])
+		c := b.cases[key]
+		if !c.isDurable() && now.Sub(c.changed) > rumourLasts {
+			delete(b.rumours, key)
+			continue
+		}
+		hot = append(hot, c)
 	}
 	slices.SortFunc(hot, compareUrgency)
 	var out []Case
--- a/internal/coordination/quarantineshare/sharer.go
+++ b/internal/coordination/quarantineshare/sharer.go
@@ -98,7 +98,7 @@
 	if len(hosts) == 0 {
 		return false
 	}
-	cases := s.Book.TakeRumours(roundBytes)
+	cases := s.Book.TakeRumours(roundBytes, s.Now())
 	if len(cases) == 0 {
 		return false
 	}
--- a/internal/coordination/quarantineshare/sharer_test.go
+++ b/internal/coordination/quarantineshare/sharer_test.go
@@ -223,6 +223,25 @@
 	})
 }
 
+// TestOldEvidenceIsNoNews guards against processes that go on talking of suspects long after a crash of many busy endpoints.
+func TestOldEvidenceIsNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 40
+		f := newFleet(t, size)
+		for i := range 3000 {
+			f.books[i%size].Crashed(keyOf(i), uint64(i%10), quarantine.About{}, time.Now())
+		}
+		time.Sleep(time.Minute)
+		f.network.Sent()
+		time.Sleep(time.Minute)
+		datagrams, bytes := f.network.Sent()
+		if rate := float64(bytes+headerBytes*datagrams) / size / 60; rate > mostBytes/20 {
+			t.Errorf("%.0f bytes/s a process a minute later", rate)
+		}
+		f.end()
+	})
+}
+
 // TestQuietFleetSendsLittle guards against control traffic that grows while there is nothing to tell.
 func TestQuietFleetSendsLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/spread/quarantine.go
+++ b/internal/coordination/spread/quarantine.go
@@ -34,13 +34,13 @@
 	if n.book.IsEmpty() {
 		return nil
 	}
-	cases := n.book.TakeRumours(quarantineNewsBytes)
+	now := time.Now()
+	cases := n.book.TakeRumours(quarantineNewsBytes, now)
 	if n.tellQuarantines.Swap(false) {
 		durable := n.book.Durable()
 		rand.Shuffle(len(durable), func(i, j int) { durable[i], durable[j] = durable[j], durable[i] })
 		cases = append(cases, durable[:min(len(durable), quarantinesPerRepair)]...)
 	}
-	now := time.Now()
 	out := make([]*wire.QuarantineCase, 0, len(cases))
 	for _, c := range cases {
 		out = append(out, c.ToWire(now))
