--- a/internal/coordination/quarantine/book_test.go
+++ b/internal/coordination/quarantine/book_test.go
@@ -292,6 +292,7 @@
 	for _, killEvery := range []time.Duration{0, 10 * time.Second, 2 * time.Second, time.Second, 600 * time.Millisecond} {
 		for _, withCulprit := range []bool{false, true} {
 			t.Run(fmt.Sprintf("a kill each %s, culprit %v", killEvery, withCulprit), func(t *testing.T) {
+				t.Parallel()
 				var sum dayResult
 				for n := range days {
 					d := newDay(rand.New(rand.NewPCG(uint64(n), 7)), killEvery)
