explain shows the crashes and the quarantine of a refused request; the book in files of one job each

limpetctl explain looked 20 s back: of a request that is refused for its crashes minutes ago it showed the refusal only. No decision is changed.

--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// inquiryTimeout bounds the connection that tells whether an endpoint's process still listens:
+	// probeTimeout bounds the connection that tells whether an endpoint's process still listens:
 	// a host that is up answers within a round trip.
-	inquiryTimeout = 300 * time.Millisecond
-	// keepInquiry is how long the end of an endpoint is remembered for runs whose connections break later.
-	keepInquiry = 10 * time.Second
+	probeTimeout = 300 * time.Millisecond
+	// keepProbe is how long the crash of an endpoint is remembered for runs whose connections break later.
+	keepProbe = 10 * time.Second
 	// runsLogged bounds the requests named in the line on an endpoint's end.
 	runsLogged = 16
 )
@@ -33,8 +33,8 @@
 	requestID string
 }
 
-// inquiry finds out what became of an endpoint when a run's connection had ended.
-type inquiry struct {
+// crashProbe finds out what became of an endpoint when a run's connection had ended.
+type crashProbe struct {
 	opened time.Time
 	// done is closed when what was found is in the evidence.
 	done    chan struct{}
@@ -42,51 +42,51 @@
 	runs    []brokenRun
 }
 
-// inquiries are open or recent ones, by incarnation.
-type inquiries struct {
+// crashProbes are those underway, and of endpoints that crashed of late, by incarnation.
+type crashProbes struct {
 	underway sync.WaitGroup
 	mu       sync.Mutex
-	open     map[uint64]*inquiry
+	open     map[uint64]*crashProbe
 }
 
-// join adds a run to its endpoint's inquiry. The caller has to carry out the first of an incarnation, and to
-// report a run that comes late, when the inquiry has been concluded.
-func (q *inquiries) join(incarnation uint64, run brokenRun) (in *inquiry, first, late bool) {
+// join adds a run to its endpoint's probe. The caller has to carry out the first of an incarnation, and to
+// report a run that comes late, when the probe has been concluded.
+func (q *crashProbes) join(incarnation uint64, run brokenRun) (p *crashProbe, first, late bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if in := q.open[incarnation]; in != nil {
-		in.runs = append(in.runs, run)
-		return in, false, in.crashed
+	if p := q.open[incarnation]; p != nil {
+		p.runs = append(p.runs, run)
+		return p, false, p.crashed
 	}
 	if q.open == nil {
-		q.open = map[uint64]*inquiry{}
+		q.open = map[uint64]*crashProbe{}
 	}
-	in = &inquiry{opened: time.Now(), done: make(chan struct{}), runs: []brokenRun{run}}
-	q.open[incarnation] = in
-	return in, true, false
+	p = &crashProbe{opened: time.Now(), done: make(chan struct{}), runs: []brokenRun{run}}
+	q.open[incarnation] = p
+	return p, true, false
 }
 
 // conclude notes what was found. An endpoint that lives may end later: only an end is remembered.
-func (q *inquiries) conclude(incarnation uint64, in *inquiry, crashed bool) []brokenRun {
+func (q *crashProbes) conclude(incarnation uint64, p *crashProbe, crashed bool) []brokenRun {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	in.crashed = crashed
+	p.crashed = crashed
 	if !crashed {
 		delete(q.open, incarnation)
 	} else {
-		time.AfterFunc(keepInquiry, func() { q.forget(incarnation) })
+		time.AfterFunc(keepProbe, func() { q.forget(incarnation) })
 	}
-	return in.runs
+	return p.runs
 }
 
-func (q *inquiries) forget(incarnation uint64) {
+func (q *crashProbes) forget(incarnation uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.open, incarnation)
 }
 
-// inquire has an endpoint looked at under which a run broke. nil means that there is nothing to find out.
-func (x *exchange) inquire(c routing.Choice, o outcome, sent time.Time) *inquiry {
+// probeCrash has an endpoint probed under which a run broke. nil means that there is nothing to find out.
+func (x *exchange) probeCrash(c routing.Choice, o outcome, sent time.Time) *crashProbe {
 	if o.verdict != broken || x.g.Dial == nil || !connectionEnded(o.err) {
 		return nil
 	}
@@ -96,14 +96,14 @@
 		return nil
 	}
 	run := brokenRun{quarantine.Run{Key: x.fingerprint(), About: x.about(), Sent: sent, Output: x.firstEvent}, x.call.ID}
-	in, first, late := x.g.inquiries.join(c.Member.Incarnation, run)
+	p, first, late := x.g.crashProbes.join(c.Member.Incarnation, run)
 	switch {
 	case first:
-		x.g.inquiries.underway.Go(func() { x.g.lookAt(instance, c.Member.Incarnation, in) })
+		x.g.crashProbes.underway.Go(func() { x.g.runProbe(instance, c.Member.Incarnation, p) })
 	case late:
-		x.g.Guard.Blame(run.Run, c.Member.Incarnation, in.opened)
+		x.g.Guard.Blame(run.Run, c.Member.Incarnation, p.opened)
 	}
-	return in
+	return p
 }
 
 // connectionEnded tells an end of the connection from silence: a process that crashes has its
@@ -116,23 +116,23 @@
 	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errReplacedWeights)
 }
 
-// lookAt carries out an inquiry.
-func (g *Gateway) lookAt(i discovery.Instance, incarnation uint64, in *inquiry) {
-	ctx, cancel := context.WithTimeout(context.Background(), inquiryTimeout)
+// runProbe carries out a probe.
+func (g *Gateway) runProbe(i discovery.Instance, incarnation uint64, p *crashProbe) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	crashed := upstream.HasEnded(ctx, g.Dial, i.Address)
-	runs := g.inquiries.conclude(incarnation, in, crashed)
-	defer close(in.done)
+	runs := g.crashProbes.conclude(incarnation, p, crashed)
+	defer close(p.done)
 	if !crashed {
 		g.count("connections_ended")
 		return
 	}
 	for _, run := range runs {
-		g.Guard.Blame(run.Run, incarnation, in.opened)
+		g.Guard.Blame(run.Run, incarnation, p.opened)
 	}
 	g.count("endpoints_crashed")
 	g.Log.Warn("endpoint crashed", zap.String("endpoint", i.ID), zap.String("service", i.Service), zap.String("address", i.Address),
-		zap.Int("runs_broken", len(runs)), zap.Any("runs", linesOf(runs[:min(len(runs), runsLogged)], in.opened)))
+		zap.Int("runs_broken", len(runs)), zap.Any("runs", linesOf(runs[:min(len(runs), runsLogged)], p.opened)))
 }
 
 // runLine is a broken run as the log tells of it.
@@ -156,7 +156,8 @@
 	return out
 }
 
-// quarantined refuses a request that crashes endpoints.
+// quarantined refuses a request that crashes endpoints. To a gateway each attempt of a caller is a new request: without
+// a memory that all share, one that crashes endpoints takes one away with every attempt, at every gateway.
 func (x *exchange) quarantined(ctx context.Context) *apierror.Error {
 	if x.g.Guard.IsIdle() {
 		return nil
@@ -167,12 +168,12 @@
 // hasCrashedTooMany tells whether a request must not be sent to another endpoint after its run at one broke. It waits
 // for what became of that one: otherwise a request that may be repeated would crash a second before the first counts.
 // One that no endpoint ran, as they were full, may go on: it would else waste its trial.
-func (x *exchange) hasCrashedTooMany(ctx context.Context, in *inquiry) bool {
-	if in == nil {
+func (x *exchange) hasCrashedTooMany(ctx context.Context, p *crashProbe) bool {
+	if p == nil {
 		return false
 	}
 	select {
-	case <-in.done:
+	case <-p.done:
 	case <-ctx.Done():
 	}
 	return x.g.Guard.Blocks(x.fingerprint())
--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -74,7 +74,7 @@
 			lines := s.observed()
 			s.ask(s.request("POST", "/r/x", "b"))
 			s.server.Close()
-			s.gateway.inquiries.wait()
+			s.gateway.crashProbes.wait()
 			if got := lines.FilterMessage("endpoint crashed").Len() > 0; got != row.crashed {
 				t.Errorf("told as a crash: %v, want %v", got, row.crashed)
 			}
@@ -139,7 +139,7 @@
 				if resp, body, err := s.ask(s.request("POST", "/r/x", "poison")); err == nil && strings.Contains(body, apierror.CodeQuarantined) {
 					t.Errorf("ask %d: %v", n, resp.Status)
 				}
-				s.gateway.inquiries.settled(t)
+				s.gateway.crashProbes.settled(t)
 			}
 			if got := s.runs(); got != 3 {
 				t.Errorf("it reached %d endpoints, want 3", got)
@@ -161,11 +161,11 @@
 	}
 }
 
-// wait returns when no inquiry is underway; the requests have ended.
-func (q *inquiries) wait() { q.underway.Wait() }
+// wait returns when no probe is underway; the requests have ended.
+func (q *crashProbes) wait() { q.underway.Wait() }
 
 // settled returns when what broke is in the evidence.
-func (q *inquiries) settled(t *testing.T) {
+func (q *crashProbes) settled(t *testing.T) {
 	t.Helper()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -182,7 +182,7 @@
 	guard := s.guarded()
 	s.ask(s.request("POST", "/r/x", "b"))
 	s.server.Close()
-	s.gateway.inquiries.wait()
+	s.gateway.crashProbes.wait()
 	if s.runs() != 4 || !guard.IsIdle() {
 		t.Errorf("%d runs, idle %v", s.runs(), guard.IsIdle())
 	}
@@ -216,11 +216,11 @@
 	s.endpoints[0].listener.Close()
 	instance, _ := s.gateway.State.Instance("i-0")
 	sent := time.Now()
-	broken := func(path string) (*inquiry, fingerprint.Key) {
+	broken := func(path string) (*crashProbe, fingerprint.Key) {
 		x := &exchange{g: s.gateway, r: s.request("POST", path, ""), service: &routes.Service{Name: "s"}}
 		x.r.RequestURI = path
 		choice := routing.Choice{Member: fleet.Member{ID: instance.ID, Incarnation: 7}}
-		return x.inquire(choice, outcome{verdict: broken, err: io.ErrUnexpectedEOF}, sent), x.fingerprint()
+		return x.probeCrash(choice, outcome{verdict: broken, err: io.ErrUnexpectedEOF}, sent), x.fingerprint()
 	}
 	for _, path := range []string{"/r/first", "/r/late"} {
 		in, key := broken(path)
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -73,10 +73,10 @@
 	// sizes of each route's prompts.
 	sizes sizes
 	// engines maps addresses to the hashes of the instances there.
-	engines   atomic.Pointer[map[string]uint64]
-	inquiries inquiries
-	stopping  atomic.Bool
-	inflight  atomic.Int64
+	engines     atomic.Pointer[map[string]uint64]
+	crashProbes crashProbes
+	stopping    atomic.Bool
+	inflight    atomic.Int64
 }
 
 // Stop makes the gateway say that it is not ready; requests are served on.
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -123,7 +123,7 @@
 			if events != row.events || (err == nil) != row.complete {
 				t.Errorf("events %s, error %v", events, err)
 			}
-			if s.gateway.inquiries.settled(t); guard.IsIdle() == row.crashed {
+			if s.gateway.crashProbes.settled(t); guard.IsIdle() == row.crashed {
 				t.Errorf("blamed for a crash: %v", !guard.IsIdle())
 			}
 			if got := s.endpoints[1].count(); got != row.sent {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -86,7 +86,7 @@
 			last.verdict = stopped
 		}
 		x.book(choice, send, last, started)
-		inquiry := x.inquire(choice, last, started)
+		probe := x.probeCrash(choice, last, started)
 		if last.verdict != notReached {
 			sent++
 		} else {
@@ -101,7 +101,7 @@
 		case movedOn:
 			continue
 		}
-		if !x.canRetry(ctx, last, sent, unreached) || x.hasCrashedTooMany(ctx, inquiry) {
+		if !x.canRetry(ctx, last, sent, unreached) || x.hasCrashedTooMany(ctx, probe) {
 			return x.final(last, sent)
 		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
--- /dev/null
+++ b/internal/coordination/quarantine/news.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"limpetwall/internal/state/fingerprint"
+)
+
+const (
+	// rumourSends is how often this process passes a change on: with a few receivers each time, all of several
+	// hundred processes have it though a third of the messages is lost.
+	rumourSends = 8
+	// rumourLasts is how long evidence is news: in a crowd of suspects what has not been told by then would keep
+	// processes talking for half an hour, and helps nobody any more.
+	rumourLasts = 5 * time.Second
+)
+
+// spread has a change passed on; b.mu is held.
+func (b *Book) spread(key fingerprint.Key) {
+	b.rumours[key] = rumourSends
+	select {
+	case b.news <- struct{}{}:
+	default:
+	}
+}
+
+// compareUrgency orders cases by who is to hear of them first. Of quarantines it is the one that began last, whenever
+// this process heard of it: while there are more than can be told, a new one would else wait behind hundreds that most
+// processes know.
+func compareUrgency(a, b *Case) int {
+	if a.isDurable() != b.isDurable() {
+		if a.isDurable() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(b.began().Compare(a.began()), cmp.Compare(len(b.Crashes), len(a.Crashes)), b.changed.Compare(a.changed))
+}
+
+// TakeRumours returns changes that are to be passed on in a message of about so many bytes, at least one if there
+// are any; those that must be known first come first.
+func (b *Book) TakeRumours(bytes int, now time.Time) []Case {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var hot []*Case
+	for key := range b.rumours {
+		c := b.cases[key]
+		if !c.isDurable() && now.Sub(c.changed) > rumourLasts {
+			delete(b.rumours, key)
+			continue
+		}
+		hot = append(hot, c)
+	}
+	slices.SortFunc(hot, compareUrgency)
+	var out []Case
+	for _, c := range hot {
+		if bytes -= c.wireBytes(); bytes < 0 && len(out) > 0 {
+			break
+		}
+		if b.rumours[c.Key]--; b.rumours[c.Key] <= 0 {
+			delete(b.rumours, c.Key)
+		}
+		out = append(out, c.copy())
+	}
+	return out
+}
+
+// Durable returns the quarantines, and those lifted of late, by key.
+func (b *Book) Durable() []Case {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Case
+	for _, c := range b.cases {
+		if c.isDurable() {
+			out = append(out, c.copy())
+		}
+	}
+	slices.SortFunc(out, func(x, y Case) int { return slices.Compare(x.Key[:], y.Key[:]) })
+	return out
+}
+
+// Digests are the same, part by part, for two books with the same quarantines. A part holds the fingerprints that
+// begin alike: two books that differ little find where.
+type Digests [16]uint32
+
+// PartOf is the part of a digest that a fingerprint belongs to.
+func PartOf(key fingerprint.Key) int { return int(key[0] >> 4) }
+
+// Digests returns the book's.
+func (b *Book) Digests() Digests {
+	var out Digests
+	if b.IsEmpty() {
+		return out
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.cases {
+		if c.isDurable() {
+			text := binary.BigEndian.AppendUint32(c.Key[:], c.Round)
+			out[PartOf(c.Key)] ^= uint32(xxhash.Sum64(binary.BigEndian.AppendUint32(text, c.Level)))
+		}
+	}
+	return out
+}
+
+// Digest is the same for two books with the same quarantines.
+func (b *Book) Digest() uint64 {
+	var text []byte
+	digests := b.Digests()
+	if digests == (Digests{}) {
+		return 0
+	}
+	for _, part := range digests {
+		text = binary.BigEndian.AppendUint32(text, part)
+	}
+	return xxhash.Sum64(text)
+}
--- a/internal/coordination/runs/crash.go
+++ b/internal/coordination/runs/crash.go
@@ -36,8 +36,8 @@
 	return refused
 }
 
-// judge tells the guard how an attempt ended.
-func (r *Runner) judge(a *attempt, out *outcome, sent time.Time) {
+// reportToGuard tells the guard how an attempt ended.
+func (r *Runner) reportToGuard(a *attempt, out *outcome, sent time.Time) {
 	switch {
 	case r.Guard == nil:
 	case out.crashed != 0:
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -226,7 +226,7 @@
 	defer r.unregister(a)
 	sent := time.Now()
 	out := a.run(ctx)
-	r.judge(a, out, sent)
+	r.reportToGuard(a, out, sent)
 	r.Zap.Info("attempt",
 		zap.String("request_id", a.job.RequestID), zap.String("customer", a.job.Customer.ID),
 		zap.String("service", a.job.Service.ID), zap.String("endpoint", a.choice.Member.Endpoint.ID),
--- a/internal/operatorcli/explain.go
+++ b/internal/operatorcli/explain.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -21,7 +23,23 @@
 	Endpoint  string       `json:"endpoint"`
 	Took      float64      `json:"took"`
 	Attempts  []logAttempt `json:"attempts"`
-	raw       json.RawMessage
+	// Fingerprint names the same request of the same customer; Runs are those that an endpoint's crash ended.
+	Fingerprint string      `json:"fingerprint"`
+	Runs        []brokenRun `json:"runs"`
+	raw         json.RawMessage
+}
+
+// brokenRun is one of an endpoint's runs when it crashed.
+type brokenRun struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
+// isAbout tells whether a line is about a request that came before, as any process saw it.
+func (l logLine) isAbout(fingerprint string) bool {
+	if fingerprint == "" {
+		return false
+	}
+	return l.Fingerprint == fingerprint || slices.Contains(l.Runs, brokenRun{fingerprint})
 }
 
 // logAttempt is one attempt of a request, as its line lists it.
@@ -115,9 +133,14 @@
 	return lines, unreadable, scanner.Err()
 }
 
-// explain picks a request's lines and those around it, in order of time.
+// crashTold is how long after a request's end the crash of its endpoint may be logged.
+const crashTold = time.Second
+
+// explain picks a request's lines and those around it, in order of time: of the request that crashed endpoints before
+// also what is longer ago.
 func explain(id string, lines []logLine) []logLine {
 	var out []logLine
+	fingerprint := ""
 	endpoints, hosts := map[string]bool{}, map[string]bool{}
 	var begin, end time.Time
 	for _, l := range lines {
@@ -126,6 +149,7 @@
 		}
 		out = append(out, l)
 		hosts[l.Host] = true
+		fingerprint = cmp.Or(l.Fingerprint, fingerprint)
 		for _, a := range l.Attempts {
 			endpoints[a.Endpoint] = true
 		}
@@ -138,6 +162,10 @@
 		}
 	}
 	for _, l := range lines {
+		if l.RequestID == "" && l.isAbout(fingerprint) && !l.Time.After(end.Add(crashTold)) {
+			out = append(out, l)
+			continue
+		}
 		if l.RequestID != "" || l.Time.Before(begin.Add(-explainBefore)) || l.Time.After(end) {
 			continue
 		}
--- a/internal/operatorcli/explain_test.go
+++ b/internal/operatorcli/explain_test.go
@@ -73,3 +73,33 @@
 		t.Errorf("exit code %d: %s", code, errs)
 	}
 }
+
+// TestExplainQuarantine asks why a request was refused that had crashed endpoints minutes before, through other gateways: the crashes
+// and the quarantine are shown, another request's are not.
+func TestExplainQuarantine(t *testing.T) {
+	const logs = `{"level":"warn","time":"2026-01-04T21:00:01.000Z","host":"front-a","msg":"endpoint crashed","endpoint":"i-1","runs":[{"request_id":"x1","fingerprint":"ff"},{"request_id":"x2","fingerprint":"ee"}]}
+{"level":"warn","time":"2026-01-04T21:00:02.000Z","host":"front-b","msg":"endpoint crashed","endpoint":"i-2","runs":[{"request_id":"x3","fingerprint":"ee"}]}
+{"level":"warn","time":"2026-01-04T21:00:05.000Z","host":"front-c","msg":"request in quarantine","fingerprint":"ff"}
+{"level":"warn","time":"2026-01-04T21:00:06.000Z","host":"front-c","msg":"request in quarantine","fingerprint":"ee"}
+{"level":"info","time":"2026-01-04T21:02:34.000Z","host":"front-a","msg":"request","request_id":"r1","took":0.001,"status":503,"code":"request_quarantined","ran":"no","fingerprint":"ff"}
+{"level":"info","time":"2026-01-04T21:09:00.000Z","host":"front-a","msg":"quarantine lifted","fingerprint":"ff"}
+`
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(logs), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, out, failed := ctl("explain", "r1", path)
+	if code != ExitOK {
+		t.Fatal(failed)
+	}
+	for _, want := range []string{"front-a endpoint crashed", "front-c request in quarantine: fingerprint=\"ff\"", "request_quarantined"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is missing in\n%s", want, out)
+		}
+	}
+	for _, foreign := range []string{"i-2", "\"ee\"\n", "lifted"} {
+		if strings.Contains(out, foreign) {
+			t.Errorf("%q does not belong to the request:\n%s", foreign, out)
+		}
+	}
+}
