A process that was cut off from the store finds it back within 0.85 s

The age of this fault: the code as found has the same pauses; nothing of this mend is on that path.

A call for endpoints that gets no answer ends after 0.8 s and was followed by a pause of up to 0.8 s: 1.6 s at worst. After silence the pause is 0.05 s now; a store that refuses is asked as seldom as before. TestEndpointThatLeftBehindACut failed before, in one of forty phases.

--- a/internal/coordination/discovery/lapse_test.go
+++ b/internal/coordination/discovery/lapse_test.go
@@ -70,6 +70,33 @@
 	})
 }
 
+// TestEndpointThatLeftBehindACut cuts a process off from the store for some seconds, in all phases of its retries, and takes an
+// endpoint's entry away just after the cut has healed.
+//
+// For all others the endpoint was gone at once, and it serves for two seconds more. Who was cut off must
+// not send to it later than it may act on old knowledge, three seconds after the cut.
+func TestEndpointThatLeftBehindACut(t *testing.T) {
+	const stableWindow = 3 * time.Second
+	for phase := time.Duration(0); phase < 2*time.Second; phase += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			feed := newFakeFeed()
+			feed.put("config", "main", 1)
+			feed.put("servers", "i-1", false)
+			state, _ := follow(t, feed)
+			time.Sleep(time.Second)
+			feed.set(func() { feed.silent = true })
+			time.Sleep(6*time.Second + phase)
+			feed.set(func() { feed.silent = false })
+			time.Sleep(100 * time.Millisecond)
+			feed.remove("servers", "i-1")
+			time.Sleep(stableWindow - 100*time.Millisecond)
+			if usable(state) != 0 {
+				t.Errorf("phase %s: still used", phase)
+			}
+		})
+	}
+}
+
 // TestLapseThatOnlyOtherKindsSaw lets the store refuse a kind other than endpoints, and an endpoint's entry
 // lapse and come back: it stays in use.
 func TestLapseThatOnlyOtherKindsSaw(t *testing.T) {
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -52,6 +52,10 @@
 	// return.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// silentPause follows a call for endpoints that got no answer at all: the call has waited itself. With a longer one
+	// a process that was cut off uses endpoints which left meanwhile, until
+	// lapsedFor after it hears of them, longer than it may act on old knowledge.
+	silentPause = 50 * time.Millisecond
 	// probeWait is how long a watch waits after a failed one. The sooner a call that
 	// found the store silent gives up, the sooner one finds it back.
 	probeWait = 100 * time.Millisecond
@@ -245,10 +249,15 @@
 		}
 		w.note(kind, err)
 		if err != nil {
-			if !w.pause(ctx, failed) {
+			rest := failed
+			if kind == w.Kinds.Instances && w.now().Sub(began) >= probeWait+callMargin {
+				rest = silentPause
+			} else {
+				failed = min(2*failed, retryMost)
+			}
+			if !w.pause(ctx, rest) {
 				return ctx.Err()
 			}
-			failed = min(2*failed, retryMost)
 			continue
 		}
 		failed = retryFirst
