Requests that crash endpoints at the same time don't speak for each other

Crashes at which another request with three or more was present don't count for that any more. TestWhoseDoing asks for two and three culprits at three crashes each; two at three each failed before.

--- a/internal/coordination/quarantine/book_test.go
+++ b/internal/coordination/quarantine/book_test.go
@@ -48,7 +48,8 @@
 		{"beside it at each but one", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a"}}, "a", []string{"b"}},
 		{"always together", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}}, "b", nil},
 		{"at three, two of them another's", [][]string{{"a", "b"}, {"a", "b"}, {"a"}, {"a"}, {"b"}}, "a", []string{"b"}},
-		{"two at crashes of their own", [][]string{{"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}}, "b", nil},
+		{"two at crashes of their own", [][]string{{"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}}, "b", nil},
+		{"three at crashes of their own", [][]string{{"a"}, {"b"}, {"c"}, {"a"}, {"b"}, {"c"}, {"a"}, {"b"}, {"c"}}, "a", nil},
 		{"at three among others", [][]string{{"a"}, {"b"}, {"a"}, {"c"}, {"a"}, {"d"}}, "", []string{"a", "b", "c", "d"}},
 		{"at most among others", [][]string{{"a"}, {"b"}, {"a"}, {"c"}, {"a"}, {"a"}}, "a", []string{"b", "c"}},
 	}
--- a/internal/coordination/quarantine/verdict.go
+++ b/internal/coordination/quarantine/verdict.go
@@ -136,16 +136,21 @@
 	return found
 }
 
-// crashesWithout counts the crashes since a time at which neither the request nor one in quarantine was present.
+// crashesWithout counts the crashes since a time at which neither the request nor another culprit was present: several
+// that come at once would else speak for each other.
 func (b *Book) crashesWithout(c *Case, since time.Time) int {
 	n := 0
 	for incarnation, at := range b.crashes {
 		_, present := slices.BinarySearch(c.Crashes, incarnation)
-		if !present && !at.seen.Before(since) && !slices.ContainsFunc(at.present, b.isQuarantined) {
+		if !present && !at.seen.Before(since) && !slices.ContainsFunc(at.present, b.isCulprit) {
 			n++
 		}
 	}
 	return n
 }
 
-func (b *Book) isQuarantined(key fingerprint.Key) bool { return b.cases[key].Level > 0 }
+// isCulprit tells whether a request is in quarantine, or at as many crashes as one that may be.
+func (b *Book) isCulprit(key fingerprint.Key) bool {
+	c := b.cases[key]
+	return c.Level > 0 || len(c.Crashes) >= crashesToBlame
+}
