quarantine: one piece of code begins a quarantine, the book locks once

Book.Crashed and Book.Lift took the lock twice, and three places wrote the same three fields when a quarantine begins. No change of behaviour; the package's tests pass unchanged.

--- a/internal/coordination/quarantine/book.go
+++ b/internal/coordination/quarantine/book.go
@@ -55,16 +55,13 @@
 // Crashed records that a request was underway at an endpoint's incarnation when that crashed.
 func (b *Book) Crashed(key fingerprint.Key, incarnation uint64, about About, now time.Time) {
 	about.Target = about.Target[:min(len(about.Target), maxTarget)]
-	b.Merge(Case{Key: key, Round: b.roundOf(key), Crashes: []uint64{incarnation}, About: about}, now)
-}
-
-func (b *Book) roundOf(key fingerprint.Key) uint32 {
+	crashed := Case{Key: key, Crashes: []uint64{incarnation}, About: about}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c := b.cases[key]; c != nil {
-		return c.Round
+		crashed.Round = c.Round
 	}
-	return 0
+	b.merge(crashed, now)
 }
 
 // Survived records that an endpoint ran a request to its end. It is not what crashes endpoints, or no more. True
@@ -77,41 +74,52 @@
 		return false
 	}
 	lifted := c.Level > 0
-	b.unlink(c)
-	c.clear(now)
-	b.spread(key)
+	b.clear(c, now)
 	return lifted
 }
 
 // Lift ends a request's quarantine; false if it is in none.
 func (b *Book) Lift(key fingerprint.Key, now time.Time) bool {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	c := b.cases[key]
-	quarantined := c != nil && c.Level > 0
-	b.mu.Unlock()
-	return quarantined && b.Survived(key, now)
+	if c == nil || c.Level == 0 {
+		return false
+	}
+	b.clear(c, now)
+	return true
 }
 
-// BeginTrial records the only run that a request gets when its quarantine is over. The next quarantine counts
-// from now: nobody else may try meanwhile, also if this process ends.
+// clear voids a case and has that passed on; b.mu is held.
+func (b *Book) clear(c *Case, now time.Time) {
+	b.unlink(c)
+	c.clear(now)
+	b.spread(c.Key)
+}
+
+// BeginTrial records the only run that a request gets when its quarantine is over.
 func (b *Book) BeginTrial(key fingerprint.Key, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c := b.cases[key]; c != nil {
-		c.Level++
-		c.Until, c.changed = now.Add(length(c.Level)), now
+		c.quarantine(now)
 		b.spread(key)
 	}
 }
 
 // Merge takes in what another process or the store knows of a request; false if it is nothing new.
 func (b *Book) Merge(o Case, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.merge(o, now)
+}
+
+// merge is Merge while b.mu is held.
+func (b *Book) merge(o Case, now time.Time) bool {
 	if saysNothing(o, now) {
 		return false
 	}
 	o.Until = clampUntil(o, now)
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	c := b.cases[o.Key]
 	if c == nil {
 		c = &Case{Key: o.Key, changed: now}
@@ -206,7 +214,7 @@
 	}
 	// Only now: the first to be in quarantine would explain the crashes of others like it.
 	for _, c := range found {
-		c.Level, c.Until, c.changed = 1, now.Add(length(1)), now
+		c.quarantine(now)
 		b.spread(c.Key)
 	}
 }
--- a/internal/coordination/quarantine/case.go
+++ b/internal/coordination/quarantine/case.go
@@ -88,6 +88,13 @@
 	return c.changed.Add(evidenceLasts)
 }
 
+// quarantine begins the case's next quarantine. That of a request on trial begins with the trial: nobody else may try
+// meanwhile, also if the process that does ends.
+func (c *Case) quarantine(now time.Time) {
+	c.Level++
+	c.Until, c.changed = now.Add(length(c.Level)), now
+}
+
 // clear voids what is known of the case.
 func (c *Case) clear(now time.Time) {
 	c.Lifted = c.Level > 0
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -288,8 +288,7 @@
 	cases := g.Book.Durable()
 	for i := range cases {
 		if cases[i].Key == key {
-			cases[i].Level++
-			cases[i].Until = now.Add(length(cases[i].Level))
+			cases[i].quarantine(now)
 		}
 	}
 	next, _ := update(entries, cases, now, timeOfDay)
