quarantine: cases are written and drawn in one place

Datagrams and the agents' exchange each had a copy of the loop that writes cases to the wire and of the draw that keeps a message small. No change of behaviour; no test changed.

--- a/internal/coordination/agent/crash.go
+++ b/internal/coordination/agent/crash.go
@@ -44,10 +44,9 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64(name, c.number))
 }
 
-// withCrash notes in a refusal whether the endpoint crashed under the run.
-func (a *Agent) withCrash(r *wire.Refused, begun time.Time) *wire.Refused {
+// noteCrash notes in a refusal whether the endpoint crashed under the run.
+func (a *Agent) noteCrash(r *wire.Refused, begun time.Time) {
 	if r.GetCode() == CodeBroken {
 		r.Crashed = a.crashOf(begun)
 	}
-	return r
 }
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -198,7 +198,7 @@
 	started := time.Now()
 	noting := func(e *wire.RunEvent) error {
 		if refused := e.GetRefused(); refused != nil && ctx.Err() == nil {
-			a.withCrash(refused, started)
+			a.noteCrash(refused, started)
 		}
 		return send(e)
 	}
--- a/internal/coordination/quarantine/news.go
+++ b/internal/coordination/quarantine/news.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -94,6 +95,12 @@
 	return out
 }
 
+// Draw returns at most so many of the cases, in any order: what one message leaves out, others bring.
+func Draw(cases []Case, most int) []Case {
+	rand.Shuffle(len(cases), func(i, j int) { cases[i], cases[j] = cases[j], cases[i] })
+	return cases[:min(len(cases), most)]
+}
+
 // Digests are the same, part by part, for two books with the same quarantines. A part holds the fingerprints that
 // begin alike: two books that differ little find where.
 type Digests [16]uint32
--- a/internal/coordination/quarantine/wire.go
+++ b/internal/coordination/quarantine/wire.go
@@ -12,8 +12,16 @@
 // errCase tells that a message does not say what a case says.
 const errCase = errors.ConstError("not a case of a quarantine")
 
-// ToWire converts a case for its transport. Clocks differ, so that what is left of a quarantine travels.
-func (c Case) ToWire(now time.Time) *wire.QuarantineCase {
+// CasesToWire converts cases for their transport. Clocks differ, so that what is left of a quarantine travels.
+func CasesToWire(cases []Case, now time.Time) []*wire.QuarantineCase {
+	out := make([]*wire.QuarantineCase, 0, len(cases))
+	for i := range cases {
+		out = append(out, cases[i].toWire(now))
+	}
+	return out
+}
+
+func (c *Case) toWire(now time.Time) *wire.QuarantineCase {
 	w := &wire.QuarantineCase{Fingerprint: c.Key[:], Round: c.Round, Crashes: c.Crashes, Level: c.Level, Lifted: c.Lifted}
 	if c.Level > 0 {
 		w.LeftMs = uint32(max(0, c.Until.Sub(now).Milliseconds()))
@@ -27,8 +35,7 @@
 	return fixed + eachCrash*len(c.Crashes)
 }
 
-// CaseFromWire converts a case from its transport.
-func CaseFromWire(w *wire.QuarantineCase, now time.Time) (Case, error) {
+func caseFromWire(w *wire.QuarantineCase, now time.Time) (Case, error) {
 	if len(w.GetFingerprint()) != fingerprint.Size {
 		return Case{}, errors.Annotatef(errCase, "fingerprint of %d bytes", len(w.GetFingerprint()))
 	}
@@ -46,16 +53,17 @@
 }
 
 // MergeWire takes in what a peer told; the error names the first case that can't be read, and does not keep the others out.
-func (b *Book) MergeWire(cases []*wire.QuarantineCase, now time.Time) (changed bool, err error) {
+func (b *Book) MergeWire(cases []*wire.QuarantineCase, now time.Time) error {
+	var err error
 	for i, w := range cases {
-		c, bad := CaseFromWire(w, now)
+		c, bad := caseFromWire(w, now)
 		if bad != nil {
 			if err == nil {
 				err = errors.Annotatef(bad, "case %d", i)
 			}
 			continue
 		}
-		changed = b.Merge(c, now) || changed
+		b.Merge(c, now)
 	}
-	return changed, err
+	return err
 }
--- a/internal/coordination/quarantineshare/sharer.go
+++ b/internal/coordination/quarantineshare/sharer.go
@@ -105,7 +105,7 @@
 		hosts = hosts[:fanout]
 	}
 	// The digest is left out: news alone are no comparison.
-	s.send(&wire.QuarantineReport{Step: stepLast, Cases: s.toWire(cases)}, hosts)
+	s.send(&wire.QuarantineReport{Step: stepLast, Cases: quarantine.CasesToWire(cases, s.Now())}, hosts)
 }
 
 func (s *Sharer) compare() {
@@ -115,15 +115,6 @@
 	}
 }
 
-func (s *Sharer) toWire(cases []quarantine.Case) []*wire.QuarantineCase {
-	now := s.Now()
-	out := make([]*wire.QuarantineCase, 0, len(cases))
-	for _, c := range cases {
-		out = append(out, c.ToWire(now))
-	}
-	return out
-}
-
 func (s *Sharer) send(r *wire.QuarantineReport, hosts []netip.Addr) {
 	data, err := proto.Marshal(r)
 	if err != nil || len(data) > datagram.MaxSize {
@@ -139,7 +130,7 @@
 	var r wire.QuarantineReport
 	err := proto.Unmarshal(data, &r)
 	if err == nil {
-		_, err = s.Book.MergeWire(r.GetCases(), s.Now())
+		err = s.Book.MergeWire(r.GetCases(), s.Now())
 	}
 	if err != nil {
 		s.Log.Warn("quarantine report does not decode", zap.Stringer("from", from), zap.Error(errors.Trace(err)))
@@ -153,7 +144,8 @@
 	if !ok {
 		return
 	}
-	answer := &wire.QuarantineReport{Digests: toWire(own), Step: r.GetStep() + 1, Cases: s.toWire(s.someDurable(own, other))}
+	cases := quarantine.CasesToWire(s.someDurable(own, other), s.Now())
+	answer := &wire.QuarantineReport{Digests: toWire(own), Step: r.GetStep() + 1, Cases: cases}
 	s.send(answer, []netip.Addr{udp.AddrPort().Addr().Unmap()})
 }
 
@@ -178,6 +170,5 @@
 		part := quarantine.PartOf(c.Key)
 		return own[part] == other[part]
 	})
-	rand.Shuffle(len(cases), func(i, j int) { cases[i], cases[j] = cases[j], cases[i] })
-	return cases[:min(len(cases), casesPerAnswer)]
+	return quarantine.Draw(cases, casesPerAnswer)
 }
--- a/internal/coordination/spread/quarantine.go
+++ b/internal/coordination/spread/quarantine.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
+	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/protocol/wire"
 )
 
@@ -37,20 +37,14 @@
 	now := time.Now()
 	cases := n.book.TakeRumours(quarantineNewsBytes, now)
 	if n.tellQuarantines.Swap(false) {
-		durable := n.book.Durable()
-		rand.Shuffle(len(durable), func(i, j int) { durable[i], durable[j] = durable[j], durable[i] })
-		cases = append(cases, durable[:min(len(durable), quarantinesPerRepair)]...)
+		cases = append(cases, quarantine.Draw(n.book.Durable(), quarantinesPerRepair)...)
 	}
-	out := make([]*wire.QuarantineCase, 0, len(cases))
-	for _, c := range cases {
-		out = append(out, c.ToWire(now))
-	}
-	return out
+	return quarantine.CasesToWire(cases, now)
 }
 
 // takeQuarantines takes in what a peer told, and notes whether it has other quarantines.
 func (n *Node) takeQuarantines(peer string, cases []*wire.QuarantineCase, digest uint64) {
-	if _, err := n.book.MergeWire(cases, time.Now()); err != nil {
+	if err := n.book.MergeWire(cases, time.Now()); err != nil {
 		n.zap.Warn("quarantines of a peer do not decode", zap.String("peer", peer), zap.Error(err))
 	}
 	if n.book.Digest() != digest {
