--- a/internal/coordination/kept/engines.go
+++ b/internal/coordination/kept/engines.go
@@ -202,7 +202,7 @@
 			return
 		}
 		p.crowded = p.crowded || errors.Is(err, ErrTooMany)
-		if wait := k.afterFailure(address, err); wait > 0 && !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
+		if wait := k.afterFailure(address, err); wait > 0 && !pause.For(ctx, pause.Jitter(wait)) {
 			return
 		}
 	}
--- a/internal/coordination/kept/pace.go
+++ b/internal/coordination/kept/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"limpetwall/internal/transport/pause"
@@ -53,5 +52,5 @@
 	case p.rounds%usualRounds != 0:
 		return ctx.Err() == nil
 	}
-	return pause.For(ctx, mean/2+time.Duration(rand.Int64N(int64(mean))))
+	return pause.For(ctx, pause.Jitter(mean))
 }
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +13,7 @@
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/state/fingerprint"
 	"limpetwall/internal/transport/objectapi"
+	"limpetwall/internal/transport/pause"
 )
 
 const (
@@ -181,7 +181,7 @@
 		return 0, false
 	}
 	g.noted = digest
-	wait = jitter(syncActive)
+	wait = pause.Jitter(syncActive)
 	levels := map[fingerprint.Key]uint32{}
 	inForce := int64(0)
 	for _, c := range g.Book.Durable() {
@@ -218,17 +218,12 @@
 func (g *Guard) syncOnce(ctx context.Context) time.Duration {
 	if err := g.sync(ctx); err != nil {
 		g.Log.Info("record of quarantines can't be kept", zap.Error(err))
-		return jitter(syncPause)
+		return pause.Jitter(syncPause)
 	}
 	if len(g.Book.Durable()) == 0 {
-		return jitter(syncIdle)
+		return pause.Jitter(syncIdle)
 	}
-	return jitter(min(syncIdle, syncActive*time.Duration(max(1, g.Processes()/syncShared))))
-}
-
-// jitter keeps processes that started together from calling together.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d)))
+	return pause.Jitter(min(syncIdle, syncActive*time.Duration(max(1, g.Processes()/syncShared))))
 }
 
 // sync takes in the record, and writes what it lacks.
--- a/internal/coordination/workshare/sharer.go
+++ b/internal/coordination/workshare/sharer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -247,7 +246,7 @@
 		} else {
 			wait, next = next, registerEvery
 		}
-		pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait))))
+		pause.For(ctx, pause.Jitter(wait))
 	}
 }
 
--- a/internal/transport/pause/pause.go
+++ b/internal/transport/pause/pause.go
@@ -1,8 +1,9 @@
-// Package pause waits for a time or the end of a context.
+// Package pause waits for a time or the end of a context, and draws times to wait.
 package pause
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -17,3 +18,9 @@
 		return false
 	}
 }
+
+// Jitter draws a time between half of d and one and a half: processes that started together would else go on
+// calling together. d is more than 0.
+func Jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
