gateway tests: a fake endpoint announces that it closes

The fake endpoint answered with a length, and closed without a word; the gateway kept the connection and could send the next request into the close. A request that may not be repeated is "unknown" then, rightly: the gateway is not at fault.

All answers of the fake endpoints announce the close now, not only the three that had been found one by one. What tests ask is unchanged.

--- a/internal/coordination/gateway/config_test.go
+++ b/internal/coordination/gateway/config_test.go
@@ -86,7 +86,7 @@
 // All are answered; what the log leaves out is counted.
 func TestRequestLinesAreBounded(t *testing.T) {
 	// The endpoint closes each connection: the next request must not go out on it.
-	s := newSite(t, route(routes.Idempotent, 1), say(200, "a", "Connection: close"))
+	s := newSite(t, route(routes.Idempotent, 1), say(200, "a"))
 	core, lines := observer.New(zapcore.InfoLevel)
 	s.gateway.Log = zap.New(core)
 	const told, sent = 3, 8
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -268,7 +268,7 @@
 // it up without a single retry, and requests of other services would not be retried.
 func TestLastEndpointSpendsNoRetryBudget(t *testing.T) {
 	// The fake endpoint closes its connection after an answer: it must not be used again.
-	s := newSite(t, route(routes.Idempotent, 3), say(500, "sorry", "Connection: close"))
+	s := newSite(t, route(routes.Idempotent, 3), say(500, "sorry"))
 	s.gateway.Budget = runs.NewRetryBudget(0, 5)
 	for range 10 {
 		if resp, _, err := s.ask(s.request("POST", "/r/x", "order")); err != nil || resp.StatusCode != 500 {
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -168,10 +168,11 @@
 	script(c, r)
 }
 
-// say answers with a status, header lines and a body of declared length.
+// say answers with a status, header lines and a body of declared length. It announces that the endpoint closes: a gateway that
+// sent its next request into the close could only say "unknown".
 func say(status int, body string, lines ...string) answerer {
 	return func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\nStamp: %d\r\nContent-Length: %d\r\n", status, testID, r.Header.Get(testID), status, len(body))
+		fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\nStamp: %d\r\nConnection: close\r\nContent-Length: %d\r\n", status, testID, r.Header.Get(testID), status, len(body))
 		for _, line := range lines {
 			fmt.Fprintf(c, "%s\r\n", line)
 		}
@@ -187,7 +188,7 @@
 // stream answers with events; rest is written after them as it is.
 func stream(rest string, events ...string) answerer {
 	return func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testID, r.Header.Get(testID))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nConnection: close\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testID, r.Header.Get(testID))
 		for _, e := range events {
 			text := "id: " + e + "\ndata: " + e + "\n\n"
 			fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
--- a/internal/coordination/gateway/weights_test.go
+++ b/internal/coordination/gateway/weights_test.go
@@ -50,7 +50,7 @@
 func TestEngineWithOtherWeightsIsAsked(t *testing.T) {
 	list := route(routes.Streaming, 1)
 	// The engine closes each connection: the next prompt must not go out on it.
-	misdirect := say(421, "", "Connection: close")
+	misdirect := say(421, "")
 	s := newSite(t, list, func(c net.Conn, r *http.Request) {
 		if r.Header.Get(testWeights) != "2" {
 			misdirect(c, r)
