An answer underway is not cut when its endpoint is taken for dead

Callers of streams got "the answer broke off: the retry budget is used up, endpoint is gone" with nine tenths of their answer, though the agent had sent all of it, ended, and logged that it cut nothing.

Cause: an attempt was canceled the moment membership took its member for dead. Membership speaks of the process, not of what it sent. An entry slower than its agents still has events to read seconds after the agent has stopped; a starved agent is taken for dead while its events come. Trace: agent-1 was told to stop at 20.65 s, had ended its streams at 27.68 with "cut":0, was declared dead at 30.27, and the entry canceled all attempts at it, with 8 in 100 of their events unread.

Now an attempt at a member that is gone or has restarted ends when it has waited for an event for 2 s. One that hands an event to its caller isn't waiting: what lies behind that is not known, however slow the caller. A vanished host's streams end as before, as they have been silent for longer than that when it is declared dead; one begun in the last two seconds ends that much later.

TestAnswersUnderwayOutliveTheirMember: 4 of 64 tokens before, now all.

--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -27,7 +27,8 @@
 	// offset is the index of the next token of this attempt's stream.
 	offset int
 	// output is when the endpoint's answer began; zero before.
-	output time.Time
+	output    time.Time
+	listening listening
 }
 
 func (a *attempt) run(ctx context.Context) *outcome {
@@ -44,10 +45,12 @@
 		return a.broken(ctx, err)
 	}
 	for {
+		a.listening.begin(time.Now())
 		event, err := stream.Recv()
 		if err != nil {
 			return a.broken(ctx, err)
 		}
+		a.listening.end()
 		if out := a.take(event); out != nil {
 			return out
 		}
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/quarantine"
@@ -26,9 +25,6 @@
 // maxAttempts bounds the endpoints tried for one request.
 const maxAttempts = 4
 
-// errEndpointGone ends attempts whose member is dead or has restarted.
-const errEndpointGone = errors.ConstError("endpoint is gone")
-
 // Sink receives an answer as it comes; an error means the caller is gone.
 type Sink interface {
 	// Started comes once, before the first token.
@@ -236,57 +232,6 @@
 	return out
 }
 
-func (r *Runner) register(a *attempt) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.attempts == nil {
-		r.attempts = map[string]map[*attempt]struct{}{}
-	}
-	set := r.attempts[a.choice.Member.ID]
-	if set == nil {
-		set = map[*attempt]struct{}{}
-		r.attempts[a.choice.Member.ID] = set
-	}
-	set[a] = struct{}{}
-}
-
-func (r *Runner) unregister(a *attempt) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	set := r.attempts[a.choice.Member.ID]
-	delete(set, a)
-	if len(set) == 0 {
-		delete(r.attempts, a.choice.Member.ID)
-	}
-}
-
-// WatchDuty ends attempts whose member is dead. A host that vanishes closes no
-// connection; without this its streams would wait for their deadline.
-func (r *Runner) WatchDuty(ctx context.Context) {
-	for {
-		changed := r.Table.Changed()
-		r.cancelGone()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (r *Runner) cancelGone() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, set := range r.attempts {
-		m, known := r.Table.Get(id)
-		for a := range set {
-			if !known || m.State == fleet.Dead || m.Incarnation != a.choice.Member.Incarnation {
-				a.cancel(errEndpointGone)
-			}
-		}
-	}
-}
-
 // RetryBudget bounds retries to a share of the requests, so that a failing
 // fleet is not loaded with a multiple of its traffic.
 type RetryBudget struct {
