Fresh news of crashes do not wait behind repetitions

News are passed on at once, but for a limit of four messages a second with a burst of four; repetitions of older news, four a second, kept that burst used up. So while anything was being repeated, fresh news waited for up to 250 ms.

Repetitions now leave two to three messages of the burst.

--- a/internal/coordination/quarantineshare/sharer.go
+++ b/internal/coordination/quarantineshare/sharer.go
@@ -24,6 +24,9 @@
 	// after a crash takes with it what it has not told.
 	rumourEvery = 250 * time.Millisecond
 	rumourBurst = 4
+	// keptForNews are the rounds that repetitions leave: fresh news would else wait for rumourEvery behind those of
+	// older ones.
+	keptForNews = 2.5
 	// compareEvery is the time between two comparisons of quarantines: several may be lost before a process that was
 	// cut off runs what it missed.
 	compareEvery = 250 * time.Millisecond
@@ -82,6 +85,9 @@
 		select {
 		case <-s.Book.News():
 		case <-repeat.C:
+			if rounds.Tokens() < keptForNews+1 {
+				continue
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordination/quarantineshare/sharer_test.go
+++ b/internal/coordination/quarantineshare/sharer_test.go
@@ -216,6 +216,26 @@
 	})
 }
 
+// TestFreshNewsDoNotWait guards against a process running a request that another saw crash its third endpoint a moment
+// ago, as that one was repeating older news.
+func TestFreshNewsDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		for i := range 10 {
+			f.quarantine(0, keyOf(100+i))
+			time.Sleep(500 * time.Millisecond)
+		}
+		for crash := range uint64(3) {
+			f.books[0].Crashed(keyOf(1), 1000+crash, quarantine.About{}, time.Now())
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n := f.ignorant(keyOf(1)); n > 0 {
+			t.Errorf("%d processes would run the request", n)
+		}
+		f.end()
+	})
+}
+
 // TestLiftedEverywhere guards against a process that was cut off bringing a lifted quarantine back.
 func TestLiftedEverywhere(t *testing.T) {
 	t.Parallel()
