Evidence keeps its age when it is passed on

Cause: a process dated each crash by when it first heard of it. One that starts hears within a second of all that crashed in the last ten minutes, and a verdict compares a request's crashes with those that came without it from five seconds before: so for a newcomer crashes of long ago, at which others were present, spoke for another cause. The trace: three crashes of the request, and three without it, all told at the start, 4 to 7 s after they were seen.

Each crash now travels with its age; the earliest time that a process knows counts, so that all weigh alike in whatever order they hear. Ages are bounded by the time that evidence lasts; a sender that tells none is taken at its word now. A crash takes 10 bytes of a message in place of 8.

TestNewcomerWeighsAsTheOthers: the newcomer ran the request after its third crash before; TestAgesOfCrashesTravel. Tests that name crashes do so by their new type, and the test of order draws ages too.

--- a/internal/coordination/quarantine/book.go
+++ b/internal/coordination/quarantine/book.go
@@ -32,7 +32,7 @@
 
 // crash is one of an endpoint, as far as requests were at it.
 type crash struct {
-	// seen is when this process first heard of it.
+	// seen is when the first process saw it.
 	seen time.Time
 	// present are the requests that were underway there.
 	present []fingerprint.Key
@@ -55,7 +55,7 @@
 // Crashed records that a request was underway at an endpoint's incarnation when that crashed.
 func (b *Book) Crashed(key fingerprint.Key, incarnation uint64, about About, now time.Time) {
 	about.Target = about.Target[:min(len(about.Target), maxTarget)]
-	crashed := Case{Key: key, Crashes: []uint64{incarnation}, About: about}
+	crashed := Case{Key: key, Crashes: []Crash{{incarnation, now}}, About: about}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c := b.cases[key]; c != nil {
@@ -129,7 +129,7 @@
 	}
 	b.unlink(c)
 	changed := c.merge(o, now)
-	b.link(c, now)
+	b.link(c)
 	if changed {
 		b.spread(o.Key)
 	}
@@ -155,13 +155,14 @@
 	return o.Until
 }
 
-func (b *Book) link(c *Case, now time.Time) {
-	for _, incarnation := range c.Crashes {
-		at := b.crashes[incarnation]
+func (b *Book) link(c *Case) {
+	for _, one := range c.Crashes {
+		at := b.crashes[one.Incarnation]
 		if at == nil {
-			at = &crash{seen: now}
-			b.crashes[incarnation] = at
+			at = &crash{seen: one.Seen}
+			b.crashes[one.Incarnation] = at
 		}
+		at.seen = earlier(at.seen, one.Seen)
 		if !slices.Contains(at.present, c.Key) {
 			at.present = append(at.present, c.Key)
 		}
@@ -169,8 +170,8 @@
 }
 
 func (b *Book) unlink(c *Case) {
-	for _, incarnation := range c.Crashes {
-		at := b.crashes[incarnation]
+	for _, one := range c.Crashes {
+		at := b.crashes[one.Incarnation]
 		at.present = slices.DeleteFunc(at.present, func(k fingerprint.Key) bool { return k == c.Key })
 	}
 }
--- a/internal/coordination/quarantine/book_test.go
+++ b/internal/coordination/quarantine/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/fingerprint"
 )
 
@@ -134,7 +136,7 @@
 			t.Fatalf("after %d crashes: %+v", crash, v)
 		}
 	}
-	late := Case{Key: keyOf("often"), Round: 3, Crashes: []uint64{101, 102, 103, 104}}
+	late := Case{Key: keyOf("often"), Round: 3, Crashes: crashesAt(start, 101, 102, 103, 104)}
 	if b.Merge(late, start) {
 		t.Error("word of an earlier round counts")
 	}
@@ -215,7 +217,8 @@
 				Level: rapid.Uint32Range(0, 2).Draw(t, "level"), Lifted: rapid.Bool().Draw(t, "lifted"),
 			}
 			for _, crash := range rapid.SliceOfN(rapid.Uint64Range(1, 20), 0, maxCrashes).Draw(t, "crashes") {
-				c.addCrash(crash)
+				seen := start.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "age")) * time.Second)
+				c.addCrash(Crash{crash, seen})
 			}
 			if c.Level > 0 {
 				c.Until = start.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "left")) * time.Second)
@@ -247,13 +250,21 @@
 	})
 }
 
+func crashesAt(seen time.Time, incarnations ...uint64) []Crash {
+	var out []Crash
+	for _, incarnation := range incarnations {
+		out = append(out, Crash{incarnation, seen})
+	}
+	return out
+}
+
 // checkIndex compares the lists of who was at each crash with the cases.
 func checkIndex(t *rapid.T, b *Book) {
 	entries := 0
 	for incarnation, at := range b.crashes {
 		entries += len(at.present)
 		for _, key := range at.present {
-			if c := b.cases[key]; c == nil || !slices.Contains(c.Crashes, incarnation) {
+			if c := b.cases[key]; c == nil || !c.wasAt(incarnation) {
 				t.Fatalf("%s is listed at crash %d", key, incarnation)
 			}
 		}
@@ -266,6 +277,52 @@
 	}
 }
 
+// TestNewcomerWeighsAsTheOthers guards against a process that starts and lets a request crash endpoints which all others
+// refuse: it hears at once of all that crashed for other reasons before, and must not take that for crashes of now.
+func TestNewcomerWeighsAsTheOthers(t *testing.T) {
+	old, newcomer := bookOf([]string{"x"}, []string{"y"}, []string{"z"}), NewBook()
+	now := start.Add(2 * background)
+	var told []Case
+	for _, c := range old.cases {
+		told = append(told, c.copy())
+	}
+	if err := newcomer.MergeWire(CasesToWire(told, now), now); err != nil || len(newcomer.crashes) != len(old.crashes) {
+		t.Fatal(err)
+	}
+	for crash := range uint64(crashesToBlame) {
+		for name, b := range map[string]*Book{"old": old, "new": newcomer} {
+			if v := b.Check(keyOf("a"), now); v.Standing != Clear {
+				t.Errorf("%s process after %d crashes: %+v", name, crash, v)
+			}
+			b.Crashed(keyOf("a"), 100+crash, About{}, now)
+		}
+	}
+	for name, b := range map[string]*Book{"old": old, "new": newcomer} {
+		if v := b.Check(keyOf("a"), now); v.Standing != Held {
+			t.Errorf("%s process: %+v", name, v)
+		}
+	}
+}
+
+// TestAgesOfCrashesTravel guards against evidence that grows younger with each process it passes through, and against ages that
+// no process would tell.
+func TestAgesOfCrashesTravel(t *testing.T) {
+	now := start.Add(time.Minute)
+	told := []*wire.QuarantineCase{
+		CasesToWire([]Case{{Key: keyOf("a"), Crashes: crashesAt(start, 1)}}, now)[0],
+		{Fingerprint: make([]byte, fingerprint.Size), Crashes: []uint64{2, 3}, CrashAgesDs: []uint32{math.MaxUint32}},
+	}
+	b := NewBook()
+	if err := b.MergeWire(told, now); err != nil {
+		t.Fatal(err)
+	}
+	for incarnation, want := range map[uint64]time.Duration{1: time.Minute, 2: evidenceLasts, 3: 0} {
+		if got := now.Sub(b.crashes[incarnation].seen); got != want {
+			t.Errorf("crash %d was %v ago, want %v", incarnation, got, want)
+		}
+	}
+}
+
 // TestCrashesBeforeItCame guards against blame for a request that comes while endpoints are being killed one after the other.
 func TestCrashesBeforeItCame(t *testing.T) {
 	for _, row := range []struct {
--- a/internal/coordination/quarantine/case.go
+++ b/internal/coordination/quarantine/case.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,8 +30,8 @@
 	Key fingerprint.Key
 	// Round is raised when the request is cleared: what is said of an earlier round is void.
 	Round uint32
-	// Crashes are the incarnations of endpoints that crashed while it was underway there, ascending.
-	Crashes []uint64
+	// Crashes are those of endpoints that it was underway at, by incarnation.
+	Crashes []Crash
 	// Level counts the quarantines in a row; 0 is none.
 	Level uint32
 	// Until is the end of the quarantine by this process's clock.
@@ -43,6 +44,14 @@
 	changed time.Time
 }
 
+// Crash is that of one incarnation of an endpoint.
+type Crash struct {
+	Incarnation uint64
+	// Seen is when the first process saw it, by this process's clock. When this one heard of it says little: those that
+	// start hear at once of all that crashed before.
+	Seen time.Time
+}
+
 // About describes a request to operators.
 type About struct {
 	Service  string `json:"service,omitempty"`
@@ -140,13 +149,26 @@
 	return changed
 }
 
+func (c *Case) wasAt(incarnation uint64) bool {
+	_, found := c.findCrash(incarnation)
+	return found
+}
+
+// findCrash returns the place of an incarnation's crash among the case's.
+func (c *Case) findCrash(incarnation uint64) (at int, found bool) {
+	return slices.BinarySearchFunc(c.Crashes, incarnation, func(crash Crash, incarnation uint64) int {
+		return cmp.Compare(crash.Incarnation, incarnation)
+	})
+}
+
 // addCrash adds one to the crashes; false if it is known, or the case has all that it keeps.
-func (c *Case) addCrash(incarnation uint64) bool {
-	i, known := slices.BinarySearch(c.Crashes, incarnation)
+func (c *Case) addCrash(crash Crash) bool {
+	i, known := c.findCrash(crash.Incarnation)
 	if known {
+		c.Crashes[i].Seen = earlier(c.Crashes[i].Seen, crash.Seen)
 		return false
 	}
-	crashes := slices.Insert(c.Crashes, i, incarnation)
+	crashes := slices.Insert(c.Crashes, i, crash)
 	if len(crashes) > maxCrashes {
 		// Which ones are kept must not depend on their order of arrival.
 		if i == maxCrashes {
@@ -157,3 +179,10 @@
 	c.Crashes = crashes
 	return true
 }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/coordination/quarantine/guard_test.go
+++ b/internal/coordination/quarantine/guard_test.go
@@ -131,8 +131,8 @@
 		s := &store{Store: standin.New()}
 		p := startGuard(t, s)
 		p.Blame(Run{Key: keyOf("a"), About: About{Target: "/x"}, Sent: time.Now().Add(-time.Second)}, 1, time.Now())
-		p.Book.Merge(Case{Key: keyOf("a"), Level: 1, Crashes: []uint64{1, 2, 3}, Until: time.Now().Add(firstQuarantine)}, time.Now())
-		p.Book.Merge(Case{Key: keyOf("unseen"), Level: 1, Crashes: []uint64{4, 5, 6}, Until: time.Now().Add(firstQuarantine)}, time.Now())
+		p.Book.Merge(Case{Key: keyOf("a"), Level: 1, Crashes: crashesAt(time.Now(), 1, 2, 3), Until: time.Now().Add(firstQuarantine)}, time.Now())
+		p.Book.Merge(Case{Key: keyOf("unseen"), Level: 1, Crashes: crashesAt(time.Now(), 4, 5, 6), Until: time.Now().Add(firstQuarantine)}, time.Now())
 		time.Sleep(time.Second)
 		entries, err := ReadEntries(t.Context(), s)
 		if err != nil || len(entries) != 2 {
--- a/internal/coordination/quarantine/verdict.go
+++ b/internal/coordination/quarantine/verdict.go
@@ -93,8 +93,8 @@
 	}
 	blamed, own := 0, 0
 	var first time.Time
-	for _, incarnation := range c.Crashes {
-		at := b.crashes[incarnation]
+	for _, one := range c.Crashes {
+		at := b.crashes[one.Incarnation]
 		if first.IsZero() || at.seen.Before(first) {
 			first = at.seen
 		}
@@ -142,8 +142,7 @@
 func (b *Book) crashesWithout(c *Case, since time.Time) int {
 	n := 0
 	for incarnation, at := range b.crashes {
-		_, present := slices.BinarySearch(c.Crashes, incarnation)
-		if !present && !at.seen.Before(since) && !slices.ContainsFunc(at.present, b.isCulprit) {
+		if !c.wasAt(incarnation) && !at.seen.Before(since) && !slices.ContainsFunc(at.present, b.isCulprit) {
 			n++
 		}
 	}
--- a/internal/coordination/quarantine/wire.go
+++ b/internal/coordination/quarantine/wire.go
@@ -9,6 +9,9 @@
 	"limpetwall/internal/state/fingerprint"
 )
 
+// ageUnit is that of ages on the wire: verdicts look at whole seconds.
+const ageUnit = 100 * time.Millisecond
+
 // errCase tells that a message does not say what a case says.
 const errCase = errors.ConstError("not a case of a quarantine")
 
@@ -22,7 +25,11 @@
 }
 
 func (c *Case) toWire(now time.Time) *wire.QuarantineCase {
-	w := &wire.QuarantineCase{Fingerprint: c.Key[:], Round: c.Round, Crashes: c.Crashes, Level: c.Level, Lifted: c.Lifted}
+	w := &wire.QuarantineCase{Fingerprint: c.Key[:], Round: c.Round, Level: c.Level, Lifted: c.Lifted}
+	for _, crash := range c.Crashes {
+		w.Crashes = append(w.Crashes, crash.Incarnation)
+		w.CrashAgesDs = append(w.CrashAgesDs, uint32(max(0, now.Sub(crash.Seen)/ageUnit)))
+	}
 	if c.Level > 0 {
 		w.LeftMs = uint32(max(0, c.Until.Sub(now).Milliseconds()))
 	}
@@ -31,7 +38,7 @@
 
 // wireBytes is about what a case takes of a message.
 func (c *Case) wireBytes() int {
-	const fixed, eachCrash = 32, 8
+	const fixed, eachCrash = 32, 10
 	return fixed + eachCrash*len(c.Crashes)
 }
 
@@ -43,7 +50,12 @@
 		return Case{}, errors.Annotatef(errCase, "%d crashes", len(w.GetCrashes()))
 	}
 	c := Case{Key: fingerprint.Key(w.GetFingerprint()), Round: w.GetRound(), Level: w.GetLevel(), Lifted: w.GetLifted()}
-	for _, crash := range w.GetCrashes() {
+	ages := w.GetCrashAgesDs()
+	for i, incarnation := range w.GetCrashes() {
+		crash := Crash{incarnation, now}
+		if i < len(ages) {
+			crash.Seen = now.Add(-min(evidenceLasts, time.Duration(ages[i])*ageUnit))
+		}
 		c.addCrash(crash)
 	}
 	if c.Level > 0 {
--- a/internal/operatorcli/quarantines_test.go
+++ b/internal/operatorcli/quarantines_test.go
@@ -31,7 +31,8 @@
 	guard := quarantine.NewGuard(quarantine.NewBook(), platform.NewStore(address, http.DefaultTransport), zap.NewNop(), metrics.NewRegistry(), time.Now)
 	key := fingerprint.Of(fingerprint.Request{Target: "/x"}, nil)
 	about := quarantine.About{Service: "ledger", Customer: "club", Method: "POST", Target: "/dues/4"}
-	guard.Book.Merge(quarantine.Case{Key: key, Level: 1, Crashes: []uint64{1, 2, 3}, Until: time.Now().Add(4 * time.Minute), About: about}, time.Now())
+	crashes := []quarantine.Crash{{Incarnation: 1, Seen: time.Now()}, {Incarnation: 2, Seen: time.Now()}, {Incarnation: 3, Seen: time.Now()}}
+	guard.Book.Merge(quarantine.Case{Key: key, Level: 1, Crashes: crashes, Until: time.Now().Add(4 * time.Minute), About: about}, time.Now())
 	go guard.Run(t.Context())
 	listed := func() string {
 		code, out, failed := ctl("quarantines", "-store", address)
