News of a crash are bounded in bytes, and told at once only if they can decide

The limit of four messages a second counted a message of one case like a full one, and each crash brought a message for every request that had run beside, at every gateway that heard of it.

Messages at once now have a budget in bytes of their own (4 KB, 512 bytes a second), hold only what has not been told yet, and go out for quarantines and for requests that were at two crashes or more; all else, and what is beyond the budget, goes out with the four repetitions a second.

In the tests each process now lets its verdicts stand by itself, as the guard does. They used to stand only when the test put another request into quarantine there, so that hundreds of old quarantines counted as the newest ones.

--- a/internal/coordination/quarantine/news.go
+++ b/internal/coordination/quarantine/news.go
@@ -24,6 +24,17 @@
 // spread has a change passed on; b.mu is held.
 func (b *Book) spread(key fingerprint.Key) {
 	b.rumours[key] = rumourSends
+	if b.cases[key].isUrgent() {
+		b.announce()
+	}
+}
+
+// isUrgent tells whether a change is told at once. One crash is held against all that ran there: told at once, they would
+// use up what a process may send when the next crash shows whose doing it is.
+func (c *Case) isUrgent() bool { return c.isDurable() || len(c.Crashes) > 1 }
+
+// announce has News receive.
+func (b *Book) announce() {
 	select {
 	case b.news <- struct{}{}:
 	default:
@@ -37,40 +48,49 @@
 	return cmp.Or(b.began().Compare(a.began()), cmp.Compare(len(b.Crashes), len(a.Crashes)), b.changed.Compare(a.changed))
 }
 
-// HasRumours tells whether there is anything to pass on.
-func (b *Book) HasRumours() bool {
-	if b.IsEmpty() {
-		return false
-	}
+// TakeRumours returns changes that are to be passed on in a message of about so many bytes, at least one if there
+// are any; those that must be known first come first.
+func (b *Book) TakeRumours(bytes int, now time.Time) []Case {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.rumours) > 0
+	out, _ := b.takeRumours(bytes, now, func(*Case, int) bool { return true })
+	return out
 }
 
-// TakeRumours returns changes that are to be passed on in a message of about so many bytes, at least one if there
-// are any; those that must be known first come first.
-func (b *Book) TakeRumours(bytes int, now time.Time) []Case {
+// TakeNews returns the urgent ones of them that have not been passed on once, if any.
+func (b *Book) TakeNews(bytes int, now time.Time) []Case {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Case
-	for _, c := range b.rumoursByUrgency(now) {
+	out, left := b.takeRumours(bytes, now, func(c *Case, sends int) bool {
+		return sends == rumourSends && c.isUrgent()
+	})
+	if left {
+		b.announce()
+	}
+	return out
+}
+
+// takeRumours returns those that are left to be sent as often as wanted, and whether there are more; b.mu is held.
+func (b *Book) takeRumours(bytes int, now time.Time, wanted func(c *Case, sends int) bool) (out []Case, left bool) {
+	for _, c := range b.rumoursByUrgency(now, wanted) {
 		if bytes -= c.wireBytes(); bytes < 0 && len(out) > 0 {
-			break
+			return out, true
 		}
 		if b.rumours[c.Key]--; b.rumours[c.Key] <= 0 {
 			delete(b.rumours, c.Key)
 		}
 		out = append(out, c.copy())
 	}
-	return out
+	return out, false
 }
 
 // rumoursByUrgency returns quarantines and suspects in turn: those of either could else keep a message full while a
 // process that alone knows of one of the others ends. b.mu is held.
-func (b *Book) rumoursByUrgency(now time.Time) []*Case {
+func (b *Book) rumoursByUrgency(now time.Time, wanted func(c *Case, sends int) bool) []*Case {
 	var quarantines, suspects []*Case
-	for key := range b.rumours {
+	for key, sends := range b.rumours {
 		switch c := b.cases[key]; {
+		case !wanted(c, sends):
 		case c.isDurable():
 			quarantines = append(quarantines, c)
 		case now.Sub(c.changed) > rumourLasts:
--- a/internal/coordination/quarantineshare/sharer.go
+++ b/internal/coordination/quarantineshare/sharer.go
@@ -20,13 +20,13 @@
 )
 
 const (
-	// rumourEvery is the time between two rounds of news, but for rumourBurst of them: a process that is killed just
-	// after a crash takes with it what it has not told.
+	// rumourEvery is the time between two repetitions of news.
 	rumourEvery = 250 * time.Millisecond
-	rumourBurst = 4
-	// keptForNews are the rounds that repetitions leave: fresh news would else wait for rumourEvery behind those of
-	// older ones.
-	keptForNews = 2.5
+	// newsRate and newsBurst, in bytes, bound what a process sends at once, whatever the number of receivers: one that
+	// sees a request crash its third endpoint must tell the others before it comes to one of them. What is beyond
+	// waits for the next repetition.
+	newsRate  = 512
+	newsBurst = 4 << 10
 	// compareEvery is the time between two comparisons of quarantines: several may be lost before a process that was
 	// cut off runs what it missed.
 	compareEvery = 250 * time.Millisecond
@@ -34,8 +34,10 @@
 	fanout = 3
 	// wholeFleet is the number of others up to which all get them.
 	wholeFleet = 6
-	// roundBytes bounds what a process sends while there are news to about 3 KB/s.
+	// roundBytes is about what one message of news holds: with all repetitions it makes 3 KB/s at most.
 	roundBytes = 200
+	// headerBytes of a datagram count as well.
+	headerBytes = 28
 	// casesPerAnswer bound what a comparison costs; a process that lacks many reads them from the store.
 	casesPerAnswer = 3
 )
@@ -78,40 +80,36 @@
 
 // spreadNews passes news on, the first time at once.
 func (s *Sharer) spreadNews(ctx context.Context) {
-	rounds := rate.NewLimiter(rate.Every(rumourEvery), rumourBurst)
+	atOnce := rate.NewLimiter(newsRate, newsBurst)
 	repeat := time.NewTicker(rumourEvery)
 	defer repeat.Stop()
 	for {
 		select {
 		case <-s.Book.News():
-		case <-repeat.C:
-			if rounds.Tokens() < keptForNews+1 {
-				continue
+			if atOnce.Tokens() > 0 {
+				sent := s.tellNews(s.Book.TakeNews(roundBytes, s.Now()))
+				atOnce.ReserveN(time.Now(), min(sent, newsBurst))
 			}
+		case <-repeat.C:
+			s.tellNews(s.Book.TakeRumours(roundBytes, s.Now()))
 		case <-ctx.Done():
 			return
 		}
-		if s.Book.HasRumours() && rounds.Wait(ctx) == nil {
-			s.tellNews()
-		}
 	}
 }
 
-func (s *Sharer) tellNews() {
+// tellNews returns how many bytes it sent.
+func (s *Sharer) tellNews(cases []quarantine.Case) int {
 	hosts := s.Hosts()
-	if len(hosts) == 0 {
-		return
-	}
-	cases := s.Book.TakeRumours(roundBytes, s.Now())
-	if len(cases) == 0 {
-		return
+	if len(hosts) == 0 || len(cases) == 0 {
+		return 0
 	}
 	if len(hosts) > wholeFleet {
 		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 		hosts = hosts[:fanout]
 	}
 	// The digest is left out: news alone are no comparison.
-	s.send(&wire.QuarantineReport{Step: stepLast, Cases: quarantine.CasesToWire(cases, s.Now())}, hosts)
+	return s.send(&wire.QuarantineReport{Step: stepLast, Cases: quarantine.CasesToWire(cases, s.Now())}, hosts)
 }
 
 func (s *Sharer) compare() {
@@ -121,14 +119,16 @@
 	}
 }
 
-func (s *Sharer) send(r *wire.QuarantineReport, hosts []netip.Addr) {
+// send returns how many bytes it sent.
+func (s *Sharer) send(r *wire.QuarantineReport, hosts []netip.Addr) int {
 	data, err := proto.Marshal(r)
 	if err != nil || len(data) > datagram.MaxSize {
 		s.Log.Error("quarantine report", zap.Int("bytes", len(data)), zap.Error(err))
-		return
+		return 0
 	}
 	// A message may be lost anyway: news are repeated, and comparisons go on.
 	s.Group.Send(data, hosts)
+	return len(hosts) * (len(data) + headerBytes)
 }
 
 // take takes in a report. A comparison that finds a difference has both sides send what they hold.
--- a/internal/coordination/quarantineshare/sharer_test.go
+++ b/internal/coordination/quarantineshare/sharer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 	"limpetwall/internal/state/fingerprint"
 	"limpetwall/internal/transport/datagram"
 	"limpetwall/internal/transport/datagram/datagramtest"
+	"limpetwall/internal/transport/pause"
 )
 
 const (
@@ -25,9 +27,8 @@
 	wholeSize = 370
 	inTime    = 3 * time.Second
 	// mostBytes a second is what a process may send for control, headers included.
-	mostBytes   = 3 << 10
-	headerBytes = 28
-	port        = 7704
+	mostBytes = 3 << 10
+	port      = 7704
 	// settled is enough for a verdict to stand.
 	settled = time.Second
 )
@@ -80,7 +81,10 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		var duties sync.WaitGroup
+		duties.Go(func() { settle(ctx, book) })
 		s.Run(ctx)
+		duties.Wait()
 	}()
 	f.books[n], f.stop[n] = book, func() {
 		cancel()
@@ -88,6 +92,14 @@
 	}
 }
 
+// settle has verdicts stand in time, as the guard does: a process that has only heard of the evidence would else date a
+// quarantine by the next one that the test begins there.
+func settle(ctx context.Context, book *quarantine.Book) {
+	for pause.For(ctx, 250*time.Millisecond) {
+		book.Settle(time.Now())
+	}
+}
+
 func (f *fleet) kill(n int) {
 	if f.stop[n] != nil {
 		f.stop[n]()
@@ -222,7 +234,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 5)
 		for i := range 10 {
-			f.quarantine(0, keyOf(100+i))
+			culprit := keyOf(100 + i)
+			f.quarantine(0, culprit)
+			// The first of its crashes ended runs of all processes.
+			for n, b := range f.books {
+				for run := range 4 {
+					b.Crashed(keyOf(1000+100*i+10*n+run), binary.BigEndian.Uint64(culprit[:]), quarantine.About{}, time.Now())
+				}
+			}
 			time.Sleep(500 * time.Millisecond)
 		}
 		for crash := range uint64(3) {
