A process that was stopped is told of its peers when it starts again

Three gateways were stopped and started one after the other while the store refused all calls.

A peer that says that it leaves is now told on like one that is lost without a word, until it counts as silent (30 s), so a process that starts in its place is heard and told within 250 ms. It shares no work meanwhile: NearHosts leaves it out, so following of stores and engines moves on at once as before.

TestRestartedProcessIsToldWithoutTheRegistry: the process heard nobody before.

--- a/internal/coordination/workshare/sharer.go
+++ b/internal/coordination/workshare/sharer.go
@@ -78,6 +78,9 @@
 	heard time.Time
 	// toldSince is when reports to it began; zero while it is sent none.
 	toldSince time.Time
+	// left tells that it has stopped. It is told on until it counts as silent: one that is back at once can't know the
+	// others while the registry is down.
+	left bool
 }
 
 // silentFor is how long it has said nothing although it was told of this process. One that
@@ -117,9 +120,9 @@
 	return s.hosts(func(*peer) bool { return true })
 }
 
-// NearHosts lists those of this process's own failure domain.
+// NearHosts lists those of this process's own failure domain that have not stopped.
 func (s *Sharer) NearHosts() []netip.Addr {
-	return s.hosts(func(p *peer) bool { return p.domain == s.Domain })
+	return s.hosts(func(p *peer) bool { return p.domain == s.Domain && !p.left })
 }
 
 func (s *Sharer) hosts(which func(*peer) bool) []netip.Addr {
@@ -223,14 +226,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Leaving {
-		delete(s.peers, address)
+		if p := s.peers[address]; p != nil {
+			p.left = true
+		}
 		return
 	}
 	if s.peers[address] == nil {
 		s.Log.Info("peer heard", zap.Stringer("address", address), zap.String("domain", r.Domain))
 		s.peers[address] = &peer{}
 	}
-	s.peers[address].domain, s.peers[address].heard = r.Domain, now
+	p := s.peers[address]
+	p.domain, p.heard, p.left = r.Domain, now, false
 	delete(s.silent, address)
 }
 
--- a/internal/coordination/workshare/sharer_test.go
+++ b/internal/coordination/workshare/sharer_test.go
@@ -64,6 +64,7 @@
 // member is one process of a test.
 type member struct {
 	*directory
+	sharer  *Sharer
 	address netip.AddrPort
 	stop    func()
 }
@@ -115,7 +116,7 @@
 		s.Run(ctx)
 		close(done)
 	}()
-	return &member{directory: d, address: address, stop: func() {
+	return &member{directory: d, sharer: s, address: address, stop: func() {
 		cancel()
 		<-done
 	}}
@@ -158,6 +159,29 @@
 	})
 }
 
+// TestRestartedProcessIsToldWithoutTheRegistry guards against a process that knows nobody, as it was stopped and started while
+// the registry was down: what others hold in memory only would not reach it.
+func TestRestartedProcessIsToldWithoutTheRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		one, two := f.start(t, 1, "a"), f.start(t, 2, "a")
+		time.Sleep(10 * time.Second)
+		f.registry.down.Store(true)
+		two.stop()
+		time.Sleep(5 * time.Second)
+		if near := one.sharer.NearHosts(); len(near) != 0 {
+			t.Errorf("%v share work after they have stopped", near)
+		}
+		two = f.start(t, 2, "a")
+		time.Sleep(time.Second)
+		if got := two.senders(); !slices.Contains(got, 1) {
+			t.Errorf("heard %v", got)
+		}
+		one.stop()
+		two.stop()
+	})
+}
+
 // TestLargeFleetReportsWithinTheDomain runs twelve processes in two domains.
 //
 // Beyond a handful only those of the own domain are told, and a process sends four
