limpetctl summary: what callers got, and where time and tokens went

The sums were made by hand, or not at all.

Reading of logs is shared with explain, which now names the file of a line that is too long.

--- a/internal/operatorcli/explain.go
+++ b/internal/operatorcli/explain.go
@@ -93,44 +93,58 @@
 	}
 }
 
-// readLogs reads files, or standard input if none is named.
+// readLogs returns the lines of logs.
 func readLogs(paths []string) (lines []logLine, unreadable int, err error) {
+	err = eachLog(paths, func(log io.Reader) error {
+		bad, err := scanObjects(log, func(object []byte) bool {
+			var l logLine
+			if json.Unmarshal(object, &l) != nil || l.Message == "" {
+				return false
+			}
+			l.raw = bytes.Clone(object)
+			lines = append(lines, l)
+			return true
+		})
+		unreadable += bad
+		return err
+	})
+	return lines, unreadable, err
+}
+
+// eachLog reads files, or standard input if none is named.
+func eachLog(paths []string, read func(io.Reader) error) error {
 	if len(paths) == 0 {
-		return scanLogs(os.Stdin)
+		return read(os.Stdin)
 	}
 	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
-			return nil, 0, err
+			return err
 		}
-		more, bad, err := scanLogs(f)
+		err = read(f)
 		f.Close()
 		if err != nil {
-			return nil, 0, err
+			return fmt.Errorf("%s: %w", path, err)
 		}
-		lines, unreadable = append(lines, more...), unreadable+bad
 	}
-	return lines, unreadable, nil
+	return nil
 }
 
 // maxLogLine bounds one line.
 const maxLogLine = 1 << 20
 
-// scanLogs takes the lines that hold a JSON object, whatever stands before it.
-func scanLogs(r io.Reader) (lines []logLine, unreadable int, err error) {
+// scanObjects passes on the JSON object in each line, whatever stands before it, and counts lines without one and those
+// that take refuses.
+func scanObjects(r io.Reader, take func(object []byte) bool) (unreadable int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 64<<10), maxLogLine)
 	for scanner.Scan() {
 		at := bytes.IndexByte(scanner.Bytes(), '{')
-		var l logLine
-		if at < 0 || json.Unmarshal(scanner.Bytes()[at:], &l) != nil || l.Message == "" {
+		if at < 0 || !take(scanner.Bytes()[at:]) {
 			unreadable++
-			continue
 		}
-		l.raw = bytes.Clone(scanner.Bytes()[at:])
-		lines = append(lines, l)
 	}
-	return lines, unreadable, scanner.Err()
+	return unreadable, scanner.Err()
 }
 
 // crashTold is how long after a request's end the crash of its endpoint may be logged.
--- a/internal/operatorcli/main.go
+++ b/internal/operatorcli/main.go
@@ -34,6 +34,7 @@
   report burn [-html FILE]    show how fast services use up their error budgets
   load                        send prompts and measure time to first token
   explain ID [LOG...]         show from logs what decided a request (default: standard input)
+  summary [LOG...]            show from logs what callers got, and where time and tokens went
   quarantines                 show requests that are not run because they crash endpoints
   lift FINGERPRINT            have one run again
   key                         make an API key and the hash to configure
@@ -87,6 +88,7 @@
 		"load":        {0, 0, bindLoad},
 		"key":         {0, 0, bindKey},
 		"explain":     {1, 100, bindExplain},
+		"summary":     {0, 1000, bindSummary},
 		"quarantines": {0, 0, bindQuarantines},
 		"lift":        {1, 1, bindLift},
 		"completion":  {0, 0, bindCompletion},
