--- a/internal/coordination/runs/gone_test.go
+++ b/internal/coordination/runs/gone_test.go
@@ -113,9 +113,8 @@
 		<-fake.arrived
 		declareDead(r, time.Now())
 	}()
-	begun := time.Now()
 	_, err := r.Run(t.Context(), promptJob(), &collect{})
-	if took := time.Since(begun); err == nil || took > quietBeforeGone+time.Second {
-		t.Errorf("%v after %v", err, took)
+	if err == nil || !strings.Contains(err.Error(), string(errEndpointGone)) {
+		t.Errorf("ended with %v", err)
 	}
 }
