News that nobody hears stay news

Since messages at once have a budget of their own, a process that knew no other took its news from the book before it looked for receivers: after eight rounds they counted as told.

--- a/internal/coordination/quarantineshare/sharer.go
+++ b/internal/coordination/quarantineshare/sharer.go
@@ -87,21 +87,24 @@
 		select {
 		case <-s.Book.News():
 			if atOnce.Tokens() > 0 {
-				sent := s.tellNews(s.Book.TakeNews(roundBytes, s.Now()))
-				atOnce.ReserveN(time.Now(), min(sent, newsBurst))
+				atOnce.ReserveN(time.Now(), min(s.tell(s.Book.TakeNews), newsBurst))
 			}
 		case <-repeat.C:
-			s.tellNews(s.Book.TakeRumours(roundBytes, s.Now()))
+			s.tell(s.Book.TakeRumours)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// tellNews returns how many bytes it sent.
-func (s *Sharer) tellNews(cases []quarantine.Case) int {
+// tell sends a message of news and returns how many bytes that took. What nobody hears is not taken from the book.
+func (s *Sharer) tell(take func(bytes int, now time.Time) []quarantine.Case) int {
 	hosts := s.Hosts()
-	if len(hosts) == 0 || len(cases) == 0 {
+	if len(hosts) == 0 {
+		return 0
+	}
+	cases := take(roundBytes, s.Now())
+	if len(cases) == 0 {
 		return 0
 	}
 	if len(hosts) > wholeFleet {
--- a/internal/coordination/quarantineshare/sharer_test.go
+++ b/internal/coordination/quarantineshare/sharer_test.go
@@ -255,6 +255,21 @@
 	})
 }
 
+// TestEvidenceWaitsForPeers guards against evidence that counts as told while a process knows no other.
+func TestEvidenceWaitsForPeers(t *testing.T) {
+	s := &Sharer{Book: quarantine.NewBook(), Now: time.Now, Log: zap.NewNop(), Hosts: func() []netip.Addr { return nil }}
+	s.Book.Crashed(keyOf(1), 1, quarantine.About{}, time.Now())
+	s.Book.Crashed(keyOf(1), 2, quarantine.About{}, time.Now())
+	for range 100 {
+		if s.tell(s.Book.TakeNews) != 0 || s.tell(s.Book.TakeRumours) != 0 {
+			t.Fatal("told nobody")
+		}
+	}
+	if cases := s.Book.TakeNews(roundBytes, time.Now()); len(cases) != 1 {
+		t.Errorf("%d cases are left to be told", len(cases))
+	}
+}
+
 // TestLiftedEverywhere guards against a process that was cut off bringing a lifted quarantine back.
 func TestLiftedEverywhere(t *testing.T) {
 	t.Parallel()
