An attempt that lost its round says nothing about its endpoint

An endpoint that hangs was not taken out of use while prompts were hedged: each attempt at it that was stopped as the other was sooner counted as a success, and ended its count of failures. So did a second choice that was not used, as the first token came meanwhile; both also taught the endpoint a run time of next to nothing.

Such choices are released now. TestStoppedAttemptsSayNothing: the endpoint was used after three failures in both cases.

--- a/internal/coordination/runs/hedge.go
+++ b/internal/coordination/runs/hedge.go
@@ -102,7 +102,7 @@
 	start := func(a *attempt) {
 		go func() {
 			out := r.carryOut(ctx, a)
-			r.Directory.Done(a.choice, out.failed, time.Now())
+			r.judge(a, out)
 			results <- ended{a, out}
 		}()
 	}
@@ -127,6 +127,16 @@
 	return last.out, last.attempt.choice, max(in.number, last.attempt.number)
 }
 
+// judge has the directory learn of an attempt's end. One that was stopped as the other was sooner says nothing about its
+// endpoint: counted as a success, it would keep one that hangs from being taken out.
+func (r *Runner) judge(a *attempt, out *outcome) {
+	if errors.Is(out.cause, errHedgeLost) {
+		r.Directory.Release(a.choice)
+		return
+	}
+	r.Directory.Done(a.choice, out.failed, time.Now())
+}
+
 // counted is the end that counts after another attempt of the round has ended: the owner's,
 // whatever the other says after it, or else the later. What it tells about execution is told
 // for both.
@@ -172,7 +182,7 @@
 	second := in.p.addAttempt(first, choice, in.number+1)
 	if second == nil {
 		r.Budget.Refund()
-		r.Directory.Done(choice, false, time.Now())
+		r.Directory.Release(choice)
 		return nil
 	}
 	r.Zap.Info("hedge", zap.String("request_id", in.job.RequestID), zap.String("late", first.choice.Member.Endpoint.ID),
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -508,6 +508,49 @@
 	}
 }
 
+// TestStoppedAttemptsSayNothing guards against an endpoint that hangs and stays in use, as each attempt at it that was
+// stopped counts as a success.
+func TestStoppedAttemptsSayNothing(t *testing.T) {
+	stopped := map[string]func(*Runner, *round, *attempt){
+		"the other attempt was sooner": func(r *Runner, _ *round, a *attempt) { r.judge(a, hedgeLost()) },
+		"the first attempt was sooner before it began": func(r *Runner, in *round, a *attempt) {
+			r.Directory.Release(a.choice)
+			first := &attempt{runner: r, job: in.job, progress: in.p, choice: routing.Choice{Member: fleet.Member{ID: "other"}}}
+			in.p.owner = first
+			if r.hedge(in, first) != nil {
+				t.Error("a second attempt after the first token")
+			}
+		},
+	}
+	for name, stop := range stopped {
+		t.Run(name, func(t *testing.T) {
+			r, in, first := lateRound(t, 2)
+			hanging := first.choice.Member.ID
+			for _, m := range r.Table.Members() {
+				if m.ID != hanging {
+					in.request.Exclude = append(in.request.Exclude, m.ID)
+				}
+			}
+			for n := range 4 {
+				if n > 0 {
+					first = in.p.newAttempt(r, in.job, r.Directory.Choose("s", nil, in.request), 1, nil)
+				}
+				if n == 2 {
+					stop(r, in, first)
+					continue
+				}
+				r.judge(first, &outcome{failed: true})
+			}
+			in.request.Exclude = nil
+			for range 20 {
+				if choice := r.Directory.Choose("s", nil, in.request); choice.Member.ID == hanging {
+					t.Fatal("it is used after three failures")
+				}
+			}
+		})
+	}
+}
+
 // TestHedgesDoNotMix lets both attempts of many runs answer at about the same time.
 func TestHedgesDoNotMix(t *testing.T) {
 	r, _ := runner(t, 3, func(n int, r *wire.RunRequest) []*wire.RunEvent {
