A round in which both attempts fail is not tried again at either endpoint

After a hedged round only the endpoint whose end counted was left out of the next attempt; the other could be chosen again, and the retry was spent there. Now each that did not just lose the round is left out.

--- a/internal/coordination/runs/hedge.go
+++ b/internal/coordination/runs/hedge.go
@@ -85,6 +85,8 @@
 	request *routing.Request
 	number  uint32
 	p       *progress
+	// failed are the members at which an attempt ended without being stopped for the other.
+	failed []string
 }
 
 // ended is an attempt with its outcome.
@@ -117,6 +119,9 @@
 		case e := <-results:
 			running--
 			last = in.p.counted(last, e)
+			if !e.out.hasLost() {
+				in.failed = append(in.failed, e.attempt.choice.Member.ID)
+			}
 		case <-late.C:
 			if second := r.hedge(in, first); second != nil {
 				start(second)
@@ -130,13 +135,16 @@
 // judge has the directory learn of an attempt's end. One that was stopped as the other was sooner says nothing about its
 // endpoint: counted as a success, it would keep one that hangs from being taken out.
 func (r *Runner) judge(a *attempt, out *outcome) {
-	if errors.Is(out.cause, errHedgeLost) {
+	if out.hasLost() {
 		r.Directory.Release(a.choice)
 		return
 	}
 	r.Directory.Done(a.choice, out.failed, time.Now())
 }
 
+// hasLost tells that the attempt was stopped as the other of its round was sooner.
+func (o *outcome) hasLost() bool { return errors.Is(o.cause, errHedgeLost) }
+
 // counted is the end that counts after another attempt of the round has ended: the owner's,
 // whatever the other says after it, or else the later. What it tells about execution is told
 // for both.
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -160,7 +160,8 @@
 			return Result{}, last.final(p, "the retry budget is used up")
 		}
 		var out *outcome
-		out, choice, number = r.round(ctx, &round{job: job, keys: keys, request: request, number: number, p: p}, choice)
+		in := &round{job: job, keys: keys, request: request, number: number, p: p}
+		out, choice, number = r.round(ctx, in, choice)
 		if out.done {
 			return out.result(number, choice), nil
 		}
@@ -177,7 +178,7 @@
 		if out.crashed != 0 && r.Guard.Blocks(job.fingerprint()) {
 			return Result{}, last.final(p, "the request has crashed too many endpoints")
 		}
-		request.Exclude = append(request.Exclude, choice.Member.ID)
+		request.Exclude = append(request.Exclude, in.failed...)
 	}
 	return Result{}, last.final(p, "all attempts failed")
 }
