A stopping process waits for peers that still read its last events

Cause: two bounds of five seconds, one for grpc's graceful stop, one for a connection that lingers, ran out while the entry read on. Both looked at the time alone. A lingering connection is given up when its peer has been quiet for five seconds: one that reads tells so in window updates. A peer that is gone is found by keepalive, or is quiet.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -122,8 +122,6 @@
 	p.zap.Info("stopping")
 	a.Leave()
 	p.farewell()
-	ctx, cancel := p.drainContext(stop)
-	defer cancel()
-	left := a.Drain(ctx)
+	left := a.Drain(p.beginDrain(stop))
 	p.zap.Info("stopped", zap.Int("cut", left))
 }
--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -146,8 +146,14 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	api      objectapi.API
+	// drain ends with the time for what is underway when stopping.
+	drain    context.Context
+	endDrain context.CancelFunc
 }
 
+// lingerQuiet bounds the wait for a peer that takes in nothing more of what was sent to it.
+const lingerQuiet = 5 * time.Second
+
 func newIncarnation() uint64 {
 	var raw [8]byte
 	rand.Read(raw[:])
@@ -172,7 +178,7 @@
 	p := &base{
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
 		api: objectapi.NewClient(b.ObjectAPI, client), pool: rpc.NewPool(clientTLS),
-		server: rpc.NewServer(serverTLS), listener: rpc.Linger(listener),
+		server: rpc.NewServer(serverTLS), listener: rpc.Linger(listener, lingerQuiet),
 	}
 	p.log = configlog.New(p.api)
 	now := time.Now()
@@ -186,6 +192,9 @@
 	p.node = spread.New(b.Spread, table, p.store, p.log, hostlist.NewClient(b.HostList, client), p.pool, logger)
 	wire.RegisterPeerServer(p.server, &spread.Server{Node: p.node, Burn: burn})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	// Until it is told to stop, nothing waits for a drain.
+	p.drain, p.endDrain = context.WithCancel(context.Background())
+	p.endDrain()
 	return p, nil
 }
 
@@ -269,6 +278,7 @@
 		p.admin.Close()
 	}
 	p.stopServing()
+	p.endDrain()
 	p.pool.Close()
 	p.duties.Wait()
 	p.zap.Sync()
@@ -276,9 +286,11 @@
 
 // stopServing lets the last events of finished runs leave the process. A handler
 // has returned before grpc has written all that it sent; stopping hard at that
-// moment cuts streams that the agent counts as whole.
+// moment cuts streams that the agent counts as whole. A peer that reads slowly has
+// the time to drain; one that is gone is found by keepalive.
 func (p *base) stopServing() {
-	const patience = 5 * time.Second
+	// lastEvents is what those of runs that were cut may take.
+	const lastEvents = 5 * time.Second
 	done := make(chan struct{})
 	go func() {
 		p.server.GracefulStop()
@@ -286,7 +298,13 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(patience):
+		return
+	case <-p.drain.Done():
+	}
+	select {
+	case <-done:
+	case <-time.After(lastEvents):
+		p.zap.Warn("connections closed before peers had read all")
 		p.server.Stop()
 	}
 }
@@ -299,15 +317,16 @@
 	time.Sleep(notice)
 }
 
-// drainContext ends after the drain timeout, or when stopping can't wait.
-func (p *base) drainContext(stop Stop) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainTimeout)
+// beginDrain returns a context that ends after the drain timeout, or when stopping
+// can't wait. close ends it.
+func (p *base) beginDrain(stop Stop) context.Context {
+	p.drain, p.endDrain = context.WithTimeout(context.Background(), p.settings.DrainTimeout)
 	go func() {
 		select {
 		case <-stop.Now:
-			cancel()
-		case <-ctx.Done():
+			p.endDrain()
+		case <-p.drain.Done():
 		}
 	}()
-	return ctx, cancel
+	return p.drain
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -184,9 +184,7 @@
 	case <-time.After(s.DrainDelay):
 	case <-stop.Now:
 	}
-	ctx, cancel := p.drainContext(stop)
-	defer cancel()
-	err := server.Shutdown(ctx)
+	err := server.Shutdown(p.beginDrain(stop))
 	left := 0
 	if err != nil {
 		left = e.Inflight()
--- a/internal/transport/rpc/linger_test.go
+++ b/internal/transport/rpc/linger_test.go
@@ -104,7 +104,7 @@
 	agent := &streamingAgent{goOn: make(chan struct{})}
 	server := rpc.NewServer(nil)
 	wire.RegisterAgentServer(server, agent)
-	go server.Serve(rpc.Linger(listener))
+	go server.Serve(rpc.Linger(listener, 5*time.Second))
 	t.Cleanup(server.Stop)
 	peer := make(chan *behindPeer, 1)
 	pool := rpc.NewPool(nil, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
