A peer that is slow to read is not taken for gone

Beside the same load 178 streams were cut at an agent that nobody had stopped: "connection reset by peer". The server pings a quiet connection after two seconds and closes it two seconds later; but up to 4 MB are in flight on one, and the answer to a ping comes behind what the peer has not read. A starved entry that still read was cut off with all its callers.

The answer now has 20 s. What is sooner in finding that a host vanished is membership, which ends streams that bring nothing; the agent of an entry that vanished goes on with its runs for 22 s in place of 4.

TestSlowPeerIsNotGone: cut after 25 of 100 events before.

--- a/internal/transport/rpc/linger_test.go
+++ b/internal/transport/rpc/linger_test.go
@@ -74,14 +74,15 @@
 type streamingAgent struct {
 	wire.UnimplementedAgentServer
 	goOn chan struct{}
+	// word is each token of the rest.
+	word string
 }
 
 const restOfAnswer = 100
 
 func (a *streamingAgent) Run(_ *wire.RunRequest, s wire.Agent_RunServer) error {
-	word := []string{strings.Repeat("w", 1000)}
 	for n := range restOfAnswer + 1 {
-		if err := s.Send(&wire.RunEvent{Event: &wire.RunEvent_Tokens{Tokens: &wire.Tokens{Tokens: word}}}); err != nil {
+		if err := s.Send(&wire.RunEvent{Event: &wire.RunEvent_Tokens{Tokens: &wire.Tokens{Tokens: []string{a.word}}}}); err != nil {
 			return err
 		}
 		if n == 0 {
@@ -91,17 +92,15 @@
 	return nil
 }
 
-// TestStoppedServerWaitsForItsReaders stops a server gracefully while a peer is behind with a stream.
-//
-// The callers behind that peer saw their streams cut: a second after its last write the server closed
-// the connection, the peer sent something more, and the reset that answered it threw away the
-// stream's end, which had not left the server's socket yet. The peer must get the whole stream.
-func TestStoppedServerWaitsForItsReaders(t *testing.T) {
+// behindStream starts a server and returns it with a stream of which the first event has arrived, and the connection of
+// its peer.
+func behindStream(t *testing.T, word string) (*grpc.Server, *streamingAgent, wire.Agent_RunClient, *behindPeer) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	agent := &streamingAgent{goOn: make(chan struct{})}
+	agent := &streamingAgent{goOn: make(chan struct{}), word: word}
 	server := rpc.NewServer(nil)
 	wire.RegisterAgentServer(server, agent)
 	go server.Serve(rpc.Linger(listener, 5*time.Second))
@@ -128,7 +127,35 @@
 	if _, err := run.Recv(); err != nil {
 		t.Fatal(err)
 	}
-	p := <-peer
+	return server, agent, run, <-peer
+}
+
+// checkRest reads the rest of a stream.
+func checkRest(t *testing.T, run wire.Agent_RunClient) {
+	t.Helper()
+	got := 0
+	for {
+		_, err := run.Recv()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.Fatalf("after %d of %d events: %v", got, restOfAnswer, err)
+		}
+		got++
+	}
+	if got != restOfAnswer {
+		t.Errorf("%d of %d events, and then the end", got, restOfAnswer)
+	}
+}
+
+// TestStoppedServerWaitsForItsReaders stops a server gracefully while a peer is behind with a stream.
+//
+// The callers behind that peer saw their streams cut: a second after its last write the server closed
+// the connection, the peer sent something more, and the reset that answered it threw away the
+// stream's end, which had not left the server's socket yet. The peer must get the whole stream.
+func TestStoppedServerWaitsForItsReaders(t *testing.T) {
+	server, agent, run, p := behindStream(t, strings.Repeat("w", 1000))
 	stopped := make(chan struct{})
 	go func() {
 		server.GracefulStop()
@@ -147,19 +174,19 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	release()
-	got := 0
-	for {
-		_, err := run.Recv()
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			t.Fatalf("after %d of %d events: %v", got, restOfAnswer, err)
-		}
-		got++
-	}
-	if got != restOfAnswer {
-		t.Errorf("%d of %d events, and then the end", got, restOfAnswer)
-	}
+	checkRest(t, run)
 	<-stopped
 }
+
+// TestSlowPeerIsNotGone guards against a connection that is closed with all its streams, as its peer is seconds behind in
+// reading, and so in answering a ping.
+func TestSlowPeerIsNotGone(t *testing.T) {
+	// The rest of the answer is larger than what may be in flight.
+	_, agent, run, p := behindStream(t, strings.Repeat("w", 10_000))
+	behind, release := p.hold()
+	close(agent.goOn)
+	<-behind
+	time.Sleep(6 * time.Second)
+	release()
+	checkRest(t, run)
+}
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -28,8 +28,10 @@
 	connWindow   = 4 << 20
 	// keepaliveTime finds a peer that vanished without closing its connections:
 	// a silent network would otherwise leave a stream waiting for its deadline.
-	keepaliveTime    = 2 * time.Second
-	keepaliveTimeout = 2 * time.Second
+	keepaliveTime = 2 * time.Second
+	// keepaliveTimeout is long, as the answer to a ping comes behind all that is in flight: a peer that is slow to read
+	// that is not gone.
+	keepaliveTimeout = 20 * time.Second
 	idleTimeout      = 2 * time.Minute
 	dialTimeout      = time.Second
 )
