Callers' connections: log and count what ends one without an answer

New are the line and counter of a connection closed by this process while a request read from it has no answer, with the reason (stop, limit, panic); the line and counter of a panic, with request id and stack; net/http's own log in JSON; and caller_left_by on the request line of a caller that counts as gone. Lines that callers can bring about are bounded to 20 a second, counters are not.

No decision changes. TestClosedUnanswered, TestPanicIsLogged, TestCallerEnd and TestServerErrorsAreBounded hold the lines; the first also that nothing is told of connections that callers ended themselves.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"limpetwall/internal/protocol/receipt"
 	"limpetwall/internal/state/fingerprint"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/ring"
 	"limpetwall/internal/transport/upstream"
 )
@@ -223,6 +224,7 @@
 	if x.call, err = x.g.Codec.DecodeCall(x.r.Header); err != nil {
 		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, err.Error())
 	}
+	ingress.NameRequest(x.r.Context(), x.call.ID)
 	if !strings.HasPrefix(x.r.RequestURI, "/") {
 		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the request target must be a path")
 	}
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -7,6 +7,7 @@
 
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/receipt"
+	"limpetwall/internal/transport/ingress"
 )
 
 // try is what became of one attempt, and what was believed when it was made.
@@ -65,6 +66,9 @@
 	if got != receipt.Nothing {
 		fields = append(fields, zap.Int("caller_status", x.status))
 	}
+	if x.callerLeft() {
+		fields = append(fields, zap.String("caller_left_by", ingress.CallerEnd(x.r.Context())))
+	}
 	if x.call.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", x.call.PromptTokens), zap.Int("stored_tokens", x.storedTokens))
 	}
--- /dev/null
+++ b/internal/transport/ingress/conn.go
@@ -0,0 +1,217 @@
+package ingress
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/state/routes"
+)
+
+const (
+	// markIdle and markHeader are the fixed time limits given to net/http, which
+	// reads them without synchronisation. They are never waited for: each tells
+	// conn which of the limits in force it stands for.
+	//
+	// A handler's own deadline comes to conn by the same call and must not be taken for
+	// one of them, or a body's time would be cut to the idle or header limit. So they lie
+	// decades beyond the time of any request, and yet below the 292 years that a
+	// time.Duration holds. The year that conn allows for is for a process that was paused
+	// between net/http's look at the clock and its own.
+	markIdle   = 200 * year
+	markHeader = 100 * year
+	year       = 365 * 24 * time.Hour
+	// unsetIdle and unsetHeader apply while no limit is in force.
+	unsetIdle   = 2 * time.Hour
+	unsetHeader = time.Hour
+	// slack above the callers' own idle limit keeps this side from closing at the
+	// moment when a caller sends.
+	slack = time.Second
+)
+
+// limit is a time limit whose length a configuration sets.
+type limit uint8
+
+const (
+	noLimit limit = iota
+	idleLimit
+	headerLimit
+)
+
+// limitMarked returns the limit that a deadline marks, noLimit if it is none of the marks.
+func limitMarked(t time.Time) limit {
+	if t.IsZero() {
+		return noLimit
+	}
+	switch left := time.Until(t); {
+	case left > markIdle-year:
+		return idleLimit
+	case left > markHeader-year:
+		return headerLimit
+	}
+	return noLimit
+}
+
+// in returns the limit's length.
+func (l limit) in(limits *routes.Limits) time.Duration {
+	switch {
+	case l == idleLimit && limits.IdleTimeout <= 0:
+		return unsetIdle
+	case l == idleLimit:
+		return limits.IdleTimeout + slack
+	case limits.HeaderTimeout <= 0:
+		return unsetHeader
+	}
+	return limits.HeaderTimeout
+}
+
+// phase is how far a connection's present request has come.
+type phase uint8
+
+const (
+	// waiting for the first byte of a request.
+	waiting phase = iota
+	// reading its header.
+	reading
+	// handling it: a handler has it.
+	handling
+	// answered: its handler has returned or has broken the answer off itself.
+	answered
+	// failed: its handler panicked.
+	failed
+)
+
+// conn puts the limits in force in place of the marks.
+type conn struct {
+	net.Conn
+	server *Server
+
+	// mu orders the deadlines that net/http sets and those that Read sets again: it ends a
+	// read that is underway by a deadline in the past, which must stand.
+	mu sync.Mutex
+	// limit is the one that the read deadline stands for, since its wait began.
+	limit limit
+	since time.Time
+
+	phase phase
+	// firstByte is when the present request's first byte came.
+	firstByte time.Time
+	// request is the present one, nil before its header is read.
+	request *request
+	// readErr is the caller's end as a read saw it.
+	readErr error
+	// limitHit tells that a wait ended on its limit.
+	limitHit bool
+}
+
+// begin tells that a handler has the present request.
+func (c *conn) begin(q *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.request = handling, q
+}
+
+// end tells that the handler has ended.
+func (c *conn) end(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = p
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = limitMarked(t)
+	if c.limit == idleLimit {
+		c.phase, c.request = waiting, nil
+	}
+	if c.limit == noLimit {
+		return c.Conn.SetReadDeadline(t)
+	}
+	c.since = time.Now()
+	return c.Conn.SetReadDeadline(c.since.Add(c.limit.in(c.server.limits.Load())))
+}
+
+// Read implements net.Conn. A wait that began under a shorter limit goes on when it is over.
+//
+// The deadline was set when the wait began. Closed on it, a connection would end while its
+// caller, who knows the longer limit, may be sending: the request gets no answer. A limit that
+// was shortened meanwhile applies from the next wait on.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitOn() {
+			c.note(n, err)
+			return n, err
+		}
+	}
+}
+
+// note keeps what a read tells of the present request.
+func (c *conn) note(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.phase == waiting {
+		c.phase, c.firstByte = reading, time.Now()
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.limitHit = c.limit != noLimit
+	case err != nil && c.readErr == nil && !errors.Is(err, net.ErrClosed):
+		c.readErr = err
+	}
+}
+
+// waitOn sets the read deadline again if the limit in force leaves time.
+func (c *conn) waitOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit == noLimit {
+		return false
+	}
+	deadline := c.since.Add(c.limit.in(c.server.limits.Load()))
+	return time.Now().Before(deadline) && c.Conn.SetReadDeadline(deadline) == nil
+}
+
+// Write implements net.Conn. What net/http writes before a handler has the request is its own
+// refusal of a malformed one.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.phase == reading {
+		c.phase = answered
+	}
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	reason, q, since := c.unanswered(), c.request, c.firstByte
+	c.phase = answered
+	c.mu.Unlock()
+	if reason != "" {
+		c.server.report.closedUnanswered(c, reason, q.name(), since)
+	}
+	return c.Conn.Close()
+}
+
+// unanswered tells why a connection that is closed now leaves a request without its answer,
+// empty if it leaves none or the caller ended it.
+func (c *conn) unanswered() closeReason {
+	switch {
+	case c.phase == failed:
+		return closedByPanic
+	case c.readErr != nil:
+		return ""
+	case c.phase == reading && c.limitHit:
+		return closedByLimit
+	case c.phase == reading || c.phase == handling:
+		return closedByStop
+	}
+	return ""
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -7,39 +7,18 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
 )
 
-const (
-	// markIdle and markHeader are the fixed time limits given to net/http, which
-	// reads them without synchronisation. They are never waited for: each tells
-	// conn which of the limits in force it stands for.
-	//
-	// A handler's own deadline comes to conn by the same call and must not be taken for
-	// one of them, or a body's time would be cut to the idle or header limit. So they lie
-	// decades beyond the time of any request, and yet below the 292 years that a
-	// time.Duration holds. The year that conn allows for is for a process that was paused
-	// between net/http's look at the clock and its own.
-	markIdle   = 200 * year
-	markHeader = 100 * year
-	year       = 365 * 24 * time.Hour
-	// unsetIdle and unsetHeader apply while no limit is in force.
-	unsetIdle   = 2 * time.Hour
-	unsetHeader = time.Hour
-	// hardHeaderBytes bounds a header while it is read; the limit in force is
-	// checked when it is whole.
-	hardHeaderBytes = 1 << 20
-	// slack above the callers' own idle limit keeps this side from closing at the
-	// moment when a caller sends.
-	slack = time.Second
-)
+// hardHeaderBytes bounds a header while it is read; the limit in force is
+// checked when it is whole.
+const hardHeaderBytes = 1 << 20
 
 // Server serves one address.
 type Server struct {
@@ -50,17 +29,19 @@
 	cut context.CancelCauseFunc
 	// underway counts the handlers that have not returned.
 	underway atomic.Int64
+	report   *reporter
 }
 
 // New returns a server; handler gets every request.
-func New(handler http.Handler) *Server {
-	s := &Server{}
+func New(handler http.Handler, log *zap.Logger, registry metrics.Registry) *Server {
+	s := &Server{report: newReporter(log, registry)}
 	s.limits.Store(&routes.Limits{})
 	hard, cut := context.WithCancelCause(context.Background())
 	s.cut = cut
 	s.http = &http.Server{
 		Handler: s.closing(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: hardHeaderBytes,
-		ErrorLog:    nil,
+		ErrorLog:    s.report.errorLog(),
+		ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return hard },
 	}
 	return s
@@ -70,7 +51,10 @@
 func (s *Server) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.underway.Add(1)
-		defer s.underway.Add(-1)
+		q := &request{conn: connOf(r.Context())}
+		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, q))
+		q.conn.begin(q)
+		defer func() { s.handled(q, r, recover()) }()
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -130,82 +114,3 @@
 	}
 	return &conn{Conn: c, server: l.server}, nil
 }
-
-// conn puts the limits in force in place of the marks.
-type conn struct {
-	net.Conn
-	server *Server
-
-	// mu orders the deadlines that net/http sets and those that Read sets again: it ends a
-	// read that is underway by a deadline in the past, which must stand.
-	mu sync.Mutex
-	// limit is the one that the read deadline stands for, since its wait began; nil for a
-	// deadline of another kind.
-	limit func(*routes.Limits) time.Duration
-	since time.Time
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.limit = limitMarked(t)
-	if c.limit == nil {
-		return c.Conn.SetReadDeadline(t)
-	}
-	c.since = time.Now()
-	return c.Conn.SetReadDeadline(c.since.Add(c.limit(c.server.limits.Load())))
-}
-
-// limitMarked returns the limit that a deadline marks, nil if it is none of the marks.
-func limitMarked(t time.Time) func(*routes.Limits) time.Duration {
-	if t.IsZero() {
-		return nil
-	}
-	switch left := time.Until(t); {
-	case left > markIdle-year:
-		return idleLimit
-	case left > markHeader-year:
-		return headerLimit
-	}
-	return nil
-}
-
-// Read implements net.Conn. A wait that began under a shorter limit goes on when it is over.
-//
-// The deadline was set when the wait began. Closed on it, a connection would end while its
-// caller, who knows the longer limit, may be sending: the request gets no answer. A limit that
-// was shortened meanwhile applies from the next wait on.
-func (c *conn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitOn() {
-			return n, err
-		}
-	}
-}
-
-// waitOn sets the read deadline again if the limit in force leaves time.
-func (c *conn) waitOn() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.limit == nil {
-		return false
-	}
-	deadline := c.since.Add(c.limit(c.server.limits.Load()))
-	return time.Now().Before(deadline) && c.Conn.SetReadDeadline(deadline) == nil
-}
-
-func idleLimit(l *routes.Limits) time.Duration {
-	if l.IdleTimeout <= 0 {
-		return unsetIdle
-	}
-	return l.IdleTimeout + slack
-}
-
-func headerLimit(l *routes.Limits) time.Duration {
-	if l.HeaderTimeout <= 0 {
-		return unsetHeader
-	}
-	return l.HeaderTimeout
-}
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -12,6 +12,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
 	"limpetwall/internal/state/routes"
 )
 
@@ -49,7 +52,7 @@
 // serving runs a test against a server whose handler waits until told to go on.
 func serving(t *testing.T, handler http.Handler, test func(s *Server, p *pipes)) {
 	synctest.Test(t, func(t *testing.T) {
-		s, p := New(handler), newPipes()
+		s, p := New(handler, zap.NewNop(), metrics.NewRegistry()), newPipes()
 		done := make(chan error, 1)
 		go func() { done <- s.Serve(p) }()
 		test(s, p)
--- /dev/null
+++ b/internal/transport/ingress/report.go
@@ -0,0 +1,138 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+)
+
+// closeReason tells why this process closed a connection whose request it had not answered.
+type closeReason string
+
+const (
+	closedByStop  closeReason = "stop"
+	closedByLimit closeReason = "limit"
+	closedByPanic closeReason = "panic"
+)
+
+// linesPerSecond bounds the log lines that callers can bring about; all are counted.
+const linesPerSecond = 20
+
+// reporter logs and counts what goes wrong on callers' connections.
+type reporter struct {
+	log     *zap.Logger
+	metrics metrics.Registry
+	lines   *rate.Limiter
+}
+
+func newReporter(log *zap.Logger, registry metrics.Registry) *reporter {
+	return &reporter{log: log, metrics: registry, lines: rate.NewLimiter(linesPerSecond, linesPerSecond)}
+}
+
+func (p *reporter) count(name string) {
+	metrics.GetOrRegisterCounter("ingress."+name, p.metrics).Inc(1)
+}
+
+// Write takes a line of net/http's own log.
+func (p *reporter) Write(line []byte) (int, error) {
+	p.count("server_errors")
+	if p.lines.Allow() {
+		p.log.Warn("http server", zap.String("error", strings.TrimSpace(string(line))))
+	}
+	return len(line), nil
+}
+
+func (p *reporter) errorLog() *log.Logger { return log.New(p, "", 0) }
+
+func (p *reporter) panicked(requestID string, r *http.Request, value any) {
+	p.count("panics")
+	p.log.Error("panic in a handler", zap.String("request_id", requestID), zap.String("method", r.Method),
+		zap.String("path", r.URL.Path), zap.Any("panic", value), zap.ByteString("stack", debug.Stack()))
+}
+
+func (p *reporter) closedUnanswered(c *conn, reason closeReason, requestID string, since time.Time) {
+	p.count("closed_unanswered." + string(reason))
+	if p.lines.Allow() {
+		p.log.Warn("connection closed before its request was answered", zap.String("reason", string(reason)),
+			zap.String("request_id", requestID), zap.Stringer("caller", c.RemoteAddr()), zap.Duration("since_first_byte", time.Since(since)))
+	}
+}
+
+type (
+	connKey    struct{}
+	requestKey struct{}
+)
+
+// request is one that a handler has.
+type request struct {
+	conn *conn
+	id   atomic.Pointer[string]
+}
+
+// name returns the request's id, empty before its handler has told it.
+func (q *request) name() string {
+	if q == nil || q.id.Load() == nil {
+		return ""
+	}
+	return *q.id.Load()
+}
+
+// NameRequest tells the id by which this package's log lines name the request of a context.
+func NameRequest(ctx context.Context, id string) {
+	if q, ok := ctx.Value(requestKey{}).(*request); ok {
+		q.id.Store(&id)
+	}
+}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func connOf(ctx context.Context) *conn { return ctx.Value(connKey{}).(*conn) }
+
+// CallerEnd tells by what the caller of a context's request counts as having left; it is empty
+// while nothing tells so.
+func CallerEnd(ctx context.Context) string {
+	q, ok := ctx.Value(requestKey{}).(*request)
+	if !ok {
+		return ""
+	}
+	return q.conn.callerEnd()
+}
+
+func (c *conn) callerEnd() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.readErr == nil:
+		return ""
+	case errors.Is(c.readErr, io.EOF):
+		return "end of its sending side"
+	}
+	return "read error: " + c.readErr.Error()
+}
+
+// handled tells of a handler's end; panicked is what it panicked with, nil if it returned.
+func (s *Server) handled(q *request, r *http.Request, panicked any) {
+	defer s.underway.Add(-1)
+	if panicked == nil || panicked == http.ErrAbortHandler {
+		q.conn.end(answered)
+	} else {
+		s.report.panicked(q.name(), r, panicked)
+		q.conn.end(failed)
+	}
+	if panicked != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/transport/ingress/report_test.go
@@ -0,0 +1,183 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"limpetwall/internal/state/routes"
+)
+
+// observed serves like serving, and returns the log and the counters.
+func observed(t *testing.T, handler http.Handler, test func(s *Server, p *pipes)) (*observer.ObservedLogs, metrics.Registry) {
+	core, lines := observer.New(zap.InfoLevel)
+	registry := metrics.NewRegistry()
+	serving(t, handler, func(s *Server, p *pipes) {
+		s.report.log, s.report.metrics = zap.New(core), registry
+		test(s, p)
+	})
+	return lines, registry
+}
+
+func counted(registry metrics.Registry, name string) int64 {
+	return metrics.GetOrRegisterCounter(name, registry).Count()
+}
+
+// TestClosedUnanswered guards against connections that this process closes on a request without
+// a word: only those that it closed itself may be told of, each with its reason.
+func TestClosedUnanswered(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	rows := []struct {
+		name, sent string
+		do         func(r *http.Request)
+		// act ends the connection; nil leaves that to the server.
+		act       func(s *Server, c net.Conn)
+		reason    closeReason
+		requestID string
+	}{
+		{"answered", request, nil, func(s *Server, c net.Conn) { c.Close() }, "", ""},
+		{"idle at a stop", request, nil, func(s *Server, c net.Conn) { s.Close() }, "", ""},
+		{"never used at a stop", "", nil, func(s *Server, c net.Conn) { s.Close() }, "", ""},
+		{"the caller leaves within a header", request[:20], nil, func(s *Server, c net.Conn) { c.Close() }, "", ""},
+		{"the caller leaves a handler", request, func(r *http.Request) { <-r.Context().Done() }, func(s *Server, c net.Conn) { c.Close() }, "", ""},
+		{"the handler breaks off", request, func(*http.Request) { panic(http.ErrAbortHandler) }, nil, "", ""},
+		{"malformed", "GET\r\n\r\n", nil, nil, "", ""},
+		{"closed within a header", request[:20], nil, func(s *Server, c net.Conn) { s.Close() }, closedByStop, ""},
+		{"closed under a handler", request, func(r *http.Request) { <-r.Context().Done() }, func(s *Server, c net.Conn) { s.Close() }, closedByStop, "id-1"},
+		{"the header's time is over", request[:16], nil, func(s *Server, c net.Conn) { time.Sleep(4 * time.Second) }, closedByLimit, ""},
+		{"panic", request, func(*http.Request) { panic("oops") }, nil, closedByPanic, "id-1"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				NameRequest(r.Context(), "id-1")
+				if row.do != nil {
+					row.do(r)
+				}
+			})
+			lines, registry := observed(t, handler, func(s *Server, p *pipes) {
+				s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 3 * time.Second})
+				c := p.dial()
+				go io.Copy(io.Discard, c)
+				io.WriteString(c, row.sent)
+				synctest.Wait()
+				if row.act != nil {
+					row.act(s, c)
+				}
+				synctest.Wait()
+			})
+			told := lines.FilterMessage("connection closed before its request was answered").All()
+			if row.reason == "" {
+				if len(told) != 0 {
+					t.Errorf("told %v", told[0].ContextMap())
+				}
+				return
+			}
+			if len(told) != 1 || told[0].ContextMap()["reason"] != string(row.reason) || told[0].ContextMap()["request_id"] != row.requestID {
+				t.Errorf("told %v", told)
+			}
+			if n := counted(registry, "ingress.closed_unanswered."+string(row.reason)); n != 1 {
+				t.Errorf("counted %d", n)
+			}
+		})
+	}
+}
+
+// TestPanicIsLogged guards against a handler's panic that net/http writes to the standard logger
+// alone: its line must name the request and where it panicked.
+func TestPanicIsLogged(t *testing.T) {
+	lines, registry := observed(t, http.HandlerFunc(panics), func(s *Server, p *pipes) {
+		c := p.dial()
+		io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		io.Copy(io.Discard, c)
+	})
+	told := lines.FilterMessage("panic in a handler").All()
+	if len(told) != 1 || counted(registry, "ingress.panics") != 1 {
+		t.Fatalf("%v", lines.All())
+	}
+	fields := told[0].ContextMap()
+	stack, _ := fields["stack"].(string)
+	if fields["request_id"] != "id-1" || fields["path"] != "/a" || fields["panic"] != "oops" || !strings.Contains(stack, "ingress.panics") {
+		t.Errorf("%v", fields)
+	}
+}
+
+func panics(_ http.ResponseWriter, r *http.Request) {
+	NameRequest(r.Context(), "id-1")
+	panic("oops")
+}
+
+// TestServerErrorsAreBounded guards against a log that callers fill: net/http's own lines beyond
+// the bound are counted only.
+func TestServerErrorsAreBounded(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	registry := metrics.NewRegistry()
+	log := newReporter(zap.New(core), registry).errorLog()
+	for range 10 * linesPerSecond {
+		log.Print("http: TLS handshake error")
+	}
+	if n := lines.FilterMessage("http server").Len(); n < linesPerSecond || n >= 2*linesPerSecond {
+		t.Errorf("%d lines", n)
+	}
+	if n := counted(registry, "ingress.server_errors"); n != 10*linesPerSecond {
+		t.Errorf("counted %d", n)
+	}
+}
+
+// TestCallerEnd guards against callers that count as gone with nobody knowing why.
+func TestCallerEnd(t *testing.T) {
+	rows := []struct {
+		name string
+		err  error
+		want string
+	}{
+		{"sending side closed", io.EOF, "end of its sending side"},
+		{"reset", io.ErrClosedPipe, "read error: " + io.ErrClosedPipe.Error()},
+		{"closed here", net.ErrClosed, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			got := make(chan string, 1)
+			handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+				got <- CallerEnd(r.Context())
+			})
+			serving(t, handler, func(_ *Server, p *pipes) {
+				mine, theirs := net.Pipe()
+				p.conns <- &endingConn{Conn: theirs, err: row.err}
+				io.WriteString(mine, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				synctest.Wait()
+				mine.Close()
+				if end := <-got; end != row.want {
+					t.Errorf("%q, want %q", end, row.want)
+				}
+			})
+		})
+	}
+	if end := CallerEnd(context.Background()); end != "" {
+		t.Errorf("%q of no request", end)
+	}
+}
+
+// endingConn ends with an error of the test's.
+type endingConn struct {
+	net.Conn
+	err error
+}
+
+func (c *endingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		err = c.err
+	}
+	return n, err
+}
