--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -49,10 +49,14 @@
 	return mine
 }
 
+func newServer(handler http.Handler) *Server {
+	return New(handler, zap.NewNop(), metrics.NewRegistry())
+}
+
 // serving runs a test against a server whose handler waits until told to go on.
 func serving(t *testing.T, handler http.Handler, test func(s *Server, p *pipes)) {
 	synctest.Test(t, func(t *testing.T) {
-		s, p := New(handler, zap.NewNop(), metrics.NewRegistry()), newPipes()
+		s, p := newServer(handler), newPipes()
 		done := make(chan error, 1)
 		go func() { done <- s.Serve(p) }()
 		test(s, p)
--- /dev/null
+++ b/internal/transport/ingress/stop_test.go
@@ -0,0 +1,182 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"limpetwall/internal/state/routes"
+)
+
+// stopped runs a stop beside a test and fails it when the stop does.
+func stopped(t *testing.T, s *Server) (wait func()) {
+	done := make(chan error, 1)
+	go func() { done <- s.Stop(context.Background()) }()
+	synctest.Wait()
+	return func() {
+		t.Helper()
+		if err := <-done; err != nil {
+			t.Errorf("the stop ended with %v", err)
+		}
+	}
+}
+
+// wantLast reads an answer that must be whole and the last of its connection.
+func wantLast(t *testing.T, r *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Errorf("the caller got %v", err)
+		return
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != "ok" || resp.StatusCode != http.StatusOK {
+		t.Errorf("the caller got %d, %q, %v", resp.StatusCode, body, err)
+	}
+	if !resp.Close {
+		t.Error("the caller is not told that its connection ends")
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection stays open: %v", err)
+	}
+}
+
+// TestStopAnswersWhatItReads guards against a stop that closes a connection from which a part of
+// a request, or all of it, was read.
+func TestStopAnswersWhatItReads(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	rows := []struct {
+		name string
+		// used connections have had a request before.
+		used bool
+		// before and after the stop begins are sent.
+		before, after string
+		wait          time.Duration
+	}{
+		{"the first request of a new connection", false, "", request, 0},
+		{"the same, seconds later", false, "", request, 4 * time.Second},
+		{"the rest of a first header", false, request[:20], request[20:], 0},
+		{"the same, seconds later", false, request[:20], request[20:], 7 * time.Second},
+		{"the rest of a later header", true, request[:20], request[20:], 0},
+		{"the same, seconds later", true, request[:20], request[20:], 7 * time.Second},
+		{"the rest of a later method", true, request[:2], request[2:], 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			serving(t, ok, func(s *Server, p *pipes) {
+				s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 10 * time.Second})
+				c := p.dial()
+				defer c.Close()
+				r := bufio.NewReader(c)
+				if row.used {
+					get(t, c, r)
+				}
+				io.WriteString(c, row.before)
+				synctest.Wait()
+				wait := stopped(t, s)
+				time.Sleep(row.wait)
+				io.WriteString(c, row.after)
+				wantLast(t, r)
+				wait()
+			})
+		})
+	}
+}
+
+// TestStopBetweenReadAndParse guards against a stop that takes a connection for idle while
+// net/http has bytes of a request that it has not parsed.
+func TestStopBetweenReadAndParse(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		mine, theirs := net.Pipe()
+		gate := &gatedConn{Conn: theirs, reached: make(chan struct{}), open: make(chan struct{})}
+		p.conns <- gate
+		r := bufio.NewReader(mine)
+		get(t, mine, r)
+		synctest.Wait()
+		gate.armed.Store(true)
+		io.WriteString(mine, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-gate.reached
+		wait := stopped(t, s)
+		close(gate.open)
+		wantLast(t, r)
+		wait()
+	})
+}
+
+// gatedConn holds up the first read that has taken bytes once it is armed.
+type gatedConn struct {
+	net.Conn
+	armed         atomic.Bool
+	reached, open chan struct{}
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.armed.CompareAndSwap(true, false) {
+		close(c.reached)
+		<-c.open
+	}
+	return n, err
+}
+
+// TestStopReadsWhatHasArrived guards against a stop that resets an idle connection on a request
+// that lies unread in its receive buffer.
+func TestStopReadsWhatHasArrived(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		mine, theirs := net.Pipe()
+		slow := &lateConn{Conn: theirs}
+		p.conns <- slow
+		r := bufio.NewReader(mine)
+		get(t, mine, r)
+		synctest.Wait()
+		// The bytes are there, but the read that waits has not taken them.
+		slow.arrive("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		wait := stopped(t, s)
+		wantLast(t, r)
+		wait()
+	})
+}
+
+// lateConn hands out bytes that have arrived to reads that begin after that, and only then.
+type lateConn struct {
+	net.Conn
+	mu      sync.Mutex
+	arrived []byte
+	passed  bool
+}
+
+func (c *lateConn) arrive(bytes string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrived = []byte(bytes)
+}
+
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.passed = !t.IsZero() && !time.Now().Before(t)
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.arrived) > 0 {
+		defer c.mu.Unlock()
+		if c.passed {
+			return 0, os.ErrDeadlineExceeded
+		}
+		n := copy(b, c.arrived)
+		c.arrived = c.arrived[n:]
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(b)
+}
