Callers' connections: a stop answers every request of which it has read a byte

What callers saw: a connection closed without an answer, beside a stop. http.Server.Shutdown closes connections that net/http counts as idle, which it does until a whole header is parsed, and from then on net/http drops each request that it has read and closes its connection (server.go, "shuttingDown" behind readRequest). Lost were a request whose header was half read, the first request of a connection accepted just before, and one that was read but not parsed. Such a request never reached a handler: contrary to what was suspected it was not passed on to an endpoint. Lost, too, were bytes in the receive buffer of an idle connection, and connections in the listener's queue, which were reset.

The limits had the same fault: a deadline that is over ends a read before it looks at the bytes that came in time, in a process that was held up; and the idle limit closed connections behind a request's first bytes.

Now a stop or limit ends a read, never a connection. net/http, which alone knows whether it holds bytes of a request, closes or goes on, so no state can be older than the decision. Each wait ends with a read of its own (lastLook, within the limit). A new connection has 5 s for its first request, as net/http gave it and then dropped the request. Answers whose head is written after the stop began say that their connection ends.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -315,7 +315,7 @@
 		return nil
 	}
 	if limit > 0 {
-		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
+		x.r.Body = ingress.MaxBytesReader(x.w, x.r.Body, limit)
 	}
 	control := http.NewResponseController(x.w)
 	control.SetReadDeadline(x.deadline)
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -30,6 +30,14 @@
 	// slack above the callers' own idle limit keeps this side from closing at the
 	// moment when a caller sends.
 	slack = time.Second
+	// lastLook is the end of a wait, for a read of its own. A process that was held up finds the
+	// deadline over before it looks at the bytes that came in time.
+	lastLook = 50 * time.Millisecond
+	// maxLooks bounds the reads beyond a limit, for callers whose bytes never end.
+	maxLooks = 256
+	// newConnWait is the time that a new connection's first request has once the server stops:
+	// its caller can't know yet that it should go elsewhere.
+	newConnWait = 5 * time.Second
 )
 
 // limit is a time limit whose length a configuration sets.
@@ -84,7 +92,10 @@
 	failed
 )
 
-// conn puts the limits in force in place of the marks.
+// conn puts the limits in force in place of the marks, and ends the waits of a server that stops.
+//
+// Invariant: nothing but Server.Close closes a connection under a request. A limit or a stop ends
+// a read, and net/http, which alone knows whether it holds bytes of a request, closes or goes on.
 type conn struct {
 	net.Conn
 	server *Server
@@ -95,8 +106,15 @@
 	// limit is the one that the read deadline stands for, since its wait began.
 	limit limit
 	since time.Time
+	// looking tells that the wait is at its last look, looks counts those that found bytes.
+	looking bool
+	looks   int
 
 	phase phase
+	// used tells that the connection has had a request.
+	used bool
+	// drained is when the server's stop came to the connection, zero before.
+	drained time.Time
 	// firstByte is when the present request's first byte came.
 	firstByte time.Time
 	// request is the present one, nil before its header is read.
@@ -126,14 +144,48 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.limit = limitMarked(t)
-	if c.limit == idleLimit {
-		c.phase, c.request = waiting, nil
-	}
-	if c.limit == noLimit {
+	switch {
+	case c.limit == noLimit:
 		return c.Conn.SetReadDeadline(t)
+	case c.limit == idleLimit:
+		c.phase, c.request, c.used = waiting, nil, true
+	case c.used && c.phase == waiting:
+		// The next request's first bytes came with the one before.
+		c.phase, c.firstByte = reading, time.Now()
+	}
+	return c.beginWait()
+}
+
+// beginWait begins a wait under c.limit.
+func (c *conn) beginWait() error {
+	c.since, c.looking, c.looks = time.Now(), false, 0
+	return c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
+}
+
+// waitEnd is when the present wait ends.
+func (c *conn) waitEnd() time.Time {
+	end := c.since.Add(c.limit.in(c.server.limits.Load()))
+	if c.phase != waiting || c.drained.IsZero() {
+		return end
+	}
+	stop := c.drained.Add(lastLook)
+	if first := c.since.Add(newConnWait); !c.used && first.After(stop) {
+		stop = first
+	}
+	if stop.Before(end) {
+		return stop
+	}
+	return end
+}
+
+// drain ends the wait for a request; one of which a byte was read is not touched.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drained = time.Now()
+	if c.limit != noLimit {
+		c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
 	}
-	c.since = time.Now()
-	return c.Conn.SetReadDeadline(c.since.Add(c.limit.in(c.server.limits.Load())))
 }
 
 // Read implements net.Conn. A wait that began under a shorter limit goes on when it is over.
@@ -144,10 +196,11 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitOn() {
-			c.note(n, err)
-			return n, err
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waitOn() {
+			continue
 		}
+		c.note(n, err)
+		return n, err
 	}
 }
 
@@ -155,8 +208,15 @@
 func (c *conn) note(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 {
+		c.looking = false
+	}
 	if n > 0 && c.phase == waiting {
 		c.phase, c.firstByte = reading, time.Now()
+		if c.limit == idleLimit {
+			c.limit = headerLimit
+			c.beginWait()
+		}
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -166,15 +226,27 @@
 	}
 }
 
-// waitOn sets the read deadline again if the limit in force leaves time.
+// waitOn sets the read deadline again if the limit in force leaves time, or else for a last look.
 func (c *conn) waitOn() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.limit == noLimit {
 		return false
 	}
-	deadline := c.since.Add(c.limit.in(c.server.limits.Load()))
-	return time.Now().Before(deadline) && c.Conn.SetReadDeadline(deadline) == nil
+	now, end := time.Now(), c.waitEnd()
+	if look := end.Add(-lastLook); now.Before(look) {
+		c.looking = false
+		return c.Conn.SetReadDeadline(look) == nil
+	}
+	if c.looking || c.looks >= maxLooks {
+		return false
+	}
+	c.looking = true
+	c.looks++
+	if least := now.Add(lastLook); end.Before(least) {
+		end = least
+	}
+	return c.Conn.SetReadDeadline(end) == nil
 }
 
 // Write implements net.Conn. What net/http writes before a handler has the request is its own
@@ -190,6 +262,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.server.remove(c)
 	c.mu.Lock()
 	reason, q, since := c.unanswered(), c.request, c.firstByte
 	c.phase = answered
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,24 +25,35 @@
 
 // Server serves one address.
 type Server struct {
-	http     *http.Server
-	limits   atomic.Pointer[routes.Limits]
-	stopping atomic.Bool
+	http   *http.Server
+	limits atomic.Pointer[routes.Limits]
+	// stopKeeping makes answers the last of their connections.
+	stopKeeping atomic.Bool
 	// cut ends the contexts of all requests with a cause.
 	cut context.CancelCauseFunc
 	// underway counts the handlers that have not returned.
 	underway atomic.Int64
 	report   *reporter
+
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	listeners map[*listener]struct{}
+	// draining tells that a stop has begun; drained is closed when it has no connection left.
+	draining bool
+	drained  chan struct{}
 }
 
 // New returns a server; handler gets every request.
 func New(handler http.Handler, log *zap.Logger, registry metrics.Registry) *Server {
-	s := &Server{report: newReporter(log, registry)}
+	s := &Server{
+		report: newReporter(log, registry), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{},
+		drained: make(chan struct{}),
+	}
 	s.limits.Store(&routes.Limits{})
 	hard, cut := context.WithCancelCause(context.Background())
 	s.cut = cut
 	s.http = &http.Server{
-		Handler: s.closing(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: hardHeaderBytes,
+		Handler: s.handle(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: hardHeaderBytes,
 		ErrorLog:    s.report.errorLog(),
 		ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return hard },
@@ -47,18 +61,18 @@
 	return s
 }
 
-// closing asks callers to open a new connection, elsewhere, once the server stops.
-func (s *Server) closing(next http.Handler) http.Handler {
+// handle keeps account of a request, and asks its caller to open a new connection, elsewhere, once
+// the server stops.
+func (s *Server) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.underway.Add(1)
 		q := &request{conn: connOf(r.Context())}
 		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, q))
 		q.conn.begin(q)
 		defer func() { s.handled(q, r, recover()) }()
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		out := &headWriter{ResponseWriter: w, server: s, http1: r.ProtoMajor == 1}
+		next.ServeHTTP(out, r)
+		out.beforeHead()
 	})
 }
 
@@ -66,14 +80,109 @@
 func (s *Server) SetLimits(l routes.Limits) { s.limits.Store(&l) }
 
 // Serve accepts connections until Stop; it returns http.ErrServerClosed then.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l, s}) }
+func (s *Server) Serve(l net.Listener) error {
+	inner := &listener{Listener: l, server: s}
+	if !s.addListener(inner) {
+		l.Close()
+		return http.ErrServerClosed
+	}
+	defer s.removeListener(inner)
+	return s.http.Serve(inner)
+}
 
 // StopKeeping makes every further answer the last of its connection.
-func (s *Server) StopKeeping() { s.stopping.Store(true) }
+func (s *Server) StopKeeping() { s.stopKeeping.Store(true) }
+
+// Stop closes the listener and the connections that wait for a request. It answers every request
+// of which a byte was read, and those of new connections that send one soon, until ctx ends.
+//
+// http.Server.Shutdown is no part of it: that closes connections while it reads their requests,
+// and drops requests that it has read.
+func (s *Server) Stop(ctx context.Context) error {
+	s.StopKeeping()
+	for _, c := range s.beginDrain() {
+		c.drain()
+	}
+	return s.waitDrained(ctx)
+}
+
+// beginDrain stops the listeners and returns the open connections. Those that are accepted later
+// are born draining.
+func (s *Server) beginDrain() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for l := range s.listeners {
+		l.stop()
+	}
+	s.checkDrained()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+func (s *Server) waitDrained(ctx context.Context) error {
+	select {
+	case <-s.drained:
+		return nil
+	default:
+	}
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// checkDrained closes s.drained once a stop has nothing left; s.mu is held.
+func (s *Server) checkDrained() {
+	if !s.draining || len(s.conns) > 0 || len(s.listeners) > 0 {
+		return
+	}
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
+	}
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	if s.draining {
+		c.drained = time.Now()
+	}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.checkDrained()
+}
 
-// Stop closes the listener and idle connections and waits for requests underway
-// until ctx ends.
-func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) addListener(l *listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) removeListener(l *listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+	s.checkDrained()
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
 
 // Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
 // caller that has left, and waits until ctx ends for their last answers. Stop comes before.
@@ -82,7 +191,7 @@
 // answer and get the connection's end.
 func (s *Server) Cut(ctx context.Context, cause error) error {
 	s.cut(cause)
-	return s.http.Shutdown(ctx)
+	return s.waitDrained(ctx)
 }
 
 const (
@@ -91,7 +200,7 @@
 	closePoll = 2 * time.Millisecond
 )
 
-// Close ends all connections at once. What handlers do after their answers, such as logging,
+// Close ends the listeners and all connections at once. What handlers do after their answers, such as logging,
 // is done when it returns, unless that takes longer than closeWait. It polls, as Shutdown does.
 func (s *Server) Close() error {
 	err := s.http.Close()
@@ -104,13 +213,34 @@
 type listener struct {
 	net.Listener
 	server *Server
+	closed sync.Once
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	err := net.ErrClosed
+	l.closed.Do(func() { err = l.Listener.Close() })
+	return err
 }
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
 	if err != nil {
+		if l.server.isDraining() {
+			return nil, http.ErrServerClosed
+		}
 		return nil, err
 	}
-	return &conn{Conn: c, server: l.server}, nil
+	c := &conn{Conn: inner, server: l.server}
+	l.server.add(c)
+	return c, nil
+}
+
+// stop lets the listener accept what the kernel has opened for callers, which a close would reset.
+func (l *listener) stop() {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(lastLook)) == nil {
+		return
+	}
+	l.Close()
 }
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -180,3 +180,136 @@
 	c.mu.Unlock()
 	return c.Conn.Read(b)
 }
+
+// TestLimitReadsWhatHasArrived guards against a limit that closes a connection on bytes that came
+// within it, because the process looked late.
+func TestLimitReadsWhatHasArrived(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	rows := []struct{ name, before, arrived, rest string }{
+		{"a request, at the idle limit", request, request, ""},
+		{"its first byte, at the idle limit", request, request[:1], request[1:]},
+		{"the rest of a first header, at its limit", request[:20], request[20:], ""},
+		{"the rest of a later header, at its limit", request + request[:20], request[20:], ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			serving(t, ok, func(s *Server, p *pipes) {
+				s.SetLimits(routes.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: 5 * time.Second})
+				mine, theirs := net.Pipe()
+				slow := &lateConn{Conn: theirs}
+				p.conns <- slow
+				r := bufio.NewReader(mine)
+				go io.WriteString(mine, row.before)
+				if len(row.before) >= len(request) {
+					if resp, err := http.ReadResponse(r, nil); err != nil || resp.Close {
+						t.Fatal(resp, err)
+					}
+					r.Discard(len("ok"))
+				}
+				synctest.Wait()
+				slow.arrive(row.arrived)
+				time.Sleep(5*time.Second + slack)
+				io.WriteString(mine, row.rest)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("the caller got %v, %v", resp, err)
+				}
+				mine.Close()
+			})
+		})
+	}
+}
+
+// TestStopEndsWaits guards against a stop that waits for callers that send nothing.
+func TestStopEndsWaits(t *testing.T) {
+	rows := []struct {
+		name string
+		used bool
+		sent string
+		// since the connection was opened.
+		since time.Duration
+		most  time.Duration
+	}{
+		{"idle", true, "", 0, time.Second},
+		{"new", false, "", 0, newConnWait},
+		{"opened long ago and never used", false, "", time.Minute, time.Second},
+		{"a header that does not come", true, "GET / HTTP/1.1\r\n", 0, 10 * time.Second},
+		{"a method that does not come", true, "GE", 0, 10 * time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			serving(t, ok, func(s *Server, p *pipes) {
+				s.SetLimits(routes.Limits{IdleTimeout: time.Hour, HeaderTimeout: 10 * time.Second})
+				if row.since > 0 {
+					s.SetLimits(routes.Limits{IdleTimeout: time.Hour})
+				}
+				c := p.dial()
+				defer c.Close()
+				r := bufio.NewReader(c)
+				if row.used {
+					get(t, c, r)
+				}
+				io.WriteString(c, row.sent)
+				time.Sleep(row.since)
+				synctest.Wait()
+				go io.Copy(io.Discard, r)
+				began := time.Now()
+				stopped(t, s)()
+				if took := time.Since(began); took > row.most {
+					t.Errorf("the stop took %s", took)
+				}
+			})
+		})
+	}
+}
+
+// TestStopAcceptsWhatIsQueued guards against a stop that resets connections which the kernel has
+// opened for callers and that were not accepted yet.
+func TestStopAcceptsWhatIsQueued(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newServer(ok)
+	held := &heldListener{TCPListener: l.(*net.TCPListener), stopped: make(chan struct{})}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(held) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	done := make(chan error, 1)
+	go func() { done <- s.Stop(context.Background()) }()
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	wantLast(t, bufio.NewReader(c))
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != http.ErrServerClosed {
+		t.Error(err)
+	}
+}
+
+// heldListener accepts nothing until it is stopped.
+type heldListener struct {
+	*net.TCPListener
+	once    sync.Once
+	stopped chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.stopped
+	return l.TCPListener.Accept()
+}
+
+func (l *heldListener) SetDeadline(t time.Time) error {
+	defer l.once.Do(func() { close(l.stopped) })
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *heldListener) Close() error {
+	defer l.once.Do(func() { close(l.stopped) })
+	return l.TCPListener.Close()
+}
