Signals: a SIGTERM is not lost behind SIGHUPs

SIGTERM and SIGHUP shared a channel of two, and os/signal drops what finds its channel full. Two SIGHUPs that nobody had read yet, in a process that was starting or held up, cost it its SIGTERM: it went on as if nothing had come, and was killed at the end of its time with requests underway, whose callers got the connection's end.

Each kind now has a channel of its own. Reloads that find one waiting join it, as before; both signals to stop always fit. The mains of tests that run the processes take signals by the same function.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -36,7 +37,7 @@
 type Stop struct {
 	Graceful <-chan struct{}
 	Now      <-chan struct{}
-	Reload   <-chan struct{}
+	Reload   <-chan os.Signal
 }
 
 // BaseSettings are common to entries and agents.
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -49,7 +49,7 @@
 		return code
 	}
 	logger := newLogger(s.LogLevel, io)
-	if err := runDev(s, logger, watchSignals(io.Signals), io); err != nil {
+	if err := runDev(s, logger, io.Signals.watch(), io); err != nil {
 		fmt.Fprintln(io.Err, err)
 		return ExitFailed
 	}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -98,7 +98,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(read.MemoryBytes)))
 	out := logging.NewBounded(io.Out, logLines)
 	logger := logging.New(out, level).With(zap.String("host", s.Platform.Host))
-	code := finish(logger, RunGateway(s, logger, watchSignals(io.Signals)))
+	code := finish(logger, RunGateway(s, logger, io.Signals.watch()))
 	logger.Info("stopped", zap.Int("exit", code), zap.Int64("log_lines_dropped", out.Dropped()))
 	out.Close(logFlush)
 	return code
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -4,8 +4,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"syscall"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -40,7 +38,7 @@
 type IO struct {
 	Out, Err io.Writer
 	Env      settings.LookupEnv
-	Signals  <-chan os.Signal
+	Signals  Signals
 }
 
 // Main runs limpetwall and returns its exit code.
@@ -100,29 +98,6 @@
 	return logging.New(io.Err, parsed)
 }
 
-// watchSignals turns the first signal into a graceful stop and the second into
-// an immediate one. SIGHUP, which would end the process, asks for a reload.
-func watchSignals(signals <-chan os.Signal) Stop {
-	graceful, now, reload := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
-	go func() {
-		ends := []chan struct{}{graceful, now}
-		for s := range signals {
-			if s == syscall.SIGHUP {
-				select {
-				case reload <- struct{}{}:
-				default:
-				}
-				continue
-			}
-			close(ends[0])
-			if ends = ends[1:]; len(ends) == 0 {
-				return
-			}
-		}
-	}()
-	return Stop{Graceful: graceful, Now: now, Reload: reload}
-}
-
 func entryMain(args []string, io IO) int {
 	set := settings.New("limpetwall entry")
 	s := BindEntry(set)
@@ -130,7 +105,7 @@
 		return code
 	}
 	logger := newLogger(s.LogLevel, io)
-	return finish(logger, RunEntry(s, logger, watchSignals(io.Signals)))
+	return finish(logger, RunEntry(s, logger, io.Signals.watch()))
 }
 
 func agentMain(args []string, io IO) int {
@@ -140,7 +115,7 @@
 		return code
 	}
 	logger := newLogger(s.LogLevel, io)
-	return finish(logger, RunAgent(s, logger, watchSignals(io.Signals)))
+	return finish(logger, RunAgent(s, logger, io.Signals.watch()))
 }
 
 func finish(logger *zap.Logger, err error) int {
--- /dev/null
+++ b/internal/command/signals_test.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestReloadsDoNotCostTheStop guards against a SIGTERM that is lost behind SIGHUPs which nobody
+// has read yet: the process would be killed at the end of its time with requests underway.
+func TestReloadsDoNotCostTheStop(t *testing.T) {
+	all := make(chan os.Signal, 10)
+	signal.Notify(all, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := NotifySignals()
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
+		// One at a time: the kernel and the runtime join equal signals that are pending.
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+		<-all
+	}
+	stop := signals.watch()
+	select {
+	case <-stop.Graceful:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the stop is lost")
+	}
+	select {
+	case <-stop.Reload:
+	case <-time.After(10 * time.Second):
+		t.Error("the reload is lost")
+	}
+	select {
+	case <-stop.Now:
+		t.Error("a single SIGTERM stops at once")
+	default:
+	}
+}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -124,7 +124,7 @@
 	}
 	defer stopAdmin()
 	fmt.Fprintf(io.Out, "standin %s listen=%s admin=%s\n", args[0], address, adminAddress)
-	<-io.Signals
+	<-io.Signals.Stop
 	return ExitOK
 }
 
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,9 +35,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"limpetwall": func() {
-			signals := make(chan os.Signal, 2)
-			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-			os.Exit(command.Main(os.Args[1:], command.IO{Out: os.Stdout, Err: os.Stderr, Env: os.LookupEnv, Signals: signals}))
+			os.Exit(command.Main(os.Args[1:], command.IO{Out: os.Stdout, Err: os.Stderr, Env: os.LookupEnv, Signals: command.NotifySignals()}))
 		},
 		"limpetctl": func() {
 			os.Exit(operatorcli.Main(os.Args[1:], operatorcli.Surroundings{Out: os.Stdout, Err: os.Stderr, Env: os.LookupEnv}))
