Entry: a stop answers every request of which it has read a byte

The product's own interface stopped by http.Server.Shutdown as well, and lost the same requests as the gateway's: half-read headers and first requests of new connections, over TLS too. It now runs on the gateway's server, so both have one stop, the same limits and the same lines and counters of connections closed on a request; its "left" lines have caller_left_by, its panics become log lines.

HTTP/2 is served under an http.Server of its own that owns no listener. Its Shutdown sends GOAWAY as before, which that of the server for HTTP/1.1 can't without dropping requests. It is sent again each second, for connections whose handshake was underway; such a connection had got no GOAWAY and held the stop up. While the balancer is given time to see readiness fall, answers of HTTP/1.1 now say that their connection ends, as the gateway's do.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +21,8 @@
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/finding"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/settings"
 	"limpetwall/internal/transport/tlsfiles"
 )
@@ -102,12 +103,9 @@
 	if err != nil {
 		return errors.Annotate(err, "-listen")
 	}
-	hard, cut := context.WithCancelCause(context.Background())
-	defer cut(nil)
-	server := &http.Server{
-		Handler: e.Handler(), ReadHeaderTimeout: s.ReadHeaderTimeout, MaxHeaderBytes: s.MaxHeader,
-		BaseContext: func(net.Listener) context.Context { return hard },
-	}
+	server := ingress.New(e.Handler(), ingress.Config{MaxHeaderBytes: s.MaxHeader, Log: p.zap, Metrics: p.metrics})
+	server.SetLimits(routes.Limits{HeaderTimeout: s.ReadHeaderTimeout})
+	defer server.Close()
 	p.run(binder.Run)
 	p.run(runner.WatchDuty)
 	p.run(runner.Guard.Run)
@@ -128,7 +126,7 @@
 	case err := <-failed:
 		return errors.Trace(err)
 	}
-	drainEntry(s, p, e, server, stop, cut)
+	drainEntry(s, p, e, server, stop)
 	return nil
 }
 
@@ -162,7 +160,7 @@
 	return salt
 }
 
-func serveCallers(server *http.Server, listener net.Listener, s *EntrySettings, logger *zap.Logger) error {
+func serveCallers(server *ingress.Server, listener net.Listener, s *EntrySettings, logger *zap.Logger) error {
 	if s.TLS.Cert == "" {
 		logger.Warn("connections to callers are plaintext", zap.String("listen", s.Listen))
 		return server.Serve(listener)
@@ -171,30 +169,29 @@
 	if err != nil {
 		return err
 	}
-	server.TLSConfig = source.Server()
-	return server.ServeTLS(listener, "", "")
+	return server.ServeTLS(listener, source.Server())
 }
 
 // drainEntry stops in an order that cuts nothing: readiness falls, the balancer
 // sees it, then the listener closes and the requests underway finish.
-func drainEntry(s *EntrySettings, p *base, e *entry.Entry, server *http.Server, stop Stop, cut context.CancelCauseFunc) {
+func drainEntry(s *EntrySettings, p *base, e *entry.Entry, server *ingress.Server, stop Stop) {
 	p.zap.Info("stopping", zap.Int("inflight", e.Inflight()))
 	e.SetDraining()
+	server.StopKeeping()
 	select {
 	case <-time.After(s.DrainDelay):
 	case <-stop.Now:
 	}
-	err := server.Shutdown(p.beginDrain(stop))
+	err := server.Stop(p.beginDrain(stop))
 	left := 0
 	if err != nil {
 		left = e.Inflight()
-		cut(runs.ErrStopping)
 		// The cut requests still get their final answer.
 		final, done := context.WithTimeout(context.Background(), time.Second)
-		server.Shutdown(final)
+		server.Cut(final, runs.ErrStopping)
 		done()
-		server.Close()
 	}
+	server.Close()
 	p.farewell()
 	p.zap.Info("stopped", zap.Int("cut", left))
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -174,7 +174,7 @@
 		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
-	p.clients = ingress.New(p.gateway, log, registry)
+	p.clients = ingress.New(p.gateway, ingress.Config{Log: log, Metrics: registry})
 	engines := platform.NewEngines(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle})
 	director := p.director(state, store, engines)
 	p.share(self, store, watcher, director, keeper)
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -28,6 +28,7 @@
 	"limpetwall/internal/protocol/openai"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/rpc"
 )
 
@@ -241,7 +242,8 @@
 			started: time.Now(),
 		}
 		w.Header().Set(RequestIDHeader, c.id)
-		r.Body = http.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
+		ingress.NameRequest(r.Context(), c.id)
+		r.Body = ingress.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
 		err := e.authenticate(c)
 		if err == nil {
 			err = next(c)
@@ -278,7 +280,8 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := newRequestID()
 		w.Header().Set(RequestIDHeader, id)
-		r.Body = http.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
+		ingress.NameRequest(r.Context(), id)
+		r.Body = ingress.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
 		name, err := e.operatorName(r)
 		if err == nil {
 			err = next(w, r, name)
--- a/internal/coordination/entry/requestline.go
+++ b/internal/coordination/entry/requestline.go
@@ -12,6 +12,7 @@
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/receipt"
+	"limpetwall/internal/transport/ingress"
 )
 
 // answerWriter remembers the status of the head that was written; 0 before.
@@ -90,6 +91,9 @@
 	if got != receipt.Nothing {
 		fields = append(fields, zap.Int("caller_status", c.w.status))
 	}
+	if c.left(err) {
+		fields = append(fields, zap.String("caller_left_by", ingress.CallerEnd(c.r.Context())))
+	}
 	if c.customer != nil {
 		fields = append(fields, zap.String("customer", c.customer.ID))
 	}
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -111,6 +111,9 @@
 	looks   int
 
 	phase phase
+	// handshake tells that the TLS handshake is underway; multiplexed that HTTP/2 is spoken, which
+	// has many requests at a time and closes its connections itself.
+	handshake, multiplexed bool
 	// used tells that the connection has had a request.
 	used bool
 	// drained is when the server's stop came to the connection, zero before.
@@ -146,6 +149,7 @@
 	c.limit = limitMarked(t)
 	switch {
 	case c.limit == noLimit:
+		c.endHandshake()
 		return c.Conn.SetReadDeadline(t)
 	case c.limit == idleLimit:
 		c.phase, c.request, c.used = waiting, nil, true
@@ -156,6 +160,29 @@
 	return c.beginWait()
 }
 
+// endHandshake is told of the first deadline behind the handshake's own; what was read so far is
+// no request.
+func (c *conn) endHandshake() {
+	if c.handshake {
+		c.handshake, c.phase = false, waiting
+	}
+}
+
+// multiplex tells that HTTP/2 is spoken.
+func (c *conn) multiplex() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.multiplexed = true
+}
+
+// SetWriteDeadline implements net.Conn; net/http bounds the TLS handshake by it.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if l := limitMarked(t); l != noLimit {
+		t = time.Now().Add(l.in(c.server.limits.Load()))
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // beginWait begins a wait under c.limit.
 func (c *conn) beginWait() error {
 	c.since, c.looking, c.looks = time.Now(), false, 0
@@ -253,7 +280,7 @@
 // refusal of a malformed one.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	if c.phase == reading {
+	if c.phase == reading && !c.handshake {
 		c.phase = answered
 	}
 	c.mu.Unlock()
@@ -277,6 +304,8 @@
 // empty if it leaves none or the caller ended it.
 func (c *conn) unanswered() closeReason {
 	switch {
+	case c.handshake || c.multiplexed:
+		return ""
 	case c.phase == failed:
 		return closedByPanic
 	case c.readErr != nil:
--- /dev/null
+++ b/internal/transport/ingress/http2.go
@@ -0,0 +1,58 @@
+package ingress
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// nextProtoHTTP2 names HTTP/2 in TLS.
+const nextProtoHTTP2 = "h2"
+
+// goAwayEvery is how often a stop tells HTTP/2 connections to end.
+const goAwayEvery = time.Second
+
+// ServeTLS is Serve for TLS connections, of HTTP/1.1 and HTTP/2.
+//
+// HTTP/2 is served under an http.Server of its own, which owns no listener: its Shutdown sends
+// GOAWAY, while that of the server for HTTP/1.1 would drop requests.
+func (s *Server) ServeTLS(l net.Listener, config *tls.Config) error {
+	h2 := &http.Server{MaxHeaderBytes: s.http.MaxHeaderBytes, ErrorLog: s.http.ErrorLog}
+	// Serve sets HTTP/2 up and ends, as there is nothing to accept.
+	if err := h2.Serve(noListener{}); err != net.ErrClosed {
+		return errors.Annotate(err, "setting up HTTP/2")
+	}
+	serve := h2.TLSNextProto[nextProtoHTTP2]
+	s.http.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){
+		nextProtoHTTP2: func(_ *http.Server, c *tls.Conn, handler http.Handler) {
+			c.NetConn().(*conn).multiplex()
+			serve(h2, c, handler)
+		},
+	}
+	s.http.TLSConfig = config
+	s.mu.Lock()
+	s.h2 = h2
+	s.mu.Unlock()
+	return s.serve(&listener{Listener: l, server: s, secure: true}, func(inner net.Listener) error { return s.http.ServeTLS(inner, "", "") })
+}
+
+// goAway tells HTTP/2 connections to end when their requests have.
+func (s *Server) goAway(ctx context.Context) {
+	s.mu.Lock()
+	h2 := s.h2
+	s.mu.Unlock()
+	if h2 != nil {
+		h2.Shutdown(ctx)
+	}
+}
+
+// noListener accepts nothing.
+type noListener struct{}
+
+func (noListener) Accept() (net.Conn, error) { return nil, net.ErrClosed }
+func (noListener) Close() error              { return nil }
+func (noListener) Addr() net.Addr            { return &net.TCPAddr{} }
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -19,10 +19,6 @@
 	"limpetwall/internal/state/routes"
 )
 
-// hardHeaderBytes bounds a header while it is read; the limit in force is
-// checked when it is whole.
-const hardHeaderBytes = 1 << 20
-
 // Server serves one address.
 type Server struct {
 	http   *http.Server
@@ -41,19 +37,30 @@
 	// draining tells that a stop has begun; drained is closed when it has no connection left.
 	draining bool
 	drained  chan struct{}
+	// h2 sends GOAWAY to HTTP/2 connections; nil without TLS.
+	h2 *http.Server
+}
+
+// Config of a Server.
+type Config struct {
+	// MaxHeaderBytes bounds a header while it is read, beside the limit in force, which is checked
+	// when it is whole; 0: 1 MB.
+	MaxHeaderBytes int
+	Log            *zap.Logger
+	Metrics        metrics.Registry
 }
 
 // New returns a server; handler gets every request.
-func New(handler http.Handler, log *zap.Logger, registry metrics.Registry) *Server {
+func New(handler http.Handler, c Config) *Server {
 	s := &Server{
-		report: newReporter(log, registry), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{},
+		report: newReporter(c.Log, c.Metrics), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{},
 		drained: make(chan struct{}),
 	}
 	s.limits.Store(&routes.Limits{})
 	hard, cut := context.WithCancelCause(context.Background())
 	s.cut = cut
 	s.http = &http.Server{
-		Handler: s.handle(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: hardHeaderBytes,
+		Handler: s.handle(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: c.MaxHeaderBytes,
 		ErrorLog:    s.report.errorLog(),
 		ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return hard },
@@ -81,13 +88,16 @@
 
 // Serve accepts connections until Stop; it returns http.ErrServerClosed then.
 func (s *Server) Serve(l net.Listener) error {
-	inner := &listener{Listener: l, server: s}
+	return s.serve(&listener{Listener: l, server: s}, s.http.Serve)
+}
+
+func (s *Server) serve(inner *listener, serve func(net.Listener) error) error {
 	if !s.addListener(inner) {
-		l.Close()
+		inner.Close()
 		return http.ErrServerClosed
 	}
 	defer s.removeListener(inner)
-	return s.http.Serve(inner)
+	return serve(inner)
 }
 
 // StopKeeping makes every further answer the last of its connection.
@@ -125,11 +135,18 @@
 		return nil
 	default:
 	}
-	select {
-	case <-s.drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	again := time.NewTicker(goAwayEvery)
+	defer again.Stop()
+	for {
+		// Each time anew, for connections whose handshake was underway before.
+		s.goAway(ctx)
+		select {
+		case <-s.drained:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-again.C:
+		}
 	}
 }
 
@@ -213,6 +230,7 @@
 type listener struct {
 	net.Listener
 	server *Server
+	secure bool
 	closed sync.Once
 }
 
@@ -232,7 +250,7 @@
 		}
 		return nil, err
 	}
-	c := &conn{Conn: inner, server: l.server}
+	c := &conn{Conn: inner, server: l.server, handshake: l.secure}
 	l.server.add(c)
 	return c, nil
 }
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -50,7 +50,7 @@
 }
 
 func newServer(handler http.Handler) *Server {
-	return New(handler, zap.NewNop(), metrics.NewRegistry())
+	return New(handler, Config{Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
 }
 
 // serving runs a test against a server whose handler waits until told to go on.
--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"log"
 	"net"
@@ -96,6 +97,9 @@
 }
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
