Callers' connections: a refusal outlives a body that is still being sent

A request that is refused before its body was read (401, 404, 413, 503) was answered and its connection closed half a second later, with the rest of the body unread, if that is over net/http's 256 KB or the server stops: the connection is reset. A caller that sends all of its body before it reads has its write fail, and may lose the answer with it. The wrapper of connections also hid CloseWrite from net/http, so nothing told callers that the answer was the last thing to come.

A connection whose answered request has an unread body now ends its sending side and reads on until the caller ends, for 2 s at most; not when the server is closed at once, nor behind an answer that was broken off.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -38,6 +39,8 @@
 	// newConnWait is the time that a new connection's first request has once the server stops:
 	// its caller can't know yet that it should go elsewhere.
 	newConnWait = 5 * time.Second
+	// lingerTime bounds the wait for the rest of a body that nobody wanted.
+	lingerTime = 2 * time.Second
 )
 
 // limit is a time limit whose length a configuration sets.
@@ -86,8 +89,10 @@
 	reading
 	// handling it: a handler has it.
 	handling
-	// answered: its handler has returned or has broken the answer off itself.
+	// answered: its handler has returned.
 	answered
+	// aborted: its handler has broken the answer off.
+	aborted
 	// failed: its handler panicked.
 	failed
 )
@@ -289,17 +294,38 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.server.remove(c)
 	c.mu.Lock()
 	reason, q, since := c.unanswered(), c.request, c.firstByte
-	c.phase = answered
+	unread := c.phase == answered && c.readErr == nil && q != nil && !q.bodyRead.Load()
+	c.phase, c.request = answered, nil
 	c.mu.Unlock()
 	if reason != "" {
 		c.server.report.closedUnanswered(c, reason, q.name(), since)
 	}
+	if unread && !c.server.closed.Load() {
+		c.linger()
+	}
+	c.server.remove(c)
 	return c.Conn.Close()
 }
 
+// linger reads what the caller still sends of a request that was answered before its body was read.
+// A close that leaves bytes unread resets the connection, and the caller may lose the answer.
+func (c *conn) linger() {
+	c.CloseWrite()
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		io.Copy(io.Discard, c.Conn)
+	}
+}
+
+// CloseWrite ends the sending side, as net/http does behind an answer that leaves a body unread.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // unanswered tells why a connection that is closed now leaves a request without its answer,
 // empty if it leaves none or the caller ended it.
 func (c *conn) unanswered() closeReason {
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -30,6 +30,8 @@
 	// underway counts the handlers that have not returned.
 	underway atomic.Int64
 	report   *reporter
+	// closed tells that Close ends what is open.
+	closed atomic.Bool
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -75,6 +77,11 @@
 		s.underway.Add(1)
 		q := &request{conn: connOf(r.Context())}
 		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, q))
+		if r.Body == http.NoBody {
+			q.bodyRead.Store(true)
+		} else {
+			r.Body = trackedBody{r.Body, q}
+		}
 		q.conn.begin(q)
 		defer func() { s.handled(q, r, recover()) }()
 		out := &headWriter{ResponseWriter: w, server: s, http1: r.ProtoMajor == 1}
@@ -220,6 +227,7 @@
 // Close ends the listeners and all connections at once. What handlers do after their answers, such as logging,
 // is done when it returns, unless that takes longer than closeWait. It polls, as Shutdown does.
 func (s *Server) Close() error {
+	s.closed.Store(true)
 	err := s.http.Close()
 	for end := time.Now().Add(closeWait); s.underway.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(closePoll)
--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -79,6 +79,23 @@
 type request struct {
 	conn *conn
 	id   atomic.Pointer[string]
+	// bodyRead tells that the body was read to its end.
+	bodyRead atomic.Bool
+}
+
+// trackedBody is a request's body.
+type trackedBody struct {
+	io.ReadCloser
+	request *request
+}
+
+// Read implements io.Reader.
+func (b trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.request.bodyRead.Store(true)
+	}
+	return n, err
 }
 
 // name returns the request's id, empty before its handler has told it.
@@ -130,9 +147,12 @@
 // handled tells of a handler's end; panicked is what it panicked with, nil if it returned.
 func (s *Server) handled(q *request, r *http.Request, panicked any) {
 	defer s.underway.Add(-1)
-	if panicked == nil || panicked == http.ErrAbortHandler {
+	switch panicked {
+	case nil:
 		q.conn.end(answered)
-	} else {
+	case http.ErrAbortHandler:
+		q.conn.end(aborted)
+	default:
 		s.report.panicked(q.name(), r, panicked)
 		q.conn.end(failed)
 	}
