Callers' connections: a refusal does not wait for its caller's body

Before it sends a short answer net/http reads up to 256 KB that are left of the request's body, without end: a caller whose body is held up got its 401, 404 or 503 when it had sent what nobody wanted, and none if the process stopped before. Where the handler has set no deadline of its own, the rest now has a second; the connection then ends behind the answer.

TestRefusalDoesNotWaitForItsBody failed before in both of its rows ("the caller waits") and passes 10 times with -race.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -41,6 +41,9 @@
 	newConnWait = 5 * time.Second
 	// lingerTime bounds the wait for the rest of a body that nobody wanted.
 	lingerTime = 2 * time.Second
+	// unreadBodyTime is how long an answer waits for the rest of such a body, with which net/http
+	// keeps the connection open.
+	unreadBodyTime = time.Second
 )
 
 // limit is a time limit whose length a configuration sets.
@@ -115,6 +118,9 @@
 	looking bool
 	looks   int
 
+	// deadline is the handler's own, zero if it set none.
+	deadline time.Time
+
 	phase phase
 	// handshake tells that the TLS handshake is underway; multiplexed that HTTP/2 is spoken, which
 	// has many requests at a time and closes its connections itself.
@@ -140,11 +146,15 @@
 	c.phase, c.request = handling, q
 }
 
-// end tells that the handler has ended.
+// end tells that the handler has ended. Before it sends a short answer, net/http reads the rest of
+// the request's body: without a deadline of the handler's own that must not take long.
 func (c *conn) end(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
+	if !c.multiplexed && c.request != nil && !c.request.bodyRead.Load() && c.deadline.IsZero() {
+		c.Conn.SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
 }
 
 // SetReadDeadline implements net.Conn.
@@ -154,6 +164,7 @@
 	c.limit = limitMarked(t)
 	switch {
 	case c.limit == noLimit:
+		c.deadline = t
 		c.endHandshake()
 		return c.Conn.SetReadDeadline(t)
 	case c.limit == idleLimit:
--- a/internal/transport/ingress/linger_test.go
+++ b/internal/transport/ingress/linger_test.go
@@ -104,3 +104,24 @@
 		}
 	})
 }
+
+// TestRefusalDoesNotWaitForItsBody guards against a refusal that is held back until its caller has
+// sent a body that nobody wants.
+func TestRefusalDoesNotWaitForItsBody(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 10\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n5\r\nab"} {
+		serving(t, unauthorized, func(_ *Server, p *pipes) {
+			c := p.dial()
+			defer c.Close()
+			answer := readAnswer(c)
+			fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\n%s", framing)
+			select {
+			case resp := <-answer:
+				if resp == nil || resp.StatusCode != http.StatusUnauthorized {
+					t.Errorf("the caller got %v", resp)
+				}
+			case <-time.After(2 * unreadBodyTime):
+				t.Error("the caller waits")
+			}
+		})
+	}
+}
