Callers' connections: a header that is late is answered 408

What callers saw when the limit for a header ended within it: 400 if it ended within a line, which net/http takes for malformed, and else the connection's end without a word. No caller sends a request again after 400, though it was a proper one that a bad link held up; 408 tells that it has not run and may be sent again.

The answer is written where the connection is closed. Over TLS it can't be, as the connection below knows no keys: these callers get what they got, and the connection counts among those closed by a limit.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -44,8 +44,14 @@
 	// unreadBodyTime is how long an answer waits for the rest of such a body, with which net/http
 	// keeps the connection open.
 	unreadBodyTime = time.Second
+	// lastWordTime bounds the write of an answer that this package makes itself.
+	lastWordTime = time.Second
 )
 
+// headerLate answers a request whose header did not come in its time. 408 tells that it has not run
+// and may be sent again.
+const headerLate = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // limit is a time limit whose length a configuration sets.
 type limit uint8
 
@@ -122,6 +128,8 @@
 	deadline time.Time
 
 	phase phase
+	// secure tells that the bytes are TLS's.
+	secure bool
 	// handshake tells that the TLS handshake is underway; multiplexed that HTTP/2 is spoken, which
 	// has many requests at a time and closes its connections itself.
 	handshake, multiplexed bool
@@ -296,16 +304,31 @@
 // refusal of a malformed one.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	if c.phase == reading && !c.handshake {
+	late := c.isHeaderLate()
+	// Over TLS a close is written too, as an alert.
+	if c.phase == reading && !c.handshake && !c.limitHit && !c.server.closed.Load() {
 		c.phase = answered
 	}
 	c.mu.Unlock()
+	if late {
+		// net/http takes a line that ends early for malformed; Close tells what it is.
+		return len(b), nil
+	}
 	return c.Conn.Write(b)
 }
 
+// isHeaderLate tells whether the present request's header did not come in its time.
+func (c *conn) isHeaderLate() bool {
+	return c.phase == reading && c.limitHit && !c.secure
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	late := c.isHeaderLate()
+	if late {
+		c.phase = answered
+	}
 	reason, q, since := c.unanswered(), c.request, c.firstByte
 	unread := c.phase == answered && c.readErr == nil && q != nil && !q.bodyRead.Load()
 	c.phase, c.request = answered, nil
@@ -313,13 +336,26 @@
 	if reason != "" {
 		c.server.report.closedUnanswered(c, reason, q.name(), since)
 	}
-	if unread && !c.server.closed.Load() {
+	switch {
+	case c.server.closed.Load():
+	case late:
+		c.refuseLate()
+	case unread:
 		c.linger()
 	}
 	c.server.remove(c)
 	return c.Conn.Close()
 }
 
+// refuseLate answers a request whose header is late.
+func (c *conn) refuseLate() {
+	c.server.report.count("headers_late")
+	if c.Conn.SetWriteDeadline(time.Now().Add(lastWordTime)) == nil {
+		// One that can't be written to has left.
+		io.WriteString(c.Conn, headerLate)
+	}
+}
+
 // linger reads what the caller still sends of a request that was answered before its body was read.
 // A close that leaves bytes unread resets the connection, and the caller may lose the answer.
 func (c *conn) linger() {
--- a/internal/transport/ingress/http2_test.go
+++ b/internal/transport/ingress/http2_test.go
@@ -135,3 +135,32 @@
 		})
 	}
 }
+
+// TestClosedUnansweredOverTLS guards against connections that are closed on a part of a request
+// without a word in the log.
+func TestClosedUnansweredOverTLS(t *testing.T) {
+	rows := []struct {
+		name   string
+		act    func(s *Server)
+		reason closeReason
+	}{
+		{"the header's time is over", func(*Server) { time.Sleep(4 * time.Second) }, closedByLimit},
+		{"the server is closed", func(s *Server) { s.Close() }, closedByStop},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			servingTLS(t, ok, func(s *Server, dial func(...string) *tls.Conn) {
+				s.SetLimits(routes.Limits{HeaderTimeout: 3 * time.Second})
+				c := dial("http/1.1")
+				go io.Copy(io.Discard, c)
+				io.WriteString(c, "GET / HTTP/1.1\r\n")
+				synctest.Wait()
+				row.act(s)
+				synctest.Wait()
+				if n := counted(s.report.metrics, "ingress.closed_unanswered."+string(row.reason)); n != 1 {
+					t.Errorf("counted %d", n)
+				}
+			})
+		})
+	}
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -258,7 +258,7 @@
 		}
 		return nil, err
 	}
-	c := &conn{Conn: inner, server: l.server, handshake: l.secure}
+	c := &conn{Conn: inner, server: l.server, secure: l.secure, handshake: l.secure}
 	l.server.add(c)
 	return c, nil
 }
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -191,6 +191,44 @@
 	})
 }
 
+// TestHeaderThatIsLate guards against a 400, after which callers don't send again, or no word at
+// all for a proper request whose header did not come in its time.
+func TestHeaderThatIsLate(t *testing.T) {
+	for _, sent := range []string{"GET / HT", "GET / HTTP/1.1\r\n", "GET / HTTP/1.1\r\nHo", "GET / HTTP/1.1\r\nHost: h\r\n"} {
+		for _, before := range []string{"", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+			serving(t, ok, func(s *Server, p *pipes) {
+				s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 3 * time.Second})
+				c := p.dial()
+				r := bufio.NewReader(c)
+				if before != "" {
+					get(t, c, r)
+				}
+				io.WriteString(c, sent)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil || resp.StatusCode != http.StatusRequestTimeout || !resp.Close {
+					t.Errorf("%q behind %q: %v %v", sent, before, resp, err)
+				}
+				io.Copy(io.Discard, r)
+			})
+		}
+	}
+}
+
+// TestLateHeaderOfACallerThatDoesNotRead guards against a 408 that waits for its caller.
+func TestLateHeaderOfACallerThatDoesNotRead(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{HeaderTimeout: 3 * time.Second})
+		c := p.dial()
+		io.WriteString(c, "GET / HTTP/1.1\r\n")
+		synctest.Wait()
+		began := time.Now()
+		s.Stop(context.Background())
+		if took := time.Since(began); took > 3*time.Second+lastWordTime {
+			t.Errorf("the connection closed after %s", took)
+		}
+	})
+}
+
 // TestStopCutsNothing stops the server while a request runs and another connection
 // is idle.
 //
