Gateway: a request that announces a huge body does not panic

A body was read into memory of the length that its request announces. Without a limit of bodies in force a length of 2^62 panicked ("makeslice: len out of range"): the caller got the connection's end and no line of the request was written. Smaller ones took gigabytes, of which a process may die with all its callers' connections. Beyond 1 MB the body now takes memory as it comes.

TestLengthBeyondMemory failed before ("unexpected EOF"). The other tests look for panics and closes on what a configuration changes under a request, and found none: limits lowered while a request is read give whole 431 and 413 answers, and a route, service, customer and endpoint taken away in flight change no answer.

--- /dev/null
+++ b/internal/coordination/gateway/callers_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ingress"
+)
+
+// callers serves a site's gateway as its process does and returns a connection to it.
+func (s *site) callers() (*ingress.Server, net.Conn, *bufio.Reader) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := ingress.New(s.gateway, ingress.Config{Log: zap.NewNop(), Metrics: s.gateway.Metrics})
+	server.SetLimits(s.gateway.State.Routes().Limits)
+	go server.Serve(l)
+	s.t.Cleanup(func() { server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return server, c, bufio.NewReader(c)
+}
+
+// reconfigure puts the next configuration in force.
+func (s *site) reconfigure(list []routes.Route, services []routes.Service, customers []routes.Customer, limits routes.Limits) {
+	revision := s.gateway.State.Routes().Revision + 100
+	s.gateway.State.SetRoutes(routes.New(revision, revision, list, services, customers, limits))
+}
+
+// want reads an answer that must be whole.
+func (s *site) want(r *bufio.Reader, status int) {
+	s.t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		s.t.Errorf("the caller got %v", err)
+		return
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != status {
+		s.t.Errorf("the caller got %d %q %v, want %d", resp.StatusCode, body, err, status)
+	}
+	if panics := metrics.GetOrRegisterCounter("ingress.panics", s.gateway.Metrics).Count(); panics != 0 {
+		s.t.Errorf("%d panics", panics)
+	}
+}
+
+// TestLimitsLoweredWhileARequestIsRead guards against a configuration that closes connections under
+// requests which its limits don't allow any more.
+func TestLimitsLoweredWhileARequestIsRead(t *testing.T) {
+	const head = "POST /r/x HTTP/1.1\r\nHost: h\r\n" + testID + ": id-1\r\n" + testKey + ": key\r\n"
+	long := strings.Repeat("x", 300<<10)
+	rows := []struct {
+		name, before, after string
+		limits              routes.Limits
+		status              int
+	}{
+		{"a header", head[:20], head[20:] + "Content-Length: 0\r\n\r\n", routes.Limits{HeaderBytes: 60}, http.StatusRequestHeaderFieldsTooLarge},
+		{"a header before a body", head[:20], head[20:] + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), routes.Limits{HeaderBytes: 60}, http.StatusRequestHeaderFieldsTooLarge},
+		{"a body that is too long", head[:20], head[20:] + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), routes.Limits{BodyBytes: 10}, http.StatusRequestEntityTooLarge},
+		{"chunks that are too many", head[:20], head[20:] + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), routes.Limits{BodyBytes: 10}, http.StatusRequestEntityTooLarge},
+		{"a body that was begun before", head + "Content-Length: 5\r\n\r\nor", "der", routes.Limits{BodyBytes: 2, HeaderBytes: 60}, http.StatusOK},
+		{"no time any more", head[:20], head[20:] + "Content-Length: 5\r\n\r\norder", routes.Limits{HeaderTimeout: time.Nanosecond, IdleTimeout: time.Nanosecond}, http.StatusOK},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, route(routes.NonIdempotent, 1), say(200, "a"))
+			server, c, r := s.callers()
+			io.WriteString(c, row.before)
+			if strings.Contains(row.before, "Content-Length") {
+				s.untilInflight()
+			}
+			s.reconfigure(route(routes.NonIdempotent, 1), []routes.Service{{Name: "s"}}, []routes.Customer{{Name: "club", Keys: []string{"key"}}}, row.limits)
+			server.SetLimits(row.limits)
+			io.WriteString(c, row.after)
+			s.want(r, row.status)
+		})
+	}
+}
+
+// TestLengthBeyondMemory guards against a panic on a length that no limit in force forbids.
+func TestLengthBeyondMemory(t *testing.T) {
+	s := newSite(t, route(routes.NonIdempotent, 1), say(200, "a"))
+	s.reconfigure(route(routes.NonIdempotent, 1), []routes.Service{{Name: "s"}}, []routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{})
+	_, c, r := s.callers()
+	fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\n%s: 100\r\nContent-Length: %d\r\n\r\nor", testID, testKey, testLeft, int64(1)<<62)
+	s.want(r, http.StatusServiceUnavailable)
+}
+
+// TestConfigurationTakenAwayInFlight guards against a panic on a route, service or customer that is
+// gone when the endpoint of a request underway answers or fails.
+func TestConfigurationTakenAwayInFlight(t *testing.T) {
+	rows := []struct {
+		name   string
+		kind   routes.Kind
+		last   answerer
+		status int
+	}{
+		{"answered", routes.NonIdempotent, say(200, "a"), 200},
+		{"failed, may be repeated", routes.Idempotent, say(500, "sorry"), 500},
+		{"broken, may be repeated", routes.Idempotent, hangUp, 502},
+		{"broken", routes.NonIdempotent, hangUp, 502},
+		{"rejected", routes.NonIdempotent, reject, 503},
+		{"a stream", routes.Streaming, stream(endOfStream, "1"), 200},
+		{"a stream, broken", routes.Streaming, hangUp, 502},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			reached, goOn := make(chan struct{}), make(chan struct{})
+			s := newSite(t, route(row.kind, 2), func(c net.Conn, r *http.Request) {
+				close(reached)
+				<-goOn
+				row.last(c, r)
+			})
+			server, c, r := s.callers()
+			fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\nContent-Length: 5\r\n\r\norder", testID, testKey)
+			<-reached
+			s.reconfigure(nil, nil, nil, routes.Limits{HeaderTimeout: time.Nanosecond, IdleTimeout: time.Nanosecond, BodyBytes: 1, HeaderBytes: 1})
+			server.SetLimits(s.gateway.State.Routes().Limits)
+			s.gateway.State.ReplaceInstances(nil, false, time.Now())
+			close(goOn)
+			s.want(r, row.status)
+		})
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -342,9 +342,13 @@
 	return nil
 }
 
+// preallocated bounds the memory that a body takes by the length it announces; a longer one takes
+// it as it comes.
+const preallocated = 1 << 20
+
 func (x *exchange) readWhole() error {
 	var err error
-	if x.r.ContentLength > 0 {
+	if x.r.ContentLength > 0 && x.r.ContentLength <= preallocated {
 		x.body = make([]byte, x.r.ContentLength)
 		_, err = io.ReadFull(x.r.Body, x.body)
 	} else {
