Callers' connections: a forced stop answers 408 to a header that is half read

The last of the open cases of a caller whose bytes were read and who gets no word: at the end of the time to stop, a connection with a part of a header was closed. The cut now ends its wait, and it gets the answer of a header that is late: it has not run and may be sent again. A header that turns out to be whole is served, and told that the process stops.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -239,6 +239,16 @@
 	}
 }
 
+// endWait ends the wait for a request or its header, but for the last look.
+func (c *conn) endWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit != noLimit {
+		c.since = time.Unix(1, 0)
+		c.Conn.SetReadDeadline(c.waitEnd())
+	}
+}
+
 // Read implements net.Conn. A wait that began under a shorter limit goes on when it is over.
 //
 // The deadline was set when the wait began. Closed on it, a connection would end while its
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -136,6 +136,13 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
+// open returns the open connections.
+func (s *Server) open() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 func (s *Server) waitDrained(ctx context.Context) error {
 	select {
 	case <-s.drained:
@@ -209,12 +216,16 @@
 }
 
 // Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
-// caller that has left, and waits until ctx ends for their last answers. Stop comes before.
+// caller that has left, and the waits for headers that are half read. It waits until ctx ends for
+// the last answers. Stop comes before.
 //
 // Without it Close ends the requests' contexts as if the callers had left: they wait for an
 // answer and get the connection's end.
 func (s *Server) Cut(ctx context.Context, cause error) error {
 	s.cut(cause)
+	for _, c := range s.open() {
+		c.endWait()
+	}
 	return s.waitDrained(ctx)
 }
 
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -263,6 +263,42 @@
 	}
 }
 
+// TestCutAnswersHalfReadHeaders guards against a forced stop that closes a connection on a part of a
+// request without a word: nothing has run, and the caller may send it again.
+func TestCutAnswersHalfReadHeaders(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	rows := []struct {
+		name, sent string
+		status     int
+	}{
+		{"a part of a line", request[:20], http.StatusRequestTimeout},
+		{"whole lines", request[:16], http.StatusRequestTimeout},
+		{"nothing", "", 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			serving(t, ok, func(s *Server, p *pipes) {
+				c := p.dial()
+				answer := readAnswer(c)
+				io.WriteString(c, row.sent)
+				synctest.Wait()
+				expired, cancel := context.WithCancel(context.Background())
+				cancel()
+				s.Stop(expired)
+				ctx, done := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				defer done()
+				if err := s.Cut(ctx, context.Canceled); err != nil {
+					t.Error(err)
+				}
+				s.Close()
+				if resp := <-answer; (row.status == 0) != (resp == nil) || resp != nil && resp.StatusCode != row.status {
+					t.Errorf("the caller got %v", resp)
+				}
+			})
+		})
+	}
+}
+
 // TestStopAcceptsWhatIsQueued guards against a stop that resets connections which the kernel has
 // opened for callers and that were not accepted yet.
 func TestStopAcceptsWhatIsQueued(t *testing.T) {
