Gateway: proof that a waiting caller is not taken for gone

Suspected was that a read error which is none of the caller's ends a request's context: a deadline left over from the body, the next request's bytes, a limit that is over at once. None does: in eight cases the caller is told that its time is up.

--- a/internal/coordination/gateway/callers_test.go
+++ b/internal/coordination/gateway/callers_test.go
@@ -136,3 +136,42 @@
 		})
 	}
 }
+
+// TestWaitingCallerIsNotTakenForGone guards against read errors that are none of the caller's, such
+// as a deadline left over from its body or header: its request's time ends, and it must be told.
+func TestWaitingCallerIsNotTakenForGone(t *testing.T) {
+	head := fmt.Sprintf("POST /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\n%s: 150\r\n", testID, testKey, testLeft)
+	const length, chunked = "Content-Length: 5\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+	rows := []struct {
+		name string
+		sent string
+		// later is sent when the gateway has what comes before.
+		later string
+		// answers that are due, all of them 504.
+		answers int
+	}{
+		{"no body", head + "Content-Length: 0\r\n\r\n", "", 1},
+		{"a body", head + length + "order", "", 1},
+		{"a body that comes later", head + length + "or", "der", 1},
+		{"chunks", head + chunked + "5\r\norder\r\n0\r\n\r\n", "", 1},
+		{"chunks that come later", head + chunked + "5\r\nor", "der\r\n0\r\n\r\n", 1},
+		{"the next request behind", head + length + "order" + head + length + "order", "", 2},
+		{"the next request later", head + length + "order", head + length + "order", 2},
+		{"a part of the next request", head + length + "order", head[:10], 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			silent := func(c net.Conn, _ *http.Request) { io.Copy(io.Discard, c) }
+			s := newSite(t, route(routes.NonIdempotent, 1), silent)
+			server, c, r := s.callers()
+			io.WriteString(c, row.sent)
+			s.untilInflight()
+			// Waits that are over at once would end a read that still stands under a limit.
+			server.SetLimits(routes.Limits{HeaderTimeout: time.Nanosecond, IdleTimeout: time.Minute})
+			io.WriteString(c, row.later)
+			for range row.answers {
+				s.want(r, http.StatusGatewayTimeout)
+			}
+		})
+	}
+}
