Callers' connections: a byte that was read ahead counts as read

Behind a body's end net/http reads one byte, to see whether the caller is there. If that was the next request's first, the stop took the connection for idle and dropped the request. Connections now know of that byte.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -135,6 +135,8 @@
 	handshake, multiplexed bool
 	// used tells that the connection has had a request.
 	used bool
+	// readAhead tells that a byte of the next request was read.
+	readAhead bool
 	// drained is when the server's stop came to the connection, zero before.
 	drained time.Time
 	// firstByte is when the present request's first byte came.
@@ -151,7 +153,9 @@
 func (c *conn) begin(q *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.request = handling, q
+	if !c.multiplexed {
+		c.phase, c.request = handling, q
+	}
 }
 
 // end tells that the handler has ended. Before it sends a short answer, net/http reads the rest of
@@ -159,8 +163,12 @@
 func (c *conn) end(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Server.Close may have closed the connection under the handler.
+	if c.request == nil {
+		return
+	}
 	c.phase = p
-	if !c.multiplexed && c.request != nil && !c.request.bodyRead.Load() && c.deadline.IsZero() {
+	if !c.request.bodyRead.Load() && c.deadline.IsZero() {
 		c.Conn.SetReadDeadline(time.Now().Add(unreadBodyTime))
 	}
 }
@@ -177,13 +185,25 @@
 		return c.Conn.SetReadDeadline(t)
 	case c.limit == idleLimit:
 		c.phase, c.request, c.used = waiting, nil, true
+		if c.readAhead {
+			c.readAhead = false
+			c.beginRequest()
+		}
 	case c.used && c.phase == waiting:
 		// The next request's first bytes came with the one before.
-		c.phase, c.firstByte = reading, time.Now()
+		c.beginRequest()
 	}
 	return c.beginWait()
 }
 
+// beginRequest is told of a request's first byte; from then on the header's limit holds.
+func (c *conn) beginRequest() {
+	c.phase, c.firstByte = reading, time.Now()
+	if c.limit == idleLimit {
+		c.limit = headerLimit
+	}
+}
+
 // endHandshake is told of the first deadline behind the handshake's own; what was read so far is
 // no request.
 func (c *conn) endHandshake() {
@@ -234,7 +254,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drained = time.Now()
-	if c.limit != noLimit {
+	if c.limit != noLimit && c.phase == waiting {
 		c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
 	}
 }
@@ -271,13 +291,7 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		c.looking = false
-	}
-	if n > 0 && c.phase == waiting {
-		c.phase, c.firstByte = reading, time.Now()
-		if c.limit == idleLimit {
-			c.limit = headerLimit
-			c.beginWait()
-		}
+		c.noteBytes()
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -287,6 +301,21 @@
 	}
 }
 
+// noteBytes is told of bytes that were read.
+func (c *conn) noteBytes() {
+	switch c.phase {
+	case waiting:
+		wasIdle := c.limit == idleLimit
+		c.beginRequest()
+		if wasIdle {
+			c.beginWait()
+		}
+	case handling, answered:
+		// Behind the end of a body net/http reads one byte, to see whether the caller is there.
+		c.readAhead = c.request != nil && c.request.bodyRead.Load()
+	}
+}
+
 // waitOn sets the read deadline again if the limit in force leaves time, or else for a last look.
 func (c *conn) waitOn() bool {
 	c.mu.Lock()
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -84,7 +84,7 @@
 		}
 		q.conn.begin(q)
 		defer func() { s.handled(q, r, recover()) }()
-		out := &headWriter{ResponseWriter: w, server: s, http1: r.ProtoMajor == 1}
+		out := &headWriter{ResponseWriter: w, control: http.NewResponseController(w), server: s, http1: r.ProtoMajor == 1}
 		next.ServeHTTP(out, r)
 		out.beforeHead()
 	})
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -91,6 +91,40 @@
 	}
 }
 
+// TestStopAnswersWhatItReadAhead guards against a stop that drops the first byte of a request which
+// net/http has read while it watched over the request before.
+func TestStopAnswersWhatItReadAhead(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	var answer chan struct{}
+	held := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-answer
+		io.WriteString(w, "ok")
+	})
+	serving(t, held, func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 10 * time.Second})
+		answer = make(chan struct{}, 2)
+		c := p.dial()
+		defer c.Close()
+		r := bufio.NewReader(c)
+		io.WriteString(c, request)
+		synctest.Wait()
+		io.WriteString(c, request[:1])
+		synctest.Wait()
+		answer <- struct{}{}
+		if resp, err := http.ReadResponse(r, nil); err != nil || resp.Close {
+			t.Fatal(resp, err)
+		}
+		r.Discard(len("ok"))
+		synctest.Wait()
+		wait := stopped(t, s)
+		time.Sleep(time.Second)
+		answer <- struct{}{}
+		io.WriteString(c, request[1:])
+		wantLast(t, r)
+		wait()
+	})
+}
+
 // TestStopBetweenReadAndParse guards against a stop that takes a connection for idle while
 // net/http has bytes of a request that it has not parsed.
 func TestStopBetweenReadAndParse(t *testing.T) {
--- a/internal/transport/ingress/writer.go
+++ b/internal/transport/ingress/writer.go
@@ -9,7 +9,8 @@
 // their head is written, which may be long after their request was read.
 type headWriter struct {
 	http.ResponseWriter
-	server *Server
+	control *http.ResponseController
+	server  *Server
 	// http1 answers carry the Connection header; HTTP/2 has frames for it.
 	http1, wrote bool
 }
@@ -39,7 +40,7 @@
 // FlushError serves http.ResponseController.
 func (w *headWriter) FlushError() error {
 	w.beforeHead()
-	return http.NewResponseController(w.ResponseWriter).Flush()
+	return w.control.Flush()
 }
 
 // Unwrap serves http.ResponseController.
