Gateway: what comes late at a stop and may not end in time is refused

A stop reads on from connections that have begun a request, and from new ones, until its end. A request that comes that way late in the time to stop was passed on however long it may take, and cut at the end with an endpoint at work: its caller got 502, "may have run", or a torn stream. From half a second behind the listener's close the gateway takes only requests whose own time ends before the process's, and refuses the others at once: not run, come back, on a connection that ends.

Without the check TestLateRequestsAtAStop fails in its second row (200, one run).

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -282,6 +282,8 @@
 	// balancerNotice is the time in which the balancer finds that a process is not
 	// ready any more and sends it no new connections: two probes, one a second.
 	balancerNotice = 2500 * time.Millisecond
+	// crossing is the time behind it for requests that were on their way when connections closed.
+	crossing = 500 * time.Millisecond
 	// graceMargin is left of the time to stop for the process's own end.
 	graceMargin = 500 * time.Millisecond
 	// lastAnswers is the part of graceMargin in which the callers of requests that are cut are
@@ -295,12 +297,15 @@
 func (p *gatewayProcess) drain(stop Stop) {
 	grace := p.settings.Platform.Bounds.StopGrace
 	p.log.Info("stopping", zap.Int64("requests_underway", p.gateway.Inflight()), zap.Duration("time", grace))
-	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin)
+	now := time.Now()
+	notice, end := min(balancerNotice, grace/2), now.Add(grace-graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	p.gateway.Stop()
+	p.gateway.Drain(now.Add(notice+crossing), end)
 	p.clients.StopKeeping()
 	select {
-	case <-time.After(min(balancerNotice, grace/2)):
+	case <-time.After(notice):
 	case <-stop.Now:
 	}
 	if err := p.clients.Stop(ctx); err != nil {
--- a/internal/coordination/gateway/callers_test.go
+++ b/internal/coordination/gateway/callers_test.go
@@ -175,3 +175,38 @@
 		})
 	}
 }
+
+// TestLateRequestsAtAStop guards against requests that come late in the time to stop and are cut
+// with an endpoint at work: what can't end in time is refused, unrun, and may go elsewhere.
+func TestLateRequestsAtAStop(t *testing.T) {
+	const late = time.Minute
+	rows := []struct {
+		name       string
+		from, left time.Duration
+		status     int
+		runs       int
+	}{
+		{"in time", late, 0, 200, 1},
+		{"late", -late, 0, 503, 0},
+		{"late, and its own time ends before", -late, 5 * time.Second, 200, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t, route(routes.Idempotent, 1), say(200, "a"))
+			now := time.Now()
+			// The route gives 30 s.
+			s.gateway.Drain(now.Add(row.from), now.Add(20*time.Second))
+			req := s.request("GET", "/r/x", "")
+			if row.left > 0 {
+				req.Header.Set(testLeft, fmt.Sprint(row.left.Milliseconds()))
+			}
+			resp, body, err := s.ask(req)
+			if err != nil || resp.StatusCode != row.status || s.runs() != row.runs {
+				t.Fatalf("%v %q %v, %d runs", resp, body, err, s.runs())
+			}
+			if row.status == 503 && (resp.Header.Get("Retry-After") == "" || resp.Header.Get("X-Limpetwall-Ran") != "no") {
+				t.Errorf("%v", resp.Header)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -77,12 +77,20 @@
 	engines     atomic.Pointer[map[string]uint64]
 	crashProbes crashProbes
 	stopping    atomic.Bool
+	drain       atomic.Pointer[drain]
 	inflight    atomic.Int64
 }
 
+// drain is the end of a stop.
+type drain struct{ lateFrom, end time.Time }
+
 // Stop makes the gateway say that it is not ready; requests are served on.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// Drain tells that the process ends at end. A request that begins after lateFrom is served only if
+// its own time ends before, and else refused: cut at the end, it may have run.
+func (g *Gateway) Drain(lateFrom, end time.Time) { g.drain.Store(&drain{lateFrom, end}) }
+
 // Inflight counts the requests underway.
 func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
 
@@ -357,6 +365,12 @@
 	return err
 }
 
+// isTooLate tells whether the process may end before the request does, which came when that was known.
+func (x *exchange) isTooLate() bool {
+	d := x.g.drain.Load()
+	return d != nil && x.began.After(d.lateFrom) && x.deadline.After(d.end)
+}
+
 // serve carries out the request until its deadline or the caller's end.
 func (x *exchange) serve() ending {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
@@ -366,6 +380,9 @@
 		// Nothing may be sent any more: a connection to an endpoint closes too late to prevent it.
 		return x.cutShort()
 	}
+	if x.isTooLate() {
+		return notRun(apierror.CodeStopping, "the gateway stops before the request's time is up")
+	}
 	if refusal := x.quarantined(ctx); refusal != nil {
 		return refuseWith(refusal)
 	}
