--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -1,36 +1,15 @@
 package ingress
 
 import (
-	"io"
 	"net"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
-
-	"limpetwall/internal/state/routes"
 )
 
 const (
-	// markIdle and markHeader are the fixed time limits given to net/http, which
-	// reads them without synchronisation. They are never waited for: each tells
-	// conn which of the limits in force it stands for.
-	//
-	// A handler's own deadline comes to conn by the same call and must not be taken for
-	// one of them, or a body's time would be cut to the idle or header limit. So they lie
-	// decades beyond the time of any request, and yet below the 292 years that a
-	// time.Duration holds. The year that conn allows for is for a process that was paused
-	// between net/http's look at the clock and its own.
-	markIdle   = 200 * year
-	markHeader = 100 * year
-	year       = 365 * 24 * time.Hour
-	// unsetIdle and unsetHeader apply while no limit is in force.
-	unsetIdle   = 2 * time.Hour
-	unsetHeader = time.Hour
-	// slack above the callers' own idle limit keeps this side from closing at the
-	// moment when a caller sends.
-	slack = time.Second
 	// lastLook is the end of a wait, for a read of its own. A process that was held up finds the
 	// deadline over before it looks at the bytes that came in time.
 	lastLook = 50 * time.Millisecond
@@ -39,55 +18,11 @@
 	// newConnWait is the time that a new connection's first request has once the server stops:
 	// its caller can't know yet that it should go elsewhere.
 	newConnWait = 5 * time.Second
-	// lingerTime bounds the wait for the rest of a body that nobody wanted.
-	lingerTime = 2 * time.Second
-	// unreadBodyTime is how long an answer waits for the rest of such a body, with which net/http
-	// keeps the connection open.
+	// unreadBodyTime is how long an answer waits for the rest of a body that nobody wanted, with which
+	// net/http keeps the connection open.
 	unreadBodyTime = time.Second
-	// lastWordTime bounds the write of an answer that this package makes itself.
-	lastWordTime = time.Second
-)
-
-// headerLate answers a request whose header did not come in its time. 408 tells that it has not run
-// and may be sent again.
-const headerLate = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
-// limit is a time limit whose length a configuration sets.
-type limit uint8
-
-const (
-	noLimit limit = iota
-	idleLimit
-	headerLimit
 )
 
-// limitMarked returns the limit that a deadline marks, noLimit if it is none of the marks.
-func limitMarked(t time.Time) limit {
-	if t.IsZero() {
-		return noLimit
-	}
-	switch left := time.Until(t); {
-	case left > markIdle-year:
-		return idleLimit
-	case left > markHeader-year:
-		return headerLimit
-	}
-	return noLimit
-}
-
-// in returns the limit's length.
-func (l limit) in(limits *routes.Limits) time.Duration {
-	switch {
-	case l == idleLimit && limits.IdleTimeout <= 0:
-		return unsetIdle
-	case l == idleLimit:
-		return limits.IdleTimeout + slack
-	case limits.HeaderTimeout <= 0:
-		return unsetHeader
-	}
-	return limits.HeaderTimeout
-}
-
 // phase is how far a connection's present request has come.
 type phase uint8
 
@@ -338,94 +273,3 @@
 	}
 	return c.Conn.SetReadDeadline(end) == nil
 }
-
-// Write implements net.Conn. What net/http writes before a handler has the request is its own
-// refusal of a malformed one.
-func (c *conn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	late := c.isHeaderLate()
-	// Over TLS a close is written too, as an alert.
-	if c.phase == reading && !c.handshake && !c.limitHit && !c.server.closed.Load() {
-		c.phase = answered
-	}
-	c.mu.Unlock()
-	if late {
-		// net/http takes a line that ends early for malformed; Close tells what it is.
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-// isHeaderLate tells whether the present request's header did not come in its time.
-func (c *conn) isHeaderLate() bool {
-	return c.phase == reading && c.limitHit && !c.secure
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.mu.Lock()
-	late := c.isHeaderLate()
-	if late {
-		c.phase = answered
-	}
-	reason, q, since := c.unanswered(), c.request, c.firstByte
-	unread := c.phase == answered && c.readErr == nil && q != nil && !q.bodyRead.Load()
-	c.phase, c.request = answered, nil
-	c.mu.Unlock()
-	if reason != "" {
-		c.server.report.closedUnanswered(c, reason, q.name(), since)
-	}
-	switch {
-	case c.server.closed.Load():
-	case late:
-		c.refuseLate()
-	case unread:
-		c.linger()
-	}
-	c.server.remove(c)
-	return c.Conn.Close()
-}
-
-// refuseLate answers a request whose header is late.
-func (c *conn) refuseLate() {
-	c.server.report.count("headers_late")
-	if c.Conn.SetWriteDeadline(time.Now().Add(lastWordTime)) == nil {
-		// One that can't be written to has left.
-		io.WriteString(c.Conn, headerLate)
-	}
-}
-
-// linger reads what the caller still sends of a request that was answered before its body was read.
-// A close that leaves bytes unread resets the connection, and the caller may lose the answer.
-func (c *conn) linger() {
-	c.CloseWrite()
-	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
-		io.Copy(io.Discard, c.Conn)
-	}
-}
-
-// CloseWrite ends the sending side, as net/http does behind an answer that leaves a body unread.
-func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-// unanswered tells why a connection that is closed now leaves a request without its answer,
-// empty if it leaves none or the caller ended it.
-func (c *conn) unanswered() closeReason {
-	switch {
-	case c.handshake || c.multiplexed:
-		return ""
-	case c.phase == failed:
-		return closedByPanic
-	case c.readErr != nil:
-		return ""
-	case c.phase == reading && c.limitHit:
-		return closedByLimit
-	case c.phase == reading || c.phase == handling:
-		return closedByStop
-	}
-	return ""
-}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -1,14 +1,12 @@
-// Package ingress serves callers' HTTP/1.1 connections under limits that may
+// Package ingress serves callers' connections under limits that may
 // change at any time, also for connections that are already open, and stops
 // without cutting a request.
 package ingress
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,111 +108,6 @@
 // StopKeeping makes every further answer the last of its connection.
 func (s *Server) StopKeeping() { s.stopKeeping.Store(true) }
 
-// Stop closes the listener and the connections that wait for a request. It answers every request
-// of which a byte was read, and those of new connections that send one soon, until ctx ends.
-//
-// http.Server.Shutdown is no part of it: that closes connections while it reads their requests,
-// and drops requests that it has read.
-func (s *Server) Stop(ctx context.Context) error {
-	s.StopKeeping()
-	for _, c := range s.beginDrain() {
-		c.drain()
-	}
-	return s.waitDrained(ctx)
-}
-
-// beginDrain stops the listeners and returns the open connections. Those that are accepted later
-// are born draining.
-func (s *Server) beginDrain() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-	for l := range s.listeners {
-		l.stop()
-	}
-	s.checkDrained()
-	return slices.Collect(maps.Keys(s.conns))
-}
-
-// open returns the open connections.
-func (s *Server) open() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.conns))
-}
-
-func (s *Server) waitDrained(ctx context.Context) error {
-	select {
-	case <-s.drained:
-		return nil
-	default:
-	}
-	again := time.NewTicker(goAwayEvery)
-	defer again.Stop()
-	for {
-		// Each time anew, for connections whose handshake was underway before.
-		s.goAway(ctx)
-		select {
-		case <-s.drained:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-again.C:
-		}
-	}
-}
-
-// checkDrained closes s.drained once a stop has nothing left; s.mu is held.
-func (s *Server) checkDrained() {
-	if !s.draining || len(s.conns) > 0 || len(s.listeners) > 0 {
-		return
-	}
-	select {
-	case <-s.drained:
-	default:
-		close(s.drained)
-	}
-}
-
-func (s *Server) add(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
-	if s.draining {
-		c.drained = time.Now()
-	}
-}
-
-func (s *Server) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-	s.checkDrained()
-}
-
-func (s *Server) addListener(l *listener) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return false
-	}
-	s.listeners[l] = struct{}{}
-	return true
-}
-
-func (s *Server) removeListener(l *listener) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.listeners, l)
-	s.checkDrained()
-}
-
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 // Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
 // caller that has left, and the waits for headers that are half read. It waits until ctx ends for
 // the last answers. Stop comes before.
