Callers' connections: a line end behind a body begins no request

Since the limit of a header begins with a request's first byte, the line end that some callers send behind a body ended their connection after the header's time, with a 408 that nobody waited for; they may reuse it until the idle limit is over. Line ends alone now count as nothing. Over TLS bytes can't be told apart.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"sync"
@@ -215,18 +216,18 @@
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waitOn() {
 			continue
 		}
-		c.note(n, err)
+		c.note(b[:n], err)
 		return n, err
 	}
 }
 
 // note keeps what a read tells of the present request.
-func (c *conn) note(n int, err error) {
+func (c *conn) note(got []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
+	if len(got) > 0 {
 		c.looking = false
-		c.noteBytes()
+		c.noteBytes(got)
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -237,7 +238,11 @@
 }
 
 // noteBytes is told of bytes that were read.
-func (c *conn) noteBytes() {
+func (c *conn) noteBytes(got []byte) {
+	if len(bytes.Trim(got, "\r\n")) == 0 {
+		// Some callers send a line end behind a body, which belongs to no request.
+		return
+	}
 	switch c.phase {
 	case waiting:
 		wasIdle := c.limit == idleLimit
@@ -247,7 +252,7 @@
 		}
 	case handling, answered:
 		// Behind the end of a body net/http reads one byte, to see whether the caller is there.
-		c.readAhead = c.request != nil && c.request.bodyRead.Load()
+		c.readAhead = c.readAhead || c.request != nil && c.request.bodyRead.Load()
 	}
 }
 
--- a/internal/transport/ingress/http2_test.go
+++ b/internal/transport/ingress/http2_test.go
@@ -136,22 +136,6 @@
 	}
 }
 
-// TestCloseUnderAHandler guards against a panic in a handler whose connection was closed.
-func TestCloseUnderAHandler(t *testing.T) {
-	var goOn chan struct{}
-	serving(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-goOn }), func(s *Server, p *pipes) {
-		goOn = make(chan struct{})
-		io.WriteString(p.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		synctest.Wait()
-		s.Close()
-		close(goOn)
-		synctest.Wait()
-		if n := counted(s.report.metrics, "ingress.server_errors"); n != 0 {
-			t.Errorf("%d lines of net/http", n)
-		}
-	})
-}
-
 // TestClosedUnansweredOverTLS guards against connections that are closed on a part of a request
 // without a word in the log.
 func TestClosedUnansweredOverTLS(t *testing.T) {
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -214,6 +214,30 @@
 	}
 }
 
+// TestBlankLineBehindABody guards against a header's limit that begins with the line end which some
+// callers send behind a body: they may reuse the connection for as long as the idle limit says.
+func TestBlankLineBehindABody(t *testing.T) {
+	const post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
+	serving(t, readBody(time.Second), func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second, HeaderTimeout: 3 * time.Second})
+		c := p.dial()
+		r := bufio.NewReader(c)
+		for range 3 {
+			go io.WriteString(c, post)
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("%v %v", resp, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			io.WriteString(c, "\r\n")
+			time.Sleep(16 * time.Second)
+		}
+		if idle := closedAfter(r); idle > 20*time.Second+slack {
+			t.Errorf("closed after %s", idle)
+		}
+	})
+}
+
 // TestLateHeaderOfACallerThatDoesNotRead guards against a 408 that waits for its caller.
 func TestLateHeaderOfACallerThatDoesNotRead(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -383,3 +383,19 @@
 	defer l.once.Do(func() { close(l.stopped) })
 	return l.TCPListener.Close()
 }
+
+// TestCloseUnderAHandler guards against a panic in a handler whose connection was closed.
+func TestCloseUnderAHandler(t *testing.T) {
+	var goOn chan struct{}
+	serving(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-goOn }), func(s *Server, p *pipes) {
+		goOn = make(chan struct{})
+		io.WriteString(p.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		s.Close()
+		close(goOn)
+		synctest.Wait()
+		if n := counted(s.report.metrics, "ingress.server_errors"); n != 0 {
+			t.Errorf("%d lines of net/http", n)
+		}
+	})
+}
