--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -35,10 +35,12 @@
 	log     *zap.Logger
 	metrics metrics.Registry
 	lines   *rate.Limiter
+	// stacks bounds the lines of panics, apart from the others that could use their part up.
+	stacks *rate.Limiter
 }
 
 func newReporter(log *zap.Logger, registry metrics.Registry) *reporter {
-	return &reporter{log: log, metrics: registry, lines: rate.NewLimiter(linesPerSecond, linesPerSecond)}
+	return &reporter{log: log, metrics: registry, lines: rate.NewLimiter(linesPerSecond, linesPerSecond), stacks: rate.NewLimiter(linesPerSecond, linesPerSecond)}
 }
 
 func (p *reporter) count(name string) {
@@ -58,6 +60,9 @@
 
 func (p *reporter) panicked(requestID string, r *http.Request, value any) {
 	p.count("panics")
+	if !p.stacks.Allow() {
+		return
+	}
 	p.log.Error("panic in a handler", zap.String("request_id", requestID), zap.String("method", r.Method),
 		zap.String("path", r.URL.Path), zap.Any("panic", value), zap.ByteString("stack", debug.Stack()))
 }
