Connections to endpoints: a kept one that takes no byte is replaced

What callers saw: "no endpoint" (503), or an endpoint left out of decisions for a second, although it serves. A kept connection had ended between the look at it and the write, which failed before its first byte. That counted as not reached, as a connection that can't be opened does: the endpoint was ejected, and the request went elsewhere, or nowhere where it was the only one.

Cause: Pool.Do had one error for both. It now opens a connection when the kept one takes no byte; nothing of the request is out then, so this holds for every kind.

TestKeptConnectionTakesNoByte failed before ("broken pipe"); with the race detector it passes, three runs.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -48,6 +48,18 @@
 	// Matches tells whether an answer's header belongs to this request. fresh tells
 	// that nothing else was asked on the connection.
 	Matches func(h http.Header, fresh bool) bool
+	// FreshConnection asks for a connection that has carried nothing else.
+	FreshConnection bool
+	// Trace is filled in by Pool.Do.
+	Trace Trace
+}
+
+// Trace tells what became of a request on its connection.
+type Trace struct {
+	// Reused tells that the connection had carried another request before.
+	Reused bool
+	// Answered tells that bytes came back.
+	Answered bool
 }
 
 // conn is one connection; one exchange at a time uses it.
@@ -144,6 +156,12 @@
 // endpoint may send a second answer late, where the next one is expected; taken
 // for that, it would give one caller another's answer.
 func (c *conn) answer(r *Request) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err == io.EOF {
+		return nil, errors.Trace(io.ErrUnexpectedEOF)
+	} else if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r.Trace.Answered = true
 	asked := &http.Request{Method: r.Method}
 	for skipped := 0; skipped <= maxForeign; {
 		resp, err := http.ReadResponse(c.reader, asked)
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -57,12 +57,28 @@
 // ctx: the connection is closed, which tells the endpoint to stop. The caller
 // must Close the response.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, address)
+	r.Trace = Trace{}
+	if c := p.takeIdle(address, r); c != nil {
+		r.Trace.Reused = true
+		resp, err := p.exchange(ctx, address, c, r)
+		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+			return resp, err
+		}
+		// The endpoint closed the connection since it was found usable; that tells nothing
+		// of whether the endpoint can be reached.
+		r.Trace.Reused = false
+	}
+	c, err := p.open(ctx, address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrNotSent)
 	}
+	return p.exchange(ctx, address, c, r)
+}
+
+// exchange sends a request on a connection and reads the head of its answer.
+func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	err = c.send(r)
+	err := c.send(r)
 	var head *http.Response
 	if err == nil {
 		head, err = c.answer(r)
@@ -120,18 +136,22 @@
 	r.finish(io.ErrUnexpectedEOF)
 }
 
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// takeIdle returns a usable idle connection, or nil.
+func (p *Pool) takeIdle(address string, r *Request) *conn {
+	if r.FreshConnection {
+		return nil
+	}
 	now := time.Now()
-	for {
-		c := p.pop(address)
-		if c == nil {
-			break
-		}
+	for c := p.pop(address); c != nil; c = p.pop(address) {
 		if c.usable(now) {
-			return c, nil
+			return c
 		}
 		c.Close()
 	}
+	return nil
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -273,3 +275,48 @@
 		}
 	}
 }
+
+// deafConn is a connection whose writes fail once it is deaf, as after a reset that came unseen.
+type deafConn struct {
+	*net.TCPConn
+	deaf *atomic.Bool
+}
+
+func (c deafConn) Write(b []byte) (int, error) {
+	if c.deaf.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.TCPConn.Write(b)
+}
+
+// TestKeptConnectionTakesNoByte guards against an endpoint taken for unreachable as a kept connection to it had ended.
+func TestKeptConnectionTakesNoByte(t *testing.T) {
+	address := endpoint(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for id := ask(r); id != ""; id = ask(r) {
+			answer(c, id, fmt.Sprint("connection ", n))
+		}
+	})
+	var first atomic.Bool
+	deaf := &first
+	p := NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { deaf = &atomic.Bool{} }()
+		return deafConn{c.(*net.TCPConn), deaf}, nil
+	})
+	for n, want := range []string{"connection 0", "connection 1"} {
+		request := get(fmt.Sprint(n))
+		resp, err := p.Do(t.Context(), address, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp)
+		if err != nil || string(body) != want || request.Trace.Reused {
+			t.Errorf("%q %v, %+v; want %q", body, err, request.Trace, want)
+		}
+		resp.Close()
+		first.Store(true)
+	}
+}
