--- /dev/null
+++ b/internal/coordination/gateway/framing_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"limpetwall/internal/state/routes"
+)
+
+// raw answers with a status line, header lines and bytes as they are written here.
+func raw(status, lines, rest string) answerer {
+	return func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\nStamp: 1\r\n%s\r\n%s", status, testID, r.Header.Get(testID), lines, rest)
+	}
+}
+
+// afterwards does something to a connection when its answer has been written.
+func afterwards(play answerer, do func(c *net.TCPConn)) answerer {
+	return func(c net.Conn, r *http.Request) {
+		play(c, r)
+		do(c.(*net.TCPConn))
+	}
+}
+
+// TestFramings guards against whole answers that are lost, and broken ones that look whole, by how they are delimited.
+func TestFramings(t *testing.T) {
+	long := strings.Repeat("b", maxBuffered)
+	reset := func(c *net.TCPConn) { c.SetLinger(0) }
+	chunked := func(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
+	rows := []struct {
+		name   string
+		method string
+		answer answerer
+		// status 0 stands for a connection that ends early.
+		status int
+		body   string
+	}{
+		{"length", "GET", raw("200 OK", "Content-Length: 5\r\n", "whole"), 200, "whole"},
+		{"length and close", "GET", raw("200 OK", "Content-Length: 5\r\nConnection: close\r\n", "whole"), 200, "whole"},
+		{"length twice, the same", "GET", raw("200 OK", "Content-Length: 5\r\nContent-Length: 5\r\n", "whole"), 200, "whole"},
+		{"length twice, not the same", "GET", raw("200 OK", "Content-Length: 5\r\nContent-Length: 4\r\n", "whole"), 502, ""},
+		{"length 0", "GET", raw("200 OK", "Content-Length: 0\r\n", ""), 200, ""},
+		{"more than the length", "GET", raw("200 OK", "Content-Length: 5\r\n", "whole and more"), 200, "whole"},
+		{"cut inside the length", "GET", raw("200 OK", "Content-Length: 5\r\n", "who"), 502, ""},
+		{"no length, ended", "GET", raw("200 OK", "", "whole"), 200, "whole"},
+		{"no length, empty, ended", "GET", raw("200 OK", "", ""), 200, ""},
+		{"no length, reset", "GET", afterwards(raw("200 OK", "", "half"), reset), 502, ""},
+		{"chunked", "GET", raw("200 OK", "Transfer-Encoding: chunked\r\n", chunked("whole")+endOfStream), 200, "whole"},
+		{"chunked, empty", "GET", raw("200 OK", "Transfer-Encoding: chunked\r\n", endOfStream), 200, ""},
+		{"chunked, cut between chunks", "GET", raw("200 OK", "Transfer-Encoding: chunked\r\n", chunked("half")), 502, ""},
+		{"chunked, cut in its end", "GET", raw("200 OK", "Transfer-Encoding: chunked\r\n", chunked("half")+"0\r\n"), 502, ""},
+		{"interim answer first", "GET", raw("103 Early Hints", "\r\nHTTP/1.1 200 OK\r\n"+testID+": id-1\r\nStamp: 1\r\nContent-Length: 5\r\n", "whole"), 200, "whole"},
+		{"HEAD with a length", "HEAD", raw("200 OK", "Content-Length: 5\r\n", ""), 200, ""},
+		{"HEAD without", "HEAD", raw("200 OK", "", ""), 200, ""},
+		{"HEAD chunked", "HEAD", raw("200 OK", "Transfer-Encoding: chunked\r\n", ""), 200, ""},
+		{"204", "GET", raw("204 No Content", "", ""), 204, ""},
+		{"204 with a length", "GET", raw("204 No Content", "Content-Length: 0\r\n", ""), 204, ""},
+		{"304", "GET", raw("304 Not Modified", "", ""), 304, ""},
+		{"304 with the length of what it stands for", "GET", raw("304 Not Modified", "Content-Length: 5\r\n", ""), 304, ""},
+		{"205", "GET", raw("205 Reset Content", "Content-Length: 0\r\n", ""), 205, ""},
+		{"status without a reason", "GET", raw("299", "Content-Length: 5\r\n", "whole"), 299, "whole"},
+		{"status of four digits", "GET", raw("2000 OK", "Content-Length: 5\r\n", "whole"), 502, ""},
+		{"status 101", "GET", raw("101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade\r\n", ""), 502, ""},
+		{"as long as is kept", "GET", raw("200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(long)), long), 200, long},
+		{"as long as is kept, no length", "GET", raw("200 OK", "", long), 200, long},
+		{"longer, no length", "GET", raw("200 OK", "", long+"more"), 200, long + "more"},
+		{"longer, chunked", "GET", raw("200 OK", "Transfer-Encoding: chunked\r\n", chunked(long)+chunked("more")+endOfStream), 200, long + "more"},
+		{"longer, length", "GET", raw("200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(long)+4), long+"more"), 200, long + "more"},
+		{"longer, cut inside the length", "GET", raw("200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(long)+5), long+"more"), 0, ""},
+		{"longer, chunked and cut", "GET", raw("200 OK", "Transfer-Encoding: chunked\r\n", chunked(long)+chunked("more")), 0, ""},
+	}
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.NonIdempotent} {
+		for _, row := range rows {
+			t.Run(kind.String()+" "+row.name, func(t *testing.T) {
+				s := newSite(t, route(kind, 1), row.answer)
+				c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				// The second request on the connection shows that the first answer ended where it should.
+				for n := range 2 {
+					fmt.Fprintf(c, "%s /r/x HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n%s: key\r\n\r\n", row.method, testID, testKey)
+					resp, err := http.ReadResponse(reader, &http.Request{Method: row.method})
+					if err != nil {
+						t.Fatalf("request %d: %v", n, err)
+					}
+					body, err := io.ReadAll(resp.Body)
+					if row.status == 0 {
+						if err == nil {
+							t.Errorf("%d bytes that look whole", len(body))
+						}
+						return
+					}
+					if err != nil || resp.StatusCode != row.status || (row.status != 502 && string(body) != row.body) {
+						t.Errorf("request %d: %v, %d bytes, %v; want %d", n, resp.Status, len(body), err, row.status)
+					}
+					if stamped := resp.Header.Get("Stamp") == "1"; stamped == (row.status == 502) {
+						t.Errorf("request %d: stamp %v", n, stamped)
+					}
+					if resp.Close {
+						t.Errorf("request %d: the caller's connection ends", n)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -320,3 +322,64 @@
 		first.Store(true)
 	}
 }
+
+// TestEndedRequestsLeaveOthersAlone guards against a request's end, or the closing of idle connections, that cuts the
+// answer to another request.
+func TestEndedRequestsLeaveOthersAlone(t *testing.T) {
+	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := ask(r); id != ""; id = ask(r) {
+			answer(c, id, id)
+		}
+	})
+	p := pool()
+	done := make(chan struct{})
+	var closers, callers sync.WaitGroup
+	closers.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			if n%2 == 0 {
+				p.Forget(address)
+			} else {
+				p.Sweep(time.Now().Add(time.Hour))
+			}
+			runtime.Gosched()
+		}
+	})
+	for caller := range 4 {
+		callers.Go(func() {
+			for n := range 200 {
+				id := fmt.Sprint(caller, "-", n)
+				// Each second request ends as its answer arrives.
+				ctx, cancel := context.WithCancel(t.Context())
+				ends := n%2 == 0
+				var ended sync.WaitGroup
+				resp, err := p.Do(ctx, address, get(id))
+				if err != nil {
+					t.Errorf("%s: %v", id, err)
+					cancel()
+					continue
+				}
+				if ends {
+					ended.Go(cancel)
+				}
+				body, err := io.ReadAll(resp)
+				if !ends && (err != nil || string(body) != id) {
+					t.Errorf("%s: %q %v", id, body, err)
+				}
+				if err == nil && string(body) != id {
+					t.Errorf("%s: %q looks whole", id, body)
+				}
+				resp.Close()
+				ended.Wait()
+				cancel()
+			}
+		})
+	}
+	callers.Wait()
+	close(done)
+	closers.Wait()
+}
