Gateway: a run that was stopped for a move, and not moved, is no whole answer

What callers would see: a stream that ends as complete before its last piece. A run's move stops it first. If the last copy then found no room, or the order's answer was lost, the attempt's end was judged by the stream alone; where an answer has no length, an orderly end of its connection is what ends a whole one too, and a stopped run's stream "is closed without its end".

Now an answer that only its connection ends isn't taken for whole once the stop was ordered, unless the engine says that there was no such run. It is no crash either.

Streams in chunks were never concerned.

--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -126,7 +126,7 @@
 	if errors.As(err, &network) && network.Timeout() {
 		return false
 	}
-	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errReplacedWeights)
+	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errReplacedWeights) && !errors.Is(err, errStopped)
 }
 
 // runProbe carries out a probe.
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -22,6 +22,9 @@
 	// ErrNoRoom: the destination has no room or can't be reached.
 	ErrNoRoom = errors.ConstError("no room for the run")
 
+	// errStopped: the run was stopped for a move that failed.
+	errStopped = errors.ConstError("the run was stopped, and not moved")
+
 	// errEnded: the attempt ended before its run was stopped.
 	errEnded = errors.ConstError("the run has ended")
 )
@@ -81,6 +84,8 @@
 	done    chan struct{}
 	// next is set before done is closed if the run has been stopped and copied.
 	next *continuation
+	// mayBeStopped is set before done is closed if the run's stop was ordered, and it was not copied.
+	mayBeStopped bool
 }
 
 // watchRelocation starts a relocation for an attempt; ctx is the attempt's, and cut ends it.
@@ -137,12 +142,14 @@
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*copyTimeout)
 	defer cancel()
 	began := time.Now()
+	stopOrdered := false
 	handle, err := x.g.Copier.Copy(call, source, x.call.ID, target.Member.Address, false)
 	if err == nil && !r.settled.CompareAndSwap(false, true) {
 		err = errEnded
 	}
 	if err == nil {
 		var last string
+		stopOrdered = true
 		last, err = x.g.Copier.Copy(call, source, x.call.ID, target.Member.Address, true)
 		handle = cmp.Or(last, handle)
 	}
@@ -150,6 +157,9 @@
 	x.g.Log.Info("run moved", zap.String("request_id", x.call.ID), zap.String("from", c.Member.ID), zap.String("to", target.Member.ID),
 		zap.Bool("done", moved), zap.Duration("took", time.Since(began)), zap.Error(err))
 	if !moved {
+		if stopOrdered && !errors.Is(err, ErrNoRun) {
+			r.mayBeStopped = true
+		}
 		x.g.count("runs_moved.failed")
 		x.g.Directory.Release(target)
 		x.dropCopy(source, handle)
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -144,6 +144,41 @@
 	}
 }
 
+// TestStoppedRunIsNoWholeAnswer guards against a false end of a stream without a length: its run was stopped for a
+// move that failed, and the end of its connection is what ends a whole one too.
+func TestStoppedRunIsNoWholeAnswer(t *testing.T) {
+	rows := []struct {
+		name     string
+		last     error
+		complete bool
+	}{
+		{"stopped, the copy found no room", ErrNoRoom, false},
+		{"stop without an answer", io.ErrUnexpectedEOF, false},
+		{"ended before the stop", ErrNoRun, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			copier := &fakeCopier{last: row.last, asked: make(chan struct{}), stopped: make(chan struct{})}
+			begun := make(chan struct{})
+			s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+				raw("200 OK", "", "id: 1\ndata: 1\n\n")(c, r)
+				close(begun)
+				<-copier.stopped
+			}, reject)
+			s.engines(copier)
+			go func() {
+				<-begun
+				s.gateway.State.SetLoading("i-1", false)
+				leave(s.gateway.State)
+			}()
+			_, body, err := s.ask(s.request("POST", "/r/x", "prompt", testPart+": part"))
+			if !strings.Contains(body, "id: 1") || (err == nil) != row.complete {
+				t.Errorf("%q %v", body, err)
+			}
+		})
+	}
+}
+
 // engines makes a site's endpoints engines of one model, and has runs copied by copier.
 func (s *site) engines(copier RunCopier) {
 	state := s.gateway.State
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -58,6 +58,8 @@
 	out = x.relay(ctx, c, resp)
 	next, moved := x.relocation.outcome()
 	switch {
+	case !moved && x.relocation.mayBeStopped && out.verdict == delivered && resp.EndsWithConnection:
+		return outcome{verdict: broken, err: errStopped}
 	case !moved:
 		return out
 	case x.r.Context().Err() != nil:
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -44,6 +44,9 @@
 	Header http.Header
 	// Length of the body, -1 if it is not declared.
 	Length int64
+	// EndsWithConnection tells that only the end of the connection ends the body: one that is
+	// cut short by an orderly close looks whole.
+	EndsWithConnection bool
 
 	body io.ReadCloser
 	conn *conn
@@ -90,7 +93,8 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
-		body: head.Body, conn: c, pool: p, stop: stop, addr: address,
+		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
+		body:               head.Body, conn: c, pool: p, stop: stop, addr: address,
 		err: keepable(head, c),
 	}, nil
 }
