Gateway: a caller that breaks off a long answer is no failure of its endpoint

What callers would see: an endpoint left out of decisions for a second and longer, though it serves, after three callers in a row broke off answers over 256 KB. Such answers are copied through, and the copy's error doesn't tell whose connection it was: a failed write to the caller was booked as an answer that its endpoint broke off, and the endpoint was probed for a crash.

The writer to the caller keeps its error now; the attempt ends as caller_gone.

TestCallersBrokenConnectionIsNoFailureOfTheEndpoint failed before for a write behind the first ("broken" in place of "caller_gone"); the package passes with -race.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -187,12 +187,30 @@
 	if _, err := x.w.Write(a.body); err != nil {
 		return outcome{verdict: callerGone, err: err}
 	}
-	if _, err := io.Copy(x.w, rest); err != nil {
+	caller := &callerWriter{Writer: x.w}
+	_, err := io.Copy(caller, rest)
+	switch {
+	case caller.err != nil:
+		return outcome{verdict: callerGone, err: caller.err}
+	case err != nil:
 		return x.failure(ctx, err)
 	}
 	return outcome{verdict: delivered}
 }
 
+// callerWriter keeps the error of a write to the caller, which a copy's result doesn't tell from one of the endpoint.
+type callerWriter struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *callerWriter) Write(b []byte) (int, error) {
+	n, err := w.Writer.Write(b)
+	w.err = err
+	return n, err
+}
+
 // mayPassStatus tells whether a status may be passed on for a request that has
 // run: some promise that it did not.
 func (x *exchange) mayPassStatus(status int) bool {
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -335,3 +337,38 @@
 		t.Errorf("the exchange ends as %d, want %d", end.how, endCallerLeft)
 	}
 }
+
+// deafWriter is the way to a caller whose connection has broken; net/http has not noticed.
+type deafWriter struct {
+	*httptest.ResponseRecorder
+	// left writes go through.
+	left int
+}
+
+func (w *deafWriter) Write(b []byte) (int, error) {
+	if w.left--; w.left < 0 {
+		return 0, io.ErrClosedPipe
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
+// TestCallersBrokenConnectionIsNoFailureOfTheEndpoint guards against endpoints that are left out as callers leave in the
+// middle of long answers.
+func TestCallersBrokenConnectionIsNoFailureOfTheEndpoint(t *testing.T) {
+	for left := range 2 {
+		s := newSite(t, route(routes.Idempotent, 2), say(200, strings.Repeat("b", 2*maxBuffered)))
+		x := &exchange{
+			g: s.gateway, w: &deafWriter{httptest.NewRecorder(), left}, r: httptest.NewRequest("GET", "/r/x", nil),
+			began: time.Now(), deadline: time.Now().Add(time.Minute),
+		}
+		x.r.Host = "h"
+		x.r.Header.Set(testID, "id-1")
+		x.r.Header.Set(testKey, "key")
+		if refusal := x.prepare(); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if end := x.serve(); end.how != endCallerLeft || x.tries[0].Outcome != callerGone.String() {
+			t.Errorf("%d writes: ending %d, attempt %s", left, end.how, x.tries[0].Outcome)
+		}
+	}
+}
