Runs: a plain call whose answer broke behind its head is sent to another endpoint

What callers saw: 502 "the answer broke off" for a GET of the product's own interface, though they had no byte of the answer and another endpoint would have served it. The head is passed on with the first bytes of the body, but for the runner an answer had begun with its head, and it made no other attempt.

Now the body decides. A second head replaces the first before the body begins; the replay of a ticket's record repeats its head, which is passed over as before.

TestHeadWithoutBodyIsRepeated failed before in its first row (one call, "stream ended without an answer"); it passes now, and runs, entry and agent with -race. A POST, and an answer of which the caller has a part, are not repeated, before and now.

--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -197,7 +197,8 @@
 }
 
 func (a *attempt) head(h *wire.PlainHead) *outcome {
-	if a.progress.head {
+	// A replay from a ticket's record repeats the head, marked as replayed.
+	if a.progress.head && (a.ticket != nil || a.progress.bodyBytes > 0) {
 		return nil
 	}
 	a.progress.head = true
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -30,6 +30,7 @@
 	// Started comes once, before the first token.
 	Started(weightVersion string, promptTokens, cachedTokens int) error
 	Tokens(tokens []string) error
+	// Head may come again before the body begins; the last one counts.
 	Head(h *wire.PlainHead) error
 	Body(data []byte) error
 }
@@ -172,7 +173,7 @@
 			}
 			return Result{}, contextError(ctx, p, ranOf(last.ran))
 		}
-		if out.clientGone || (out.ran != wire.Ran_RAN_NO && (p.head || !job.mayRepeat())) {
+		if out.clientGone || (out.ran != wire.Ran_RAN_NO && (p.bodyBytes > 0 || !job.mayRepeat())) {
 			return Result{}, last.final(p, "")
 		}
 		if out.crashed != 0 && r.Guard.Blocks(job.fingerprint()) {
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -67,11 +67,12 @@
 type collect struct {
 	tokens []string
 	body   string
+	status int32
 }
 
 func (c *collect) Started(string, int, int) error { return nil }
 func (c *collect) Tokens(t []string) error        { c.tokens = append(c.tokens, t...); return nil }
-func (c *collect) Head(*wire.PlainHead) error     { return nil }
+func (c *collect) Head(h *wire.PlainHead) error   { c.status = h.GetStatus(); return nil }
 func (c *collect) Body(b []byte) error            { c.body += string(b); return nil }
 
 // event builds an event of a request's own attempt.
@@ -630,6 +631,54 @@
 	}
 }
 
+// TestHeadWithoutBodyIsRepeated guards against "the answer broke off" where the caller has no byte of it yet.
+func TestHeadWithoutBodyIsRepeated(t *testing.T) {
+	head := func(status int32) *wire.RunEvent {
+		return &wire.RunEvent{Event: &wire.RunEvent_PlainHead{PlainHead: &wire.PlainHead{Status: status}}}
+	}
+	body := func(data string) *wire.RunEvent {
+		return &wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: []byte(data)}}
+	}
+	rows := []struct {
+		name   string
+		method string
+		// begun is what came of the first answer.
+		begun  []*wire.RunEvent
+		calls  int
+		whole  bool
+		status int32
+	}{
+		{"head", http.MethodGet, []*wire.RunEvent{head(200)}, 2, true, 201},
+		{"head, may not be repeated", http.MethodPost, []*wire.RunEvent{head(200)}, 1, false, 200},
+		{"part of the body", http.MethodGet, []*wire.RunEvent{head(200), body("wh")}, 1, false, 200},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r, fake := runner(t, 2, func(n int, q *wire.RunRequest) []*wire.RunEvent {
+				events := row.begun
+				if n > 1 {
+					events = []*wire.RunEvent{head(201), body("whole"), finished(0)}
+				}
+				for _, e := range events {
+					event(q, e)
+				}
+				return events
+			})
+			job := promptJob()
+			job.Prompt, job.Plain = nil, &wire.PlainCall{Method: row.method, Path: "/"}
+			job.Service.Kind = config.ServicePlain
+			sink := &collect{}
+			_, err := r.Run(t.Context(), job, sink)
+			if (err == nil) != row.whole || fake.count() != row.calls || sink.status != row.status {
+				t.Errorf("%d calls, status %d, %v", fake.count(), sink.status, err)
+			}
+			if row.whole && sink.body != "whole" {
+				t.Errorf("%q", sink.body)
+			}
+		})
+	}
+}
+
 func TestRetryBudget(t *testing.T) {
 	b := NewRetryBudget(0.1, 2)
 	spent := 0
