--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -372,3 +372,47 @@
 		}
 	}
 }
+
+// TestWhatCannotGoOnIsPassedOver guards against a resumed stream that ends as its next endpoint fails, while another may go on.
+func TestWhatCannotGoOnIsPassedOver(t *testing.T) {
+	rows := map[string]answerer{
+		"failure":             say(500, "sorry"),
+		"busy after running":  say(503, "busy"),
+		"rejected":            reject,
+		"no stream":           say(201, "made"),
+		"closed":              hangUp,
+		"cut inside an event": raw("200 OK", "", "id: 2\nda"),
+	}
+	for name, second := range rows {
+		t.Run(name, func(t *testing.T) {
+			list := route(routes.Streaming, 3)
+			list[0].Resumable = true
+			play := inTurn(stream("", "1"), inTurn(second, stream(endOfStream, "2", "3")))
+			s := newSite(t, list, play, play, play)
+			_, body, err := s.ask(s.request("POST", "/r/x", "prompt"))
+			if err != nil || events(body) != "1 2 3" || s.runs() != 3 {
+				t.Errorf("%d runs, %q, %v", s.runs(), body, err)
+			}
+		})
+	}
+}
+
+// TestAnswerThatIsNoStream guards against "answer lost" in place of a whole answer that is no stream, on a route whose
+// answers are.
+func TestAnswerThatIsNoStream(t *testing.T) {
+	const body, lines = `{"whole":true}`, "Content-Type: application/json"
+	rows := map[string]answerer{
+		"length":    say(200, body, lines),
+		"chunked":   raw("200 OK", lines+"\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n%s", len(body), body, endOfStream)),
+		"no length": raw("200 OK", lines+"\r\n", body),
+	}
+	for name, answer := range rows {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, route(routes.Streaming, 1), answer)
+			resp, got, err := s.ask(s.request("POST", "/r/x", "prompt"))
+			if err != nil || resp.StatusCode != 200 || got != body || resp.Header.Get("Content-Type") != "application/json" {
+				t.Errorf("%v %q %v", resp, got, err)
+			}
+		})
+	}
+}
