--- a/internal/coordination/gateway/stale_test.go
+++ b/internal/coordination/gateway/stale_test.go
@@ -15,10 +15,13 @@
 	"limpetwall/internal/state/routes"
 )
 
+// keptBody is the answer to the first request on a connection that is kept; it also makes a stream.
+const keptBody = "data: first\n\n"
+
 // keepAlive answers a request, and plays next to the second one on the same connection.
 func keepAlive(next answerer) answerer {
 	return func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\nContent-Length: 13\r\n\r\ndata: first\n\n", testID, r.Header.Get(testID))
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", testID, r.Header.Get(testID), len(keptBody), keptBody)
 		second, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
--- a/internal/coordination/gateway/swap_test.go
+++ b/internal/coordination/gateway/swap_test.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,13 +17,15 @@
 // swapper changes what a gateway believes, again and again, until it is ended.
 type swapper struct {
 	site     *site
+	kind     routes.Kind
 	revision uint64
 }
 
 // routes puts in force a configuration in which the route leads to the service, without it, without the customer, or
 // with the service as one of engines.
 func (w *swapper) routes(n int) {
-	list := route(routes.Idempotent, 3)
+	list := route(w.kind, 3)
+	list[0].Resumable = true
 	services := []routes.Service{{Name: "s"}, {Name: "other"}}
 	customers := []routes.Customer{{Name: "club", Keys: []string{"key"}}}
 	switch n % 5 {
@@ -58,6 +61,7 @@
 	case 6:
 		state.Misdirected(e.id)
 	}
+	state.SetLoading(e.id, n%3 == 0)
 	state.SetInstance(i)
 }
 
@@ -70,62 +74,92 @@
 	w.site.gateway.Pool.Forget(w.site.endpoints[n%len(w.site.endpoints)].address)
 }
 
+// run swaps until done is closed.
+func (w *swapper) run(done <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		default:
+			w.swap(n)
+		}
+	}
+}
+
+// turnCopier copies each second run that it is asked for.
+type turnCopier struct{ calls atomic.Int64 }
+
+// Copy implements RunCopier.
+func (c *turnCopier) Copy(context.Context, discovery.Instance, string, string, bool) (string, error) {
+	if c.calls.Add(1)%4 == 3 {
+		return "", ErrNoRoom
+	}
+	return "handle", nil
+}
+
+// Drop implements RunCopier.
+func (*turnCopier) Drop(context.Context, discovery.Instance, string) error { return nil }
+
 // TestSwappedTablesAnswerEveryCaller guards against a connection closed without an answer as the configuration or the
 // endpoints change under a request.
 func TestSwappedTablesAnswerEveryCaller(t *testing.T) {
-	plays := []answerer{say(200, "whole"), say(500, "sorry"), keepAlive(hangUp), hangUp, reject, raw("200 OK", "", "whole")}
-	s := newSite(t, route(routes.Idempotent, 3), plays...)
-	s.gateway.Keeper = newKeeper()
-	guard := s.guarded()
-	done := make(chan struct{})
-	var swaps, callers sync.WaitGroup
-	swaps.Go(func() {
-		w := swapper{site: s, revision: 100}
-		for n := 0; ; n++ {
-			select {
-			case <-done:
-				return
-			default:
-				w.swap(n)
+	rows := []struct {
+		kind  routes.Kind
+		plays []answerer
+		whole string
+		// mayBreak allows answers to break off once they have begun.
+		mayBreak bool
+	}{
+		{routes.Idempotent, []answerer{say(200, "whole"), say(500, "sorry"), keepAlive(hangUp), hangUp, reject, raw("200 OK", "", "whole")}, "whole", false},
+		{routes.Streaming, []answerer{stream(endOfStream, "1", "2"), stream("", "1"), say(500, "sorry"), hangUp, reject, stream(endOfStream, "1", "2")},
+			"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", true},
+	}
+	for _, row := range rows {
+		t.Run(row.kind.String(), func(t *testing.T) {
+			s := newSite(t, route(row.kind, 3), row.plays...)
+			s.gateway.Keeper, s.gateway.Copier = newKeeper(), &turnCopier{}
+			guard := s.guarded()
+			done := make(chan struct{})
+			var swaps, callers sync.WaitGroup
+			swaps.Go(func() { (&swapper{site: s, kind: row.kind, revision: 100}).run(done) })
+			for caller := range 6 {
+				callers.Go(func() {
+					client := &http.Client{Transport: &http.Transport{}}
+					defer client.CloseIdleConnections()
+					for n := range 150 {
+						id := fmt.Sprint("id-", caller, "-", n)
+						req := s.request("PUT", "/r/x", "order", testID+": "+id, testLeft+": 20000")
+						if n%3 == 0 {
+							req.Header.Set(testPart, "part")
+						}
+						resp, err := client.Do(req)
+						if err != nil {
+							t.Errorf("%s: %v", id, err)
+							continue
+						}
+						body, err := io.ReadAll(resp.Body)
+						resp.Body.Close()
+						if got := resp.Header.Get(testID); got != id || len(body) == 0 || (err != nil && !row.mayBreak) {
+							t.Errorf("%s: status %d to %q, %q, %v", id, resp.StatusCode, got, body, err)
+						}
+						if resp.StatusCode == 200 && err == nil && string(body) != row.whole && string(body) != keptBody {
+							t.Errorf("%s: %q", id, body)
+						}
+					}
+				})
 			}
-		}
-	})
-	for caller := range 6 {
-		callers.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
-			for n := range 150 {
-				id := fmt.Sprint("id-", caller, "-", n)
-				req := s.request("PUT", "/r/x", "order", testID+": "+id, testLeft+": 20000")
-				if n%3 == 0 {
-					req.Header.Set(testPart, "part")
-				}
-				resp, err := client.Do(req)
-				if err != nil {
-					t.Errorf("%s: %v", id, err)
-					continue
-				}
-				body, err := io.ReadAll(resp.Body)
-				resp.Body.Close()
-				if got := resp.Header.Get(testID); err != nil || got != id || len(body) == 0 {
-					t.Errorf("%s: status %d to %q, %q, %v", id, resp.StatusCode, got, body, err)
-				}
-				if resp.StatusCode == 200 && string(body) != "whole" && !strings.HasPrefix(string(body), "data: first") {
-					t.Errorf("%s: %q", id, body)
+			callers.Wait()
+			close(done)
+			swaps.Wait()
+			s.gateway.crashProbes.settled(t)
+			if !guard.IsIdle() {
+				t.Error("a request is blamed for a crash, and none crashed")
+			}
+			for _, work := range s.gateway.Directory.OwnWork() {
+				if work.Running != 0 {
+					t.Errorf("%d runs stay booked", work.Running)
 				}
 			}
 		})
 	}
-	callers.Wait()
-	close(done)
-	swaps.Wait()
-	s.gateway.crashProbes.settled(t)
-	if !guard.IsIdle() {
-		t.Error("a request is blamed for a crash, and none crashed")
-	}
-	for _, work := range s.gateway.Directory.OwnWork() {
-		if work.Running != 0 {
-			t.Errorf("%d runs stay booked", work.Running)
-		}
-	}
 }
