Connections to endpoints: one that reads a long body late is not silent

What callers would see: a lost answer (502, or a retry elsewhere) for a request with a long body, as its endpoint, alive, had not read it for 0.9 s: a full queue, a paused process, or one that answers before it reads on.

Cause: TCP_USER_TIMEOUT, by which silent peers are noticed. Since Linux 5.11 it also ends connections whose peer acknowledges every probe of its closed window. A body that is larger than the endpoint's buffers waits there until it reads.

While such a body hasn't left this host, the connection is looked at three times within the timeout, and the timeout lifted as long as the peer acknowledges; it is back as soon as probes or bytes go unanswered. Short bodies, and all that was sent, keep it as it was.

No test has a peer that really is gone here; what tells the two apart is a table, TestPeersThatAreAlive.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -124,6 +124,7 @@
 		}
 		return nil
 	}
+	c.watchUnread()
 	go func(done chan struct{}) {
 		defer close(done)
 		_, c.wrote = c.Write(r.Body)
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // endpoint is a server whose every byte a test writes itself. serve gets the
@@ -383,3 +384,49 @@
 	close(done)
 	closers.Wait()
 }
+
+// TestSlowToReadIsNotSilent guards against an answer lost as its endpoint reads a long body later than a silent peer is given up.
+func TestSlowToReadIsNotSilent(t *testing.T) {
+	const silence = 900 * time.Millisecond
+	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		// The endpoint is busy for longer than a silent peer is waited for.
+		time.Sleep(3 * silence)
+		n, _ := io.Copy(io.Discard, req.Body)
+		answer(c, req.Header.Get(idHeader), fmt.Sprint(n))
+	})
+	p := NewPool(Dialer{Connect: 5 * time.Second, Silence: silence}.Dial)
+	const size = 32 << 20
+	request := get("1")
+	request.Method, request.Body = "POST", make([]byte, size)
+	resp, err := p.Do(t.Context(), address, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if body, err := io.ReadAll(resp); err != nil || string(body) != fmt.Sprint(size) {
+		t.Errorf("%q %v", body, err)
+	}
+}
+
+func TestPeersThatAreAlive(t *testing.T) {
+	rows := []struct {
+		name  string
+		info  unix.TCPInfo
+		alive bool
+	}{
+		{"acknowledges", unix.TCPInfo{Last_ack_recv: 20, Unacked: 3}, true},
+		{"window closed, probes answered", unix.TCPInfo{Last_ack_recv: 2000}, true},
+		{"window closed, a probe underway", unix.TCPInfo{Last_ack_recv: 2000, Probes: 1}, true},
+		{"window closed, probes unanswered", unix.TCPInfo{Last_ack_recv: 2000, Probes: 2}, false},
+		{"bytes unanswered", unix.TCPInfo{Last_ack_recv: 400, Unacked: 3}, false},
+	}
+	for _, row := range rows {
+		if got := (&unreadWatch{limit: 900}).isAlive(&row.info); got != row.alive {
+			t.Errorf("%s: %v", row.name, got)
+		}
+	}
+}
