Agent: a run that arrives as the last one ends does not end a draining process

What callers would see: streams cut that their agent counts as whole, at its graceful stop. Drain waited for a sync.WaitGroup that each arriving run counted up, also one that is refused as the endpoint leaves; entries that have not heard of it yet still send. If one arrived in the moment in which the last run ended, the group panicked ("reused before previous Wait has returned", "Add called concurrently with Wait") in a goroutine that nothing recovers: the process ended with the last events of its runs unsent.

A counter of the agent's own takes its place; it may count up from zero while it is waited for. order_test waits on it as it did on the group.

Other groups that are waited for while others may count up were looked for in product code; none was found.

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -58,7 +58,7 @@
 	crashes  crashes
 
 	draining atomic.Bool
-	inflight sync.WaitGroup
+	inflight calls
 	running  atomic.Int64
 	waiting  atomic.Int64
 	// waitingTokens are the prompt tokens of runs that have not started yet.
@@ -169,13 +169,8 @@
 // Drain waits for the runs underway, at most until ctx ends, and returns how
 // many it cut.
 func (a *Agent) Drain(ctx context.Context) int {
-	done := make(chan struct{})
-	go func() {
-		a.inflight.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-a.inflight.waitIdle():
 		return 0
 	case <-ctx.Done():
 		left := int(a.running.Load() + a.waiting.Load())
--- a/internal/coordination/agent/order.go
+++ b/internal/coordination/agent/order.go
@@ -40,9 +40,9 @@
 	}
 	a.node.RaiseFence(r.GetFence())
 	a.setLoading(true, "", r.GetRevision())
-	a.inflight.Add(1)
+	a.inflight.begin()
 	go func() {
-		defer a.inflight.Done()
+		defer a.inflight.end()
 		a.loadWeights(r)
 	}()
 	return &wire.OrderResponse{Accepted: true, Fence: r.GetFence()}, nil
--- a/internal/coordination/agent/order_test.go
+++ b/internal/coordination/agent/order_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.inflight.Wait()
+	<-a.inflight.waitIdle()
 	return resp
 }
 
@@ -96,7 +96,7 @@
 		if resp, err := a.Order(t.Context(), r); err != nil || resp.GetAccepted() || resp.GetReason() == "" {
 			t.Errorf("%s: %v %v", row.name, resp, err)
 		}
-		a.inflight.Wait()
+		<-a.inflight.waitIdle()
 		a.setLoading(false, "", 1)
 	}
 	if serves(a) != "v1" {
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -44,8 +44,8 @@
 
 // Run implements wire.AgentServer.
 func (a *Agent) Run(r *wire.RunRequest, stream wire.Agent_RunServer) error {
-	a.inflight.Add(1)
-	defer a.inflight.Done()
+	a.inflight.begin()
+	defer a.inflight.end()
 	send := func(e *wire.RunEvent) error {
 		e.RequestId, e.Attempt = r.GetRequestId(), r.GetAttempt()
 		return stream.Send(e)
@@ -113,13 +113,13 @@
 		return send(a.withLoad(refusedEvent(refuse(CodeLeaving, wire.Ran_RAN_NO, 0, "the endpoint is leaving"))))
 	}
 	if started {
-		a.inflight.Add(1)
+		a.inflight.begin()
 		record.Follow() // until this caller's own follow has begun
 		defer record.Unfollow()
 		// The run outlives its entry: if it were cancelled with the stream, a
 		// booking could stop half-way and the retry would find nothing to replay.
 		go func() {
-			defer a.inflight.Done()
+			defer a.inflight.end()
 			runCtx, cancel := a.runContext(context.Background(), r)
 			defer cancel()
 			a.record(runCtx, r, record)
