--- a/internal/coordination/gateway/swap_test.go
+++ b/internal/coordination/gateway/swap_test.go
@@ -38,7 +38,12 @@
 	case 4:
 		services[0].Engine = &routes.Engine{Slots: 4}
 	}
-	w.site.gateway.State.SetRoutes(routes.New(w.revision, w.revision, list, services, customers, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	if n%2 == 0 {
+		services = append(services, routes.Service{Name: "store", Store: &routes.Store{Address: "10.0.0.9:1", MemoryTokens: n, Managed: n%4 == 0}})
+	}
+	table := routes.New(w.revision, w.revision, list, services, customers, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20})
+	w.site.gateway.State.SetRoutes(table)
+	w.site.gateway.Keeper.SetStores(table.Services)
 }
 
 // instance has an endpoint listed, leaving, of another service, restarted or gone.
