Gateway: a caller that leaves says nothing of its endpoint

What callers would see: lost or late answers of an endpoint that hangs and stays in use. An attempt whose caller left, or that a forced stop of the gateway cut, was booked as a success: it took back the failures counted before, and the time until the caller gave up was learned as that of a run. Those who wait longest for a hanging endpoint are those who leave.

Both are released now, as the product's own interface does with attempts that were stopped.

TestCallersThatLeaveSayNothing failed before ("used after three failures", with one caller that left among them); the package passes with -race.

--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -416,3 +416,25 @@
 		})
 	}
 }
+
+// TestCallersThatLeaveSayNothing guards against an endpoint that hangs and stays in use, as each caller that leaves it counts
+// as a success.
+func TestCallersThatLeaveSayNothing(t *testing.T) {
+	for _, left := range []verdict{callerGone, stopped} {
+		s := newSite(t, route(routes.Idempotent, 1), hangUp, hangUp)
+		x := &exchange{g: s.gateway, r: s.request("GET", "/r/x", ""), route: &route(routes.Idempotent, 1)[0], service: &routes.Service{Name: "s"}}
+		request := x.routingRequest()
+		request.Exclude = []string{"i-1"}
+		for _, v := range []verdict{broken, broken, left, broken} {
+			x.book(x.choose(request, promptContext{}, outcome{}), Send{}, outcome{verdict: v}, time.Now())
+		}
+		request.Exclude = nil
+		for range 20 {
+			choice := x.choose(request, promptContext{}, outcome{})
+			if choice.Member.ID == "i-0" {
+				t.Fatalf("%s: it is used after three failures", left)
+			}
+			s.gateway.Directory.Release(choice)
+		}
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -224,7 +224,8 @@
 		x.g.Directory.Refused(c, now)
 	case broken, answeredFailure, timedOut:
 		x.g.Directory.Done(c, true, now)
-	case movedOn:
+	case movedOn, callerGone, stopped:
+		// They say nothing of the endpoint: one that hangs would stay in use if its callers' leaving counted as success.
 		x.g.Directory.Release(c)
 	default:
 		x.g.Directory.Done(c, false, now)
