Gateway: a move that outlasts its request's time frees its copy

What callers would see: fewer endpoints, as a healthy one was left out. A run's move that ended behind the request's time went on all the same: the connection to the destination failed as the time was up, the destination counted as unreachable and was ejected, and the copy stayed there until it lapsed. Only a caller's leaving was looked for.

The end of the request's own context decides now, whatever ended it.

--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -191,7 +191,7 @@
 	return target
 }
 
-// abandon gives up a continuation whose caller has left.
+// abandon gives up a continuation whose caller has left, or whose time is up.
 func (x *exchange) abandon(next *continuation) {
 	x.g.Directory.Release(next.choice)
 	x.dropCopy(next.source, next.handle)
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
+
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/state/routes"
 )
@@ -316,3 +318,49 @@
 		t.Error("an unknown endpoint is watched")
 	}
 }
+
+// lateCopier answers the last copy when the run's connection has ended.
+type lateCopier struct {
+	fakeCopier
+	ended chan struct{}
+}
+
+// Copy implements RunCopier.
+func (l *lateCopier) Copy(ctx context.Context, source discovery.Instance, call, destination string, last bool) (string, error) {
+	if last {
+		<-l.ended
+	}
+	return l.fakeCopier.Copy(ctx, source, call, destination, last)
+}
+
+// TestTimeEndsWhileARunIsMoved guards against a destination that is taken for unreachable, and a copy that stays, as a run's time
+// ends during its move.
+func TestTimeEndsWhileARunIsMoved(t *testing.T) {
+	copier := &lateCopier{fakeCopier{asked: make(chan struct{}), stopped: make(chan struct{})}, make(chan struct{})}
+	begun := make(chan struct{})
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+		stream("", "1")(c, r)
+		close(begun)
+		io.Copy(io.Discard, c)
+		close(copier.ended)
+	}, reject)
+	s.engines(copier)
+	go func() {
+		<-begun
+		s.gateway.State.SetLoading("i-1", false)
+		leave(s.gateway.State)
+	}()
+	_, body, err := s.ask(s.request("POST", "/r/x", "prompt", testPart+": part", testLeft+": 600"))
+	if err == nil || !strings.Contains(body, "id: 1") {
+		t.Errorf("%q %v", body, err)
+	}
+	if n := metrics.GetOrRegisterCounter("gateway.attempts.not_reached", s.gateway.Metrics).Count(); n != 0 {
+		t.Errorf("%d attempts after the time's end", n)
+	}
+	if len(copier.dropped) != 1 {
+		t.Errorf("copies freed: %v", copier.dropped)
+	}
+	if work := s.gateway.Directory.OwnWork(); len(work) != 0 {
+		t.Errorf("counted as underway: %+v", work)
+	}
+}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -41,7 +41,8 @@
 	if x.stream.last != "" {
 		s.LastEvent = x.stream.last
 	}
-	ctx, stop := x.beginInTime(ctx, c)
+	request := ctx
+	ctx, stop := x.beginInTime(request, c)
 	defer stop()
 	resp, reply, out := x.send(ctx, c, s)
 	if resp == nil {
@@ -63,9 +64,9 @@
 		return outcome{verdict: broken, err: errStopped}
 	case !moved:
 		return out
-	case x.r.Context().Err() != nil:
+	case request.Err() != nil:
 		x.abandon(next)
-		return outcome{verdict: callerGone, err: x.r.Context().Err()}
+		return x.failure(request, request.Err())
 	}
 	return outcome{verdict: movedOn, next: next}
 }
