--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -31,7 +31,7 @@
 
 // RunCopier copies a running request's memory from one engine to another. With last the
 // run stops first, and its stream closes without its end; without it the run goes on
-// meanwhile. The handle names the copy.
+// meanwhile. The handle names the copy; with ErrNoRoom, what the source of a stopped run keeps.
 type RunCopier interface {
 	Copy(ctx context.Context, source discovery.Instance, call, destination string, last bool) (handle string, err error)
 	// Drop frees a copy that is not used.
