--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,7 +51,7 @@
 	if reply.NotRun {
 		return x.rejectedBy(c, s, reply)
 	}
-	if resp.Status != http.StatusOK || !isStream(resp.Header) {
+	if resp.Status != http.StatusOK {
 		return x.takeAnswer(ctx, resp)
 	}
 	x.g.Directory.Sent(c, x.began)
@@ -71,13 +70,6 @@
 	return outcome{verdict: movedOn, next: next}
 }
 
-// isStream tells whether an answer is a stream of events; one that names no type is.
-func isStream(h http.Header) bool {
-	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
-	name = strings.TrimSpace(name)
-	return name == "" || strings.EqualFold(name, "text/event-stream")
-}
-
 // errReplacedWeights ends an attempt that has not begun when its endpoint's weights
 // may not be used any more.
 const errReplacedWeights = errors.ConstError("the endpoint's weights were replaced before it began")
