--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -106,6 +106,19 @@
 	return p
 }
 
+// hasCrashed tells whether the endpoint is known to have crashed; nil was never probed.
+func (p *crashProbe) hasCrashed() bool {
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return p.crashed
+	default:
+		return false
+	}
+}
+
 // connectionEnded tells an end of the connection from silence: a process that crashes has its
 // connections closed by its host, one that is cut off or paused has not.
 func connectionEnded(err error) bool {
@@ -113,7 +126,7 @@
 	if errors.As(err, &network) && network.Timeout() {
 		return false
 	}
-	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errReplacedWeights)
+	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errReplacedWeights) && !errors.Is(err, errStopped)
 }
 
 // runProbe carries out a probe.
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -335,3 +337,104 @@
 		t.Errorf("the exchange ends as %d, want %d", end.how, endCallerLeft)
 	}
 }
+
+// deafWriter is the way to a caller whose connection has broken; net/http has not noticed.
+type deafWriter struct {
+	*httptest.ResponseRecorder
+	// left writes go through.
+	left int
+}
+
+func (w *deafWriter) Write(b []byte) (int, error) {
+	if w.left--; w.left < 0 {
+		return 0, io.ErrClosedPipe
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
+// TestCallersBrokenConnectionIsNoFailureOfTheEndpoint guards against endpoints that are left out as callers leave in the
+// middle of long answers.
+func TestCallersBrokenConnectionIsNoFailureOfTheEndpoint(t *testing.T) {
+	for left := range 2 {
+		s := newSite(t, route(routes.Idempotent, 2), say(200, strings.Repeat("b", 2*maxBuffered)))
+		x := &exchange{
+			g: s.gateway, w: &deafWriter{httptest.NewRecorder(), left}, r: httptest.NewRequest("GET", "/r/x", nil),
+			began: time.Now(), deadline: time.Now().Add(time.Minute),
+		}
+		x.r.Host = "h"
+		x.r.Header.Set(testID, "id-1")
+		x.r.Header.Set(testKey, "key")
+		if refusal := x.prepare(); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if end := x.serve(); end.how != endCallerLeft || x.tries[0].Outcome != callerGone.String() {
+			t.Errorf("%d writes: ending %d, attempt %s", left, end.how, x.tries[0].Outcome)
+		}
+	}
+}
+
+// TestWhatCannotGoOnIsPassedOver guards against a resumed stream that ends as its next endpoint fails, while another may go on.
+func TestWhatCannotGoOnIsPassedOver(t *testing.T) {
+	rows := map[string]answerer{
+		"failure":             say(500, "sorry"),
+		"busy after running":  say(503, "busy"),
+		"rejected":            reject,
+		"no stream":           say(201, "made"),
+		"closed":              hangUp,
+		"cut inside an event": raw("200 OK", "", "id: 2\nda"),
+	}
+	for name, second := range rows {
+		t.Run(name, func(t *testing.T) {
+			list := route(routes.Streaming, 3)
+			list[0].Resumable = true
+			play := inTurn(stream("", "1"), inTurn(second, stream(endOfStream, "2", "3")))
+			s := newSite(t, list, play, play, play)
+			_, body, err := s.ask(s.request("POST", "/r/x", "prompt"))
+			if err != nil || events(body) != "1 2 3" || s.runs() != 3 {
+				t.Errorf("%d runs, %q, %v", s.runs(), body, err)
+			}
+		})
+	}
+}
+
+// TestAnswerThatIsNoStream guards against "answer lost" in place of a whole answer that is no stream, on a route whose
+// answers are.
+func TestAnswerThatIsNoStream(t *testing.T) {
+	const body, lines = `{"whole":true}`, "Content-Type: application/json"
+	rows := map[string]answerer{
+		"length":    say(200, body, lines),
+		"chunked":   raw("200 OK", lines+"\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n%s", len(body), body, endOfStream)),
+		"no length": raw("200 OK", lines+"\r\n", body),
+	}
+	for name, answer := range rows {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, route(routes.Streaming, 1), answer)
+			resp, got, err := s.ask(s.request("POST", "/r/x", "prompt"))
+			if err != nil || resp.StatusCode != 200 || got != body || resp.Header.Get("Content-Type") != "application/json" {
+				t.Errorf("%v %q %v", resp, got, err)
+			}
+		})
+	}
+}
+
+// TestCallersThatLeaveSayNothing guards against an endpoint that hangs and stays in use, as each caller that leaves it counts
+// as a success.
+func TestCallersThatLeaveSayNothing(t *testing.T) {
+	for _, left := range []verdict{callerGone, stopped} {
+		s := newSite(t, route(routes.Idempotent, 1), hangUp, hangUp)
+		x := &exchange{g: s.gateway, r: s.request("GET", "/r/x", ""), route: &route(routes.Idempotent, 1)[0], service: &routes.Service{Name: "s"}}
+		request := x.routingRequest()
+		request.Exclude = []string{"i-1"}
+		for _, v := range []verdict{broken, broken, left, broken} {
+			x.book(x.choose(request, promptContext{}, outcome{}), Send{}, outcome{verdict: v}, time.Now())
+		}
+		request.Exclude = nil
+		for range 20 {
+			choice := x.choose(request, promptContext{}, outcome{})
+			if choice.Member.ID == "i-0" {
+				t.Fatalf("%s: it is used after three failures", left)
+			}
+			s.gateway.Directory.Release(choice)
+		}
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -104,6 +105,12 @@
 		if !x.canRetry(ctx, last, sent, unreached) || x.hasCrashedTooMany(ctx, probe) {
 			return x.final(last, sent)
 		}
+		switch {
+		case last.stale && !probe.hasCrashed():
+			x.staleAt = choice.Member.ID
+		case x.staleAt == choice.Member.ID:
+			x.staleAt = ""
+		}
 		request.Exclude = append(request.Exclude, choice.Member.ID)
 	}
 }
@@ -115,6 +122,12 @@
 		return last.next.choice
 	}
 	request.Now = time.Now()
+	choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
+	if choice.Member.ID != "" || x.staleAt == "" {
+		return choice
+	}
+	// No other is left, and this one may serve the request on a fresh connection.
+	request.Exclude = slices.DeleteFunc(request.Exclude, func(id string) bool { return id == x.staleAt })
 	return x.g.Directory.Choose(x.service.Name, prompt.keys, request)
 }
 
@@ -195,6 +208,7 @@
 		Running: c.Believed.Running, Queued: c.Believed.Queued, Sent: c.Believed.Sent, Own: c.Believed.Own,
 		LoadAgeMS: c.Believed.LoadAge.Milliseconds(), PeerRunning: c.Believed.PeerRunning, PeerUnread: c.Believed.PeerUnread,
 	}
+	t.Reused, t.Answered = x.connection.Reused, x.connection.Answered
 	if x.firstEvent.After(started) {
 		t.FirstMS = x.firstEvent.Sub(started).Milliseconds()
 	}
@@ -219,7 +233,8 @@
 		x.g.Directory.Refused(c, now)
 	case broken, answeredFailure, timedOut:
 		x.g.Directory.Done(c, true, now)
-	case movedOn:
+	case movedOn, callerGone, stopped:
+		// They say nothing of the endpoint: one that hangs would stay in use if its callers' leaving counted as success.
 		x.g.Directory.Release(c)
 	default:
 		x.g.Directory.Done(c, false, now)
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -40,7 +40,8 @@
 	if x.stream.last != "" {
 		s.LastEvent = x.stream.last
 	}
-	ctx, stop := x.beginInTime(ctx, c)
+	request := ctx
+	ctx, stop := x.beginInTime(request, c)
 	defer stop()
 	resp, reply, out := x.send(ctx, c, s)
 	if resp == nil {
@@ -58,11 +59,13 @@
 	out = x.relay(ctx, c, resp)
 	next, moved := x.relocation.outcome()
 	switch {
+	case !moved && x.relocation.mayBeStopped && out.verdict == delivered && resp.EndsWithConnection:
+		return outcome{verdict: broken, err: errStopped}
 	case !moved:
 		return out
-	case x.r.Context().Err() != nil:
+	case request.Err() != nil:
 		x.abandon(next)
-		return outcome{verdict: callerGone, err: x.r.Context().Err()}
+		return x.failure(request, request.Err())
 	}
 	return outcome{verdict: movedOn, next: next}
 }
--- /dev/null
+++ b/internal/coordination/gateway/swap_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/state/routes"
+)
+
+// swapper changes what a gateway believes, again and again, until it is ended.
+type swapper struct {
+	site     *site
+	kind     routes.Kind
+	revision uint64
+}
+
+// routes puts in force a configuration in which the route leads to the service, without it, without the customer, or
+// with the service as one of engines.
+func (w *swapper) routes(n int) {
+	list := route(w.kind, 3)
+	list[0].Resumable = true
+	services := []routes.Service{{Name: "s"}, {Name: "other"}}
+	customers := []routes.Customer{{Name: "club", Keys: []string{"key"}}}
+	switch n % 5 {
+	case 1:
+		list, services = nil, nil
+	case 2:
+		list[0].Targets[0].Service = "other"
+	case 3:
+		customers = nil
+	case 4:
+		services[0].Engine = &routes.Engine{Slots: 4}
+	}
+	if n%2 == 0 {
+		services = append(services, routes.Service{Name: "store", Store: &routes.Store{Address: "10.0.0.9:1", MemoryTokens: n, Managed: n%4 == 0}})
+	}
+	table := routes.New(w.revision, w.revision, list, services, customers, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20})
+	w.site.gateway.State.SetRoutes(table)
+	w.site.gateway.Keeper.SetStores(table.Services)
+}
+
+// instance has an endpoint listed, leaving, of another service, restarted or gone.
+func (w *swapper) instance(n int) {
+	state := w.site.gateway.State
+	e := w.site.endpoints[n%len(w.site.endpoints)]
+	i := discovery.Instance{ID: e.id, Revision: w.revision, Service: "s", Address: e.address, Domain: "a", Slots: 4}
+	switch n % 7 {
+	case 1:
+		i.Leaving = true
+	case 2:
+		i.Service = "other"
+	case 3:
+		i.Born = int64(w.revision)
+	case 4:
+		i.Model, i.Weights = "m", 1
+	case 5:
+		state.Remove(e.id, false, time.Now())
+		return
+	case 6:
+		state.Misdirected(e.id)
+	}
+	state.SetLoading(e.id, n%3 == 0)
+	state.SetInstance(i)
+}
+
+func (w *swapper) swap(n int) {
+	w.revision++
+	w.routes(n)
+	w.revision++
+	w.instance(n)
+	w.site.gateway.sync(nil)
+	w.site.gateway.Pool.Forget(w.site.endpoints[n%len(w.site.endpoints)].address)
+}
+
+// run swaps until done is closed.
+func (w *swapper) run(done <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		default:
+			w.swap(n)
+		}
+	}
+}
+
+// turnCopier copies each second run that it is asked for.
+type turnCopier struct{ calls atomic.Int64 }
+
+// Copy implements RunCopier.
+func (c *turnCopier) Copy(context.Context, discovery.Instance, string, string, bool) (string, error) {
+	if c.calls.Add(1)%4 == 3 {
+		return "", ErrNoRoom
+	}
+	return "handle", nil
+}
+
+// Drop implements RunCopier.
+func (*turnCopier) Drop(context.Context, discovery.Instance, string) error { return nil }
+
+// TestSwappedTablesAnswerEveryCaller guards against a connection closed without an answer as the configuration or the
+// endpoints change under a request.
+func TestSwappedTablesAnswerEveryCaller(t *testing.T) {
+	rows := []struct {
+		kind  routes.Kind
+		plays []answerer
+		whole string
+		// mayBreak allows answers to break off once they have begun.
+		mayBreak bool
+	}{
+		{routes.Idempotent, []answerer{say(200, "whole"), say(500, "sorry"), keepAlive(hangUp), hangUp, reject, raw("200 OK", "", "whole")}, "whole", false},
+		{routes.Streaming, []answerer{stream(endOfStream, "1", "2"), stream("", "1"), say(500, "sorry"), hangUp, reject, stream(endOfStream, "1", "2")},
+			"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", true},
+	}
+	for _, row := range rows {
+		t.Run(row.kind.String(), func(t *testing.T) {
+			s := newSite(t, route(row.kind, 3), row.plays...)
+			s.gateway.Keeper, s.gateway.Copier = newKeeper(), &turnCopier{}
+			guard := s.guarded()
+			done := make(chan struct{})
+			var swaps, callers sync.WaitGroup
+			swaps.Go(func() { (&swapper{site: s, kind: row.kind, revision: 100}).run(done) })
+			for caller := range 6 {
+				callers.Go(func() {
+					client := &http.Client{Transport: &http.Transport{}}
+					defer client.CloseIdleConnections()
+					for n := range 150 {
+						id := fmt.Sprint("id-", caller, "-", n)
+						req := s.request("PUT", "/r/x", "order", testID+": "+id, testLeft+": 20000")
+						if n%3 == 0 {
+							req.Header.Set(testPart, "part")
+						}
+						resp, err := client.Do(req)
+						if err != nil {
+							t.Errorf("%s: %v", id, err)
+							continue
+						}
+						body, err := io.ReadAll(resp.Body)
+						resp.Body.Close()
+						if got := resp.Header.Get(testID); got != id || len(body) == 0 || (err != nil && !row.mayBreak) {
+							t.Errorf("%s: status %d to %q, %q, %v", id, resp.StatusCode, got, body, err)
+						}
+						if resp.StatusCode == 200 && err == nil && string(body) != row.whole && string(body) != keptBody {
+							t.Errorf("%s: %q", id, body)
+						}
+					}
+				})
+			}
+			callers.Wait()
+			close(done)
+			swaps.Wait()
+			s.gateway.crashProbes.settled(t)
+			if !guard.IsIdle() {
+				t.Error("a request is blamed for a crash, and none crashed")
+			}
+			for _, work := range s.gateway.Directory.OwnWork() {
+				if work.Running != 0 {
+					t.Errorf("%d runs stay booked", work.Running)
+				}
+			}
+		})
+	}
+}
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -44,6 +44,9 @@
 	Header http.Header
 	// Length of the body, -1 if it is not declared.
 	Length int64
+	// EndsWithConnection tells that only the end of the connection ends the body: one that is
+	// cut short by an orderly close looks whole.
+	EndsWithConnection bool
 
 	body io.ReadCloser
 	conn *conn
@@ -57,12 +60,28 @@
 // ctx: the connection is closed, which tells the endpoint to stop. The caller
 // must Close the response.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, address)
+	r.Trace = Trace{}
+	if c := p.takeIdle(address, r); c != nil {
+		r.Trace.Reused = true
+		resp, err := p.exchange(ctx, address, c, r)
+		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+			return resp, err
+		}
+		// The endpoint closed the connection since it was found usable; that tells nothing
+		// of whether the endpoint can be reached.
+		r.Trace.Reused = false
+	}
+	c, err := p.open(ctx, address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrNotSent)
 	}
+	return p.exchange(ctx, address, c, r)
+}
+
+// exchange sends a request on a connection and reads the head of its answer.
+func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	err = c.send(r)
+	err := c.send(r)
 	var head *http.Response
 	if err == nil {
 		head, err = c.answer(r)
@@ -74,7 +93,8 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
-		body: head.Body, conn: c, pool: p, stop: stop, addr: address,
+		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
+		body:               head.Body, conn: c, pool: p, stop: stop, addr: address,
 		err: keepable(head, c),
 	}, nil
 }
@@ -120,18 +140,22 @@
 	r.finish(io.ErrUnexpectedEOF)
 }
 
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// takeIdle returns a usable idle connection, or nil.
+func (p *Pool) takeIdle(address string, r *Request) *conn {
+	if r.FreshConnection {
+		return nil
+	}
 	now := time.Now()
-	for {
-		c := p.pop(address)
-		if c == nil {
-			break
-		}
+	for c := p.pop(address); c != nil; c = p.pop(address) {
 		if c.usable(now) {
-			return c, nil
+			return c
 		}
 		c.Close()
 	}
+	return nil
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -7,11 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // endpoint is a server whose every byte a test writes itself. serve gets the
@@ -273,3 +278,155 @@
 		}
 	}
 }
+
+// deafConn is a connection whose writes fail once it is deaf, as after a reset that came unseen.
+type deafConn struct {
+	*net.TCPConn
+	deaf *atomic.Bool
+}
+
+func (c deafConn) Write(b []byte) (int, error) {
+	if c.deaf.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.TCPConn.Write(b)
+}
+
+// TestKeptConnectionTakesNoByte guards against an endpoint taken for unreachable as a kept connection to it had ended.
+func TestKeptConnectionTakesNoByte(t *testing.T) {
+	address := endpoint(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for id := ask(r); id != ""; id = ask(r) {
+			answer(c, id, fmt.Sprint("connection ", n))
+		}
+	})
+	var first atomic.Bool
+	deaf := &first
+	p := NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { deaf = &atomic.Bool{} }()
+		return deafConn{c.(*net.TCPConn), deaf}, nil
+	})
+	for n, want := range []string{"connection 0", "connection 1"} {
+		request := get(fmt.Sprint(n))
+		resp, err := p.Do(t.Context(), address, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp)
+		if err != nil || string(body) != want || request.Trace.Reused {
+			t.Errorf("%q %v, %+v; want %q", body, err, request.Trace, want)
+		}
+		resp.Close()
+		first.Store(true)
+	}
+}
+
+// TestEndedRequestsLeaveOthersAlone guards against a request's end, or the closing of idle connections, that cuts the
+// answer to another request.
+func TestEndedRequestsLeaveOthersAlone(t *testing.T) {
+	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := ask(r); id != ""; id = ask(r) {
+			answer(c, id, id)
+		}
+	})
+	p := pool()
+	done := make(chan struct{})
+	var closers, callers sync.WaitGroup
+	closers.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			if n%2 == 0 {
+				p.Forget(address)
+			} else {
+				p.Sweep(time.Now().Add(time.Hour))
+			}
+			runtime.Gosched()
+		}
+	})
+	for caller := range 4 {
+		callers.Go(func() {
+			for n := range 200 {
+				id := fmt.Sprint(caller, "-", n)
+				// Each second request ends as its answer arrives.
+				ctx, cancel := context.WithCancel(t.Context())
+				ends := n%2 == 0
+				var ended sync.WaitGroup
+				resp, err := p.Do(ctx, address, get(id))
+				if err != nil {
+					t.Errorf("%s: %v", id, err)
+					cancel()
+					continue
+				}
+				if ends {
+					ended.Go(cancel)
+				}
+				body, err := io.ReadAll(resp)
+				if !ends && (err != nil || string(body) != id) {
+					t.Errorf("%s: %q %v", id, body, err)
+				}
+				if err == nil && string(body) != id {
+					t.Errorf("%s: %q looks whole", id, body)
+				}
+				resp.Close()
+				ended.Wait()
+				cancel()
+			}
+		})
+	}
+	callers.Wait()
+	close(done)
+	closers.Wait()
+}
+
+// TestSlowToReadIsNotSilent guards against an answer lost as its endpoint reads a long body later than a silent peer is given up.
+func TestSlowToReadIsNotSilent(t *testing.T) {
+	const silence = 900 * time.Millisecond
+	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		// The endpoint is busy for longer than a silent peer is waited for.
+		time.Sleep(3 * silence)
+		n, _ := io.Copy(io.Discard, req.Body)
+		answer(c, req.Header.Get(idHeader), fmt.Sprint(n))
+	})
+	p := NewPool(Dialer{Connect: 5 * time.Second, Silence: silence}.Dial)
+	const size = 32 << 20
+	request := get("1")
+	request.Method, request.Body = "POST", make([]byte, size)
+	resp, err := p.Do(t.Context(), address, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if body, err := io.ReadAll(resp); err != nil || string(body) != fmt.Sprint(size) {
+		t.Errorf("%q %v", body, err)
+	}
+}
+
+func TestPeersThatAreAlive(t *testing.T) {
+	rows := []struct {
+		name  string
+		info  unix.TCPInfo
+		alive bool
+	}{
+		{"acknowledges", unix.TCPInfo{Last_ack_recv: 20, Unacked: 3}, true},
+		{"window closed, probes answered", unix.TCPInfo{Last_ack_recv: 2000}, true},
+		{"window closed, a probe underway", unix.TCPInfo{Last_ack_recv: 2000, Probes: 1}, true},
+		{"window closed, probes unanswered", unix.TCPInfo{Last_ack_recv: 2000, Probes: 2}, false},
+		{"bytes unanswered", unix.TCPInfo{Last_ack_recv: 400, Unacked: 3}, false},
+	}
+	for _, row := range rows {
+		if got := (&unreadWatch{limit: 900}).isAlive(&row.info); got != row.alive {
+			t.Errorf("%s: %v", row.name, got)
+		}
+	}
+}
