Gateway: runs of a request that crashes endpoints are called back when it is found to be to blame

Cause: a verdict kept the request from being sent, but not its runs that were already at other endpoints. They wait there for context and a slot, some 100 to 700 ms, and crash those endpoints after the verdict. In the same way a request that a full endpoint had rejected went on to the next one after the verdict.

The tests TestRunsOfACrashingRequestAreCalledBack (all rows) and TestRejectedRequestStaysBlamed failed on the code as found.

Why it works: the book tells of a request at the moment the verdict falls, by a crash seen here or by word of another process. The gateway then looks for its runs among those that have no answer yet and closes their connections; an endpoint drops what it has not answered. Ruled out: to wait until the verdict has settled (0.75 s), as most of these crashes come sooner. Runs with an answer have shown that they can be run, and a trial is in quarantine from its start: neither is ended. The caller gets 502 with outcome unknown, as the endpoint may have run the request.

Left: runs of the product's own interface are not called back.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -35,11 +35,13 @@
 	movedOn
 	// stopped: this process was forced to stop; the request may have run.
 	stopped
+	// calledBack: the request crashes endpoints, and this one had not answered yet.
+	calledBack
 )
 
 // String gives the verdict's name for logs.
 func (v verdict) String() string {
-	return [...]string{"delivered", "not_reached", "rejected", "answered_failure", "broken", "timed_out", "caller_gone", "moved_on", "stopped"}[v]
+	return [...]string{"delivered", "not_reached", "rejected", "answered_failure", "broken", "timed_out", "caller_gone", "moved_on", "stopped", "called_back"}[v]
 }
 
 // outcome is how one attempt ended.
@@ -97,6 +99,8 @@
 		return outcome{verdict: notReached, err: err}
 	case x.stopping():
 		return outcome{verdict: stopped, err: err}
+	case errors.Is(context.Cause(ctx), errBlamed):
+		return outcome{verdict: calledBack, err: errBlamed}
 	case errors.Is(context.Cause(ctx), errReplacedWeights):
 		return outcome{verdict: broken, err: errReplacedWeights}
 	case ctx.Err() != nil:
@@ -139,6 +143,9 @@
 // plainAttempt runs a request whose answer is short: it is passed on when it is
 // whole, so that a broken one can be asked for again.
 func (x *exchange) plainAttempt(ctx context.Context, c routing.Choice, s Send) outcome {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer x.callBackWhenBlamed(cancel)()
 	resp, reply, out := x.send(ctx, c, s)
 	if resp == nil {
 		return out
--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -162,15 +164,107 @@
 	if x.g.Guard.IsIdle() {
 		return nil
 	}
-	return x.g.Guard.Admit(ctx, x.fingerprint())
+	refusal := x.g.Guard.Admit(ctx, x.fingerprint())
+	x.onTrial = refusal == nil && x.g.Guard.Blocks(x.fingerprint())
+	return refusal
 }
 
-// hasCrashedTooMany tells whether a request must not be sent to another endpoint after its run at one broke. It waits
-// for what became of that one: otherwise a request that may be repeated would crash a second before the first counts.
-// One that no endpoint ran, as they were full, may go on: it would else waste its trial.
+// errBlamed ends an attempt that has no answer yet when its request is to blame for the crashes of others.
+const errBlamed = errors.ConstError("the request has crashed other endpoints")
+
+// waitingRun is an attempt that has no answer yet.
+type waitingRun struct {
+	request fingerprint.Request
+	body    []byte
+	cancel  context.CancelCauseFunc
+}
+
+// waitingRuns are those that are called back when their requests are found to be to blame. Their fingerprints are computed
+// only then: most runs are sent while no crash is known.
+type waitingRuns struct {
+	watch sync.Once
+	mu    sync.Mutex
+	runs  map[*waitingRun]struct{}
+	// blamed are the requests to look for, looking tells that someone does.
+	blamed  map[fingerprint.Key]struct{}
+	looking bool
+}
+
+func (w *waitingRuns) add(run *waitingRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.runs == nil {
+		w.runs = map[*waitingRun]struct{}{}
+	}
+	w.runs[run] = struct{}{}
+}
+
+func (w *waitingRuns) remove(run *waitingRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.runs, run)
+}
+
+// blame has the runs of a request called back.
+func (w *waitingRuns) blame(key fingerprint.Key) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.blamed == nil {
+		w.blamed = map[fingerprint.Key]struct{}{}
+	}
+	w.blamed[key] = struct{}{}
+	if !w.looking {
+		w.looking = true
+		go w.look()
+	}
+}
+
+func (w *waitingRuns) look() {
+	for {
+		runs, blamed := w.take()
+		if len(blamed) == 0 {
+			return
+		}
+		for _, run := range runs {
+			if _, found := blamed[fingerprint.Of(run.request, run.body)]; found {
+				run.cancel(errBlamed)
+			}
+		}
+	}
+}
+
+// take returns the requests to look for, and where; none if all are done.
+func (w *waitingRuns) take() ([]*waitingRun, map[fingerprint.Key]struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	blamed := w.blamed
+	w.blamed = nil
+	w.looking = len(blamed) > 0
+	return slices.Collect(maps.Keys(w.runs)), blamed
+}
+
+// callBackWhenBlamed cancels an attempt once its request is to blame; it would crash this endpoint as well. The returned
+// function ends that.
+func (x *exchange) callBackWhenBlamed(cancel context.CancelCauseFunc) (stop func()) {
+	if x.g.Guard == nil || x.onTrial {
+		return func() {}
+	}
+	w := &x.g.waitingRuns
+	w.watch.Do(func() { x.g.Guard.Book.OnBlame(w.blame) })
+	run := &waitingRun{x.identity(), x.body, cancel}
+	w.add(run)
+	if !x.g.Guard.IsIdle() && x.g.Guard.Blocks(x.fingerprint()) {
+		cancel(errBlamed)
+	}
+	return func() { w.remove(run) }
+}
+
+// hasCrashedTooMany tells whether a request must not be sent to another endpoint. After a run that broke it waits for what
+// became of the endpoint: otherwise a request that may be repeated would crash a second before the first counts.
+// A trial that no endpoint ran, as they were full, goes on: it would else be wasted.
 func (x *exchange) hasCrashedTooMany(ctx context.Context, p *crashProbe) bool {
 	if p == nil {
-		return false
+		return !x.onTrial && !x.g.Guard.IsIdle() && x.g.Guard.Blocks(x.fingerprint())
 	}
 	select {
 	case <-p.done:
@@ -198,12 +292,17 @@
 // fingerprint names the request; it is computed only where something is to be found out.
 func (x *exchange) fingerprint() fingerprint.Key {
 	if x.key == nil {
-		request := fingerprint.Request{Host: x.r.Host, Method: x.r.Method, Target: x.r.RequestURI}
-		if x.customer != nil {
-			request.Customer = x.customer.Name
-		}
-		key := fingerprint.Of(request, x.body)
+		key := fingerprint.Of(x.identity(), x.body)
 		x.key = &key
 	}
 	return *x.key
 }
+
+// identity is what makes the request the same as another, beside the body.
+func (x *exchange) identity() fingerprint.Request {
+	request := fingerprint.Request{Host: x.r.Host, Method: x.r.Method, Target: x.r.RequestURI}
+	if x.customer != nil {
+		request.Customer = x.customer.Name
+	}
+	return request
+}
--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -209,6 +210,136 @@
 	}
 }
 
+// crashesOf returns the key of the request POST /r/x with body "b", and a function that puts the blame for crashes on it.
+func crashesOf(guard *quarantine.Guard) (key fingerprint.Key, blame func()) {
+	key = fingerprint.Of(fingerprint.Request{Customer: "club", Host: "h", Method: "POST", Target: "/r/x"}, []byte("b"))
+	return key, func() {
+		for incarnation := range uint64(3) {
+			guard.Book.Crashed(key, incarnation, quarantine.About{}, guard.Now())
+		}
+	}
+}
+
+// settled returns when nobody looks for runs to call back.
+func (w *waitingRuns) settled() {
+	for looking := true; looking; runtime.Gosched() {
+		w.mu.Lock()
+		looking = w.looking
+		w.mu.Unlock()
+	}
+}
+
+// untilClosed keeps a request until its connection is closed by the gateway.
+func untilClosed(c net.Conn, _ *http.Request) { io.Copy(io.Discard, c) }
+
+// TestRunsOfACrashingRequestAreCalledBack guards against a request that crashes further endpoints because it was sent to them
+// before its crashes were known.
+func TestRunsOfACrashingRequestAreCalledBack(t *testing.T) {
+	rows := []struct {
+		name  string
+		kind  routes.Kind
+		begin answerer
+	}{
+		{"not repeatable", routes.NonIdempotent, hangUp},
+		{"repeatable", routes.Idempotent, hangUp},
+		{"a stream", routes.Streaming, hangUp},
+		{"a stream without events", routes.Streaming, stream("")},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var blame func()
+			play := func(c net.Conn, r *http.Request) {
+				row.begin(c, r)
+				blame()
+				untilClosed(c, r)
+			}
+			list := route(row.kind, 2)
+			list[0].Timeout, list[0].Resumable = 5*time.Second, true
+			s := newSite(t, list, play, play)
+			_, blame = crashesOf(s.guarded())
+			resp, body, err := s.ask(s.request("POST", "/r/x", "b"))
+			if err != nil || resp.StatusCode != http.StatusBadGateway || !strings.Contains(body, apierror.CodeOutcomeUnknown) {
+				t.Errorf("its caller got %v %v %s", resp, err, body)
+			}
+			if got := s.runs(); got != 1 {
+				t.Errorf("it reached %d endpoints, want 1", got)
+			}
+		})
+	}
+}
+
+// TestStreamThatHasBegunIsNotCalledBack guards against cutting a stream that its endpoint runs well.
+func TestStreamThatHasBegunIsNotCalledBack(t *testing.T) {
+	blamed := make(chan struct{})
+	s := newSite(t, route(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+		stream("", "1")(c, r)
+		<-blamed
+		io.WriteString(c, endOfStream)
+	})
+	_, blame := crashesOf(s.guarded())
+	resp, err := s.server.Client().Do(s.request("POST", "/r/x", "b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadFull(resp.Body, make([]byte, len("id: 1"))); err != nil {
+		t.Fatal(err)
+	}
+	blame()
+	s.gateway.waitingRuns.settled()
+	close(blamed)
+	if rest, err := io.ReadAll(resp.Body); err != nil {
+		t.Errorf("%q %v", rest, err)
+	}
+}
+
+// TestTrialIsNotCalledBack guards against a trial ended by old evidence, of which this process hears late.
+func TestTrialIsNotCalledBack(t *testing.T) {
+	var blame func()
+	var s *site
+	s = newSite(t, route(routes.NonIdempotent, 1), func(c net.Conn, r *http.Request) {
+		blame()
+		s.gateway.waitingRuns.settled()
+		say(200, "a")(c, r)
+	})
+	guard := s.guarded()
+	var key fingerprint.Key
+	key, blame = crashesOf(guard)
+	now := time.Now()
+	guard.Book.Merge(quarantine.Case{Key: key, Level: 1, Until: now}, now)
+	if resp, _, err := s.ask(s.request("POST", "/r/x", "b")); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%v %v", resp, err)
+	}
+}
+
+// codecAtReply calls a function when an answer's head has come.
+type codecAtReply struct {
+	Codec
+	call func()
+}
+
+func (c codecAtReply) DecodeReply(status int, h http.Header) Reply {
+	if status != 0 {
+		c.call()
+	}
+	return c.Codec.DecodeReply(status, h)
+}
+
+// TestRejectedRequestStaysBlamed guards against a request that goes on to another endpoint after a full one has rejected it,
+// though it is to blame by then.
+func TestRejectedRequestStaysBlamed(t *testing.T) {
+	s := newSite(t, route(routes.NonIdempotent, 2), reject, reject)
+	_, blame := crashesOf(s.guarded())
+	s.gateway.Codec = codecAtReply{s.gateway.Codec, blame}
+	resp, body, err := s.ask(s.request("POST", "/r/x", "b"))
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, `"ran":"no"`) {
+		t.Errorf("its caller got %v %v %s", resp, err, body)
+	}
+	if got := s.runs(); got != 1 {
+		t.Errorf("it reached %d endpoints, want 1", got)
+	}
+}
+
 // TestLateRunsOfACrashCount guards against a culprit going free whose own connection is the last to be seen closed.
 func TestLateRunsOfACrashCount(t *testing.T) {
 	s := newSite(t, route(routes.NonIdempotent, 1), hangUp)
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -89,6 +89,8 @@
 		}
 	case timedOut:
 		return unknownOutcome(http.StatusGatewayTimeout, apierror.CodeTimeout, "the request's time is up")
+	case calledBack:
+		return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the run was called back: "+errBlamed.Error())
 	}
 	return unknownOutcome(http.StatusBadGateway, apierror.CodeOutcomeUnknown, "the endpoint's answer was lost")
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -75,6 +75,7 @@
 	// engines maps addresses to the hashes of the instances there.
 	engines     atomic.Pointer[map[string]uint64]
 	crashProbes crashProbes
+	waitingRuns waitingRuns
 	stopping    atomic.Bool
 	inflight    atomic.Int64
 }
@@ -111,6 +112,8 @@
 
 	// key is the request's fingerprint, nil until it is needed.
 	key *fingerprint.Key
+	// onTrial tells that the request is in quarantine and has this one run.
+	onTrial bool
 	// tries are the attempts made, for the log.
 	tries []try
 	// begun tells that the present attempt's stream has begun.
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -71,15 +71,19 @@
 // may not be used any more.
 const errReplacedWeights = errors.ConstError("the endpoint's weights were replaced before it began")
 
-// beginInTime ends an attempt at replaced weights that does not begin before their
-// time is up. Endpoints that load others are the fullest: a request may wait in one
+// beginInTime ends an attempt that has not begun when its request turns out to crash endpoints, and one at replaced
+// weights that does not begin before their time is up. Endpoints that load others are the fullest: a request may wait in one
 // for seconds longer than was foreseen, and its answer would be worth nothing.
 func (x *exchange) beginInTime(ctx context.Context, c routing.Choice) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	x.begun = func() {}
+	unwatch := x.callBackWhenBlamed(cancel)
+	x.begun = unwatch
 	if left, limited := x.g.State.BeginLeft(c.Member.ID); limited {
 		timer := time.AfterFunc(max(0, left), func() { cancel(errReplacedWeights) })
-		x.begun = func() { timer.Stop() }
+		x.begun = func() {
+			timer.Stop()
+			unwatch()
+		}
 	}
 	return ctx, func() {
 		x.begun()
--- a/internal/coordination/quarantine/book.go
+++ b/internal/coordination/quarantine/book.go
@@ -27,6 +27,8 @@
 	crashes map[uint64]*crash
 	// rumours counts how often a change is still passed on.
 	rumours map[fingerprint.Key]int
+	// onBlame is told of requests that are to blame.
+	onBlame func(fingerprint.Key)
 	news    chan struct{}
 }
 
@@ -42,7 +44,7 @@
 func NewBook() *Book {
 	return &Book{
 		cases: map[fingerprint.Key]*Case{}, crashes: map[uint64]*crash{}, rumours: map[fingerprint.Key]int{},
-		news: make(chan struct{}, 1),
+		onBlame: func(fingerprint.Key) {}, news: make(chan struct{}, 1),
 	}
 }
 
@@ -132,10 +134,26 @@
 	b.link(c)
 	if changed {
 		b.spread(o.Key)
+		b.alert(c)
 	}
 	return changed
 }
 
+// OnBlame has a function called with each request that is found to be to blame, as often as its case changes then. The book
+// is locked meanwhile: the function must neither block nor use it.
+func (b *Book) OnBlame(blamed func(fingerprint.Key)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onBlame = blamed
+}
+
+// alert tells of a request if it is to blame.
+func (b *Book) alert(c *Case) {
+	if c.Level > 0 || b.isBlamed(c) {
+		b.onBlame(c.Key)
+	}
+}
+
 // saysNothing tells of a case that needs no place in a book.
 func saysNothing(o Case, now time.Time) bool {
 	if o.Level > 0 {
@@ -217,6 +235,7 @@
 	for _, c := range found {
 		c.quarantine(now)
 		b.spread(c.Key)
+		b.alert(c)
 	}
 }
 
--- a/internal/coordination/quarantine/book_test.go
+++ b/internal/coordination/quarantine/book_test.go
@@ -111,6 +111,47 @@
 	}
 }
 
+// TestBlameIsTold guards against runs that go on when their request is to blame: by a crash seen here, by word of
+// another process, or when what hid it is cleared.
+func TestBlameIsTold(t *testing.T) {
+	third := func(b *Book) { b.Crashed(keyOf("a"), 3, About{}, start) }
+	rows := []struct {
+		name    string
+		crashes [][]string
+		then    func(b *Book)
+		want    bool
+	}{
+		{"a third crash", [][]string{{"a"}, {"a"}}, third, true},
+		{"word of a third crash", [][]string{{"a"}, {"a"}}, func(b *Book) {
+			b.Merge(Case{Key: keyOf("a"), Crashes: crashesAt(start, 3)}, start)
+		}, true},
+		{"word of a quarantine", [][]string{{"a"}}, func(b *Book) {
+			b.Merge(Case{Key: keyOf("a"), Level: 1, Until: start.Add(time.Minute)}, start)
+		}, true},
+		{"more crashes", [][]string{{"a"}, {"a"}}, func(b *Book) {
+			third(b)
+			b.Crashed(keyOf("a"), 4, About{}, start)
+		}, true},
+		{"another is cleared", [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}}, func(b *Book) {
+			b.Survived(keyOf("b"), start)
+			b.Settle(start.Add(settleTime))
+		}, true},
+		{"a second crash", [][]string{{"a"}}, func(b *Book) { b.Crashed(keyOf("a"), 2, About{}, start) }, false},
+		{"blame of another", [][]string{{"b"}, {"b"}}, func(b *Book) { b.Crashed(keyOf("b"), 3, About{}, start) }, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			b := bookOf(row.crashes...)
+			told := map[fingerprint.Key]bool{}
+			b.OnBlame(func(key fingerprint.Key) { told[key] = true })
+			row.then(b)
+			if told[keyOf("a")] != row.want {
+				t.Errorf("told of it: %v, want %v", told[keyOf("a")], row.want)
+			}
+		})
+	}
+}
+
 // TestCrashesOfAQuarantinedRequest guards against one request's crashes being held against those beside it after the
 // quarantine began.
 func TestCrashesOfAQuarantinedRequest(t *testing.T) {
