Gateway: a whole JSON answer on a streaming route is passed on

What callers saw: 502 "the endpoint's answer was lost" for a whole answer with status 200 that is no stream of events. It was read as events, and one that doesn't end with a blank line is torn. Its type decides now, and only application/json does: a server that names no type has one guessed, and a stream taken for a document would be held back to its end.

--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -51,7 +52,7 @@
 	if reply.NotRun {
 		return x.rejectedBy(c, s, reply)
 	}
-	if resp.Status != http.StatusOK {
+	if resp.Status != http.StatusOK || isDocument(resp.Header) {
 		return x.takeAnswer(ctx, resp)
 	}
 	x.g.Directory.Sent(c, x.began)
@@ -70,6 +71,12 @@
 	return outcome{verdict: movedOn, next: next}
 }
 
+// isDocument tells a whole answer from a stream. Other types don't tell: a server that names none has one guessed.
+func isDocument(h http.Header) bool {
+	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "application/json"
+}
+
 // errReplacedWeights ends an attempt that has not begun when its endpoint's weights
 // may not be used any more.
 const errReplacedWeights = errors.ConstError("the endpoint's weights were replaced before it began")
