Gateway: runs that this process ended say nothing of their endpoint

What callers would see: a healthy endpoint left out of decisions, or one that hangs kept in use. A run that was stopped for a move which then failed, or outlasted its request's time, was booked as its source's failure; a run called back as its request crashes endpoints, as a success. Both are released now, as attempts are whose callers left.

TestEndsOfOthersSayNothing takes the place of TestCallersThatLeaveSayNothing: it keeps its two cases and adds four, each also in the other direction (an endpoint with two failures and such an end is still used). Three cases failed before; the package passes with -race.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -54,6 +54,8 @@
 	// stale: a kept connection ended before anything came back. The endpoint may serve the
 	// request on a fresh one.
 	stale bool
+	// stopOrdered: this process had the run stopped, to move it.
+	stopOrdered bool
 	// next is where a run that was moved goes on.
 	next *continuation
 }
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -417,24 +417,40 @@
 	}
 }
 
-// TestCallersThatLeaveSayNothing guards against an endpoint that hangs and stays in use, as each caller that leaves it counts
-// as a success.
-func TestCallersThatLeaveSayNothing(t *testing.T) {
-	for _, left := range []verdict{callerGone, stopped} {
-		s := newSite(t, route(routes.Idempotent, 1), hangUp, hangUp)
-		x := &exchange{g: s.gateway, r: s.request("GET", "/r/x", ""), route: &route(routes.Idempotent, 1)[0], service: &routes.Service{Name: "s"}}
-		request := x.routingRequest()
-		request.Exclude = []string{"i-1"}
-		for _, v := range []verdict{broken, broken, left, broken} {
-			x.book(x.choose(request, promptContext{}, outcome{}), Send{}, outcome{verdict: v}, time.Now())
+// TestEndsOfOthersSayNothing guards against an endpoint that hangs and stays in use, as each caller that leaves it counts as a
+// success, and against one that is left out as this process ended its runs.
+func TestEndsOfOthersSayNothing(t *testing.T) {
+	fails := outcome{verdict: broken}
+	ends := []outcome{
+		{verdict: callerGone}, {verdict: stopped}, {verdict: calledBack}, {verdict: movedOn},
+		{verdict: broken, stopOrdered: true}, {verdict: timedOut, stopOrdered: true},
+	}
+	for _, end := range ends {
+		if usesAfter(t, fails, fails, end, fails) {
+			t.Errorf("%+v: the endpoint is used after three failures", end)
 		}
-		request.Exclude = nil
-		for range 20 {
-			choice := x.choose(request, promptContext{}, outcome{})
-			if choice.Member.ID == "i-0" {
-				t.Fatalf("%s: it is used after three failures", left)
-			}
-			s.gateway.Directory.Release(choice)
+		if !usesAfter(t, fails, fails, end) {
+			t.Errorf("%+v: the endpoint is not used after two failures", end)
+		}
+	}
+}
+
+// usesAfter tells whether an endpoint is still chosen beside another after its attempts ended so.
+func usesAfter(t *testing.T, ends ...outcome) bool {
+	s := newSite(t, route(routes.Idempotent, 1), hangUp, hangUp)
+	x := &exchange{g: s.gateway, r: s.request("GET", "/r/x", ""), route: &route(routes.Idempotent, 1)[0], service: &routes.Service{Name: "s"}}
+	request := x.routingRequest()
+	request.Exclude = []string{"i-1"}
+	for _, end := range ends {
+		x.book(x.choose(request, promptContext{}, outcome{}), Send{}, end, time.Now())
+	}
+	request.Exclude = nil
+	for range 20 {
+		choice := x.choose(request, promptContext{}, outcome{})
+		s.gateway.Directory.Release(choice)
+		if choice.Member.ID == "i-0" {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -13,6 +13,7 @@
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/transport/pause"
+	"limpetwall/internal/transport/upstream"
 )
 
 // Errors of a call to copy a run.
@@ -191,6 +192,19 @@
 	return target
 }
 
+// judge tells how an attempt ended whose run was not moved. Where only the connection ends the answer, a stopped run
+// looks whole.
+func (r *relocation) judge(out outcome, resp *upstream.Response) outcome {
+	if !r.mayBeStopped {
+		return out
+	}
+	if out.verdict == delivered && resp.EndsWithConnection {
+		out = outcome{verdict: broken, err: errStopped}
+	}
+	out.stopOrdered = out.verdict == broken
+	return out
+}
+
 // abandon gives up a continuation whose caller has left, or whose time is up.
 func (x *exchange) abandon(next *continuation) {
 	x.g.Directory.Release(next.choice)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -226,18 +226,27 @@
 	if len(x.tries) > 1 {
 		x.g.count("retries")
 	}
+	x.g.judge(c, o, now)
+}
+
+// judge tells the directory how an endpoint did. Attempts that this process or the caller ended say nothing of it: an
+// endpoint that hangs would stay in use if its callers' leaving counted as success.
+func (g *Gateway) judge(c routing.Choice, o outcome, now time.Time) {
+	if o.stopOrdered {
+		g.Directory.Release(c)
+		return
+	}
 	switch o.verdict {
 	case notReached:
-		x.g.Directory.Unreachable(c, now)
+		g.Directory.Unreachable(c, now)
 	case rejected:
-		x.g.Directory.Refused(c, now)
+		g.Directory.Refused(c, now)
 	case broken, answeredFailure, timedOut:
-		x.g.Directory.Done(c, true, now)
-	case movedOn, callerGone, stopped:
-		// They say nothing of the endpoint: one that hangs would stay in use if its callers' leaving counted as success.
-		x.g.Directory.Release(c)
-	default:
-		x.g.Directory.Done(c, false, now)
+		g.Directory.Done(c, true, now)
+	case movedOn, callerGone, stopped, calledBack:
+		g.Directory.Release(c)
+	case delivered:
+		g.Directory.Done(c, false, now)
 	}
 }
 
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -60,13 +60,13 @@
 	out = x.relay(ctx, c, resp)
 	next, moved := x.relocation.outcome()
 	switch {
-	case !moved && x.relocation.mayBeStopped && out.verdict == delivered && resp.EndsWithConnection:
-		return outcome{verdict: broken, err: errStopped}
 	case !moved:
-		return out
+		return x.relocation.judge(out, resp)
 	case request.Err() != nil:
 		x.abandon(next)
-		return x.failure(request, request.Err())
+		out = x.failure(request, request.Err())
+		out.stopOrdered = true
+		return out
 	}
 	return outcome{verdict: movedOn, next: next}
 }
