Gateway: the log of a stop keeps its stamp; no time is told that was not given

It is "time_to_stop" now, as in the line of a reload. Lines of requests that were refused before a route was found told of a time of minus 292 years.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -308,7 +308,7 @@
 // underway then is cut, and its callers are told.
 func (p *gatewayProcess) drain(stop Stop) {
 	grace := p.settings.Platform.Bounds.StopGrace
-	p.log.Info("stopping", zap.Int64("requests_underway", p.gateway.Inflight()), zap.Duration("time", grace))
+	p.log.Info("stopping", zap.Int64("requests_underway", p.gateway.Inflight()), zap.Duration("time_to_stop", grace))
 	now := time.Now()
 	notice, end := min(balancerNotice, grace/2), now.Add(grace-graceMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/internal/coordination/gateway/requestline.go
+++ b/internal/coordination/gateway/requestline.go
@@ -62,8 +62,10 @@
 		return
 	}
 	fields := []zap.Field{
-		zap.String("request_id", x.call.ID), zap.String("path", x.r.URL.Path), zap.Duration("took", time.Since(x.began)),
-		zap.Duration("time_given", x.deadline.Sub(x.began)), zap.Any("attempts", x.tries),
+		zap.String("request_id", x.call.ID), zap.String("path", x.r.URL.Path), zap.Duration("took", time.Since(x.began)), zap.Any("attempts", x.tries),
+	}
+	if !x.deadline.IsZero() {
+		fields = append(fields, zap.Duration("time_given", x.deadline.Sub(x.began)))
 	}
 	fields = append(fields, zap.String("caller_got", string(got)))
 	if got != receipt.Nothing {
--- a/internal/coordination/gateway/requestline_test.go
+++ b/internal/coordination/gateway/requestline_test.go
@@ -83,3 +83,17 @@
 		t.Errorf("the line says %v, status %v", line["caller_got"], line["caller_status"])
 	}
 }
+
+// TestRequestRefusedBeforeItsDeadlineIsKnown guards against a log that tells of minus 292 years.
+func TestRequestRefusedBeforeItsDeadlineIsKnown(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	s := newSite(t, route(routes.Idempotent, 1), say(200, "a"))
+	s.gateway.Log = zap.New(core)
+	if resp, _, err := s.ask(s.request("GET", "/nowhere/x", "")); err != nil || resp.StatusCode == http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	s.server.Close()
+	if given, told := lines.FilterMessage("request").All()[0].ContextMap()["time_given"]; told {
+		t.Errorf("time_given is %v", given)
+	}
+}
