Entry: a forced stop answers the requests whose bodies it reads, and operators' bodies have their time

A second SIGTERM closed connections whose body was half read: callers of prompts, plain services, plans and confirms got "unexpected EOF" in place of a 503. The log had "connection closed before its request was answered", reason "stop", and for operators "cut":0 and the code request_too_large for "use of closed network connection". Beside it, one half-sent body of an operator held its request, and a graceful stop, without a limit of its own.

Cause: the end of a request's context does not end a read of its body. Cut ended the contexts and waited its second for nothing, then Close broke the connections. decodeStrict set no read deadline, took every failed read for a body that is too large, and operators' requests were not counted as underway.

One readBody now serves prompts, plain services and operators: under the body's time, with a deadline in the past once the context ends. Behind a stop it says 503 "stopping", not run; behind the time 408; a malformed body is 400, and only one over the limit 413. By the time, not the context, it tells lateness: net/http ends the context of a late HTTP/1 body, too, and of an HTTP/2 stream that its caller resets. The lines "stopping" and "stopped" count operators' requests; the load told to the fleet does not, as before.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -175,7 +175,7 @@
 // drainEntry stops in an order that cuts nothing: readiness falls, the balancer
 // sees it, then the listener closes and the requests underway finish.
 func drainEntry(s *EntrySettings, p *base, e *entry.Entry, server *ingress.Server, stop Stop) {
-	p.zap.Info("stopping", zap.Int("inflight", e.Inflight()))
+	p.zap.Info("stopping", zap.Int("inflight", e.Underway()))
 	e.SetDraining()
 	server.StopKeeping()
 	select {
@@ -185,7 +185,7 @@
 	err := server.Stop(p.beginDrain(stop))
 	left := 0
 	if err != nil {
-		left = e.Inflight()
+		left = e.Underway()
 		// The cut requests still get their final answer.
 		final, done := context.WithTimeout(context.Background(), time.Second)
 		server.Cut(final, runs.ErrStopping)
--- /dev/null
+++ b/internal/coordination/entry/body.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/protocol/apierror"
+)
+
+// stopPause is when to come back after a stop, in which time the balancer finds another entry.
+const stopPause = time.Second
+
+// readBody reads a request's body within a time, and no longer than the request's context lasts.
+// The server's own read timeout would go on after the body and end the long streams of answers
+// with it.
+func readBody(w http.ResponseWriter, r *http.Request, within time.Duration) ([]byte, *apierror.Error) {
+	control := http.NewResponseController(w)
+	end := time.Now().Add(within)
+	control.SetReadDeadline(end)
+	release := endReads(r.Context(), control)
+	body, err := io.ReadAll(r.Body)
+	release()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline stays: before it answers, net/http reads the rest of a body, and would
+		// wait for it.
+		return nil, bodyBrokenOff(r.Context(), end, within)
+	}
+	control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge,
+			"the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	case err != nil:
+		return nil, apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the body could not be read: "+err.Error())
+	}
+	return body, nil
+}
+
+// endReads has the end of a context end the reads of a body, which only a deadline does. Its
+// release waits for a deadline that is being set: with HTTP/2, setting one for a request whose
+// handler has returned panics.
+func endReads(ctx context.Context, control *http.ResponseController) (release func()) {
+	set := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(set)
+		control.SetReadDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !stop() {
+			<-set
+		}
+	}
+}
+
+// bodyBrokenOff tells why a read of a body ended on a deadline. net/http ends the context, too,
+// when a body is late, so the time decides.
+func bodyBrokenOff(ctx context.Context, end time.Time, within time.Duration) *apierror.Error {
+	switch {
+	case !time.Now().Before(end):
+		return apierror.New(http.StatusRequestTimeout, apierror.CodeTimeout, "the body did not come within "+within.String())
+	case errors.Is(context.Cause(ctx), runs.ErrStopping):
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeStopping, "this entry stopped before the body was whole", stopPause)
+	}
+	return apierror.New(499, apierror.CodeClientGone, "the caller left")
+}
+
+// readBody reads the call's body.
+func (c *call) readBody() ([]byte, *apierror.Error) {
+	body, refused := readBody(c.w, c.r, c.bodyTime)
+	c.bodyLate = refused != nil && refused.Code == apierror.CodeTimeout
+	return body, refused
+}
+
+// decodeStrict reads an operator's JSON body; a misspelt field is an error.
+func (e *Entry) decodeStrict(w http.ResponseWriter, r *http.Request, into any) *apierror.Error {
+	data, refused := readBody(w, r, e.cfg.BodyTime)
+	if refused != nil {
+		return refused
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "malformed JSON: "+err.Error())
+	}
+	return nil
+}
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -77,6 +77,8 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	inflight atomic.Int64
+	// operating counts the operators' requests underway.
+	operating atomic.Int64
 
 	mu     sync.Mutex
 	queues map[string]*admission.Queue
@@ -96,6 +98,9 @@
 // Inflight is the number of callers' requests underway.
 func (e *Entry) Inflight() int { return int(e.inflight.Load()) }
 
+// Underway is the number of requests underway, those of operators included.
+func (e *Entry) Underway() int { return int(e.inflight.Load() + e.operating.Load()) }
+
 // ReportsDuty takes load reports from the fleet into the directory.
 func (e *Entry) ReportsDuty(ctx context.Context) {
 	const every = 100 * time.Millisecond
@@ -278,6 +283,8 @@
 // operator authenticates an operator; a customer's key never matches.
 func (e *Entry) operator(next func(w http.ResponseWriter, r *http.Request, operator string) *apierror.Error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		e.operating.Add(1)
+		defer e.operating.Add(-1)
 		id := newRequestID()
 		w.Header().Set(RequestIDHeader, id)
 		ingress.NameRequest(r.Context(), id)
--- a/internal/coordination/entry/operators.go
+++ b/internal/coordination/entry/operators.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"sort"
 	"sync"
@@ -26,23 +23,9 @@
 	burnTime = 2 * time.Second
 )
 
-// decodeStrict reads an operator's JSON body; a misspelt field is an error.
-func decodeStrict(r *http.Request, into any) *apierror.Error {
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		return apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge, err.Error())
-	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
-		return apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "malformed JSON: "+err.Error())
-	}
-	return nil
-}
-
 func (e *Entry) servePlan(w http.ResponseWriter, r *http.Request, operator string) *apierror.Error {
 	var request plan.Request
-	if err := decodeStrict(r, &request); err != nil {
+	if err := e.decodeStrict(w, r, &request); err != nil {
 		return err
 	}
 	view := e.Store.View()
@@ -64,7 +47,7 @@
 
 func (e *Entry) serveConfirm(w http.ResponseWriter, r *http.Request, operator string) *apierror.Error {
 	var p plan.Plan
-	if err := decodeStrict(r, &p); err != nil {
+	if err := e.decodeStrict(w, r, &p); err != nil {
 		return err
 	}
 	if !p.Intact() {
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"io"
 	"net/http"
-	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -35,30 +33,6 @@
 	maxKey         = 255
 )
 
-// readBody reads a body within its time. The server's own read timeout would go on
-// after the body and end the long streams of answers with it.
-func (c *call) readBody() ([]byte, *apierror.Error) {
-	control := http.NewResponseController(c.w)
-	control.SetReadDeadline(time.Now().Add(c.bodyTime))
-	body, err := io.ReadAll(c.r.Body)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The deadline stays: before it answers, net/http reads the rest of a body, and would
-		// wait for it.
-		c.bodyLate = true
-		return nil, apierror.New(http.StatusRequestTimeout, apierror.CodeTimeout, "the body did not come within "+c.bodyTime.String())
-	}
-	control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, apierror.New(http.StatusRequestEntityTooLarge, apierror.CodeTooLarge,
-			"the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	case err != nil:
-		return nil, apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the body could not be read: "+err.Error())
-	}
-	return body, nil
-}
-
 func (c *call) idempotencyKey() (string, *apierror.Error) {
 	key := c.r.Header.Get(KeyHeader)
 	if len(key) > maxKey {
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -52,3 +53,52 @@
 	}
 	<-entry.exited
 }
+
+// TestForcedStopAnswersHalfReadBodies guards against an entry that, told to stop twice, closes a connection whose body it reads.
+func TestForcedStopAnswersHalfReadBodies(t *testing.T) {
+	for _, row := range []struct{ name, key, path string }{
+		{"an operator's", operatorKey, "/v1/plans"},
+		{"a customer's", customerKey, "/v1/completions"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t)
+			s.platform()
+			entry := s.entry("entry-1", "domain-a")
+			s.configure("entry-1")
+			s.eventually("the customer is known", func() bool { return s.revision("entry-1") == 1 })
+			c, err := net.Dial("tcp", entry.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			r := bufio.NewReader(c)
+			io.WriteString(c, "POST "+row.path+" HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+row.key+
+				"\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n")
+			// net/http says this when the handler begins to read the body.
+			if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusContinue {
+				t.Fatalf("the caller got %v, %v, want 100", resp, err)
+			}
+			io.WriteString(c, "{")
+			logged := func(text string) func() bool {
+				return func() bool { return strings.Contains(entry.lines(), text) }
+			}
+			s.signal("entry-1", syscall.SIGTERM)
+			s.eventually("the stop begins", logged(`"msg":"stopping"`))
+			s.signal("entry-1", syscall.SIGTERM)
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("the caller got %v", err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), `"code":"stopping"`) {
+				t.Errorf("the caller got %d, %q, %v", resp.StatusCode, body, err)
+			}
+			<-entry.exited
+			s.eventually("the stop ends", logged(`"msg":"stopped"`))
+			if !logged(`"cut":1`)() || logged("connection closed before its request was answered")() {
+				t.Errorf("the log does not tell of one request that was cut and answered")
+			}
+		})
+	}
+}
