Entry and agent: a listener's end is told, and the admin listener logs in JSON

The errors with which the listeners for peers and for metrics and health ended were dropped: a process that accepts nobody there looked healthy in its log. What net/http reports of admin connections went to the standard logger, as no JSON line. Both are logged now as the gateway does, and an ordinary stop tells of no listener.

TestListenersEndIsTold gives each server a listener that is closed. With the errors dropped as before, both rows failed: "the log does not tell" after 10 s. TestOrdinaryStopTellsOfNoListener fails if http.ErrServerClosed is told. That grpc.ErrServerStopped is not told no test shows: in 200 runs without that check a stop never came before Serve.

After: 50 runs of both with the race detector and GOMAXPROCS=2, none failed; all tests of entry, command and e2e with the race detector once, none failed.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -214,7 +214,7 @@
 // start serves peers, joins the fleet and runs the spread duties. It returns
 // once the configuration in force is known, or when stop is told.
 func (p *base) start(stop Stop) {
-	p.run(func(context.Context) { p.server.Serve(p.listener) })
+	p.run(func(context.Context) { p.logServe("peers", p.server.Serve(p.listener)) })
 	p.startAdmin()
 	for p.node.Join(p.ctx) != nil {
 		p.zap.Warn("neither the platform nor a peer answers; trying again")
@@ -233,6 +233,13 @@
 	p.duties.Go(func() { duty(p.ctx) })
 }
 
+// logServe tells of a listener that ended though nobody stopped it.
+func (p *base) logServe(name string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		p.zap.Error("listener ended", zap.String("for", name), zap.Error(err))
+	}
+}
+
 func (p *base) startAdmin() {
 	if p.settings.AdminListen == "" {
 		return
@@ -242,6 +249,10 @@
 		p.zap.Error("admin listener", zap.Error(err))
 		return
 	}
+	p.serveAdmin(listener)
+}
+
+func (p *base) serveAdmin(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /metrics", p.serveMetrics)
@@ -250,8 +261,8 @@
 		p.recordSpread()
 		text.ServeHTTP(w, r)
 	})
-	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	p.run(func(context.Context) { p.admin.Serve(listener) })
+	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.zap)}
+	p.run(func(context.Context) { p.logServe("admin", p.admin.Serve(listener)) })
 }
 
 func (p *base) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/internal/command/base_test.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"limpetwall/internal/coordination/spread"
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/rpc"
+)
+
+// newTestBase returns a base that joins a fleet of its own, and its log.
+func newTestBase(t *testing.T) (*base, *observer.ObservedLogs) {
+	t.Helper()
+	platform := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(platform.Close)
+	core, lines := observer.New(zap.InfoLevel)
+	p, err := newBase(&BaseSettings{
+		ID: "agent-1", Host: "host-1", Domain: "domain-a", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		ObjectAPI: platform.URL, HostList: platform.URL, Spread: spread.DefaultConfig(),
+	}, zap.New(core), fleet.RoleAgent, fleet.Endpoint{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, lines
+}
+
+// stopped is a Stop that has been told.
+func stopped() Stop {
+	graceful := make(chan struct{})
+	close(graceful)
+	return Stop{Graceful: graceful}
+}
+
+// TestListenersEndIsTold guards against a process that accepts nobody and looks healthy in its log.
+func TestListenersEndIsTold(t *testing.T) {
+	rows := []struct {
+		name string
+		// serve serves a listener that is closed.
+		serve func(*base, net.Listener)
+	}{
+		{"peers", func(p *base, closed net.Listener) {
+			p.listener.Close()
+			p.listener = rpc.Linger(closed, lingerQuiet)
+			p.start(stopped())
+		}},
+		{"admin", (*base).serveAdmin},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			p, lines := newTestBase(t)
+			closed, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			closed.Close()
+			told := make(chan struct{})
+			p.zap = p.zap.WithOptions(zap.Hooks(func(e zapcore.Entry) error {
+				if e.Message == "listener ended" {
+					close(told)
+				}
+				return nil
+			}))
+			row.serve(p, closed)
+			select {
+			case <-told:
+			case <-time.After(10 * time.Second):
+				t.Error("the log does not tell")
+			}
+			p.close()
+			if t.Failed() {
+				return
+			}
+			if line := lines.FilterMessage("listener ended").All()[0]; line.Level != zap.ErrorLevel || line.ContextMap()["for"] != row.name {
+				t.Errorf("the log says %v %v", line.Level, line.ContextMap())
+			}
+		})
+	}
+}
+
+// TestOrdinaryStopTellsOfNoListener guards against an error line for each process that is told to stop.
+func TestOrdinaryStopTellsOfNoListener(t *testing.T) {
+	p, lines := newTestBase(t)
+	p.start(stopped())
+	p.close()
+	if n := lines.FilterMessage("listener ended").Len(); n != 0 {
+		t.Errorf("%d lines tell of a listener's end", n)
+	}
+}
