--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -214,7 +214,7 @@
 // start serves peers, joins the fleet and runs the spread duties. It returns
 // once the configuration in force is known, or when stop is told.
 func (p *base) start(stop Stop) {
-	p.run(func(context.Context) { p.logServe("peers", p.server.Serve(p.listener)) })
+	p.run(func(context.Context) { logServe(p.zap, "peers", p.server.Serve(p.listener)) })
 	p.startAdmin()
 	for p.node.Join(p.ctx) != nil {
 		p.zap.Warn("neither the platform nor a peer answers; trying again")
@@ -234,9 +234,9 @@
 }
 
 // logServe tells of a listener that ended though nobody stopped it.
-func (p *base) logServe(name string, err error) {
+func logServe(log *zap.Logger, name string, err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
-		p.zap.Error("listener ended", zap.String("for", name), zap.Error(err))
+		log.Error("listener ended", zap.String("for", name), zap.Error(err))
 	}
 }
 
@@ -262,7 +262,7 @@
 		text.ServeHTTP(w, r)
 	})
 	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.zap)}
-	p.run(func(context.Context) { p.logServe("admin", p.admin.Serve(listener)) })
+	p.run(func(context.Context) { logServe(p.zap, "admin", p.admin.Serve(listener)) })
 }
 
 func (p *base) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -257,7 +257,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", exposition.Handler(registry))
 	p.metrics = p.ownServer(mux)
-	p.run(func(context.Context) { p.logServe("metrics", p.metrics.Serve(l)) })
+	p.run(func(context.Context) { logServe(p.log, "metrics", p.metrics.Serve(l)) })
 }
 
 func (p *gatewayProcess) listen() error {
@@ -273,8 +273,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", p.gateway.ServeReady)
 	p.ready = p.ownServer(mux)
-	p.run(func(context.Context) { p.logServe("callers", p.clients.Serve(clients)) })
-	p.run(func(context.Context) { p.logServe("readiness", p.ready.Serve(ready)) })
+	p.run(func(context.Context) { logServe(p.log, "callers", p.clients.Serve(clients)) })
+	p.run(func(context.Context) { logServe(p.log, "readiness", p.ready.Serve(ready)) })
 	return nil
 }
 
@@ -283,13 +283,6 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.log)}
 }
 
-// logServe tells of a listener that ended though nobody stopped it.
-func (p *gatewayProcess) logServe(name string, err error) {
-	if !errors.Is(err, http.ErrServerClosed) {
-		p.log.Error("listener ended", zap.String("for", name), zap.Error(err))
-	}
-}
-
 const (
 	// balancerNotice is the time in which the balancer finds that a process is not
 	// ready any more and sends it no new connections: two probes, one a second.
