Callers' connections: a close waits until the answer is received

Callers saw: the first 36,724 of an answer's 3,145,728 bytes, then the connection's reset or end, when the answer was the last of its connection (a stop) and bytes lay behind its request: a pipelined request, or the line end that some callers send behind a body.

Cause: close() resets a connection that has unread bytes, or that gets more later, and drops what is still in the send buffer. Only a body that the handler had left unread was read on. net/http's background read takes one byte.

Fix: an answered connection's sending side is ended first; then it is read until the caller ends its own or its kernel has acknowledged all (SIOCOUTQ), for lingerTime (2 s) at most. From then on a reset drops nothing. A caller that neither closes nor reads holds the close up for 2 s; as before, the kernel then sends the rest.

--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -2,7 +2,12 @@
 
 import (
 	"io"
+	"os"
+	"syscall"
 	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -10,6 +15,10 @@
 	lingerTime = 2 * time.Second
 	// lastWordTime bounds the write of an answer that this package makes itself.
 	lastWordTime = time.Second
+	// receiptPoll and maxReceiptPoll bound the waits between looks at the send buffer: the kernel
+	// tells of no acknowledgement.
+	receiptPoll    = 2 * time.Millisecond
+	maxReceiptPoll = 256 * time.Millisecond
 )
 
 // headerLate answers a request whose header did not come in its time. 408 tells that it has not run
@@ -46,7 +55,8 @@
 		c.phase = answered
 	}
 	reason, q, since := c.unanswered(), c.request, c.firstByte
-	unread := c.phase == answered && c.readErr == nil && q != nil && !q.bodyRead.Load()
+	written := c.phase == answered && c.readErr == nil
+	unread := written && q != nil && !q.bodyRead.Load()
 	c.phase, c.request = answered, nil
 	c.mu.Unlock()
 	if reason != "" {
@@ -56,8 +66,11 @@
 	case c.server.closed.Load():
 	case late:
 		c.refuseLate()
+		c.awaitReceipt()
 	case unread:
 		c.linger()
+	case written:
+		c.awaitReceipt()
 	}
 	c.server.remove(c)
 	return c.Conn.Close()
@@ -81,6 +94,40 @@
 	}
 }
 
+// awaitReceipt reads on until the caller has ended its side or acknowledged all that was sent to
+// it, for lingerTime at most. A close resets the connection, and drops what is unsent, if bytes lie
+// unread or come later. What is unsent after lingerTime is the kernel's to send, as for any close.
+func (c *conn) awaitReceipt() {
+	if c.CloseWrite() != nil {
+		return
+	}
+	began := time.Now()
+	for wait := receiptPoll; c.unacknowledged() && time.Since(began) < lingerTime; wait = min(2*wait, maxReceiptPoll) {
+		if c.Conn.SetReadDeadline(time.Now().Add(wait)) != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+}
+
+// unacknowledged tells whether the caller's kernel has yet to acknowledge bytes or the end of the
+// sending side.
+func (c *conn) unacknowledged() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && n > 0
+}
+
 // CloseWrite ends the sending side, as net/http does behind an answer that leaves a body unread.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
