Callers' connections: a stop counts the bytes that net/http holds as read

Callers saw: their connection's end, and no answer, 50 ms after a stop began, on a request of which 1 to 3 bytes had come in one segment with the request before it, or behind a body that the handler had not read.

Cause: the connection counted as waiting for a request. The bytes had been read with the request before, and net/http waits for 4 before it begins on a request. The mark for a byte read ahead is kept only if the handler read the body's end.

Fix: the read for the next request offers the room left in net/http's buffer, which tells how many bytes it holds; they are the last that were read. If they are more than a line end, the request has begun. That holds for any way by which they came there, also for a byte that is read before the body's end is marked, which has no test of its own.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -22,6 +22,8 @@
 	// unreadBodyTime is how long an answer waits for the rest of a body that nobody wanted, with which
 	// net/http keeps the connection open.
 	unreadBodyTime = time.Second
+	// maxHeld is how many bytes net/http holds at most while it waits for a request.
+	maxHeld = 3
 )
 
 // phase is how far a connection's present request has come.
@@ -45,7 +47,9 @@
 // conn puts the limits in force in place of the marks, and ends the waits of a server that stops.
 //
 // Invariant: nothing but Server.Close closes a connection under a request. A limit or a stop ends
-// a read, and net/http, which alone knows whether it holds bytes of a request, closes or goes on.
+// a read, and net/http closes or goes on. A stop ends the wait for a request at once, and that for
+// the rest of one at the header's limit: bytes that net/http holds count as read. Over TLS those
+// that came with the request before are not seen.
 type conn struct {
 	net.Conn
 	server *Server
@@ -73,6 +77,10 @@
 	used bool
 	// readAhead tells that a byte of the next request was read.
 	readAhead bool
+	// bufferSize is that of net/http's buffer, the room of its first read; 0 over TLS.
+	bufferSize int
+	// tail is the end of what was read, as much as net/http may hold while it waits for a request.
+	tail [maxHeld]byte
 	// drained is when the server's stop came to the connection, zero before.
 	drained time.Time
 	// firstByte is when the present request's first byte came.
@@ -211,6 +219,7 @@
 // caller, who knows the longer limit, may be sending: the request gets no answer. A limit that
 // was shortened meanwhile applies from the next wait on.
 func (c *conn) Read(b []byte) (int, error) {
+	c.noteRoom(len(b))
 	for {
 		n, err := c.Conn.Read(b)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waitOn() {
@@ -221,6 +230,28 @@
 	}
 }
 
+// noteRoom begins the next request if net/http holds bytes of it, which came with the one before: a
+// read for the next request offers the room that is left in its buffer.
+func (c *conn) noteRoom(room int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 && !c.secure {
+		c.bufferSize = room
+	}
+	held := c.bufferSize - room
+	if c.phase != waiting || c.limit != idleLimit || held <= 0 || held > maxHeld {
+		return
+	}
+	if !isLineEnd(c.tail[maxHeld-held:]) {
+		c.beginRequest()
+		c.beginWait()
+	}
+}
+
+// isLineEnd tells whether bytes are line ends only: some callers send one behind a body, which
+// belongs to no request.
+func isLineEnd(b []byte) bool { return len(bytes.Trim(b, "\r\n")) == 0 }
+
 // note keeps what a read tells of the present request.
 func (c *conn) note(got []byte, err error) {
 	c.mu.Lock()
@@ -228,6 +259,9 @@
 	if len(got) > 0 {
 		c.looking = false
 		c.noteBytes(got)
+		last := got[max(0, len(got)-maxHeld):]
+		copy(c.tail[:], c.tail[len(last):])
+		copy(c.tail[maxHeld-len(last):], last)
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -239,8 +273,7 @@
 
 // noteBytes is told of bytes that were read.
 func (c *conn) noteBytes(got []byte) {
-	if len(bytes.Trim(got, "\r\n")) == 0 {
-		// Some callers send a line end behind a body, which belongs to no request.
+	if isLineEnd(got) {
 		return
 	}
 	switch c.phase {
