Callers' connections: a stop's listener outlasts errors and delays

Callers saw: a reset of a connection that the kernel had opened for them, on the request that they had sent.

Cause: any error of Accept during a stop ended the listener, also one that passes, as of too many open files. And Accept fails on a deadline in the past before it looks at the queue, so a process that was held up for the 50 ms between the stop and Accept did not look.

Fix: only the deadline and the listener's own end are the end; net/http waits a little on other passing errors. The deadline is followed by one last Accept on a new one. An idle listener's stop takes 0.1 s in place of 0.05 s.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -7,10 +7,12 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -153,13 +155,18 @@
 	return err
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Once the server stops, an error that passes, as of too many open
+// files, is not the end: callers whose connections the kernel has opened are in the queue.
 func (l *listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
-	if err != nil {
-		if l.server.isDraining() {
-			return nil, http.ErrServerClosed
-		}
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.lastLook() {
+		inner, err = l.Listener.Accept()
+	}
+	switch {
+	case err == nil:
+	case l.server.isDraining() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
+		return nil, http.ErrServerClosed
+	default:
 		return nil, err
 	}
 	c := &conn{Conn: inner, server: l.server, secure: l.secure, handshake: l.secure}
@@ -167,10 +174,16 @@
 	return c, nil
 }
 
+// lastLook lets the next Accept look at the queue, which it doesn't on a deadline in the past: the
+// process may have been held up since the stop.
+func (l *listener) lastLook() bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(lastLook)) == nil
+}
+
 // stop lets the listener accept what the kernel has opened for callers, which a close would reset.
 func (l *listener) stop() {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(lastLook)) == nil {
-		return
+	if !l.lastLook() {
+		l.Close()
 	}
-	l.Close()
 }
