Callers' connections: a stop ends behind its last close

What could be seen: Stop returned, and the process could end, while the last connection's socket was still open. No caller was seen to lose by it.

Cause: the connection left the server's account before it was closed.

Fix: it leaves behind the close. TestStopWaitsForTheClose failed before, 1 of 1 times, "the stop ended with a connection open"; green 5 of 5 with -race.

--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -72,7 +72,8 @@
 	case written:
 		c.awaitReceipt()
 	}
-	c.server.remove(c)
+	// A stop that has ended must have no socket open.
+	defer c.server.remove(c)
 	return c.Conn.Close()
 }
 
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -399,3 +399,38 @@
 		}
 	})
 }
+
+// TestStopWaitsForTheClose guards against a stop that ends, and the process with it, before the last close.
+func TestStopWaitsForTheClose(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		mine, theirs := net.Pipe()
+		held := &closeHeldConn{Conn: theirs, goOn: make(chan struct{})}
+		p.conns <- held
+		get(t, mine, bufio.NewReader(mine))
+		done := make(chan error, 1)
+		go func() { done <- s.Stop(context.Background()) }()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		select {
+		case <-done:
+			t.Error("the stop ended with a connection open")
+			done <- nil
+		default:
+		}
+		close(held.goOn)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// closeHeldConn holds its close up.
+type closeHeldConn struct {
+	net.Conn
+	goOn chan struct{}
+}
+
+func (c *closeHeldConn) Close() error {
+	<-c.goOn
+	return c.Conn.Close()
+}
