Callers' connections: a cut without a stop ends

What could be seen: Cut without Stop before it waited until its context ended, with every connection closed. Both processes stop first; no caller was concerned.

Cause: the end is told only once a stop has begun, and a connection that Cut found under a request was not told that its next wait must end.

Fix: Cut does what Stop does, if that has not been done.

--- a/internal/transport/ingress/drain.go
+++ b/internal/transport/ingress/drain.go
@@ -33,13 +33,6 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-// open returns the open connections.
-func (s *Server) open() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.conns))
-}
-
 func (s *Server) waitDrained(ctx context.Context) error {
 	select {
 	case <-s.drained:
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -112,13 +112,15 @@
 
 // Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
 // caller that has left, and the waits for headers that are half read. It waits until ctx ends for
-// the last answers. Stop comes before.
+// the last answers. What Stop does and has not been done is done first.
 //
 // Without it Close ends the requests' contexts as if the callers had left: they wait for an
 // answer and get the connection's end.
 func (s *Server) Cut(ctx context.Context, cause error) error {
 	s.cut(cause)
-	for _, c := range s.open() {
+	s.StopKeeping()
+	for _, c := range s.beginDrain() {
+		c.drain()
 		c.endWait()
 	}
 	return s.waitDrained(ctx)
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -434,3 +434,19 @@
 	<-c.goOn
 	return c.Conn.Close()
 }
+
+// TestCutAlone guards against a cut without a stop, which waited out its time.
+func TestCutAlone(t *testing.T) {
+	serving(t, ok, func(s *Server, p *pipes) {
+		c := p.dial()
+		r := bufio.NewReader(c)
+		get(t, c, r)
+		go io.Copy(io.Discard, r)
+		ctx, done := context.WithTimeout(context.Background(), 10*time.Second)
+		defer done()
+		began := time.Now()
+		if err := s.Cut(ctx, context.Canceled); err != nil {
+			t.Errorf("the cut ended with %v after %s", err, time.Since(began))
+		}
+	})
+}
