Callers' connections: a forced close of an answer underway is told

What was seen: nothing, neither a log line nor ingress.closed_unanswered.stop, when Close ended a connection whose handler had returned and whose answer was still being written. The caller gets a torn answer, or none.

Cause: the end of the handler counts as the answer; net/http writes a short answer, and the end of a long one, behind it.

Fix: a close under a write that is underway counts as unanswered. Only a forced close can be one: net/http closes behind its writes. A close in the moment between the handler's end and the write's begin is still not told.

TestLateHeadersAreCounted asserts the counter ingress.headers_late, which no test did; it fails without the count.

--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -34,12 +34,17 @@
 	if c.phase == reading && !c.handshake && !c.limitHit && !c.server.closed.Load() {
 		c.phase = answered
 	}
+	c.writing = !late
 	c.mu.Unlock()
 	if late {
 		// net/http takes a line that ends early for malformed; Close tells what it is.
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	return n, err
 }
 
 // isHeaderLate tells whether the present request's header did not come in its time.
@@ -149,7 +154,7 @@
 		return ""
 	case c.phase == reading && c.limitHit:
 		return closedByLimit
-	case c.phase == reading || c.phase == handling:
+	case c.phase == reading || c.phase == handling || c.phase == answered && c.writing:
 		return closedByStop
 	}
 	return ""
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -36,7 +36,7 @@
 	reading
 	// handling it: a handler has it.
 	handling
-	// answered: its handler has returned.
+	// answered: its handler has returned, or net/http has refused it.
 	answered
 	// aborted: its handler has broken the answer off.
 	aborted
@@ -87,6 +87,8 @@
 	firstByte time.Time
 	// request is the present one, nil before its header is read.
 	request *request
+	// writing tells that a write is underway. net/http writes the end of an answer behind its handler.
+	writing bool
 	// readErr is the caller's end as a read saw it.
 	readErr error
 	// limitHit tells that a wait ended on its limit.
--- a/internal/transport/ingress/report_test.go
+++ b/internal/transport/ingress/report_test.go
@@ -181,3 +181,36 @@
 	}
 	return n, err
 }
+
+// TestTornAnswerIsTold guards against a forced close of an answer underway that is told by nothing.
+func TestTornAnswerIsTold(t *testing.T) {
+	lines, registry := observed(t, ok, func(s *Server, p *pipes) {
+		c := p.dial()
+		defer c.Close()
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		// The handler has returned, and its answer's write waits for the caller.
+		s.Close()
+		synctest.Wait()
+	})
+	if n := counted(registry, "ingress.closed_unanswered.stop"); n != 1 {
+		t.Errorf("counted %d, told %v", n, lines.All())
+	}
+}
+
+// TestLateHeadersAreCounted guards against refusals of late headers that no counter tells of.
+func TestLateHeadersAreCounted(t *testing.T) {
+	_, registry := observed(t, ok, func(s *Server, p *pipes) {
+		s.SetLimits(routes.Limits{HeaderTimeout: 3 * time.Second})
+		for _, sent := range []string{"GET / HTTP/1.1\r\n", "GE", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+			c := p.dial()
+			answer := readAnswer(c)
+			io.WriteString(c, sent)
+			<-answer
+			c.Close()
+		}
+	})
+	if n := counted(registry, "ingress.headers_late"); n != 2 {
+		t.Errorf("counted %d", n)
+	}
+}
