Callers' connections: a stop does not wait for the rest of a TLS handshake

What could be seen: a stop that waited for up to the header's limit, an hour if none is set, or until its context ended, for a caller that had sent a part of a TLS handshake.

Cause: the handshake's first bytes counted as those of a request.

Fix: a handshake underway has the time of a new connection's first request, 5 s.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -16,8 +16,8 @@
 	lastLook = 50 * time.Millisecond
 	// maxLooks bounds the reads beyond a limit, for callers whose bytes never end.
 	maxLooks = 256
-	// newConnWait is the time that a new connection's first request has once the server stops:
-	// its caller can't know yet that it should go elsewhere.
+	// newConnWait is the time that a new connection's first request, and its TLS handshake before
+	// that, have once the server stops: its caller can't know yet that it should go elsewhere.
 	newConnWait = 5 * time.Second
 	// unreadBodyTime is how long an answer waits for the rest of a body that nobody wanted, with which
 	// net/http keeps the connection open.
@@ -182,7 +182,7 @@
 // waitEnd is when the present wait ends.
 func (c *conn) waitEnd() time.Time {
 	end := c.since.Add(c.limit.in(c.server.limits.Load()))
-	if c.phase != waiting || c.drained.IsZero() {
+	if c.phase != waiting && !c.handshake || c.drained.IsZero() {
 		return end
 	}
 	stop := c.drained.Add(lastLook)
@@ -200,7 +200,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drained = time.Now()
-	if c.limit != noLimit && c.phase == waiting {
+	if c.limit != noLimit && (c.phase == waiting || c.handshake) {
 		c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
 	}
 }
--- a/internal/transport/ingress/http2_test.go
+++ b/internal/transport/ingress/http2_test.go
@@ -164,3 +164,27 @@
 		})
 	}
 }
+
+// TestStopDuringAHandshake guards against a stop that waits for the rest of a TLS handshake.
+func TestStopDuringAHandshake(t *testing.T) {
+	for _, sent := range []string{"", "\x16\x03\x01"} {
+		synctest.Test(t, func(t *testing.T) {
+			s, p := newServer(ok), newPipes()
+			done := make(chan error, 1)
+			go func() {
+				done <- s.ServeTLS(p, &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, io.EOF }})
+			}()
+			c := p.dial()
+			defer c.Close()
+			io.WriteString(c, sent)
+			synctest.Wait()
+			began := time.Now()
+			stopped(t, s)()
+			if took := time.Since(began); took > newConnWait {
+				t.Errorf("behind %q the stop took %s", sent, took)
+			}
+			s.Close()
+			<-done
+		})
+	}
+}
