--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -16,12 +16,14 @@
 	lastLook = 50 * time.Millisecond
 	// maxLooks bounds the reads beyond a limit, for callers whose bytes never end.
 	maxLooks = 256
-	// newConnWait is the time that a new connection's first request has once the server stops:
-	// its caller can't know yet that it should go elsewhere.
+	// newConnWait is the time that a new connection's first request, and its TLS handshake before
+	// that, have once the server stops: its caller can't know yet that it should go elsewhere.
 	newConnWait = 5 * time.Second
 	// unreadBodyTime is how long an answer waits for the rest of a body that nobody wanted, with which
 	// net/http keeps the connection open.
 	unreadBodyTime = time.Second
+	// maxHeld is how many bytes net/http holds at most while it waits for a request.
+	maxHeld = 3
 )
 
 // phase is how far a connection's present request has come.
@@ -34,7 +36,7 @@
 	reading
 	// handling it: a handler has it.
 	handling
-	// answered: its handler has returned.
+	// answered: its handler has returned, or net/http has refused it.
 	answered
 	// aborted: its handler has broken the answer off.
 	aborted
@@ -45,7 +47,9 @@
 // conn puts the limits in force in place of the marks, and ends the waits of a server that stops.
 //
 // Invariant: nothing but Server.Close closes a connection under a request. A limit or a stop ends
-// a read, and net/http, which alone knows whether it holds bytes of a request, closes or goes on.
+// a read, and net/http closes or goes on. A stop ends the wait for a request at once, and that for
+// the rest of one at the header's limit: bytes that net/http holds count as read. Over TLS those
+// that came with the request before are not seen.
 type conn struct {
 	net.Conn
 	server *Server
@@ -73,12 +77,18 @@
 	used bool
 	// readAhead tells that a byte of the next request was read.
 	readAhead bool
+	// bufferSize is that of net/http's buffer, the room of its first read; 0 over TLS.
+	bufferSize int
+	// tail is the end of what was read, as much as net/http may hold while it waits for a request.
+	tail [maxHeld]byte
 	// drained is when the server's stop came to the connection, zero before.
 	drained time.Time
 	// firstByte is when the present request's first byte came.
 	firstByte time.Time
 	// request is the present one, nil before its header is read.
 	request *request
+	// writing tells that a write is underway. net/http writes the end of an answer behind its handler.
+	writing bool
 	// readErr is the caller's end as a read saw it.
 	readErr error
 	// limitHit tells that a wait ended on its limit.
@@ -172,7 +182,7 @@
 // waitEnd is when the present wait ends.
 func (c *conn) waitEnd() time.Time {
 	end := c.since.Add(c.limit.in(c.server.limits.Load()))
-	if c.phase != waiting || c.drained.IsZero() {
+	if c.phase != waiting && !c.handshake || c.drained.IsZero() {
 		return end
 	}
 	stop := c.drained.Add(lastLook)
@@ -190,7 +200,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drained = time.Now()
-	if c.limit != noLimit && c.phase == waiting {
+	if c.limit != noLimit && (c.phase == waiting || c.handshake) {
 		c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
 	}
 }
@@ -211,6 +221,7 @@
 // caller, who knows the longer limit, may be sending: the request gets no answer. A limit that
 // was shortened meanwhile applies from the next wait on.
 func (c *conn) Read(b []byte) (int, error) {
+	c.noteRoom(len(b))
 	for {
 		n, err := c.Conn.Read(b)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waitOn() {
@@ -221,6 +232,28 @@
 	}
 }
 
+// noteRoom begins the next request if net/http holds bytes of it, which came with the one before: a
+// read for the next request offers the room that is left in its buffer.
+func (c *conn) noteRoom(room int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 && !c.secure {
+		c.bufferSize = room
+	}
+	held := c.bufferSize - room
+	if c.phase != waiting || c.limit != idleLimit || held <= 0 || held > maxHeld {
+		return
+	}
+	if !isLineEnd(c.tail[maxHeld-held:]) {
+		c.beginRequest()
+		c.beginWait()
+	}
+}
+
+// isLineEnd tells whether bytes are line ends only: some callers send one behind a body, which
+// belongs to no request.
+func isLineEnd(b []byte) bool { return len(bytes.Trim(b, "\r\n")) == 0 }
+
 // note keeps what a read tells of the present request.
 func (c *conn) note(got []byte, err error) {
 	c.mu.Lock()
@@ -228,6 +261,9 @@
 	if len(got) > 0 {
 		c.looking = false
 		c.noteBytes(got)
+		last := got[max(0, len(got)-maxHeld):]
+		copy(c.tail[:], c.tail[len(last):])
+		copy(c.tail[maxHeld-len(last):], last)
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -239,8 +275,7 @@
 
 // noteBytes is told of bytes that were read.
 func (c *conn) noteBytes(got []byte) {
-	if len(bytes.Trim(got, "\r\n")) == 0 {
-		// Some callers send a line end behind a body, which belongs to no request.
+	if isLineEnd(got) {
 		return
 	}
 	switch c.phase {
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -7,10 +7,12 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -110,13 +112,15 @@
 
 // Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
 // caller that has left, and the waits for headers that are half read. It waits until ctx ends for
-// the last answers. Stop comes before.
+// the last answers. What Stop does and has not been done is done first.
 //
 // Without it Close ends the requests' contexts as if the callers had left: they wait for an
 // answer and get the connection's end.
 func (s *Server) Cut(ctx context.Context, cause error) error {
 	s.cut(cause)
-	for _, c := range s.open() {
+	s.StopKeeping()
+	for _, c := range s.beginDrain() {
+		c.drain()
 		c.endWait()
 	}
 	return s.waitDrained(ctx)
@@ -153,13 +157,18 @@
 	return err
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Once the server stops, an error that passes, as of too many open
+// files, is not the end: callers whose connections the kernel has opened are in the queue.
 func (l *listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
-	if err != nil {
-		if l.server.isDraining() {
-			return nil, http.ErrServerClosed
-		}
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.lastLook() {
+		inner, err = l.Listener.Accept()
+	}
+	switch {
+	case err == nil:
+	case l.server.isDraining() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
+		return nil, http.ErrServerClosed
+	default:
 		return nil, err
 	}
 	c := &conn{Conn: inner, server: l.server, secure: l.secure, handshake: l.secure}
@@ -167,10 +176,16 @@
 	return c, nil
 }
 
+// lastLook lets the next Accept look at the queue, which it doesn't on a deadline in the past: the
+// process may have been held up since the stop.
+func (l *listener) lastLook() bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(lastLook)) == nil
+}
+
 // stop lets the listener accept what the kernel has opened for callers, which a close would reset.
 func (l *listener) stop() {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(lastLook)) == nil {
-		return
+	if !l.lastLook() {
+		l.Close()
 	}
-	l.Close()
 }
