--- a/internal/transport/ingress/accept_test.go
+++ b/internal/transport/ingress/accept_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -77,3 +79,52 @@
 	}
 	return l.heldListener.SetDeadline(t)
 }
+
+// TestStopEndsUnderNewConnections guards against a listener that new connections keep open during a stop.
+func TestStopEndsUnderNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := newServer(ok), &steadyListener{pipes: newPipes()}
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(l) }()
+		synctest.Wait()
+		ctx, done := context.WithTimeout(context.Background(), 20*time.Second)
+		defer done()
+		if err := s.Stop(ctx); err != nil {
+			t.Errorf("the stop ended with %v", err)
+		}
+		s.Close()
+		if err := <-served; err != http.ErrServerClosed {
+			t.Error(err)
+		}
+	})
+}
+
+// steadyListener has a new connection, whose caller has left, every few milliseconds.
+type steadyListener struct {
+	*pipes
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+func (l *steadyListener) SetDeadline(t time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deadline = t
+	return nil
+}
+
+func (l *steadyListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.done:
+		return nil, net.ErrClosed
+	case <-time.After(7 * time.Millisecond):
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.deadline.IsZero() && !time.Now().Before(l.deadline) {
+		return nil, os.ErrDeadlineExceeded
+	}
+	mine, theirs := net.Pipe()
+	mine.Close()
+	return theirs, nil
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -148,6 +148,8 @@
 	server *Server
 	secure bool
 	closed sync.Once
+	// looked tells that Accept has had its last look, which must not be renewed by new connections.
+	looked bool
 }
 
 // Close implements net.Listener.
@@ -161,7 +163,8 @@
 // files, is not the end: callers whose connections the kernel has opened are in the queue.
 func (l *listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) && l.lastLook() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !l.looked && l.lastLook() {
+		l.looked = true
 		inner, err = l.Listener.Accept()
 	}
 	switch {
