--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -36,6 +36,8 @@
 	Weights int64
 	// Orders is the number of load orders accepted since the start.
 	Orders int64
+	// ColdFor is how much longer the endpoint was to stay cold when it wrote the entry.
+	ColdFor time.Duration
 }
 
 // Incarnation identifies this start.
@@ -84,6 +86,8 @@
 	draining chan struct{}
 	// removedAt is when the entry was found missing, zero while it is listed.
 	removedAt time.Time
+	// coldUntil is until when the endpoint is cold, by time.Now.
+	coldUntil time.Time
 }
 
 // NewState returns an empty state. onRoutes is called with each routing table that comes
@@ -135,6 +139,8 @@
 	Labels  map[string]string `json:"labels"`
 	// MaxConcurrent is the maximum number of concurrent runs on one endpoint.
 	MaxConcurrent int `json:"max_concurrent,omitempty"`
+	// ColdRate is the number of requests per second that a cold endpoint withstands.
+	ColdRate float64 `json:"cold_requests_per_second,omitempty"`
 }
 
 type serviceSpec struct {
@@ -152,7 +158,7 @@
 		if service.Engine != nil {
 			spec.Kind = config.ServicePrompt
 		}
-		intent := intentSpec{Service: name, Labels: map[string]string{ServiceLabel: name}}
+		intent := intentSpec{Service: name, Labels: map[string]string{ServiceLabel: name}, ColdRate: service.ColdRate}
 		change.Puts = append(change.Puts, s.document(config.KindService, name, spec), s.document(config.KindIntent, name, intent))
 	}
 	s.Services.Load(config.Empty().With(change))
@@ -231,7 +237,8 @@
 		i.Weights = k.Weights
 	}
 	reappeared := !k.removedAt.IsZero()
-	changed := !ok || reappeared || restarted || !isSameRow(k.Instance, i)
+	coldChanged := (!ok || i.Revision > k.Revision) && k.setCold(i.ColdFor, time.Now())
+	changed := !ok || reappeared || restarted || coldChanged || !isSameRow(k.Instance, i)
 	k.Instance, k.removedAt = i, time.Time{}
 	if changed {
 		s.writeRow(k, stateOf(i))
@@ -240,7 +247,7 @@
 		}
 		s.Log.Info("endpoint listed", zap.String("endpoint", i.ID), zap.String("service", i.Service), zap.String("address", i.Address),
 			zap.String("domain", i.Domain), zap.Bool("leaving", i.Leaving), zap.Int64("weights", i.Weights),
-			zap.Bool("back", reappeared), zap.Uint64("revision", i.Revision))
+			zap.Bool("back", reappeared), zap.Duration("cold_for", i.ColdFor), zap.Uint64("revision", i.Revision))
 	}
 }
 
@@ -278,9 +285,34 @@
 
 // recordRestart resets what belonged to an earlier start of an instance: its orders and its
 // loading state. Its weights stay the same unless it reports others.
+//
+// The endpoint counts as cold for its whole warm-up: the report of a restart may arrive before
+// the entry that says for how long.
 func (s *State) recordRestart(k *knownInstance, born int64) {
 	s.Log.Info("endpoint restarted under the same id", zap.String("endpoint", k.ID), zap.Int64("born", born), zap.Int64("before", k.Born))
 	k.Born, k.Orders, k.loading = born, 0, false
+	k.setCold(s.coldStart(k.Service), time.Now())
+}
+
+// coldStart returns how long an endpoint of a service is cold after its start.
+func (s *State) coldStart(service string) time.Duration {
+	t := s.routes.Load()
+	if t == nil || t.Services[service] == nil {
+		return 0
+	}
+	return t.Services[service].ColdStart
+}
+
+// setCold records for how long an endpoint stays cold, 0 if it is warm. It returns whether the
+// endpoint's row changes. The end is late by the age of the entry, never early.
+func (k *knownInstance) setCold(coldFor time.Duration, now time.Time) bool {
+	if coldFor <= 0 {
+		changed := !k.coldUntil.IsZero()
+		k.coldUntil = time.Time{}
+		return changed
+	}
+	k.coldUntil = now.Add(coldFor)
+	return true
 }
 
 func stateOf(i Instance) fleet.State {
@@ -304,7 +336,7 @@
 		Address: k.Address, Host: k.Address, Domain: k.Domain, Role: fleet.RoleAgent,
 		Endpoint: fleet.Endpoint{
 			ID: k.ID, Kind: kind, Labels: map[string]string{ServiceLabel: k.Service}, Model: k.Model,
-			WeightVersion: VersionName(k.Weights), Loading: k.loading || k.outdated,
+			WeightVersion: VersionName(k.Weights), Loading: k.loading || k.outdated, ColdUntil: k.coldUntil,
 		},
 	}, time.Now())
 }
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -49,13 +49,17 @@
 func refusalEnding(e *apierror.Error) ending { return ending{kind: endRefused, refusal: e} }
 
 // noEndpointEnding returns the ending when no endpoint can be chosen.
-func (x *exchange) noEndpointEnding(why routing.Refusal, sent int, last outcome) ending {
+func (x *exchange) noEndpointEnding(c routing.Choice, sent int, last outcome) ending {
 	if sent > 0 {
 		return x.finalEnding(last, sent)
 	}
 	message := "no endpoint of the service is known"
-	if why == routing.RefusalAllFull {
+	switch c.Refusal {
+	case routing.RefusalAllFull:
 		message = "all endpoints of the service are full"
+	case routing.RefusalAllCold:
+		message = "all endpoints of the service have just started"
+		return refusalEnding(apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, c.WarmIn+retryAfter()))
 	}
 	return notRunEnding(apierror.CodeNoEndpoint, message)
 }
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -63,7 +63,7 @@
 	for {
 		choice := x.chooseEndpoint(request, prompt, last)
 		if choice.Member.ID == "" {
-			return x.noEndpointEnding(choice.Refusal, sent, last)
+			return x.noEndpointEnding(choice, sent, last)
 		}
 		if refusal := x.refuseOverload(choice, sent); refusal != nil {
 			x.g.Directory.Release(choice)
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -70,7 +70,7 @@
 		for _, m := range members {
 			if intent := firstUsableIntent(intents, m); intent != nil {
 				d.endpoints[service] = append(d.endpoints[service], Endpoint{
-					Member: m, Hash: HashID(m.ID), MaxConcurrent: intent.MaxConcurrent, RuntimeState: &d.track(m, now).RuntimeState,
+					Member: m, Hash: HashID(m.ID), MaxConcurrent: intent.MaxConcurrent, ColdRate: intent.ColdRate, RuntimeState: &d.track(m, now).RuntimeState,
 				})
 			}
 		}
@@ -225,6 +225,8 @@
 	CapacityWait time.Duration
 	CachedTokens int
 	Refusal      Refusal
+	// WarmIn is set with RefusalAllCold: when the first of the endpoints will be warm.
+	WarmIn time.Duration
 	// LoadSnapshot is the endpoint's state as the decision saw it.
 	LoadSnapshot LoadSnapshot
 	holding      Holding
@@ -280,7 +282,7 @@
 	}
 	decision := Decide(d.endpoints[service], r, d.random)
 	if decision.Endpoint == nil {
-		return Choice{Refusal: decision.Refusal}
+		return Choice{Refusal: decision.Refusal, WarmIn: decision.WarmIn}
 	}
 	e := decision.Endpoint
 	snapshot := d.tracked[e.ID].snapshot(r.Now)
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -66,6 +66,9 @@
 	Hash uint64
 	// MaxConcurrent bounds the runs from this process (0: no bound).
 	MaxConcurrent int
+	// ColdRate is the number of requests per second that the endpoint withstands while it is
+	// cold (0: no limit).
+	ColdRate float64
 	*RuntimeState
 }
 
@@ -142,6 +145,8 @@
 	WorkTokens int
 	// Refusal is why there is no endpoint.
 	Refusal Refusal
+	// WarmIn is set with RefusalAllCold: when the first of the endpoints will be warm.
+	WarmIn time.Duration
 }
 
 // Refusal is why no endpoint was chosen.
@@ -153,6 +158,8 @@
 	RefusalNoneUsable Refusal = "none_usable"
 	// RefusalAllFull: the usable ones are at their MaxConcurrent.
 	RefusalAllFull Refusal = "all_full"
+	// RefusalAllCold: the usable ones are cold.
+	RefusalAllCold Refusal = "all_cold"
 )
 
 // Random yields uniform numbers; *rand.Rand satisfies it.
@@ -185,6 +192,13 @@
 	return true
 }
 
+// isCold reports whether the endpoint has just started and may crash under its usual load. The
+// processes of a fleet share a limit that is below what each of them could send without noticing
+// the others, so cold endpoints get no requests.
+func (e *Endpoint) isCold(now time.Time) bool {
+	return e.ColdRate > 0 && now.Before(e.Member.Endpoint.ColdUntil)
+}
+
 func isFull(e *Endpoint) bool {
 	return e.MaxConcurrent > 0 && e.Running >= e.MaxConcurrent
 }
@@ -218,6 +232,8 @@
 	list      [maxCandidates]candidate
 	n         int
 	fullCount int
+	// warmAt is when the first of the cold endpoints will be warm, zero if none is cold.
+	warmAt time.Time
 }
 
 func (c *candidateSet) add(e *Endpoint, reason Reason, r *Request) {
@@ -228,6 +244,12 @@
 		c.fullCount++
 		return
 	}
+	if e.isCold(r.Now) {
+		if until := e.Member.Endpoint.ColdUntil; c.warmAt.IsZero() || until.Before(c.warmAt) {
+			c.warmAt = until
+		}
+		return
+	}
 	for i := range c.n {
 		if c.list[i].endpoint == e {
 			return
@@ -295,7 +317,7 @@
 	start := int(random.Uint64() % uint64(len(endpoints)))
 	for i := range endpoints {
 		e := &endpoints[(start+i)%len(endpoints)]
-		if e.isDegraded(r.Now) {
+		if e.isDegraded(r.Now) || e.isCold(r.Now) {
 			continue
 		}
 		c.add(e, ReasonRandom, r)
@@ -386,8 +408,11 @@
 
 func (c *candidateSet) pick(r *Request, random Random) Decision {
 	best := Decision{Refusal: RefusalNoneUsable}
-	if c.fullCount > 0 {
+	switch {
+	case c.fullCount > 0:
 		best.Refusal = RefusalAllFull
+	case !c.warmAt.IsZero():
+		best.Refusal, best.WarmIn = RefusalAllCold, c.warmAt.Sub(r.Now)
 	}
 	bestScore := 0.0
 	// A random start breaks ties between equal scores.
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -130,6 +130,9 @@
 	Role          string `json:"role,omitempty"`
 	// MaxConcurrent runs on one endpoint from each entry; 0 means no bound.
 	MaxConcurrent int `json:"max_concurrent,omitempty"`
+	// ColdRate is the number of requests per second that an endpoint withstands while it is
+	// cold; 0 means no limit.
+	ColdRate float64 `json:"cold_requests_per_second,omitempty"`
 	// MinEndpoints below which a plan warns and a rollout waits.
 	MinEndpoints int `json:"min_endpoints,omitempty"`
 	// AlsoVersions may serve besides WeightVersion, while a rollout lasts.
@@ -293,6 +296,7 @@
 		l.Add(place+".labels", "selects no endpoint; name at least one label")
 	}
 	checkRange(l, place+".max_concurrent", i.MaxConcurrent, 1<<20)
+	checkNotNegative(l, place+".cold_requests_per_second", i.ColdRate)
 	checkRange(l, place+".min_endpoints", i.MinEndpoints, 1<<20)
 	checkRange(l, place+".max_loading", i.MaxLoading, 1<<20)
 	if i.Orders && (i.Model == "" || i.WeightVersion == "") {
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -55,12 +55,15 @@
 	// intent that asked for it.
 	OrderError    string `json:"order_error,omitempty"`
 	OrderRevision uint64 `json:"order_revision,omitempty"`
+	// ColdUntil is until when the endpoint is cold, by this process's clock; zero if it is
+	// warm. It is not sent to other processes.
+	ColdUntil time.Time `json:"-"`
 }
 
 func (e Endpoint) equal(o Endpoint) bool {
 	return e.ID == o.ID && e.Kind == o.Kind && e.Model == o.Model && e.WeightVersion == o.WeightVersion &&
 		e.Adapter == o.Adapter && e.Role == o.Role && e.Loading == o.Loading &&
-		e.OrderError == o.OrderError && e.OrderRevision == o.OrderRevision && maps.Equal(e.Labels, o.Labels)
+		e.ColdUntil.Equal(o.ColdUntil) && e.OrderError == o.OrderError && e.OrderRevision == o.OrderRevision && maps.Equal(e.Labels, o.Labels)
 }
 
 // Member is one process of the system.
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -105,8 +105,12 @@
 type Service struct {
 	Name           string
 	MaxConnections int
-	Engine         *Engine
-	Store          *Store
+	// ColdStart is how long a server is cold after its start. ColdRate is the number of
+	// requests per second that a cold server withstands, 0 if there is no limit.
+	ColdStart time.Duration
+	ColdRate  float64
+	Engine    *Engine
+	Store     *Store
 }
 
 // Customer is the owner of keys.
