--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -152,6 +152,7 @@
 	})
 	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
 	state.BeginWithin = b.WeightsInForce - beginMargin
+	state.FollowsEvacuations = b.Evacuation > 0
 	keeper.OnEngineStart = state.ObserveStartByAddress
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
 	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
@@ -159,8 +160,9 @@
 	store.Log = log
 	watcher := &discovery.Watcher{
 		Feed: store, Decoder: platform.Decoder{}, Kinds: platform.Kinds, State: state, Log: log,
-		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections, Clock: bootclock.Now,
+		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections, Clock: bootclock.Now, Heartbeat: b.Heartbeat,
 	}
+	metrics.NewRegisteredFunctionalGauge("gateway.domains_evacuated", registry, func() int64 { return int64(len(state.EvacuatedDomains())) })
 	endpointDialer := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	p.gateway = &gateway.Gateway{
 		Domain: s.Platform.Domain, State: state, Watcher: watcher,
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -62,6 +62,8 @@
 	// BeginWithin is how long after its weights were replaced an endpoint may still begin to
 	// answer a request that was sent before; 0 sets no limit.
 	BeginWithin time.Duration
+	// FollowsEvacuations is set if the platform lets operators evacuate failure domains.
+	FollowsEvacuations bool
 
 	routes   atomic.Pointer[routes.Table]
 	onRoutes func(*routes.Table)
@@ -73,6 +75,9 @@
 	targetChanged chan struct{}
 	rowVersion    uint64
 	listed        bool
+	// evacuations holds the evacuated failure domains.
+	evacuations       map[string]*evacuation
+	evacuationsListed bool
 }
 
 // knownInstance is an instance together with what this process knows of it beyond its
@@ -98,7 +103,7 @@
 	return &State{
 		Table: fleet.NewTable(cfg, self, now), Services: config.NewStore(), Log: log, Now: time.Now, onRoutes: onRoutes,
 		instances: map[string]*knownInstance{}, conflicts: addressConflicts{firstSeen: map[string]uint64{}, waiting: map[string]Instance{}},
-		targets: map[string]TargetWeights{}, targetChanged: make(chan struct{}),
+		targets: map[string]TargetWeights{}, targetChanged: make(chan struct{}), evacuations: map[string]*evacuation{},
 	}
 }
 
@@ -110,11 +115,11 @@
 func (s *State) Routes() *routes.Table { return s.routes.Load() }
 
 // Ready reports whether requests can be routed: a routing table is in force, and the
-// instances have been listed.
+// instances and evacuations have been listed.
 func (s *State) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes.Load() != nil && s.listed
+	return s.routes.Load() != nil && s.listed && (s.evacuationsListed || !s.FollowsEvacuations)
 }
 
 // SetRoutes puts a routing table in force unless a newer one already is. Within a process,
@@ -327,6 +332,7 @@
 	s.rowVersion++
 	s.updateOutdated(k)
 	s.updateDraining(k)
+	noNewRuns := k.loading || k.outdated || s.evacuations[k.Domain] != nil
 	kind := fleet.KindPlain
 	if k.Model != "" {
 		kind = fleet.KindEngine
@@ -336,7 +342,7 @@
 		Address: k.Address, Host: k.Address, Domain: k.Domain, Role: fleet.RoleAgent,
 		Endpoint: fleet.Endpoint{
 			ID: k.ID, Kind: kind, Labels: map[string]string{ServiceLabel: k.Service}, Model: k.Model,
-			WeightVersion: VersionName(k.Weights), Loading: k.loading || k.outdated, ColdUntil: k.coldUntil,
+			WeightVersion: VersionName(k.Weights), Loading: noNewRuns, ColdUntil: k.coldUntil,
 		},
 	}, time.Now())
 }
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -17,6 +17,8 @@
 // Kinds names the kinds of objects in the store.
 type Kinds struct {
 	Config, Instances, Weights string
+	// Evacuations is the kind of the objects that are named for evacuated failure domains.
+	Evacuations string
 	// MainConfig is the name of the one configuration object.
 	MainConfig string
 }
@@ -81,6 +83,8 @@
 	// Reset, if set, is called after a failed call: open connections may never answer
 	// again.
 	Reset func()
+	// Heartbeat is the longest time after which an endpoint that has become cold writes so.
+	Heartbeat time.Duration
 	// Processes, if set, returns the number of processes that watch.
 	Processes func() int
 	// Clock, for ConfigAge, also advances while the host is suspended; nil means time.Now.
@@ -103,7 +107,11 @@
 // Run follows all kinds until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, kind := range []string{w.Kinds.Config, w.Kinds.Instances, w.Kinds.Weights} {
+	followed := []string{w.Kinds.Config, w.Kinds.Instances, w.Kinds.Weights}
+	if w.State.FollowsEvacuations {
+		followed = append(followed, w.Kinds.Evacuations)
+	}
+	for _, kind := range followed {
 		loops.Go(func() { w.followKind(ctx, kind) })
 	}
 	loops.Go(func() { w.runExpiry(ctx) })
@@ -325,6 +333,10 @@
 }
 
 func (w *Watcher) applyList(kind string, records []objectapi.Record) {
+	if kind == w.Kinds.Evacuations {
+		w.State.ReplaceEvacuations(names(records), time.Now())
+		return
+	}
 	if kind != w.Kinds.Instances {
 		for _, r := range records {
 			w.applyEvent(kind, objectapi.Event{Record: r})
@@ -343,6 +355,15 @@
 	w.State.ReplaceInstances(list, w.wasStoreAway(now), now)
 }
 
+// names returns the names of records.
+func names(records []objectapi.Record) []string {
+	out := make([]string, 0, len(records))
+	for _, r := range records {
+		out = append(out, r.Name)
+	}
+	return out
+}
+
 func (w *Watcher) applyEvent(kind string, e objectapi.Event) {
 	var err error
 	switch kind {
@@ -352,6 +373,8 @@
 		err = w.applyInstance(e)
 	case w.Kinds.Weights:
 		err = w.applyWeights(e)
+	case w.Kinds.Evacuations:
+		w.applyEvacuation(e)
 	}
 	if err != nil {
 		w.Log.Error("cannot decode object", zap.String("kind", kind), zap.String("name", e.Name),
@@ -400,6 +423,16 @@
 	return nil
 }
 
+// applyEvacuation applies a change of an evacuation. Only the record's name counts: a record
+// whose content can't be read still asks for an evacuation.
+func (w *Watcher) applyEvacuation(e objectapi.Event) {
+	if e.Removed {
+		w.State.EndEvacuation(e.Name, time.Now())
+		return
+	}
+	w.State.Evacuate(e.Name)
+}
+
 // instancesReachableSince returns when the store last began to answer for endpoints again;
 // false means that it does not answer now.
 //
@@ -412,12 +445,16 @@
 	return w.instancesRecoveredAt, !w.failing[w.Kinds.Instances]
 }
 
-// runExpiry regularly drops the instances whose expired entries did not come back in time.
+// runExpiry regularly drops the instances whose expired entries did not come back in time, and
+// resumes the use of domains whose evacuation was taken back. Neither happens while the store
+// does not answer for endpoints: their entries may have changed since.
 func (w *Watcher) runExpiry(ctx context.Context) {
 	const interval = 100 * time.Millisecond
 	for sleep.For(ctx, interval) {
 		if recovered, reachable := w.instancesReachableSince(); reachable {
-			w.State.Expire(time.Now(), recovered)
+			now := time.Now()
+			w.State.Expire(now, recovered)
+			w.State.ReturnDomains(now, w.Heartbeat+maxWatchInterval)
 		}
 	}
 }
