--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -145,14 +145,14 @@
 	registry := metrics.NewRegistry()
 	storeClient := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	keeper := contextcache.NewTracker(platform.NewContextStores(&http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}), log, self.Domain, bootclock.Now)
-	keeper.Self = hostOf(s.Platform.Clients)
+	keeper.Self, keeper.Regions = hostOf(s.Platform.Clients), s.Platform.Regions
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
 		p.clients.SetLimits(t.Limits)
 		keeper.SetStores(t.Services)
 	})
 	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
 	state.BeginWithin = b.WeightsInForce - beginMargin
-	state.FollowsEvacuations = b.Evacuation > 0
+	state.FollowsEvacuations, state.Regions = b.Evacuation > 0, s.Platform.Regions
 	keeper.OnEngineStart = state.ObserveStartByAddress
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
 	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
--- a/internal/coordination/contextcache/capacity_test.go
+++ b/internal/coordination/contextcache/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"limpetwall/internal/state/residency"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 			}
 		}
 		id := fmt.Sprint("p", n)
-		to := trackers[n%processes].Plan("s.1", id, []Segment{{id, tokens}}, "", 0).SaveTo[0]
+		to := trackers[n%processes].Plan("s.1", id, []Segment{{id, tokens}}, "", 0, residency.Rule{}).SaveTo[0]
 		if to == "" || free[to] < tokens {
 			lost++
 		} else {
--- a/internal/coordination/contextcache/plan.go
+++ b/internal/coordination/contextcache/plan.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/state/residency"
 )
 
 // Segment is one segment of a prompt.
@@ -96,7 +97,8 @@
 
 // Plan decides where a prompt's segments are imported from and where they are saved.
 // target is the address of the engine that the prompt is sent to, objective the time within
-// which its first token is on time, 0 if none is set. Another engine is preferred to a store
+// which its first token is on time, 0 if none is set. Segments are saved only in regions that
+// rule allows. Another engine is preferred to a store
 // as a source: its link is faster and less loaded.
 //
 // Segments that the target is known to hold get a source too. The target does not import what
@@ -105,7 +107,7 @@
 // imported ones. With 12 engines whose running requests fill most of 52,000 tokens, these
 // sources reduced the shared tokens that were prefilled again from 3.1 to 0.4 million of 8.8 on
 // the heaviest day.
-func (t *Tracker) Plan(salt, context string, segments []Segment, target string, objective time.Duration) Plan {
+func (t *Tracker) Plan(salt, context string, segments []Segment, target string, objective time.Duration, rule residency.Rule) Plan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
@@ -129,7 +131,7 @@
 			p.ImportFrom[i] = other.Address
 		}
 		if holder == "" {
-			p.SaveTo[i] = t.chooseSaveStore(key, context, segment.Tokens, now)
+			p.SaveTo[i] = t.chooseSaveStore(key, context, segment.Tokens, now, rule)
 		}
 	}
 	return p
@@ -167,10 +169,10 @@
 // chooseSaveStore returns the store to save a segment in, "" for none. It ranks the stores by a
 // hash of the context, weighted by saveWeight, so that all processes choose the same one. A full
 // store is skipped for the next in rank. The save counts as in flight.
-func (t *Tracker) chooseSaveStore(key SegmentKey, context string, tokens int, now time.Time) string {
+func (t *Tracker) chooseSaveStore(key SegmentKey, context string, tokens int, now time.Time, rule residency.Rule) string {
 	best, bestScore := "", 0.0
 	for address, s := range t.stores {
-		if !s.usable(now) || s.holds(key, 1) || !s.hasCapacity(key, tokens, now) {
+		if !s.usable(now) || s.holds(key, 1) || !s.hasCapacity(key, tokens, now) || !rule.Allows(t.Regions[s.config.Domain]) {
 			continue
 		}
 		score := rendezvousScore(address, context, s.saveWeight(t.tokenBytes))
--- a/internal/coordination/contextcache/tracker.go
+++ b/internal/coordination/contextcache/tracker.go
@@ -28,6 +28,8 @@
 	Log    *zap.Logger
 	// Domain is the failure domain of this process.
 	Domain string
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// Self is the name of this process in its domain.
 	Self string
 	// Peers, if set, lists the names of the domain's other processes that send reports of what
--- a/internal/coordination/contextcache/tracker_test.go
+++ b/internal/coordination/contextcache/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"limpetwall/internal/state/residency"
 	"math"
 	"sync"
 	"testing"
@@ -52,7 +53,7 @@
 var testSegments = []Segment{{"p1", 500}, {"p2", 1500}}
 
 func (t *Tracker) plan(salt string) (from, to []string, stored int) {
-	p := t.Plan(salt, "context", testSegments, "", 0)
+	p := t.Plan(salt, "context", testSegments, "", 0, residency.Rule{})
 	return p.ImportFrom, p.SaveTo, p.StoredTokens
 }
 
@@ -92,7 +93,7 @@
 	if from, _, stored = tracker.plan("s.2"); from[0] != "" || stored != 0 {
 		t.Error("segments computed with other weights are imported")
 	}
-	if until := tracker.Plan("s.1", "context", testSegments, "", 0).ImportDeadline; until != c.now.UnixMilli()+5000+maxImportTime.Milliseconds() {
+	if until := tracker.Plan("s.1", "context", testSegments, "", 0, residency.Rule{}).ImportDeadline; until != c.now.UnixMilli()+5000+maxImportTime.Milliseconds() {
 		t.Errorf("imports end at %d", until)
 	}
 }
@@ -393,11 +394,11 @@
 	tracker.SetEngines(map[string]Engine{target: {Domain: "a", TokenBytes: 1000, LinkBytesPerSecond: 1_000_000}, other: {Domain: "b", LinkBytesPerSecond: 1_000_000}})
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{added("s.1", "p2", 1500)}}, c.now)
 	tracker.applyEngineEvents(target, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500)}})
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0); p.ImportFrom[0] != "" || p.ImportFrom[1] != localAddress {
+	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != "" || p.ImportFrom[1] != localAddress {
 		t.Errorf("%q", p.ImportFrom)
 	}
 	tracker.applyEngineEvents(other, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500), added("s.1", "p2", 1500)}})
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0); p.ImportFrom[0] != other || p.ImportFrom[1] != other {
+	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != other || p.ImportFrom[1] != other {
 		t.Errorf("%q", p.ImportFrom)
 	}
 	segments := tracker.Lookup("s.1", testSegments).Segments
@@ -418,11 +419,11 @@
 	tracker.SetEngines(map[string]Engine{target: {Domain: "a"}, other: {Domain: "a"}})
 	tracker.applyEngineEvents(target, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500)}})
 	tracker.applyEngineEvents(other, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500)}})
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0); p.ImportFrom[0] != other || p.ImportFrom[1] != "" {
+	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != other || p.ImportFrom[1] != "" {
 		t.Errorf("held by another engine only: got sources %q", p.ImportFrom)
 	}
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{added("s.1", "p1", 500), added("s.1", "p2", 1500)}}, c.now)
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0); p.ImportFrom[0] != localAddress || p.ImportFrom[1] != localAddress {
+	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != localAddress || p.ImportFrom[1] != localAddress {
 		t.Errorf("held by a store, which evicts nothing by itself: got sources %q", p.ImportFrom)
 	}
 }
@@ -432,7 +433,7 @@
 	tracker, c := newTracker(t)
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{added("s.1", "other", 9_600)}}, c.now)
 	for i := range 8 {
-		p := tracker.Plan("s.1", fmt.Sprint("context ", i), []Segment{{fmt.Sprint("p", i), 1000}}, "", 0)
+		p := tracker.Plan("s.1", fmt.Sprint("context ", i), []Segment{{fmt.Sprint("p", i), 1000}}, "", 0, residency.Rule{})
 		if p.SaveTo[0] != remoteAddress {
 			t.Errorf("context %d: got store %q, want the other one", i, p.SaveTo[0])
 		}
@@ -451,7 +452,7 @@
 		0:                      maxImportTime,
 	} {
 		tracker, c := newTracker(t)
-		if until := tracker.Plan("s.1", "context", testSegments, "", objective).ImportDeadline; until != c.now.Add(5*time.Second+want).UnixMilli() {
+		if until := tracker.Plan("s.1", "context", testSegments, "", objective, residency.Rule{}).ImportDeadline; until != c.now.Add(5*time.Second+want).UnixMilli() {
 			t.Errorf("objective %s: until %d", objective, until)
 		}
 	}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -64,6 +64,8 @@
 	BeginWithin time.Duration
 	// FollowsEvacuations is set if the platform lets operators evacuate failure domains.
 	FollowsEvacuations bool
+	// Regions holds the region of each failure domain. Set it before use.
+	Regions map[string]string
 
 	routes   atomic.Pointer[routes.Table]
 	onRoutes func(*routes.Table)
@@ -339,7 +341,7 @@
 	}
 	s.Table.Learn(fleet.Member{
 		ID: k.ID, Incarnation: k.Incarnation().Hash(), Version: s.rowVersion, State: state,
-		Address: k.Address, Host: k.Address, Domain: k.Domain, Role: fleet.RoleAgent,
+		Address: k.Address, Host: k.Address, Domain: k.Domain, Region: s.Regions[k.Domain], Role: fleet.RoleAgent,
 		Endpoint: fleet.Endpoint{
 			ID: k.ID, Kind: kind, Labels: map[string]string{ServiceLabel: k.Service}, Model: k.Model,
 			WeightVersion: VersionName(k.Weights), Loading: noNewRuns, ColdUntil: k.coldUntil,
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/receipt"
 	"limpetwall/internal/state/fingerprint"
+	"limpetwall/internal/state/residency"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/boundedqueue"
 	"limpetwall/internal/transport/ingress"
@@ -121,7 +122,9 @@
 	route   *routes.Route
 	service *routes.Service
 	// customer is nil on public routes.
-	customer  *routes.Customer
+	customer *routes.Customer
+	// residency limits the regions in which the request and its context may be.
+	residency residency.Rule
 	body      []byte
 	startedAt time.Time
 	deadline  time.Time
@@ -297,6 +300,13 @@
 			return x.refuseUnknown(http.StatusUnauthorized, apierror.CodeUnauthorized, "the API key is not known")
 		}
 	}
+	x.residency = residency.Intersect(route.Regions)
+	if x.customer != nil {
+		x.residency = residency.Intersect(route.Regions, x.customer.Regions)
+	}
+	if x.residency.AllowsNone() {
+		return apierror.New(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "the route and the customer have no allowed region in common")
+	}
 	x.service = x.table.Services[route.Pick(rand.Uint64())]
 	if x.service == nil {
 		return x.refuseUnknown(http.StatusNotFound, apierror.CodeNotFound, "the route's service does not exist")
--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -91,7 +91,7 @@
 		return
 	}
 	a.Weights, a.CacheSalt = weights, contextcache.Salt(p.sharingGroup, x.call.Model, c.Member.Endpoint.WeightVersion)
-	plan := x.g.ContextTracker.Plan(a.CacheSalt, strconv.FormatUint(p.placementHash, 36), p.segments, c.Member.Address, x.route.Objective)
+	plan := x.g.ContextTracker.Plan(a.CacheSalt, strconv.FormatUint(p.placementHash, 36), p.segments, c.Member.Address, x.route.Objective, x.residency)
 	a.ImportFrom, a.ExportTo = x.padToSegments(plan.ImportFrom), x.padToSegments(plan.SaveTo)
 	if strings.Join(plan.ImportFrom, "") != "" {
 		a.ImportUntil = plan.ImportDeadline
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpetwall/internal/state/config"
+	"limpetwall/internal/state/residency"
 )
 
 // UrgencyLevels is the number of urgencies of requests; engines serve 0 first.
@@ -66,6 +67,8 @@
 	// Local are the endpoints of that domain, ordered by Hash; if nil, candidates are
 	// sampled without regard to failure domains.
 	Local []Endpoint
+	// Residency limits the regions of the endpoint.
+	Residency residency.Rule
 	// WeightVersion, if set, is the only one accepted (a resumed run).
 	WeightVersion string
 	// Exclude lists members already tried.
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -184,6 +184,9 @@
 	if r.WeightVersion != "" && e.Endpoint.WeightVersion != r.WeightVersion {
 		return false
 	}
+	if !r.Residency.Allows(e.Region) {
+		return false
+	}
 	for _, id := range r.Exclude {
 		if id == e.ID {
 			return false
@@ -317,7 +320,7 @@
 	start := int(random.Uint64() % uint64(len(endpoints)))
 	for i := range endpoints {
 		e := &endpoints[(start+i)%len(endpoints)]
-		if e.isDegraded(r.Now) || e.isCold(r.Now) {
+		if e.isDegraded(r.Now) || e.isCold(r.Now) || !isEligible(e, r) {
 			continue
 		}
 		c.add(e, ReasonRandom, r)
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -19,6 +19,7 @@
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/contextkey"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/residency"
 	"limpetwall/internal/transport/rpc"
 )
 
@@ -140,7 +141,7 @@
 	}
 	return &routing.Request{
 		PlacementHash: routing.PlacementHash(keys, text), PromptTokens: tokens, Objective: job.Service.Objective,
-		Domain: r.Table.Self().Domain,
+		Domain: r.Table.Self().Domain, Residency: residency.Intersect(job.Service.Regions, job.Customer.Regions),
 	}
 }
 
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -65,6 +65,8 @@
 	// Salt separates the customer's contexts from all others. The system makes
 	// it; operators never see it.
 	Salt []byte `json:"salt,omitempty"`
+	// Regions are those whose endpoints may serve the customer; empty allows all.
+	Regions []string `json:"allowed_regions,omitempty"`
 }
 
 // ServiceKind tells model endpoints from plain ones.
@@ -106,6 +108,8 @@
 	// ContextStores is the number of stores asked for a returning context; 0
 	// means 2. The first gets the copy; the others serve when stores changed.
 	ContextStores int `json:"context_stores,omitempty"`
+	// Regions are those whose endpoints may serve the service; empty allows all.
+	Regions []string `json:"allowed_regions,omitempty"`
 }
 
 // Copies is the number of stores that may hold a context of the service.
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -52,6 +52,8 @@
 	Public bool
 	// Resumable streams may continue at another endpoint after their last event.
 	Resumable bool
+	// Regions are those whose endpoints may serve the route; empty allows all.
+	Regions []string
 }
 
 // IsRepeatable reports whether a request that may have run may be sent again from
@@ -122,6 +124,8 @@
 	HasPriority bool
 	// Isolated customers share no context with others.
 	Isolated bool
+	// Regions are those whose endpoints may serve the customer; empty allows all.
+	Regions []string
 }
 
 // Limits bound what a caller may send, and how long it may take.
