--- a/internal/coordination/quarantine/blame.go
+++ b/internal/coordination/quarantine/blame.go
@@ -61,7 +61,9 @@
 	defer t.mu.Unlock()
 	r := t.records[key]
 	switch {
-	case r == nil || !now.Before(r.expiresAt()):
+	case r == nil:
+		return t.checkResource(key, now)
+	case !now.Before(r.expiresAt()):
 		return Status{}
 	case r.Level > 0 && now.Before(r.Until):
 		return Status{Standing: Quarantined, After: r.Until.Sub(now), Crashes: len(r.Crashes)}
@@ -73,6 +75,28 @@
 	return Status{}
 }
 
+// minBlamedKinds is how many different requests for a resource must be blamed before all requests for it are: by then
+// the resource is the likelier cause.
+const minBlamedKinds = 2
+
+// checkResource returns the status of a request that was in flight at no crash; t.mu is held.
+func (t *Tracker) checkResource(key fingerprint.Key, now time.Time) Status {
+	blamed := 0
+	var last *Record
+	for _, r := range t.bySubject[key.Subject()] {
+		if now.Before(r.expiresAt()) && ((r.Level > 0 && now.Before(r.Until)) || t.isBlamed(r)) {
+			blamed, last = blamed+1, r
+		}
+	}
+	if blamed < minBlamedKinds || len(t.related(last)) < minBlamedKinds {
+		return Status{}
+	}
+	if last.Level > 0 {
+		return Status{Standing: Quarantined, After: max(pendingRetryAfter, last.Until.Sub(now)), Crashes: t.countCrashes(last)}
+	}
+	return Status{Standing: Pending, After: pendingRetryAfter, Crashes: t.countCrashes(last)}
+}
+
 // IsSuspect reports whether a request was in flight at a crash or is quarantined: it should not run twice at the
 // same time.
 func (t *Tracker) IsSuspect(key fingerprint.Key) bool {
@@ -91,18 +115,26 @@
 // culprit was at some of the same crashes, and at hardly any others. The culprit must also have been in flight at
 // most of the crashes since shortly before its own first one: while endpoints are killed, a request that is
 // retried may be in flight at several crashes, but endpoints without it are killed as well.
+//
+// The crashes at which other requests for the same resource were in flight count as well: what crashes an endpoint is
+// often the resource, and each way to ask for it would otherwise crash three more.
 func (t *Tracker) isBlamed(r *Record) bool {
-	if len(r.Crashes) < minBlamedCrashes {
+	if len(r.Crashes) == 0 {
+		return false
+	}
+	if t.countCrashes(r) < minBlamedCrashes {
 		return false
 	}
+	related := t.related(r)
+	crashes := crashesOf(related)
 	blamed, distinct := 0, 0
 	var first time.Time
-	for _, crash := range r.Crashes {
-		event := t.crashes[crash.Incarnation]
+	for incarnation := range crashes {
+		event := t.crashes[incarnation]
 		if first.IsZero() || event.firstSeen.Before(first) {
 			first = event.firstSeen
 		}
-		switch t.likelihoodAt(event, r) {
+		switch t.likelihoodAt(event, related, len(crashes)) {
 		case lessLikely:
 		case equallyLikely:
 			blamed++
@@ -114,7 +146,48 @@
 	if blamed >= sufficientCrashes {
 		return true
 	}
-	return blamed >= minBlamedCrashes && distinct >= minDistinctCrashes && blamed > t.countCrashesWithout(r, first.Add(-backgroundWindow))
+	return blamed >= minBlamedCrashes && distinct >= minDistinctCrashes && blamed > t.countCrashesWithout(crashes, first.Add(-backgroundWindow))
+}
+
+// maxRelated is the largest number of requests with the same subject that are taken to be about one resource. In an
+// interface whose paths end alike for all resources, more of a customer's requests are soon in flight at crashes.
+const maxRelated = 4
+
+// related returns the records of requests for the same resource that were in flight at crashes, r among them.
+func (t *Tracker) related(r *Record) []*Record {
+	all := t.bySubject[r.Key.Subject()]
+	if len(all) < 2 {
+		return all
+	}
+	var out []*Record
+	for _, other := range all {
+		if other == r || len(other.Crashes) > 0 {
+			out = append(out, other)
+		}
+	}
+	if len(out) > maxRelated {
+		return []*Record{r}
+	}
+	return out
+}
+
+// countCrashes returns the number of crashes at which a request, or another for the same resource, was in flight.
+func (t *Tracker) countCrashes(r *Record) int {
+	if len(t.bySubject[r.Key.Subject()]) < 2 {
+		return len(r.Crashes)
+	}
+	return len(crashesOf(t.related(r)))
+}
+
+// crashesOf returns the incarnations of the endpoints that crashed while one of the requests was in flight.
+func crashesOf(records []*Record) map[uint64]struct{} {
+	out := map[uint64]struct{}{}
+	for _, r := range records {
+		for _, crash := range r.Crashes {
+			out[crash.Incarnation] = struct{}{}
+		}
+	}
+	return out
 }
 
 // likelihood compares a request with the others in flight at a crash, as its cause.
@@ -126,36 +199,43 @@
 	lessLikely
 )
 
-func (t *Tracker) likelihoodAt(event *endpointCrash, r *Record) likelihood {
+// likelihoodAt compares requests for one resource, which were in flight at a number of crashes, with the others in
+// flight at a crash.
+func (t *Tracker) likelihoodAt(event *endpointCrash, related []*Record, crashes int) likelihood {
 	result := mostLikely
 	for _, key := range event.inFlight {
 		other := t.records[key]
-		switch {
-		case other == r:
-		case other.Level > 0 || len(other.Crashes) > len(r.Crashes):
+		if slices.Contains(related, other) {
+			continue
+		}
+		switch n := t.countCrashes(other); {
+		case other.Level > 0 || n > crashes:
 			return lessLikely
-		case len(other.Crashes) == len(r.Crashes):
+		case n == crashes:
 			result = equallyLikely
 		}
 	}
 	return result
 }
 
-// countCrashesWithout counts the crashes since a time at which neither the request nor another possible culprit
-// was in flight: several culprits that come at once would otherwise be evidence in favor of each other.
-func (t *Tracker) countCrashesWithout(r *Record, since time.Time) int {
+// countCrashesWithout counts the crashes since a time that are not among those given and at which no other possible
+// culprit was in flight: several culprits that come at once would otherwise be evidence in favor of each other.
+func (t *Tracker) countCrashesWithout(crashes map[uint64]struct{}, since time.Time) int {
 	n := 0
 	for incarnation, event := range t.crashes {
-		if !r.hasCrash(incarnation) && !event.firstSeen.Before(since) && !slices.ContainsFunc(event.inFlight, t.isCulprit) {
+		if _, own := crashes[incarnation]; !own && !event.firstSeen.Before(since) && !slices.ContainsFunc(event.inFlight, t.isCulprit) {
 			n++
 		}
 	}
 	return n
 }
 
-// isCulprit reports whether a request is quarantined, or was in flight at as many crashes as it takes to be
-// blamed.
+// minCulpritCrashes is at how many crashes a request must have been in flight for these to say nothing about others:
+// of several culprits that come at once, all reach it before the first can be blamed.
+const minCulpritCrashes = 2
+
+// isCulprit reports whether a request is quarantined, or was in flight at enough crashes to be their likely cause.
 func (t *Tracker) isCulprit(key fingerprint.Key) bool {
 	r := t.records[key]
-	return r.Level > 0 || len(r.Crashes) >= minBlamedCrashes
+	return r.Level > 0 || t.countCrashes(r) >= minCulpritCrashes
 }
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -150,11 +150,6 @@
 	return changed
 }
 
-func (r *Record) hasCrash(incarnation uint64) bool {
-	_, found := r.findCrash(incarnation)
-	return found
-}
-
 // findCrash returns the index of an incarnation's crash in Crashes, or where it belongs.
 func (r *Record) findCrash(incarnation uint64) (i int, found bool) {
 	return slices.BinarySearchFunc(r.Crashes, incarnation, func(crash Crash, incarnation uint64) int {
--- /dev/null
+++ b/internal/coordination/quarantine/related_test.go
@@ -0,0 +1,118 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/state/fingerprint"
+)
+
+// requestFor returns the key of one of a customer's requests for a resource.
+func requestFor(customer, kind, resource string) fingerprint.Key {
+	return fingerprint.Of(fingerprint.Request{Customer: customer, Target: "/" + kind + "/" + resource + "?page=1"}, nil)
+}
+
+// TestRelatedRequestsShareBlame guards against a resource that crashes three endpoints by each kind of request for
+// it, and against the blame of requests that only end alike.
+func TestRelatedRequestsShareBlame(t *testing.T) {
+	get, post := requestFor("club", "lookup", "7"), requestFor("club", "booking", "7")
+	rows := []struct {
+		name    string
+		crashes [][]fingerprint.Key
+		blamed  []fingerprint.Key
+		clear   []fingerprint.Key
+	}{
+		{"three crashes by two kinds", [][]fingerprint.Key{{get}, {post}, {get}}, []fingerprint.Key{get, post}, nil},
+		{"always together", [][]fingerprint.Key{{get, post}, {get, post}, {get, post}}, []fingerprint.Key{get, post}, nil},
+		{"the second kind after the first", [][]fingerprint.Key{{get}, {get}, {get}, {post}}, []fingerprint.Key{get, post}, nil},
+		{"two crashes", [][]fingerprint.Key{{get}, {post}}, nil, []fingerprint.Key{get, post}},
+		{"another customer's", [][]fingerprint.Key{{get}, {get}, {get}, {requestFor("other", "booking", "7")}},
+			[]fingerprint.Key{get}, []fingerprint.Key{requestFor("other", "booking", "7")}},
+		{"another resource", [][]fingerprint.Key{{get}, {get}, {get}, {requestFor("club", "booking", "8")}},
+			[]fingerprint.Key{get}, []fingerprint.Key{requestFor("club", "booking", "8")}},
+		{"paths that end alike", [][]fingerprint.Key{
+			{get}, {requestFor("club", "a", "7")}, {requestFor("club", "b", "7")}, {requestFor("club", "c", "7")}, {requestFor("club", "d", "7")},
+		}, nil, []fingerprint.Key{get, requestFor("club", "a", "7")}},
+	}
+	for _, row := range rows {
+		tracker := NewTracker()
+		for i, keys := range row.crashes {
+			for _, key := range keys {
+				tracker.RecordCrash(key, uint64(i+1), RequestInfo{}, start)
+			}
+		}
+		for _, key := range row.blamed {
+			if got := tracker.Check(key, start).Standing; got != Pending {
+				t.Errorf("%s: got standing %d, want Pending", row.name, got)
+			}
+		}
+		for _, key := range row.clear {
+			if got := tracker.Check(key, start).Standing; got != Clear {
+				t.Errorf("%s: got standing %d, want Clear", row.name, got)
+			}
+		}
+	}
+}
+
+const (
+	// maxUnshared is how many endpoints a resource crashes before the processes tell each other of it.
+	maxUnshared = 2
+	// maxSendsAfterBlame is how often a resource that has crashed minBlamedCrashes endpoints may still be sent.
+	maxSendsAfterBlame = 3
+)
+
+// TestDeadlyResourcesOverSeveralProcesses lets up to three deadly resources, each asked for by up to three kinds of
+// request, come to several processes that learn of each other's evidence late, in any order or not at all for a while.
+//
+// It guards against evidence that is split among kinds of request or outweighed by that of another deadly resource:
+// a resource under which three endpoints have crashed may be sent to three more.
+func TestDeadlyResourcesOverSeveralProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		processes := make([]*Tracker, rapid.IntRange(1, 4).Draw(t, "processes"))
+		for i := range processes {
+			processes[i] = NewTracker()
+		}
+		resources, kinds := rapid.IntRange(1, 3).Draw(t, "resources"), rapid.IntRange(1, 3).Draw(t, "kinds")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		now := start
+		crashes := make([]int, resources)
+		sinceShared := make([]int, resources)
+		share := func() {
+			for range 2 {
+				for _, from := range processes {
+					for _, r := range from.records {
+						for _, to := range processes {
+							to.Merge(r.clone(), now)
+						}
+					}
+				}
+			}
+		}
+		for incarnation := uint64(1); incarnation < 60; incarnation++ {
+			now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
+			at, resource := processes[random.IntN(len(processes))], random.IntN(resources)
+			key := requestFor("club", fmt.Sprint("kind", random.IntN(kinds)), fmt.Sprint(resource))
+			if at.Check(key, now).Standing == Clear {
+				at.RecordCrash(key, incarnation, RequestInfo{}, now)
+				crashes[resource]++
+				sinceShared[resource]++
+			}
+			if random.IntN(3) == 0 || sinceShared[resource] >= maxUnshared {
+				share()
+				clear(sinceShared)
+			}
+			for _, p := range processes {
+				p.Evaluate(now)
+			}
+		}
+		for resource, n := range crashes {
+			if limit := minBlamedCrashes + maxSendsAfterBlame; n > limit {
+				t.Errorf("resource %d crashed %d endpoints, want at most %d", resource, n, limit)
+			}
+		}
+	})
+}
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -24,6 +24,8 @@
 
 	mu      sync.Mutex
 	records map[fingerprint.Key]*Record
+	// bySubject holds the records of requests for one resource.
+	bySubject map[fingerprint.Subject][]*Record
 	// crashes is keyed by the incarnation that crashed.
 	crashes map[uint64]*endpointCrash
 	// sendsLeft counts how often each changed record is still to be sent to other processes.
@@ -44,7 +46,7 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: map[fingerprint.Key]*Record{}, crashes: map[uint64]*endpointCrash{}, sendsLeft: map[fingerprint.Key]int{},
+		records: map[fingerprint.Key]*Record{}, bySubject: map[fingerprint.Subject][]*Record{}, crashes: map[uint64]*endpointCrash{}, sendsLeft: map[fingerprint.Key]int{},
 		onBlame: func(fingerprint.Key) {}, urgent: make(chan struct{}, 1),
 	}
 }
@@ -129,6 +131,7 @@
 		r = &Record{Key: other.Key, changed: now}
 		t.evictIfFull()
 		t.records[other.Key] = r
+		t.bySubject[r.Key.Subject()] = append(t.bySubject[r.Key.Subject()], r)
 		t.size.Store(int64(len(t.records)))
 	}
 	t.unindex(r)
@@ -201,6 +204,11 @@
 func (t *Tracker) remove(r *Record) {
 	t.unindex(r)
 	delete(t.records, r.Key)
+	subject := r.Key.Subject()
+	t.bySubject[subject] = slices.DeleteFunc(t.bySubject[subject], func(other *Record) bool { return other == r })
+	if len(t.bySubject[subject]) == 0 {
+		delete(t.bySubject, subject)
+	}
 	delete(t.sendsLeft, r.Key)
 	t.size.Store(int64(len(t.records)))
 }
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -309,7 +309,11 @@
 	for incarnation, event := range tracker.crashes {
 		entries += len(event.inFlight)
 		for _, key := range event.inFlight {
-			if r := tracker.records[key]; r == nil || !r.hasCrash(incarnation) {
+			r := tracker.records[key]
+			if r == nil {
+				t.Fatalf("no record of %s", key)
+			}
+			if _, found := r.findCrash(incarnation); !found {
 				t.Fatalf("%s is listed at crash %d, which its record lacks", key, incarnation)
 			}
 		}
--- a/internal/state/fingerprint/fingerprint.go
+++ b/internal/state/fingerprint/fingerprint.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -16,6 +17,9 @@
 // run. As the customer is hashed too, a customer that could find such a collision would block only its own requests.
 const Size = 16
 
+// subjectSize is the length in bytes of the part of a key that requests for one resource of a customer share.
+const subjectSize = 8
+
 // ErrMalformed is returned when a text is not the hexadecimal form of a key.
 const ErrMalformed = errors.ConstError("fingerprint must be 32 hexadecimal digits")
 
@@ -38,6 +42,13 @@
 	return nil
 }
 
+// Subject identifies the resource of a customer that a request is about. Different requests for one resource, such as
+// a booking and a look-up of it, have the same subject.
+type Subject [subjectSize]byte
+
+// Subject returns the key's subject.
+func (k Key) Subject() Subject { return Subject(k[:subjectSize]) }
+
 // Parse decodes a key from its hexadecimal form and reports whether it is valid.
 func Parse(s string) (Key, bool) {
 	var k Key
@@ -60,8 +71,30 @@
 	Target string
 }
 
-// Of returns the key of a request. Headers aren't hashed: they change with each attempt.
+// Of returns the key of a request. Headers aren't hashed: they change with each attempt. The key begins with the
+// request's subject, so that processes can relate the keys that they tell each other.
 func Of(r Request, body []byte) Key {
+	key := hashAll(r, body)
+	if resource := r.resource(); resource != "" && r.Customer != "" {
+		h := sha256.New()
+		for _, field := range []string{r.Customer, resource} {
+			writeLength(h, len(field))
+			io.WriteString(h, field)
+		}
+		copy(key[:subjectSize], h.Sum(nil))
+	}
+	return key
+}
+
+// resource returns the last segment of the path, which names the resource in most interfaces; it is empty if there is
+// no path.
+func (r Request) resource() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path[strings.LastIndexByte(path, '/')+1:]
+}
+
+// hashAll hashes all that identifies a request.
+func hashAll(r Request, body []byte) Key {
 	h := sha256.New()
 	for _, field := range []string{r.Customer, r.Host, r.Method, r.Target} {
 		writeLength(h, len(field))
