--- a/internal/coordination/entry/operators.go
+++ b/internal/coordination/entry/operators.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -138,11 +140,16 @@
 	// Blocked rollouts, as seen by the holder of the rollout lease; empty at
 	// other entries.
 	Blocked []rollout.Blocked `json:"blocked_rollouts,omitempty"`
+	// Evacuated are the failure domains whose endpoints get no requests.
+	Evacuated []string `json:"evacuated_domains,omitempty"`
 }
 
 func (e *Entry) serveStatus(w http.ResponseWriter, _ *http.Request, _ string) *apierror.Error {
 	table := e.Node.Table()
-	status := Status{Entry: table.Self().ID, Revision: e.Store.View().Revision, Blocked: e.Rollout.Blocked()}
+	view := e.Store.View()
+	status := Status{
+		Entry: table.Self().ID, Revision: view.Revision, Blocked: e.Rollout.Blocked(), Evacuated: slices.Sorted(maps.Keys(view.Evacuations)),
+	}
 	now := time.Now()
 	for _, m := range table.Members() {
 		row := MemberStatus{Member: m, StateName: m.State.String()}
--- a/internal/coordination/plan/plan.go
+++ b/internal/coordination/plan/plan.go
@@ -343,9 +343,12 @@
 }
 
 // intentsByService returns, for each service that a member's endpoint is to serve,
-// the first intent that matches the endpoint.
+// the first intent that matches the endpoint. Endpoints of an evacuated domain serve none.
 func intentsByService(v *config.View, m fleet.Member) map[string]*config.Intent {
 	out := map[string]*config.Intent{}
+	if v.Evacuations[m.Domain] != nil {
+		return out
+	}
 	for service, intents := range v.Intents {
 		for _, i := range intents {
 			if _, found := out[service]; !found && Matches(i, m.Endpoint) {
@@ -362,7 +365,7 @@
 		for _, i := range intents {
 			usable, otherWeights := 0, 0
 			for _, m := range members {
-				if !IsAvailable(m) || !Matches(i, m.Endpoint) {
+				if !IsAvailable(m) || !Matches(i, m.Endpoint) || after.Evacuations[m.Domain] != nil {
 					continue
 				}
 				if !servesWeightsOf(i, m.Endpoint) {
@@ -378,6 +381,11 @@
 			}
 		}
 	}
+	for domain := range after.Evacuations {
+		if before.Evacuations[domain] == nil {
+			out = append(out, evacuationWarnings(after, members, domain)...)
+		}
+	}
 	for id := range after.Services {
 		if len(after.Intents[id]) == 0 {
 			out = append(out, fmt.Sprintf("service %s has no intent, its requests will be refused", id))
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -68,6 +68,9 @@
 	d.capacity = map[string]int{}
 	for service, intents := range view.Intents {
 		for _, m := range members {
+			if view.Evacuations[m.Domain] != nil {
+				continue
+			}
 			if intent := firstUsableIntent(intents, m); intent != nil {
 				d.endpoints[service] = append(d.endpoints[service], Endpoint{
 					Member: m, Hash: HashID(m.ID), MaxConcurrent: intent.MaxConcurrent, ColdRate: intent.ColdRate, RuntimeState: &d.track(m, now).RuntimeState,
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -51,24 +51,29 @@
 		if err := readJSON(*file, &request); err != nil {
 			return c.fail(err)
 		}
-		var p plan.Plan
-		if _, err := c.call(http.MethodPost, "/v1/plans", request, &p); err != nil {
-			return c.fail(err)
-		}
-		if *save != "" {
-			data, err := json.MarshalIndent(p, "", "  ")
-			if err == nil {
-				err = os.WriteFile(*save, append(data, '\n'), 0o600)
-			}
-			if err != nil {
-				return c.fail(err)
-			}
+		return c.plan(request, *save)
+	}
+}
+
+// plan asks for the plan of a request, prints it and saves it in a file unless that has no name.
+func (c *cli) plan(request plan.Request, file string) int {
+	var p plan.Plan
+	if _, err := c.call(http.MethodPost, "/v1/plans", request, &p); err != nil {
+		return c.fail(err)
+	}
+	if file != "" {
+		data, err := json.MarshalIndent(p, "", "  ")
+		if err == nil {
+			err = os.WriteFile(file, append(data, '\n'), 0o600)
 		}
-		if *c.format == "json" {
-			return c.printJSON(p)
+		if err != nil {
+			return c.fail(err)
 		}
-		return c.printPlan(p)
 	}
+	if *c.format == "json" {
+		return c.printJSON(p)
+	}
+	return c.printPlan(p)
 }
 
 func (c *cli) printPlan(p plan.Plan) int {
@@ -178,6 +183,9 @@
 		for _, b := range s.Blocked {
 			fmt.Fprintf(c.Out, "rollout of intent %s: %s\n\n", b.Intent, b.Reason)
 		}
+		for _, domain := range s.Evacuated {
+			fmt.Fprintf(c.Out, "failure domain %s is evacuated\n\n", domain)
+		}
 		return c.table("MEMBER\tROLE\tSTATE\tDOMAIN\tHOST\tREVISION\tMODEL\tRUNNING\tWAITING", func(w *tabwriter.Writer) {
 			for _, m := range s.Members {
 				revision := fmt.Sprint(m.Revision)
--- a/internal/operatorcli/main.go
+++ b/internal/operatorcli/main.go
@@ -29,6 +29,7 @@
 
   plan -f FILE [-save PLAN]   show what a request would change
   confirm PLAN                put a saved plan in force
+  evacuate DOMAIN             plan that a failure domain gets no requests, or (-back) gets them again
   get KIND [ID]               show documents: customer, service, intent, operator
   status                      show the fleet, and who lags behind the configuration
   report burn [-html FILE]    show how fast services use up their error budgets
@@ -82,6 +83,7 @@
 	return map[string]command{
 		"plan":        {0, 0, bindPlan},
 		"confirm":     {1, 1, bindConfirm},
+		"evacuate":    {1, 1, bindEvacuate},
 		"get":         {1, 2, bindGet},
 		"status":      {0, 0, bindStatus},
 		"report":      {1, 1, bindReport},
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -27,6 +27,8 @@
 	KindIntent   Kind = "intent"
 	KindOperator Kind = "operator"
 	KindStore    Kind = "store"
+	// KindEvacuation documents are named for failure domains whose endpoints get no requests.
+	KindEvacuation Kind = "evacuation"
 )
 
 // Ref names one document.
@@ -162,6 +164,13 @@
 	return standard
 }
 
+// Evacuation keeps new requests from the endpoints of a failure domain, whose name is its ID.
+type Evacuation struct {
+	ID string `json:"-"`
+	// Reason is shown to other operators.
+	Reason string `json:"reason,omitempty"`
+}
+
 // Operator may plan and confirm.
 type Operator struct {
 	ID        string   `json:"-"`
@@ -261,8 +270,11 @@
 		if decodeSpec(l, spec, d.Spec, &s) {
 			s.check(l, spec)
 		}
+	case KindEvacuation:
+		var e Evacuation
+		decodeSpec(l, spec, d.Spec, &e)
 	default:
-		l.Add(place+".kind", "%q is none of customer, service, intent, operator, store", d.Kind)
+		l.Add(place+".kind", "%q is none of customer, service, intent, operator, store, evacuation", d.Kind)
 	}
 }
 
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -35,6 +35,8 @@
 	Intents map[string][]*Intent
 	// StoreHosts are ordered by id.
 	StoreHosts []*StoreHost
+	// Evacuations are by failure domain.
+	Evacuations map[string]*Evacuation
 
 	customerKeys map[[sha256.Size]byte]*Customer
 	operatorKeys map[[sha256.Size]byte]*Operator
@@ -89,6 +91,7 @@
 	v.Customers = map[string]*Customer{}
 	v.Services = map[string]*Service{}
 	v.Intents = map[string][]*Intent{}
+	v.Evacuations = map[string]*Evacuation{}
 	v.customerKeys = map[[sha256.Size]byte]*Customer{}
 	v.operatorKeys = map[[sha256.Size]byte]*Operator{}
 	for ref, spec := range v.Documents {
@@ -110,6 +113,11 @@
 			if json.Unmarshal(spec, i) == nil {
 				v.Intents[i.Service] = append(v.Intents[i.Service], i)
 			}
+		case KindEvacuation:
+			e := &Evacuation{ID: ref.ID}
+			// An evacuation is in force even if a newer process wrote it in a form not known here.
+			json.Unmarshal(spec, e)
+			v.Evacuations[ref.ID] = e
 		case KindStore:
 			h := &StoreHost{ID: ref.ID}
 			if json.Unmarshal(spec, h) == nil {
