--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -13,6 +14,7 @@
 	"limpetwall/internal/coordination/loadreport"
 	"limpetwall/internal/coordination/quarantinegossip"
 	"limpetwall/internal/coordination/rollout"
+	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/datagram"
 	"limpetwall/platform"
@@ -28,6 +30,7 @@
 	p.shareNotices(sharer, director)
 	p.shareContents(sharer, keeper)
 	p.shareQuarantines(sharer)
+	p.claimColdEndpoints(self, sharer, store, director)
 }
 
 // shareWork tells the other gateways what this one has underway, and hears of theirs.
@@ -66,6 +69,26 @@
 	p.run(caster.Run)
 }
 
+// claimColdEndpoints has one gateway of a domain use each of its cold endpoints.
+func (p *gatewayProcess) claimColdEndpoints(self fleet.Member, sharer *loadreport.Exchanger, store *platform.Store, director *rollout.Director) {
+	state := p.gateway.State
+	claims := &warmup.Claims{
+		Store: store, Directory: p.gateway.Directory, Log: p.log, Holder: p.settings.Platform.Clients + "@" + strconv.FormatUint(self.Incarnation, 36),
+		Self: hostOf(p.settings.Platform.Peers), Peers: func() []string { return hostNames(sharer.DomainHosts()) },
+		Changed: state.Table.Changed, IsLeader: director.IsLeader,
+		Exists: func(id string) bool { _, ok := state.Instance(id); return ok },
+	}
+	p.run(claims.Run)
+}
+
+func hostNames(hosts []netip.Addr) []string {
+	names := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		names = append(names, host.String())
+	}
+	return names
+}
+
 // shareContents has the gateways of the failure domain share the following of stores and
 // engines. Without, each follows all.
 func (p *gatewayProcess) shareContents(sharer *loadreport.Exchanger, keeper *contextcache.Tracker) {
@@ -77,13 +100,7 @@
 		p.log.Error("what stores hold is not told to other gateways", zap.Error(err))
 		return
 	}
-	keeper.Peers = func() []string {
-		var names []string
-		for _, host := range sharer.DomainHosts() {
-			names = append(names, host.String())
-		}
-		return names
-	}
+	keeper.Peers = func() []string { return hostNames(sharer.DomainHosts()) }
 	contents := &contentreport.Exchanger{Group: group, Hosts: sharer.DomainHosts, Tracker: keeper, Log: p.log}
 	p.run(contents.Run)
 }
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/contextkey"
 	"limpetwall/internal/state/fleet"
@@ -289,6 +290,9 @@
 	}
 	e := decision.Endpoint
 	snapshot := d.tracked[e.ID].snapshot(r.Now)
+	if e.isCold(r.Now) {
+		e.Warmup.Record(r.Now)
+	}
 	e.Running++
 	e.HeldTokens += r.HeldTokens
 	pending := &prefill{tokens: decision.WorkTokens, queuedTokens: e.queuedTokens(r.Urgency), urgency: r.Urgency}
@@ -329,6 +333,33 @@
 	return out
 }
 
+// ColdEndpoints lists the cold endpoints of this process's failure domain. It implements
+// warmup.Directory.
+func (d *Directory) ColdEndpoints(now time.Time) []warmup.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(now)
+	var out []warmup.Endpoint
+	for _, list := range d.localEndpoints {
+		for i := range list {
+			if e := &list[i]; e.isCold(now) {
+				out = append(out, warmup.Endpoint{ID: e.ID, Incarnation: e.Incarnation, Until: e.Member.Endpoint.ColdUntil, PerSecond: e.ColdRate})
+			}
+		}
+	}
+	return out
+}
+
+// AllowCold lets an endpoint get requests while it is cold, unless it has restarted since it was
+// claimed. It implements warmup.Directory.
+func (d *Directory) AllowCold(id string, incarnation uint64, w *warmup.Window) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t := d.tracked[id]; t != nil && t.incarnation == incarnation {
+		t.Warmup = w
+	}
+}
+
 // Capacity returns how many runs this process may have at all endpoints of a service
 // together; 0 means no bound.
 func (d *Directory) Capacity(service string, now time.Time) int {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/contextkey"
 	"limpetwall/internal/state/fleet"
 )
@@ -117,6 +118,8 @@
 	// it most of its work, do report; PeerFactor is not used then.
 	PeerWork       *Work
 	HasPeerReports bool
+	// Warmup limits the requests to the endpoint while it is cold; nil allows none.
+	Warmup *warmup.Window
 }
 
 // Reason is why an endpoint became a candidate.
@@ -195,13 +198,17 @@
 	return true
 }
 
-// isCold reports whether the endpoint has just started and may crash under its usual load. The
-// processes of a fleet share a limit that is below what each of them could send without noticing
-// the others, so cold endpoints get no requests.
+// isCold reports whether the endpoint has just started and may crash under its usual load.
 func (e *Endpoint) isCold(now time.Time) bool {
 	return e.ColdRate > 0 && now.Before(e.Member.Endpoint.ColdUntil)
 }
 
+// isTooCold reports whether the endpoint is cold and this process may not send it a request now:
+// the limit is one for all processes, and only the one that has claimed the endpoint sends to it.
+func (e *Endpoint) isTooCold(now time.Time) bool {
+	return e.isCold(now) && !e.Warmup.HasRoom(now)
+}
+
 func isFull(e *Endpoint) bool {
 	return e.MaxConcurrent > 0 && e.Running >= e.MaxConcurrent
 }
@@ -247,7 +254,7 @@
 		c.fullCount++
 		return
 	}
-	if e.isCold(r.Now) {
+	if e.isTooCold(r.Now) {
 		if until := e.Member.Endpoint.ColdUntil; c.warmAt.IsZero() || until.Before(c.warmAt) {
 			c.warmAt = until
 		}
@@ -320,7 +327,7 @@
 	start := int(random.Uint64() % uint64(len(endpoints)))
 	for i := range endpoints {
 		e := &endpoints[(start+i)%len(endpoints)]
-		if e.isDegraded(r.Now) || e.isCold(r.Now) || !isEligible(e, r) {
+		if e.isDegraded(r.Now) || e.isTooCold(r.Now) || !isEligible(e, r) {
 			continue
 		}
 		c.add(e, ReasonRandom, r)
--- /dev/null
+++ b/internal/coordination/warmup/warmup_test.go
@@ -0,0 +1,221 @@
+package warmup
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/transport/objectapi"
+)
+
+// TestWindow guards against more requests in some second than the window allows, whenever they come.
+func TestWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.1, 12).Draw(t, "per second")
+		w := NewWindow(perSecond)
+		now := time.Unix(1_800_000_000, 0)
+		var sent []time.Time
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if !w.HasRoom(now) {
+				continue
+			}
+			w.Record(now)
+			sent = append(sent, now)
+			inSecond := 0
+			for _, at := range sent {
+				if now.Sub(at) < time.Second {
+					inSecond++
+				}
+			}
+			if limit := max(1, int(perSecond)); inSecond > limit {
+				t.Fatalf("%d requests in a second, want at most %d", inSecond, limit)
+			}
+		}
+	})
+	if (*Window)(nil).HasRoom(time.Now()) || new(Window).HasRoom(time.Now()) {
+		t.Error("a window that allows nothing has room")
+	}
+}
+
+// faultyStore is a store with one record a key, whose answers may be lost and whose writes may be
+// lost or carried out.
+type faultyStore struct {
+	objectapi.API
+	records map[string]objectapi.Object
+	version int64
+	// next is what happens to the next call.
+	next fault
+}
+
+type fault int
+
+const (
+	noFault fault = iota
+	refused
+	lostWrite
+	lostAnswer
+)
+
+func (s *faultyStore) fail() (fault, error) {
+	f := s.next
+	s.next = noFault
+	switch f {
+	case refused:
+		return f, objectapi.ErrUnavailable
+	case lostWrite, lostAnswer:
+		return f, objectapi.ErrOutcomeUnknown
+	}
+	return f, nil
+}
+
+func (s *faultyStore) Put(_ context.Context, key string, value []byte, _ int64) (objectapi.Object, error) {
+	f, err := s.fail()
+	if f == refused || f == lostWrite {
+		return objectapi.Object{}, err
+	}
+	if _, exists := s.records[key]; exists && f == noFault {
+		return objectapi.Object{}, objectapi.ErrConflict
+	}
+	if _, exists := s.records[key]; !exists {
+		s.version++
+		s.records[key] = objectapi.Object{Key: key, Version: s.version, Value: value}
+	}
+	return s.records[key], err
+}
+
+func (s *faultyStore) Get(_ context.Context, key string) (objectapi.Object, error) {
+	if _, err := s.fail(); err != nil {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	o, exists := s.records[key]
+	if !exists {
+		return o, objectapi.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *faultyStore) Delete(_ context.Context, key string, version int64) error {
+	f, err := s.fail()
+	if f == refused || f == lostWrite {
+		return err
+	}
+	if o, exists := s.records[key]; !exists || o.Version != version {
+		return objectapi.ErrNotFound
+	}
+	delete(s.records, key)
+	return err
+}
+
+// fakeProcess is one process with its own view of the endpoint and of the other processes.
+type fakeProcess struct {
+	claims  *Claims
+	peers   []string
+	window  *Window
+	until   time.Time
+	started int
+}
+
+func (p *fakeProcess) ColdEndpoints(now time.Time) []Endpoint {
+	if !now.Before(p.until) {
+		return nil
+	}
+	return []Endpoint{{ID: "e", Incarnation: 1, Until: p.until, PerSecond: 8}}
+}
+
+func (p *fakeProcess) AllowCold(_ string, _ uint64, w *Window) { p.window = w }
+
+func (p *fakeProcess) restart(store *faultyStore, name string) {
+	p.started++
+	p.window = nil
+	p.claims = &Claims{
+		Store: store, Directory: p, Log: zap.NewNop(), Holder: fmt.Sprint(name, ".", p.started), Self: name,
+		Peers: func() []string { return p.peers }, held: map[string]*claim{},
+	}
+}
+
+// TestOneProcessSendsWhileCold lets processes of a fleet of 3, 29 and 370 claim an endpoint with any
+// views of each other and of how long it is cold, while calls to the store fail in all ways and
+// processes restart.
+//
+// It guards against a limit that holds only while processes agree: at any moment at most one of those
+// that believe the endpoint cold may send to it, so that all together send at most what one may.
+func TestOneProcessSendsWhileCold(t *testing.T) {
+	for _, size := range []int{3, 29, 370} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkOneSender(t, size) })
+		})
+	}
+}
+
+func checkOneSender(t *rapid.T, size int) {
+	store := &faultyStore{records: map[string]objectapi.Object{}}
+	processes := make([]*fakeProcess, size)
+	now := time.Unix(1_800_000_000, 0)
+	for i := range processes {
+		processes[i] = &fakeProcess{}
+		processes[i].restart(store, fmt.Sprint("p", i))
+	}
+	ctx := context.Background()
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+		p := processes[rapid.IntRange(0, size-1).Draw(t, "process")]
+		store.next = fault(rapid.IntRange(0, 3).Draw(t, "fault"))
+		switch rapid.IntRange(0, 5).Draw(t, "step") {
+		case 0:
+			p.restart(store, p.claims.Self)
+		case 1:
+			p.until = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "cold ms")) * time.Millisecond)
+		case 2:
+			p.peers = p.peers[:0]
+			for range rapid.IntRange(0, 5).Draw(t, "peers") {
+				p.peers = append(p.peers, fmt.Sprint("p", rapid.IntRange(0, size-1).Draw(t, "peer")))
+			}
+		default:
+			p.claims.claimCold(ctx, now)
+			p.claims.releaseWarm(ctx, now)
+		}
+		senders := 0
+		for _, p := range processes {
+			if now.Before(p.until) && p.window.HasRoom(now) {
+				senders++
+			}
+		}
+		if senders > 1 {
+			t.Fatalf("%d processes may send to the cold endpoint, want at most 1", senders)
+		}
+	}
+}
+
+// TestClaimWithoutProcessIsSwept guards against records that pile up in the store after their
+// processes have ended, and against the deletion of one whose endpoint is only missing for a moment.
+func TestClaimWithoutProcessIsSwept(t *testing.T) {
+	store := &listingStore{faultyStore{records: map[string]objectapi.Object{}}}
+	store.Put(t.Context(), keyPrefix+"gone", nil, 0)
+	store.Put(t.Context(), keyPrefix+"back", nil, 0)
+	known := map[string]bool{}
+	c := &Claims{Store: store, Log: zap.NewNop(), Exists: func(id string) bool { return known[id] }}
+	c.sweep(t.Context())
+	known["back"] = true
+	c.sweep(t.Context())
+	if _, exists := store.records[keyPrefix+"gone"]; exists {
+		t.Error("the record of an endpoint that is gone was kept")
+	}
+	if _, exists := store.records[keyPrefix+"back"]; !exists {
+		t.Error("the record of an endpoint that came back was deleted")
+	}
+}
+
+type listingStore struct{ faultyStore }
+
+func (s *listingStore) List(context.Context, string) ([]objectapi.Object, error) {
+	var out []objectapi.Object
+	for _, o := range s.records {
+		out = append(out, o)
+	}
+	return out, nil
+}
