--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -177,7 +177,7 @@
 func drainEntry(s *EntrySettings, p *base, e *entry.Entry, server *ingress.Server, stop Stop) {
 	p.zap.Info("stopping", zap.Int("inflight", e.Underway()))
 	e.SetDraining()
-	server.StopKeeping()
+	server.DisableKeepAlives()
 	select {
 	case <-time.After(s.DrainDelay):
 	case <-stop.Now:
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -310,7 +310,7 @@
 	defer cancel()
 	p.gateway.MarkNotReady()
 	p.gateway.SetDrainWindow(now.Add(notice+crossing), end)
-	p.clients.StopKeeping()
+	p.clients.DisableKeepAlives()
 	select {
 	case <-time.After(notice):
 	case <-stop.Now:
--- a/internal/transport/ingress/accept_test.go
+++ b/internal/transport/ingress/accept_test.go
@@ -20,7 +20,7 @@
 		name string
 		// fails is what Accept returns first once the server stops.
 		fails error
-		// late tells that the stop's deadline is over when Accept comes to look.
+		// late is set if the stop's deadline has passed before Accept is called.
 		late bool
 	}{
 		{"too many open files", &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}, false},
--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -11,104 +11,104 @@
 )
 
 const (
-	// lingerTime bounds the wait for the rest of a body that nobody wanted.
-	lingerTime = 2 * time.Second
-	// lastWordTime bounds the write of an answer that this package makes itself.
-	lastWordTime = time.Second
-	// receiptPoll and maxReceiptPoll bound the waits between looks at the send buffer: the kernel
-	// tells of no acknowledgement.
-	receiptPoll    = 2 * time.Millisecond
-	maxReceiptPoll = 256 * time.Millisecond
+	// lingerTimeout bounds the wait for the caller before a connection is closed after an answer.
+	lingerTimeout = 2 * time.Second
+	// refusalWriteTimeout bounds the write of an answer that this package itself gives.
+	refusalWriteTimeout = time.Second
+	// ackPollInterval and maxAckPollInterval bound the intervals at which the send buffer is polled: the
+	// kernel does not notify of acknowledgments.
+	ackPollInterval    = 2 * time.Millisecond
+	maxAckPollInterval = 256 * time.Millisecond
 )
 
-// headerLate answers a request whose header did not come in its time. 408 tells that it has not run
-// and may be sent again.
-const headerLate = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// headerTimeoutAnswer is sent if a request's header is incomplete at its limit. 408 promises that the
+// request has not run, so it may be sent again.
+const headerTimeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// Write implements net.Conn. What net/http writes before a handler has the request is its own
-// refusal of a malformed one.
+// Write implements net.Conn. What net/http writes before a handler has started is its refusal of a
+// malformed request.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	late := c.isHeaderLate()
-	// Over TLS a close is written too, as an alert.
-	if c.phase == reading && !c.handshake && !c.limitHit && !c.server.closed.Load() {
+	late := c.isHeaderTimedOut()
+	// Over TLS, closing also writes an alert.
+	if c.phase == reading && !c.inHandshake && !c.limitExpired && !c.server.closed.Load() {
 		c.phase = answered
 	}
-	c.writing = !late
+	c.isWriting = !late
 	c.mu.Unlock()
 	if late {
-		// net/http takes a line that ends early for malformed; Close tells what it is.
+		// net/http refuses the incomplete header as malformed; Close sends the correct answer instead.
 		return len(b), nil
 	}
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = false
+	c.isWriting = false
 	return n, err
 }
 
-// isHeaderLate tells whether the present request's header did not come in its time.
-func (c *conn) isHeaderLate() bool {
-	return c.phase == reading && c.limitHit && !c.secure
+// isHeaderTimedOut reports whether the current request's header was incomplete at its limit.
+func (c *conn) isHeaderTimedOut() bool {
+	return c.phase == reading && c.limitExpired && !c.isTLS
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	late := c.isHeaderLate()
+	late := c.isHeaderTimedOut()
 	if late {
 		c.phase = answered
 	}
-	reason, q, since := c.unanswered(), c.request, c.firstByte
+	reason, q, since := c.unansweredReason(), c.request, c.firstByte
 	written := c.phase == answered && c.readErr == nil
 	unread := written && q != nil && !q.bodyRead.Load()
 	c.phase, c.request = answered, nil
 	c.mu.Unlock()
 	if reason != "" {
-		c.server.report.closedUnanswered(c, reason, q.name(), since)
+		c.server.report.closedUnanswered(c, reason, q.requestID(), since)
 	}
 	switch {
 	case c.server.closed.Load():
 	case late:
-		c.refuseLate()
-		c.awaitReceipt()
+		c.refuseTimedOutHeader()
+		c.awaitAcknowledgment()
 	case unread:
-		c.linger()
+		c.discardUnreadBody()
 	case written:
-		c.awaitReceipt()
+		c.awaitAcknowledgment()
 	}
-	// A stop that has ended must have no socket open.
+	// The connection must be closed before a stop can end.
 	defer c.server.remove(c)
 	return c.Conn.Close()
 }
 
-// refuseLate answers a request whose header is late.
-func (c *conn) refuseLate() {
+// refuseTimedOutHeader answers a request whose header was incomplete at its limit.
+func (c *conn) refuseTimedOutHeader() {
 	c.server.report.count("headers_late")
-	if c.Conn.SetWriteDeadline(time.Now().Add(lastWordTime)) == nil {
-		// One that can't be written to has left.
-		io.WriteString(c.Conn, headerLate)
+	if c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) == nil {
+		// The error is ignored: a caller that can't be written to has left.
+		io.WriteString(c.Conn, headerTimeoutAnswer)
 	}
 }
 
-// linger reads what the caller still sends of a request that was answered before its body was read.
-// A close that leaves bytes unread resets the connection, and the caller may lose the answer.
-func (c *conn) linger() {
+// discardUnreadBody reads the rest of a request that was answered before its body was read. Closing a
+// connection with unread bytes resets it, and the caller may lose the answer.
+func (c *conn) discardUnreadBody() {
 	c.CloseWrite()
-	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
 		io.Copy(io.Discard, c.Conn)
 	}
 }
 
-// awaitReceipt reads on until the caller has ended its side or acknowledged all that was sent to
-// it, for lingerTime at most. A close resets the connection, and drops what is unsent, if bytes lie
-// unread or come later. What is unsent after lingerTime is the kernel's to send, as for any close.
-func (c *conn) awaitReceipt() {
+// awaitAcknowledgment reads until the caller has closed its sending side or acknowledged everything that
+// was sent to it, for lingerTimeout at most. Closing earlier would reset the connection, and drop unsent
+// bytes, if there are unread bytes or more arrive. The kernel sends what is unsent after lingerTimeout.
+func (c *conn) awaitAcknowledgment() {
 	if c.CloseWrite() != nil {
 		return
 	}
 	began := time.Now()
-	for wait := receiptPoll; c.unacknowledged() && time.Since(began) < lingerTime; wait = min(2*wait, maxReceiptPoll) {
+	for wait := ackPollInterval; c.hasUnacknowledgedBytes() && time.Since(began) < lingerTimeout; wait = min(2*wait, maxAckPollInterval) {
 		if c.Conn.SetReadDeadline(time.Now().Add(wait)) != nil {
 			return
 		}
@@ -118,9 +118,9 @@
 	}
 }
 
-// unacknowledged tells whether the caller's kernel has yet to acknowledge bytes or the end of the
-// sending side.
-func (c *conn) unacknowledged() bool {
+// hasUnacknowledgedBytes reports whether the caller's kernel has yet to acknowledge bytes or the end of
+// the sending side.
+func (c *conn) hasUnacknowledgedBytes() bool {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -134,7 +134,7 @@
 	return err == nil && n > 0
 }
 
-// CloseWrite ends the sending side, as net/http does behind an answer that leaves a body unread.
+// CloseWrite closes the sending side. net/http does so too, after an answer that leaves a body unread.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
@@ -142,19 +142,19 @@
 	return nil
 }
 
-// unanswered tells why a connection that is closed now leaves a request without its answer,
-// empty if it leaves none or the caller ended it.
-func (c *conn) unanswered() closeReason {
+// unansweredReason returns why a connection that is closed now leaves a request without its answer. It
+// is empty if there is no such request or if the caller has left.
+func (c *conn) unansweredReason() closeReason {
 	switch {
-	case c.handshake || c.multiplexed:
+	case c.inHandshake || c.isHTTP2:
 		return ""
 	case c.phase == failed:
 		return closedByPanic
 	case c.readErr != nil:
 		return ""
-	case c.phase == reading && c.limitHit:
+	case c.phase == reading && c.limitExpired:
 		return closedByLimit
-	case c.phase == reading || c.phase == handling || c.phase == answered && c.writing:
+	case c.phase == reading || c.phase == handling || c.phase == answered && c.isWriting:
 		return closedByStop
 	}
 	return ""
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -11,102 +11,103 @@
 )
 
 const (
-	// lastLook is the end of a wait, for a read of its own. A process that was held up finds the
-	// deadline over before it looks at the bytes that came in time.
-	lastLook = 50 * time.Millisecond
-	// maxLooks bounds the reads beyond a limit, for callers whose bytes never end.
-	maxLooks = 256
-	// newConnWait is the time that a new connection's first request, and its TLS handshake before
-	// that, have once the server stops: its caller can't know yet that it should go elsewhere.
-	newConnWait = 5 * time.Second
-	// unreadBodyTime is how long an answer waits for the rest of a body that nobody wanted, with which
-	// net/http keeps the connection open.
-	unreadBodyTime = time.Second
-	// maxHeld is how many bytes net/http holds at most while it waits for a request.
-	maxHeld = 3
+	// finalReadWindow is the last part of a wait, in which one more read is made. Without it, a process
+	// that was paused would find its deadline exceeded before it reads bytes that arrived in time.
+	finalReadWindow = 50 * time.Millisecond
+	// maxFinalReads bounds the reads after a limit, for callers that never stop sending.
+	maxFinalReads = 256
+	// newConnTimeout is how long a stopping server waits for a new connection's TLS handshake and first
+	// request: the caller can't know yet that the server is stopping.
+	newConnTimeout = 5 * time.Second
+	// unreadBodyTimeout is how long an answer waits for the rest of a body that its handler did not read.
+	// net/http reads that rest to keep the connection open.
+	unreadBodyTimeout = time.Second
+	// maxBuffered is the maximum number of bytes that net/http buffers while it waits for a request.
+	maxBuffered = 3
 )
 
-// phase is how far a connection's present request has come.
+// phase is the state of a connection's current request.
 type phase uint8
 
 const (
-	// waiting for the first byte of a request.
+	// waiting: no byte of a request has arrived.
 	waiting phase = iota
-	// reading its header.
+	// reading: its header is incomplete.
 	reading
-	// handling it: a handler has it.
+	// handling: its handler is running.
 	handling
 	// answered: its handler has returned, or net/http has refused it.
 	answered
-	// aborted: its handler has broken the answer off.
+	// aborted: its handler has aborted the answer.
 	aborted
 	// failed: its handler panicked.
 	failed
 )
 
-// conn puts the limits in force in place of the marks, and ends the waits of a server that stops.
+// conn replaces the marker deadlines that net/http sets by the limits in force, and ends waits when
+// the server stops.
 //
-// Invariant: nothing but Server.Close closes a connection under a request. A limit or a stop ends
-// a read, and net/http closes or goes on. A stop ends the wait for a request at once, and that for
-// the rest of one at the header's limit: bytes that net/http holds count as read. Over TLS those
-// that came with the request before are not seen.
+// Invariant: only Server.Close closes a connection that has a request. A limit or a stop merely ends
+// a read, after which net/http closes the connection or continues. A stop ends the wait for a new
+// request at once, and the wait for the rest of a request at the header limit. Bytes in net/http's
+// buffer count as read; over TLS, bytes that arrived together with the previous request are not seen.
 type conn struct {
 	net.Conn
 	server *Server
 
-	// mu orders the deadlines that net/http sets and those that Read sets again: it ends a
-	// read that is underway by a deadline in the past, which must stand.
+	// mu serializes the deadlines that net/http sets with those that Read extends. net/http interrupts
+	// a read with a deadline in the past, which Read must not replace.
 	mu sync.Mutex
-	// limit is the one that the read deadline stands for, since its wait began.
+	// limit is the limit that the read deadline represents, since when its wait began.
 	limit limit
 	since time.Time
-	// looking tells that the wait is at its last look, looks counts those that found bytes.
-	looking bool
-	looks   int
+	// inFinalRead is set during the final read of a wait; finalReads counts the final reads.
+	inFinalRead bool
+	finalReads  int
 
-	// deadline is the handler's own, zero if it set none.
+	// deadline is the one that the handler set, zero if it set none.
 	deadline time.Time
 
 	phase phase
-	// secure tells that the bytes are TLS's.
-	secure bool
-	// handshake tells that the TLS handshake is underway; multiplexed that HTTP/2 is spoken, which
+	// isTLS is set if the connection carries TLS records.
+	isTLS bool
+	// inHandshake is set during the TLS handshake. isHTTP2 is set if the connection carries HTTP/2, which
 	// has many requests at a time and closes its connections itself.
-	handshake, multiplexed bool
-	// used tells that the connection has had a request.
-	used bool
-	// readAhead tells that a byte of the next request was read.
-	readAhead bool
-	// bufferSize is that of net/http's buffer, the room of its first read; 0 over TLS.
+	inHandshake, isHTTP2 bool
+	// hadRequest is set after the connection's first request.
+	hadRequest bool
+	// hasReadAhead is set once a byte of the next request was read.
+	hasReadAhead bool
+	// bufferSize is the size of net/http's buffer, which its first read offers whole; 0 over TLS.
 	bufferSize int
-	// tail is the end of what was read, as much as net/http may hold while it waits for a request.
-	tail [maxHeld]byte
-	// drained is when the server's stop came to the connection, zero before.
-	drained time.Time
-	// firstByte is when the present request's first byte came.
+	// tail holds the last bytes read, as many as net/http may buffer while it waits for a request.
+	tail [maxBuffered]byte
+	// drainingSince is when the connection began to drain, zero before.
+	drainingSince time.Time
+	// firstByte is when the first byte of the current request arrived.
 	firstByte time.Time
-	// request is the present one, nil before its header is read.
+	// request is the current request, nil before its header is read.
 	request *request
-	// writing tells that a write is underway. net/http writes the end of an answer behind its handler.
-	writing bool
-	// readErr is the caller's end as a read saw it.
+	// isWriting is set during a write. net/http writes the end of an answer after its handler returns.
+	isWriting bool
+	// readErr is the error with which a read found that the caller has left.
 	readErr error
-	// limitHit tells that a wait ended on its limit.
-	limitHit bool
+	// limitExpired is set once a wait reached its limit.
+	limitExpired bool
 }
 
-// begin tells that a handler has the present request.
-func (c *conn) begin(q *request) {
+// beginHandling records that a handler has started on the current request.
+func (c *conn) beginHandling(q *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.multiplexed {
+	if !c.isHTTP2 {
 		c.phase, c.request = handling, q
 	}
 }
 
-// end tells that the handler has ended. Before it sends a short answer, net/http reads the rest of
-// the request's body: without a deadline of the handler's own that must not take long.
-func (c *conn) end(p phase) {
+// endHandling records that the handler has returned. Before it sends a short answer, net/http reads
+// the rest of the request's body; this limits that read unless the handler has set a deadline.
+func (c *conn) endHandling(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Server.Close may have closed the connection under the handler.
@@ -115,7 +116,7 @@
 	}
 	c.phase = p
 	if !c.request.bodyRead.Load() && c.deadline.IsZero() {
-		c.Conn.SetReadDeadline(time.Now().Add(unreadBodyTime))
+		c.Conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 }
 
@@ -123,26 +124,26 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit = limitMarked(t)
+	c.limit = markedLimit(t)
 	switch {
 	case c.limit == noLimit:
 		c.deadline = t
 		c.endHandshake()
 		return c.Conn.SetReadDeadline(t)
 	case c.limit == idleLimit:
-		c.phase, c.request, c.used = waiting, nil, true
-		if c.readAhead {
-			c.readAhead = false
+		c.phase, c.request, c.hadRequest = waiting, nil, true
+		if c.hasReadAhead {
+			c.hasReadAhead = false
 			c.beginRequest()
 		}
-	case c.used && c.phase == waiting:
-		// The next request's first bytes came with the one before.
+	case c.hadRequest && c.phase == waiting:
+		// The first bytes of the next request arrived together with the previous one.
 		c.beginRequest()
 	}
 	return c.beginWait()
 }
 
-// beginRequest is told of a request's first byte; from then on the header's limit holds.
+// beginRequest records the first byte of a request. The header limit applies from then on.
 func (c *conn) beginRequest() {
 	c.phase, c.firstByte = reading, time.Now()
 	if c.limit == idleLimit {
@@ -150,24 +151,24 @@
 	}
 }
 
-// endHandshake is told of the first deadline behind the handshake's own; what was read so far is
-// no request.
+// endHandshake is called for the first deadline after the handshake's own. What was read so far is
+// not part of a request.
 func (c *conn) endHandshake() {
-	if c.handshake {
-		c.handshake, c.phase = false, waiting
+	if c.inHandshake {
+		c.inHandshake, c.phase = false, waiting
 	}
 }
 
-// multiplex tells that HTTP/2 is spoken.
-func (c *conn) multiplex() {
+// markHTTP2 records that the connection carries HTTP/2.
+func (c *conn) markHTTP2() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.multiplexed = true
+	c.isHTTP2 = true
 }
 
-// SetWriteDeadline implements net.Conn; net/http bounds the TLS handshake by it.
+// SetWriteDeadline implements net.Conn. net/http uses it to limit the TLS handshake.
 func (c *conn) SetWriteDeadline(t time.Time) error {
-	if l := limitMarked(t); l != noLimit {
+	if l := markedLimit(t); l != noLimit {
 		t = time.Now().Add(l.in(c.server.limits.Load()))
 	}
 	return c.Conn.SetWriteDeadline(t)
@@ -175,18 +176,18 @@
 
 // beginWait begins a wait under c.limit.
 func (c *conn) beginWait() error {
-	c.since, c.looking, c.looks = time.Now(), false, 0
-	return c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
+	c.since, c.inFinalRead, c.finalReads = time.Now(), false, 0
+	return c.Conn.SetReadDeadline(c.waitDeadline().Add(-finalReadWindow))
 }
 
-// waitEnd is when the present wait ends.
-func (c *conn) waitEnd() time.Time {
+// waitDeadline returns when the current wait ends.
+func (c *conn) waitDeadline() time.Time {
 	end := c.since.Add(c.limit.in(c.server.limits.Load()))
-	if c.phase != waiting && !c.handshake || c.drained.IsZero() {
+	if c.phase != waiting && !c.inHandshake || c.drainingSince.IsZero() {
 		return end
 	}
-	stop := c.drained.Add(lastLook)
-	if first := c.since.Add(newConnWait); !c.used && first.After(stop) {
+	stop := c.drainingSince.Add(finalReadWindow)
+	if first := c.since.Add(newConnTimeout); !c.hadRequest && first.After(stop) {
 		stop = first
 	}
 	if stop.Before(end) {
@@ -195,86 +196,87 @@
 	return end
 }
 
-// drain ends the wait for a request; one of which a byte was read is not touched.
+// drain ends the wait for a new request. A request of which a byte was read is not affected.
 func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.drained = time.Now()
-	if c.limit != noLimit && (c.phase == waiting || c.handshake) {
-		c.Conn.SetReadDeadline(c.waitEnd().Add(-lastLook))
+	c.drainingSince = time.Now()
+	if c.limit != noLimit && (c.phase == waiting || c.inHandshake) {
+		c.Conn.SetReadDeadline(c.waitDeadline().Add(-finalReadWindow))
 	}
 }
 
-// endWait ends the wait for a request or its header, but for the last look.
-func (c *conn) endWait() {
+// expireWait ends the wait for a request or its header, except for the final read.
+func (c *conn) expireWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.limit != noLimit {
 		c.since = time.Unix(1, 0)
-		c.Conn.SetReadDeadline(c.waitEnd())
+		c.Conn.SetReadDeadline(c.waitDeadline())
 	}
 }
 
-// Read implements net.Conn. A wait that began under a shorter limit goes on when it is over.
+// Read implements net.Conn. If the limit was raised since the wait began, the wait is extended.
 //
-// The deadline was set when the wait began. Closed on it, a connection would end while its
-// caller, who knows the longer limit, may be sending: the request gets no answer. A limit that
-// was shortened meanwhile applies from the next wait on.
+// The deadline was set when the wait began. Without the extension, the connection could close while
+// its caller, who relies on the longer limit, is sending a request, which would get no answer. A limit
+// that was lowered meanwhile applies from the next wait on.
 func (c *conn) Read(b []byte) (int, error) {
-	c.noteRoom(len(b))
+	c.detectBufferedRequest(len(b))
 	for {
 		n, err := c.Conn.Read(b)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waitOn() {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait() {
 			continue
 		}
-		c.note(b[:n], err)
+		c.recordRead(b[:n], err)
 		return n, err
 	}
 }
 
-// noteRoom begins the next request if net/http holds bytes of it, which came with the one before: a
-// read for the next request offers the room that is left in its buffer.
-func (c *conn) noteRoom(room int) {
+// detectBufferedRequest begins the next request if net/http has already buffered bytes of it, which
+// arrived together with the previous one. room is the free part of net/http's buffer, which its read
+// for the next request offers.
+func (c *conn) detectBufferedRequest(room int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bufferSize == 0 && !c.secure {
+	if c.bufferSize == 0 && !c.isTLS {
 		c.bufferSize = room
 	}
 	held := c.bufferSize - room
-	if c.phase != waiting || c.limit != idleLimit || held <= 0 || held > maxHeld {
+	if c.phase != waiting || c.limit != idleLimit || held <= 0 || held > maxBuffered {
 		return
 	}
-	if !isLineEnd(c.tail[maxHeld-held:]) {
+	if !isLineEnd(c.tail[maxBuffered-held:]) {
 		c.beginRequest()
 		c.beginWait()
 	}
 }
 
-// isLineEnd tells whether bytes are line ends only: some callers send one behind a body, which
-// belongs to no request.
+// isLineEnd reports whether bytes are line ends only. Some callers send one after a body; it belongs to
+// no request.
 func isLineEnd(b []byte) bool { return len(bytes.Trim(b, "\r\n")) == 0 }
 
-// note keeps what a read tells of the present request.
-func (c *conn) note(got []byte, err error) {
+// recordRead updates the state of the current request with the result of a read.
+func (c *conn) recordRead(got []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(got) > 0 {
-		c.looking = false
-		c.noteBytes(got)
-		last := got[max(0, len(got)-maxHeld):]
+		c.inFinalRead = false
+		c.recordBytes(got)
+		last := got[max(0, len(got)-maxBuffered):]
 		copy(c.tail[:], c.tail[len(last):])
-		copy(c.tail[maxHeld-len(last):], last)
+		copy(c.tail[maxBuffered-len(last):], last)
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.limitHit = c.limit != noLimit
+		c.limitExpired = c.limit != noLimit
 	case err != nil && c.readErr == nil && !errors.Is(err, net.ErrClosed):
 		c.readErr = err
 	}
 }
 
-// noteBytes is told of bytes that were read.
-func (c *conn) noteBytes(got []byte) {
+// recordBytes updates the phase with bytes that were read.
+func (c *conn) recordBytes(got []byte) {
 	if isLineEnd(got) {
 		return
 	}
@@ -286,29 +288,30 @@
 			c.beginWait()
 		}
 	case handling, answered:
-		// Behind the end of a body net/http reads one byte, to see whether the caller is there.
-		c.readAhead = c.readAhead || c.request != nil && c.request.bodyRead.Load()
+		// After the end of a body, net/http reads one byte to notice whether the caller leaves.
+		c.hasReadAhead = c.hasReadAhead || c.request != nil && c.request.bodyRead.Load()
 	}
 }
 
-// waitOn sets the read deadline again if the limit in force leaves time, or else for a last look.
-func (c *conn) waitOn() bool {
+// extendWait moves the read deadline if the limit in force leaves time, or else allows the final read.
+// It returns false if the wait is over.
+func (c *conn) extendWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.limit == noLimit {
 		return false
 	}
-	now, end := time.Now(), c.waitEnd()
-	if look := end.Add(-lastLook); now.Before(look) {
-		c.looking = false
+	now, end := time.Now(), c.waitDeadline()
+	if look := end.Add(-finalReadWindow); now.Before(look) {
+		c.inFinalRead = false
 		return c.Conn.SetReadDeadline(look) == nil
 	}
-	if c.looking || c.looks >= maxLooks {
+	if c.inFinalRead || c.finalReads >= maxFinalReads {
 		return false
 	}
-	c.looking = true
-	c.looks++
-	if least := now.Add(lastLook); end.Before(least) {
+	c.inFinalRead = true
+	c.finalReads++
+	if least := now.Add(finalReadWindow); end.Before(least) {
 		end = least
 	}
 	return c.Conn.SetReadDeadline(end) == nil
--- a/internal/transport/ingress/drain.go
+++ b/internal/transport/ingress/drain.go
@@ -7,21 +7,21 @@
 	"time"
 )
 
-// Stop closes the listener and the connections that wait for a request. It answers every request
-// of which a byte was read, and those of new connections that send one soon, until ctx ends.
+// Stop closes the listeners and the connections that wait for a request. Until ctx ends, it answers
+// every request of which a byte was read, and the first requests of new connections.
 //
-// http.Server.Shutdown is no part of it: that closes connections while it reads their requests,
-// and drops requests that it has read.
+// It does not use http.Server.Shutdown, which closes connections while it reads their requests and
+// drops requests that it has read.
 func (s *Server) Stop(ctx context.Context) error {
-	s.StopKeeping()
+	s.DisableKeepAlives()
 	for _, c := range s.beginDrain() {
 		c.drain()
 	}
 	return s.waitDrained(ctx)
 }
 
-// beginDrain stops the listeners and returns the open connections. Those that are accepted later
-// are born draining.
+// beginDrain stops the listeners and returns the open connections. Connections that are accepted later
+// drain from the start.
 func (s *Server) beginDrain() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -39,10 +39,10 @@
 		return nil
 	default:
 	}
-	again := time.NewTicker(goAwayEvery)
+	again := time.NewTicker(goAwayInterval)
 	defer again.Stop()
 	for {
-		// Each time anew, for connections whose handshake was underway before.
+		// Repeated for connections that were in their handshake before.
 		s.goAway(ctx)
 		select {
 		case <-s.drained:
@@ -54,7 +54,7 @@
 	}
 }
 
-// checkDrained closes s.drained once a stop has nothing left; s.mu is held.
+// checkDrained closes s.drained once a stop has no listener or connection left. s.mu is held.
 func (s *Server) checkDrained() {
 	if !s.draining || len(s.conns) > 0 || len(s.listeners) > 0 {
 		return
@@ -71,7 +71,7 @@
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	if s.draining {
-		c.drained = time.Now()
+		c.drainingSince = time.Now()
 	}
 }
 
--- a/internal/transport/ingress/held_test.go
+++ b/internal/transport/ingress/held_test.go
@@ -12,7 +12,7 @@
 	"limpetwall/internal/state/routes"
 )
 
-// TestStopAnswersBytesHeldFromBefore guards against a stop on bytes that came with the request before.
+// TestStopAnswersBytesHeldFromBefore guards against a stop that drops bytes which arrived with the previous request.
 func TestStopAnswersBytesHeldFromBefore(t *testing.T) {
 	const request = getRequest
 	for n := 1; n <= 5; n++ {
@@ -38,7 +38,7 @@
 	}
 }
 
-// TestStopAnswersBytesBehindAnUnreadBody guards against a stop on bytes behind a body that net/http read.
+// TestStopAnswersBytesBehindAnUnreadBody guards against a stop that drops bytes after a body that net/http read.
 func TestStopAnswersBytesBehindAnUnreadBody(t *testing.T) {
 	const request = getRequest
 	serving(t, ok, func(s *Server, p *pipes) {
@@ -63,7 +63,7 @@
 	})
 }
 
-// TestHeldLineEndBeginsNoRequest guards against a header's limit that begins with a line end behind a body.
+// TestHeldLineEndBeginsNoRequest guards against a header limit that starts with a line end after a body.
 func TestHeldLineEndBeginsNoRequest(t *testing.T) {
 	for _, behind := range []string{"\r\n", "\n"} {
 		serving(t, readBody(time.Second), func(s *Server, p *pipes) {
--- a/internal/transport/ingress/http2.go
+++ b/internal/transport/ingress/http2.go
@@ -10,26 +10,26 @@
 	"github.com/juju/errors"
 )
 
-// nextProtoHTTP2 names HTTP/2 in TLS.
+// nextProtoHTTP2 is the ALPN name of HTTP/2.
 const nextProtoHTTP2 = "h2"
 
-// goAwayEvery is how often a stop tells HTTP/2 connections to end.
-const goAwayEvery = time.Second
+// goAwayInterval is how often a stop sends GOAWAY to HTTP/2 connections.
+const goAwayInterval = time.Second
 
 // ServeTLS is Serve for TLS connections, of HTTP/1.1 and HTTP/2.
 //
-// HTTP/2 is served under an http.Server of its own, which owns no listener: its Shutdown sends
-// GOAWAY, while that of the server for HTTP/1.1 would drop requests.
+// HTTP/2 has an http.Server of its own without a listener: its Shutdown sends GOAWAY, whereas the
+// Shutdown of the server for HTTP/1.1 would drop requests.
 func (s *Server) ServeTLS(l net.Listener, config *tls.Config) error {
 	h2 := &http.Server{MaxHeaderBytes: s.http.MaxHeaderBytes, ErrorLog: s.http.ErrorLog}
-	// Serve sets HTTP/2 up and ends, as there is nothing to accept.
+	// Serve configures HTTP/2 and returns, as there is nothing to accept.
 	if err := h2.Serve(noListener{}); err != net.ErrClosed {
 		return errors.Annotate(err, "setting up HTTP/2")
 	}
 	serve := h2.TLSNextProto[nextProtoHTTP2]
 	s.http.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){
 		nextProtoHTTP2: func(_ *http.Server, c *tls.Conn, handler http.Handler) {
-			c.NetConn().(*conn).multiplex()
+			c.NetConn().(*conn).markHTTP2()
 			serve(h2, c, handler)
 		},
 	}
@@ -40,7 +40,7 @@
 	return s.serve(&listener{Listener: l, server: s, secure: true}, func(inner net.Listener) error { return s.http.ServeTLS(inner, "", "") })
 }
 
-// goAway tells HTTP/2 connections to end when their requests have.
+// goAway asks the callers of HTTP/2 connections to open new ones elsewhere.
 func (s *Server) goAway(ctx context.Context) {
 	s.mu.Lock()
 	h2 := s.h2
@@ -50,7 +50,7 @@
 	}
 }
 
-// noListener accepts nothing.
+// noListener is a closed listener.
 type noListener struct{}
 
 func (noListener) Accept() (net.Conn, error) { return nil, net.ErrClosed }
--- a/internal/transport/ingress/http2_test.go
+++ b/internal/transport/ingress/http2_test.go
@@ -15,7 +15,7 @@
 	"limpetwall/internal/state/routes"
 )
 
-// servingTLS is serving over TLS; dial returns a connection that speaks one of the protocols.
+// servingTLS is serving over TLS; dial returns a connection with one of the protocols.
 func servingTLS(t *testing.T, handler http.Handler, test func(s *Server, dial func(protocols ...string) *tls.Conn)) {
 	certificates := httptest.NewTLSServer(nil)
 	certificates.Close()
@@ -136,8 +136,8 @@
 	}
 }
 
-// TestClosedUnansweredOverTLS guards against connections that are closed on a part of a request
-// without a word in the log.
+// TestClosedUnansweredOverTLS guards against connections that are closed during a request without a
+// log line.
 func TestClosedUnansweredOverTLS(t *testing.T) {
 	rows := []struct {
 		name   string
@@ -180,7 +180,7 @@
 			synctest.Wait()
 			began := time.Now()
 			stopped(t, s)()
-			if took := time.Since(began); took > newConnWait {
+			if took := time.Since(began); took > newConnTimeout {
 				t.Errorf("behind %q the stop took %s", sent, took)
 			}
 			s.Close()
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -23,20 +23,20 @@
 type Server struct {
 	http   *http.Server
 	limits atomic.Pointer[routes.Limits]
-	// stopKeeping makes answers the last of their connections.
-	stopKeeping atomic.Bool
-	// cut ends the contexts of all requests with a cause.
+	// closeAfterAnswer closes each connection after its next answer.
+	closeAfterAnswer atomic.Bool
+	// cut cancels the contexts of all requests with a cause.
 	cut context.CancelCauseFunc
-	// underway counts the handlers that have not returned.
-	underway atomic.Int64
-	report   *reporter
-	// closed tells that Close ends what is open.
+	// handlersInFlight counts the handlers that have not returned.
+	handlersInFlight atomic.Int64
+	report           *reporter
+	// closed is set once Close ends all connections.
 	closed atomic.Bool
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
 	listeners map[*listener]struct{}
-	// draining tells that a stop has begun; drained is closed when it has no connection left.
+	// draining is set once a stop has begun; drained is closed when no connection is left.
 	draining bool
 	drained  chan struct{}
 	// h2 sends GOAWAY to HTTP/2 connections; nil without TLS.
@@ -45,14 +45,14 @@
 
 // Config of a Server.
 type Config struct {
-	// MaxHeaderBytes bounds a header while it is read, beside the limit in force, which is checked
-	// when it is whole; 0: 1 MB.
+	// MaxHeaderBytes bounds a header while it is read; 0 means 1 MB. The limit in force is checked
+	// once the header is complete.
 	MaxHeaderBytes int
 	Log            *zap.Logger
 	Metrics        metrics.Registry
 }
 
-// New returns a server; handler gets every request.
+// New returns a server that passes every request to handler.
 func New(handler http.Handler, c Config) *Server {
 	s := &Server{
 		report: newReporter(c.Log, c.Metrics), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{},
@@ -62,7 +62,7 @@
 	hard, cut := context.WithCancelCause(context.Background())
 	s.cut = cut
 	s.http = &http.Server{
-		Handler: s.handle(handler), IdleTimeout: markIdle, ReadHeaderTimeout: markHeader, MaxHeaderBytes: c.MaxHeaderBytes,
+		Handler: s.handle(handler), IdleTimeout: idleMarker, ReadHeaderTimeout: headerMarker, MaxHeaderBytes: c.MaxHeaderBytes,
 		ErrorLog:    s.report.errorLog(),
 		ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return hard },
@@ -70,11 +70,11 @@
 	return s
 }
 
-// handle keeps account of a request, and asks its caller to open a new connection, elsewhere, once
-// the server stops.
+// handle tracks a request while its handler runs. Once the server stops, it asks the caller to use
+// a new connection, which the load balancer opens to another process.
 func (s *Server) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.underway.Add(1)
+		s.handlersInFlight.Add(1)
 		q := &request{conn: connOf(r.Context())}
 		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, q))
 		if r.Body == http.NoBody {
@@ -82,8 +82,8 @@
 		} else {
 			r.Body = trackedBody{r.Body, q}
 		}
-		q.conn.begin(q)
-		defer func() { s.handled(q, r, recover()) }()
+		q.conn.beginHandling(q)
+		defer func() { s.finishHandling(q, r, recover()) }()
 		out := &headWriter{ResponseWriter: w, control: http.NewResponseController(w), server: s, http1: r.ProtoMajor == 1}
 		next.ServeHTTP(out, r)
 		out.beforeHead()
@@ -93,7 +93,7 @@
 // SetLimits puts limits in force.
 func (s *Server) SetLimits(l routes.Limits) { s.limits.Store(&l) }
 
-// Serve accepts connections until Stop; it returns http.ErrServerClosed then.
+// Serve accepts connections until Stop, and then returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
 	return s.serve(&listener{Listener: l, server: s}, s.http.Serve)
 }
@@ -107,37 +107,37 @@
 	return serve(inner)
 }
 
-// StopKeeping makes every further answer the last of its connection.
-func (s *Server) StopKeeping() { s.stopKeeping.Store(true) }
+// DisableKeepAlives closes each connection after its next answer.
+func (s *Server) DisableKeepAlives() { s.closeAfterAnswer.Store(true) }
 
-// Cut ends the contexts of the requests underway with a cause, by which handlers tell it from a
-// caller that has left, and the waits for headers that are half read. It waits until ctx ends for
-// the last answers. What Stop does and has not been done is done first.
+// Cut cancels the contexts of all requests in flight with a cause, which distinguishes it from a
+// caller that has left, and ends the waits for headers that are half read. It waits for the last
+// answers until ctx ends. If Stop was not called, Cut stops the server first.
 //
-// Without it Close ends the requests' contexts as if the callers had left: they wait for an
-// answer and get the connection's end.
+// With Close alone, handlers would take the canceled contexts for callers that have left, and the
+// callers would get no answer before their connections close.
 func (s *Server) Cut(ctx context.Context, cause error) error {
 	s.cut(cause)
-	s.StopKeeping()
+	s.DisableKeepAlives()
 	for _, c := range s.beginDrain() {
 		c.drain()
-		c.endWait()
+		c.expireWait()
 	}
 	return s.waitDrained(ctx)
 }
 
 const (
-	// closeWait bounds the time for handlers to return once their connections are closed.
+	// closeWait is how long Close waits for handlers to return after closing their connections.
 	closeWait = 100 * time.Millisecond
 	closePoll = 2 * time.Millisecond
 )
 
-// Close ends the listeners and all connections at once. What handlers do after their answers, such as logging,
-// is done when it returns, unless that takes longer than closeWait. It polls, as Shutdown does.
+// Close closes the listeners and all connections at once. It waits up to closeWait for handlers to
+// finish what they do after their answers, such as logging. It polls, as http.Server.Shutdown does.
 func (s *Server) Close() error {
 	s.closed.Store(true)
 	err := s.http.Close()
-	for end := time.Now().Add(closeWait); s.underway.Load() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(closeWait); s.handlersInFlight.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(closePoll)
 	}
 	return err
@@ -148,8 +148,9 @@
 	server *Server
 	secure bool
 	closed sync.Once
-	// looked tells that Accept has had its last look, which must not be renewed by new connections.
-	looked bool
+	// hadFinalAccept is set once Accept has had its final window after the stop. New connections must
+	// not extend it.
+	hadFinalAccept bool
 }
 
 // Close implements net.Listener.
@@ -159,12 +160,12 @@
 	return err
 }
 
-// Accept implements net.Listener. Once the server stops, an error that passes, as of too many open
-// files, is not the end: callers whose connections the kernel has opened are in the queue.
+// Accept implements net.Listener. After a temporary error such as too many open files, a stopping
+// server goes on: the kernel's queue may hold connections that callers have already opened.
 func (l *listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) && !l.looked && l.lastLook() {
-		l.looked = true
+	if errors.Is(err, os.ErrDeadlineExceeded) && !l.hadFinalAccept && l.allowFinalAccept() {
+		l.hadFinalAccept = true
 		inner, err = l.Listener.Accept()
 	}
 	switch {
@@ -174,21 +175,23 @@
 	default:
 		return nil, err
 	}
-	c := &conn{Conn: inner, server: l.server, secure: l.secure, handshake: l.secure}
+	c := &conn{Conn: inner, server: l.server, isTLS: l.secure, inHandshake: l.secure}
 	l.server.add(c)
 	return c, nil
 }
 
-// lastLook lets the next Accept look at the queue, which it doesn't on a deadline in the past: the
-// process may have been held up since the stop.
-func (l *listener) lastLook() bool {
+// allowFinalAccept sets a deadline in the near future, so that the next Accept takes connections from
+// the kernel's queue. With a deadline in the past it would not, and the process may have been paused
+// since the stop.
+func (l *listener) allowFinalAccept() bool {
 	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	return ok && d.SetDeadline(time.Now().Add(lastLook)) == nil
+	return ok && d.SetDeadline(time.Now().Add(finalReadWindow)) == nil
 }
 
-// stop lets the listener accept what the kernel has opened for callers, which a close would reset.
+// stop lets the listener accept the connections in the kernel's queue before it closes. Closing at
+// once would reset them.
 func (l *listener) stop() {
-	if !l.lastLook() {
+	if !l.allowFinalAccept() {
 		l.Close()
 	}
 }
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -18,8 +18,8 @@
 	"limpetwall/internal/state/routes"
 )
 
-// pipes is a listener whose connections are pipes within this process, so that
-// tests run on a clock of their own.
+// pipes is a listener whose connections are in-memory pipes, so that tests can run
+// on a fake clock.
 type pipes struct {
 	conns chan net.Conn
 	done  chan struct{}
@@ -53,7 +53,7 @@
 	return New(handler, Config{Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
 }
 
-// serving runs a test against a server whose handler waits until told to go on.
+// serving runs a test against a server whose handler waits until it is released.
 func serving(t *testing.T, handler http.Handler, test func(s *Server, p *pipes)) {
 	synctest.Test(t, func(t *testing.T) {
 		s, p := newServer(handler), newPipes()
@@ -82,7 +82,7 @@
 	return resp
 }
 
-// closedAfter reads until the server closes, and returns when that was.
+// closedAfter reads until the server closes the connection, and returns how long that took.
 func closedAfter(r io.Reader) time.Duration {
 	began := time.Now()
 	io.Copy(io.Discard, r)
@@ -91,8 +91,8 @@
 
 // TestIdleLimitInForce changes the limit while a connection is open.
 //
-// The caller reuses connections up to its own part of the limit in force: one that
-// was opened under a shorter limit must not be closed on it.
+// It guards against a connection that is closed on the shorter limit under which it was
+// opened, while its caller reuses it up to the limit in force.
 func TestIdleLimitInForce(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		s.SetLimits(routes.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: time.Second})
@@ -112,9 +112,9 @@
 
 // TestLimitRaisedDuringAWait raises a limit while a connection already waits under it.
 //
-// The caller keeps to the new limit and sends after the old one is over. A connection closed on
-// the old one, as its deadline was set when the wait began, meets the request on its way: the
-// caller gets no answer, and can't tell whether it ran.
+// The caller keeps to the new limit and sends a request after the old one has passed. It guards
+// against a connection that closes on the deadline set when its wait began: the request gets no
+// answer, and its caller can't know whether it ran.
 func TestLimitRaisedDuringAWait(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	short := routes.Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: 5 * time.Second}
@@ -124,7 +124,7 @@
 		// first is sent before the wait, rest after it.
 		first, rest string
 		wait        time.Duration
-		// ends is when the wait itself ends the connection.
+		// ends is when the connection closes without a request.
 		ends time.Duration
 	}{
 		{"idle", request, request, 19 * time.Second, 20*time.Second + slack},
@@ -164,8 +164,8 @@
 	}
 }
 
-// TestLimitLoweredDuringAWait lowers the limit while a connection is idle: it may stay for the
-// old one, and not for longer.
+// TestLimitLoweredDuringAWait guards against a connection that stays open for longer than the limit
+// under which its wait began.
 func TestLimitLoweredDuringAWait(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		s.SetLimits(routes.Limits{IdleTimeout: 20 * time.Second})
@@ -191,8 +191,8 @@
 	})
 }
 
-// TestHeaderThatIsLate guards against a 400, after which callers don't send again, or no word at
-// all for a proper request whose header did not come in its time.
+// TestHeaderThatIsLate guards against a 400, after which callers don't retry, or no answer at all for
+// a valid request whose header was incomplete at its limit.
 func TestHeaderThatIsLate(t *testing.T) {
 	for _, sent := range []string{"GET / HT", "GET / HTTP/1.1\r\n", "GET / HTTP/1.1\r\nHo", "GET / HTTP/1.1\r\nHost: h\r\n"} {
 		for _, before := range []string{"", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
@@ -214,8 +214,8 @@
 	}
 }
 
-// TestBlankLineBehindABody guards against a header's limit that begins with the line end which some
-// callers send behind a body: they may reuse the connection for as long as the idle limit says.
+// TestBlankLineBehindABody guards against a header limit that starts with the line end which some
+// callers send after a body, and so closes a connection that they may reuse up to the idle limit.
 func TestBlankLineBehindABody(t *testing.T) {
 	const post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
 	serving(t, readBody(time.Second), func(s *Server, p *pipes) {
@@ -238,7 +238,7 @@
 	})
 }
 
-// TestLateHeaderOfACallerThatDoesNotRead guards against a 408 that waits for its caller.
+// TestLateHeaderOfACallerThatDoesNotRead guards against a 408 whose write blocks on its caller.
 func TestLateHeaderOfACallerThatDoesNotRead(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		s.SetLimits(routes.Limits{HeaderTimeout: 3 * time.Second})
@@ -247,7 +247,7 @@
 		synctest.Wait()
 		began := time.Now()
 		s.Stop(context.Background())
-		if took := time.Since(began); took > 3*time.Second+lastWordTime {
+		if took := time.Since(began); took > 3*time.Second+refusalWriteTimeout {
 			t.Errorf("the connection closed after %s", took)
 		}
 	})
@@ -256,8 +256,8 @@
 // TestStopCutsNothing stops the server while a request runs and another connection
 // is idle.
 //
-// The running one gets its whole answer, which says that its connection ends; the
-// idle connection closes; nothing new is accepted.
+// The request gets its whole answer with "Connection: close", the idle connection closes,
+// and no connection is accepted any more.
 func TestStopCutsNothing(t *testing.T) {
 	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
@@ -272,7 +272,7 @@
 		busy := p.dial()
 		io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
 		synctest.Wait()
-		s.StopKeeping()
+		s.DisableKeepAlives()
 		stopped := make(chan error, 1)
 		go func() { stopped <- s.Stop(context.Background()) }()
 		closedAfter(idleReader)
@@ -291,10 +291,10 @@
 }
 
 // TestHandlersOwnDeadline sets a read deadline in the handler, as for a body on a route with
-// that time, and sends the body's end later than any limit in force.
+// that timeout, and sends the end of the body later than any limit in force.
 //
-// net/http's own limits and the handler's deadline come by the same method. A deadline taken
-// for a mark is cut to the idle or header limit, and the caller's body ends early.
+// It guards against a handler's deadline that is taken for a marker, which net/http sets by the
+// same method: the idle or header limit would replace it, and the body would end early.
 func TestHandlersOwnDeadline(t *testing.T) {
 	const day = 24 * time.Hour
 	rows := []struct{ own, late time.Duration }{
@@ -328,7 +328,7 @@
 	}
 }
 
-// readBody answers with what it read of the body within its own time.
+// readBody answers with what it read of the body before its own deadline.
 func readBody(own time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(own))
@@ -339,8 +339,8 @@
 
 // TestNoLimitsInForce serves without limits, as before the first configuration.
 //
-// Connections of callers that are gone or send no header still end: without a limit they
-// would stay for as long as the marks, which is for good.
+// It guards against connections of callers that have left or send no header, and that would
+// stay open for as long as the markers, practically forever.
 func TestNoLimitsInForce(t *testing.T) {
 	rows := []struct {
 		name, sent string
@@ -364,15 +364,15 @@
 
 // TestCutGivesLastAnswers cuts requests at the end of the time to stop.
 //
-// A handler is told by the context's cause that its caller is still there: its answer must reach
-// the caller before the connection ends, and what it does afterwards, its log line, must be done
-// when Close returns. One that doesn't end must not hold the stop up.
+// The context's cause shows a handler that its caller is still connected: its answer must reach the
+// caller before the connection closes, and its log line must be written when Close returns. A handler
+// that does not return must not delay the stop.
 func TestCutGivesLastAnswers(t *testing.T) {
 	const bound = 200 * time.Millisecond
 	cause := errors.New("stopping")
 	rows := []struct {
 		name string
-		// stuck handlers write to a caller that doesn't read.
+		// stuck is set if the handler writes to a caller that doesn't read.
 		stuck bool
 	}{
 		{"a handler that answers", false},
@@ -397,7 +397,7 @@
 				expired, cancel := context.WithCancel(context.Background())
 				cancel()
 				if err := s.Stop(expired); err == nil {
-					t.Error("the server stopped while a request was underway")
+					t.Error("the server stopped while a request was in flight")
 				}
 				answer := make(chan *http.Response, 1)
 				if !row.stuck {
@@ -416,7 +416,7 @@
 					t.Errorf("the stop took %s", took)
 				}
 				if told != cause || !logged {
-					t.Errorf("the handler was told %v, and had logged: %v", told, logged)
+					t.Errorf("got cause %v, logged: %v", told, logged)
 				}
 				if row.stuck {
 					return
@@ -429,7 +429,7 @@
 	}
 }
 
-// TestHandlerThatDoesNotEnd lets a handler go on for long after the cut: the stop does not wait.
+// TestHandlerThatDoesNotEnd guards against a stop that waits for a handler which ignores the cut.
 func TestHandlerThatDoesNotEnd(t *testing.T) {
 	endless := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
 	serving(t, endless, func(s *Server, p *pipes) {
--- a/internal/transport/ingress/limits.go
+++ b/internal/transport/ingress/limits.go
@@ -7,27 +7,27 @@
 )
 
 const (
-	// markIdle and markHeader are the fixed time limits given to net/http, which
-	// reads them without synchronisation. They are never waited for: each tells
-	// conn which of the limits in force it stands for.
+	// idleMarker and headerMarker are the constant time limits given to net/http, which
+	// reads them without synchronization. They never expire: each marks which of the
+	// limits in force conn applies instead.
 	//
-	// A handler's own deadline comes to conn by the same call and must not be taken for
-	// one of them, or a body's time would be cut to the idle or header limit. So they lie
-	// decades beyond the time of any request, and yet below the 292 years that a
-	// time.Duration holds. The year that conn allows for is for a process that was paused
-	// between net/http's look at the clock and its own.
-	markIdle   = 200 * year
-	markHeader = 100 * year
-	year       = 365 * 24 * time.Hour
+	// conn gets a handler's own deadline by the same call and must not take it for a
+	// marker, or a body's deadline would become the idle or header limit. So the markers
+	// are decades longer than any request, and shorter than the 292 years that a
+	// time.Duration holds. conn allows for a year of difference, for a process that was
+	// paused between net/http's reading of the clock and its own.
+	idleMarker   = 200 * year
+	headerMarker = 100 * year
+	year         = 365 * 24 * time.Hour
 	// unsetIdle and unsetHeader apply while no limit is in force.
 	unsetIdle   = 2 * time.Hour
 	unsetHeader = time.Hour
-	// slack above the callers' own idle limit keeps this side from closing at the
-	// moment when a caller sends.
+	// slack is added to the idle limit that callers apply, so that a connection does not
+	// close here at the moment when its caller sends a request.
 	slack = time.Second
 )
 
-// limit is a time limit whose length a configuration sets.
+// limit is a time limit that the configuration sets.
 type limit uint8
 
 const (
@@ -36,21 +36,21 @@
 	headerLimit
 )
 
-// limitMarked returns the limit that a deadline marks, noLimit if it is none of the marks.
-func limitMarked(t time.Time) limit {
+// markedLimit returns the limit that a deadline marks, noLimit if it is not a marker.
+func markedLimit(t time.Time) limit {
 	if t.IsZero() {
 		return noLimit
 	}
 	switch left := time.Until(t); {
-	case left > markIdle-year:
+	case left > idleMarker-year:
 		return idleLimit
-	case left > markHeader-year:
+	case left > headerMarker-year:
 		return headerLimit
 	}
 	return noLimit
 }
 
-// in returns the limit's length.
+// in returns the limit's duration.
 func (l limit) in(limits *routes.Limits) time.Duration {
 	switch {
 	case l == idleLimit && limits.IdleTimeout <= 0:
--- a/internal/transport/ingress/linger_test.go
+++ b/internal/transport/ingress/linger_test.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// slowBody is sent in as many parts, a part each pause, before its caller reads.
+// slowBody is sent in parts with a pause after each, before its caller reads.
 const (
 	slowBodySize  = 1 << 20
 	slowBodyParts = 16
@@ -23,7 +23,7 @@
 	http.Error(w, "no", http.StatusUnauthorized)
 })
 
-// readAnswer reads an answer in the background, as a receive buffer does.
+// readAnswer reads an answer in the background.
 func readAnswer(c net.Conn) <-chan *http.Response {
 	answer := make(chan *http.Response, 1)
 	go func() {
@@ -52,7 +52,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			serving(t, unauthorized, func(s *Server, p *pipes) {
 				if row.stopping {
-					s.StopKeeping()
+					s.DisableKeepAlives()
 				}
 				c := p.dial()
 				answer := readAnswer(c)
@@ -73,8 +73,8 @@
 	}
 }
 
-// TestLingerEnds guards against callers that hold a connection or a stop up by never ending the
-// body of a refused request.
+// TestLingerEnds guards against callers that keep a connection or a stop waiting by never finishing
+// the body of a refused request.
 func TestLingerEnds(t *testing.T) {
 	serving(t, unauthorized, func(s *Server, p *pipes) {
 		c := p.dial()
@@ -86,7 +86,7 @@
 		if err := s.Stop(context.Background()); err != nil {
 			t.Error(err)
 		}
-		if took := time.Since(began); took > lingerTime+time.Second {
+		if took := time.Since(began); took > lingerTimeout+time.Second {
 			t.Errorf("the stop took %s", took)
 		}
 	})
@@ -105,8 +105,8 @@
 	})
 }
 
-// TestRefusalDoesNotWaitForItsBody guards against a refusal that is held back until its caller has
-// sent a body that nobody wants.
+// TestRefusalDoesNotWaitForItsBody guards against a refusal that is delayed until its caller has sent
+// the whole body.
 func TestRefusalDoesNotWaitForItsBody(t *testing.T) {
 	for _, framing := range []string{"Content-Length: 10\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n5\r\nab"} {
 		serving(t, unauthorized, func(_ *Server, p *pipes) {
@@ -119,7 +119,7 @@
 				if resp == nil || resp.StatusCode != http.StatusUnauthorized {
 					t.Errorf("the caller got %v", resp)
 				}
-			case <-time.After(2 * unreadBodyTime):
+			case <-time.After(2 * unreadBodyTimeout):
 				t.Error("the caller waits")
 			}
 		})
--- a/internal/transport/ingress/receipt_test.go
+++ b/internal/transport/ingress/receipt_test.go
@@ -16,12 +16,12 @@
 const (
 	getRequest  = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	postRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
-	// longAnswer fits a send buffer, and not the receive buffer of smallBuffer.
+	// longAnswer fits into a send buffer, but not into a receive buffer of smallBuffer.
 	longAnswer  = 3 << 20
 	smallBuffer = 16 << 10
 )
 
-// endListener tells of the connections whose sending side the server has ended.
+// endListener reports the connections whose sending side the server has closed.
 type endListener struct {
 	net.Listener
 	ended chan struct{}
@@ -53,14 +53,14 @@
 	return c.TCPConn.Close()
 }
 
-// servingTCP runs a server whose answers end their connections.
+// servingTCP runs a server that closes each connection after its answer.
 func servingTCP(t *testing.T, handler http.Handler) (s *Server, ended <-chan struct{}, dial func() net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s = newServer(handler)
-	s.StopKeeping()
+	s.DisableKeepAlives()
 	ends := make(chan struct{}, 1000)
 	go s.Serve(endListener{l, ends})
 	t.Cleanup(func() { s.Close() })
@@ -74,8 +74,8 @@
 	}
 }
 
-// TestAnswerSurvivesBytesBehindItsRequest guards against a close that resets the connection, and
-// drops the unsent part of an answer, because of bytes behind its request.
+// TestAnswerSurvivesBytesBehindItsRequest guards against a close that resets the connection and drops
+// the unsent part of an answer because more bytes follow the request.
 func TestAnswerSurvivesBytesBehindItsRequest(t *testing.T) {
 	rows := []struct{ name, sent, during, behind string }{
 		{"nothing", getRequest, "", ""},
@@ -117,8 +117,8 @@
 	}
 }
 
-// TestStopDoesNotWaitForCallersThatDoNotClose guards against a close that waits for more than the
-// caller's kernel: for the end of its side, or without bound for a caller that does not read.
+// TestStopDoesNotWaitForCallersThatDoNotClose guards against a close that waits until the caller closes
+// its side, or without limit for a caller that does not read.
 func TestStopDoesNotWaitForCallersThatDoNotClose(t *testing.T) {
 	rows := []struct {
 		name    string
@@ -126,8 +126,8 @@
 		size    int
 		most    time.Duration
 	}{
-		{"many that have their answers", 100, 2, lingerTime / 2},
-		{"one that does not read", 1, longAnswer, lingerTime + time.Second},
+		{"many that have their answers", 100, 2, lingerTimeout / 2},
+		{"one that does not read", 1, longAnswer, lingerTimeout + time.Second},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -18,7 +18,7 @@
 	"golang.org/x/time/rate"
 )
 
-// closeReason tells why this process closed a connection whose request it had not answered.
+// closeReason is why this process closed a connection whose request it had not answered.
 type closeReason string
 
 const (
@@ -27,15 +27,15 @@
 	closedByPanic closeReason = "panic"
 )
 
-// linesPerSecond bounds the log lines that callers can bring about; all are counted.
+// linesPerSecond limits the log lines that callers can cause. Metrics count all events.
 const linesPerSecond = 20
 
-// reporter logs and counts what goes wrong on callers' connections.
+// reporter logs and counts errors on callers' connections.
 type reporter struct {
 	log     *zap.Logger
 	metrics metrics.Registry
 	lines   *rate.Limiter
-	// stacks bounds the lines of panics, apart from the others that could use their part up.
+	// stacks limits the lines of panics separately, so that other lines can't use up their limit.
 	stacks *rate.Limiter
 }
 
@@ -47,7 +47,7 @@
 	metrics.GetOrRegisterCounter("ingress."+name, p.metrics).Inc(1)
 }
 
-// Write takes a line of net/http's own log.
+// Write logs a line of net/http's own log.
 func (p *reporter) Write(line []byte) (int, error) {
 	p.count("server_errors")
 	if p.lines.Allow() {
@@ -80,15 +80,15 @@
 	requestKey struct{}
 )
 
-// request is one that a handler has.
+// request is a request whose handler is running.
 type request struct {
 	conn *conn
 	id   atomic.Pointer[string]
-	// bodyRead tells that the body was read to its end.
+	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
 }
 
-// trackedBody is a request's body.
+// trackedBody records when a request's body was read to its end.
 type trackedBody struct {
 	io.ReadCloser
 	request *request
@@ -103,15 +103,15 @@
 	return n, err
 }
 
-// name returns the request's id, empty before its handler has told it.
-func (q *request) name() string {
+// requestID returns the ID that NameRequest set, empty before.
+func (q *request) requestID() string {
 	if q == nil || q.id.Load() == nil {
 		return ""
 	}
 	return *q.id.Load()
 }
 
-// NameRequest tells the id by which this package's log lines name the request of a context.
+// NameRequest sets the ID by which this package's log lines name the request of a context.
 func NameRequest(ctx context.Context, id string) {
 	if q, ok := ctx.Value(requestKey{}).(*request); ok {
 		q.id.Store(&id)
@@ -127,8 +127,8 @@
 
 func connOf(ctx context.Context) *conn { return ctx.Value(connKey{}).(*conn) }
 
-// CallerEnd tells by what the caller of a context's request counts as having left; it is empty
-// while nothing tells so.
+// CallerEnd returns why the caller of a context's request counts as having left, empty while it does
+// not.
 func CallerEnd(ctx context.Context) string {
 	q, ok := ctx.Value(requestKey{}).(*request)
 	if !ok {
@@ -149,17 +149,17 @@
 	return "read error: " + c.readErr.Error()
 }
 
-// handled tells of a handler's end; panicked is what it panicked with, nil if it returned.
-func (s *Server) handled(q *request, r *http.Request, panicked any) {
-	defer s.underway.Add(-1)
+// finishHandling records a handler's end. panicked is the value of its panic, nil if it returned.
+func (s *Server) finishHandling(q *request, r *http.Request, panicked any) {
+	defer s.handlersInFlight.Add(-1)
 	switch panicked {
 	case nil:
-		q.conn.end(answered)
+		q.conn.endHandling(answered)
 	case http.ErrAbortHandler:
-		q.conn.end(aborted)
+		q.conn.endHandling(aborted)
 	default:
-		s.report.panicked(q.name(), r, panicked)
-		q.conn.end(failed)
+		s.report.panicked(q.requestID(), r, panicked)
+		q.conn.endHandling(failed)
 	}
 	if panicked != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/transport/ingress/report_test.go
+++ b/internal/transport/ingress/report_test.go
@@ -17,7 +17,7 @@
 	"limpetwall/internal/state/routes"
 )
 
-// observed serves like serving, and returns the log and the counters.
+// observed is serving, and also returns the log and the counters.
 func observed(t *testing.T, handler http.Handler, test func(s *Server, p *pipes)) (*observer.ObservedLogs, metrics.Registry) {
 	core, lines := observer.New(zap.InfoLevel)
 	registry := metrics.NewRegistry()
@@ -32,14 +32,14 @@
 	return metrics.GetOrRegisterCounter(name, registry).Count()
 }
 
-// TestClosedUnanswered guards against connections that this process closes on a request without
-// a word: only those that it closed itself may be told of, each with its reason.
+// TestClosedUnanswered guards against a connection with an unanswered request that this process closes
+// without a log line, and against a line for one that its caller has closed.
 func TestClosedUnanswered(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	rows := []struct {
 		name, sent string
 		do         func(r *http.Request)
-		// act ends the connection; nil leaves that to the server.
+		// act closes the connection; nil leaves that to the server.
 		act       func(s *Server, c net.Conn)
 		reason    closeReason
 		requestID string
@@ -92,8 +92,8 @@
 	}
 }
 
-// TestPanicIsLogged guards against a handler's panic that net/http writes to the standard logger
-// alone: its line must name the request and where it panicked.
+// TestPanicIsLogged guards against a handler's panic that is logged without the request and the
+// stack.
 func TestPanicIsLogged(t *testing.T) {
 	lines, registry := observed(t, http.HandlerFunc(panics), func(s *Server, p *pipes) {
 		c := p.dial()
@@ -116,8 +116,7 @@
 	panic("oops")
 }
 
-// TestServerErrorsAreBounded guards against a log that callers fill: net/http's own lines beyond
-// the bound are counted only.
+// TestServerErrorsAreBounded guards against callers that fill the log with net/http's own lines.
 func TestServerErrorsAreBounded(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
 	registry := metrics.NewRegistry()
@@ -133,7 +132,7 @@
 	}
 }
 
-// TestCallerEnd guards against callers that count as gone with nobody knowing why.
+// TestCallerEnd guards against a caller that counts as gone without a logged reason.
 func TestCallerEnd(t *testing.T) {
 	rows := []struct {
 		name string
@@ -168,7 +167,7 @@
 	}
 }
 
-// endingConn ends with an error of the test's.
+// endingConn returns the test's error from its reads.
 type endingConn struct {
 	net.Conn
 	err error
@@ -182,8 +181,9 @@
 	return n, err
 }
 
-// TestTornAnswerIsTold guards against a forced close of an answer underway that is told by nothing.
-func TestTornAnswerIsTold(t *testing.T) {
+// TestInterruptedAnswerIsReported guards against a forced close during an answer that no log line
+// reports.
+func TestInterruptedAnswerIsReported(t *testing.T) {
 	lines, registry := observed(t, ok, func(s *Server, p *pipes) {
 		c := p.dial()
 		defer c.Close()
@@ -198,7 +198,7 @@
 	}
 }
 
-// TestLateHeadersAreCounted guards against refusals of late headers that no counter tells of.
+// TestLateHeadersAreCounted guards against refusals of late headers that no counter counts.
 func TestLateHeadersAreCounted(t *testing.T) {
 	_, registry := observed(t, ok, func(s *Server, p *pipes) {
 		s.SetLimits(routes.Limits{HeaderTimeout: 3 * time.Second})
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -16,7 +16,7 @@
 	"limpetwall/internal/state/routes"
 )
 
-// stopped runs a stop beside a test and fails it when the stop does.
+// stopped stops the server in the background and fails the test if the stop fails.
 func stopped(t *testing.T, s *Server) (wait func()) {
 	done := make(chan error, 1)
 	go func() { done <- s.Stop(context.Background()) }()
@@ -29,7 +29,7 @@
 	}
 }
 
-// wantLast reads an answer that must be whole and the last of its connection.
+// wantLast reads an answer, which must be complete and the last of its connection.
 func wantLast(t *testing.T, r *bufio.Reader) {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
@@ -42,21 +42,21 @@
 		t.Errorf("the caller got %d, %q, %v", resp.StatusCode, body, err)
 	}
 	if !resp.Close {
-		t.Error("the caller is not told that its connection ends")
+		t.Error("the answer lacks Connection: close")
 	}
 	if _, err := r.ReadByte(); err != io.EOF {
 		t.Errorf("the connection stays open: %v", err)
 	}
 }
 
-// TestStopAnswersWhatItReads guards against a stop that closes a connection from which a part of
-// a request, or all of it, was read.
+// TestStopAnswersWhatItReads guards against a stop that closes a connection from which a request was
+// read, wholly or in part.
 func TestStopAnswersWhatItReads(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	rows := []struct {
 		name string
 		// used connections have had a request before.
-		used bool
+		hadRequest bool
 		// before and after the stop begins are sent.
 		before, after string
 		wait          time.Duration
@@ -76,7 +76,7 @@
 				c := p.dial()
 				defer c.Close()
 				r := bufio.NewReader(c)
-				if row.used {
+				if row.hadRequest {
 					get(t, c, r)
 				}
 				io.WriteString(c, row.before)
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestStopAnswersWhatItReadAhead guards against a stop that drops the first byte of a request which
-// net/http has read while it watched over the request before.
+// TestStopAnswersWhatItReadAhead guards against a stop that drops a request whose first byte net/http
+// read while it watched for the caller's end during the previous request.
 func TestStopAnswersWhatItReadAhead(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	var answer chan struct{}
@@ -145,7 +145,7 @@
 	})
 }
 
-// gatedConn holds up the first read that has taken bytes once it is armed.
+// gatedConn delays, once armed, the first read that has returned bytes.
 type gatedConn struct {
 	net.Conn
 	armed         atomic.Bool
@@ -161,8 +161,8 @@
 	return n, err
 }
 
-// TestStopReadsWhatHasArrived guards against a stop that resets an idle connection on a request
-// that lies unread in its receive buffer.
+// TestStopReadsWhatHasArrived guards against a stop that resets an idle connection with an unread
+// request in its receive buffer.
 func TestStopReadsWhatHasArrived(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		mine, theirs := net.Pipe()
@@ -171,7 +171,7 @@
 		r := bufio.NewReader(mine)
 		get(t, mine, r)
 		synctest.Wait()
-		// The bytes are there, but the read that waits has not taken them.
+		// The bytes have arrived, but the blocked read has not returned them.
 		slow.arrive("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		wait := stopped(t, s)
 		wantLast(t, r)
@@ -179,7 +179,7 @@
 	})
 }
 
-// lateConn hands out bytes that have arrived to reads that begin after that, and only then.
+// lateConn returns bytes only to reads that begin after their arrival.
 type lateConn struct {
 	net.Conn
 	mu      sync.Mutex
@@ -215,8 +215,8 @@
 	return c.Conn.Read(b)
 }
 
-// TestLimitReadsWhatHasArrived guards against a limit that closes a connection on bytes that came
-// within it, because the process looked late.
+// TestLimitReadsWhatHasArrived guards against a limit that closes a connection although bytes arrived
+// in time, because the process was paused.
 func TestLimitReadsWhatHasArrived(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	rows := []struct{ name, before, arrived, rest string }{
@@ -257,15 +257,15 @@
 // TestStopEndsWaits guards against a stop that waits for callers that send nothing.
 func TestStopEndsWaits(t *testing.T) {
 	rows := []struct {
-		name string
-		used bool
-		sent string
+		name       string
+		hadRequest bool
+		sent       string
 		// since the connection was opened.
 		since time.Duration
 		most  time.Duration
 	}{
 		{"idle", true, "", 0, time.Second},
-		{"new", false, "", 0, newConnWait},
+		{"new", false, "", 0, newConnTimeout},
 		{"opened long ago and never used", false, "", time.Minute, time.Second},
 		{"a header that does not come", true, "GET / HTTP/1.1\r\n", 0, 10 * time.Second},
 		{"a method that does not come", true, "GE", 0, 10 * time.Second},
@@ -280,7 +280,7 @@
 				c := p.dial()
 				defer c.Close()
 				r := bufio.NewReader(c)
-				if row.used {
+				if row.hadRequest {
 					get(t, c, r)
 				}
 				io.WriteString(c, row.sent)
@@ -297,8 +297,8 @@
 	}
 }
 
-// TestCutAnswersHalfReadHeaders guards against a forced stop that closes a connection on a part of a
-// request without a word: nothing has run, and the caller may send it again.
+// TestCutAnswersHalfReadHeaders guards against a forced stop that closes a connection with a partly read
+// request without an answer: it has not run, so the caller may retry.
 func TestCutAnswersHalfReadHeaders(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	rows := []struct {
@@ -333,8 +333,8 @@
 	}
 }
 
-// TestStopAcceptsWhatIsQueued guards against a stop that resets connections which the kernel has
-// opened for callers and that were not accepted yet.
+// TestStopAcceptsWhatIsQueued guards against a stop that resets connections in the kernel's accept
+// queue.
 func TestStopAcceptsWhatIsQueued(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -400,7 +400,7 @@
 	})
 }
 
-// TestStopWaitsForTheClose guards against a stop that ends, and the process with it, before the last close.
+// TestStopWaitsForTheClose guards against a stop, and a process, that ends before the last connection is closed.
 func TestStopWaitsForTheClose(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		mine, theirs := net.Pipe()
@@ -424,7 +424,7 @@
 	})
 }
 
-// closeHeldConn holds its close up.
+// closeHeldConn delays its close.
 type closeHeldConn struct {
 	net.Conn
 	goOn chan struct{}
@@ -435,7 +435,7 @@
 	return c.Conn.Close()
 }
 
-// TestCutAlone guards against a cut without a stop, which waited out its time.
+// TestCutAlone guards against a cut without a stop that waits until its deadline.
 func TestCutAlone(t *testing.T) {
 	serving(t, ok, func(s *Server, p *pipes) {
 		c := p.dial()
--- a/internal/transport/ingress/writer.go
+++ b/internal/transport/ingress/writer.go
@@ -5,19 +5,19 @@
 	"net/http"
 )
 
-// headWriter has answers say that their connection ends if the server has begun to stop when
-// their head is written, which may be long after their request was read.
+// headWriter adds "Connection: close" to an answer if the server is stopping when its head is written,
+// which may be long after its request was read.
 type headWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
 	server  *Server
-	// http1 answers carry the Connection header; HTTP/2 has frames for it.
+	// http1 is set for HTTP/1.1, whose answers carry the Connection header; HTTP/2 sends GOAWAY instead.
 	http1, wrote bool
 }
 
-// beforeHead sets the header of an answer whose head is about to be written.
+// beforeHead is called before an answer's head is written.
 func (w *headWriter) beforeHead() {
-	if w.http1 && !w.wrote && w.server.stopKeeping.Load() {
+	if w.http1 && !w.wrote && w.server.closeAfterAnswer.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	w.wrote = true
@@ -37,17 +37,17 @@
 	return w.ResponseWriter.Write(b)
 }
 
-// FlushError serves http.ResponseController.
+// FlushError is used by http.ResponseController.
 func (w *headWriter) FlushError() error {
 	w.beforeHead()
 	return w.control.Flush()
 }
 
-// Unwrap serves http.ResponseController.
+// Unwrap is used by http.ResponseController.
 func (w *headWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// MaxBytesReader is http.MaxBytesReader for writers that wrap net/http's own, which is the one
-// that must be told to close the connection on what is left of a body over its limit.
+// MaxBytesReader is http.MaxBytesReader for writers that wrap net/http's own. http.MaxBytesReader must
+// get the innermost writer, which then closes the connection if a body exceeds its limit.
 func MaxBytesReader(w http.ResponseWriter, body io.ReadCloser, limit int64) io.ReadCloser {
 	for {
 		outer, ok := w.(interface{ Unwrap() http.ResponseWriter })
