--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -66,12 +66,12 @@
 	}
 }
 
-// RunAgent runs an agent until it is told to stop.
+// RunAgent runs an agent until a stop is requested.
 func RunAgent(s *AgentSettings, logger *zap.Logger, stop Stop) error {
 	return runAgent(s, logger, stop, func(*base) {})
 }
 
-// runAgent also tells when its parts are built.
+// runAgent is RunAgent; it calls built once its parts are built.
 func runAgent(s *AgentSettings, logger *zap.Logger, stop Stop, built func(*base)) error {
 	endpoint := fleet.Endpoint{ID: s.ID, Kind: fleet.KindPlain, Labels: s.Labels}
 	if s.Engine != "" {
@@ -106,7 +106,7 @@
 	return a
 }
 
-// hasEnded looks at the address of a URL that has been checked to name a host and a port; nil if it names none.
+// hasEnded returns a check of whether the endpoint at a URL has ended, nil if the URL has no port.
 func hasEnded(endpoint string) func(context.Context) bool {
 	u, err := url.Parse(endpoint)
 	if err != nil || u.Port() == "" {
@@ -116,12 +116,12 @@
 	return func(ctx context.Context) bool { return upstream.HasEnded(ctx, dialer.DialContext, u.Host) }
 }
 
-// drainAgent tells the fleet first: entries stop sending within a moment, and
-// what they already sent finishes.
+// drainAgent first announces that the agent leaves, on which entries stop sending new runs to it. The
+// runs that it already has can then finish.
 func drainAgent(p *base, a *agent.Agent, stop Stop) {
 	p.zap.Info("stopping")
 	a.Leave()
-	p.farewell()
+	p.awaitLeaveSpread()
 	left := a.Drain(p.beginDrain(stop))
 	p.zap.Info("stopped", zap.Int("cut", left))
 }
--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -32,8 +32,8 @@
 	"limpetwall/internal/transport/tlsfiles"
 )
 
-// Stop tells a process to stop: Graceful first, Now when waiting is over. Reload
-// tells that the settings may have changed.
+// Stop holds the requests to a process: Graceful to stop, Now to stop without waiting any longer,
+// Reload to read changed settings.
 type Stop struct {
 	Graceful <-chan struct{}
 	Now      <-chan struct{}
@@ -119,8 +119,8 @@
 	}
 }
 
-// checkTLS refuses plaintext beyond loopback unless it was asked for: prompts
-// and keys would otherwise cross the network readable by a slip of settings.
+// checkTLS refuses plaintext beyond loopback unless the settings allow it explicitly: otherwise a
+// mistake in the settings would send prompts and keys over the network in plaintext.
 func checkTLS(l *finding.List, prefix string, files tlsfiles.Files, listen string, allowPlaintext bool) {
 	if (files.Cert == "") != (files.Key == "") {
 		l.Add("-"+prefix+"-cert", "and -%s-key must be given together", prefix)
@@ -147,12 +147,12 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	api      objectapi.API
-	// drain ends with the time for what is underway when stopping.
+	// drain ends when the time for requests in flight during a stop is over.
 	drain    context.Context
 	endDrain context.CancelFunc
 }
 
-// lingerQuiet bounds the wait for a peer that takes in nothing more of what was sent to it.
+// lingerQuiet is how long to wait for a peer that reads nothing more of what was sent to it.
 const lingerQuiet = 5 * time.Second
 
 func newIncarnation() uint64 {
@@ -193,7 +193,7 @@
 	p.node = gossip.New(b.Spread, table, p.store, p.log, hostlist.NewClient(b.HostList, client), p.pool, logger)
 	wire.RegisterPeerServer(p.server, &gossip.Server{Node: p.node, ErrorBudget: burn})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	// Until it is told to stop, nothing waits for a drain.
+	// The drain begins only with a stop.
 	p.drain, p.endDrain = context.WithCancel(context.Background())
 	p.endDrain()
 	return p, nil
@@ -211,8 +211,8 @@
 	return source.ServerConfig(), source.ClientConfig(), nil
 }
 
-// start serves peers, joins the fleet and runs the spread duties. It returns
-// once the configuration in force is known, or when stop is told.
+// start serves peers, joins the fleet and runs the gossip loops. It returns once the configuration in
+// force is known, or when a stop is requested.
 func (p *base) start(stop Stop) {
 	p.run(func(context.Context) { logServe(p.zap, "peers", p.server.Serve(p.listener)) })
 	p.startAdmin()
@@ -228,12 +228,12 @@
 	p.node.Announce()
 }
 
-// run starts a duty.
+// run starts a background loop.
 func (p *base) run(duty func(context.Context)) {
 	p.duties.Go(func() { duty(p.ctx) })
 }
 
-// logServe tells of a listener that ended though nobody stopped it.
+// logServe logs that a listener ended although it was not stopped.
 func logServe(log *zap.Logger, name string, err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
 		log.Error("listener ended", zap.String("for", name), zap.Error(err))
@@ -258,7 +258,7 @@
 	mux.HandleFunc("GET /metrics", p.serveMetrics)
 	text := exposition.Handler(p.metrics)
 	mux.HandleFunc("GET /metrics/prometheus", func(w http.ResponseWriter, r *http.Request) {
-		p.recordSpread()
+		p.recordGossip()
 		text.ServeHTTP(w, r)
 	})
 	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.zap)}
@@ -266,13 +266,13 @@
 }
 
 func (p *base) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	p.recordSpread()
+	p.recordGossip()
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(p.metrics, w)
 }
 
-// recordSpread copies the exact spread counts into the registry.
-func (p *base) recordSpread() {
+// recordGossip copies the counts of gossip messages into the registry.
+func (p *base) recordGossip() {
 	c := p.node.Counts()
 	for name, value := range map[string]int64{
 		"spread.sent": c.Sent, "spread.sent_bytes": c.SentBytes, "spread.received": c.Received,
@@ -283,7 +283,7 @@
 	}
 }
 
-// close ends everything; requests must have ended before.
+// close stops all parts. All requests must have ended before.
 func (p *base) close() {
 	p.cancel()
 	if p.admin != nil {
@@ -296,12 +296,11 @@
 	p.zap.Sync()
 }
 
-// stopServing lets the last events of finished runs leave the process. A handler
-// has returned before grpc has written all that it sent; stopping hard at that
-// moment cuts streams that the agent counts as whole. A peer that reads slowly has
-// the time to drain; one that is gone is found by keepalive.
+// stopServing sends the last events of finished runs. A handler returns before grpc has written
+// everything that it sent, and a hard stop at that moment would cut streams that the agent counts as
+// complete. A slow peer has until the end of the drain; keepalive detects one that is gone.
 func (p *base) stopServing() {
-	// lastEvents is what those of runs that were cut may take.
+	// lastEvents is how long the last events of interrupted runs may take.
 	const lastEvents = 5 * time.Second
 	done := make(chan struct{})
 	go func() {
@@ -321,16 +320,16 @@
 	}
 }
 
-// farewell gives peers a moment to hear that this process leaves.
-func (p *base) farewell() {
+// awaitLeaveSpread gives gossip a moment to spread that this process leaves.
+func (p *base) awaitLeaveSpread() {
 	const notice = 300 * time.Millisecond
 	p.node.Table().Update(time.Now(), func(m *fleet.Member) { m.State = fleet.Leaving })
 	p.node.Announce()
 	time.Sleep(notice)
 }
 
-// beginDrain returns a context that ends after the drain timeout, or when stopping
-// can't wait. close ends it.
+// beginDrain returns a context that ends after the drain timeout, or when an immediate stop is
+// requested. close ends it too.
 func (p *base) beginDrain(stop Stop) context.Context {
 	p.drain, p.endDrain = context.WithTimeout(context.Background(), p.settings.DrainTimeout)
 	go func() {
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -19,8 +19,8 @@
 	"limpetwall/internal/transport/settings"
 )
 
-// Keys of the dev command's operator and customer. They are printed and open
-// nothing but a dev process on loopback.
+// Keys of the dev command's operator and customer. They are printed, and are valid only for a dev
+// process on loopback.
 const (
 	devOperatorKey = "dev-operator-key"
 	devCustomerKey = "dev-customer-key"
@@ -56,7 +56,7 @@
 	return ExitOK
 }
 
-// site is the dev command's running parts.
+// site holds the dev command's running parts.
 type site struct {
 	logger  *zap.Logger
 	stop    Stop
@@ -70,8 +70,8 @@
 }
 
 func runDev(s *devSettings, logger *zap.Logger, stop Stop, io IO) error {
-	// The parts end when the command is told to stop, and also when one of them
-	// could not start: otherwise the others would run on and the command hang.
+	// The parts end when a stop is requested, and also when one of them could not start: the others
+	// would keep running, and the command would hang.
 	end := make(chan struct{})
 	d := &site{logger: logger, stop: Stop{Graceful: end, Now: stop.Now}, failed: make(chan error, 64)}
 	defer func() {
--- a/internal/command/doc.go
+++ b/internal/command/doc.go
@@ -1,3 +1,3 @@
-// Package command builds the processes from their parts: it reads settings,
-// opens listeners, starts duties and stops them in order.
+// Package command builds the processes from their parts: it reads settings, opens listeners, starts
+// background loops and stops them in order.
 package command
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -28,13 +28,13 @@
 )
 
 const (
-	// indexSize bounds the pieces of context an entry remembers, per generation.
+	// indexSize is the number of context chunks that an entry's index holds per generation.
 	indexSize = 250_000
-	// retryShare and retryBurst bound retries to a share of the requests.
+	// retryShare limits retries to a share of the requests, with a burst of retryBurst.
 	retryShare = 0.1
 	retryBurst = 20
 	saltSize   = 32
-	// maxConfirmTries bounds the writes of one confirm.
+	// maxConfirmTries is the maximum number of writes for one confirm.
 	maxConfirmTries = 16
 )
 
@@ -45,7 +45,7 @@
 	TLS        tlsfiles.Files
 	DrainDelay time.Duration
 	Entry      entry.Config
-	// ReadHeaderTimeout bounds the time for a request's headers.
+	// ReadHeaderTimeout is the time limit for a request's header.
 	ReadHeaderTimeout time.Duration
 	MaxHeader         int
 	HedgeAfter        time.Duration
@@ -82,12 +82,12 @@
 	return s
 }
 
-// RunEntry runs an entry until it is told to stop.
+// RunEntry runs an entry until a stop is requested.
 func RunEntry(s *EntrySettings, logger *zap.Logger, stop Stop) error {
 	return runEntry(s, logger, stop, func(*base) {}, func(string) {})
 }
 
-// runEntry also tells when its parts are built and its listener is open.
+// runEntry is RunEntry; it calls built once its parts are built and its listener is open.
 func runEntry(s *EntrySettings, logger *zap.Logger, stop Stop, built func(*base), listening func(address string)) error {
 	book := errorbudget.NewRecorder()
 	p, err := newBase(s.BaseSettings, logger, fleet.RoleEntry, fleet.Endpoint{}, func() ([]byte, error) {
@@ -172,8 +172,9 @@
 	return server.ServeTLS(listener, source.ServerConfig())
 }
 
-// drainEntry stops in an order that cuts nothing: readiness falls, the balancer
-// sees it, then the listener closes and the requests underway finish.
+// drainEntry stops in an order that interrupts no request: it first reports that it is not ready, so
+// that the balancer sends no new connections, then closes the listener and waits for the requests in
+// flight.
 func drainEntry(s *EntrySettings, p *base, e *entry.Entry, server *ingress.Server, stop Stop) {
 	p.zap.Info("stopping", zap.Int("inflight", e.Underway()))
 	e.SetDraining()
@@ -186,12 +187,12 @@
 	left := 0
 	if err != nil {
 		left = e.Underway()
-		// The cut requests still get their final answer.
+		// Interrupted requests still get a final answer.
 		final, done := context.WithTimeout(context.Background(), time.Second)
 		server.Cut(final, runs.ErrStopping)
 		done()
 	}
 	server.Close()
-	p.farewell()
+	p.awaitLeaveSpread()
 	p.zap.Info("stopped", zap.Int("cut", left))
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -37,37 +37,36 @@
 )
 
 const (
-	// logLines held for a slow reader: about a second of the heaviest load.
+	// logLines is the number of log lines buffered for a slow reader, about a second of the heaviest load.
 	logLines = 4096
-	// logFlush bounds the wait for the log's reader at the end.
+	// logFlush is how long the process waits at its end for the log's reader.
 	logFlush = 500 * time.Millisecond
-	// connectTimeout to an endpoint: a lost opening packet is sent again after a
-	// second, by which time another endpoint could have answered.
+	// connectTimeout is for connections to endpoints: a lost SYN is sent again after a second, by which
+	// time another endpoint could have answered.
 	connectTimeout = 400 * time.Millisecond
-	// silence after which a connection to an endpoint counts as dead. A packet lost
-	// on the way is sent again several times within it.
+	// silence is the time without an acknowledgment after which a connection to an endpoint counts as
+	// dead. A lost packet is sent again several times within it.
 	silence = 900 * time.Millisecond
-	// storeConnect is longer: there is no other store to turn to.
+	// storeConnect is longer than connectTimeout, as there is only one store.
 	storeConnect = 700 * time.Millisecond
-	// platformRetryBurst is a process's own part of the retries that a deployment may make
-	// beyond their ratio; a few dozen processes may spend theirs at one moment.
+	// platformRetryBurst is one process's part of the retries that a deployment may make beyond their
+	// ratio; a few dozen processes may spend theirs at the same time.
 	platformRetryBurst = 3
-	// retryPart of the allowed ratio is used: counts of different processes overlap.
+	// retryPart is the part of the allowed ratio that is used, as the windows of different processes overlap.
 	retryPart = 0.7
-	// memoryPart of the process's memory is the heap's; the rest holds stacks and what
-	// connections have received.
+	// memoryPart is the heap's part of the process's memory; the rest is for stacks and receive buffers.
 	memoryPart = 0.6
-	// contextIndex bounds the pieces of context remembered, twice over.
+	// contextIndex is the number of context chunks that the index holds per generation.
 	contextIndex = 20_000
 )
 
-// beginMargin is left of the time of replaced weights for an endpoint to hear that a
-// request is given up.
+// beginMargin is how long before the end of the time of replaced weights a request is canceled, so that
+// the endpoint learns of it in time.
 const beginMargin = 300 * time.Millisecond
 
-// retireEarly is how long before the end of their time replaced weights are used no
-// more: a request may wait that long in an engine before it begins. Waits of over
-// 1.6 s are refused where they are foreseen, and 1.5 s was seen to be too short.
+// retireEarly is how long before the end of their time replaced weights are no longer used: a request
+// may wait that long in an engine before it begins. Requests with a predicted wait of over 1.6 s are
+// refused, but some wait for more than 1.5 s after all.
 const retireEarly = 2500 * time.Millisecond
 
 func gatewayMain(args []string, io IO) int {
@@ -94,7 +93,7 @@
 		parseFailed(io, errors.Annotate(err, "-log-level"))
 		return ExitSettings
 	}
-	// A process over its memory is killed: near that, collecting more often is better.
+	// A process that exceeds its memory is killed, so the garbage collector runs more often near the limit.
 	debug.SetMemoryLimit(int64(memoryPart * float64(read.MemoryBytes)))
 	out := logging.NewAsyncWriter(io.Out, logLines)
 	logger := logging.New(out, level).With(zap.String("host", s.Platform.Host))
@@ -117,7 +116,7 @@
 	cancel   context.CancelFunc
 }
 
-// RunGateway serves until it is told to stop.
+// RunGateway serves until a stop is requested.
 func RunGateway(s *GatewaySettings, log *zap.Logger, stop Stop) error {
 	p := newGatewayProcess(s, log)
 	defer p.close()
@@ -179,7 +178,7 @@
 	p.clients = ingress.New(p.gateway, ingress.Config{Log: log, Metrics: registry})
 	engines := platform.NewEngines(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle})
 	director := p.director(state, store, engines)
-	p.share(self, store, watcher, director, keeper)
+	p.startSharing(self, store, watcher, director, keeper)
 	p.run(watcher.Run)
 	p.run(p.gateway.Guard.Run)
 	p.gateway.IsLeader = director.IsLeader
@@ -206,10 +205,10 @@
 // director brings engines to the weights that operators name.
 func (p *gatewayProcess) director(state *discovery.State, store *platform.Store, engines rollout.Engines) *rollout.Director {
 	b := p.settings.Platform.Bounds
-	// The address tells a new host from one that it replaces under the same name.
+	// The address distinguishes a new host from the one that it replaces under the same name.
 	holder := p.settings.Platform.Host + "@" + p.settings.Platform.Clients
-	// A holder acts for act after its last renewal, and another takes over after a
-	// whole term: with act more, orders of two holders are a term apart.
+	// A holder acts for up to act after its last renewal, and another takes over after a whole term plus
+	// the handover of act: orders of two holders are at least a term apart.
 	act := b.OrderLease / 4
 	return &rollout.Director{
 		State: state, Log: p.log, Holder: holder, Handover: act, Within: b.WeightsInForce, Now: bootclock.Now,
@@ -221,23 +220,22 @@
 }
 
 const (
-	// leaseCallTimeout leaves room for two tries in the part of a term that a holder
-	// may act in.
+	// leaseCallTimeout allows two attempts within the time in which a holder may act.
 	leaseCallTimeout = 700 * time.Millisecond
-	// engineIdle is below the shortest time after which servers close idle connections.
+	// engineIdle is shorter than the time after which servers close idle connections.
 	engineIdle = time.Second
 )
 
-// revokeMargin is left of the time in which a removed key must be refused everywhere: a
-// request is judged when it arrives and runs after the way to its endpoint.
+// revokeMargin is subtracted from the time after which a removed key must be refused everywhere: a
+// request is authorized on arrival, and reaches its endpoint later.
 const revokeMargin = 500 * time.Millisecond
 
-// revokeWatches fit into that time: what is known may be two watches old, and a third may
-// be lost.
+// revokeWatches is the number of watches that fit into that time: the known keys may be two watches old,
+// and a third watch may be lost.
 const revokeWatches = 4
 
-// watchWait keeps a silent connection to the store from hiding changes for longer
-// than a process counts as disturbed by what silenced it.
+// watchWait returns how long a watch may wait. A silent connection to the store must not hide changes for
+// longer than the platform excuses the disturbance that silenced it.
 func watchWait(b platform.Bounds) time.Duration {
 	const margin = time.Second
 	return max(time.Second, b.StableWindow-margin)
@@ -280,27 +278,27 @@
 	return nil
 }
 
-// ownServer serves what is not for callers.
+// ownServer returns a server for requests that are not from callers.
 func (p *gatewayProcess) ownServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.log)}
 }
 
 const (
-	// balancerNotice is the time in which the balancer finds that a process is not
-	// ready any more and sends it no new connections: two probes, one a second.
+	// balancerNotice is how long the balancer takes to notice that a process is not ready and to stop
+	// sending it new connections: two probes, one per second.
 	balancerNotice = 2500 * time.Millisecond
-	// crossing is the time behind it for requests that were on their way when connections closed.
+	// crossing is the additional time for requests that were in transit when connections closed.
 	crossing = 500 * time.Millisecond
-	// graceMargin is left of the time to stop for the process's own end.
+	// graceMargin is the part of the time to stop that is reserved for the process's exit.
 	graceMargin = 500 * time.Millisecond
-	// lastAnswers is the part of graceMargin in which the callers of requests that are cut are
-	// told so. The rest is for closing connections and for the log.
+	// lastAnswers is the part of graceMargin for the answers to interrupted requests. The rest is for
+	// closing connections and flushing the log.
 	lastAnswers = 200 * time.Millisecond
 )
 
-// drain stops without cutting a request: first the balancer hears of it, then idle
-// connections are closed, then requests underway have the rest of the time. What is still
-// underway then is cut, and its callers are told.
+// drain stops without interrupting requests: first the balancer notices that the process is not ready,
+// then idle connections are closed, and requests in flight have the rest of the time. Those that are
+// still in flight then are interrupted and answered with an error.
 func (p *gatewayProcess) drain(stop Stop) {
 	grace := p.settings.Platform.Bounds.StopGrace
 	p.log.Info("stopping", zap.Int64("requests_underway", p.gateway.InFlight()), zap.Duration("time_to_stop", grace))
@@ -321,8 +319,8 @@
 	}
 }
 
-// cut ends the requests underway. The cause tells the gateway that their callers are still
-// there; a context that merely ends would count as their leaving.
+// cut cancels the requests in flight. By the cause, the gateway knows that their callers are still
+// connected; without it, the cancellation would look as if they had left.
 func (p *gatewayProcess) cut() {
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -20,9 +20,9 @@
 	"limpetwall/platform"
 )
 
-// share has this gateway tell the others what it knows, and hear what they know.
-func (p *gatewayProcess) share(self fleet.Member, store *platform.Store, watcher *discovery.Watcher, director *rollout.Director, keeper *contextcache.Tracker) {
-	sharer := p.shareWork(self, store)
+// startSharing starts the exchange of information with the other gateways.
+func (p *gatewayProcess) startSharing(self fleet.Member, store *platform.Store, watcher *discovery.Watcher, director *rollout.Director, keeper *contextcache.Tracker) {
+	sharer := p.shareLoad(self, store)
 	if sharer == nil {
 		return
 	}
@@ -33,9 +33,9 @@
 	p.claimColdEndpoints(self, sharer, store, director)
 }
 
-// shareWork tells the other gateways what this one has underway, and hears of theirs.
-// A gateway that can't do so serves by what endpoints say alone; nil is returned then.
-func (p *gatewayProcess) shareWork(self fleet.Member, store *platform.Store) *loadreport.Exchanger {
+// shareLoad exchanges reports of the runs in flight with the other gateways. If that is not possible, it
+// returns nil, and this gateway relies on the endpoints' own reports.
+func (p *gatewayProcess) shareLoad(self fleet.Member, store *platform.Store) *loadreport.Exchanger {
 	if p.settings.Platform.Peers == "" {
 		return nil
 	}
@@ -53,8 +53,8 @@
 	return sharer
 }
 
-// shareNotices has the director tell the other gateways what it writes to the rollout lease,
-// and hear what they write. Without, all look at the lease themselves.
+// shareNotices broadcasts what this gateway writes to the rollout lease and receives what others write.
+// Without it, each gateway reads the lease itself.
 func (p *gatewayProcess) shareNotices(sharer *loadreport.Exchanger, director *rollout.Director) {
 	if p.settings.Platform.Notices == "" {
 		return
@@ -89,8 +89,8 @@
 	return names
 }
 
-// shareContents has the gateways of the failure domain share the following of stores and
-// engines. Without, each follows all.
+// shareContents divides the polling of stores and engines among the gateways of the failure domain.
+// Without it, each gateway polls all of them.
 func (p *gatewayProcess) shareContents(sharer *loadreport.Exchanger, keeper *contextcache.Tracker) {
 	if p.settings.Platform.Contents == "" {
 		return
@@ -105,8 +105,8 @@
 	p.run(contents.Run)
 }
 
-// shareQuarantines tells the other gateways of requests that crash endpoints. Without, each hears of
-// quarantines from the store, and finds others itself.
+// shareQuarantines exchanges evidence of requests that crash endpoints. Without it, a gateway learns of
+// quarantines from the store and has only its own evidence.
 func (p *gatewayProcess) shareQuarantines(sharer *loadreport.Exchanger) {
 	guard := p.gateway.Guard
 	guard.Processes = sharer.Processes
@@ -122,5 +122,5 @@
 	p.run(shared.Run)
 }
 
-// hostOf is the host of an address that has been checked.
+// hostOf returns the host of a valid address.
 func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
--- a/internal/command/gateway_settings.go
+++ b/internal/command/gateway_settings.go
@@ -9,8 +9,8 @@
 	"limpetwall/platform"
 )
 
-// standardRequestLines is six times the most that a process was seen to write in a
-// second of the heaviest day (81 lines, 45 KB).
+// standardRequestLines is six times the peak rate of a process on the heaviest day (81 lines, 45 KB a
+// second).
 const standardRequestLines = 500
 
 // GatewaySettings are the settings of a gateway: the platform's own file, and what
@@ -18,9 +18,9 @@
 type GatewaySettings struct {
 	Platform platform.Settings
 	LogLevel string
-	// RequestLines is the number of requests a second that the log tells of.
+	// RequestLines is the maximum number of requests logged per second.
 	RequestLines *int
-	// MoveRuns has running requests go on elsewhere while their engine loads weights or leaves.
+	// MoveRuns enables moving runs to another engine while theirs loads weights or leaves.
 	MoveRuns *bool
 	// Path of the platform's file.
 	Path string
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -34,7 +34,7 @@
 those in force. Exit codes: 0 stopped as told, 1 failed, 2 bad settings.
 `
 
-// IO is a process's surroundings.
+// IO holds a process's outputs, environment and signals.
 type IO struct {
 	Out, Err io.Writer
 	Env      settings.LookupEnv
@@ -74,7 +74,7 @@
 	return ExitOK, false
 }
 
-// parseOnly leaves it to the caller to print the settings in force.
+// parseOnly is parse without printing the settings in force.
 func parseOnly(set *settings.Set, args []string, io IO) (code int, done bool) {
 	err := set.Parse(args, io.Env)
 	switch {
--- a/internal/command/signals.go
+++ b/internal/command/signals.go
@@ -8,15 +8,15 @@
 
 // Signals that a process is sent.
 type Signals struct {
-	// Stop has SIGTERM and SIGINT, Reload SIGHUP. They are apart because os/signal drops what
-	// finds a channel full: a burst of SIGHUPs must not cost the process its SIGTERM.
+	// Stop receives SIGTERM and SIGINT, Reload SIGHUP. They are separate channels because os/signal drops
+	// signals when a channel is full: a burst of SIGHUPs must not drop a SIGTERM.
 	Stop, Reload <-chan os.Signal
 }
 
-// stopSignals counts: the first asks for a graceful stop, the second for an immediate one.
+// stopSignals is the number of signals that matter: the first requests a graceful stop, the second an immediate one.
 const stopSignals = 2
 
-// NotifySignals takes the process's signals from now on; they wait until somebody reads them.
+// NotifySignals starts to receive the process's signals. They are buffered until they are read.
 func NotifySignals() Signals {
 	stop, reload := make(chan os.Signal, stopSignals), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -24,8 +24,8 @@
 	return Signals{Stop: stop, Reload: reload}
 }
 
-// watch turns the first signal to stop into a graceful stop and the second into an immediate
-// one. SIGHUP asks for a reload.
+// watch translates the first stop signal into a graceful stop, the second into an immediate one, and
+// SIGHUP into a reload.
 func (s Signals) watch() Stop {
 	graceful, now := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -56,7 +56,7 @@
 	return s
 }
 
-// newStandin returns a stand-in's handler and its admin port's.
+// newStandin returns the handlers of a stand-in and of its admin port.
 func newStandin(kind string, s *standinSettings) (http.Handler, http.Handler, error) {
 	faults := fault.NewInjector()
 	admin := faults.Admin()
@@ -79,7 +79,7 @@
 	default:
 		return nil, nil, fmt.Errorf("unknown stand-in %q: engine, store, objectapi, hostlist, service or weights", kind)
 	}
-	// The stand-in's own state is read through the admin port too, past faults.
+	// The admin port also serves the stand-in's state, without injected faults.
 	admin.Handle("/", handler)
 	return faults.Wrap(handler), admin, nil
 }
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -19,18 +19,18 @@
 const (
 	// ErrNotSent: no byte of the request left this process.
 	ErrNotSent = errors.ConstError("request was not sent")
-	// ErrForeign: the connection brought something that is no answer to the request.
+	// ErrForeign: what arrived on the connection is not an answer to the request.
 	ErrForeign = errors.ConstError("answer belongs to no request")
 )
 
 const (
-	// readBuffer holds an answer's header and an event or two.
+	// readBuffer is enough for an answer's header and one or two events.
 	readBuffer = 8 << 10
-	// inlineBody is written before the answer is read; a peer's receive window
-	// takes it. Longer ones are written beside the reading: an endpoint that
-	// answers early without reading the body would block the writer for ever.
-	inlineBody = 16 << 10
-	// maxForeign answers in a row are skipped, of at most maxForeignBody bytes each.
+	// maxInlineBody is the largest body that is written before the answer is read: it
+	// fits a peer's receive window. Longer bodies are written concurrently, as an endpoint
+	// that answers early without reading the body would block the writer forever.
+	maxInlineBody = 16 << 10
+	// maxForeign is the number of foreign answers skipped in a row, of at most maxForeignBody bytes each.
 	maxForeign     = 4
 	maxForeignBody = 1 << 20
 )
@@ -43,35 +43,35 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// HasBody tells that a length is declared though Body is empty.
+	// HasBody is set if the caller declared a length, even if Body is empty.
 	HasBody bool
-	// Matches tells whether an answer's header belongs to this request. fresh tells
-	// that nothing else was asked on the connection.
+	// Matches reports whether an answer's header belongs to this request. fresh is set if
+	// the connection has carried no other request.
 	Matches func(h http.Header, fresh bool) bool
-	// FreshConnection asks for a connection that has carried nothing else.
+	// FreshConnection requires a connection that has carried no other request.
 	FreshConnection bool
 	// Trace is filled in by Pool.Do.
 	Trace Trace
 }
 
-// Trace tells what became of a request on its connection.
+// Trace describes how far a request got on its connection.
 type Trace struct {
-	// Reused tells that the connection had carried another request before.
+	// Reused is set if the connection had carried another request before.
 	Reused bool
-	// Answered tells that bytes came back.
+	// Answered is set once a byte of an answer arrived.
 	Answered bool
 }
 
-// conn is one connection; one exchange at a time uses it.
+// conn is one connection. It carries one exchange at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// served counts exchanges begun.
+	// served is the number of exchanges begun.
 	served int
 	// idleSince and idleFor bound its reuse.
 	idleSince time.Time
 	idleFor   time.Duration
-	// writing is closed when the current request is written; wrote tells how.
+	// writing is closed when the write of the current request ends; wrote is its error.
 	writing chan struct{}
 	wrote   error
 }
@@ -80,10 +80,10 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
 }
 
-// usable tells whether an idle connection may carry another request. Bytes that
-// came while it was idle are an answer to nothing, and the end means that the
-// endpoint closed it; both are seen here without waiting.
-func (c *conn) usable(now time.Time) bool {
+// isUsable reports whether an idle connection may carry another request. It may not if
+// bytes arrived while it was idle, which belong to no request, or if the endpoint closed
+// it. Neither check waits.
+func (c *conn) isUsable(now time.Time) bool {
 	if now.Sub(c.idleSince) >= c.idleFor || c.reader.Buffered() > 0 {
 		return false
 	}
@@ -101,19 +101,19 @@
 	return err == nil && quiet
 }
 
-// send writes a request; a long body goes on beside the reading of the answer.
+// send writes a request. A long body is written in the background while the answer is read.
 func (c *conn) send(r *Request) error {
 	c.served++
 	c.writing, c.wrote = make(chan struct{}), nil
 	head := r.head()
-	if len(r.Body) <= inlineBody {
+	if len(r.Body) <= maxInlineBody {
 		n, err := c.Write(append(head, r.Body...))
 		c.wrote = err
 		close(c.writing)
 		if err != nil && n == 0 {
 			return errors.WithType(err, ErrNotSent)
 		}
-		// A failed write may follow an early answer that is still to be read.
+		// The endpoint may have answered early and closed; that answer is still to be read.
 		return nil
 	}
 	if n, err := c.Write(head); err != nil {
@@ -132,8 +132,8 @@
 	return nil
 }
 
-// written tells whether the whole request has been written.
-func (c *conn) written() bool {
+// isWritten reports whether the whole request has been written.
+func (c *conn) isWritten() bool {
 	select {
 	case <-c.writing:
 		return c.wrote == nil
@@ -153,9 +153,9 @@
 	return b.Bytes()
 }
 
-// answer reads the head of the answer to r, skipping interim and foreign ones. An
-// endpoint may send a second answer late, where the next one is expected; taken
-// for that, it would give one caller another's answer.
+// answer reads the head of the answer to r. It skips interim and foreign answers: an
+// endpoint may send a second answer to an earlier request late, and one caller would
+// otherwise get another's answer.
 func (c *conn) answer(r *Request) (*http.Response, error) {
 	if _, err := c.reader.Peek(1); err == io.EOF {
 		return nil, errors.Trace(io.ErrUnexpectedEOF)
@@ -172,7 +172,7 @@
 		switch resp.StatusCode / 100 {
 		case 0:
 			// net/http reads such a status and panics on writing it: the caller's connection
-			// would break without an answer, and the endpoint's work would stay booked.
+			// would break without an answer, and the run would still be counted at the endpoint.
 			return nil, ErrForeign
 		case 1:
 			continue
@@ -191,7 +191,7 @@
 	return nil, ErrForeign
 }
 
-// keepAlive reads how long an endpoint keeps an idle connection.
+// keepAlive returns how long an endpoint keeps an idle connection.
 func keepAlive(h http.Header, standard time.Duration) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
--- a/internal/transport/upstream/dial.go
+++ b/internal/transport/upstream/dial.go
@@ -9,13 +9,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// Dialer opens TCP connections that notice a silent peer. A host without power or
-// behind a partition answers nothing, and a connection to it would hang for ever.
+// Dialer opens TCP connections that detect a silent peer. A host without power or
+// behind a partition does not answer, and a connection to it would hang forever.
 type Dialer struct {
-	// Connect bounds a connection's opening.
+	// Connect is the timeout for opening a connection.
 	Connect time.Duration
-	// Silence is how long sent bytes may stay without acknowledgement, and an idle
-	// peer without answer to probes.
+	// Silence is how long sent bytes may stay unacknowledged, and keep-alive probes
+	// unanswered.
 	Silence time.Duration
 }
 
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// standardIdle is how long a connection is reused if its endpoint names no time.
+	// standardIdle is how long an idle connection is reused if its endpoint sets no limit.
 	standardIdle = 4 * time.Second
-	// idleMargin is left of the endpoint's own idle time: a request that crosses the
-	// endpoint's close has an unknown outcome.
+	// idleMargin is subtracted from the endpoint's idle limit: a request that is sent while
+	// the endpoint closes the connection has an unknown outcome.
 	idleMargin = time.Second
-	// maxIdle connections are kept for one address.
+	// maxIdle is the number of idle connections kept for one address.
 	maxIdle = 24
 )
 
@@ -29,7 +29,7 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 
-	// Opened counts connections made.
+	// Opened is the number of connections opened so far.
 	Opened atomic.Int64
 }
 
@@ -38,14 +38,14 @@
 	return &Pool{dial: dial, idle: map[string][]*conn{}}
 }
 
-// Response is an answer whose body is read as it comes.
+// Response is an answer whose body is read as it arrives.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length of the body, -1 if it is not declared.
 	Length int64
-	// EndsWithConnection tells that only the end of the connection ends the body: one that is
-	// cut short by an orderly close looks whole.
+	// EndsWithConnection is set if only the end of the connection delimits the body: a body
+	// that an orderly close truncates looks complete.
 	EndsWithConnection bool
 
 	body io.ReadCloser
@@ -56,19 +56,19 @@
 	err  error
 }
 
-// Do sends a request and returns the head of its answer. The request ends with
-// ctx: the connection is closed, which tells the endpoint to stop. The caller
+// Do sends a request and returns the head of its answer. When ctx ends, the connection
+// is closed, on which the endpoint stops working on the request. The caller
 // must Close the response.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	r.Trace = Trace{}
-	if c := p.takeIdle(address, r); c != nil {
+	if c := p.popUsable(address, r); c != nil {
 		r.Trace.Reused = true
 		resp, err := p.exchange(ctx, address, c, r)
 		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
 			return resp, err
 		}
-		// The endpoint closed the connection since it was found usable; that tells nothing
-		// of whether the endpoint can be reached.
+		// The endpoint closed the connection after it was found usable. It may still be
+		// reachable.
 		r.Trace.Reused = false
 	}
 	c, err := p.open(ctx, address)
@@ -95,22 +95,22 @@
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
 		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
 		body:               head.Body, conn: c, pool: p, stop: stop, addr: address,
-		err: keepable(head, c),
+		err: checkReusable(head, c),
 	}, nil
 }
 
-// errNotKept marks a connection that can't be used again.
-const errNotKept = errors.ConstError("connection ends with this answer")
+// errNotReusable is returned for a connection that can't be used again.
+const errNotReusable = errors.ConstError("connection ends with this answer")
 
-func keepable(head *http.Response, c *conn) error {
+func checkReusable(head *http.Response, c *conn) error {
 	c.idleFor = keepAlive(head.Header, standardIdle+idleMargin) - idleMargin
 	if head.Close || c.idleFor <= 0 {
-		return errNotKept
+		return errNotReusable
 	}
 	return nil
 }
 
-// Read implements io.Reader; io.EOF means that the body is whole.
+// Read implements io.Reader. It returns io.EOF only after a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err != nil {
@@ -119,35 +119,35 @@
 	return n, err
 }
 
-// finish gives the connection back after a whole body.
+// finish returns the connection to the pool after a complete body, and closes it otherwise.
 func (r *Response) finish(err error) {
 	if r.conn == nil {
 		return
 	}
 	c := r.conn
 	r.conn = nil
-	// The request's end must not close a connection that the next one uses.
+	// The end of the request's context must not close a connection that the next request uses.
 	alive := r.stop()
-	if err != io.EOF || r.err != nil || !alive || !c.written() {
+	if err != io.EOF || r.err != nil || !alive || !c.isWritten() {
 		c.Close()
 		return
 	}
 	r.pool.put(r.addr, c)
 }
 
-// Close ends the exchange; a body that was not read to its end costs its connection.
+// Close ends the exchange. It closes the connection unless the body was read to its end.
 func (r *Response) Close() {
 	r.finish(io.ErrUnexpectedEOF)
 }
 
-// takeIdle returns a usable idle connection, or nil.
-func (p *Pool) takeIdle(address string, r *Request) *conn {
+// popUsable removes and returns a usable idle connection, or nil.
+func (p *Pool) popUsable(address string, r *Request) *conn {
 	if r.FreshConnection {
 		return nil
 	}
 	now := time.Now()
 	for c := p.pop(address); c != nil; c = p.pop(address) {
-		if c.usable(now) {
+		if c.isUsable(now) {
 			return c
 		}
 		c.Close()
@@ -164,8 +164,8 @@
 	return newConn(raw), nil
 }
 
-// pop takes the connection that was used last: the others may then grow old and
-// be closed.
+// pop removes and returns the connection that was used last, so that surplus connections
+// expire.
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/transport/upstream/unread.go
+++ b/internal/transport/upstream/unread.go
@@ -8,26 +8,27 @@
 )
 
 const (
-	// looksPerLimit is how often a connection is looked at within its TCP_USER_TIMEOUT: the kernel
-	// may end it once the timeout has passed.
-	looksPerLimit = 3
-	// unansweredProbes to a closed window mean that the peer is gone; one may just be underway.
+	// checksPerTimeout is how often a connection is checked within its TCP_USER_TIMEOUT: the kernel may
+	// close it once the timeout has passed.
+	checksPerTimeout = 3
+	// unansweredProbes of a closed window mean that the peer is gone; a single one may still be in flight.
 	unansweredProbes = 2
 )
 
-// unreadWatch keeps a connection whose endpoint is alive but has no room for the rest of a body.
+// unreadWatch keeps the kernel from closing a connection whose endpoint is alive but does not yet read
+// the rest of a body.
 //
-// TCP_USER_TIMEOUT bounds the time without an acknowledgement, and also the time in which the peer's
-// window is closed though it acknowledges each probe: an endpoint that reads a long body late would lose
-// its request.
+// TCP_USER_TIMEOUT limits not only the time without an acknowledgment but also the time in which the
+// peer's window is closed, even if the peer acknowledges each probe: an endpoint that reads a long body
+// late would lose its request.
 type unreadWatch struct {
 	raw   syscall.RawConn
 	limit int
-	// written is closed when the kernel has taken the whole body.
+	// written is closed once the kernel has accepted the whole body.
 	written <-chan struct{}
 }
 
-// watchUnread watches the connection until the present body has left this host.
+// watchUnread watches the connection until the current body has left this host.
 func (c *conn) watchUnread() {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
@@ -41,15 +42,15 @@
 	if err != nil || w.limit == 0 {
 		return
 	}
-	w.lookLater()
+	w.scheduleCheck()
 }
 
-func (w *unreadWatch) lookLater() {
-	time.AfterFunc(time.Duration(w.limit)*time.Millisecond/looksPerLimit, w.look)
+func (w *unreadWatch) scheduleCheck() {
+	time.AfterFunc(time.Duration(w.limit)*time.Millisecond/checksPerTimeout, w.check)
 }
 
-// look lifts the limit while only the peer's window holds the body up. An error means that the connection is closed.
-func (w *unreadWatch) look() {
+// check lifts the timeout while only the peer's closed window delays the body. An error means that the connection is closed.
+func (w *unreadWatch) check() {
 	done := false
 	err := w.control(func(fd int) error {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
@@ -64,14 +65,14 @@
 		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, limit)
 	})
 	if err == nil && !done {
-		w.lookLater()
+		w.scheduleCheck()
 	}
 }
 
-// isAlive tells whether the peer still acknowledges. Probes of a closed window grow rare: the last acknowledgement may
-// be old though none is missing.
+// isAlive reports whether the peer still acknowledges. Probes of a closed window become less frequent, so the last
+// acknowledgment may be old although none is missing.
 func (w *unreadWatch) isAlive(info *unix.TCPInfo) bool {
-	acknowledged := int(info.Last_ack_recv) < w.limit/looksPerLimit
+	acknowledged := int(info.Last_ack_recv) < w.limit/checksPerTimeout
 	return acknowledged || (info.Unacked == 0 && info.Probes < unansweredProbes)
 }
 
@@ -84,7 +85,7 @@
 	}
 }
 
-// control carries out a call on the connection's descriptor.
+// control makes a call on the connection's descriptor.
 func (w *unreadWatch) control(call func(fd int) error) error {
 	var failed error
 	if err := w.raw.Control(func(fd uintptr) { failed = call(int(fd)) }); err != nil {
