--- a/internal/command/base_test.go
+++ b/internal/command/base_test.go
@@ -16,7 +16,7 @@
 	"limpetwall/internal/transport/rpc"
 )
 
-// newTestBase returns a base that joins a fleet of its own, and its log.
+// newTestBase returns a base that joins its own fleet, and its log.
 func newTestBase(t *testing.T) (*base, *observer.ObservedLogs) {
 	t.Helper()
 	platform := httptest.NewServer(http.NotFoundHandler())
@@ -32,15 +32,15 @@
 	return p, lines
 }
 
-// stopped is a Stop that has been told.
+// stopped is a Stop that was requested.
 func stopped() Stop {
 	graceful := make(chan struct{})
 	close(graceful)
 	return Stop{Graceful: graceful}
 }
 
-// TestListenersEndIsTold guards against a process that accepts nobody and looks healthy in its log.
-func TestListenersEndIsTold(t *testing.T) {
+// TestListenersEndIsLogged guards against a process that no longer accepts connections without a log line.
+func TestListenersEndIsLogged(t *testing.T) {
 	rows := []struct {
 		name string
 		// serve serves a listener that is closed.
@@ -72,25 +72,25 @@
 			select {
 			case <-told:
 			case <-time.After(10 * time.Second):
-				t.Error("the log does not tell")
+				t.Error("there is no log line")
 			}
 			p.close()
 			if t.Failed() {
 				return
 			}
 			if line := lines.FilterMessage("listener ended").All()[0]; line.Level != zap.ErrorLevel || line.ContextMap()["for"] != row.name {
-				t.Errorf("the log says %v %v", line.Level, line.ContextMap())
+				t.Errorf("got log line %v %v", line.Level, line.ContextMap())
 			}
 		})
 	}
 }
 
-// TestOrdinaryStopTellsOfNoListener guards against an error line for each process that is told to stop.
-func TestOrdinaryStopTellsOfNoListener(t *testing.T) {
+// TestOrdinaryStopLogsNoListener guards against an error line at each ordinary stop.
+func TestOrdinaryStopLogsNoListener(t *testing.T) {
 	p, lines := newTestBase(t)
 	p.start(stopped())
 	p.close()
 	if n := lines.FilterMessage("listener ended").Len(); n != 0 {
-		t.Errorf("%d lines tell of a listener's end", n)
+		t.Errorf("got %d lines on the end of a listener, want none", n)
 	}
 }
--- a/internal/command/signals_test.go
+++ b/internal/command/signals_test.go
@@ -8,15 +8,15 @@
 	"time"
 )
 
-// TestReloadsDoNotCostTheStop guards against a SIGTERM that is lost behind SIGHUPs which nobody
-// has read yet: the process would be killed at the end of its time with requests underway.
+// TestReloadsDoNotCostTheStop guards against a SIGTERM that is dropped because unread SIGHUPs fill its
+// channel: the process would be killed at the end of its grace period with requests in flight.
 func TestReloadsDoNotCostTheStop(t *testing.T) {
 	all := make(chan os.Signal, 10)
 	signal.Notify(all, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signals := NotifySignals()
 	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
-		// One at a time: the kernel and the runtime join equal signals that are pending.
+		// One at a time: the kernel and the runtime merge equal pending signals.
 		if err := syscall.Kill(os.Getpid(), s); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -19,8 +19,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// endpoint is a server whose every byte a test writes itself. serve gets the
-// connection, its number and a reader of what was sent on it.
+// endpoint is a server whose bytes the test writes itself. serve gets the connection, its
+// number and a reader of what was sent on it.
 func endpoint(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -55,7 +55,7 @@
 	}
 }
 
-// ask reads one request and returns its id.
+// ask reads one request and returns its ID.
 func ask(r *bufio.Reader) string {
 	req, err := http.ReadRequest(r)
 	if err != nil {
@@ -97,10 +97,8 @@
 	}
 }
 
-// TestForeignAnswersAreSkipped sends an answer twice, the second time only where
-// the next one is expected.
-//
-// Taken for that, it would give one caller the answer of another.
+// TestForeignAnswersAreSkipped guards against a late second answer that is taken for the answer
+// to the next request, whose caller would get another's answer.
 func TestForeignAnswersAreSkipped(t *testing.T) {
 	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		answer(c, ask(r), "first")
@@ -118,9 +116,8 @@
 	}
 }
 
-// TestBytesOnAnIdleConnection sends an answer again as soon as the first is whole.
-//
-// The connection is given up: what comes next on it can't be told apart.
+// TestBytesOnAnIdleConnection guards against the reuse of a connection on which bytes arrived while
+// it was idle: they could be taken for the next answer.
 func TestBytesOnAnIdleConnection(t *testing.T) {
 	extra := make(chan struct{})
 	address := endpoint(t, func(n int, c net.Conn, r *bufio.Reader) {
@@ -193,10 +190,8 @@
 	}
 }
 
-// TestEarlyAnswer answers a long body before it is read, and keeps the connection.
-//
-// The endpoint would read the rest of the body there: another request's bytes must
-// not come in its place, so the connection is not used again.
+// TestEarlyAnswer guards against the reuse of a connection whose endpoint has answered before it read
+// the whole body: it would read the next request as the rest of that body.
 func TestEarlyAnswer(t *testing.T) {
 	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
@@ -225,7 +220,7 @@
 	}
 }
 
-// TestEndOfTheCallerReachesTheEndpoint cancels a request while its endpoint works.
+// TestEndOfTheCallerReachesTheEndpoint guards against an endpoint that keeps working on a canceled request.
 func TestEndOfTheCallerReachesTheEndpoint(t *testing.T) {
 	asked, ended := make(chan struct{}), make(chan error, 1)
 	address := endpoint(t, func(_ int, _ net.Conn, r *bufio.Reader) {
@@ -279,7 +274,7 @@
 	}
 }
 
-// deafConn is a connection whose writes fail once it is deaf, as after a reset that came unseen.
+// deafConn is a connection whose writes fail once it is deaf, as after a reset that was not noticed.
 type deafConn struct {
 	*net.TCPConn
 	deaf *atomic.Bool
@@ -292,7 +287,7 @@
 	return c.TCPConn.Write(b)
 }
 
-// TestKeptConnectionTakesNoByte guards against an endpoint taken for unreachable as a kept connection to it had ended.
+// TestKeptConnectionTakesNoByte guards against an endpoint that counts as unreachable because a reused connection to it had ended.
 func TestKeptConnectionTakesNoByte(t *testing.T) {
 	address := endpoint(t, func(n int, c net.Conn, r *bufio.Reader) {
 		for id := ask(r); id != ""; id = ask(r) {
@@ -324,8 +319,8 @@
 	}
 }
 
-// TestEndedRequestsLeaveOthersAlone guards against a request's end, or the closing of idle connections, that cuts the
-// answer to another request.
+// TestEndedRequestsLeaveOthersAlone guards against the end of a request, or the closing of idle connections, that
+// interrupts the answer to another request.
 func TestEndedRequestsLeaveOthersAlone(t *testing.T) {
 	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		for id := ask(r); id != ""; id = ask(r) {
@@ -354,7 +349,7 @@
 		callers.Go(func() {
 			for n := range 200 {
 				id := fmt.Sprint(caller, "-", n)
-				// Each second request ends as its answer arrives.
+				// Every second request is canceled as its answer arrives.
 				ctx, cancel := context.WithCancel(t.Context())
 				ends := n%2 == 0
 				var ended sync.WaitGroup
@@ -372,7 +367,7 @@
 					t.Errorf("%s: %q %v", id, body, err)
 				}
 				if err == nil && string(body) != id {
-					t.Errorf("%s: %q looks whole", id, body)
+					t.Errorf("%s: %q looks complete", id, body)
 				}
 				resp.Close()
 				ended.Wait()
@@ -385,7 +380,7 @@
 	closers.Wait()
 }
 
-// TestSlowToReadIsNotSilent guards against an answer lost as its endpoint reads a long body later than a silent peer is given up.
+// TestSlowToReadIsNotSilent guards against an answer that is lost because its endpoint reads a long body later than the timeout for silent peers.
 func TestSlowToReadIsNotSilent(t *testing.T) {
 	const silence = 900 * time.Millisecond
 	address := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
@@ -393,7 +388,7 @@
 		if err != nil {
 			return
 		}
-		// The endpoint is busy for longer than a silent peer is waited for.
+		// The endpoint is busy for longer than the timeout for silent peers.
 		time.Sleep(3 * silence)
 		n, _ := io.Copy(io.Discard, req.Body)
 		answer(c, req.Header.Get(idHeader), fmt.Sprint(n))
