--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -1,6 +1,6 @@
 // Package agent is the process beside one endpoint and the only one that calls
 // it: it runs attempts for entries, keeps the record of requests that may not
-// be repeated, reports load and tells when the endpoint leaves.
+// be repeated, reports load and announces when the endpoint leaves.
 package agent
 
 import (
@@ -53,7 +53,7 @@
 	zap     *zap.Logger
 	metrics metrics.Registry
 
-	// HasEnded tells whether the endpoint's process listens no more; set it before use, nil finds out nothing.
+	// HasEnded reports whether the endpoint's process no longer listens. Set it before use; if nil, crashes are not detected.
 	HasEnded func(ctx context.Context) bool
 	crashes  crashes
 
@@ -159,14 +159,14 @@
 	}
 }
 
-// Leave tells the fleet that the endpoint leaves; new work is refused from now on.
+// Leave announces to the fleet that the endpoint leaves. New work is refused from then on.
 func (a *Agent) Leave() {
 	a.draining.Store(true)
 	a.node.Table().Update(time.Now(), func(m *fleet.Member) { m.State = fleet.Leaving })
 	a.node.Announce()
 }
 
-// Drain waits for the runs underway, at most until ctx ends, and returns how
+// Drain waits for the runs in flight, at most until ctx ends, and returns how
 // many it cut.
 func (a *Agent) Drain(ctx context.Context) int {
 	select {
--- a/internal/coordination/agent/calls.go
+++ b/internal/coordination/agent/calls.go
@@ -2,12 +2,12 @@
 
 import "sync"
 
-// calls counts those underway. Unlike with a sync.WaitGroup, which panics, one may begin as the last
+// calls counts the calls in flight. Unlike with a sync.WaitGroup, which panics, one may begin as the last
 // ends that somebody waits for.
 type calls struct {
 	mu       sync.Mutex
 	underway int
-	// idle is closed when none is underway; nil if nobody waits.
+	// idle is closed when no call is in flight; nil if nobody waits.
 	idle chan struct{}
 }
 
--- a/internal/coordination/agent/crash.go
+++ b/internal/coordination/agent/crash.go
@@ -15,7 +15,7 @@
 // crashTimeout bounds the look at an endpoint on the same host.
 const crashTimeout = 300 * time.Millisecond
 
-// crashes tells the crashes of an endpoint apart: the endpoint's lives have no names of their own.
+// crashes distinguishes the crashes of an endpoint, whose starts have no identifiers.
 type crashes struct {
 	mu sync.Mutex
 	// last is when the last was found, number counts them.
--- a/internal/coordination/agent/order.go
+++ b/internal/coordination/agent/order.go
@@ -16,7 +16,7 @@
 
 // Order implements wire.AgentServer. The agent is the only way to its engine, so
 // it checks the fencing number also for engines that ignore it. The floor is the
-// highest number it has heard: in orders, from the engine, or from the fleet, which
+// highest number it has learned: from orders, from the engine, or from the fleet, which
 // it joined before it took its first call; that holds after a restart and through
 // an outage of the platform.
 func (a *Agent) Order(_ context.Context, r *wire.OrderRequest) (*wire.OrderResponse, error) {
@@ -54,7 +54,7 @@
 	return max(a.node.Fence(), a.status.Fence)
 }
 
-// loadWeights carries out an order. The fleet hears of its end and its failure
+// loadWeights carries out an order. The fleet learns of its end and its failure
 // through this member's row.
 func (a *Agent) loadWeights(r *wire.OrderRequest) {
 	ctx, cancel := context.WithTimeout(a.base, loadTimeout)
--- a/internal/coordination/entry/body.go
+++ b/internal/coordination/entry/body.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// bodyBrokenOff tells why a read of a body ended on a deadline. net/http ends the context, too,
+// bodyBrokenOff returns why a read of a body ended on a deadline. net/http ends the context, too,
 // when a body is late, so the time decides.
 func bodyBrokenOff(ctx context.Context, end time.Time, within time.Duration) *apierror.Error {
 	switch {
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -77,7 +77,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	inflight atomic.Int64
-	// operating counts the operators' requests underway.
+	// operating is the number of operators' requests in flight.
 	operating atomic.Int64
 
 	mu     sync.Mutex
@@ -89,16 +89,16 @@
 	return &Entry{cfg: cfg, Deps: deps, gates: admission.NewLimiter(), queues: map[string]*admission.Queue{}}
 }
 
-// SetReady tells that the configuration in force is known.
+// SetReady records that the configuration in force is known.
 func (e *Entry) SetReady() { e.ready.Store(true) }
 
 // SetDraining makes readiness fail, so that the balancer sends no more.
 func (e *Entry) SetDraining() { e.draining.Store(true) }
 
-// Inflight is the number of callers' requests underway.
+// Inflight returns the number of callers' requests in flight.
 func (e *Entry) Inflight() int { return int(e.inflight.Load()) }
 
-// Underway is the number of requests underway, those of operators included.
+// Underway returns the number of requests in flight, including those of operators.
 func (e *Entry) Underway() int { return int(e.inflight.Load() + e.operating.Load()) }
 
 // ReportsDuty takes load reports from the fleet into the directory.
@@ -214,7 +214,7 @@
 	return key
 }
 
-// call is one caller's request underway.
+// call is one caller's request in flight.
 type call struct {
 	id       string
 	bodyTime time.Duration
@@ -223,9 +223,9 @@
 	w        *answerWriter
 	r        *http.Request
 	started  time.Time
-	// bodyLate tells that the body had not come within its time.
+	// bodyLate is set if the body was incomplete at its deadline.
 	bodyLate bool
-	// cut tells that the connection must be broken at the request's end.
+	// cut is set if the connection must be broken at the end of the request.
 	cut bool
 }
 
--- a/internal/coordination/entry/operators.go
+++ b/internal/coordination/entry/operators.go
@@ -72,7 +72,7 @@
 	return nil
 }
 
-// servePlanOutcome tells what became of a plan, as far as this entry knows.
+// servePlanOutcome answers with the outcome of a plan, as far as this entry knows.
 func (e *Entry) servePlanOutcome(w http.ResponseWriter, r *http.Request, _ string) *apierror.Error {
 	id := r.PathValue("id")
 	revision, ok := e.Store.View().Plans[id]
--- a/internal/coordination/entry/plain.go
+++ b/internal/coordination/entry/plain.go
@@ -69,7 +69,7 @@
 	first time.Time
 	head  *wire.PlainHead
 	sent  bool
-	// headless tells that the answer was given up on for want of a head.
+	// headless is set if the answer was abandoned because it has no head.
 	headless bool
 	flush    *http.ResponseController
 }
@@ -91,7 +91,7 @@
 	return nil
 }
 
-// isFinalStatus tells whether net/http writes a status as an answer's last one.
+// isFinalStatus reports whether net/http writes a status as an answer's last one.
 func isFinalStatus(status int32) bool { return status >= 200 && status <= 999 }
 
 func (s *plainSink) firstAt() time.Time { return s.first }
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -122,7 +122,7 @@
 	runs.Sink
 	// firstAt is when the first token or the head arrived.
 	firstAt() time.Time
-	// finish writes the end of a whole answer, or tells why it is none.
+	// finish writes the end of a complete answer, or returns why the answer is incomplete.
 	finish(result runs.Result) *apierror.Error
 	// fail ends an answer that broke off after it was begun, and returns the request's error,
 	// never nil. Before that it writes nothing, and the error becomes the answer.
--- a/internal/coordination/entry/requestline.go
+++ b/internal/coordination/entry/requestline.go
@@ -41,7 +41,7 @@
 // Unwrap serves http.ResponseController.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// received tells what the caller has, before an error answer is written. The error alone
+// received returns what the caller has received, before an error answer is written. The error alone
 // doesn't: one that comes after a head was written is counted like any other, but its status
 // reaches nobody.
 func (c *call) received(err *apierror.Error) receipt.Receipt {
@@ -56,7 +56,7 @@
 	return receipt.Refusal
 }
 
-// left tells whether the caller is gone. A forced stop ends the request's context as well, with
+// left reports whether the caller is gone. A forced stop ends the request's context as well, with
 // a cause of its own, and so does net/http when a read of the body times out; those callers are
 // still there.
 func (c *call) left(err *apierror.Error) bool {
--- a/internal/operatorcli/explain.go
+++ b/internal/operatorcli/explain.go
@@ -34,7 +34,7 @@
 	Fingerprint string `json:"fingerprint"`
 }
 
-// isAbout tells whether a line is about a request that came before, as any process saw it.
+// isAbout reports whether a line is about a request that came before, as any process saw it.
 func (l logLine) isAbout(fingerprint string) bool {
 	if fingerprint == "" {
 		return false
--- a/internal/operatorcli/quarantines.go
+++ b/internal/operatorcli/quarantines.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// endsIn tells what is left of a quarantine.
+// endsIn returns the rest of a quarantine.
 func endsIn(e quarantine.Entry, now time.Time) string {
 	left := time.UnixMilli(e.EndsMS).Sub(now).Round(time.Second)
 	if left <= 0 {
--- a/internal/operatorcli/summary.go
+++ b/internal/operatorcli/summary.go
@@ -40,7 +40,7 @@
 	Saved        string `json:"saved"`
 }
 
-// Summary tells where requests spent their time and their prompts' tokens, over the logs of many processes.
+// Summary sums up where requests spent their time and their prompts' tokens, over the logs of many processes.
 type Summary struct {
 	// Hosts are those whose requests it counts.
 	Hosts      int            `json:"hosts"`
@@ -161,7 +161,7 @@
 	s.routes[name].add(l)
 }
 
-// maxTime bounds the times that are told apart.
+// maxTime is the largest time that is distinguished.
 const maxTime = time.Hour
 
 func newRouteTotals(name string) *RouteTotals {
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -11,7 +11,7 @@
 	"limpetwall/internal/state/finding"
 )
 
-// Ran tells whether the request was executed. "no" is only said when it is
+// Ran says whether the request was executed. "no" is only said when it is
 // proven.
 type Ran string
 
@@ -22,7 +22,7 @@
 	RanUnknown Ran = "unknown"
 )
 
-// Advice tells what a caller should do next.
+// Advice is what a caller should do next.
 type Advice string
 
 // The values of Advice.
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -217,7 +217,7 @@
 	Details          *UsageDetails `json:"prompt_tokens_details,omitempty"`
 }
 
-// UsageDetails tells how much of a prompt was found in a cache.
+// UsageDetails holds how much of a prompt was found in a cache.
 type UsageDetails struct {
 	CachedTokens int `json:"cached_tokens"`
 }
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -71,7 +71,7 @@
 	Regions []string `json:"allowed_regions,omitempty"`
 }
 
-// ServiceKind tells model endpoints from plain ones.
+// ServiceKind distinguishes services of models from plain ones.
 type ServiceKind string
 
 // The kinds of services.
@@ -149,7 +149,7 @@
 	MaxLoading int `json:"max_loading,omitempty"`
 }
 
-// Accepts tells whether the intent may be served with a weight version.
+// Accepts reports whether the intent may be served with a weight version.
 func (i *Intent) Accepts(version string) bool {
 	return i.WeightVersion == "" || i.WeightVersion == version || slices.Contains(i.AlsoVersions, version)
 }
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -14,7 +14,7 @@
 	"limpetwall/internal/state/finding"
 )
 
-// ErrUnknownKey tells that a presented key belongs to nobody.
+// ErrUnknownKey is returned for a key that belongs to nobody.
 const ErrUnknownKey = errors.ConstError("unknown key")
 
 // maxPlans bounds the plan ids a view remembers for answering a repeated confirm.
@@ -166,7 +166,7 @@
 }
 
 // Customer returns the customer whose API key was presented, or ErrUnknownKey.
-// The lookup is by hash, so its time tells nothing about a stored key.
+// The lookup is by hash, so its duration reveals nothing about a stored key.
 func (v *View) Customer(key string) (*Customer, error) {
 	c, ok := v.customerKeys[sha256.Sum256([]byte(key))]
 	if !ok || !holdsKey(c.KeyHashes, key) {
@@ -193,7 +193,7 @@
 	return held == 1
 }
 
-// Allows tells whether the service may be called by the customer.
+// Allows reports whether the service may be called by the customer.
 func (s *Service) Allows(customer string) bool {
 	for _, c := range s.Customers {
 		if c == "*" || c == customer {
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -1,6 +1,6 @@
 // Package fleet holds what a process knows of all others: who is alive, which
-// incarnation, where, and how loaded. The Table is pure: it is told what was
-// heard and what time it is, and does no I/O.
+// incarnation, where, and how loaded. The Table is pure: it gets the messages and
+// the time from its caller, and does no I/O.
 package fleet
 
 import (
@@ -49,7 +49,7 @@
 	WeightVersion string            `json:"weight_version,omitempty"`
 	Adapter       string            `json:"adapter,omitempty"`
 	Role          string            `json:"role,omitempty"`
-	// Loading is true while an order to load is underway.
+	// Loading is true while an order to load is carried out.
 	Loading bool `json:"loading,omitempty"`
 	// OrderError is why the last order failed, OrderRevision the revision of the
 	// intent that asked for it.
--- a/internal/state/fleet/queries.go
+++ b/internal/state/fleet/queries.go
@@ -148,7 +148,7 @@
 	return out
 }
 
-// IsWatcher tells whether this process is among the n members of its failure
+// IsWatcher reports whether this process is among the n members of its failure
 // domain that watch the platform. The choice is by rendezvous hashing over the
 // live members and an epoch, so it needs no agreement, moves as hosts come and
 // go, and wears no host for long. Tables that differ for a moment give one
@@ -160,7 +160,7 @@
 	return t.ahead(epoch, func(m Member) bool { return m.Domain == self.Domain }) < n
 }
 
-// IsChosen tells whether this process is among the n live members of its role that
+// IsChosen reports whether this process is among the n live members of its role that
 // rendezvous hashing chooses for an epoch.
 func (t *Table) IsChosen(n int, epoch uint64) bool {
 	t.mu.RLock()
--- a/internal/state/fleet/table.go
+++ b/internal/state/fleet/table.go
@@ -137,7 +137,7 @@
 	return t.cfg.SpreadFactor * bits.Len(uint(len(t.rows)+1))
 }
 
-// Merge takes in a row from a peer and reports whether it told something new.
+// Merge merges a row from a peer and reports whether it held anything new.
 //
 // A row about this process itself is never believed: if it is worse or from an
 // earlier life, the process refutes it with a higher version. Without that, a
--- a/internal/transport/engine/engine.go
+++ b/internal/transport/engine/engine.go
@@ -94,7 +94,7 @@
 	Role          string `json:"role"`
 }
 
-// CacheEvent tells that a block entered or left the engine's memory. Events are
+// CacheEvent is the entry or removal of a block in the engine's memory. Events are
 // late and have gaps: sequence numbers show what is missing.
 type CacheEvent struct {
 	Sequence uint64         `json:"sequence"`
--- a/internal/transport/engine/enginetest/contract.go
+++ b/internal/transport/engine/enginetest/contract.go
@@ -13,7 +13,7 @@
 	"limpetwall/internal/transport/engine"
 )
 
-// Options tell what the engine under test serves.
+// Options describe what the engine under test serves.
 type Options struct {
 	Model, WeightVersion string
 	// ChecksFence is false for engines that ignore fencing numbers.
--- a/internal/transport/engine/standin/standin.go
+++ b/internal/transport/engine/standin/standin.go
@@ -30,7 +30,7 @@
 	MaxQueue int
 	// CacheBlocks is the number of context blocks the engine's memory holds.
 	CacheBlocks int
-	// PieceBytes is the size told for one exported piece.
+	// PieceBytes is the size reported for one exported piece.
 	PieceBytes int64
 	// IgnoreFence makes the engine accept orders with old fencing numbers.
 	IgnoreFence bool
--- a/internal/transport/kvstore/kvstore.go
+++ b/internal/transport/kvstore/kvstore.go
@@ -33,7 +33,7 @@
 	Generation uint64 `json:"generation"`
 }
 
-// Status tells a store's room, in bytes.
+// Status holds a store's used and total memory, in bytes.
 type Status struct {
 	Capacity int64 `json:"capacity"`
 	Used     int64 `json:"used"`
--- a/internal/transport/objectapi/feed.go
+++ b/internal/transport/objectapi/feed.go
@@ -31,7 +31,7 @@
 	// ListKind returns all objects of a kind and a revision to watch from.
 	ListKind(ctx context.Context, kind string) (list []Record, revision uint64, err error)
 	// WatchKind waits for changes after a revision, and returns them with the
-	// revision to go on from; none when wait ends without one. ErrCompacted tells
+	// revision to continue from; none when wait ends without one. ErrCompacted means
 	// that changes may have been missed.
 	WatchKind(ctx context.Context, kind string, since uint64, wait time.Duration) (events []Event, next uint64, err error)
 }
--- a/internal/transport/objectapi/objectapi.go
+++ b/internal/transport/objectapi/objectapi.go
@@ -26,7 +26,7 @@
 	ErrConflict = errors.ConstError("object version conflict")
 	// ErrUnavailable: the call had no effect.
 	ErrUnavailable = errors.ConstError("object API unavailable")
-	// ErrOutcomeUnknown: the write may have taken effect; only a later read tells.
+	// ErrOutcomeUnknown: the write may have taken effect; only a later read shows it.
 	ErrOutcomeUnknown = errors.ConstError("outcome of write unknown")
 	// ErrTooLarge: the value exceeds MaxValue; nothing was written.
 	ErrTooLarge = errors.ConstError("value too large")
@@ -123,7 +123,7 @@
 }
 
 // writeError keeps apart what surely had no effect from what may have had one:
-// an operator told "not applied" after an applied write would apply it twice.
+// an operator who gets "not applied" after an applied write would apply it twice.
 func writeError(err error) error {
 	var status *httpjson.StatusError
 	switch {
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -123,7 +123,7 @@
 	return wire.NewAgentClient(c), nil
 }
 
-// ErrNotReached tells that no connection to a peer stood, so it has not been sent
+// ErrNotReached is returned if there was no connection to a peer, so it has not been sent
 // anything. grpc reports a broken connection as Unavailable whether the request
 // was written or not; only a connection that never became ready proves that not.
 const ErrNotReached = errors.ConstError("peer not reached")
--- a/internal/transport/settings/settings.go
+++ b/internal/transport/settings/settings.go
@@ -30,7 +30,7 @@
 	checks   []func(*finding.List)
 	findings finding.List
 	print    *bool
-	// origins tells where each setting that is not a default was given.
+	// origins holds where each setting that is not a default was given.
 	origins map[string]string
 }
 
@@ -88,7 +88,7 @@
 // Check adds a check that runs after all settings are read.
 func (s *Set) Check(check func(*finding.List)) { s.checks = append(s.checks, check) }
 
-// PrintRequested tells whether -print-config was given.
+// PrintRequested reports whether -print-config was given.
 func (s *Set) PrintRequested() bool { return *s.print }
 
 // Parse reads flags, then environment twins for flags not given. Its error is a
