--- a/internal/coordination/agent/calls.go
+++ b/internal/coordination/agent/calls.go
@@ -21,7 +21,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.underway--
-	c.tellIdle()
+	c.notifyIdle()
 }
 
 // waitIdle returns a channel that is closed at the next moment without calls.
@@ -32,11 +32,11 @@
 		c.idle = make(chan struct{})
 	}
 	idle := c.idle
-	c.tellIdle()
+	c.notifyIdle()
 	return idle
 }
 
-func (c *calls) tellIdle() {
+func (c *calls) notifyIdle() {
 	if c.underway == 0 && c.idle != nil {
 		close(c.idle)
 		c.idle = nil
--- a/internal/coordination/agent/crash.go
+++ b/internal/coordination/agent/crash.go
@@ -44,8 +44,8 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64(name, c.number))
 }
 
-// noteCrash notes in a refusal whether the endpoint crashed under the run.
-func (a *Agent) noteCrash(r *wire.Refused, begun time.Time) {
+// recordCrash notes in a refusal whether the endpoint crashed under the run.
+func (a *Agent) recordCrash(r *wire.Refused, begun time.Time) {
 	if r.GetCode() == CodeBroken {
 		r.Crashed = a.crashOf(begun)
 	}
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -198,7 +198,7 @@
 	started := time.Now()
 	noting := func(e *wire.RunEvent) error {
 		if refused := e.GetRefused(); refused != nil && ctx.Err() == nil {
-			a.noteCrash(refused, started)
+			a.recordCrash(refused, started)
 		}
 		return send(e)
 	}
@@ -218,7 +218,7 @@
 	running bool
 }
 
-func (a *Agent) takePlace(tokens int) *place {
+func (a *Agent) admitRun(tokens int) *place {
 	a.waiting.Add(1)
 	a.waitingTokens.Add(int64(tokens))
 	return &place{agent: a, tokens: int64(tokens)}
@@ -241,7 +241,7 @@
 
 func (a *Agent) executePrompt(ctx context.Context, r *wire.RunRequest, p *wire.Prompt, send emit) {
 	before := int(a.waitingTokens.Load())
-	place := a.takePlace(contextkey.EstimateTokens(p.GetText()))
+	place := a.admitRun(contextkey.EstimateTokens(p.GetText()))
 	defer place.leave()
 	request := a.engineRequest(r, p)
 	move, movable := a.movable(r, request, before)
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -118,7 +118,7 @@
 		// Who is live changes only with the table: walking it each time would cost
 		// thousands of rows a second in a large fleet.
 		if generation := e.Node.Table().Generation(); generation != forgotten {
-			e.forgetTickets()
+			e.dropTickets()
 			forgotten = generation
 		}
 	}
@@ -136,7 +136,7 @@
 	}
 }
 
-func (e *Entry) forgetTickets() {
+func (e *Entry) dropTickets() {
 	live := map[uint64]bool{}
 	for _, m := range e.Node.Table().Live() {
 		live[m.Incarnation] = true
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -54,7 +54,7 @@
 			return s.twice("entry-1", "entry-2", key, body)
 		}, 1},
 		{"the caller hangs up while it runs and retries through another entry", func(t *testing.T, key, body string) answer {
-			s.hangUp("entry-1", key, body)
+			s.disconnect("entry-1", key, body)
 			return s.book("entry-2", key, body)
 		}, 1},
 		{"the platform stops answering after the key was bound", func(t *testing.T, key, body string) answer {
@@ -113,8 +113,8 @@
 	return answers[0]
 }
 
-// hangUp sends a booking and closes the connection while it runs.
-func (s *site) hangUp(entry, key, body string) {
+// disconnect sends a booking and closes the connection while it runs.
+func (s *site) disconnect(entry, key, body string) {
 	client := &http.Client{Timeout: 100 * time.Millisecond}
 	r, _ := http.NewRequest(http.MethodPost, s.url(entry, bookingPath), strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer "+customerKey)
--- a/internal/state/fleet/table.go
+++ b/internal/state/fleet/table.go
@@ -93,7 +93,7 @@
 	t.digest ^= rowHash(m)
 	t.rows[m.ID] = &row{Member: m, since: now, sends: t.spreadTimes()}
 	if known && old.Incarnation != m.Incarnation {
-		t.forget(old.Incarnation)
+		t.dropReport(old.Incarnation)
 	}
 	t.incarnations[m.Incarnation] = m.ID
 	if known || m.State != Alive {
@@ -273,7 +273,7 @@
 
 func (t *Table) drop(id string) {
 	t.digest ^= rowHash(t.rows[id].Member)
-	t.forget(t.rows[id].Incarnation)
+	t.dropReport(t.rows[id].Incarnation)
 	delete(t.rows, id)
 	if at, ok := slices.BinarySearchFunc(t.order, id, byHash); ok {
 		t.order = slices.Delete(t.order, at, at+1)
@@ -281,7 +281,7 @@
 	t.generation++
 }
 
-func (t *Table) forget(incarnation uint64) {
+func (t *Table) dropReport(incarnation uint64) {
 	delete(t.soft, incarnation)
 	delete(t.incarnations, incarnation)
 }
--- a/internal/transport/ingress/receipt_test.go
+++ b/internal/transport/ingress/receipt_test.go
@@ -41,15 +41,15 @@
 	ended chan struct{}
 }
 
-func (c *endConn) tell() { c.once.Do(func() { c.ended <- struct{}{} }) }
+func (c *endConn) signalEnd() { c.once.Do(func() { c.ended <- struct{}{} }) }
 
 func (c *endConn) CloseWrite() error {
-	defer c.tell()
+	defer c.signalEnd()
 	return c.TCPConn.CloseWrite()
 }
 
 func (c *endConn) Close() error {
-	defer c.tell()
+	defer c.signalEnd()
 	return c.TCPConn.Close()
 }
 
--- a/internal/transport/settings/settings.go
+++ b/internal/transport/settings/settings.go
@@ -94,7 +94,7 @@
 // Parse reads flags, then environment twins for flags not given. Its error is a
 // *finding.Error with every bad setting, or flag.ErrHelp.
 func (s *Set) Parse(args []string, env LookupEnv) error {
-	args = s.takeBadValues(args)
+	args = s.extractBadValues(args)
 	if err := s.flags.Parse(args); err != nil {
 		if err == flag.ErrHelp {
 			return err
@@ -111,9 +111,9 @@
 	return s.findings.Err()
 }
 
-// takeBadValues tries each flag on its own first: the flag package stops at the
+// extractBadValues tries each flag on its own first: the flag package stops at the
 // first bad value, and the operator would see one fault per start.
-func (s *Set) takeBadValues(args []string) []string {
+func (s *Set) extractBadValues(args []string) []string {
 	kept := make([]string, 0, len(args))
 	for i := 0; i < len(args); i++ {
 		name, value, inline := strings.Cut(strings.TrimLeft(args[i], "-"), "=")
