--- a/internal/coordination/contexttransfer/link.go
+++ b/internal/coordination/contexttransfer/link.go
@@ -99,10 +99,3 @@
 	l.uploadCredit -= float64(bytes)
 	return true
 }
-
-// UploadRate returns one agent's share of the link for uploads, in bytes a second.
-func (l *Link) UploadRate(agents int) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.nominal * uploadShare / float64(max(1, agents))
-}
