--- a/internal/coordination/quarantine/blame.go
+++ b/internal/coordination/quarantine/blame.go
@@ -61,42 +61,18 @@
 	defer t.mu.Unlock()
 	r := t.records[key]
 	switch {
-	case r == nil:
-		return t.checkResource(key, now)
-	case !now.Before(r.expiresAt()):
+	case r == nil || !now.Before(r.expiresAt()):
 		return Status{}
 	case r.Level > 0 && now.Before(r.Until):
 		return Status{Standing: Quarantined, After: r.Until.Sub(now), Crashes: len(r.Crashes)}
 	case r.Level > 0:
 		return Status{Standing: OnTrial, After: pendingRetryAfter, Crashes: len(r.Crashes)}
-	case t.isBlamed(r):
+	case t.isBlamed(r, t.related(r)):
 		return Status{Standing: Pending, After: pendingRetryAfter, Crashes: len(r.Crashes)}
 	}
 	return Status{}
 }
 
-// minBlamedKinds is how many different requests for a resource must be blamed before all requests for it are: by then
-// the resource is the likelier cause.
-const minBlamedKinds = 2
-
-// checkResource returns the status of a request that was in flight at no crash; t.mu is held.
-func (t *Tracker) checkResource(key fingerprint.Key, now time.Time) Status {
-	blamed := 0
-	var last *Record
-	for _, r := range t.bySubject[key.Subject()] {
-		if now.Before(r.expiresAt()) && ((r.Level > 0 && now.Before(r.Until)) || t.isBlamed(r)) {
-			blamed, last = blamed+1, r
-		}
-	}
-	if blamed < minBlamedKinds || len(t.related(last)) < minBlamedKinds {
-		return Status{}
-	}
-	if last.Level > 0 {
-		return Status{Standing: Quarantined, After: max(pendingRetryAfter, last.Until.Sub(now)), Crashes: t.countCrashes(last)}
-	}
-	return Status{Standing: Pending, After: pendingRetryAfter, Crashes: t.countCrashes(last)}
-}
-
 // IsSuspect reports whether a request was in flight at a crash or is quarantined: it should not run twice at the
 // same time.
 func (t *Tracker) IsSuspect(key fingerprint.Key) bool {
@@ -116,17 +92,15 @@
 // most of the crashes since shortly before its own first one: while endpoints are killed, a request that is
 // retried may be in flight at several crashes, but endpoints without it are killed as well.
 //
-// The crashes at which other requests for the same resource were in flight count as well: what crashes an endpoint is
-// often the resource, and each way to ask for it would otherwise crash three more.
-func (t *Tracker) isBlamed(r *Record) bool {
+// The crashes at which the related requests were in flight count as well, r among them.
+func (t *Tracker) isBlamed(r *Record, related []*Record) bool {
 	if len(r.Crashes) == 0 {
 		return false
 	}
-	if t.countCrashes(r) < minBlamedCrashes {
+	crashes := crashesOf(related)
+	if len(crashes) < minBlamedCrashes {
 		return false
 	}
-	related := t.related(r)
-	crashes := crashesOf(related)
 	blamed, distinct := 0, 0
 	var first time.Time
 	for incarnation := range crashes {
@@ -153,14 +127,19 @@
 // interface whose paths end alike for all resources, more of a customer's requests are soon in flight at crashes.
 const maxRelated = 4
 
-// related returns the records of requests for the same resource that were in flight at crashes, r among them.
+// related returns the records of requests for the same resource that were in flight at crashes, r among them. What
+// crashes an endpoint is often the resource, and each way to ask for it would otherwise crash three more. A resource
+// for which a request ran to its end is not the cause, or the paths do not name resources.
+//
+// Such evidence only holds requests back. A quarantine reaches all processes, also those that have seen a request for
+// the resource run to its end, so it needs the request's own crashes.
 func (t *Tracker) related(r *Record) []*Record {
-	all := t.bySubject[r.Key.Subject()]
-	if len(all) < 2 {
-		return all
+	subject := t.bySubject[r.Key.Subject()]
+	if len(subject.records) < 2 || subject.survived {
+		return []*Record{r}
 	}
 	var out []*Record
-	for _, other := range all {
+	for _, other := range subject.records {
 		if other == r || len(other.Crashes) > 0 {
 			out = append(out, other)
 		}
@@ -173,7 +152,7 @@
 
 // countCrashes returns the number of crashes at which a request, or another for the same resource, was in flight.
 func (t *Tracker) countCrashes(r *Record) int {
-	if len(t.bySubject[r.Key.Subject()]) < 2 {
+	if len(t.bySubject[r.Key.Subject()].records) < 2 {
 		return len(r.Crashes)
 	}
 	return len(crashesOf(t.related(r)))
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -24,8 +24,8 @@
 
 	mu      sync.Mutex
 	records map[fingerprint.Key]*Record
-	// bySubject holds the records of requests for one resource.
-	bySubject map[fingerprint.Subject][]*Record
+	// bySubject holds what is known of the requests for one resource.
+	bySubject map[fingerprint.Subject]*subject
 	// crashes is keyed by the incarnation that crashed.
 	crashes map[uint64]*endpointCrash
 	// sendsLeft counts how often each changed record is still to be sent to other processes.
@@ -43,10 +43,17 @@
 	inFlight []fingerprint.Key
 }
 
+// subject is what is known of the requests for one resource.
+type subject struct {
+	records []*Record
+	// survived is set once a request for the resource has run to its end, as seen by this process.
+	survived bool
+}
+
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: map[fingerprint.Key]*Record{}, bySubject: map[fingerprint.Subject][]*Record{}, crashes: map[uint64]*endpointCrash{}, sendsLeft: map[fingerprint.Key]int{},
+		records: map[fingerprint.Key]*Record{}, bySubject: map[fingerprint.Subject]*subject{}, crashes: map[uint64]*endpointCrash{}, sendsLeft: map[fingerprint.Key]int{},
 		onBlame: func(fingerprint.Key) {}, urgent: make(chan struct{}, 1),
 	}
 }
@@ -74,6 +81,9 @@
 func (t *Tracker) RecordCompletion(key fingerprint.Key, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s := t.bySubject[key.Subject()]; s != nil {
+		s.survived = true
+	}
 	r := t.records[key]
 	if r == nil || (len(r.Crashes) == 0 && r.Level == 0) {
 		return false
@@ -131,7 +141,7 @@
 		r = &Record{Key: other.Key, changed: now}
 		t.evictIfFull()
 		t.records[other.Key] = r
-		t.bySubject[r.Key.Subject()] = append(t.bySubject[r.Key.Subject()], r)
+		t.addToSubject(r)
 		t.size.Store(int64(len(t.records)))
 	}
 	t.unindex(r)
@@ -155,7 +165,7 @@
 
 // reportIfBlamed calls onBlame if a request is quarantined or to blame; t.mu is held.
 func (t *Tracker) reportIfBlamed(r *Record) {
-	if r.Level > 0 || t.isBlamed(r) {
+	if r.Level > 0 || t.isBlamed(r, t.related(r)) {
 		t.onBlame(r.Key)
 	}
 }
@@ -194,6 +204,23 @@
 	}
 }
 
+func (t *Tracker) addToSubject(r *Record) {
+	s := t.bySubject[r.Key.Subject()]
+	if s == nil {
+		s = &subject{}
+		t.bySubject[r.Key.Subject()] = s
+	}
+	s.records = append(s.records, r)
+}
+
+func (t *Tracker) removeFromSubject(r *Record) {
+	s := t.bySubject[r.Key.Subject()]
+	s.records = slices.DeleteFunc(s.records, func(other *Record) bool { return other == r })
+	if len(s.records) == 0 {
+		delete(t.bySubject, r.Key.Subject())
+	}
+}
+
 func (t *Tracker) unindex(r *Record) {
 	for _, crash := range r.Crashes {
 		event := t.crashes[crash.Incarnation]
@@ -204,11 +231,7 @@
 func (t *Tracker) remove(r *Record) {
 	t.unindex(r)
 	delete(t.records, r.Key)
-	subject := r.Key.Subject()
-	t.bySubject[subject] = slices.DeleteFunc(t.bySubject[subject], func(other *Record) bool { return other == r })
-	if len(t.bySubject[subject]) == 0 {
-		delete(t.bySubject, subject)
-	}
+	t.removeFromSubject(r)
 	delete(t.sendsLeft, r.Key)
 	t.size.Store(int64(len(t.records)))
 }
@@ -241,7 +264,7 @@
 	t.removeExpired(now)
 	var blamed []*Record
 	for _, r := range t.records {
-		if r.Level == 0 && now.Sub(r.changed) >= verdictDelay && t.isBlamed(r) {
+		if r.Level == 0 && now.Sub(r.changed) >= verdictDelay && t.isBlamed(r, []*Record{r}) {
 			blamed = append(blamed, r)
 		}
 	}
