Limits that endpoints name in their answers are decoded, logged and counted

The users saw servers get more requests than the Server-Limit of their answers.

Lines at the beginning and the end of a limit, both figures in the attempts of request lines, a gauge. Nothing decides by it yet.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -170,6 +170,8 @@
 		Codec: platform.Codec{}, ContextTracker: keeper, Log: log, Metrics: registry,
 		RequestLogLimiter: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
+	p.gateway.Directory.Pushback.Log = log
+	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_limited", registry, func() int64 { return int64(p.gateway.Directory.Pushback.Limited()) })
 	p.gateway.Guard = quarantine.NewGuard(quarantine.NewTracker(), store, log, registry, bootclock.Now)
 	if b.KeysRevoked > 0 {
 		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
--- a/internal/coordination/doc.go
+++ b/internal/coordination/doc.go
@@ -3,6 +3,6 @@
 //
 //	serving   gateway, entry, agent, runs, rollout, errorbudget: requests and orders, from arrival to outcome
 //	exchange  gossip, loadreport, contentreport, leasenotice, quarantinegossip: what processes report to each other
-//	policy    routing, admission, warmup, quarantine, plan, contextcache, contexttransfer: decisions
+//	policy    routing, admission, pushback, warmup, quarantine, plan, contextcache, contexttransfer: decisions
 //	records   discovery, configlog, lease, idempotency: what is kept in the platform's store and read from it
 package coordination
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -81,6 +81,7 @@
 		Body: x.body, HasBody: x.r.Header.Get("Content-Length") != "", Matches: x.isOwnAnswer,
 		FreshConnection: c.Member.ID == x.staleEndpoint,
 	}
+	sentAt := time.Now()
 	resp, err := x.g.Pool.Do(ctx, c.Member.Address, request)
 	x.trace = request.Trace
 	if err != nil {
@@ -89,7 +90,7 @@
 		return nil, Reply{}, out
 	}
 	reply := x.g.Codec.DecodeReply(resp.Status, resp.Header)
-	x.g.recordReply(c, reply)
+	x.g.recordReply(c, reply, sentAt)
 	return resp, reply, outcome{}
 }
 
@@ -259,8 +260,12 @@
 	x.w.WriteHeader(status)
 }
 
-// recordReply records the weights and the load that an endpoint reports in its answer.
-func (g *Gateway) recordReply(c routing.Choice, r Reply) {
+// recordReply records the weights and the load that an endpoint reports in its answer, and what it asks
+// for. The answer of a misdirected attempt may be another instance's.
+func (g *Gateway) recordReply(c routing.Choice, r Reply, sentAt time.Time) {
+	if !r.Misdirected {
+		g.Directory.ObservePushback(c, r.Pushback, sentAt, time.Now())
+	}
 	if r.Weights > 0 {
 		g.State.ObserveWeights(c.Member.ID, r.Weights)
 	}
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"limpetwall/internal/coordination/pushback"
 )
 
 // Segment is one part of a prompt, with the ID that its author gave it.
@@ -72,6 +74,8 @@
 	HasLoad bool
 	// Weights is the version of the weights that answered, 0 if the answer does not name it.
 	Weights int64
+	// Pushback is what the endpoint asks for.
+	Pushback pushback.Signal
 }
 
 // Codec translates between headers and the types of this package. The platform implements it.
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -44,6 +44,10 @@
 	// prompt tokens of theirs that the endpoint has not read yet.
 	PeerRunning int `json:"peer_running"`
 	PeerUnread  int `json:"peer_unread"`
+	// LimitPerSecond is the request rate that the endpoint accepts from all processes, omitted if it
+	// names none. SentInWindow counts this process's requests in pushback.Window before.
+	LimitPerSecond float64 `json:"limit_per_s,omitempty"`
+	SentInWindow   int     `json:"sent_in_window,omitempty"`
 }
 
 // receiptFor returns what the caller has received. The ending alone doesn't say: a refusal after a head
--- a/internal/coordination/order_test.go
+++ b/internal/coordination/order_test.go
@@ -14,7 +14,7 @@
 var groups = [][]string{
 	{"gateway", "entry", "agent", "runs", "rollout", "errorbudget"},
 	{"gossip", "loadreport", "contentreport", "leasenotice", "quarantinegossip"},
-	{"routing", "admission", "warmup", "quarantine", "plan", "contextcache", "contexttransfer"},
+	{"routing", "admission", "pushback", "warmup", "quarantine", "plan", "contextcache", "contexttransfer"},
 	{"discovery", "configlog", "lease", "idempotency"},
 }
 
--- /dev/null
+++ b/internal/coordination/pushback/doc.go
@@ -0,0 +1,4 @@
+// Package pushback holds what endpoints ask for in their answers of the processes that send to
+// them, since when, and from whom this process heard it. Everything that sends to an endpoint, or
+// chooses one, reads it here.
+package pushback
--- /dev/null
+++ b/internal/coordination/pushback/signal.go
@@ -0,0 +1,8 @@
+package pushback
+
+// Signal is what one answer of an endpoint asks for.
+type Signal struct {
+	// RequestsPerSecond is the rate that the endpoint accepts from all processes together, for as
+	// long as its answers say so; 0 if the answer names no limit.
+	RequestsPerSecond float64
+}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetwall/internal/coordination/plan"
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/contextkey"
@@ -23,6 +24,9 @@
 // Directory holds the endpoints of each service for decisions, their reported load
 // and what this process has itself sent to them.
 type Directory struct {
+	// Pushback holds what the endpoints ask for.
+	Pushback *pushback.Registry
+
 	table *fleet.Table
 	store *config.Store
 	index *Index
@@ -50,7 +54,8 @@
 // seed makes its random choices repeatable in tests.
 func NewDirectory(table *fleet.Table, store *config.Store, indexSize int, seed uint64) *Directory {
 	return &Directory{
-		table: table, store: store, index: NewIndex(indexSize),
+		Pushback: pushback.NewRegistry(),
+		table:    table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
 		modelRates: map[string]*modelRate{}, random: rand.New(rand.NewPCG(seed, seed)),
@@ -115,10 +120,11 @@
 		if ok {
 			// A restarted endpoint holds no context that was sent to it before.
 			d.index.RemoveEndpoint(HashID(m.ID))
+			d.Pushback.Remove(m.ID, t.incarnation)
 		}
 		t = &trackedEndpoint{incarnation: m.Incarnation, domain: m.Domain, RuntimeState: RuntimeState{
 			FirstSeen: now, PeerWork: d.peerWorkOf(WorkID(m.ID, m.Incarnation)), HasPeerReports: d.reportingPeers[m.Domain] > 0,
-			ModelRate: d.modelRateOf(m.Endpoint.Model),
+			ModelRate: d.modelRateOf(m.Endpoint.Model), Pushback: d.Pushback.Endpoint(m.ID, m.Incarnation),
 		}}
 		if len(d.tracked) == 0 || d.fleetGeneration == 0 {
 			// Endpoints that this process finds at its own start are not new.
@@ -146,6 +152,7 @@
 	for id, t := range d.tracked {
 		if !live[id] && t.Running == 0 {
 			delete(d.tracked, id)
+			d.Pushback.Remove(id, t.incarnation)
 		}
 	}
 	d.removeIdlePeerWork()
@@ -219,6 +226,17 @@
 	}
 }
 
+// ObservePushback applies what the answer to a choice asks for. It is ignored if the endpoint has
+// restarted since.
+func (d *Directory) ObservePushback(c Choice, s pushback.Signal, sent, now time.Time) {
+	d.mu.Lock()
+	t := d.trackedFor(c)
+	d.mu.Unlock()
+	if t != nil {
+		t.Pushback.Observe(s, sent, now)
+	}
+}
+
 // Choice is a decision of Choose, with the expectations that its outcome is compared to.
 // A Choice without a Member is a refusal.
 type Choice struct {
@@ -298,6 +316,7 @@
 	pending := &prefill{tokens: decision.WorkTokens, queuedTokens: e.queuedTokens(r.Urgency), urgency: r.Urgency}
 	e.Unread[r.Urgency] += decision.WorkTokens
 	d.tracked[e.ID].recordSend(decision.WorkTokens, r.Now)
+	e.Pushback.RecordSend(r.Now)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
 		heldTokens: r.HeldTokens, chosenAt: r.Now, LoadSnapshot: snapshot, prefill: pending,
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/contextkey"
 	"limpetwall/internal/state/fleet"
@@ -120,6 +121,8 @@
 	HasPeerReports bool
 	// Warmup limits the requests to the endpoint while it is cold; nil allows none.
 	Warmup *warmup.Window
+	// Pushback is what the endpoint asks for.
+	Pushback *pushback.Endpoint
 }
 
 // Reason is why an endpoint became a candidate.
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -100,6 +100,10 @@
 	// PeerRunning and PeerUnread count the runs and the unread prompt tokens that other
 	// processes report to have there.
 	PeerRunning, PeerUnread int
+	// RequestsPerSecond is the limit that the endpoint names, 0 for none, and SentInWindow the
+	// number of requests that this process sent it in pushback.Window before.
+	RequestsPerSecond float64
+	SentInWindow      int
 }
 
 func (t *trackedEndpoint) snapshot(now time.Time) LoadSnapshot {
@@ -108,5 +112,6 @@
 		s.LoadAge = now.Sub(time.UnixMilli(t.loadTakenMS).Add(t.clockOffset))
 	}
 	s.PeerRunning, s.PeerUnread = t.PeerWork.Running, t.PeerWork.UnreadTokens()
+	s.RequestsPerSecond, s.SentInWindow = t.Pushback.Limit().RequestsPerSecond, t.Pushback.RecentSends(now)
 	return s
 }
