--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -20,6 +20,7 @@
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/gateway"
 	"limpetwall/internal/coordination/lease"
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
@@ -114,6 +115,9 @@
 	duties   sync.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// serving ends when the process begins to stop.
+	serving     context.Context
+	stopServing context.CancelFunc
 }
 
 // RunGateway serves until a stop is requested.
@@ -139,11 +143,14 @@
 func newGatewayProcess(s *GatewaySettings, log *zap.Logger) *gatewayProcess {
 	p := &gatewayProcess{settings: s, log: log}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.serving, p.stopServing = context.WithCancel(p.ctx)
 	b := s.Platform.Bounds
 	self := fleet.Member{ID: s.Platform.Host, Incarnation: uint64(time.Now().UnixNano()), Version: 1, Domain: s.Platform.Domain, Role: fleet.RoleEntry}
 	registry := metrics.NewRegistry()
 	storeClient := upstream.Dialer{Connect: connectTimeout, Silence: silence}
-	keeper := contextcache.NewTracker(platform.NewContextStores(&http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}), log, self.Domain, bootclock.Now)
+	observePushback := func(address string, s pushback.Signal) { p.gateway.ObservePushback(address, s) }
+	contextTransport := &platform.PushbackTransport{Next: &http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}, Observe: observePushback}
+	keeper := contextcache.NewTracker(platform.NewContextStores(contextTransport), log, self.Domain, bootclock.Now)
 	keeper.Self, keeper.Regions = hostOf(s.Platform.Clients), s.Platform.Regions
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
 		p.clients.SetLimits(t.Limits)
@@ -171,14 +178,16 @@
 		RequestLogLimiter: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
 	p.gateway.Directory.Pushback.Log = log
-	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_limited", registry, func() int64 { return int64(p.gateway.Directory.Pushback.Limited()) })
+	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_limited", registry, func() int64 { return int64(len(p.gateway.Directory.Pushback.Limited(time.Now()))) })
 	p.gateway.Guard = quarantine.NewGuard(quarantine.NewTracker(), store, log, registry, bootclock.Now)
 	if b.KeysRevoked > 0 {
 		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
 	p.clients = ingress.New(p.gateway, ingress.Config{Log: log, Metrics: registry})
-	engines := platform.NewEngines(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle})
+	engines := platform.NewEngines(&platform.PushbackTransport{
+		Next: &http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}, Observe: observePushback,
+	})
 	director := p.director(state, store, engines)
 	p.startSharing(self, store, watcher, director, keeper)
 	p.run(watcher.Run)
@@ -247,6 +256,11 @@
 	p.duties.Go(func() { duty(p.ctx) })
 }
 
+// runWhileServing runs a duty that ends when the process begins to stop.
+func (p *gatewayProcess) runWhileServing(duty func(context.Context)) {
+	p.duties.Go(func() { duty(p.serving) })
+}
+
 func (p *gatewayProcess) serveMetrics(registry metrics.Registry) {
 	if p.settings.Platform.Metrics == "" {
 		return
@@ -309,6 +323,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	p.gateway.MarkNotReady()
+	p.stopServing()
 	p.gateway.SetDrainWindow(now.Add(notice+crossing), end)
 	p.clients.DisableKeepAlives()
 	select {
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -11,11 +11,14 @@
 	"limpetwall/internal/coordination/contextcache"
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/leasenotice"
+	"limpetwall/internal/coordination/limitshare"
 	"limpetwall/internal/coordination/loadreport"
+	"limpetwall/internal/coordination/pushbackgossip"
 	"limpetwall/internal/coordination/quarantinegossip"
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/bootclock"
 	"limpetwall/internal/transport/datagram"
 	"limpetwall/platform"
 )
@@ -24,6 +27,7 @@
 func (p *gatewayProcess) startSharing(self fleet.Member, store *platform.Store, watcher *discovery.Watcher, director *rollout.Director, keeper *contextcache.Tracker) {
 	sharer := p.shareLoad(self, store)
 	if sharer == nil {
+		p.shareLimits(self, nil, store)
 		return
 	}
 	watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
@@ -31,6 +35,7 @@
 	p.shareContents(sharer, keeper)
 	p.shareQuarantines(sharer)
 	p.claimColdEndpoints(self, sharer, store, director)
+	p.shareLimits(self, sharer, store)
 }
 
 // shareLoad exchanges reports of the runs in flight with the other gateways. If that is not possible, it
@@ -122,5 +127,39 @@
 	p.run(shared.Run)
 }
 
+// shareLimits exchanges what endpoints ask for in their answers, and divides the request rates that they
+// accept among the gateways.
+func (p *gatewayProcess) shareLimits(self fleet.Member, sharer *loadreport.Exchanger, store *platform.Store) {
+	registry := p.gateway.Directory.Pushback
+	divider := &limitshare.Divider{
+		Registry: registry, Store: store, Messenger: limitshare.NoMessenger{}, Hosts: func(string) []netip.Addr { return nil },
+		Self: netip.MustParseAddrPort(p.settings.Platform.Clients).Addr(), Domain: self.Domain,
+		Holder: self.ID + "@" + p.settings.Platform.Clients, LeaseNow: bootclock.Now, Log: p.log,
+	}
+	if sharer != nil {
+		divider.Hosts, divider.Self = sharer.HostsIn, sharer.Address.Addr()
+		if exchanger := p.exchangePushback(sharer, divider); exchanger != nil {
+			divider.Messenger = exchanger
+		}
+	}
+	p.runWhileServing(divider.Run)
+}
+
+// exchangePushback exchanges what endpoints ask for with the other gateways. If that is not possible, it
+// returns nil; a gateway then learns of it from the endpoints alone.
+func (p *gatewayProcess) exchangePushback(sharer *loadreport.Exchanger, divider *limitshare.Divider) *pushbackgossip.Exchanger {
+	if p.settings.Platform.Pushback == "" {
+		return nil
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Pushback))
+	if err != nil {
+		p.log.Error("limits of endpoints are not shared with other gateways", zap.Error(err))
+		return nil
+	}
+	exchanger := &pushbackgossip.Exchanger{Group: group, Hosts: sharer.Hosts, Registry: divider.Registry, Divider: divider, Log: p.log}
+	p.run(exchanger.Run)
+	return exchanger
+}
+
 // hostOf returns the host of a valid address.
 func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/upstream"
@@ -261,9 +262,10 @@
 }
 
 // recordReply records the weights and the load that an endpoint reports in its answer, and what it asks
-// for. The answer of a misdirected attempt may be another instance's.
+// for. The answer of a misdirected attempt may be another instance's, and a rejection need not repeat a
+// limit.
 func (g *Gateway) recordReply(c routing.Choice, r Reply, sentAt time.Time) {
-	if !r.Misdirected {
+	if !r.Misdirected && (!r.NotRun || r.Pushback != (pushback.Signal{})) {
 		g.Directory.ObservePushback(c, r.Pushback, sentAt, time.Now())
 	}
 	if r.Weights > 0 {
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -59,7 +59,10 @@
 		message = "all endpoints of the service are full"
 	case routing.RefusalAllCold:
 		message = "all endpoints of the service have just started"
-		return refusalEnding(apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, c.WarmIn+retryAfter()))
+		return refusalEnding(apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, c.RetryIn+retryAfter()))
+	case routing.RefusalAllLimited:
+		message = "all endpoints of the service limit their requests"
+		return refusalEnding(apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, message, c.RetryIn+retryAfter()))
 	}
 	return notRunEnding(apierror.CodeNoEndpoint, message)
 }
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/state/fleet"
@@ -40,6 +41,7 @@
 	// headerSegment names the single shared segment of a prompt.
 	headerSegment      = "T-Part"
 	headerContinueFrom = "T-Continue"
+	headerLimit        = "T-Limit"
 )
 
 type testCodec struct{}
@@ -71,7 +73,11 @@
 func (testCodec) DecodeReply(status int, h http.Header) Reply {
 	weights, _ := strconv.ParseInt(h.Get(headerWeights), 10, 64)
 	misdirected := status == http.StatusMisdirectedRequest
-	return Reply{ID: h.Get(headerID), NotRun: misdirected || h.Get(headerNotRun) != "", Misdirected: misdirected, Weights: weights}
+	limit, _ := strconv.ParseFloat(h.Get(headerLimit), 64)
+	return Reply{
+		ID: h.Get(headerID), NotRun: misdirected || h.Get(headerNotRun) != "", Misdirected: misdirected, Weights: weights,
+		Pushback: pushback.Signal{RequestsPerSecond: limit},
+	}
 }
 
 func (testCodec) EncodeRetryAfter(h http.Header, after time.Duration) {
--- /dev/null
+++ b/internal/coordination/gateway/pushback.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"time"
+
+	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/coordination/pushback"
+)
+
+// ObservePushback applies what the answer to a call of another kind than a forwarded request asks for.
+// Such an answer need not repeat a limit, so it ends none.
+func (g *Gateway) ObservePushback(address string, s pushback.Signal) {
+	for _, i := range g.State.Instances() {
+		if i.Address == address {
+			now := time.Now()
+			g.pushbackOf(i).Observe(s, now, now)
+		}
+	}
+}
+
+// pushbackOf returns what an endpoint asks for, nil if it is not tracked yet.
+func (g *Gateway) pushbackOf(i discovery.Instance) *pushback.Endpoint {
+	return g.Directory.Pushback.Find(pushback.KeyOf(i.ID, i.Incarnation().Hash()))
+}
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -195,6 +195,32 @@
 	return l.fence, nil
 }
 
+// HeldFor returns how much longer the holder may act without another renewal, 0 if this process may
+// not act.
+func (l *Lease) HeldFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fence == 0 {
+		return 0
+	}
+	return max(0, l.cfg.Act-now.Sub(l.renewedAt))
+}
+
+// Release gives the lease up, so that another process need not wait for its term to end. If that
+// fails, it ends with its term.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	held, version := l.fence != 0, l.version
+	l.fence = 0
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.CallTimeout)
+	defer cancel()
+	return l.api.Delete(ctx, l.cfg.Key, version)
+}
+
 // IsHeld reports whether this process is the holder as far as it knows. It may still have
 // to renew before it acts.
 func (l *Lease) IsHeld(now time.Time) bool {
--- /dev/null
+++ b/internal/coordination/limitshare/divider.go
@@ -0,0 +1,445 @@
+package limitshare
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/lease"
+	"limpetwall/internal/coordination/pushback"
+	"limpetwall/internal/transport/objectapi"
+)
+
+const (
+	// keyPrefix is the prefix of the keys of leases; the group's name follows.
+	keyPrefix = "limit."
+	// stepInterval is the time between two decisions.
+	stepInterval = 250 * time.Millisecond
+	// leaseTerm is the time without renewal after which another process takes a group over,
+	// renewInterval the time between renewals.
+	leaseTerm     = 3 * time.Second
+	renewInterval = time.Second
+	// minRetryInterval and maxRetryInterval bound the time between attempts to acquire a lease, which
+	// grows while another process holds it: processes that know of no others all try. The longest is
+	// shorter than the time for which an unconfirmed limit holds.
+	minRetryInterval = 500 * time.Millisecond
+	maxRetryInterval = 8 * time.Second
+	// callTimeout bounds one call to the store.
+	callTimeout = 700 * time.Millisecond
+	// loanTime is how long a loan is valid. A process that has just started lends and uses nothing for
+	// as long, as loans of its predecessor at the same address may be in use.
+	loanTime = 2 * time.Second
+	// releaseTimeout bounds the calls that give all leases up when the process stops.
+	releaseTimeout = 300 * time.Millisecond
+	// announceInterval is the time between two announcements of a holder.
+	announceInterval = 2 * time.Second
+	// escalation is how long a process waits for a holder to be heard before it tries itself, for each
+	// process that ranks before it.
+	escalation = 3 * time.Second
+)
+
+// Loan lends a part of an endpoint's limit.
+type Loan struct {
+	Endpoint          pushback.Key
+	RequestsPerSecond float64
+	ValidFor          time.Duration
+}
+
+// Messenger sends to other processes. Messages may be lost.
+type Messenger interface {
+	// Lend sends loans to a host.
+	Lend(to netip.Addr, loans []Loan)
+	// Announce tells hosts that this process uses the limits of endpoints.
+	Announce(endpoints []pushback.Key, hosts []netip.Addr)
+	// ReportSent tells a host of requests that this process sent to an endpoint before it could know
+	// of its limit.
+	ReportSent(to netip.Addr, endpoint pushback.Key, requests int)
+}
+
+// NoMessenger is the Messenger of a process that can't reach others.
+type NoMessenger struct{}
+
+// Lend implements Messenger.
+func (NoMessenger) Lend(netip.Addr, []Loan) {}
+
+// Announce implements Messenger.
+func (NoMessenger) Announce([]pushback.Key, []netip.Addr) {}
+
+// ReportSent implements Messenger.
+func (NoMessenger) ReportSent(netip.Addr, pushback.Key, int) {}
+
+// Divider divides the limits of a process's endpoints. Its fields are set before Run.
+type Divider struct {
+	Registry *pushback.Registry
+	// Store holds the leases.
+	Store     objectapi.API
+	Messenger Messenger
+	// Hosts lists the other processes of a failure domain, or all if the domain is empty.
+	Hosts func(domain string) []netip.Addr
+	// Self is the host of this process, Domain its failure domain.
+	Self   netip.Addr
+	Domain string
+	// Holder names this process in leases; it is the same after a restart at the same address.
+	Holder string
+	// LeaseNow is a clock that also advances while the host is suspended.
+	LeaseNow func() time.Time
+	Log      *zap.Logger
+
+	startedAt time.Time
+	calls     sync.WaitGroup
+	// wake receives an item when a call to the store has ended.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	groups map[groupID]*group
+}
+
+// group is what a process knows of one group of limited endpoints.
+type group struct {
+	id    groupID
+	lease *lease.Lease
+	// neededSince is when the first of its endpoints became limited, heardAt when another process
+	// last announced that it uses their limits.
+	neededSince, heardAt time.Time
+	// isCalling is set while a call to the store is in flight; calledAt is when the last began, and
+	// storeFailed whether it had no answer.
+	isCalling   bool
+	calledAt    time.Time
+	storeFailed bool
+	// retryInterval is the time to the next attempt to acquire the lease.
+	retryInterval time.Duration
+	// announcedAt is when this process last announced itself, lentAt when it last sent its loans.
+	announcedAt, lentAt time.Time
+	// loans are those in force, by endpoint and host.
+	loans map[pushback.Key]map[netip.Addr]loan
+	// reported holds the endpoints for which this process has reported what it sent before.
+	reported map[pushback.Key]time.Time
+	role     role
+}
+
+// role is what a process may do with the limits of a group.
+type role string
+
+const (
+	roleNone     role = "none"
+	roleHolder   role = "holder"
+	roleFallback role = "fallback"
+)
+
+// Run divides limits until ctx ends, and then gives its leases up.
+func (d *Divider) Run(ctx context.Context) {
+	d.mu.Lock()
+	d.groups, d.startedAt, d.wake = map[groupID]*group{}, time.Now(), make(chan struct{}, 1)
+	d.mu.Unlock()
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		d.step(ctx, time.Now())
+		select {
+		case <-ticker.C:
+		case <-d.Registry.Changed():
+		case <-d.wake:
+		case <-ctx.Done():
+		}
+	}
+	d.calls.Wait()
+	d.releaseAll(context.WithoutCancel(ctx))
+}
+
+// step decides what this process may send to each limited endpoint.
+func (d *Divider) step(ctx context.Context, now time.Time) {
+	d.Registry.DropUnknown(now)
+	members := map[groupID][]pushback.Limited{}
+	for _, e := range d.Registry.Limited(now) {
+		members[groupOf(e)] = append(members[groupOf(e)], e)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, g := range d.groups {
+		if members[id] == nil && !g.isCalling {
+			delete(d.groups, id)
+			d.calls.Go(func() { d.release(context.WithoutCancel(ctx), g) })
+		}
+	}
+	for id, endpoints := range members {
+		g := d.groups[id]
+		if g == nil {
+			g = d.newGroup(id, now)
+			d.groups[id] = g
+		}
+		d.stepGroup(ctx, g, endpoints, now)
+	}
+}
+
+func (d *Divider) newGroup(id groupID, now time.Time) *group {
+	return &group{
+		id: id, neededSince: now, role: roleNone, retryInterval: minRetryInterval, loans: map[pushback.Key]map[netip.Addr]loan{}, reported: map[pushback.Key]time.Time{},
+		lease: lease.New(lease.Config{
+			Key: keyPrefix + id.String(), Holder: d.Holder, Term: leaseTerm, CallTimeout: callTimeout, Now: d.LeaseNow,
+		}, d.Store),
+	}
+}
+
+// stepGroup decides for one group; d.mu is held.
+func (d *Divider) stepGroup(ctx context.Context, g *group, endpoints []pushback.Limited, now time.Time) {
+	ranked := d.candidates(g.id)
+	mayTry := g.mayTry(slices.Index(ranked, d.Self), now)
+	if mayTry && d.isCallDue(g, now) {
+		g.lease.SetNote(encodeNote(endpoints))
+		d.call(ctx, g, now)
+	}
+	d.reportSent(g, endpoints, ranked[0], now)
+	if now.Sub(d.startedAt) < loanTime {
+		return
+	}
+	heldFor := g.lease.HeldFor(d.leaseNow())
+	switch {
+	case heldFor > 0:
+		d.setRole(g, roleHolder)
+		d.useLimits(g, endpoints, ranked, heldFor, now)
+	case mayTry && g.storeFailed && now.Sub(g.heardAt) >= escalation:
+		d.setRole(g, roleFallback)
+		for _, e := range endpoints {
+			e.SetShare(pushback.Share{RequestsPerSecond: fallbackPart * e.RequestsPerSecond, Until: now.Add(2 * stepInterval)}, now)
+		}
+	default:
+		if g.role != roleNone {
+			for _, e := range endpoints {
+				e.SetShare(pushback.Share{}, now)
+			}
+		}
+		d.setRole(g, roleNone)
+		return
+	}
+	if now.Sub(g.announcedAt) >= announceInterval {
+		g.announcedAt = now
+		d.Messenger.Announce(keysOf(endpoints), without(ranked, d.Self))
+	}
+}
+
+// candidates lists the processes that may use the limits of a group, this one among them, by rank:
+// those of its failure domain or, if there is none, all.
+func (d *Divider) candidates(id groupID) []netip.Addr {
+	hosts := d.Hosts(id.domain)
+	if id.domain == d.Domain {
+		hosts = append(hosts, d.Self)
+	}
+	if len(hosts) == 0 {
+		hosts = append(d.Hosts(""), d.Self)
+	}
+	return rank(hosts, id)
+}
+
+// mayTry reports whether a process should try to use the limits of the group: the one that ranks
+// first, or a later one once no other has been heard to use them for some time. position is -1 for a
+// process that is no candidate.
+func (g *group) mayTry(position int, now time.Time) bool {
+	if position <= 0 {
+		return position == 0
+	}
+	silentSince := g.neededSince
+	if g.heardAt.After(silentSince) {
+		silentSince = g.heardAt
+	}
+	return now.Sub(silentSince) >= time.Duration(position)*escalation
+}
+
+// isCallDue reports whether the lease is to be renewed or tried.
+func (d *Divider) isCallDue(g *group, now time.Time) bool {
+	interval := g.retryInterval
+	if g.lease.HeldFor(d.leaseNow()) > 0 {
+		interval = renewInterval
+	}
+	return !g.isCalling && now.Sub(g.calledAt) >= interval
+}
+
+// call renews or tries the lease in the background; d.mu is held.
+func (d *Divider) call(ctx context.Context, g *group, now time.Time) {
+	g.isCalling, g.calledAt = true, now
+	interval := g.retryInterval
+	d.calls.Go(func() {
+		err := g.lease.Step(ctx)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		g.isCalling = false
+		g.retryInterval = minRetryInterval
+		if errors.Is(err, lease.ErrNotHeld) {
+			g.retryInterval = min(2*interval, maxRetryInterval)
+			d.applyNote(g.lease.HolderNote(), now)
+		}
+		g.storeFailed = err != nil && !errors.Is(err, lease.ErrNotHeld) && !errors.Is(err, objectapi.ErrConflict)
+		select {
+		case d.wake <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// note is what the holder of a lease publishes with it: the limits that it uses, by endpoint.
+type note map[pushback.Key]float64
+
+func encodeNote(endpoints []pushback.Limited) []byte {
+	n := note{}
+	for _, e := range endpoints {
+		n[e.Key] = e.RequestsPerSecond
+	}
+	// Numbers and maps of numbers always encode.
+	data, _ := json.Marshal(n)
+	return data
+}
+
+// applyNote confirms the limits that the holder of a lease uses. A process that no peer knows hears of
+// them in no other way, and would return to the endpoints when its own knowledge expires.
+func (d *Divider) applyNote(data []byte, now time.Time) {
+	var n note
+	if len(data) == 0 || json.Unmarshal(data, &n) != nil {
+		return
+	}
+	for key, perSecond := range n {
+		if perSecond > 0 && perSecond < pushback.MaxRate {
+			d.Registry.Merge(pushback.News{Endpoint: key, RequestsPerSecond: perSecond, AsOf: now}, "the lease", now)
+		}
+	}
+}
+
+func (d *Divider) leaseNow() time.Time {
+	if d.LeaseNow == nil {
+		return time.Now()
+	}
+	return d.LeaseNow()
+}
+
+// useLimits divides the limits of a group whose lease this process holds; d.mu is held.
+func (d *Divider) useLimits(g *group, endpoints []pushback.Limited, ranked []netip.Addr, heldFor time.Duration, now time.Time) {
+	peers := without(ranked, d.Self)
+	lendNow := now.Sub(g.lentAt) >= loanTime/4
+	lent := map[netip.Addr][]Loan{}
+	for _, e := range endpoints {
+		senders := append([]netip.Addr{d.Self}, peers[:senderCount(e.RequestsPerSecond, len(peers)+1)-1]...)
+		loans := g.loans[e.Key]
+		if loans == nil {
+			loans = map[netip.Addr]loan{}
+			g.loans[e.Key] = loans
+		}
+		rate := divide(e.RequestsPerSecond, senders, loans, now)
+		e.SetShare(pushback.Share{RequestsPerSecond: rate, Until: now.Add(heldFor)}, now)
+		if !lendNow {
+			continue
+		}
+		for _, host := range senders[1:] {
+			validFor := min(loanTime, heldFor)
+			loans[host] = loan{rate, now.Add(validFor)}
+			lent[host] = append(lent[host], Loan{e.Key, rate, validFor})
+		}
+	}
+	if !lendNow {
+		return
+	}
+	g.lentAt = now
+	for host, loans := range lent {
+		d.Messenger.Lend(host, loans)
+	}
+}
+
+// reportSent counts what this process sent to newly limited endpoints before it could know: against
+// its own share if it ranks first, or else it tells the process that does. d.mu is held.
+func (d *Divider) reportSent(g *group, endpoints []pushback.Limited, first netip.Addr, now time.Time) {
+	for _, e := range endpoints {
+		if g.reported[e.Key].Equal(e.Since) {
+			continue
+		}
+		g.reported[e.Key] = e.Since
+		switch sent := e.SentUnaware(now); {
+		case sent == 0:
+		case first == d.Self:
+			e.Debit(sent, now)
+		default:
+			d.Messenger.ReportSent(first, e.Key, sent)
+		}
+	}
+}
+
+// setRole logs a change of what this process does for a group; d.mu is held.
+func (d *Divider) setRole(g *group, next role) {
+	if g.role == next {
+		return
+	}
+	d.Log.Info("use of endpoints' limits", zap.Stringer("group", g.id), zap.String("role", string(next)), zap.String("before", string(g.role)),
+		zap.Bool("store_failed", g.storeFailed))
+	g.role = next
+}
+
+// releaseAll gives up all leases.
+func (d *Divider) releaseAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	d.mu.Lock()
+	for _, g := range d.groups {
+		d.calls.Go(func() { d.release(ctx, g) })
+	}
+	d.mu.Unlock()
+	d.calls.Wait()
+}
+
+// release gives up the lease of a group without limited endpoints.
+func (d *Divider) release(ctx context.Context, g *group) {
+	if err := g.lease.Release(ctx); err != nil {
+		d.Log.Info("lease of endpoints' limits not released", zap.Stringer("group", g.id), zap.Error(err))
+	}
+}
+
+// Borrow applies loans of a holder.
+func (d *Divider) Borrow(loans []Loan, now time.Time) {
+	for _, l := range loans {
+		if e := d.Registry.Find(l.Endpoint); e != nil {
+			e.SetShare(pushback.Share{RequestsPerSecond: l.RequestsPerSecond, Until: now.Add(min(l.ValidFor, loanTime))}, now)
+		}
+	}
+}
+
+// HeardHolder records that another process uses the limits of endpoints.
+func (d *Divider) HeardHolder(endpoints []pushback.Key, now time.Time) {
+	for _, limited := range d.Registry.Limited(now) {
+		if !slices.Contains(endpoints, limited.Key) {
+			continue
+		}
+		d.mu.Lock()
+		if g := d.groups[groupOf(limited)]; g != nil {
+			g.heardAt = now
+		}
+		d.mu.Unlock()
+	}
+}
+
+// HeardSent counts requests against the share of this process that a peer sent before it could know
+// of the limit.
+func (d *Divider) HeardSent(endpoint pushback.Key, requests int, now time.Time) {
+	if e := d.Registry.Find(endpoint); e != nil {
+		e.Debit(requests, now)
+	}
+}
+
+func keysOf(endpoints []pushback.Limited) []pushback.Key {
+	out := make([]pushback.Key, 0, len(endpoints))
+	for _, e := range endpoints {
+		out = append(out, e.Key)
+	}
+	return out
+}
+
+// without returns the hosts other than one.
+func without(hosts []netip.Addr, one netip.Addr) []netip.Addr {
+	out := make([]netip.Addr, 0, len(hosts))
+	for _, h := range hosts {
+		if h != one {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/limitshare/divider_test.go
@@ -0,0 +1,261 @@
+package limitshare
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/coordination/pushback"
+	"limpetwall/internal/transport/objectapi"
+)
+
+// fault is what happens to a call to the store.
+type fault int
+
+const (
+	noFault fault = iota
+	refused
+	lostWrite
+	lostAnswer
+)
+
+// faultyStore holds one record a key.
+type faultyStore struct {
+	objectapi.API
+	records map[string]objectapi.Object
+	version int64
+	// next is what happens to the calls of the current step.
+	next fault
+}
+
+func (s *faultyStore) Get(_ context.Context, key string) (objectapi.Object, error) {
+	if s.next != noFault {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	o, exists := s.records[key]
+	if !exists {
+		return o, objectapi.ErrNotFound
+	}
+	return o, nil
+}
+
+// write carries out a change unless its fault prevents that.
+func (s *faultyStore) write(key string, version int64, change func()) error {
+	if s.next == refused {
+		return objectapi.ErrUnavailable
+	}
+	if s.next != lostWrite {
+		if s.records[key].Version != version {
+			return objectapi.ErrConflict
+		}
+		s.version++
+		change()
+	}
+	if s.next != noFault {
+		return objectapi.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+func (s *faultyStore) Put(_ context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	err := s.write(key, version, func() {
+		s.records[key] = objectapi.Object{Key: key, Version: s.version, Value: value}
+	})
+	return s.records[key], err
+}
+
+func (s *faultyStore) Delete(_ context.Context, key string, version int64) error {
+	return s.write(key, version, func() { delete(s.records, key) })
+}
+
+// fakeFleet is a number of processes with any views of each other, before one limited endpoint.
+type fakeFleet struct {
+	store     *faultyStore
+	processes []*fakeProcess
+	byHost    map[netip.Addr]*fakeProcess
+	now       time.Time
+}
+
+type fakeProcess struct {
+	fleet    *fakeFleet
+	divider  *Divider
+	endpoint *pushback.Endpoint
+	view     []netip.Addr
+	// losesMessages is set while nothing that the process sends arrives.
+	losesMessages bool
+}
+
+const domain = "a"
+
+func newFakeFleet(size int) *fakeFleet {
+	f := &fakeFleet{
+		store:  &faultyStore{records: map[string]objectapi.Object{}},
+		byHost: map[netip.Addr]*fakeProcess{}, now: time.Unix(1_800_000_000, 0),
+	}
+	for i := range size {
+		p := &fakeProcess{fleet: f}
+		host := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
+		p.restart(host)
+		f.processes = append(f.processes, p)
+		f.byHost[host] = p
+	}
+	return f
+}
+
+// restart starts the process's next life, which knows nothing.
+func (p *fakeProcess) restart(host netip.Addr) {
+	registry := pushback.NewRegistry()
+	p.endpoint = registry.Endpoint("e", 1, domain)
+	p.divider = &Divider{
+		Registry: registry, Store: p.fleet.store, Messenger: p, Hosts: func(string) []netip.Addr { return append([]netip.Addr(nil), p.view...) },
+		Self: host, Domain: domain, Holder: host.String(), LeaseNow: func() time.Time { return p.fleet.now }, Log: zap.NewNop(),
+		groups: map[groupID]*group{}, startedAt: p.fleet.now, wake: make(chan struct{}, 1),
+	}
+}
+
+// hear lets an answer name the limit.
+func (p *fakeProcess) hear(perSecond float64) {
+	p.endpoint.Observe(pushback.Signal{RequestsPerSecond: perSecond}, p.fleet.now, p.fleet.now)
+}
+
+func (p *fakeProcess) step() {
+	p.divider.step(context.Background(), p.fleet.now)
+	p.divider.calls.Wait()
+	p.divider.step(context.Background(), p.fleet.now)
+	p.divider.calls.Wait()
+}
+
+// Lend implements Messenger.
+func (p *fakeProcess) Lend(to netip.Addr, loans []Loan) {
+	if peer := p.fleet.byHost[to]; peer != nil && !p.losesMessages {
+		peer.divider.Borrow(loans, p.fleet.now)
+	}
+}
+
+// Announce implements Messenger.
+func (p *fakeProcess) Announce(endpoints []pushback.Key, hosts []netip.Addr) {
+	for _, host := range hosts {
+		if peer := p.fleet.byHost[host]; peer != nil && !p.losesMessages {
+			peer.divider.HeardHolder(endpoints, p.fleet.now)
+		}
+	}
+}
+
+// ReportSent implements Messenger.
+func (p *fakeProcess) ReportSent(netip.Addr, pushback.Key, int) {}
+
+// used sums what all processes may send now: under leases, with loans, and without the store.
+func (f *fakeFleet) used() (leased float64, fallbacks, holders int) {
+	for _, p := range f.processes {
+		share := p.endpoint.Share(f.now)
+		isFallback := false
+		for _, g := range p.divider.groups {
+			isFallback = isFallback || g.role == roleFallback
+			if g.lease.HeldFor(f.now) > 0 {
+				holders++
+			}
+		}
+		if isFallback && share > 0 {
+			fallbacks++
+			continue
+		}
+		leased += share
+	}
+	return leased, fallbacks, holders
+}
+
+// TestSharesNeverExceedLimit lets processes of fleets of 3, 29 and 370 divide the limit of an endpoint
+// with any views of each other, while calls to the store fail in all ways, messages are lost and
+// processes restart.
+//
+// It guards against a limit that holds only while processes agree on who there is: what the holder of
+// the lease and its borrowers may send is at most the limit, whatever anyone believes, and each process
+// that does not reach the store adds at most fallbackPart.
+func TestSharesNeverExceedLimit(t *testing.T) {
+	for _, size := range []int{3, 29, 370} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkShares(t, size) })
+		})
+	}
+}
+
+func checkShares(t *rapid.T, size int) {
+	f := newFakeFleet(size)
+	perSecond := rapid.SampledFrom([]float64{0.5, 1.7, 4, 12, 60}).Draw(t, "limit")
+	// Most steps are those of a few processes: the same one must often act twice to be the holder.
+	active := rapid.SliceOfN(rapid.IntRange(0, size-1), 1, 4).Draw(t, "active")
+	for range rapid.IntRange(1, 120).Draw(t, "steps") {
+		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+		p := f.processes[rapid.SampledFrom(active).Draw(t, "process")]
+		f.store.next = fault(rapid.IntRange(0, 3).Draw(t, "fault"))
+		if rapid.Bool().Draw(t, "store is well") {
+			f.store.next = noFault
+		}
+		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		case 0:
+			p.restart(p.divider.Self)
+		case 1:
+			p.losesMessages = !p.losesMessages
+		case 2, 3:
+			p.view = p.view[:0]
+			for range rapid.IntRange(0, 9).Draw(t, "peers") {
+				p.view = append(p.view, f.processes[rapid.IntRange(0, size-1).Draw(t, "peer")].divider.Self)
+			}
+			if rapid.Bool().Draw(t, "alone") {
+				p.view = p.view[:0]
+			}
+		case 4:
+			for _, p := range f.processes[:min(size, 40)] {
+				p.hear(perSecond)
+			}
+		default:
+			p.hear(perSecond)
+			p.step()
+		}
+		leased, fallbacks, holders := f.used()
+		if holders > 1 || leased > perSecond*1.001 {
+			t.Fatalf("%d holders, and shares of %g a second besides those of %d processes without the store; want 1 and at most %g",
+				holders, leased, fallbacks, perSecond)
+		}
+	}
+}
+
+// TestLoansEndWithLease guards against a peer that uses a loan when another process already holds the
+// lease and divides the whole limit: the holder lent it just before its own right ended.
+func TestLoansEndWithLease(t *testing.T) {
+	f := newFakeFleet(2)
+	holder, peer := f.processes[0], f.processes[1]
+	holder.view, peer.view = []netip.Addr{peer.divider.Self}, []netip.Addr{holder.divider.Self}
+	f.now = f.now.Add(loanTime)
+	holder.hear(12)
+	peer.hear(12)
+	f.until(t, 5*escalation, func() bool {
+		holder.step()
+		return holder.endpoint.Share(f.now) > 0 && peer.endpoint.Share(f.now) > 0
+	})
+	f.store.next = refused
+	f.until(t, leaseTerm, func() bool {
+		holder.hear(12)
+		holder.step()
+		_, _, holders := f.used()
+		return holders == 0
+	})
+	if share := peer.endpoint.Share(f.now); share > 0 {
+		t.Errorf("the borrower may send %g a second when the lease has ended, want 0", share)
+	}
+}
+
+// until advances the time in small steps until a condition holds.
+func (f *fakeFleet) until(t *testing.T, limit time.Duration, holds func() bool) {
+	t.Helper()
+	for end := f.now.Add(limit); !holds(); f.now = f.now.Add(50 * time.Millisecond) {
+		if f.now.After(end) {
+			t.Fatalf("nothing happened within %v", limit)
+		}
+	}
+}
--- a/internal/coordination/loadreport/exchanger.go
+++ b/internal/coordination/loadreport/exchanger.go
@@ -128,6 +128,12 @@
 	return e.hosts(func(p *peer) bool { return p.domain == e.Domain && !p.hasLeft })
 }
 
+// HostsIn returns the hosts of the known other processes of a failure domain that have not stopped, or of all domains if
+// domain is empty.
+func (e *Exchanger) HostsIn(domain string) []netip.Addr {
+	return e.hosts(func(p *peer) bool { return (p.domain == domain || domain == "") && !p.hasLeft })
+}
+
 func (e *Exchanger) hosts(matches func(*peer) bool) []netip.Addr {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/coordination/pushback/endpoint_test.go
+++ b/internal/coordination/pushback/endpoint_test.go
@@ -18,7 +18,7 @@
 	core, lines := observer.New(zap.InfoLevel)
 	r := NewRegistry()
 	r.Log = zap.New(core)
-	e := r.Endpoint("i-1", 1)
+	e := r.Endpoint("i-1", 1, "a")
 	steps := []struct {
 		name           string
 		signal         Signal
@@ -45,7 +45,7 @@
 // TestRecentSends guards against a count of requests that leaves out some within the window, or keeps
 // older ones.
 func TestRecentSends(t *testing.T) {
-	e := NewRegistry().Endpoint("i-1", 1)
+	e := NewRegistry().Endpoint("i-1", 1, "a")
 	for ms := 0; ms < 5000; ms += 500 {
 		e.RecordSend(at(ms))
 	}
@@ -59,3 +59,121 @@
 		t.Errorf("got %d requests, want at most %d", got, maxRecentSends)
 	}
 }
+
+// limited returns an endpoint that names a limit from the start on.
+func limited(perSecond float64) *Endpoint {
+	e := NewRegistry().Endpoint("i-1", 1, "a")
+	e.Observe(Signal{RequestsPerSecond: perSecond}, start, start)
+	return e
+}
+
+func allows(e *Endpoint, now time.Time) bool {
+	ok, _ := e.Allows(now)
+	return ok
+}
+
+// TestShare guards against requests to a limited endpoint without a share, beyond it or after its end.
+func TestShare(t *testing.T) {
+	e := limited(2)
+	if allows(e, at(100)) {
+		t.Error("a request is allowed without a share")
+	}
+	e.SetShare(Share{RequestsPerSecond: 1, Until: at(5000)}, at(100))
+	sent := 0
+	for ms := 100; ms < 4100; ms += 10 {
+		if allows(e, at(ms)) {
+			e.RecordSend(at(ms))
+			sent++
+		}
+	}
+	if sent != 3 && sent != 4 {
+		t.Errorf("sent %d requests in 4 s with a share of 1 a second, want 3 or 4", sent)
+	}
+	if allows(e, at(5000)) {
+		t.Error("a request is allowed after the end of the share")
+	}
+}
+
+// TestUnconfirmedLimitExpires guards against an endpoint that stays unused for good because the process
+// that knew of its limit's end could not tell the others.
+func TestUnconfirmedLimitExpires(t *testing.T) {
+	e := limited(2)
+	if now := start.Add(limitTTL); allows(e, now) {
+		t.Error("a request is allowed while the limit holds")
+	}
+	expired := start.Add(limitTTL + 10*time.Millisecond)
+	allows(e, expired)
+	if !allows(e, expired.Add(resumeJitter)) {
+		t.Error("no request is allowed although nobody has named the limit for long")
+	}
+}
+
+// TestSentUnaware guards against a sum over processes that leaves out what they sent before they heard
+// of the limit, and against one that counts what was answered without it.
+func TestSentUnaware(t *testing.T) {
+	e := NewRegistry().Endpoint("i-1", 1, "a")
+	for ms := 0; ms < 1000; ms += 100 {
+		e.RecordSend(at(ms))
+	}
+	e.Observe(Signal{}, at(450), at(550))
+	e.Observe(Signal{RequestsPerSecond: 1}, at(700), at(910))
+	e.RecordSend(at(950))
+	if got := e.SentUnaware(at(1000)); got != 5 {
+		t.Errorf("got %d requests, want the 5 that were sent after the request of the last answer without a limit", got)
+	}
+}
+
+// TestMerge guards against older news of a peer that replaces newer knowledge, in either direction.
+func TestMerge(t *testing.T) {
+	r := NewRegistry()
+	e := r.Endpoint("i-1", 1, "a")
+	key := KeyOf("i-1", 1)
+	steps := []struct {
+		name string
+		do   func()
+		want float64
+	}{
+		{"heard from a peer", func() { r.Merge(News{key, 2, at(100)}, "peer", at(200)) }, 2},
+		{"older end", func() { r.Merge(News{key, 0, at(50)}, "peer", at(300)) }, 2},
+		{"newer answer", func() { e.Observe(Signal{RequestsPerSecond: 3}, at(350), at(400)) }, 3},
+		{"older limit", func() { r.Merge(News{key, 2, at(390)}, "peer", at(500)) }, 3},
+		{"newer end", func() { r.Merge(News{key, 0, at(450)}, "peer", at(500)) }, 0},
+		{"older limit after the end", func() { r.Merge(News{key, 2, at(440)}, "peer", at(500)) }, 0},
+		{"limit of long ago", func() { r.Merge(News{key, 2, at(451)}, "peer", at(451).Add(2*limitTTL)) }, 0},
+	}
+	for _, step := range steps {
+		step.do()
+		if got := e.Limit().RequestsPerSecond; got != step.want {
+			t.Errorf("%s: got a limit of %g, want %g", step.name, got, step.want)
+		}
+	}
+	if news := r.PopNews(); len(news) != 0 {
+		t.Errorf("got news %v, want none: a peer knew better", news)
+	}
+	e.Observe(Signal{RequestsPerSecond: 4}, at(600), at(700))
+	if news := r.PopNews(); len(news) != 1 || news[0] != (News{key, 4, at(700)}) || len(r.PopNews()) != 0 {
+		t.Errorf("got news %v, want the change that an answer made, once", news)
+	}
+}
+
+// TestUnknownEndpointIsRemembered guards against a limit that is lost because a peer names it before this
+// process has discovered the endpoint, and against such names that pile up.
+func TestUnknownEndpointIsRemembered(t *testing.T) {
+	r := NewRegistry()
+	for i := range 2 * maxFromPeers {
+		r.Merge(News{Key(i), 1, at(0)}, "peer", at(0))
+	}
+	r.DropUnknown(at(0))
+	if len(r.endpoints) != maxFromPeers {
+		t.Errorf("got %d endpoints, want %d", len(r.endpoints), maxFromPeers)
+	}
+	r.DropUnknown(start.Add(limitTTL + time.Second))
+	r.DropUnknown(start.Add(limitTTL + time.Second + resumeJitter))
+	if len(r.endpoints) != 0 || r.fromPeers != 0 {
+		t.Errorf("got %d endpoints after their limits expired, want 0", len(r.endpoints))
+	}
+	r.Merge(News{KeyOf("i-1", 1), 1, at(0)}, "peer", at(0))
+	if e := r.Endpoint("i-1", 1, "a"); allows(e, at(1)) || r.fromPeers != 0 {
+		t.Error("the limit that a peer named is not known of the endpoint")
+	}
+}
--- a/internal/coordination/pushback/registry.go
+++ b/internal/coordination/pushback/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,9 @@
 	return Key(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(id), incarnation)))
 }
 
+// maxFromPeers bounds the endpoints that are known from peers only.
+const maxFromPeers = 1024
+
 // Registry holds what all endpoints ask for. It is safe for concurrent use.
 type Registry struct {
 	// Log receives a line when an endpoint begins or ends to ask for something. Set it before use.
@@ -24,44 +29,136 @@
 
 	mu        sync.Mutex
 	endpoints map[Key]*Endpoint
+	// fromPeers counts the endpoints without an ID.
+	fromPeers int
+
+	// askingMu guards asking, the endpoints that ask for something; it may be locked while an Endpoint is.
+	askingMu sync.Mutex
+	asking   map[*Endpoint]struct{}
+	// changed receives an item when an endpoint has begun or ended to ask for something, news when an
+	// answer to this process said so.
+	changed, news chan struct{}
 }
 
 // NewRegistry returns a registry of endpoints that ask for nothing.
 func NewRegistry() *Registry {
-	return &Registry{Log: zap.NewNop(), endpoints: map[Key]*Endpoint{}}
+	return &Registry{Log: zap.NewNop(), endpoints: map[Key]*Endpoint{}, asking: map[*Endpoint]struct{}{}, changed: make(chan struct{}, 1), news: make(chan struct{}, 1)}
 }
 
 // Endpoint returns what an incarnation of an endpoint asks for; it is kept until Remove.
-func (r *Registry) Endpoint(id string, incarnation uint64) *Endpoint {
+func (r *Registry) Endpoint(id string, incarnation uint64, domain string) *Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := KeyOf(id, incarnation)
-	if r.endpoints[key] == nil {
-		r.endpoints[key] = &Endpoint{id: id, log: r.logLimit}
+	e := r.endpoints[key]
+	if e == nil {
+		e = r.add(key)
+		e.name(id, domain)
+	} else if e.name(id, domain) {
+		r.fromPeers--
 	}
-	return r.endpoints[key]
+	return e
+}
+
+func (r *Registry) add(key Key) *Endpoint {
+	e := &Endpoint{key: key, registry: r}
+	r.endpoints[key] = e
+	return e
+}
+
+// name records the ID and failure domain of an endpoint. It returns whether the endpoint was known
+// from peers only.
+func (e *Endpoint) name(id, domain string) (unnamed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	unnamed = e.id == ""
+	e.id, e.domain = id, domain
+	return unnamed
 }
 
 // Remove forgets an incarnation that has ended.
 func (r *Registry) Remove(id string, incarnation uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.endpoints, KeyOf(id, incarnation))
+	key := KeyOf(id, incarnation)
+	if e := r.endpoints[key]; e != nil {
+		r.setAsking(e, false)
+	}
+	delete(r.endpoints, key)
 }
 
-// Limited returns how many endpoints limit their requests.
-func (r *Registry) Limited() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	count := 0
-	for _, e := range r.endpoints {
-		if e.Limit().RequestsPerSecond > 0 {
-			count++
+// setAsking records whether an endpoint asks for anything.
+func (r *Registry) setAsking(e *Endpoint, asks bool) {
+	r.askingMu.Lock()
+	defer r.askingMu.Unlock()
+	e.isAsking.Store(asks)
+	if asks {
+		r.asking[e] = struct{}{}
+	} else {
+		delete(r.asking, e)
+	}
+}
+
+// allAsking returns the endpoints that ask for something.
+func (r *Registry) allAsking() []*Endpoint {
+	r.askingMu.Lock()
+	defer r.askingMu.Unlock()
+	if len(r.asking) == 0 {
+		return nil
+	}
+	return slices.Collect(maps.Keys(r.asking))
+}
+
+// Changed returns a channel that receives an item when an endpoint has begun or ended to ask for
+// something. It has one reader.
+func (r *Registry) Changed() <-chan struct{} { return r.changed }
+
+// notify adds an item to a channel that has none.
+func notify(channel chan<- struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// Limited is an endpoint that limits its requests.
+type Limited struct {
+	*Endpoint
+	Key               Key
+	ID, Domain        string
+	RequestsPerSecond float64
+	Since             time.Time
+}
+
+// Limited lists the endpoints that limit their requests and are known by more than their key.
+func (r *Registry) Limited(now time.Time) []Limited {
+	var out []Limited
+	for _, e := range r.allAsking() {
+		e.mu.Lock()
+		if e.isLimited(now) && e.limit.RequestsPerSecond > 0 && e.id != "" {
+			out = append(out, Limited{e, e.key, e.id, e.domain, e.limit.RequestsPerSecond, e.limit.Since})
+		}
+		e.mu.Unlock()
+	}
+	return out
+}
+
+// Usable lists the IDs of limited endpoints that this process may send a request now.
+func (r *Registry) Usable(now time.Time) []string {
+	var out []string
+	for _, e := range r.Limited(now) {
+		if ok, _ := e.Allows(now); ok {
+			out = append(out, e.ID)
 		}
 	}
-	return count
+	return out
 }
 
-func (r *Registry) logLimit(e *Endpoint, message string, l Limit) {
-	r.Log.Info(message, zap.String("endpoint", e.id), zap.Float64("per_second", l.RequestsPerSecond), zap.Duration("limited_for", time.Since(l.Since)))
+func (r *Registry) logLimit(message, id string, l Limit, now time.Time) {
+	from := "an answer"
+	if l.From != "" {
+		from = l.From
+	}
+	r.Log.Info(message, zap.String("endpoint", id), zap.Float64("per_second", l.RequestsPerSecond), zap.String("heard_from", from),
+		zap.Duration("as_of", now.Sub(l.AsOf)), zap.Duration("known_for", now.Sub(l.Since)))
 }
--- a/internal/coordination/pushback/signal.go
+++ b/internal/coordination/pushback/signal.go
@@ -1,5 +1,8 @@
 package pushback
 
+// MaxRate is the highest request rate that counts as a limit, in requests per second.
+const MaxRate = 1e9
+
 // Signal is what one answer of an endpoint asks for.
 type Signal struct {
 	// RequestsPerSecond is the rate that the endpoint accepts from all processes together, for as
--- /dev/null
+++ b/internal/coordination/pushbackgossip/exchanger.go
@@ -0,0 +1,222 @@
+package pushbackgossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"limpetwall/internal/coordination/limitshare"
+	"limpetwall/internal/coordination/pushback"
+	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/transport/datagram"
+)
+
+const (
+	// newsInterval is how often changes are looked for, and the time between repetitions.
+	newsInterval = 100 * time.Millisecond
+	// repetitions is how often a change is sent after its first time, each time to fanout others.
+	repetitions = 3
+	fanout      = 8
+	// maxBroadcastHosts is the number of other processes up to which all of them get repetitions.
+	maxBroadcastHosts = 12
+	// startRequests is how often a process that has started asks requestHosts others for what they
+	// know.
+	startRequests = 3
+	requestHosts  = 3
+	// maxEntries bounds the entries of one message, so that it fits in a datagram.
+	maxEntries = 60
+)
+
+// Exchanger exchanges reports with other processes. Its fields are set before Run.
+type Exchanger struct {
+	Group *datagram.Socket
+	// Hosts lists the other processes, of all failure domains.
+	Hosts    func() []netip.Addr
+	Registry *pushback.Registry
+	// Divider divides the limits.
+	Divider *limitshare.Divider
+	Log     *zap.Logger
+
+	// repeated are the changes that are still to be repeated, with how often.
+	repeated []repeatedNews
+}
+
+var _ limitshare.Messenger = (*Exchanger)(nil)
+
+type repeatedNews struct {
+	news []pushback.News
+	left int
+}
+
+// Run exchanges reports until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) {
+	received := make(chan struct{})
+	go func() {
+		defer close(received)
+		e.Group.Receive(ctx, e.receive)
+	}()
+	ticker := time.NewTicker(newsInterval)
+	defer ticker.Stop()
+	requests := 0
+	for {
+		select {
+		case <-ticker.C:
+			if requests < startRequests && e.askPeers() {
+				requests++
+			}
+			e.repeat()
+			e.broadcastNews()
+		case <-e.Registry.News():
+			e.broadcastNews()
+		case <-ctx.Done():
+			<-received
+			return
+		}
+	}
+}
+
+// askPeers asks a few others for what they know. It returns whether there were any.
+func (e *Exchanger) askPeers() bool {
+	hosts := sample(e.Hosts(), requestHosts)
+	if len(hosts) > 0 {
+		e.send(&wire.PushbackReport{Asks: true}, hosts)
+	}
+	return len(hosts) > 0
+}
+
+// broadcastNews sends what answers have changed to all others.
+func (e *Exchanger) broadcastNews() {
+	news := e.Registry.PopNews()
+	if len(news) == 0 {
+		return
+	}
+	e.sendNews(news, e.Hosts())
+	e.repeated = append(e.repeated, repeatedNews{news, repetitions})
+}
+
+// repeat sends recent changes once more.
+func (e *Exchanger) repeat() {
+	kept := e.repeated[:0]
+	for _, r := range e.repeated {
+		hosts := e.Hosts()
+		if len(hosts) > maxBroadcastHosts {
+			hosts = sample(hosts, fanout)
+		}
+		e.sendNews(r.news, hosts)
+		if r.left--; r.left > 0 {
+			kept = append(kept, r)
+		}
+	}
+	e.repeated = kept
+}
+
+func (e *Exchanger) sendNews(news []pushback.News, hosts []netip.Addr) {
+	e.send(&wire.PushbackReport{Limits: newsToWire(news, time.Now())}, hosts)
+}
+
+// sample returns up to n of the hosts, at random.
+func sample(hosts []netip.Addr, n int) []netip.Addr {
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(n, len(hosts))]
+}
+
+// Lend implements limitshare.Messenger.
+func (e *Exchanger) Lend(to netip.Addr, loans []limitshare.Loan) {
+	r := &wire.PushbackReport{}
+	for _, l := range loans[:min(len(loans), maxEntries)] {
+		r.Loans = append(r.Loans, &wire.LimitLoan{Endpoint: uint64(l.Endpoint), PerSecond: float32(l.RequestsPerSecond), ValidMs: uint32(l.ValidFor.Milliseconds())})
+	}
+	e.send(r, []netip.Addr{to})
+}
+
+// Announce implements limitshare.Messenger. It also confirms the endpoints' limits.
+func (e *Exchanger) Announce(endpoints []pushback.Key, hosts []netip.Addr) {
+	r := &wire.PushbackReport{Limits: newsToWire(e.Registry.NewsOf(endpoints), time.Now())}
+	for _, key := range endpoints[:min(len(endpoints), maxEntries/2)] {
+		r.Used = append(r.Used, uint64(key))
+	}
+	r.Limits = r.Limits[:min(len(r.Limits), maxEntries/2)]
+	e.send(r, hosts)
+}
+
+// ReportSent implements limitshare.Messenger.
+func (e *Exchanger) ReportSent(to netip.Addr, endpoint pushback.Key, requests int) {
+	e.send(&wire.PushbackReport{Sent: []*wire.SentUnaware{{Endpoint: uint64(endpoint), Requests: uint32(requests)}}}, []netip.Addr{to})
+}
+
+func (e *Exchanger) send(r *wire.PushbackReport, hosts []netip.Addr) {
+	r.Limits = r.Limits[:min(len(r.Limits), maxEntries)]
+	data, err := proto.Marshal(r)
+	if err != nil || len(data) > datagram.MaxSize {
+		e.Log.Error("pushback report can't be encoded or is too large", zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	// A message may be lost anyway.
+	e.Group.Send(data, hosts)
+}
+
+func (e *Exchanger) receive(data []byte, from net.Addr) {
+	var r wire.PushbackReport
+	udp, ok := from.(*net.UDPAddr)
+	if err := proto.Unmarshal(data, &r); err != nil || !ok {
+		e.Log.Warn("pushback report does not decode", zap.Stringer("from", from), zap.Error(errors.Trace(err)))
+		return
+	}
+	host, now := udp.AddrPort().Addr().Unmap(), time.Now()
+	for _, l := range r.GetLimits() {
+		e.Registry.Merge(newsFromWire(l, now), host.String(), now)
+	}
+	if used := keysFromWire(r.GetUsed()); len(used) > 0 {
+		e.Divider.HeardHolder(used, now)
+	}
+	e.Divider.Borrow(loansFromWire(r.GetLoans()), now)
+	for _, s := range r.GetSent() {
+		e.Divider.HeardSent(pushback.Key(s.GetEndpoint()), int(s.GetRequests()), now)
+	}
+	if r.GetAsks() {
+		if all := e.Registry.AllNews(); len(all) > 0 {
+			e.sendNews(all, []netip.Addr{host})
+		}
+	}
+}
+
+func newsToWire(news []pushback.News, now time.Time) []*wire.EndpointLimit {
+	out := make([]*wire.EndpointLimit, 0, len(news))
+	for _, n := range news {
+		out = append(out, &wire.EndpointLimit{Endpoint: uint64(n.Endpoint), PerSecond: float32(n.RequestsPerSecond), AgeMs: uint32(max(0, now.Sub(n.AsOf)).Milliseconds())})
+	}
+	return out
+}
+
+func newsFromWire(l *wire.EndpointLimit, now time.Time) pushback.News {
+	rate := float64(l.GetPerSecond())
+	if !(rate > 0 && rate < pushback.MaxRate) {
+		rate = 0
+	}
+	return pushback.News{Endpoint: pushback.Key(l.GetEndpoint()), RequestsPerSecond: rate, AsOf: now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond)}
+}
+
+func keysFromWire(keys []uint64) []pushback.Key {
+	out := make([]pushback.Key, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, pushback.Key(k))
+	}
+	return out
+}
+
+func loansFromWire(loans []*wire.LimitLoan) []limitshare.Loan {
+	out := make([]limitshare.Loan, 0, len(loans))
+	for _, l := range loans {
+		rate := float64(l.GetPerSecond())
+		if rate >= 0 && rate < pushback.MaxRate {
+			out = append(out, limitshare.Loan{Endpoint: pushback.Key(l.GetEndpoint()), RequestsPerSecond: rate, ValidFor: time.Duration(l.GetValidMs()) * time.Millisecond})
+		}
+	}
+	return out
+}
--- a/internal/coordination/routing/cold_test.go
+++ b/internal/coordination/routing/cold_test.go
@@ -40,8 +40,8 @@
 			t.Fatalf("refused as %s although %d endpoints are eligible", d.Refusal, good)
 		case d.Endpoint != nil && (d.Endpoint.Region != "east" || d.Endpoint.isCold(r.Now)):
 			t.Fatalf("chose an endpoint in %q, cold: %v", d.Endpoint.Region, d.Endpoint.isCold(r.Now))
-		case d.Refusal == RefusalAllCold && d.WarmIn != time.Second:
-			t.Fatalf("warm in %s, want 1 s", d.WarmIn)
+		case d.Refusal == RefusalAllCold && d.RetryIn != time.Second:
+			t.Fatalf("warm in %s, want 1 s", d.RetryIn)
 		}
 	})
 }
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -124,7 +124,7 @@
 		}
 		t = &trackedEndpoint{incarnation: m.Incarnation, domain: m.Domain, RuntimeState: RuntimeState{
 			FirstSeen: now, PeerWork: d.peerWorkOf(WorkID(m.ID, m.Incarnation)), HasPeerReports: d.reportingPeers[m.Domain] > 0,
-			ModelRate: d.modelRateOf(m.Endpoint.Model), Pushback: d.Pushback.Endpoint(m.ID, m.Incarnation),
+			ModelRate: d.modelRateOf(m.Endpoint.Model), Pushback: d.Pushback.Endpoint(m.ID, m.Incarnation, m.Domain),
 		}}
 		if len(d.tracked) == 0 || d.fleetGeneration == 0 {
 			// Endpoints that this process finds at its own start are not new.
@@ -247,8 +247,9 @@
 	CapacityWait time.Duration
 	CachedTokens int
 	Refusal      Refusal
-	// WarmIn is set with RefusalAllCold: when the first of the endpoints will be warm.
-	WarmIn time.Duration
+	// RetryIn is set with RefusalAllCold and RefusalAllLimited: when the first of the endpoints may be
+	// usable.
+	RetryIn time.Duration
 	// LoadSnapshot is the endpoint's state as the decision saw it.
 	LoadSnapshot LoadSnapshot
 	holding      Holding
@@ -299,12 +300,16 @@
 		preferred := preferredEndpoints(list, r.PlacementHash)[0].Hash
 		r.Holdings = d.index.AddPreferred(preferred, r.ContextTokens, r.Holdings)
 	}
+	r.UsableLimited = r.UsableLimited[:0]
+	for _, id := range d.Pushback.Usable(r.Now) {
+		r.UsableLimited = append(r.UsableLimited, HashID(id))
+	}
 	if r.CrossDomainPenalty > 0 {
 		r.Local = d.localEndpoints[service]
 	}
 	decision := Decide(d.endpoints[service], r, d.random)
 	if decision.Endpoint == nil {
-		return Choice{Refusal: decision.Refusal, WarmIn: decision.WarmIn}
+		return Choice{Refusal: decision.Refusal, RetryIn: decision.RetryIn}
 	}
 	e := decision.Endpoint
 	snapshot := d.tracked[e.ID].snapshot(r.Now)
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -282,8 +282,13 @@
 	if e.Domain != r.Domain {
 		d += crossDomainDelay
 	}
-	if age := r.Now.Sub(e.FirstSeen); age < slowStart {
-		d += time.Duration(float64(slowStartPenalty) * (1 - float64(age)/float64(slowStart)))
+	return d + max(startPenalty(r.Now.Sub(e.FirstSeen), slowStart), startPenalty(r.Now.Sub(e.Pushback.EndedAt()), slowReturn))
+}
+
+// startPenalty returns slowStartPenalty, reduced by the part of a period that has passed.
+func startPenalty(passed, period time.Duration) time.Duration {
+	if passed >= period {
+		return 0
 	}
-	return d
+	return time.Duration(float64(slowStartPenalty) * (1 - float64(passed)/float64(period)))
 }
--- /dev/null
+++ b/internal/coordination/routing/limit_test.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"limpetwall/internal/coordination/pushback"
+)
+
+// limitEndpoint lets an endpoint name a limit, of which this process has a share.
+func limitEndpoint(e *Endpoint, share float64, now time.Time) {
+	e.Pushback = pushback.NewRegistry().Endpoint(e.ID, 1, e.Domain)
+	before := now.Add(-2 * time.Second)
+	e.Pushback.Observe(pushback.Signal{RequestsPerSecond: 1}, before, before)
+	e.Pushback.SetShare(pushback.Share{RequestsPerSecond: share, Until: now.Add(time.Minute)}, before)
+}
+
+// TestDecideFiltersLimitedEndpoints guards against a decision that falls back on a limited endpoint,
+// whose limit others use, when its samples hold no other.
+func TestDecideFiltersLimitedEndpoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e, r := newEndpoints(rapid.IntRange(1, 60).Draw(t, "endpoints")), newRequest()
+		r.Local = e[:rapid.IntRange(0, len(e)).Draw(t, "local")]
+		r.PlacementHash = rapid.Uint64().Draw(t, "hash")
+		good := 0
+		for i := range e {
+			if rapid.Bool().Draw(t, "limited") {
+				limitEndpoint(&e[i], 0, r.Now)
+			} else {
+				good++
+			}
+			if rapid.Bool().Draw(t, "ejected") {
+				e[i].EjectedUntil = r.Now.Add(time.Minute)
+			}
+		}
+		switch d := Decide(e, r, newRandom()); {
+		case d.Endpoint == nil && (good > 0 || d.Refusal != RefusalAllLimited || d.RetryIn <= 0):
+			t.Fatalf("refused as %s for %v although %d endpoints are eligible", d.Refusal, d.RetryIn, good)
+		case d.Endpoint != nil && !d.Endpoint.acceptsRequests(r.Now):
+			t.Fatal("chose an endpoint whose limit others use")
+		}
+	})
+}
+
+// TestUsableLimitedEndpointIsConsidered guards against a limited endpoint of a large fleet that starves
+// because the one process which may use it hardly ever draws it.
+func TestUsableLimitedEndpointIsConsidered(t *testing.T) {
+	e, r, random := newEndpoints(200), newRequest(), newRandom()
+	for i := range e {
+		e[i].Load.QueuedTokens = 5000
+	}
+	e[7].Load.QueuedTokens = 0
+	limitEndpoint(&e[7], 1, r.Now)
+	r.UsableLimited = []uint64{e[7].Hash}
+	if d := Decide(e, r, random); d.Endpoint == nil || d.Endpoint.ID != e[7].ID || d.Reason != ReasonLimited {
+		t.Errorf("got %v, %s, want the idle endpoint whose limit this process may use", d.Endpoint, d.Reason)
+	}
+}
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -67,6 +67,9 @@
 	// Local are the endpoints of that domain, ordered by Hash; if nil, candidates are
 	// sampled without regard to failure domains.
 	Local []Endpoint
+	// UsableLimited are the hashes of limited endpoints that this process may use now. Directory sets
+	// it.
+	UsableLimited []uint64
 	// Residency limits the regions of the endpoint.
 	Residency residency.Rule
 	// WeightVersion, if set, is the only one accepted (a resumed run).
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -29,6 +29,9 @@
 	// holderCandidates is the number of candidates among the endpoints that hold part of
 	// the context: those that hold most of it.
 	holderCandidates = 4
+	// limitedCandidates is the number of candidates among the limited endpoints that this process may
+	// use: others may not, so the endpoint would starve if it were drawn at random.
+	limitedCandidates = 2
 	// localCandidates is the number of random candidates in the deciding process's own
 	// failure domain, for requests with Request.Local set.
 	localCandidates = 4
@@ -46,6 +49,9 @@
 	// start find cold caches, and without it many would find them at the same time.
 	slowStart        = 10 * time.Second
 	slowStartPenalty = 50 * time.Millisecond
+	// slowReturn takes the place of slowStart for an endpoint that asked for something until
+	// then: its caches are warm, but all processes find it idle at the same time.
+	slowReturn = 2 * time.Second
 	// evictionCost is the later cost of bringing a token of context into an engine's
 	// memory, in multiples of computing that token. Memory is full, so the token
 	// evicts other context, which is then brought in elsewhere and evicts more. See
@@ -134,6 +140,8 @@
 	ReasonPreferred    Reason = "home"
 	ReasonRandom       Reason = "random"
 	ReasonAll          Reason = "all"
+	// ReasonLimited: the endpoint limits its requests, and few processes may use it.
+	ReasonLimited Reason = "limited"
 )
 
 // Decision is the result of Decide: an endpoint with the expected cost, or a refusal.
@@ -151,8 +159,9 @@
 	WorkTokens int
 	// Refusal is why there is no endpoint.
 	Refusal Refusal
-	// WarmIn is set with RefusalAllCold: when the first of the endpoints will be warm.
-	WarmIn time.Duration
+	// RetryIn is set with RefusalAllCold and RefusalAllLimited: when the first of the endpoints may be
+	// usable.
+	RetryIn time.Duration
 }
 
 // Refusal is why no endpoint was chosen.
@@ -166,6 +175,8 @@
 	RefusalAllFull Refusal = "all_full"
 	// RefusalAllCold: the usable ones are cold.
 	RefusalAllCold Refusal = "all_cold"
+	// RefusalAllLimited: the usable ones limit their requests, and this process may not send now.
+	RefusalAllLimited Refusal = "all_limited"
 )
 
 // Random yields uniform numbers; *rand.Rand satisfies it.
@@ -212,6 +223,13 @@
 	return e.isCold(now) && !e.Warmup.HasRoom(now)
 }
 
+// acceptsRequests reports whether the endpoint has asked for nothing that forbids this process to
+// send it a request now.
+func (e *Endpoint) acceptsRequests(now time.Time) bool {
+	ok, _ := e.Pushback.Allows(now)
+	return ok
+}
+
 func isFull(e *Endpoint) bool {
 	return e.MaxConcurrent > 0 && e.Running >= e.MaxConcurrent
 }
@@ -247,6 +265,10 @@
 	fullCount int
 	// warmAt is when the first of the cold endpoints will be warm, zero if none is cold.
 	warmAt time.Time
+	// limitedCount is the number of endpoints that may not get a request now as they limit them, and
+	// allowedIn the shortest time until one may.
+	limitedCount int
+	allowedIn    time.Duration
 }
 
 func (c *candidateSet) add(e *Endpoint, reason Reason, r *Request) {
@@ -263,6 +285,13 @@
 		}
 		return
 	}
+	if ok, retryIn := e.Pushback.Allows(r.Now); !ok {
+		if c.limitedCount == 0 || retryIn < c.allowedIn {
+			c.allowedIn = retryIn
+		}
+		c.limitedCount++
+		return
+	}
 	for i := range c.n {
 		if c.list[i].endpoint == e {
 			return
@@ -282,6 +311,7 @@
 // ordered by Hash.
 func (c *candidateSet) sample(endpoints []Endpoint, r *Request, random Random) {
 	c.addHolders(endpoints, r, random)
+	c.addLimited(endpoints, r, random)
 	ring := endpoints
 	if len(r.Local) > 0 {
 		ring = r.Local
@@ -325,12 +355,26 @@
 	}
 }
 
+// addLimited adds limited endpoints that this process may use.
+func (c *candidateSet) addLimited(endpoints []Endpoint, r *Request, random Random) {
+	n := len(r.UsableLimited)
+	if n == 0 {
+		return
+	}
+	start := int(random.Uint64() % uint64(n))
+	for k := range min(n, limitedCandidates) {
+		if e := findByHash(endpoints, r.UsableLimited[(start+k)%n]); e != nil {
+			c.add(e, ReasonLimited, r)
+		}
+	}
+}
+
 // addHealthy adds up to n endpoints that are not degraded, starting at a random one.
 func (c *candidateSet) addHealthy(endpoints []Endpoint, n int, r *Request, random Random) {
 	start := int(random.Uint64() % uint64(len(endpoints)))
 	for i := range endpoints {
 		e := &endpoints[(start+i)%len(endpoints)]
-		if e.isDegraded(r.Now) || e.isTooCold(r.Now) || !isEligible(e, r) {
+		if e.isDegraded(r.Now) || e.isTooCold(r.Now) || !isEligible(e, r) || !e.acceptsRequests(r.Now) {
 			continue
 		}
 		c.add(e, ReasonRandom, r)
@@ -424,8 +468,10 @@
 	switch {
 	case c.fullCount > 0:
 		best.Refusal = RefusalAllFull
+	case c.limitedCount > 0:
+		best.Refusal, best.RetryIn = RefusalAllLimited, c.allowedIn
 	case !c.warmAt.IsZero():
-		best.Refusal, best.WarmIn = RefusalAllCold, c.warmAt.Sub(r.Now)
+		best.Refusal, best.RetryIn = RefusalAllCold, c.warmAt.Sub(r.Now)
 	}
 	bestScore := 0.0
 	// A random start breaks ties between equal scores.
