Own interface: limits that engines and services name are kept as well

The same fault on the product's own interface: an engine or plain service could not say that it is in need, and its agent would not have known. They name a limit in Endpoint-Rate-Limit; the agent, which alone calls the endpoint, holds it for all entries and refuses what is over as not run, tickets included; it reports the limit with its load, and entries leave the endpoint out of their choice beyond an equal part, by the same pushback state as gateways. Stand-ins learn to ask by their admin ports, which dev prints.

--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -67,8 +67,13 @@
 	failed  chan error
 	entries []string
 	stores  []config.StoreHost
+	// admins are the admin ports of the stand-ins beside agents, by agent.
+	admins []standinAdmin
 }
 
+// standinAdmin is the admin port of a stand-in.
+type standinAdmin struct{ agent, url string }
+
 func runDev(s *devSettings, logger *zap.Logger, stop Stop, io IO) error {
 	// The parts end when a stop is requested, and also when one of them could not start: the others
 	// would keep running, and the command would hang.
@@ -96,10 +101,10 @@
 // build starts all parts and configures them.
 func (d *site) build(s *devSettings) error {
 	var err error
-	if d.objects, err = d.standin("objectapi"); err != nil {
+	if d.objects, _, err = d.standin("objectapi"); err != nil {
 		return err
 	}
-	if d.hosts, err = d.standin("hostlist"); err != nil {
+	if d.hosts, _, err = d.standin("hostlist"); err != nil {
 		return err
 	}
 	domains := []string{"domain-a", "domain-b", "domain-c"}
@@ -109,7 +114,7 @@
 		}
 	}
 	for _, domain := range domains[:2] {
-		url, err := d.standin("store")
+		url, _, err := d.standin("store")
 		if err != nil {
 			return err
 		}
@@ -128,17 +133,27 @@
 	return d.configure()
 }
 
-func (d *site) standin(kind string, args ...string) (string, error) {
+// standin starts a stand-in and returns the URLs of it and of its admin port.
+func (d *site) standin(kind string, args ...string) (url, admin string, err error) {
 	set := settings.New(kind)
 	s := bindStandin(set, kind)
 	if err := set.Parse(args, os.LookupEnv); err != nil {
-		return "", err
+		return "", "", err
 	}
-	handler, _, err := newStandin(kind, s)
+	handler, adminHandler, err := newStandin(kind, s)
 	if err != nil {
-		return "", err
+		return "", "", err
+	}
+	if url, err = d.serve(s.Listen, handler); err != nil {
+		return "", "", err
 	}
-	address, stop, err := serveHTTP(s.Listen, handler)
+	admin, err = d.serve(s.Admin, adminHandler)
+	return url, admin, err
+}
+
+// serve serves a handler until the site ends, and returns its URL.
+func (d *site) serve(listen string, handler http.Handler) (string, error) {
+	address, stop, err := serveHTTP(listen, handler)
 	if err != nil {
 		return "", err
 	}
@@ -154,10 +169,11 @@
 }
 
 func (d *site) agent(id, domain, kind, flagName, labels string) error {
-	url, err := d.standin(kind)
+	url, admin, err := d.standin(kind)
 	if err != nil {
 		return err
 	}
+	d.admins = append(d.admins, standinAdmin{id, admin})
 	set := settings.New(id)
 	s := BindAgent(set)
 	if err := set.Parse(append(d.common(id, domain), flagName, url, "-labels", labels), noEnv); err != nil {
@@ -281,6 +297,9 @@
 	for i, url := range d.entries {
 		fmt.Fprintf(w, "entry-%d     %s\n", i+1, url)
 	}
+	for _, a := range d.admins {
+		fmt.Fprintf(w, "%-11s beside a stand-in whose admin port is %s\n", a.agent, a.url)
+	}
 	fmt.Fprintf(w, "\ncustomer key %s\noperator key %s\n\nready; try:\n", devCustomerKey, devOperatorKey)
 	fmt.Fprintf(w, "curl -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"describe\",\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"an oak chair\"}]}'\n", d.entries[0], devCustomerKey)
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -133,6 +133,8 @@
 func buildEntry(s *EntrySettings, p *base, book *errorbudget.Recorder) (*entry.Entry, *idempotency.Binder, *runs.Runner) {
 	table := p.node.Table()
 	directory := routing.NewDirectory(table, p.store, indexSize, table.Self().Incarnation)
+	directory.Pushback.Log = p.zap
+	directory.Senders = func() int { return countEntries(table) }
 	binder := idempotency.NewBinder(idempotency.DefaultConfig(), p.api)
 	runner := &runs.Runner{
 		Directory: directory, Table: table, Pool: p.pool, Tickets: runs.NewTicketPool(p.pool),
@@ -149,6 +151,17 @@
 	return e, binder, runner
 }
 
+// countEntries counts the entries that are not dead, this one among them.
+func countEntries(table *fleet.Table) int {
+	count := 1
+	for _, m := range table.Live() {
+		if m.Role == fleet.RoleEntry {
+			count++
+		}
+	}
+	return count
+}
+
 func newRollout(s *EntrySettings, p *base) *rollout.Runner {
 	held := lease.New(lease.Config{Key: "lease.rollout", Holder: s.ID, Term: rollout.LeaseTerm, CallTimeout: rollout.PollInterval}, p.api)
 	return &rollout.Runner{Node: p.node, Store: p.store, Pool: p.pool, Lease: held, Zap: p.zap}
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -14,12 +14,14 @@
 
 	"limpetwall/internal/coordination/contexttransfer"
 	"limpetwall/internal/coordination/gossip"
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/ledger"
 	"limpetwall/internal/transport/engine"
 	"limpetwall/internal/transport/plainservice"
+	"limpetwall/internal/transport/pushbackheader"
 )
 
 // Config tunes an agent.
@@ -56,6 +58,8 @@
 	// HasEnded reports whether the endpoint's process no longer listens. Set it before use; if nil, crashes are not detected.
 	HasEnded func(ctx context.Context) bool
 	crashes  crashes
+	// asks is what the endpoint asks for. The agent alone calls it, so a limit is the agent's to use.
+	asks *pushback.Endpoint
 
 	draining atomic.Bool
 	inflight calls
@@ -80,6 +84,9 @@
 		cfg: cfg, node: node, store: store, engine: eng, plain: plain, zap: logger, metrics: registry,
 		ledger: ledger.New(cfg.Ledger, node.Table().Self().Incarnation), base: base, cut: cut,
 	}
+	asked := pushback.NewRegistry()
+	asked.Log = logger
+	a.asks = asked.Endpoint(node.Table().Self().ID, node.Table().Self().Incarnation, "")
 	if eng != nil {
 		a.mover = contexttransfer.NewMover(eng, open, store, a.engines, logger, registry)
 	}
@@ -155,10 +162,22 @@
 	}
 	return fleet.Load{
 		AtMS: time.Now().UnixMilli(), LinkRate: link, Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
-		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate,
+		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate, RequestLimit: a.asks.Limit().RequestsPerSecond,
 	}
 }
 
+// ObserveAnswer applies what the endpoint's answer to a call that was sent at a time asks for.
+func (a *Agent) ObserveAnswer(asks pushbackheader.Asks, sent time.Time) {
+	now := time.Now()
+	a.asks.Observe(pushback.Signal{RequestsPerSecond: asks.RequestsPerSecond}, sent, now)
+	if asks.RequestsPerSecond > 0 {
+		a.asks.SetShare(pushback.Share{RequestsPerSecond: asks.RequestsPerSecond, Until: now.Add(limitUnconfirmed)}, now)
+	}
+}
+
+// limitUnconfirmed is how long the agent goes on by a limit while the endpoint answers nothing.
+const limitUnconfirmed = time.Minute
+
 // Leave announces to the fleet that the endpoint leaves. New work is refused from then on.
 func (a *Agent) Leave() {
 	a.draining.Store(true)
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -34,6 +34,7 @@
 	CodeAnswerNotKept    = "answer_not_kept"
 	CodeBadRequest       = "bad_request"
 	CodeCut              = "cut_by_shutdown"
+	CodeLimited          = "endpoint_limits_requests"
 )
 
 // bodyChunk is the size of one event of a plain answer's body.
@@ -56,12 +57,24 @@
 	if r.GetTicket() != nil {
 		return a.runTicket(stream.Context(), r, send)
 	}
+	if refused := a.acquire(); refused != nil {
+		return send(a.withLoad(refusedEvent(refused)))
+	}
 	ctx, cancel := a.runContext(stream.Context(), r)
 	defer cancel()
 	a.execute(ctx, r, send)
 	return nil
 }
 
+// acquire counts a run against the limit that the endpoint names, or refuses it.
+func (a *Agent) acquire() *wire.Refused {
+	ok, retryIn := a.asks.Acquire(time.Now())
+	if ok {
+		return nil
+	}
+	return refuse(CodeLimited, wire.Ran_RAN_NO, retryIn, "the endpoint limits its requests")
+}
+
 // runContext ends with the request's time, its entry, or a forced shutdown.
 func (a *Agent) runContext(parent context.Context, r *wire.RunRequest) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(parent, time.Duration(r.GetTimeoutMs())*time.Millisecond)
@@ -113,6 +126,10 @@
 		return send(a.withLoad(refusedEvent(refuse(CodeLeaving, wire.Ran_RAN_NO, 0, "the endpoint is leaving"))))
 	}
 	if started {
+		if refused := a.acquire(); refused != nil {
+			record.Abandon()
+			return send(a.withLoad(refusedEvent(refused)))
+		}
 		a.inflight.begin()
 		record.Follow() // until this caller's own follow has begun
 		defer record.Unfollow()
--- a/internal/coordination/gateway/weights.go
+++ b/internal/coordination/gateway/weights.go
@@ -59,12 +59,10 @@
 	if !known {
 		return
 	}
-	asks, now := g.pushbackOf(instance), time.Now()
-	if ok, _ := asks.Allows(now); !ok {
+	if ok, _ := g.pushbackOf(instance).Acquire(time.Now()); !ok {
 		g.count("weight_queries_withheld")
 		return
 	}
-	asks.RecordSend(now)
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	report, err := g.QueryWeights(ctx, instance)
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -47,6 +47,9 @@
 	// isAsking is set while the endpoint asks for anything; most endpoints never do.
 	isAsking atomic.Bool
 
+	// acquiring is held from the decision on a request to its record.
+	acquiring sync.Mutex
+
 	mu sync.Mutex
 	// id and domain are empty while the endpoint is known from peers only.
 	id, domain string
@@ -197,6 +200,19 @@
 // any more.
 const unconfirmed = "nobody"
 
+// Acquire reports whether this process may send the endpoint a request now, and records it if so.
+func (e *Endpoint) Acquire(now time.Time) (ok bool, retryIn time.Duration) {
+	if e == nil {
+		return true, 0
+	}
+	e.acquiring.Lock()
+	defer e.acquiring.Unlock()
+	if ok, retryIn = e.Allows(now); ok {
+		e.RecordSend(now)
+	}
+	return ok, retryIn
+}
+
 // RecordSend records that this process sends a request.
 func (e *Endpoint) RecordSend(now time.Time) {
 	if e == nil {
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -26,6 +26,9 @@
 type Directory struct {
 	// Pushback holds what the endpoints ask for.
 	Pushback *pushback.Registry
+	// Senders returns how many processes send to the endpoints, this one among them, for limits that
+	// come with load reports. If nil, only this one does. Set it before use.
+	Senders func() int
 
 	table *fleet.Table
 	store *config.Store
@@ -45,6 +48,8 @@
 	peers          map[uint64]peer
 	peerWork       map[uint32]*Work
 	reportingPeers map[string]int
+	// senders is what Senders returned when the fleet last changed.
+	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
 	random     *rand.Rand
@@ -54,8 +59,8 @@
 // seed makes its random choices repeatable in tests.
 func NewDirectory(table *fleet.Table, store *config.Store, indexSize int, seed uint64) *Directory {
 	return &Directory{
-		Pushback: pushback.NewRegistry(),
-		table:    table, store: store, index: NewIndex(indexSize),
+		Pushback: pushback.NewRegistry(), senders: 1,
+		table: table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
 		modelRates: map[string]*modelRate{}, random: rand.New(rand.NewPCG(seed, seed)),
@@ -89,6 +94,9 @@
 		d.localEndpoints[service] = endpointsInDomain(list, d.table.Self().Domain)
 	}
 	d.removeDead(members)
+	if d.Senders != nil {
+		d.senders = max(1, d.Senders())
+	}
 	d.fleetGeneration, d.configRevision = generation, view.Revision
 }
 
@@ -177,7 +185,7 @@
 	defer d.mu.Unlock()
 	for id, t := range d.tracked {
 		if r, ok := d.table.ReportOf(id); ok && r.Incarnation == t.incarnation {
-			t.observe(r.Load, r.At)
+			t.observe(r.Load, d.senders, r.At)
 		}
 	}
 }
@@ -222,7 +230,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if t := d.trackedFor(c); t != nil {
-		t.observe(load, now)
+		t.observe(load, d.senders, now)
 	}
 }
 
--- a/internal/coordination/routing/limit_test.go
+++ b/internal/coordination/routing/limit_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"limpetwall/internal/coordination/pushback"
+	"limpetwall/internal/state/fleet"
 )
 
 // limitEndpoint lets an endpoint name a limit, of which this process has a share.
@@ -58,3 +59,30 @@
 		t.Errorf("got %v, %s, want the idle endpoint whose limit this process may use", d.Endpoint, d.Reason)
 	}
 }
+
+// TestReportedLimitIsDivided guards against entries that each send an agent the whole limit of its
+// endpoint, and against an older report that brings a limit back.
+func TestReportedLimitIsDivided(t *testing.T) {
+	d, _ := newDirectory(t, 1)
+	d.Senders = func() int { return 4 }
+	now := epoch.Add(time.Minute)
+	d.UsableMembers("s", now)
+	c := Choice{Member: fleet.Member{ID: "e0", Incarnation: 1}}
+	d.ObserveLoad(c, fleet.Load{RequestLimit: 2, AtMS: now.UnixMilli()}, now)
+	sent := 0
+	for ms := 0; ms < 8000; ms += 100 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		if d.Choose("s", nil, &Request{PromptTokens: 1, Now: at}).Member.ID != "" {
+			sent++
+		}
+	}
+	if sent < 3 || sent > 5 {
+		t.Errorf("got %d requests in 8 s of a limit of 2 a second for 4 entries, want 3 to 5", sent)
+	}
+	later := now.Add(9 * time.Second)
+	d.ObserveLoad(c, fleet.Load{AtMS: later.UnixMilli()}, later)
+	d.ObserveLoad(c, fleet.Load{RequestLimit: 2, AtMS: now.Add(time.Second).UnixMilli()}, later.Add(time.Second))
+	if d.Choose("s", nil, &Request{PromptTokens: 1, Now: later.Add(3 * time.Second)}).Member.ID == "" {
+		t.Error("an endpoint without a limit is not used")
+	}
+}
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/state/fleet"
 )
 
@@ -39,11 +40,14 @@
 
 // observe applies a load if it is newer, by the agent's own timestamp: a report that was in
 // transit for seconds must not replace one that came with an answer, nor discard what was
-// sent after it was taken.
-func (t *trackedEndpoint) observe(load fleet.Load, arrived time.Time) {
+// sent after it was taken. senders is the number of processes that send to the endpoint.
+func (t *trackedEndpoint) observe(load fleet.Load, senders int, arrived time.Time) {
 	if load.AtMS <= t.loadTakenMS && t.loadTakenMS != 0 {
 		return
 	}
+	if !t.CountsOnly {
+		t.observeReportedLimit(load.RequestLimit, senders, arrived)
+	}
 	difference := arrived.Sub(time.UnixMilli(load.AtMS))
 	if t.loadTakenMS == 0 || difference < t.clockOffset {
 		t.clockOffset = difference
@@ -62,6 +66,21 @@
 	}
 }
 
+// observeReportedLimit applies a limit that an agent reports with its load. The agent enforces it for
+// all processes together; each uses an equal part, so that the agent refuses few requests.
+func (t *trackedEndpoint) observeReportedLimit(perSecond float64, senders int, now time.Time) {
+	if perSecond == 0 && t.Pushback.Limit().RequestsPerSecond == 0 {
+		return
+	}
+	t.Pushback.Observe(pushback.Signal{RequestsPerSecond: perSecond}, now, now)
+	if perSecond > 0 {
+		t.Pushback.SetShare(pushback.Share{RequestsPerSecond: perSecond / float64(senders), Until: now.Add(reportedShareTime)}, now)
+	}
+}
+
+// reportedShareTime is how long a share of a reported limit is used while no report comes.
+const reportedShareTime = time.Minute
+
 // observePeerFactor updates PeerFactor with the endpoint's and this process's count of runs.
 func (t *trackedEndpoint) observePeerFactor(load fleet.Load) {
 	const weight = 0.05
--- a/internal/coordination/runs/atmostonce.go
+++ b/internal/coordination/runs/atmostonce.go
@@ -40,7 +40,7 @@
 		request.Now = time.Now()
 		choice := r.Directory.Choose(job.Service.ID, nil, request)
 		if choice.Member.ID == "" {
-			return Result{}, noEndpointError(choice.Refusal, last, p)
+			return Result{}, noEndpointError(choice, last, p)
 		}
 		ticket, err := r.Tickets.Acquire(ctx, choice.Member)
 		if err != nil {
--- a/internal/coordination/runs/errors.go
+++ b/internal/coordination/runs/errors.go
@@ -108,13 +108,16 @@
 	}
 }
 
-func noEndpointError(refusal routing.Refusal, last *outcome, p *progress) *apierror.Error {
+func noEndpointError(c routing.Choice, last *outcome, p *progress) *apierror.Error {
 	if last != nil {
 		return last.retryLaterError(p, "no other endpoint is left")
 	}
-	if refusal == routing.RefusalAllFull {
+	if c.Refusal == routing.RefusalAllFull {
 		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "all endpoints are full", 500*time.Millisecond)
 	}
+	if c.Refusal == routing.RefusalAllLimited {
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "all endpoints limit their requests", max(c.RetryIn, 200*time.Millisecond))
+	}
 	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint serves this now", time.Second)
 }
 
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -153,7 +153,7 @@
 		request.Now, request.WeightVersion = time.Now(), p.weightVersion
 		choice := r.Directory.Choose(job.Service.ID, keys, request)
 		if choice.Member.ID == "" {
-			return Result{}, noEndpointError(choice.Refusal, last, p)
+			return Result{}, noEndpointError(choice, last, p)
 		}
 		// All services share the budget. If it were spent before an endpoint is chosen, a
 		// service whose only endpoint fails would drain it without making a retry, and callers
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -355,3 +356,38 @@
 		t.Errorf("the other customer: %d", a.status)
 	}
 }
+
+// TestLimitedEngineIsNotCrowded guards against an engine in need that gets more prompts than the limit
+// which it names, from two entries, while another engine is free, and against one that is not used any
+// more afterwards.
+func TestLimitedEngineIsNotCrowded(t *testing.T) {
+	s := newSite(t)
+	s.whole(2, "-token-time", "0s", "-prefill-rate", "0")
+	const limit, window = 2, 4 * time.Second
+	s.fault("engine-1", `{"rate_limit":2}`)
+	s.eventually("both entries know of the limit", func() bool {
+		for _, entry := range []string{"entry-1", "entry-2"} {
+			s.do(http.MethodPost, s.url(entry, "/v1/completions"), customerKey, nil, completionBody("chair", 1))
+			if !strings.Contains(s.procs[entry].lines(), "endpoint limits its requests") {
+				return false
+			}
+		}
+		return true
+	})
+	before, sent := s.runs("engine-1"), 0
+	for end := time.Now().Add(window); time.Now().Before(end); sent++ {
+		entry := []string{"entry-1", "entry-2"}[sent%2]
+		if a := s.do(http.MethodPost, s.url(entry, "/v1/completions"), customerKey, nil, completionBody(fmt.Sprint("chair ", sent), 1)); a.status != http.StatusOK {
+			t.Errorf("a prompt got %d %s", a.status, a.body)
+		}
+	}
+	if got, allowed := s.runs("engine-1")-before, int(1.5*limit*window.Seconds())+5; got > allowed || got == 0 {
+		t.Errorf("the limited engine got %d of %d prompts in %v, want 1 to %d", got, sent, window, allowed)
+	}
+	s.fault("engine-1", `{}`)
+	before = s.runs("engine-1")
+	s.eventually("the engine is used again", func() bool {
+		s.do(http.MethodPost, s.url("entry-1", "/v1/completions"), customerKey, nil, completionBody("chair", 1))
+		return s.runs("engine-1")-before > 3*limit
+	})
+}
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -96,6 +96,9 @@
 	LinkRate int `json:"link_rate,omitempty"`
 	// AtMS is when the agent took it, by its own clock, in Unix ms.
 	AtMS int64 `json:"at_ms,omitempty"`
+	// RequestLimit is the number of requests a second that the endpoint accepts from all entries
+	// together, 0 for no limit.
+	RequestLimit float64 `json:"request_limit,omitempty"`
 }
 
 // Report is a member's soft state: it ages, and a lost one is replaced by the next.
@@ -154,6 +157,7 @@
 	return &wire.Load{
 		Running: uint32(l.Running), Queued: uint32(l.Queued),
 		QueuedTokens: uint64(l.QueuedTokens), PrefillRate: uint32(l.PrefillRate), LinkRate: uint32(l.LinkRate), AtMs: l.AtMS,
+		RequestLimit: float32(l.RequestLimit),
 	}
 }
 
@@ -162,6 +166,7 @@
 	return Load{
 		Running: int(w.GetRunning()), Queued: int(w.GetQueued()),
 		QueuedTokens: int(w.GetQueuedTokens()), PrefillRate: int(w.GetPrefillRate()), LinkRate: int(w.GetLinkRate()), AtMS: w.GetAtMs(),
+		RequestLimit: float64(w.GetRequestLimit()),
 	}
 }
 
--- a/internal/transport/fault/fault.go
+++ b/internal/transport/fault/fault.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpetwall/internal/transport/httpjson"
+	"limpetwall/internal/transport/pushbackheader"
 )
 
 // Faults holds the faults of a stand-in. The zero value injects none.
@@ -22,6 +23,8 @@
 	// LostAnswers is the number of next writes (calls other than GET) that take effect
 	// but whose connection is dropped without a response.
 	LostAnswers int `json:"lost_answers"`
+	// RateLimit makes every answer name a limit of so many requests per second; 0 names none.
+	RateLimit float64 `json:"rate_limit"`
 }
 
 // Injector applies faults to the HTTP handler of a stand-in.
@@ -107,6 +110,7 @@
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
+		pushbackheader.Asks{RequestsPerSecond: faults.RateLimit}.Encode(w.Header())
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/transport/plainservice/plainservice.go
+++ b/internal/transport/plainservice/plainservice.go
@@ -60,10 +60,11 @@
 	return &http.Transport{DisableKeepAlives: true}
 }
 
-// NewClient returns an adapter for the service at base ("http://ip:port").
-func NewClient(base string) *Client {
+// NewClient returns an adapter for the service at base ("http://ip:port") that calls it through a
+// transport, for example that of NewTransport.
+func NewClient(base string, transport http.RoundTripper) *Client {
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{base: base, http: &http.Client{Transport: NewTransport(), CheckRedirect: refuseRedirect}}
+	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
 
 // Call implements Service.
--- a/internal/transport/plainservice/plainservice_test.go
+++ b/internal/transport/plainservice/plainservice_test.go
@@ -15,6 +15,6 @@
 	plainservicetest.Run(t, func(handler http.Handler) plainservice.Service {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
-		return plainservice.NewClient(server.URL)
-	}, plainservice.NewClient(gone.URL))
+		return plainservice.NewClient(server.URL, plainservice.NewTransport())
+	}, plainservice.NewClient(gone.URL, plainservice.NewTransport()))
 }
--- /dev/null
+++ b/internal/transport/pushbackheader/pushbackheader.go
@@ -0,0 +1,54 @@
+// Package pushbackheader holds the headers by which the product's engines and plain services say in
+// their answers what they ask for.
+package pushbackheader
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// RateLimit is the number of requests a second, a decimal number, that the server accepts from all its
+// callers together, for as long as its answers say so.
+const RateLimit = "Endpoint-Rate-Limit"
+
+// Asks is what one answer asks for.
+type Asks struct {
+	// RequestsPerSecond is 0 if the answer names no limit.
+	RequestsPerSecond float64
+}
+
+// Decode reads what an answer asks for. A limit that is not a positive number names none.
+func Decode(h http.Header) Asks {
+	var a Asks
+	if rate, err := strconv.ParseFloat(h.Get(RateLimit), 64); err == nil && rate > 0 && !math.IsInf(rate, 0) {
+		a.RequestsPerSecond = rate
+	}
+	return a
+}
+
+// Encode writes what an answer asks for.
+func (a Asks) Encode(h http.Header) {
+	if a.RequestsPerSecond > 0 {
+		h.Set(RateLimit, strconv.FormatFloat(a.RequestsPerSecond, 'g', -1, 64))
+	}
+}
+
+// Transport passes on what each answer asks for.
+type Transport struct {
+	Next http.RoundTripper
+	// Observe is called before the answer to a request is returned that was sent at a time. Set it before
+	// use.
+	Observe func(a Asks, sent time.Time)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	sent := time.Now()
+	resp, err := t.Next.RoundTrip(r)
+	if err == nil {
+		t.Observe(Decode(resp.Header), sent)
+	}
+	return resp, err
+}
