Answers that say that a server leaves are decoded and logged

A line with the first such answer, and its age in the attempts of request lines. Nothing decides by it yet.

--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -48,6 +48,8 @@
 	// names none. SentInWindow counts this process's requests in pushback.Window before.
 	LimitPerSecond float64 `json:"limit_per_s,omitempty"`
 	SentInWindow   int     `json:"sent_in_window,omitempty"`
+	// LeavingForMS is how long ago an answer first said that the endpoint leaves, omitted if none did.
+	LeavingForMS int64 `json:"leaving_for_ms,omitempty"`
 }
 
 // receiptFor returns what the caller has received. The ending alone doesn't say: a refusal after a head
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -64,6 +66,8 @@
 	// unlimitedAt is when the request was sent whose answer last named no limit. What was sent after
 	// it and before the process heard of a limit may count against that limit.
 	unlimitedAt time.Time
+	// leavingSince is when an answer first said that the endpoint leaves, zero before.
+	leavingSince time.Time
 	// sends are the times of this process's requests within Window, oldest first.
 	sends []time.Time
 	// pending is set while the limit has changed by an answer and peers have not been told.
@@ -80,6 +84,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if s.Leaving && e.leavingSince.IsZero() {
+		e.leavingSince = now
+		e.registry.Log.Info("endpoint says that it leaves", zap.String("endpoint", e.id))
+	}
 	if s.RequestsPerSecond > 0 {
 		e.setLimit(Limit{RequestsPerSecond: s.RequestsPerSecond, AsOf: now}, now)
 		return
@@ -139,6 +147,19 @@
 	e.setShare(s, now)
 }
 
+// LeavingFor returns how long ago an answer first said that the endpoint leaves, 0 if none did.
+func (e *Endpoint) LeavingFor(now time.Time) time.Duration {
+	if e == nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leavingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(e.leavingSince)
+}
+
 // Share returns the part of the limit that this process may use now.
 func (e *Endpoint) Share(now time.Time) float64 {
 	e.mu.Lock()
--- a/internal/coordination/pushback/signal.go
+++ b/internal/coordination/pushback/signal.go
@@ -8,4 +8,6 @@
 	// RequestsPerSecond is the rate that the endpoint accepts from all processes together, for as
 	// long as its answers say so; 0 if the answer names no limit.
 	RequestsPerSecond float64
+	// Leaving is set if the endpoint shuts down.
+	Leaving bool
 }
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -123,6 +123,8 @@
 	// number of requests that this process sent it in pushback.Window before.
 	RequestsPerSecond float64
 	SentInWindow      int
+	// LeavingFor is how long ago an answer first said that the endpoint leaves, 0 if none did.
+	LeavingFor time.Duration
 }
 
 func (t *trackedEndpoint) snapshot(now time.Time) LoadSnapshot {
@@ -132,5 +134,6 @@
 	}
 	s.PeerRunning, s.PeerUnread = t.PeerWork.Running, t.PeerWork.UnreadTokens()
 	s.RequestsPerSecond, s.SentInWindow = t.Pushback.Limit().RequestsPerSecond, t.Pushback.RecentSends(now)
+	s.LeavingFor = t.Pushback.LeavingFor(now)
 	return s
 }
