--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -212,7 +212,7 @@
 		LoadAgeMS: c.LoadSnapshot.LoadAge.Milliseconds(), PeerRunning: c.LoadSnapshot.PeerRunning, PeerUnread: c.LoadSnapshot.PeerUnread,
 	}
 	record.Reused, record.Answered = x.trace.Reused, x.trace.Answered
-	record.LeavingForMS = c.LoadSnapshot.LeavingFor.Milliseconds()
+	record.LeavingForMS, record.RestLeftMS = c.LoadSnapshot.LeavingFor.Milliseconds(), c.LoadSnapshot.RestLeft.Milliseconds()
 	if c.LoadSnapshot.RequestsPerSecond > 0 {
 		record.LimitPerSecond, record.SentInWindow = c.LoadSnapshot.RequestsPerSecond, c.LoadSnapshot.SentInWindow
 	}
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -68,6 +68,8 @@
 	unlimitedAt time.Time
 	// leavingSince is when an answer first said that the endpoint leaves, zero before.
 	leavingSince time.Time
+	// restUntil is until when the endpoint wants no requests of this process.
+	restUntil time.Time
 	// sends are the times of this process's requests within Window, oldest first.
 	sends []time.Time
 	// pending is set while the limit has changed by an answer and peers have not been told.
@@ -88,6 +90,12 @@
 		e.leavingSince = now
 		e.registry.Log.Info("endpoint says that it leaves", zap.String("endpoint", e.id))
 	}
+	if until := now.Add(s.RetryAfter); until.After(e.restUntil) && s.RetryAfter > 0 {
+		if !e.restUntil.After(now) {
+			e.registry.Log.Info("endpoint asks for rest", zap.String("endpoint", e.id), zap.Duration("rest", s.RetryAfter))
+		}
+		e.restUntil = until
+	}
 	if s.RequestsPerSecond > 0 {
 		e.setLimit(Limit{RequestsPerSecond: s.RequestsPerSecond, AsOf: now}, now)
 		return
@@ -160,6 +168,16 @@
 	return now.Sub(e.leavingSince)
 }
 
+// RestLeft returns for how much longer the endpoint wants no requests of this process.
+func (e *Endpoint) RestLeft(now time.Time) time.Duration {
+	if e == nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, e.restUntil.Sub(now))
+}
+
 // Share returns the part of the limit that this process may use now.
 func (e *Endpoint) Share(now time.Time) float64 {
 	e.mu.Lock()
--- a/internal/coordination/pushback/signal.go
+++ b/internal/coordination/pushback/signal.go
@@ -1,5 +1,7 @@
 package pushback
 
+import "time"
+
 // MaxRate is the highest request rate that counts as a limit, in requests per second.
 const MaxRate = 1e9
 
@@ -10,4 +12,7 @@
 	RequestsPerSecond float64
 	// Leaving is set if the endpoint shuts down.
 	Leaving bool
+	// RetryAfter is how long the endpoint wants no requests of this process, 0 if the answer does not
+	// say so.
+	RetryAfter time.Duration
 }
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -125,6 +125,8 @@
 	SentInWindow      int
 	// LeavingFor is how long ago an answer first said that the endpoint leaves, 0 if none did.
 	LeavingFor time.Duration
+	// RestLeft is for how much longer the endpoint wants no requests of this process.
+	RestLeft time.Duration
 }
 
 func (t *trackedEndpoint) snapshot(now time.Time) LoadSnapshot {
@@ -134,6 +136,6 @@
 	}
 	s.PeerRunning, s.PeerUnread = t.PeerWork.Running, t.PeerWork.UnreadTokens()
 	s.RequestsPerSecond, s.SentInWindow = t.Pushback.Limit().RequestsPerSecond, t.Pushback.RecentSends(now)
-	s.LeavingFor = t.Pushback.LeavingFor(now)
+	s.LeavingFor, s.RestLeft = t.Pushback.LeavingFor(now), t.Pushback.RestLeft(now)
 	return s
 }
