--- a/internal/coordination/pushback/news.go
+++ b/internal/coordination/pushback/news.go
@@ -103,6 +103,7 @@
 		if !forget {
 			continue
 		}
+		r.setAsking(e, false)
 		r.mu.Lock()
 		if r.endpoints[e.key] == e {
 			delete(r.endpoints, e.key)
--- a/internal/coordination/pushback/registry.go
+++ b/internal/coordination/pushback/registry.go
@@ -138,6 +138,7 @@
 		if e.isLimited(now) && e.limit.RequestsPerSecond > 0 && e.id != "" {
 			out = append(out, Limited{e, e.key, e.id, e.domain, e.limit.RequestsPerSecond, e.limit.Since})
 		}
+		e.updateAsking(now)
 		e.mu.Unlock()
 	}
 	return out
