Nothing is sent to a server whose answers say that it leaves

Callers saw requests reach a server 2.6 s after its answers had said that it leaves (bound 2 s), while the store was away.

That an endpoint leaves is kept with what else endpoints ask for, from the first answer on and for its incarnation, and told to the other gateways at once. Choices of any kind leave it out; discovery treats it like one whose entry says so, whatever the entry says: its runs move elsewhere, it gets no orders, its end is no crash, idle connections to it are closed.

--- a/internal/coordination/discovery/restart_test.go
+++ b/internal/coordination/discovery/restart_test.go
@@ -136,3 +136,32 @@
 		}
 	})
 }
+
+// TestEndpointThatSaidItLeavesStaysSo guards against an endpoint that is used again because its entry,
+// which never says that it leaves, is written again, and against one that has restarted and is not used.
+func TestEndpointThatSaidItLeavesStaysSo(t *testing.T) {
+	s := newState()
+	entry := Instance{ID: "i", Born: 1, Revision: 1, Service: "s", Address: "10.0.0.1:1"}
+	s.SetInstance(entry)
+	s.MarkLeaving("i", fleet.Incarnation{ID: "i", Born: 2})
+	if i, _ := s.Instance("i"); i.Leaving {
+		t.Error("the endpoint leaves by what another incarnation said")
+	}
+	s.MarkLeaving("i", entry.Incarnation())
+	<-s.Draining("i")
+	entry.Revision, entry.Slots = 2, 9
+	s.SetInstance(entry)
+	if i, _ := s.Instance("i"); !i.Leaving || i.Slots != 9 {
+		t.Errorf("got %+v after the entry was written again, want a leaving endpoint", i)
+	}
+	entry.Revision, entry.Born = 3, 2
+	s.SetInstance(entry)
+	if i, _ := s.Instance("i"); i.Leaving {
+		t.Error("the endpoint still leaves after a restart")
+	}
+	s.MarkLeaving("i", entry.Incarnation())
+	s.ObserveStart("i", 3, 0)
+	if i, _ := s.Instance("i"); i.Leaving {
+		t.Error("the endpoint still leaves after a restart that it reported itself")
+	}
+}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -95,6 +95,9 @@
 	removedAt time.Time
 	// coldUntil is until when the endpoint is cold, by time.Now.
 	coldUntil time.Time
+	// saidLeaving is set once the endpoint's own answers have said that it leaves. Its entry may never
+	// do so.
+	saidLeaving bool
 }
 
 // NewState returns an empty state. onRoutes is called with each routing table that comes
@@ -243,6 +246,7 @@
 		// the version of the weights only grows.
 		i.Weights = k.Weights
 	}
+	i.Leaving = i.Leaving || k.saidLeaving
 	reappeared := !k.removedAt.IsZero()
 	coldChanged := (!ok || i.Revision > k.Revision) && k.setCold(i.ColdFor, time.Now())
 	changed := !ok || reappeared || restarted || coldChanged || !isSameRow(k.Instance, i)
@@ -298,6 +302,9 @@
 func (s *State) recordRestart(k *knownInstance, born int64) {
 	s.Log.Info("endpoint restarted under the same id", zap.String("endpoint", k.ID), zap.Int64("born", born), zap.Int64("before", k.Born))
 	k.Born, k.Orders, k.loading = born, 0, false
+	if k.saidLeaving {
+		k.Leaving, k.saidLeaving = false, false
+	}
 	k.setCold(s.coldStart(k.Service), time.Now())
 }
 
@@ -322,6 +329,19 @@
 	return true
 }
 
+// MarkLeaving records that the answers of an endpoint's incarnation say that it leaves.
+func (s *State) MarkLeaving(id string, incarnation fleet.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.instances[id]
+	if !ok || k.Incarnation() != incarnation || k.Leaving {
+		return
+	}
+	k.Leaving, k.saidLeaving = true, true
+	s.writeRow(k, stateOf(k.Instance))
+	s.Log.Info("endpoint leaves by its own answers", zap.String("endpoint", id), zap.String("service", k.Service))
+}
+
 func stateOf(i Instance) fleet.State {
 	if i.Leaving {
 		return fleet.Leaving
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -42,6 +42,7 @@
 	headerSegment      = "T-Part"
 	headerContinueFrom = "T-Continue"
 	headerLimit        = "T-Limit"
+	headerLeaving      = "T-Leaving"
 )
 
 type testCodec struct{}
@@ -76,7 +77,7 @@
 	limit, _ := strconv.ParseFloat(h.Get(headerLimit), 64)
 	return Reply{
 		ID: h.Get(headerID), NotRun: misdirected || h.Get(headerNotRun) != "", Misdirected: misdirected, Weights: weights,
-		Pushback: pushback.Signal{RequestsPerSecond: limit},
+		Pushback: pushback.Signal{RequestsPerSecond: limit, Leaving: h.Get(headerLeaving) != ""},
 	}
 }
 
--- a/internal/coordination/gateway/pushback.go
+++ b/internal/coordination/gateway/pushback.go
@@ -18,6 +18,17 @@
 	}
 }
 
+// syncLeaving lets discovery treat the endpoints whose answers say that they leave like those whose
+// entries say so: their runs move elsewhere, and they get no orders.
+func (g *Gateway) syncLeaving() {
+	for _, i := range g.State.Instances() {
+		if !i.Leaving && g.pushbackOf(i).IsLeaving() {
+			g.State.MarkLeaving(i.ID, i.Incarnation())
+			g.Pool.Forget(i.Address)
+		}
+	}
+}
+
 // pushbackOf returns what an endpoint asks for, nil if it is not tracked yet.
 func (g *Gateway) pushbackOf(i discovery.Instance) *pushback.Endpoint {
 	return g.Directory.Pushback.Find(pushback.KeyOf(i.ID, i.Incarnation().Hash()))
--- a/internal/coordination/gateway/pushback_test.go
+++ b/internal/coordination/gateway/pushback_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"runtime"
 	"testing"
@@ -60,3 +61,31 @@
 		t.Errorf("got %d requests and a limit of %g, want 2 and 1", s.requestCount(), asks.Limit().RequestsPerSecond)
 	}
 }
+
+// TestEndpointThatSaysItLeavesGetsNoMoreRequests guards against a request, or its retry, that goes to an
+// endpoint whose answers say that it leaves, and against discovery that does not know: runs would not
+// move elsewhere, and the endpoint's end would count as a crash.
+func TestEndpointThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	s := newTestServer(t, singleRoute(routes.Idempotent, 3), respond(200, "last", headerLeaving+": 1"), respond(500, "failed"))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.gateway.RunEndpointSync(ctx)
+	draining := s.gateway.State.Draining("i-0")
+	leaving := s.endpoints[0]
+	for leaving.requestCount() == 0 {
+		s.do(s.newRequest("GET", "/r/x", ""))
+	}
+	for range 10 {
+		resp, body, err := s.do(s.newRequest("GET", "/r/x", ""))
+		if err != nil || resp.StatusCode != http.StatusInternalServerError || body != "failed" {
+			t.Errorf("got %v, %q, %v, want the other endpoint's answer", resp, body, err)
+		}
+	}
+	if n := leaving.requestCount(); n != 1 {
+		t.Errorf("the leaving endpoint got %d requests, want 1", n)
+	}
+	<-draining
+	if i, _ := s.gateway.State.Instance("i-0"); !i.Leaving {
+		t.Error("discovery does not know that the endpoint leaves")
+	}
+}
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -19,8 +19,10 @@
 	for {
 		changed := g.State.Table.Changed()
 		addresses = g.syncEndpoints(addresses)
+		g.syncLeaving()
 		select {
 		case <-changed:
+		case <-g.Directory.Pushback.LeavingHeard():
 		case <-ticker.C:
 			g.Pool.Sweep(time.Now())
 		case <-ctx.Done():
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -39,14 +39,15 @@
 	// unlimitedAt is when the request was sent whose answer last named no limit. What was sent after
 	// it and before the process heard of a limit may count against that limit.
 	unlimitedAt time.Time
-	// leavingSince is when an answer first said that the endpoint leaves, zero before.
+	// leavingSince is when this process first heard that the endpoint leaves, zero before.
 	leavingSince time.Time
 	// restUntil is until when the endpoint wants no requests of this process.
 	restUntil time.Time
 	// sends are the times of this process's requests within Window, oldest first.
 	sends []time.Time
-	// pending is set while the limit has changed by an answer and peers have not been told.
-	pending bool
+	// pending is set while the limit has changed by an answer and peers have not been told,
+	// pendingLeaving while that is so for the endpoint's leaving.
+	pending, pendingLeaving bool
 }
 
 // Observe records the signal of an answer that arrived now to a request that was sent earlier.
@@ -56,9 +57,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.Leaving && e.leavingSince.IsZero() {
-		e.leavingSince = now
-		e.registry.Log.Info("endpoint says that it leaves", zap.String("endpoint", e.id))
+	if s.Leaving {
+		e.setLeaving("", now)
 	}
 	if until := now.Add(s.RetryAfter); until.After(e.restUntil) && s.RetryAfter > 0 {
 		if !e.restUntil.After(now) {
@@ -69,19 +69,6 @@
 	e.observeLimit(s.RequestsPerSecond, sent, now)
 }
 
-// LeavingFor returns how long ago an answer first said that the endpoint leaves, 0 if none did.
-func (e *Endpoint) LeavingFor(now time.Time) time.Duration {
-	if e == nil {
-		return 0
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.leavingSince.IsZero() {
-		return 0
-	}
-	return now.Sub(e.leavingSince)
-}
-
 // RestLeft returns for how much longer the endpoint wants no requests of this process.
 func (e *Endpoint) RestLeft(now time.Time) time.Duration {
 	if e == nil {
@@ -100,6 +87,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.isLeaving() {
+		return false, unknownRetry
+	}
 	ok, retryIn = e.allowsByLimit(now)
 	e.updateAsking(now)
 	return ok, retryIn
@@ -107,7 +97,7 @@
 
 // updateAsking records whether the endpoint still asks for anything; e.mu is held.
 func (e *Endpoint) updateAsking(now time.Time) {
-	if !e.isLimited(now) && !e.pending {
+	if !e.isLimited(now) && !e.isLeaving() && !e.pending {
 		e.registry.setAsking(e, false)
 	}
 }
--- a/internal/coordination/pushback/endpoint_test.go
+++ b/internal/coordination/pushback/endpoint_test.go
@@ -177,3 +177,28 @@
 		t.Error("the limit that a peer named is not known of the endpoint")
 	}
 }
+
+// TestLeavingIsForGood guards against requests to an endpoint that leaves, by later answers that do not
+// say so, and against processes that are never told.
+func TestLeavingIsForGood(t *testing.T) {
+	r, peer := NewRegistry(), NewRegistry()
+	e := r.Endpoint("i-1", 1, "a")
+	e.Observe(Signal{Leaving: true}, at(0), at(10))
+	e.Observe(Signal{}, at(20), at(30))
+	if allows(e, start.Add(time.Hour)) || !e.IsLeaving() {
+		t.Error("a request to the leaving endpoint is allowed")
+	}
+	told := r.PopLeaving()
+	if len(told) != 1 || len(r.PopLeaving()) != 0 || len(r.AllLeaving()) != 1 {
+		t.Errorf("got %v to tell peers, want the endpoint once", told)
+	}
+	peer.MergeLeaving(told[0], "10.0.0.1", at(40))
+	if allows(peer.Endpoint("i-1", 1, "a"), at(50)) || len(peer.PopLeaving()) != 0 {
+		t.Error("a peer that was told allows a request, or tells others in turn")
+	}
+	peer.MergeLeaving(KeyOf("i-2", 1), "10.0.0.1", at(40))
+	peer.DropUnknown(at(40).Add(2 * leavingUnknown))
+	if len(peer.AllLeaving()) != 1 {
+		t.Error("an endpoint that was never discovered is remembered for good")
+	}
+}
--- /dev/null
+++ b/internal/coordination/pushback/leaving.go
@@ -0,0 +1,95 @@
+package pushback
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// leavingUnknown is how long it is remembered that an endpoint leaves which this process has not
+// discovered.
+const leavingUnknown = time.Minute
+
+// setLeaving records that the endpoint leaves, for good: a process that shuts down does not come back.
+// from is the peer that said so, empty for an answer. e.mu is held.
+func (e *Endpoint) setLeaving(from string, now time.Time) {
+	if e.isLeaving() {
+		return
+	}
+	e.leavingSince = now
+	e.registry.setAsking(e, true)
+	if e.pendingLeaving = from == ""; e.pendingLeaving {
+		notify(e.registry.news)
+	}
+	notify(e.registry.leaving)
+	e.registry.Log.Info("endpoint says that it leaves", zap.String("endpoint", e.id), zap.String("heard_from", source(from)))
+}
+
+// isLeaving reports whether the endpoint leaves; e.mu is held.
+func (e *Endpoint) isLeaving() bool { return !e.leavingSince.IsZero() }
+
+// LeavingFor returns how long ago this process first heard that the endpoint leaves, 0 if it has not.
+func (e *Endpoint) LeavingFor(now time.Time) time.Duration {
+	if e == nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.isLeaving() {
+		return 0
+	}
+	return now.Sub(e.leavingSince)
+}
+
+// IsLeaving reports whether the endpoint leaves.
+func (e *Endpoint) IsLeaving() bool {
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isLeaving()
+}
+
+// LeavingHeard returns a channel that receives an item when an endpoint was first heard to leave. It
+// has one reader.
+func (r *Registry) LeavingHeard() <-chan struct{} { return r.leaving }
+
+// MergeLeaving records that a peer says that an endpoint leaves.
+func (r *Registry) MergeLeaving(key Key, from string, now time.Time) {
+	e := r.Find(key)
+	if e == nil {
+		e = r.addFromPeer(key)
+	}
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setLeaving(from, now)
+}
+
+// PopLeaving returns the endpoints whose leaving answers to this process have said since the last call.
+func (r *Registry) PopLeaving() []Key {
+	var out []Key
+	for _, e := range r.allAsking() {
+		e.mu.Lock()
+		if e.pendingLeaving {
+			e.pendingLeaving = false
+			out = append(out, e.key)
+		}
+		e.mu.Unlock()
+	}
+	return out
+}
+
+// AllLeaving returns all endpoints that leave.
+func (r *Registry) AllLeaving() []Key {
+	var out []Key
+	for _, e := range r.allAsking() {
+		if e.IsLeaving() {
+			out = append(out, e.key)
+		}
+	}
+	return out
+}
--- a/internal/coordination/pushback/news.go
+++ b/internal/coordination/pushback/news.go
@@ -62,7 +62,10 @@
 	if now.Sub(n.AsOf) > limitTTL {
 		return
 	}
-	e := r.byKey(n)
+	e := r.Find(n.Endpoint)
+	if e == nil && n.RequestsPerSecond > 0 {
+		e = r.addFromPeer(n.Endpoint)
+	}
 	if e == nil {
 		return
 	}
@@ -74,17 +77,19 @@
 	e.setLimit(Limit{RequestsPerSecond: n.RequestsPerSecond, AsOf: n.AsOf, From: from}, now)
 }
 
-// byKey returns the endpoint that a peer names. One that this process has not discovered yet is
-// remembered by its key, if it is limited.
-func (r *Registry) byKey(n News) *Endpoint {
+// addFromPeer remembers an endpoint that a peer names and this process has not discovered. It returns
+// nil if there are too many.
+func (r *Registry) addFromPeer(key Key) *Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.endpoints[n.Endpoint]
-	if e == nil && n.RequestsPerSecond > 0 && r.fromPeers < maxFromPeers {
-		r.fromPeers++
-		e = r.add(n.Endpoint)
+	if e := r.endpoints[key]; e != nil {
+		return e
+	}
+	if r.fromPeers >= maxFromPeers {
+		return nil
 	}
-	return e
+	r.fromPeers++
+	return r.add(key)
 }
 
 // Find returns an endpoint by its key, nil if it is not known.
@@ -98,7 +103,7 @@
 func (r *Registry) DropUnknown(now time.Time) {
 	for _, e := range r.allAsking() {
 		e.mu.Lock()
-		forget := e.id == "" && !e.isLimited(now)
+		forget := e.id == "" && !e.isLimited(now) && now.Sub(e.leavingSince) > leavingUnknown
 		e.mu.Unlock()
 		if !forget {
 			continue
--- a/internal/coordination/pushback/registry.go
+++ b/internal/coordination/pushback/registry.go
@@ -35,14 +35,14 @@
 	// askingMu guards asking, the endpoints that ask for something; it may be locked while an Endpoint is.
 	askingMu sync.Mutex
 	asking   map[*Endpoint]struct{}
-	// changed receives an item when an endpoint has begun or ended to ask for something, news when an
-	// answer to this process said so.
-	changed, news chan struct{}
+	// changed receives an item when a limit has begun, changed or ended, news when an answer to this
+	// process asked for something else than before, leaving when an endpoint was first heard to leave.
+	changed, news, leaving chan struct{}
 }
 
 // NewRegistry returns a registry of endpoints that ask for nothing.
 func NewRegistry() *Registry {
-	return &Registry{Log: zap.NewNop(), endpoints: map[Key]*Endpoint{}, asking: map[*Endpoint]struct{}{}, changed: make(chan struct{}, 1), news: make(chan struct{}, 1)}
+	return &Registry{Log: zap.NewNop(), endpoints: map[Key]*Endpoint{}, asking: map[*Endpoint]struct{}{}, changed: make(chan struct{}, 1), news: make(chan struct{}, 1), leaving: make(chan struct{}, 1)}
 }
 
 // Endpoint returns what an incarnation of an endpoint asks for; it is kept until Remove.
@@ -109,8 +109,8 @@
 	return slices.Collect(maps.Keys(r.asking))
 }
 
-// Changed returns a channel that receives an item when an endpoint has begun or ended to ask for
-// something. It has one reader.
+// Changed returns a channel that receives an item when a limit has begun, changed or ended. It has one
+// reader.
 func (r *Registry) Changed() <-chan struct{} { return r.changed }
 
 // notify adds an item to a channel that has none.
@@ -135,7 +135,7 @@
 	var out []Limited
 	for _, e := range r.allAsking() {
 		e.mu.Lock()
-		if e.isLimited(now) && e.limit.RequestsPerSecond > 0 && e.id != "" {
+		if e.isLimited(now) && e.limit.RequestsPerSecond > 0 && e.id != "" && !e.isLeaving() {
 			out = append(out, Limited{e, e.key, e.id, e.domain, e.limit.RequestsPerSecond, e.limit.Since})
 		}
 		e.updateAsking(now)
@@ -156,10 +156,14 @@
 }
 
 func (r *Registry) logLimit(message, id string, l Limit, now time.Time) {
-	from := "an answer"
-	if l.From != "" {
-		from = l.From
-	}
-	r.Log.Info(message, zap.String("endpoint", id), zap.Float64("per_second", l.RequestsPerSecond), zap.String("heard_from", from),
+	r.Log.Info(message, zap.String("endpoint", id), zap.Float64("per_second", l.RequestsPerSecond), zap.String("heard_from", source(l.From)),
 		zap.Duration("as_of", now.Sub(l.AsOf)), zap.Duration("known_for", now.Sub(l.Since)))
 }
+
+// source names the peer that this process heard something from, or an answer of the endpoint's own.
+func source(peer string) string {
+	if peer == "" {
+		return "an answer"
+	}
+	return peer
+}
--- a/internal/coordination/pushbackgossip/exchanger.go
+++ b/internal/coordination/pushbackgossip/exchanger.go
@@ -29,8 +29,8 @@
 	// know.
 	startRequests = 3
 	requestHosts  = 3
-	// maxEntries bounds the entries of one message, so that it fits in a datagram.
-	maxEntries = 60
+	// maxEntries bounds the entries of each kind in one message, so that it fits in a datagram.
+	maxEntries = 30
 )
 
 // Exchanger exchanges reports with other processes. Its fields are set before Run.
@@ -50,8 +50,9 @@
 var _ limitshare.Messenger = (*Exchanger)(nil)
 
 type repeatedNews struct {
-	news []pushback.News
-	left int
+	news    []pushback.News
+	leaving []pushback.Key
+	left    int
 }
 
 // Run exchanges reports until ctx ends.
@@ -92,12 +93,12 @@
 
 // broadcastNews sends what answers have changed to all others.
 func (e *Exchanger) broadcastNews() {
-	news := e.Registry.PopNews()
-	if len(news) == 0 {
+	news, leaving := e.Registry.PopNews(), e.Registry.PopLeaving()
+	if len(news)+len(leaving) == 0 {
 		return
 	}
-	e.sendNews(news, e.Hosts())
-	e.repeated = append(e.repeated, repeatedNews{news, repetitions})
+	e.sendNews(news, leaving, e.Hosts())
+	e.repeated = append(e.repeated, repeatedNews{news, leaving, repetitions})
 }
 
 // repeat sends recent changes once more.
@@ -108,7 +109,7 @@
 		if len(hosts) > maxBroadcastHosts {
 			hosts = sample(hosts, fanout)
 		}
-		e.sendNews(r.news, hosts)
+		e.sendNews(r.news, r.leaving, hosts)
 		if r.left--; r.left > 0 {
 			kept = append(kept, r)
 		}
@@ -116,8 +117,8 @@
 	e.repeated = kept
 }
 
-func (e *Exchanger) sendNews(news []pushback.News, hosts []netip.Addr) {
-	e.send(&wire.PushbackReport{Limits: newsToWire(news, time.Now())}, hosts)
+func (e *Exchanger) sendNews(news []pushback.News, leaving []pushback.Key, hosts []netip.Addr) {
+	e.send(&wire.PushbackReport{Limits: newsToWire(news, time.Now()), Leaving: keysToWire(leaving)}, hosts)
 }
 
 // sample returns up to n of the hosts, at random.
@@ -138,10 +139,7 @@
 // Announce implements limitshare.Messenger. It also confirms the endpoints' limits.
 func (e *Exchanger) Announce(endpoints []pushback.Key, hosts []netip.Addr) {
 	r := &wire.PushbackReport{Limits: newsToWire(e.Registry.NewsOf(endpoints), time.Now())}
-	for _, key := range endpoints[:min(len(endpoints), maxEntries/2)] {
-		r.Used = append(r.Used, uint64(key))
-	}
-	r.Limits = r.Limits[:min(len(r.Limits), maxEntries/2)]
+	r.Used = keysToWire(endpoints)
 	e.send(r, hosts)
 }
 
@@ -151,7 +149,7 @@
 }
 
 func (e *Exchanger) send(r *wire.PushbackReport, hosts []netip.Addr) {
-	r.Limits = r.Limits[:min(len(r.Limits), maxEntries)]
+	r.Limits, r.Used, r.Leaving = truncate(r.Limits), truncate(r.Used), truncate(r.Leaving)
 	data, err := proto.Marshal(r)
 	if err != nil || len(data) > datagram.MaxSize {
 		e.Log.Error("pushback report can't be encoded or is too large", zap.Int("bytes", len(data)), zap.Error(err))
@@ -161,6 +159,15 @@
 	e.Group.Send(data, hosts)
 }
 
+// truncate returns a random part of a list that is too long for a message.
+func truncate[T any](list []T) []T {
+	if len(list) <= maxEntries {
+		return list
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:maxEntries]
+}
+
 func (e *Exchanger) receive(data []byte, from net.Addr) {
 	var r wire.PushbackReport
 	udp, ok := from.(*net.UDPAddr)
@@ -172,6 +179,9 @@
 	for _, l := range r.GetLimits() {
 		e.Registry.Merge(newsFromWire(l, now), host.String(), now)
 	}
+	for _, key := range keysFromWire(r.GetLeaving()) {
+		e.Registry.MergeLeaving(key, host.String(), now)
+	}
 	if used := keysFromWire(r.GetUsed()); len(used) > 0 {
 		e.Divider.HeardHolder(used, now)
 	}
@@ -180,8 +190,8 @@
 		e.Divider.HeardSent(pushback.Key(s.GetEndpoint()), int(s.GetRequests()), now)
 	}
 	if r.GetAsks() {
-		if all := e.Registry.AllNews(); len(all) > 0 {
-			e.sendNews(all, []netip.Addr{host})
+		if news, leaving := e.Registry.AllNews(), e.Registry.AllLeaving(); len(news)+len(leaving) > 0 {
+			e.sendNews(news, leaving, []netip.Addr{host})
 		}
 	}
 }
@@ -202,6 +212,14 @@
 	return pushback.News{Endpoint: pushback.Key(l.GetEndpoint()), RequestsPerSecond: rate, AsOf: now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond)}
 }
 
+func keysToWire(keys []pushback.Key) []uint64 {
+	out := make([]uint64, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, uint64(k))
+	}
+	return out
+}
+
 func keysFromWire(keys []uint64) []pushback.Key {
 	out := make([]pushback.Key, 0, len(keys))
 	for _, k := range keys {
