A server that turns requests away gets the rest that it asks for

Callers saw 63 requests refused within 4 s as engines were full while six others took requests: engines that had turned a gateway away with 503 and asked for 3 s of rest got ten and seven requests of it in that time.

The rest is kept with what else endpoints ask for, by the process that was asked: nothing is sent until its end, requests, queries, orders and calls for events alike. The process returns at a random time after it, and with one request at a time until one is answered without another wish. Callers whose requests only such endpoints could take are told when the first is back.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -189,6 +189,7 @@
 		Next: &http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}, Observe: observePushback,
 	})
 	director := p.director(state, store, engines)
+	director.IsResting, keeper.RestLeft = p.gateway.IsResting, p.gateway.RestLeft
 	p.startSharing(self, store, watcher, director, keeper)
 	p.run(watcher.Run)
 	p.run(p.gateway.Guard.Run)
--- a/internal/coordination/contextcache/engines.go
+++ b/internal/coordination/contextcache/engines.go
@@ -190,7 +190,7 @@
 		return
 	}
 	p := pollPace{maxWait: engineWait}
-	for p.pauseBeforeCall(ctx) {
+	for p.pauseBeforeCall(ctx) && t.awaitRest(ctx, address) {
 		callCtx, cancel := context.WithTimeout(ctx, p.callWait()+callMargin)
 		events, err := t.Client.Events(callCtx, address, next, p.callWait())
 		cancel()
@@ -210,6 +210,15 @@
 	}
 }
 
+// awaitRest waits until an engine wants calls of this process again. It returns false if ctx has ended.
+func (t *Tracker) awaitRest(ctx context.Context, address string) bool {
+	if t.RestLeft == nil {
+		return true
+	}
+	left := t.RestLeft(address)
+	return left <= 0 || sleep.For(ctx, left)
+}
+
 // handleEngineFailure returns how long to wait before the next call to an engine, in addition
 // to the pause of pollPace. An engine of this domain that refuses the call for its limit is
 // only polled less often; the contents of one that does not answer are no longer used.
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -50,7 +50,7 @@
 
 // noEndpointEnding returns the ending when no endpoint can be chosen.
 func (x *exchange) noEndpointEnding(c routing.Choice, sent int, last outcome) ending {
-	if sent > 0 {
+	if sent > 0 && !x.isOnlyPushedBack(c) {
 		return x.finalEnding(last, sent)
 	}
 	message := "no endpoint of the service is known"
@@ -60,13 +60,19 @@
 	case routing.RefusalAllCold:
 		message = "all endpoints of the service have just started"
 		return refusalEnding(apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, message, c.RetryIn+retryAfter()))
-	case routing.RefusalAllLimited:
-		message = "all endpoints of the service limit their requests"
+	case routing.RefusalPushback:
+		message = "all endpoints of the service ask for fewer requests, or for none"
 		return refusalEnding(apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, message, c.RetryIn+retryAfter()))
 	}
 	return notRunEnding(apierror.CodeNoEndpoint, message)
 }
 
+// isOnlyPushedBack reports whether no endpoint has run the request, and those that are left ask for fewer
+// requests, or for none: their time is the one at which the caller should come back.
+func (x *exchange) isOnlyPushedBack(c routing.Choice) bool {
+	return c.Refusal == routing.RefusalPushback && x.hasNotRun() && !x.hasCallerLeft() && !x.isForceStopped()
+}
+
 // notRunEnding returns a refusal that asks the caller to retry a request that no endpoint ran.
 func notRunEnding(code, message string) ending {
 	return refusalEnding(apierror.Later(http.StatusServiceUnavailable, code, message, retryAfter()))
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -75,9 +75,10 @@
 	weights, _ := strconv.ParseInt(h.Get(headerWeights), 10, 64)
 	misdirected := status == http.StatusMisdirectedRequest
 	limit, _ := strconv.ParseFloat(h.Get(headerLimit), 64)
+	rest, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
 	return Reply{
 		ID: h.Get(headerID), NotRun: misdirected || h.Get(headerNotRun) != "", Misdirected: misdirected, Weights: weights,
-		Pushback: pushback.Signal{RequestsPerSecond: limit, Leaving: h.Get(headerLeaving) != ""},
+		Pushback: pushback.Signal{RequestsPerSecond: limit, Leaving: h.Get(headerLeaving) != "", RetryAfter: time.Duration(rest * float64(time.Second))},
 	}
 }
 
--- a/internal/coordination/gateway/pushback.go
+++ b/internal/coordination/gateway/pushback.go
@@ -29,6 +29,25 @@
 	}
 }
 
+// RestLeft returns for how much longer the endpoint at an address wants no calls of this process.
+func (g *Gateway) RestLeft(address string) time.Duration {
+	if !g.Directory.Pushback.IsAnyAsking() {
+		return 0
+	}
+	now := time.Now()
+	for _, i := range g.State.Instances() {
+		if i.Address == address {
+			return g.pushbackOf(i).RestLeft(now)
+		}
+	}
+	return 0
+}
+
+// IsResting reports whether an endpoint wants no calls of this process now.
+func (g *Gateway) IsResting(i discovery.Instance) bool {
+	return g.pushbackOf(i).RestLeft(time.Now()) > 0
+}
+
 // pushbackOf returns what an endpoint asks for, nil if it is not tracked yet.
 func (g *Gateway) pushbackOf(i discovery.Instance) *pushback.Endpoint {
 	return g.Directory.Pushback.Find(pushback.KeyOf(i.ID, i.Incarnation().Hash()))
--- a/internal/coordination/gateway/pushback_test.go
+++ b/internal/coordination/gateway/pushback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -89,3 +90,42 @@
 		t.Error("discovery does not know that the endpoint leaves")
 	}
 }
+
+// TestEndpointThatAsksForRestGetsNoRequests guards against requests, and retries, to an endpoint that has
+// turned one away with the time for which it wants none, and against callers that wait for it.
+func TestEndpointThatAsksForRestGetsNoRequests(t *testing.T) {
+	s := newTestServer(t, singleRoute(routes.Idempotent, 3), respond(503, "", headerNotRun+": 1", "Retry-After: 30"), respond(500, "failed"))
+	resting := s.endpoints[0]
+	for resting.requestCount() == 0 {
+		s.do(s.newRequest("GET", "/r/x", ""))
+	}
+	for range 10 {
+		if resp, _, err := s.do(s.newRequest("GET", "/r/x", "")); err != nil || resp.StatusCode != http.StatusInternalServerError {
+			t.Errorf("got %v, %v, want the other endpoint's answer", resp, err)
+		}
+	}
+	if n := resting.requestCount(); n != 1 {
+		t.Errorf("the resting endpoint got %d requests, want 1", n)
+	}
+	if i, _ := s.gateway.State.Instance("i-0"); !s.gateway.IsResting(i) || s.gateway.RestLeft(resting.address) < 20*time.Second {
+		t.Error("calls of other kinds are not kept away from the resting endpoint")
+	}
+}
+
+// TestOnlyEndpointRests guards against a caller that is told to come back while the only endpoint still
+// rests.
+func TestOnlyEndpointRests(t *testing.T) {
+	s := newTestServer(t, singleRoute(routes.Idempotent, 3), respond(503, "", headerNotRun+": 1", "Retry-After: 30"))
+	for range 2 {
+		resp, _, err := s.do(s.newRequest("GET", "/r/x", ""))
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("X-Limpetwall-Ran") != "no" {
+			t.Fatalf("got %v %v, want 503, not run", resp, err)
+		}
+		if after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); after < 20 {
+			t.Errorf("got Retry-After %s, want what is left of 30 s", resp.Header.Get("Retry-After"))
+		}
+	}
+	if n := s.requestCount(); n != 1 {
+		t.Errorf("the endpoint got %d requests, want 1", n)
+	}
+}
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -4,8 +4,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"go.uber.org/zap"
 )
 
 const (
@@ -41,8 +39,7 @@
 	unlimitedAt time.Time
 	// leavingSince is when this process first heard that the endpoint leaves, zero before.
 	leavingSince time.Time
-	// restUntil is until when the endpoint wants no requests of this process.
-	restUntil time.Time
+	rest         rest
 	// sends are the times of this process's requests within Window, oldest first.
 	sends []time.Time
 	// pending is set while the limit has changed by an answer and peers have not been told,
@@ -60,25 +57,10 @@
 	if s.Leaving {
 		e.setLeaving("", now)
 	}
-	if until := now.Add(s.RetryAfter); until.After(e.restUntil) && s.RetryAfter > 0 {
-		if !e.restUntil.After(now) {
-			e.registry.Log.Info("endpoint asks for rest", zap.String("endpoint", e.id), zap.Duration("rest", s.RetryAfter))
-		}
-		e.restUntil = until
-	}
+	e.observeRest(s.RetryAfter, sent, now)
 	e.observeLimit(s.RequestsPerSecond, sent, now)
 }
 
-// RestLeft returns for how much longer the endpoint wants no requests of this process.
-func (e *Endpoint) RestLeft(now time.Time) time.Duration {
-	if e == nil {
-		return 0
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return max(0, e.restUntil.Sub(now))
-}
-
 // Allows reports whether this process may send the endpoint a request now. If not, retryIn is when
 // it may, as far as is known.
 func (e *Endpoint) Allows(now time.Time) (ok bool, retryIn time.Duration) {
@@ -90,6 +72,9 @@
 	if e.isLeaving() {
 		return false, unknownRetry
 	}
+	if ok, retryIn = e.allowsByRest(now); !ok {
+		return false, retryIn
+	}
 	ok, retryIn = e.allowsByLimit(now)
 	e.updateAsking(now)
 	return ok, retryIn
@@ -97,7 +82,7 @@
 
 // updateAsking records whether the endpoint still asks for anything; e.mu is held.
 func (e *Endpoint) updateAsking(now time.Time) {
-	if !e.isLimited(now) && !e.isLeaving() && !e.pending {
+	if !e.isLimited(now) && !e.isLeaving() && !e.isResting(now) && !e.pending {
 		e.registry.setAsking(e, false)
 	}
 }
@@ -129,6 +114,7 @@
 	e.sends = append(e.sends, now)
 	if e.isAsking.Load() {
 		e.bucket.take(1, now)
+		e.rest.trialAt = now
 	}
 }
 
@@ -146,6 +132,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.rest.resumeAt.After(e.resumeAt) {
+		return e.rest.resumeAt
+	}
 	return e.resumeAt
 }
 
--- a/internal/coordination/pushback/endpoint_test.go
+++ b/internal/coordination/pushback/endpoint_test.go
@@ -202,3 +202,34 @@
 		t.Error("an endpoint that was never discovered is remembered for good")
 	}
 }
+
+// TestRest guards against requests to an endpoint that asked for rest, and against a crowd of them when
+// its time ends: until it has answered one of them, it gets one at a time.
+func TestRest(t *testing.T) {
+	e := NewRegistry().Endpoint("i-1", 1, "a")
+	e.Observe(Signal{RetryAfter: 3 * time.Second}, at(0), at(10))
+	e.Observe(Signal{RetryAfter: time.Second}, at(0), at(20))
+	e.Observe(Signal{}, at(5), at(30))
+	end := at(3010)
+	if ok, retryIn := e.Allows(at(100)); ok || retryIn < end.Sub(at(100)) || e.RestLeft(at(100)) != end.Sub(at(100)) {
+		t.Errorf("a request is allowed, or its retry in %v, during the rest", retryIn)
+	}
+	back := end.Add(maxRestJitter)
+	if !allows(e, back) {
+		t.Error("no request is allowed after the rest")
+	}
+	e.RecordSend(back)
+	if allows(e, back.Add(100*time.Millisecond)) {
+		t.Error("a second request is allowed before the first is answered")
+	}
+	if !allows(e, back.Add(trialTimeout)) {
+		t.Error("no request is allowed although the first one's answer is late")
+	}
+	e.Observe(Signal{}, back, back.Add(200*time.Millisecond))
+	if !allows(e, back.Add(300*time.Millisecond)) || e.registry.IsAnyAsking() {
+		t.Error("the endpoint is not used like others once it has answered")
+	}
+	if back := e.EndedAt(); back.Before(end) || back.After(end.Add(maxRestJitter)) {
+		t.Errorf("got a return at %v, want one within %v of the end of the rest", back, maxRestJitter)
+	}
+}
--- a/internal/coordination/pushback/registry.go
+++ b/internal/coordination/pushback/registry.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// IsAnyAsking reports whether any endpoint asks for something.
+func (r *Registry) IsAnyAsking() bool {
+	r.askingMu.Lock()
+	defer r.askingMu.Unlock()
+	return len(r.asking) > 0
+}
+
 // allAsking returns the endpoints that ask for something.
 func (r *Registry) allAsking() []*Endpoint {
 	r.askingMu.Lock()
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -82,6 +82,8 @@
 	Now func() time.Time
 	// Notices, if set, announces each renewal to the followers; see noticeTimeLeft.
 	Notices Announcer
+	// IsResting, if set, reports whether an engine wants no calls of this process now.
+	IsResting func(i discovery.Instance) bool
 	// Fleet, if set, returns the number of processes that check the lease.
 	Fleet func() int
 
@@ -301,6 +303,11 @@
 // pollOrders asks the engines with an order in flight for their progress.
 func (d *Director) pollOrders(ctx context.Context) {
 	for id, l := range d.inFlight {
+		if d.isResting(l.instance) {
+			l.lastReport = d.Now()
+			d.inFlight[id] = l
+			continue
+		}
 		report, err := d.report(ctx, l.instance)
 		now, known := d.State.Instance(id)
 		if !known || now.Born != l.instance.Born {
@@ -357,12 +364,14 @@
 	orders, _ := Decide(d.desiredView(members), members)
 	for _, o := range orders {
 		instance, ok := d.State.Instance(o.Member.ID)
-		if ok {
+		if ok && !d.isResting(instance) {
 			d.sendOrder(ctx, instance, d.State.TargetVersion(instance.Model))
 		}
 	}
 }
 
+func (d *Director) isResting(i discovery.Instance) bool { return d.IsResting != nil && d.IsResting(i) }
+
 // members returns the fleet's members, those with the oldest weights first: these are the
 // first that must not be served any more. Weights newer than the target are shown as the
 // target, so that engines are never ordered back.
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -255,7 +255,7 @@
 	CapacityWait time.Duration
 	CachedTokens int
 	Refusal      Refusal
-	// RetryIn is set with RefusalAllCold and RefusalAllLimited: when the first of the endpoints may be
+	// RetryIn is set with RefusalAllCold and RefusalPushback: when the first of the endpoints may be
 	// usable.
 	RetryIn time.Duration
 	// LoadSnapshot is the endpoint's state as the decision saw it.
--- a/internal/coordination/routing/limit_test.go
+++ b/internal/coordination/routing/limit_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 		switch d := Decide(e, r, newRandom()); {
-		case d.Endpoint == nil && (good > 0 || d.Refusal != RefusalAllLimited || d.RetryIn <= 0):
+		case d.Endpoint == nil && (good > 0 || d.Refusal != RefusalPushback || d.RetryIn <= 0):
 			t.Fatalf("refused as %s for %v although %d endpoints are eligible", d.Refusal, d.RetryIn, good)
 		case d.Endpoint != nil && !d.Endpoint.acceptsRequests(r.Now):
 			t.Fatal("chose an endpoint whose limit others use")
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -159,7 +159,7 @@
 	WorkTokens int
 	// Refusal is why there is no endpoint.
 	Refusal Refusal
-	// RetryIn is set with RefusalAllCold and RefusalAllLimited: when the first of the endpoints may be
+	// RetryIn is set with RefusalAllCold and RefusalPushback: when the first of the endpoints may be
 	// usable.
 	RetryIn time.Duration
 }
@@ -175,8 +175,8 @@
 	RefusalAllFull Refusal = "all_full"
 	// RefusalAllCold: the usable ones are cold.
 	RefusalAllCold Refusal = "all_cold"
-	// RefusalAllLimited: the usable ones limit their requests, and this process may not send now.
-	RefusalAllLimited Refusal = "all_limited"
+	// RefusalPushback: the usable ones ask for fewer requests than this process has, or for none.
+	RefusalPushback Refusal = "pushback"
 )
 
 // Random yields uniform numbers; *rand.Rand satisfies it.
@@ -196,20 +196,12 @@
 	return xxhash.Sum64String(text)
 }
 
-// isEligible reports whether an endpoint may serve a request at all.
+// isEligible reports whether an endpoint may serve a request at all, whether it was tried or not.
 func isEligible(e *Endpoint, r *Request) bool {
 	if r.WeightVersion != "" && e.Endpoint.WeightVersion != r.WeightVersion {
 		return false
 	}
-	if !r.Residency.Allows(e.Region) {
-		return false
-	}
-	for _, id := range r.Exclude {
-		if id == e.ID {
-			return false
-		}
-	}
-	return true
+	return r.Residency.Allows(e.Region)
 }
 
 // isCold reports whether the endpoint has just started and may crash under its usual load.
@@ -265,16 +257,29 @@
 	fullCount int
 	// warmAt is when the first of the cold endpoints will be warm, zero if none is cold.
 	warmAt time.Time
-	// limitedCount is the number of endpoints that may not get a request now as they limit them, and
-	// allowedIn the shortest time until one may.
-	limitedCount int
-	allowedIn    time.Duration
+	// pushbackCount is the number of endpoints that may not get a request now by what they asked for,
+	// and allowedIn the shortest time until one may.
+	pushbackCount int
+	allowedIn     time.Duration
+	// triedCount is the number of endpoints that the request has been sent to and that ask for nothing.
+	triedCount int
 }
 
 func (c *candidateSet) add(e *Endpoint, reason Reason, r *Request) {
 	if c.n == len(c.list) || !isEligible(e, r) {
 		return
 	}
+	if ok, retryIn := e.Pushback.Allows(r.Now); !ok {
+		if c.pushbackCount == 0 || retryIn < c.allowedIn {
+			c.allowedIn = retryIn
+		}
+		c.pushbackCount++
+		return
+	}
+	if slices.Contains(r.Exclude, e.ID) {
+		c.triedCount++
+		return
+	}
 	if isFull(e) {
 		c.fullCount++
 		return
@@ -285,13 +290,6 @@
 		}
 		return
 	}
-	if ok, retryIn := e.Pushback.Allows(r.Now); !ok {
-		if c.limitedCount == 0 || retryIn < c.allowedIn {
-			c.allowedIn = retryIn
-		}
-		c.limitedCount++
-		return
-	}
 	for i := range c.n {
 		if c.list[i].endpoint == e {
 			return
@@ -374,7 +372,7 @@
 	start := int(random.Uint64() % uint64(len(endpoints)))
 	for i := range endpoints {
 		e := &endpoints[(start+i)%len(endpoints)]
-		if e.isDegraded(r.Now) || e.isTooCold(r.Now) || !isEligible(e, r) || !e.acceptsRequests(r.Now) {
+		if e.isDegraded(r.Now) || e.isTooCold(r.Now) || !isEligible(e, r) || slices.Contains(r.Exclude, e.ID) || !e.acceptsRequests(r.Now) {
 			continue
 		}
 		c.add(e, ReasonRandom, r)
@@ -468,8 +466,8 @@
 	switch {
 	case c.fullCount > 0:
 		best.Refusal = RefusalAllFull
-	case c.limitedCount > 0:
-		best.Refusal, best.RetryIn = RefusalAllLimited, c.allowedIn
+	case c.pushbackCount > 0 && c.triedCount == 0:
+		best.Refusal, best.RetryIn = RefusalPushback, c.allowedIn
 	case !c.warmAt.IsZero():
 		best.Refusal, best.RetryIn = RefusalAllCold, c.warmAt.Sub(r.Now)
 	}
--- a/internal/coordination/runs/errors.go
+++ b/internal/coordination/runs/errors.go
@@ -115,8 +115,8 @@
 	if c.Refusal == routing.RefusalAllFull {
 		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "all endpoints are full", 500*time.Millisecond)
 	}
-	if c.Refusal == routing.RefusalAllLimited {
-		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "all endpoints limit their requests", max(c.RetryIn, 200*time.Millisecond))
+	if c.Refusal == routing.RefusalPushback {
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeOverloaded, "all endpoints ask for fewer requests, or for none", max(c.RetryIn, 200*time.Millisecond))
 	}
 	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint, "no endpoint serves this now", time.Second)
 }
