Own interface: nothing is sent to engines and services that say that they leave

The same fault on the product's own interface: an engine or plain service that shuts down could say so to nobody but its agent's operator. It says so in Endpoint-Leaving; the agent refuses runs, not run, and tells the fleet, so that entries choose others. It is used again once another process answers, or the one that left is seen to have ended: a plain service answers only if it is called.

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -21,7 +21,6 @@
 	"limpetwall/internal/state/ledger"
 	"limpetwall/internal/transport/engine"
 	"limpetwall/internal/transport/plainservice"
-	"limpetwall/internal/transport/pushbackheader"
 )
 
 // Config tunes an agent.
@@ -59,7 +58,9 @@
 	HasEnded func(ctx context.Context) bool
 	crashes  crashes
 	// asks is what the endpoint asks for. The agent alone calls it, so a limit is the agent's to use.
-	asks *pushback.Endpoint
+	// It is replaced when another process of the endpoint answers.
+	asks     atomic.Pointer[pushback.Endpoint]
+	pushback *pushback.Registry
 
 	draining atomic.Bool
 	inflight calls
@@ -84,9 +85,9 @@
 		cfg: cfg, node: node, store: store, engine: eng, plain: plain, zap: logger, metrics: registry,
 		ledger: ledger.New(cfg.Ledger, node.Table().Self().Incarnation), base: base, cut: cut,
 	}
-	asked := pushback.NewRegistry()
-	asked.Log = logger
-	a.asks = asked.Endpoint(node.Table().Self().ID, node.Table().Self().Incarnation, "")
+	a.pushback = pushback.NewRegistry()
+	a.pushback.Log = logger
+	a.asks.Store(a.pushback.Endpoint(node.Table().Self().ID, 0, ""))
 	if eng != nil {
 		a.mover = contexttransfer.NewMover(eng, open, store, a.engines, logger, registry)
 	}
@@ -113,6 +114,7 @@
 		group.Go(func() { a.mover.RunExports(ctx) })
 	}
 	group.Go(func() { a.node.RunReports(ctx, a.load) })
+	group.Go(func() { a.watchLeaving(ctx) })
 	group.Wait()
 }
 
@@ -162,22 +164,10 @@
 	}
 	return fleet.Load{
 		AtMS: time.Now().UnixMilli(), LinkRate: link, Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
-		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate, RequestLimit: a.asks.Limit().RequestsPerSecond,
+		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate, RequestLimit: a.asks.Load().Limit().RequestsPerSecond,
 	}
 }
 
-// ObserveAnswer applies what the endpoint's answer to a call that was sent at a time asks for.
-func (a *Agent) ObserveAnswer(asks pushbackheader.Asks, sent time.Time) {
-	now := time.Now()
-	a.asks.Observe(pushback.Signal{RequestsPerSecond: asks.RequestsPerSecond}, sent, now)
-	if asks.RequestsPerSecond > 0 {
-		a.asks.SetShare(pushback.Share{RequestsPerSecond: asks.RequestsPerSecond, Until: now.Add(limitUnconfirmed)}, now)
-	}
-}
-
-// limitUnconfirmed is how long the agent goes on by a limit while the endpoint answers nothing.
-const limitUnconfirmed = time.Minute
-
 // Leave announces to the fleet that the endpoint leaves. New work is refused from then on.
 func (a *Agent) Leave() {
 	a.draining.Store(true)
@@ -199,7 +189,8 @@
 }
 
 func (a *Agent) leaving() bool {
-	return a.draining.Load() || a.node.Table().Self().State == fleet.Leaving
+	self := a.node.Table().Self()
+	return a.draining.Load() || self.State == fleet.Leaving || self.Endpoint.Leaving
 }
 
 // MintTickets implements wire.AgentServer.
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -68,7 +68,7 @@
 
 // acquire counts a run against the limit that the endpoint names, or refuses it.
 func (a *Agent) acquire() *wire.Refused {
-	ok, retryIn := a.asks.Acquire(time.Now())
+	ok, retryIn := a.asks.Load().Acquire(time.Now())
 	if ok {
 		return nil
 	}
--- a/internal/coordination/plan/plan.go
+++ b/internal/coordination/plan/plan.go
@@ -412,7 +412,7 @@
 // leaving or dead one can't, nor can one that was leaving before it stopped
 // responding.
 func IsAvailable(m fleet.Member) bool {
-	return m.Endpoint.ID != "" && !m.Endpoint.Loading && !m.WasLeaving && (m.State == fleet.Alive || m.State == fleet.Suspect)
+	return m.Endpoint.ID != "" && !m.Endpoint.Loading && !m.Endpoint.Leaving && !m.WasLeaving && (m.State == fleet.Alive || m.State == fleet.Suspect)
 }
 
 // IsUsable reports whether an endpoint can serve an intent's requests now.
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -391,3 +391,32 @@
 		return s.runs("engine-1")-before > 3*limit
 	})
 }
+
+// TestEngineThatSaysItLeavesGetsNoPrompts guards against prompts to an engine whose own answers say that
+// it shuts down, which neither its agent nor the platform knows, and against one that is not used after
+// its restart.
+func TestEngineThatSaysItLeavesGetsNoPrompts(t *testing.T) {
+	s := newSite(t)
+	s.whole(2, "-token-time", "0s", "-prefill-rate", "0")
+	prompt := func(i int) {
+		entry := []string{"entry-1", "entry-2"}[i%2]
+		if a := s.do(http.MethodPost, s.url(entry, "/v1/completions"), customerKey, nil, completionBody(fmt.Sprint("chair ", i), 1)); a.status != http.StatusOK {
+			t.Errorf("a prompt got %d %s", a.status, a.body)
+		}
+	}
+	s.fault("engine-1", `{"leaving":true}`)
+	s.eventually("the engine's agent knows", func() bool { return strings.Contains(s.procs["agent-1"].lines(), "endpoint says that it leaves") })
+	before := s.runs("engine-1")
+	for i := range 100 {
+		prompt(i)
+	}
+	if got := s.runs("engine-1") - before; got != 0 {
+		t.Errorf("the leaving engine got %d prompts", got)
+	}
+	s.fault("engine-1", `{}`)
+	s.eventually("the engine is used again", func() bool {
+		prompt(0)
+		prompt(1)
+		return s.runs("engine-1") > before
+	})
+}
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -51,6 +51,8 @@
 	Role          string            `json:"role,omitempty"`
 	// Loading is true while an order to load is carried out.
 	Loading bool `json:"loading,omitempty"`
+	// Leaving is true while the endpoint's own answers say that it shuts down.
+	Leaving bool `json:"leaving,omitempty"`
 	// OrderError is why the last order failed, OrderRevision the revision of the
 	// intent that asked for it.
 	OrderError    string `json:"order_error,omitempty"`
@@ -62,7 +64,7 @@
 
 func (e Endpoint) equal(o Endpoint) bool {
 	return e.ID == o.ID && e.Kind == o.Kind && e.Model == o.Model && e.WeightVersion == o.WeightVersion &&
-		e.Adapter == o.Adapter && e.Role == o.Role && e.Loading == o.Loading &&
+		e.Adapter == o.Adapter && e.Role == o.Role && e.Loading == o.Loading && e.Leaving == o.Leaving &&
 		e.ColdUntil.Equal(o.ColdUntil) && e.OrderError == o.OrderError && e.OrderRevision == o.OrderRevision && maps.Equal(e.Labels, o.Labels)
 }
 
@@ -125,7 +127,7 @@
 		w.Endpoint = &wire.Endpoint{
 			Id: e.ID, Kind: e.Kind, Labels: e.Labels, Model: e.Model,
 			WeightVersion: e.WeightVersion, Adapter: e.Adapter, Role: e.Role,
-			Loading: e.Loading, OrderError: e.OrderError, OrderRevision: e.OrderRevision,
+			Loading: e.Loading, OrderError: e.OrderError, OrderRevision: e.OrderRevision, Leaving: e.Leaving,
 		}
 	}
 	return w
@@ -147,6 +149,7 @@
 			ID: e.GetId(), Kind: e.GetKind(), Labels: e.GetLabels(), Model: e.GetModel(),
 			WeightVersion: e.GetWeightVersion(), Adapter: e.GetAdapter(), Role: e.GetRole(),
 			Loading: e.GetLoading(), OrderError: e.GetOrderError(), OrderRevision: e.GetOrderRevision(),
+			Leaving: e.GetLeaving(),
 		}
 	}
 	return m
--- a/internal/transport/fault/fault.go
+++ b/internal/transport/fault/fault.go
@@ -25,6 +25,8 @@
 	LostAnswers int `json:"lost_answers"`
 	// RateLimit makes every answer name a limit of so many requests per second; 0 names none.
 	RateLimit float64 `json:"rate_limit"`
+	// Leaving makes every answer say that the server shuts down.
+	Leaving bool `json:"leaving"`
 }
 
 // Injector applies faults to the HTTP handler of a stand-in.
@@ -110,7 +112,7 @@
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
-		pushbackheader.Asks{RequestsPerSecond: faults.RateLimit}.Encode(w.Header())
+		pushbackheader.Asks{RequestsPerSecond: faults.RateLimit, Leaving: faults.Leaving}.Encode(w.Header())
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/transport/pushbackheader/pushbackheader.go
+++ b/internal/transport/pushbackheader/pushbackheader.go
@@ -9,19 +9,25 @@
 	"time"
 )
 
-// RateLimit is the number of requests a second, a decimal number, that the server accepts from all its
-// callers together, for as long as its answers say so.
-const RateLimit = "Endpoint-Rate-Limit"
+const (
+	// RateLimit is the number of requests a second, a decimal number, that the server accepts from all its
+	// callers together, for as long as its answers say so.
+	RateLimit = "Endpoint-Rate-Limit"
+	// Leaving is 1 in all answers of a server that shuts down.
+	Leaving = "Endpoint-Leaving"
+)
 
 // Asks is what one answer asks for.
 type Asks struct {
 	// RequestsPerSecond is 0 if the answer names no limit.
 	RequestsPerSecond float64
+	// Leaving is set if the server shuts down.
+	Leaving bool
 }
 
 // Decode reads what an answer asks for. A limit that is not a positive number names none.
 func Decode(h http.Header) Asks {
-	var a Asks
+	a := Asks{Leaving: h.Get(Leaving) == "1"}
 	if rate, err := strconv.ParseFloat(h.Get(RateLimit), 64); err == nil && rate > 0 && !math.IsInf(rate, 0) {
 		a.RequestsPerSecond = rate
 	}
@@ -33,6 +39,9 @@
 	if a.RequestsPerSecond > 0 {
 		h.Set(RateLimit, strconv.FormatFloat(a.RequestsPerSecond, 'g', -1, 64))
 	}
+	if a.Leaving {
+		h.Set(Leaving, "1")
+	}
 }
 
 // Transport passes on what each answer asks for.
--- a/internal/transport/pushbackheader/pushbackheader_test.go
+++ b/internal/transport/pushbackheader/pushbackheader_test.go
@@ -12,8 +12,9 @@
 		}
 	}
 	h := http.Header{}
-	Asks{RequestsPerSecond: 0.25}.Encode(h)
-	if got := Decode(h); got.RequestsPerSecond != 0.25 {
+	sent := Asks{RequestsPerSecond: 0.25, Leaving: true}
+	sent.Encode(h)
+	if got := Decode(h); got != sent {
 		t.Errorf("got %+v back from %v", got, h)
 	}
 }
