Own interface: engines and services that turn requests away get the rest that they ask for

The agent rests, also with its status reads, refuses runs meanwhile (endpoint_asks_for_less, not run) and reports what is left of the rest with its load; entries leave the endpoint out of their choice. It reports a second of rest while its endpoint leaves, too: entries that had not heard by gossip spent their retries on its refusals (the e2e test of the leaving engine failed once so, with 503 for want of retries).

TestEngineThatAsksForRestGetsIt (e2e), TestAgentRests, TestReportedRest.

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -123,7 +123,9 @@
 	ticker := time.NewTicker(a.cfg.StatusEvery)
 	defer ticker.Stop()
 	for {
-		a.readStatus(ctx)
+		if a.asks.Load().RestLeft(time.Now()) == 0 {
+			a.readStatus(ctx)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -165,6 +167,7 @@
 	return fleet.Load{
 		AtMS: time.Now().UnixMilli(), LinkRate: link, Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
 		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate, RequestLimit: a.asks.Load().Limit().RequestsPerSecond,
+		RestMS: int(a.restLeft().Milliseconds()),
 	}
 }
 
--- a/internal/coordination/agent/pushback.go
+++ b/internal/coordination/agent/pushback.go
@@ -18,6 +18,9 @@
 	// unseen would not be used otherwise.
 	endCheckInterval = 250 * time.Millisecond
 	leavingTimeout   = time.Minute
+	// leavingRest is the rest that is reported while the endpoint leaves: an entry that has not heard of
+	// it by gossip would otherwise spend its retries on refusals.
+	leavingRest = time.Second
 )
 
 // ObserveAnswer applies what the endpoint's answer to a call that was sent at a time asks for.
@@ -28,7 +31,7 @@
 		// A process that shuts down says so in all its answers, so another one answers.
 		e = a.forgetAsks()
 	}
-	e.Observe(pushback.Signal{RequestsPerSecond: asks.RequestsPerSecond, Leaving: asks.Leaving}, sent, now)
+	e.Observe(pushback.Signal{RequestsPerSecond: asks.RequestsPerSecond, Leaving: asks.Leaving, RetryAfter: asks.RetryAfter}, sent, now)
 	if asks.RequestsPerSecond > 0 {
 		e.SetShare(pushback.Share{RequestsPerSecond: asks.RequestsPerSecond, Until: now.Add(limitUnconfirmed)}, now)
 	}
@@ -54,6 +57,15 @@
 	a.node.Announce()
 }
 
+// restLeft returns for how long entries should send nothing, as far as is known.
+func (a *Agent) restLeft() time.Duration {
+	left := a.asks.Load().RestLeft(time.Now())
+	if a.leaving() {
+		left = max(left, leavingRest)
+	}
+	return left
+}
+
 // watchLeaving looks whether an endpoint that shuts down has ended, until ctx ends.
 func (a *Agent) watchLeaving(ctx context.Context) {
 	for sleep.For(ctx, endCheckInterval) {
--- a/internal/coordination/agent/pushback_test.go
+++ b/internal/coordination/agent/pushback_test.go
@@ -38,7 +38,7 @@
 		s := &eventStream{runStream: runStream{ctx: t.Context()}}
 		a.Run(&wire.RunRequest{RequestId: "r", TimeoutMs: 1000, Ticket: ticket, Call: &wire.RunRequest_Prompt{Prompt: &wire.Prompt{Model: "m", Text: "chair"}}}, s)
 		refused := s.last.GetRefused()
-		if refused.GetCode() != CodeLimited || refused.GetRan() != wire.Ran_RAN_NO || refused.GetRetryAfterMs() == 0 {
+		if refused.GetCode() != CodePushback || refused.GetRan() != wire.Ran_RAN_NO || refused.GetRetryAfterMs() == 0 {
 			t.Errorf("ticket %v: got %v, want a refusal as not run with a time to come back", ticket, s.last)
 		}
 	}
@@ -89,3 +89,17 @@
 		}
 	})
 }
+
+// TestAgentRests guards against runs for an endpoint that turned one away and asked for rest.
+func TestAgentRests(t *testing.T) {
+	a := agentBeside(t, newEngine())
+	a.ObserveAnswer(pushbackheader.Asks{RetryAfter: time.Minute}, time.Now())
+	s := &eventStream{runStream: runStream{ctx: t.Context()}}
+	a.Run(&wire.RunRequest{RequestId: "r", TimeoutMs: 1000, Call: &wire.RunRequest_Prompt{Prompt: &wire.Prompt{Model: "m", Text: "chair"}}}, s)
+	if refused := s.last.GetRefused(); refused.GetCode() != CodePushback || refused.GetRan() != wire.Ran_RAN_NO || refused.GetRetryAfterMs() < 50_000 {
+		t.Errorf("got %v, want a refusal as not run with what is left of the rest", s.last)
+	}
+	if got := s.last.GetLoad().GetRestMs(); got < 50_000 {
+		t.Errorf("the load reports %d ms of rest, want what is left of a minute", got)
+	}
+}
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -34,7 +34,7 @@
 	CodeAnswerNotKept    = "answer_not_kept"
 	CodeBadRequest       = "bad_request"
 	CodeCut              = "cut_by_shutdown"
-	CodeLimited          = "endpoint_limits_requests"
+	CodePushback         = "endpoint_asks_for_less"
 )
 
 // bodyChunk is the size of one event of a plain answer's body.
@@ -66,13 +66,14 @@
 	return nil
 }
 
-// acquire counts a run against the limit that the endpoint names, or refuses it.
+// acquire counts a run against the limit that the endpoint names, or refuses it if the endpoint asks for
+// fewer runs, or for none.
 func (a *Agent) acquire() *wire.Refused {
 	ok, retryIn := a.asks.Load().Acquire(time.Now())
 	if ok {
 		return nil
 	}
-	return refuse(CodeLimited, wire.Ran_RAN_NO, retryIn, "the endpoint limits its requests")
+	return refuse(CodePushback, wire.Ran_RAN_NO, retryIn, "the endpoint asks for fewer requests, or for none")
 }
 
 // runContext ends with the request's time, its entry, or a forced shutdown.
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// IsAsking reports whether the endpoint asks for anything.
+func (e *Endpoint) IsAsking() bool { return e != nil && e.isAsking.Load() }
+
 // Acquire reports whether this process may send the endpoint a request now, and records it if so.
 func (e *Endpoint) Acquire(now time.Time) (ok bool, retryIn time.Duration) {
 	if e == nil {
--- a/internal/coordination/routing/limit_test.go
+++ b/internal/coordination/routing/limit_test.go
@@ -86,3 +86,23 @@
 		t.Error("an endpoint without a limit is not used")
 	}
 }
+
+// TestReportedRest guards against an entry that sends runs to an endpoint whose agent reports that it
+// rests.
+func TestReportedRest(t *testing.T) {
+	d, _ := newDirectory(t, 1)
+	now := epoch.Add(time.Minute)
+	d.UsableMembers("s", now)
+	c := Choice{Member: fleet.Member{ID: "e0", Incarnation: 1}}
+	d.ObserveLoad(c, fleet.Load{RestMS: 3000, AtMS: now.UnixMilli()}, now)
+	if refused := d.Choose("s", nil, &Request{PromptTokens: 1, Now: now.Add(2 * time.Second)}); refused.Refusal != RefusalPushback || refused.RetryIn < time.Second {
+		t.Errorf("got %+v during the rest, want a refusal until its end", refused)
+	}
+	later := now.Add(5 * time.Second)
+	d.ObserveLoad(c, fleet.Load{AtMS: later.UnixMilli()}, later)
+	for range 3 {
+		if d.Choose("s", nil, &Request{PromptTokens: 1, Now: later}).Member.ID == "" {
+			t.Error("an endpoint that rests no more is not used")
+		}
+	}
+}
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if !t.CountsOnly {
-		t.observeReportedLimit(load.RequestLimit, senders, arrived)
+		t.observeReportedPushback(load, senders, arrived)
 	}
 	difference := arrived.Sub(time.UnixMilli(load.AtMS))
 	if t.loadTakenMS == 0 || difference < t.clockOffset {
@@ -66,13 +66,15 @@
 	}
 }
 
-// observeReportedLimit applies a limit that an agent reports with its load. The agent enforces it for
-// all processes together; each uses an equal part, so that the agent refuses few requests.
-func (t *trackedEndpoint) observeReportedLimit(perSecond float64, senders int, now time.Time) {
-	if perSecond == 0 && t.Pushback.Limit().RequestsPerSecond == 0 {
+// observeReportedPushback applies what an endpoint asks for as its agent reports it with the load. The
+// agent enforces a limit for all processes together; each uses an equal part, so that the agent refuses
+// few requests.
+func (t *trackedEndpoint) observeReportedPushback(load fleet.Load, senders int, now time.Time) {
+	perSecond := load.RequestLimit
+	if perSecond == 0 && load.RestMS == 0 && !t.Pushback.IsAsking() {
 		return
 	}
-	t.Pushback.Observe(pushback.Signal{RequestsPerSecond: perSecond}, now, now)
+	t.Pushback.Observe(pushback.Signal{RequestsPerSecond: perSecond, RetryAfter: time.Duration(load.RestMS) * time.Millisecond}, now, now)
 	if perSecond > 0 {
 		t.Pushback.SetShare(pushback.Share{RequestsPerSecond: perSecond / float64(senders), Until: now.Add(reportedShareTime)}, now)
 	}
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -420,3 +420,36 @@
 		return s.runs("engine-1") > before
 	})
 }
+
+// TestEngineThatAsksForRestGetsIt guards against prompts that go on to an engine which turns them away with
+// 503 and the time for which it wants none.
+func TestEngineThatAsksForRestGetsIt(t *testing.T) {
+	s := newSite(t)
+	s.whole(2, "-token-time", "0s", "-prefill-rate", "0")
+	s.fault("engine-1", `{"retry_after_ms":60000}`)
+	calls := func() int {
+		var counts map[string]int
+		json.Unmarshal([]byte(s.do(http.MethodGet, "http://"+s.procs["engine-1"].admin+"/calls", "", nil, "").body), &counts)
+		return counts[http.MethodPost]
+	}
+	prompt := func(i int) {
+		entry := []string{"entry-1", "entry-2"}[i%2]
+		if a := s.do(http.MethodPost, s.url(entry, "/v1/completions"), customerKey, nil, completionBody(fmt.Sprint("chair ", i), 1)); a.status != http.StatusOK {
+			t.Errorf("a prompt got %d %s", a.status, a.body)
+		}
+	}
+	i := 0
+	s.eventually("the engine turns a prompt away", func() bool {
+		i++
+		prompt(i)
+		return strings.Contains(s.procs["agent-1"].lines(), "endpoint asks for rest")
+	})
+	before := calls()
+	for range 100 {
+		i++
+		prompt(i)
+	}
+	if got := calls() - before; got != 0 {
+		t.Errorf("the resting engine got %d prompts", got)
+	}
+}
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -101,6 +101,8 @@
 	// RequestLimit is the number of requests a second that the endpoint accepts from all entries
 	// together, 0 for no limit.
 	RequestLimit float64 `json:"request_limit,omitempty"`
+	// RestMS is for how much longer the endpoint wants no requests, in milliseconds.
+	RestMS int `json:"rest_ms,omitempty"`
 }
 
 // Report is a member's soft state: it ages, and a lost one is replaced by the next.
@@ -160,7 +162,7 @@
 	return &wire.Load{
 		Running: uint32(l.Running), Queued: uint32(l.Queued),
 		QueuedTokens: uint64(l.QueuedTokens), PrefillRate: uint32(l.PrefillRate), LinkRate: uint32(l.LinkRate), AtMs: l.AtMS,
-		RequestLimit: float32(l.RequestLimit),
+		RequestLimit: float32(l.RequestLimit), RestMs: uint32(l.RestMS),
 	}
 }
 
@@ -169,7 +171,7 @@
 	return Load{
 		Running: int(w.GetRunning()), Queued: int(w.GetQueued()),
 		QueuedTokens: int(w.GetQueuedTokens()), PrefillRate: int(w.GetPrefillRate()), LinkRate: int(w.GetLinkRate()), AtMS: w.GetAtMs(),
-		RequestLimit: float64(w.GetRequestLimit()),
+		RequestLimit: float64(w.GetRequestLimit()), RestMS: int(w.GetRestMs()),
 	}
 }
 
--- a/internal/transport/fault/fault.go
+++ b/internal/transport/fault/fault.go
@@ -27,6 +27,9 @@
 	RateLimit float64 `json:"rate_limit"`
 	// Leaving makes every answer say that the server shuts down.
 	Leaving bool `json:"leaving"`
+	// RetryAfterMS rejects every call other than GET with status 503 and asks for rest, in
+	// milliseconds.
+	RetryAfterMS int `json:"retry_after_ms"`
 }
 
 // Injector applies faults to the HTTP handler of a stand-in.
@@ -112,7 +115,16 @@
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
-		pushbackheader.Asks{RequestsPerSecond: faults.RateLimit, Leaving: faults.Leaving}.Encode(w.Header())
+		asks := pushbackheader.Asks{RequestsPerSecond: faults.RateLimit, Leaving: faults.Leaving}
+		isTurnedAway := faults.RetryAfterMS > 0 && r.Method != http.MethodGet
+		if isTurnedAway {
+			asks.RetryAfter = time.Duration(faults.RetryAfterMS) * time.Millisecond
+		}
+		asks.Encode(w.Header())
+		if isTurnedAway {
+			http.Error(w, "asking for rest", http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
