Gateways sleep while no endpoint asks for anything

The exchange of what endpoints ask for woke each gateway ten times a second, and the division of limits four times, with nothing to do. Both wake only while there is something to repeat or to divide.

--- a/internal/coordination/limitshare/divider.go
+++ b/internal/coordination/limitshare/divider.go
@@ -137,12 +137,14 @@
 	d.mu.Lock()
 	d.groups, d.startedAt, d.wake = map[groupID]*group{}, time.Now(), make(chan struct{}, 1)
 	d.mu.Unlock()
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
-		d.step(ctx, time.Now())
+		// Without limited endpoints there is nothing to decide, and the process is left asleep.
+		var next <-chan time.Time
+		if d.step(ctx, time.Now()) {
+			next = time.After(stepInterval)
+		}
 		select {
-		case <-ticker.C:
+		case <-next:
 		case <-d.Registry.Changed():
 		case <-d.wake:
 		case <-ctx.Done():
@@ -152,8 +154,8 @@
 	d.releaseAll(context.WithoutCancel(ctx))
 }
 
-// step decides what this process may send to each limited endpoint.
-func (d *Divider) step(ctx context.Context, now time.Time) {
+// step decides what this process may send to each limited endpoint. It returns whether there are any.
+func (d *Divider) step(ctx context.Context, now time.Time) bool {
 	d.Registry.DropUnknown(now)
 	members := map[groupID][]pushback.Limited{}
 	for _, e := range d.Registry.Limited(now) {
@@ -175,6 +177,7 @@
 		}
 		d.stepGroup(ctx, g, endpoints, now)
 	}
+	return len(d.groups) > 0 || d.Registry.IsAnyAsking()
 }
 
 func (d *Divider) newGroup(id groupID, now time.Time) *group {
--- a/internal/coordination/pushbackgossip/exchanger.go
+++ b/internal/coordination/pushbackgossip/exchanger.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// newsInterval is how often changes are looked for, and the time between repetitions.
+	// newsInterval is the time between repetitions, and between requests at the start.
 	newsInterval = 100 * time.Millisecond
 	// repetitions is how often a change is sent after its first time, each time to fanout others.
 	repetitions = 3
@@ -26,9 +26,10 @@
 	// maxBroadcastHosts is the number of other processes up to which all of them get repetitions.
 	maxBroadcastHosts = 12
 	// startRequests is how often a process that has started asks requestHosts others for what they
-	// know.
+	// know, and startTime how long it waits for others to ask.
 	startRequests = 3
 	requestHosts  = 3
+	startTime     = 10 * time.Second
 	// maxEntries bounds the entries of each kind in one message, so that it fits in a datagram.
 	maxEntries = 30
 )
@@ -62,17 +63,21 @@
 		defer close(received)
 		e.Group.Receive(ctx, e.receive)
 	}()
-	ticker := time.NewTicker(newsInterval)
-	defer ticker.Stop()
-	requests := 0
+	requests, startedAt := 0, time.Now()
+	var repeat <-chan time.Time
 	for {
+		isStarting := requests < startRequests && time.Since(startedAt) < startTime
+		if repeat == nil && (isStarting || len(e.repeated) > 0) {
+			// Most of the time there is nothing to repeat, and the process is left asleep.
+			repeat = time.After(newsInterval)
+		}
 		select {
-		case <-ticker.C:
-			if requests < startRequests && e.askPeers() {
+		case <-repeat:
+			repeat = nil
+			if isStarting && e.askPeers() {
 				requests++
 			}
 			e.repeat()
-			e.broadcastNews()
 		case <-e.Registry.News():
 			e.broadcastNews()
 		case <-ctx.Done():
