limitshare: a lease is given up only when nothing that it lent is in force

Callers would have seen an endpoint that limits its requests get up to one and a half times its limit for two seconds after a gateway stopped, and the refusals that follow.

Cause: a holder that stopped, or whose endpoint's limit had ended, gave its lease up at once. What it had lent to peers, and its own share, were valid for up to two more seconds, while the next holder divided the whole limit. A holder that dropped its group also forgot its loans and, if the limit returned at once, lent the same part twice.

Now a group is kept until its loans have ended; a process that stops leaves a lease with loans to end by itself, which it does after the loans, and gives up its own share with a lease that it releases.

--- a/internal/coordination/limitshare/divider.go
+++ b/internal/coordination/limitshare/divider.go
@@ -151,7 +151,7 @@
 		}
 	}
 	d.calls.Wait()
-	d.releaseAll(context.WithoutCancel(ctx))
+	d.releaseAll(context.WithoutCancel(ctx), time.Now())
 }
 
 // step decides what this process may send to each limited endpoint. It returns whether there are any.
@@ -164,7 +164,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, g := range d.groups {
-		if members[id] == nil && !g.isCalling {
+		if members[id] == nil && !g.isCalling && !g.hasLoans(now) {
 			delete(d.groups, id)
 			d.calls.Go(func() { d.release(context.WithoutCancel(ctx), g) })
 		}
@@ -378,12 +378,34 @@
 	g.role = next
 }
 
-// releaseAll gives up all leases.
-func (d *Divider) releaseAll(ctx context.Context) {
+// hasLoans reports whether peers may still use loans of this process.
+func (g *group) hasLoans(now time.Time) bool {
+	for _, byHost := range g.loans {
+		for _, l := range byHost {
+			if now.Before(l.until) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// releaseAll gives up the leases under which nothing is lent, and the shares that they give. The next
+// holder divides the whole limit, so a lease with loans is left to end by itself, after them.
+func (d *Divider) releaseAll(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
+	limited := d.Registry.Limited(now)
 	d.mu.Lock()
 	for _, g := range d.groups {
+		if g.hasLoans(now) {
+			continue
+		}
+		for _, e := range limited {
+			if groupOf(e) == g.id {
+				e.SetShare(pushback.Share{}, now)
+			}
+		}
 		d.calls.Go(func() { d.release(ctx, g) })
 	}
 	d.mu.Unlock()
--- a/internal/coordination/limitshare/divider_test.go
+++ b/internal/coordination/limitshare/divider_test.go
@@ -88,6 +88,8 @@
 	view     []netip.Addr
 	// losesMessages is set while nothing that the process sends arrives.
 	losesMessages bool
+	// isStopped is set from a graceful stop to the restart.
+	isStopped bool
 }
 
 const domain = "a"
@@ -110,6 +112,7 @@
 // restart starts the process's next life, which knows nothing.
 func (p *fakeProcess) restart(host netip.Addr) {
 	registry := pushback.NewRegistry()
+	p.isStopped = false
 	p.endpoint = registry.Endpoint("e", 1, domain)
 	p.divider = &Divider{
 		Registry: registry, Store: p.fleet.store, Messenger: p, Hosts: func(string) []netip.Addr { return append([]netip.Addr(nil), p.view...) },
@@ -124,12 +127,21 @@
 }
 
 func (p *fakeProcess) step() {
+	if p.isStopped {
+		return
+	}
 	p.divider.step(context.Background(), p.fleet.now)
 	p.divider.calls.Wait()
 	p.divider.step(context.Background(), p.fleet.now)
 	p.divider.calls.Wait()
 }
 
+// stop gives up what the process holds. Requests that it still has may use its shares.
+func (p *fakeProcess) stop() {
+	p.isStopped = true
+	p.divider.releaseAll(context.Background(), p.fleet.now)
+}
+
 // Lend implements Messenger.
 func (p *fakeProcess) Lend(to netip.Addr, loans []Loan) {
 	if peer := p.fleet.byHost[to]; peer != nil && !p.losesMessages {
@@ -153,6 +165,10 @@
 func (f *fakeFleet) used() (leased float64, fallbacks, holders int) {
 	for _, p := range f.processes {
 		share := p.endpoint.Share(f.now)
+		if p.endpoint.Limit().RequestsPerSecond == 0 {
+			// To its knowledge there is no limit to share.
+			share = 0
+		}
 		isFallback := false
 		for _, g := range p.divider.groups {
 			isFallback = isFallback || g.role == roleFallback
@@ -170,8 +186,8 @@
 }
 
 // TestSharesNeverExceedLimit lets processes of fleets of 3, 29 and 370 divide the limit of an endpoint
-// with any views of each other, while calls to the store fail in all ways, messages are lost and
-// processes restart.
+// with any views of each other, while calls to the store fail in all ways, messages are lost,
+// limits end and begin again, and processes stop and restart.
 //
 // It guards against a limit that holds only while processes agree on who there is: what the holder of
 // the lease and its borrowers may send is at most the limit, whatever anyone believes, and each process
@@ -196,9 +212,14 @@
 		if rapid.Bool().Draw(t, "store is well") {
 			f.store.next = noFault
 		}
-		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		switch rapid.IntRange(0, 11).Draw(t, "step") {
 		case 0:
 			p.restart(p.divider.Self)
+		case 10:
+			p.stop()
+		case 11:
+			p.endpoint.Observe(pushback.Signal{}, f.now, f.now)
+			p.step()
 		case 1:
 			p.losesMessages = !p.losesMessages
 		case 2, 3:
@@ -250,6 +271,31 @@
 	}
 }
 
+// TestStopWithLoansKeepsLease guards against a holder that gives its lease up while a peer may still use
+// what it lent: the next holder divides the whole limit beside that.
+func TestStopWithLoansKeepsLease(t *testing.T) {
+	f := newFakeFleet(3)
+	holder, borrower, next := f.processes[0], f.processes[1], f.processes[2]
+	holder.view = []netip.Addr{borrower.divider.Self}
+	f.now = f.now.Add(loanTime)
+	for _, p := range f.processes {
+		p.hear(4)
+	}
+	f.until(t, 5*escalation, func() bool {
+		holder.step()
+		return holder.endpoint.Share(f.now) > 0 && borrower.endpoint.Share(f.now) > 0
+	})
+	holder.stop()
+	f.until(t, 2*leaseTerm, func() bool {
+		next.hear(4)
+		next.step()
+		if leased, _, _ := f.used(); leased > 4 {
+			t.Fatalf("shares of %g a second, want at most 4", leased)
+		}
+		return next.endpoint.Share(f.now) > 0
+	})
+}
+
 // until advances the time in small steps until a condition holds.
 func (f *fakeFleet) until(t *testing.T, limit time.Duration, holds func() bool) {
 	t.Helper()
