--- a/internal/coordination/agent/pushback.go
+++ b/internal/coordination/agent/pushback.go
@@ -18,7 +18,7 @@
 	// unseen would not be used otherwise.
 	endCheckInterval = 250 * time.Millisecond
 	leavingTimeout   = time.Minute
-	// leavingRest is the rest that is reported while the endpoint leaves: an entry that has not heard of
+	// leavingRest is the rest that is reported while the endpoint leaves: an entry that has not learned of
 	// it by gossip would otherwise spend its retries on refusals.
 	leavingRest = time.Second
 )
@@ -29,7 +29,7 @@
 	e := a.asks.Load()
 	if heard := now.Add(-e.LeavingFor(now)); e.IsLeaving() && !asks.Leaving && sent.After(heard) {
 		// A process that shuts down says so in all its answers, so another one answers.
-		e = a.forgetAsks()
+		e = a.resetPushback()
 	}
 	e.Observe(pushback.Signal{RequestsPerSecond: asks.RequestsPerSecond, Leaving: asks.Leaving, RetryAfter: asks.RetryAfter}, sent, now)
 	if asks.RequestsPerSecond > 0 {
@@ -38,8 +38,8 @@
 	a.announceLeaving(e.IsLeaving())
 }
 
-// forgetAsks forgets what the endpoint asked for: its process has ended.
-func (a *Agent) forgetAsks() *pushback.Endpoint {
+// resetPushback drops what the endpoint asked for: its process has ended.
+func (a *Agent) resetPushback() *pushback.Endpoint {
 	id := a.node.Table().Self().ID
 	a.pushback.Remove(id, 0)
 	e := a.pushback.Endpoint(id, 0, "")
@@ -47,7 +47,7 @@
 	return e
 }
 
-// announceLeaving tells the fleet whether the endpoint's answers say that it shuts down.
+// announceLeaving publishes whether the endpoint's answers say that it shuts down.
 func (a *Agent) announceLeaving(leaving bool) {
 	table := a.node.Table()
 	if table.Self().Endpoint.Leaving == leaving {
@@ -74,7 +74,7 @@
 			continue
 		}
 		if e.LeavingFor(time.Now()) > leavingTimeout || (a.HasEnded != nil && a.HasEnded(ctx)) {
-			a.forgetAsks()
+			a.resetPushback()
 			a.announceLeaving(false)
 		}
 	}
--- a/internal/coordination/agent/pushback_test.go
+++ b/internal/coordination/agent/pushback_test.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// TestAgentTellsThatItsEndpointLeaves guards against runs for an endpoint whose answers say that it shuts
+// TestAgentPublishesThatItsEndpointLeaves guards against runs for an endpoint whose answers say that it shuts
 // down, and against one that has started again and gets none.
-func TestAgentTellsThatItsEndpointLeaves(t *testing.T) {
+func TestAgentPublishesThatItsEndpointLeaves(t *testing.T) {
 	a := agentBeside(t, newEngine())
 	leaves := func() bool { return a.node.Table().Self().Endpoint.Leaving }
 	sent := time.Now()
--- a/internal/coordination/contextcache/engines.go
+++ b/internal/coordination/contextcache/engines.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// awaitRest waits until an engine wants calls of this process again. It returns false if ctx has ended.
+// awaitRest waits until an engine accepts calls of this process again. It returns false if ctx has ended.
 func (t *Tracker) awaitRest(ctx context.Context, address string) bool {
 	if t.RestLeft == nil {
 		return true
--- a/internal/coordination/gateway/pushback.go
+++ b/internal/coordination/gateway/pushback.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// RestLeft returns for how much longer the endpoint at an address wants no calls of this process.
+// RestLeft returns for how much longer the endpoint at an address accepts no calls of this process.
 func (g *Gateway) RestLeft(address string) time.Duration {
 	if !g.Directory.Pushback.IsAnyAsking() {
 		return 0
@@ -43,7 +43,7 @@
 	return 0
 }
 
-// IsResting reports whether an endpoint wants no calls of this process now.
+// IsResting reports whether an endpoint accepts no calls of this process now.
 func (g *Gateway) IsResting(i discovery.Instance) bool {
 	return g.pushbackOf(i).RestLeft(time.Now()) > 0
 }
--- a/internal/coordination/gateway/pushback_test.go
+++ b/internal/coordination/gateway/pushback_test.go
@@ -92,7 +92,7 @@
 }
 
 // TestEndpointThatAsksForRestGetsNoRequests guards against requests, and retries, to an endpoint that has
-// turned one away with the time for which it wants none, and against callers that wait for it.
+// turned one away with the time for which it accepts none, and against callers that wait for it.
 func TestEndpointThatAsksForRestGetsNoRequests(t *testing.T) {
 	s := newTestServer(t, singleRoute(routes.Idempotent, 3), respond(503, "", headerNotRun+": 1", "Retry-After: 30"), respond(500, "failed"))
 	resting := s.endpoints[0]
@@ -112,7 +112,7 @@
 	}
 }
 
-// TestOnlyEndpointRests guards against a caller that is told to come back while the only endpoint still
+// TestOnlyEndpointRests guards against a caller that is asked to come back while the only endpoint still
 // rests.
 func TestOnlyEndpointRests(t *testing.T) {
 	s := newTestServer(t, singleRoute(routes.Idempotent, 3), respond(503, "", headerNotRun+": 1", "Retry-After: 30"))
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -22,7 +22,7 @@
 		g.syncLeaving()
 		select {
 		case <-changed:
-		case <-g.Directory.Pushback.LeavingHeard():
+		case <-g.Directory.Pushback.LeavingLearned():
 		case <-ticker.C:
 			g.Pool.Sweep(time.Now())
 		case <-ctx.Done():
--- a/internal/coordination/limitshare/divider.go
+++ b/internal/coordination/limitshare/divider.go
@@ -39,7 +39,7 @@
 	releaseTimeout = 300 * time.Millisecond
 	// announceInterval is the time between two announcements of a holder.
 	announceInterval = 2 * time.Second
-	// escalation is how long a process waits for a holder to be heard before it tries itself, for each
+	// escalation is how long a process waits for the holder's announcement before it tries itself, for each
 	// process that ranks before it.
 	escalation = 3 * time.Second
 )
@@ -55,9 +55,9 @@
 type Messenger interface {
 	// Lend sends loans to a host.
 	Lend(to netip.Addr, loans []Loan)
-	// Announce tells hosts that this process uses the limits of endpoints.
+	// Announce notifies hosts that this process uses the limits of endpoints.
 	Announce(endpoints []pushback.Key, hosts []netip.Addr)
-	// ReportSent tells a host of requests that this process sent to an endpoint before it could know
+	// ReportSent reports requests to a host that this process sent to an endpoint before it could know
 	// of its limit.
 	ReportSent(to netip.Addr, endpoint pushback.Key, requests int)
 }
@@ -104,9 +104,9 @@
 type group struct {
 	id    groupID
 	lease *lease.Lease
-	// neededSince is when the first of its endpoints became limited, heardAt when another process
+	// neededSince is when the first of its endpoints became limited, holderSeenAt when another process
 	// last announced that it uses their limits.
-	neededSince, heardAt time.Time
+	neededSince, holderSeenAt time.Time
 	// isCalling is set while a call to the store is in flight; calledAt is when the last began, and
 	// storeFailed whether it had no answer.
 	isCalling   bool
@@ -192,8 +192,8 @@
 // stepGroup decides for one group; d.mu is held.
 func (d *Divider) stepGroup(ctx context.Context, g *group, endpoints []pushback.Limited, now time.Time) {
 	ranked := d.candidates(g.id)
-	mayTry := g.mayTry(slices.Index(ranked, d.Self), now)
-	if mayTry && d.isCallDue(g, now) {
+	canTry := g.canTry(slices.Index(ranked, d.Self), now)
+	if canTry && d.isCallDue(g, now) {
 		g.lease.SetNote(encodeNote(endpoints))
 		d.call(ctx, g, now)
 	}
@@ -206,7 +206,7 @@
 	case heldFor > 0:
 		d.setRole(g, roleHolder)
 		d.useLimits(g, endpoints, ranked, heldFor, now)
-	case mayTry && g.storeFailed && now.Sub(g.heardAt) >= escalation:
+	case canTry && g.storeFailed && now.Sub(g.holderSeenAt) >= escalation:
 		d.setRole(g, roleFallback)
 		for _, e := range endpoints {
 			e.SetShare(pushback.Share{RequestsPerSecond: fallbackPart * e.RequestsPerSecond, Until: now.Add(2 * stepInterval)}, now)
@@ -239,16 +239,16 @@
 	return rank(hosts, id)
 }
 
-// mayTry reports whether a process should try to use the limits of the group: the one that ranks
-// first, or a later one once no other has been heard to use them for some time. position is -1 for a
+// canTry reports whether a process should try to use the limits of the group: the one that ranks
+// first, or a later one once no other has announced to use them for some time. position is -1 for a
 // process that is no candidate.
-func (g *group) mayTry(position int, now time.Time) bool {
+func (g *group) canTry(position int, now time.Time) bool {
 	if position <= 0 {
 		return position == 0
 	}
 	silentSince := g.neededSince
-	if g.heardAt.After(silentSince) {
-		silentSince = g.heardAt
+	if g.holderSeenAt.After(silentSince) {
+		silentSince = g.holderSeenAt
 	}
 	return now.Sub(silentSince) >= time.Duration(position)*escalation
 }
@@ -297,7 +297,7 @@
 	return data
 }
 
-// applyNote confirms the limits that the holder of a lease uses. A process that no peer knows hears of
+// applyNote confirms the limits that the holder of a lease uses. A process that no peer knows learns of
 // them in no other way, and would return to the endpoints when its own knowledge expires.
 func (d *Divider) applyNote(data []byte, now time.Time) {
 	var n note
@@ -351,7 +351,7 @@
 }
 
 // reportSent counts what this process sent to newly limited endpoints before it could know: against
-// its own share if it ranks first, or else it tells the process that does. d.mu is held.
+// its own share if it ranks first, or else it reports them to the process that does. d.mu is held.
 func (d *Divider) reportSent(g *group, endpoints []pushback.Limited, first netip.Addr, now time.Time) {
 	for _, e := range endpoints {
 		if g.reported[e.Key].Equal(e.Since) {
@@ -428,23 +428,23 @@
 	}
 }
 
-// HeardHolder records that another process uses the limits of endpoints.
-func (d *Divider) HeardHolder(endpoints []pushback.Key, now time.Time) {
+// RecordHolder records that another process uses the limits of endpoints.
+func (d *Divider) RecordHolder(endpoints []pushback.Key, now time.Time) {
 	for _, limited := range d.Registry.Limited(now) {
 		if !slices.Contains(endpoints, limited.Key) {
 			continue
 		}
 		d.mu.Lock()
 		if g := d.groups[groupOf(limited)]; g != nil {
-			g.heardAt = now
+			g.holderSeenAt = now
 		}
 		d.mu.Unlock()
 	}
 }
 
-// HeardSent counts requests against the share of this process that a peer sent before it could know
+// RecordSent counts requests against the share of this process that a peer sent before it could know
 // of the limit.
-func (d *Divider) HeardSent(endpoint pushback.Key, requests int, now time.Time) {
+func (d *Divider) RecordSent(endpoint pushback.Key, requests int, now time.Time) {
 	if e := d.Registry.Find(endpoint); e != nil {
 		e.Debit(requests, now)
 	}
--- a/internal/coordination/limitshare/divider_test.go
+++ b/internal/coordination/limitshare/divider_test.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// hear lets an answer name the limit.
-func (p *fakeProcess) hear(perSecond float64) {
+// observe lets an answer name the limit.
+func (p *fakeProcess) observe(perSecond float64) {
 	p.endpoint.Observe(pushback.Signal{RequestsPerSecond: perSecond}, p.fleet.now, p.fleet.now)
 }
 
@@ -153,7 +153,7 @@
 func (p *fakeProcess) Announce(endpoints []pushback.Key, hosts []netip.Addr) {
 	for _, host := range hosts {
 		if peer := p.fleet.byHost[host]; peer != nil && !p.losesMessages {
-			peer.divider.HeardHolder(endpoints, p.fleet.now)
+			peer.divider.RecordHolder(endpoints, p.fleet.now)
 		}
 	}
 }
@@ -185,13 +185,10 @@
 	return leased, fallbacks, holders
 }
 
-// TestSharesNeverExceedLimit lets processes of fleets of 3, 29 and 370 divide the limit of an endpoint
-// with any views of each other, while calls to the store fail in all ways, messages are lost,
-// limits end and begin again, and processes stop and restart.
-//
-// It guards against a limit that holds only while processes agree on who there is: what the holder of
-// the lease and its borrowers may send is at most the limit, whatever anyone believes, and each process
-// that does not reach the store adds at most fallbackPart.
+// TestSharesNeverExceedLimit guards against a limit that holds only while processes agree on who there is.
+// The holder of the lease and its borrowers may send the limit at most, whatever anyone believes, and each
+// process that does not reach the store adds fallbackPart, while the store fails, messages are lost, limits
+// end and begin again, and processes stop and restart.
 func TestSharesNeverExceedLimit(t *testing.T) {
 	for _, size := range []int{3, 29, 370} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -232,10 +229,10 @@
 			}
 		case 4:
 			for _, p := range f.processes[:min(size, 40)] {
-				p.hear(perSecond)
+				p.observe(perSecond)
 			}
 		default:
-			p.hear(perSecond)
+			p.observe(perSecond)
 			p.step()
 		}
 		leased, fallbacks, holders := f.used()
@@ -253,15 +250,15 @@
 	holder, peer := f.processes[0], f.processes[1]
 	holder.view, peer.view = []netip.Addr{peer.divider.Self}, []netip.Addr{holder.divider.Self}
 	f.now = f.now.Add(loanTime)
-	holder.hear(12)
-	peer.hear(12)
+	holder.observe(12)
+	peer.observe(12)
 	f.until(t, 5*escalation, func() bool {
 		holder.step()
 		return holder.endpoint.Share(f.now) > 0 && peer.endpoint.Share(f.now) > 0
 	})
 	f.store.next = refused
 	f.until(t, leaseTerm, func() bool {
-		holder.hear(12)
+		holder.observe(12)
 		holder.step()
 		_, _, holders := f.used()
 		return holders == 0
@@ -279,7 +276,7 @@
 	holder.view = []netip.Addr{borrower.divider.Self}
 	f.now = f.now.Add(loanTime)
 	for _, p := range f.processes {
-		p.hear(4)
+		p.observe(4)
 	}
 	f.until(t, 5*escalation, func() bool {
 		holder.step()
@@ -287,7 +284,7 @@
 	})
 	holder.stop()
 	f.until(t, 2*leaseTerm, func() bool {
-		next.hear(4)
+		next.observe(4)
 		next.step()
 		if leased, _, _ := f.used(); leased > 4 {
 			t.Fatalf("shares of %g a second, want at most 4", leased)
--- a/internal/coordination/pushback/bucket.go
+++ b/internal/coordination/pushback/bucket.go
@@ -41,8 +41,8 @@
 	return b.tokens >= 1
 }
 
-// take removes n tokens; their number becomes negative if they were not there.
-func (b *bucket) take(n int, now time.Time) {
+// spend removes n tokens; their number becomes negative if they were not there.
+func (b *bucket) spend(n int, now time.Time) {
 	b.advance(now)
 	b.tokens = max(b.tokens-float64(n), min(b.tokens, -b.perSecond*maxDebt.Seconds()))
 }
--- a/internal/coordination/pushback/bucket_test.go
+++ b/internal/coordination/pushback/bucket_test.go
@@ -22,7 +22,7 @@
 				b.setRate(rate, now)
 			}
 			if b.hasToken(now) {
-				b.take(1, now)
+				b.spend(1, now)
 				sent = append(sent, now)
 			}
 			inWindow := 0
@@ -43,11 +43,11 @@
 func TestBucketDebt(t *testing.T) {
 	b := bucket{at: start}
 	b.setRate(2, start)
-	b.take(3, start)
+	b.spend(3, start)
 	if got := b.untilToken(start); got != 2*time.Second {
 		t.Errorf("got %v until the next request, want 2 s", got)
 	}
-	b.take(1000, start)
+	b.spend(1000, start)
 	if got, most := b.untilToken(start), maxDebt+time.Second; got > most {
 		t.Errorf("got %v until the next request, want at most %v", got, most)
 	}
--- a/internal/coordination/pushback/endpoint.go
+++ b/internal/coordination/pushback/endpoint.go
@@ -35,14 +35,14 @@
 	debt   int
 	debtAt time.Time
 	// unlimitedAt is when the request was sent whose answer last named no limit. What was sent after
-	// it and before the process heard of a limit may count against that limit.
+	// it and before the process learned of a limit may count against that limit.
 	unlimitedAt time.Time
-	// leavingSince is when this process first heard that the endpoint leaves, zero before.
+	// leavingSince is when this process first learned that the endpoint leaves, zero before.
 	leavingSince time.Time
 	rest         rest
 	// sends are the times of this process's requests within Window, oldest first.
 	sends []time.Time
-	// pending is set while the limit has changed by an answer and peers have not been told,
+	// pending is set while the limit has changed by an answer and peers have not been notified,
 	// pendingLeaving while that is so for the endpoint's leaving.
 	pending, pendingLeaving bool
 }
@@ -116,12 +116,12 @@
 	}
 	e.sends = append(e.sends, now)
 	if e.isAsking.Load() {
-		e.bucket.take(1, now)
+		e.bucket.spend(1, now)
 		e.rest.trialAt = now
 	}
 }
 
-// dropOldSends forgets the sends that have left the window; e.mu is held.
+// dropOldSends drops the sends that have left the window; e.mu is held.
 func (e *Endpoint) dropOldSends(now time.Time) {
 	for len(e.sends) > 0 && now.Sub(e.sends[0]) >= Window {
 		e.sends = e.sends[1:]
--- a/internal/coordination/pushback/endpoint_test.go
+++ b/internal/coordination/pushback/endpoint_test.go
@@ -95,7 +95,7 @@
 }
 
 // TestUnconfirmedLimitExpires guards against an endpoint that stays unused for good because the process
-// that knew of its limit's end could not tell the others.
+// that knew of its limit's end could not inform the others.
 func TestUnconfirmedLimitExpires(t *testing.T) {
 	e := limited(2)
 	if now := start.Add(limitTTL); allows(e, now) {
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestSentUnaware guards against a sum over processes that leaves out what they sent before they heard
+// TestSentUnaware guards against a sum over processes that leaves out what they sent before they learned
 // of the limit, and against one that counts what was answered without it.
 func TestSentUnaware(t *testing.T) {
 	e := NewRegistry().Endpoint("i-1", 1, "a")
@@ -179,7 +179,7 @@
 }
 
 // TestLeavingIsForGood guards against requests to an endpoint that leaves, by later answers that do not
-// say so, and against processes that are never told.
+// say so, and against processes that never learn of it.
 func TestLeavingIsForGood(t *testing.T) {
 	r, peer := NewRegistry(), NewRegistry()
 	e := r.Endpoint("i-1", 1, "a")
--- a/internal/coordination/pushback/leaving.go
+++ b/internal/coordination/pushback/leaving.go
@@ -22,13 +22,13 @@
 		notify(e.registry.news)
 	}
 	notify(e.registry.leaving)
-	e.registry.Log.Info("endpoint says that it leaves", zap.String("endpoint", e.id), zap.String("heard_from", source(from)))
+	e.registry.Log.Info("endpoint says that it leaves", zap.String("endpoint", e.id), zap.String("learned_from", source(from)))
 }
 
 // isLeaving reports whether the endpoint leaves; e.mu is held.
 func (e *Endpoint) isLeaving() bool { return !e.leavingSince.IsZero() }
 
-// LeavingFor returns how long ago this process first heard that the endpoint leaves, 0 if it has not.
+// LeavingFor returns how long ago this process first learned that the endpoint leaves, 0 if it has not.
 func (e *Endpoint) LeavingFor(now time.Time) time.Duration {
 	if e == nil {
 		return 0
@@ -51,9 +51,9 @@
 	return e.isLeaving()
 }
 
-// LeavingHeard returns a channel that receives an item when an endpoint was first heard to leave. It
+// LeavingLearned returns a channel that receives an item when an endpoint was first known to leave. It
 // has one reader.
-func (r *Registry) LeavingHeard() <-chan struct{} { return r.leaving }
+func (r *Registry) LeavingLearned() <-chan struct{} { return r.leaving }
 
 // MergeLeaving records that a peer says that an endpoint leaves.
 func (r *Registry) MergeLeaving(key Key, from string, now time.Time) {
--- a/internal/coordination/pushback/limit.go
+++ b/internal/coordination/pushback/limit.go
@@ -20,12 +20,12 @@
 type Limit struct {
 	// RequestsPerSecond is 0 if the endpoint names no limit.
 	RequestsPerSecond float64
-	// Since is when this process first heard of the limit.
+	// Since is when this process first learned of the limit.
 	Since time.Time
 	// AsOf is when an answer last named the limit or, if there is none, when the request was sent
 	// whose answer last named none.
 	AsOf time.Time
-	// From is the peer that this process heard it from, empty if from an answer of its own.
+	// From is the peer that this process learned it from, empty if from an answer of its own.
 	From string
 }
 
@@ -87,7 +87,7 @@
 	e.bucket.setRate(s.RequestsPerSecond, now)
 	if s.RequestsPerSecond > 0 && e.debt > 0 {
 		if now.Sub(e.debtAt) < Window {
-			e.bucket.take(e.debt, now)
+			e.bucket.spend(e.debt, now)
 		}
 		e.debt = 0
 	}
@@ -109,7 +109,7 @@
 	return e.limit.RequestsPerSecond > 0 || now.Before(e.resumeAt)
 }
 
-// unconfirmed stands for the peer that a limit's end was heard from if nobody has named the limit
+// unconfirmed stands for the peer that a limit's end was learned from if nobody has named the limit
 // any more.
 const unconfirmed = "nobody"
 
@@ -150,14 +150,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.share.RequestsPerSecond > 0 {
-		e.bucket.take(requests, now)
+		e.bucket.spend(requests, now)
 		return
 	}
 	e.debt, e.debtAt = e.debt+requests, now
 }
 
 // SentUnaware returns how many requests this process has sent within Window that the endpoint may
-// count against its limit, although the process had not heard of it.
+// count against its limit, although the process had not learned of it.
 func (e *Endpoint) SentUnaware(now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/coordination/pushback/news.go
+++ b/internal/coordination/pushback/news.go
@@ -99,13 +99,13 @@
 	return r.endpoints[key]
 }
 
-// DropUnknown forgets endpoints that are known from peers only and ask for nothing any more.
+// DropUnknown drops endpoints that are known from peers only and ask for nothing any more.
 func (r *Registry) DropUnknown(now time.Time) {
 	for _, e := range r.allAsking() {
 		e.mu.Lock()
-		forget := e.id == "" && !e.isLimited(now) && now.Sub(e.leavingSince) > leavingUnknown
+		drop := e.id == "" && !e.isLimited(now) && now.Sub(e.leavingSince) > leavingUnknown
 		e.mu.Unlock()
-		if !forget {
+		if !drop {
 			continue
 		}
 		r.setAsking(e, false)
--- a/internal/coordination/pushback/registry.go
+++ b/internal/coordination/pushback/registry.go
@@ -36,7 +36,7 @@
 	askingMu sync.Mutex
 	asking   map[*Endpoint]struct{}
 	// changed receives an item when a limit has begun, changed or ended, news when an answer to this
-	// process asked for something else than before, leaving when an endpoint was first heard to leave.
+	// process asked for something else than before, leaving when an endpoint was first known to leave.
 	changed, news, leaving chan struct{}
 }
 
@@ -76,7 +76,7 @@
 	return unnamed
 }
 
-// Remove forgets an incarnation that has ended.
+// Remove drops an incarnation that has ended.
 func (r *Registry) Remove(id string, incarnation uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -163,11 +163,11 @@
 }
 
 func (r *Registry) logLimit(message, id string, l Limit, now time.Time) {
-	r.Log.Info(message, zap.String("endpoint", id), zap.Float64("per_second", l.RequestsPerSecond), zap.String("heard_from", source(l.From)),
+	r.Log.Info(message, zap.String("endpoint", id), zap.Float64("per_second", l.RequestsPerSecond), zap.String("learned_from", source(l.From)),
 		zap.Duration("as_of", now.Sub(l.AsOf)), zap.Duration("known_for", now.Sub(l.Since)))
 }
 
-// source names the peer that this process heard something from, or an answer of the endpoint's own.
+// source names the peer that this process learned something from, or an answer of the endpoint's own.
 func source(peer string) string {
 	if peer == "" {
 		return "an answer"
--- a/internal/coordination/pushback/rest.go
+++ b/internal/coordination/pushback/rest.go
@@ -17,7 +17,7 @@
 	trialTimeout = time.Second
 )
 
-// rest is the time for which an endpoint wants no requests of this process.
+// rest is the time for which an endpoint accepts no requests of this process.
 type rest struct {
 	// until is the end that the endpoint named, resumeAt when this process returns.
 	until, resumeAt time.Time
@@ -64,7 +64,7 @@
 	return e.rest.isOnTrial || now.Before(e.rest.resumeAt)
 }
 
-// RestLeft returns for how much longer the endpoint wants no requests of this process.
+// RestLeft returns for how much longer the endpoint accepts no requests of this process.
 func (e *Endpoint) RestLeft(now time.Time) time.Duration {
 	if e == nil {
 		return 0
--- a/internal/coordination/pushback/signal.go
+++ b/internal/coordination/pushback/signal.go
@@ -12,7 +12,7 @@
 	RequestsPerSecond float64
 	// Leaving is set if the endpoint shuts down.
 	Leaving bool
-	// RetryAfter is how long the endpoint wants no requests of this process, 0 if the answer does not
+	// RetryAfter is how long the endpoint accepts no requests of this process, 0 if the answer does not
 	// say so.
 	RetryAfter time.Duration
 }
--- a/internal/coordination/pushbackgossip/exchanger.go
+++ b/internal/coordination/pushbackgossip/exchanger.go
@@ -188,11 +188,11 @@
 		e.Registry.MergeLeaving(key, host.String(), now)
 	}
 	if used := keysFromWire(r.GetUsed()); len(used) > 0 {
-		e.Divider.HeardHolder(used, now)
+		e.Divider.RecordHolder(used, now)
 	}
 	e.Divider.Borrow(loansFromWire(r.GetLoans()), now)
 	for _, s := range r.GetSent() {
-		e.Divider.HeardSent(pushback.Key(s.GetEndpoint()), int(s.GetRequests()), now)
+		e.Divider.RecordSent(pushback.Key(s.GetEndpoint()), int(s.GetRequests()), now)
 	}
 	if r.GetAsks() {
 		if news, leaving := e.Registry.AllNews(), e.Registry.AllLeaving(); len(news)+len(leaving) > 0 {
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -82,7 +82,7 @@
 	Now func() time.Time
 	// Notices, if set, announces each renewal to the followers; see noticeTimeLeft.
 	Notices Announcer
-	// IsResting, if set, reports whether an engine wants no calls of this process now.
+	// IsResting, if set, reports whether an engine accepts no calls of this process now.
 	IsResting func(i discovery.Instance) bool
 	// Fleet, if set, returns the number of processes that check the lease.
 	Fleet func() int
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -127,7 +127,7 @@
 	SentInWindow      int
 	// LeavingFor is how long ago an answer first said that the endpoint leaves, 0 if none did.
 	LeavingFor time.Duration
-	// RestLeft is for how much longer the endpoint wants no requests of this process.
+	// RestLeft is for how much longer the endpoint accepts no requests of this process.
 	RestLeft time.Duration
 }
 
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -422,7 +422,7 @@
 }
 
 // TestEngineThatAsksForRestGetsIt guards against prompts that go on to an engine which turns them away with
-// 503 and the time for which it wants none.
+// 503 and the time for which it accepts none.
 func TestEngineThatAsksForRestGetsIt(t *testing.T) {
 	s := newSite(t)
 	s.whole(2, "-token-time", "0s", "-prefill-rate", "0")
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -101,7 +101,7 @@
 	// RequestLimit is the number of requests a second that the endpoint accepts from all entries
 	// together, 0 for no limit.
 	RequestLimit float64 `json:"request_limit,omitempty"`
-	// RestMS is for how much longer the endpoint wants no requests, in milliseconds.
+	// RestMS is for how much longer the endpoint accepts no requests, in milliseconds.
 	RestMS int `json:"rest_ms,omitempty"`
 }
 
--- a/internal/transport/pushbackheader/pushbackheader.go
+++ b/internal/transport/pushbackheader/pushbackheader.go
@@ -25,7 +25,7 @@
 	RequestsPerSecond float64
 	// Leaving is set if the server shuts down.
 	Leaving bool
-	// RetryAfter is how long a server that turned a request away with 503 wants no others, 0 if the
+	// RetryAfter is how long a server that turned a request away with 503 accepts no others, 0 if the
 	// answer does not say so.
 	RetryAfter time.Duration
 }
