limitshare: a note confirms limits only as of when it was certainly written

Callers would have seen an endpoint stay unused for up to 10 s, or for good, although it had named no limit for long.

Cause: a process that tried a lease took the limits in the holder's note for confirmed at that moment. The first note that it reads may be of a holder that crashed an hour ago; and where no process has a request for the endpoint, each confirmed the limit to the next through the lease.

Now a note carries the age of its limits, and the lease dates the note: it was written after the last read that found another one, and each renewal between adds its interval. The first note that is read says nothing. TestNoteOfEndedHolderSaysNothing and TestUnusedLimitEnds failed before (in force again an hour later; still limited after 40 s), and TestHolderNoteWrittenAfter checks the date.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -34,6 +34,9 @@
 	Act time.Duration
 	// CallTimeout bounds one platform call.
 	CallTimeout time.Duration
+	// StepInterval is the least time between two calls of Step in all processes, 0 if unknown. The
+	// dates of notes are more precise with it.
+	StepInterval time.Duration
 	// Now is the clock; nil means time.Now. If hosts may be suspended, it must advance
 	// meanwhile: a holder that resumes would otherwise assume that no time has passed.
 	Now func() time.Time
@@ -73,6 +76,9 @@
 	seenVersion int64
 	seenAt      time.Time
 	lastRead    content
+	// readAt is when the last read began, and writtenAfter a time after which the content
+	// read was written, zero if unknown.
+	readAt, writtenAfter time.Time
 	// sequence and note are written with this process's own renewals.
 	sequence uint64
 	note     json.RawMessage
@@ -119,6 +125,14 @@
 	return l.lastRead.Note
 }
 
+// HolderNoteWrittenAfter returns a time after which the holder's note was written, the zero time if that
+// is not known: the note that a process reads first may be of a holder that ended long ago.
+func (l *Lease) HolderNoteWrittenAfter() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.writtenAfter
+}
+
 // LastNote is the note last read, of any holder.
 func (l *Lease) LastNote() []byte {
 	l.mu.Lock()
@@ -269,7 +283,7 @@
 	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return err
 	}
-	previous := l.applyRead(o)
+	previous := l.applyRead(o, began)
 	isOwn := previous.Holder == l.cfg.Holder
 	if !l.hasExpired(o.Version, began) && !isOwn {
 		return ErrNotHeld
@@ -308,7 +322,7 @@
 // applyRead records the value read from the object. A lease that names this process as
 // holder is from before its restart, or from a write whose answer was lost. Nobody else can
 // act under it, so it is acquired again at once, with a higher fencing token.
-func (l *Lease) applyRead(o objectapi.Object) content {
+func (l *Lease) applyRead(o objectapi.Object, began time.Time) content {
 	c := decodeContent(o.Value)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -316,10 +330,26 @@
 		// Another process holds the lease now, and its note is the valid one.
 		l.fence = 0
 	}
+	l.dateContent(c, began)
 	l.lastRead = c
 	return c
 }
 
+// dateContent records when the content read was written, as far as is known; l.mu is held. It has been
+// written since the last read if it differs. Each write of the same holder began at least StepInterval
+// after the one before.
+func (l *Lease) dateContent(c content, began time.Time) {
+	switch isNew := c.Holder != l.lastRead.Holder || c.Sequence != l.lastRead.Sequence; {
+	case l.readAt.IsZero():
+	case isNew && c.Holder == l.lastRead.Holder && c.Sequence > l.lastRead.Sequence:
+		earlier := time.Duration(c.Sequence-l.lastRead.Sequence-1) * l.cfg.StepInterval
+		l.writtenAfter = l.readAt.Add(min(earlier, began.Sub(l.readAt)) - l.cfg.CallTimeout)
+	case isNew:
+		l.writtenAfter = l.readAt.Add(-l.cfg.CallTimeout)
+	}
+	l.readAt = began
+}
+
 // decodeContent decodes an object's value. A value that does not decode is from an older
 // release; its holder counts as another process.
 func decodeContent(value []byte) content {
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -205,3 +205,33 @@
 		}
 	})
 }
+
+// TestHolderNoteWrittenAfter guards against a note that a process takes for newer than it is, such as the
+// first one that it reads, which may be of a holder that ended long ago.
+func TestHolderNoteWrittenAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		config := lease.Config{Key: "lease.x", Holder: "a", Term: term, CallTimeout: time.Second, StepInterval: time.Second}
+		a := lease.New(config, store)
+		config.Holder = "b"
+		b := lease.New(config, store)
+		a.Step(t.Context())
+		time.Sleep(time.Hour)
+		b.Step(t.Context())
+		if at := b.HolderNoteWrittenAfter(); !at.IsZero() {
+			t.Fatalf("got %v after the first read, want none", at)
+		}
+		for range 4 {
+			var written time.Time
+			for range 5 {
+				a.Step(t.Context())
+				written = time.Now()
+				time.Sleep(time.Second)
+			}
+			b.Step(t.Context())
+			if at := b.HolderNoteWrittenAfter(); at.After(written) || at.Before(written.Add(-3*time.Second)) {
+				t.Errorf("got %v for a note written at %v", at, written)
+			}
+		}
+	})
+}
--- a/internal/coordination/limitshare/divider.go
+++ b/internal/coordination/limitshare/divider.go
@@ -35,6 +35,8 @@
 	// loanTime is how long a loan is valid. A process that has just started lends and uses nothing for
 	// as long, as loans of its predecessor at the same address may be in use.
 	loanTime = 2 * time.Second
+	// maxNoteAge is the age from which on a limit in a note says nothing.
+	maxNoteAge = time.Minute
 	// releaseTimeout bounds the calls that give all leases up when the process stops.
 	releaseTimeout = 300 * time.Millisecond
 	// announceInterval is the time between two announcements of a holder.
@@ -184,7 +186,7 @@
 	return &group{
 		id: id, neededSince: now, role: roleNone, retryInterval: minRetryInterval, loans: map[pushback.Key]ledger{}, reported: map[pushback.Key]time.Time{},
 		lease: lease.New(lease.Config{
-			Key: keyPrefix + id.String(), Holder: d.Holder, Term: leaseTerm, CallTimeout: callTimeout, Now: d.LeaseNow,
+			Key: keyPrefix + id.String(), Holder: d.Holder, Term: leaseTerm, CallTimeout: callTimeout, StepInterval: minRetryInterval, Now: d.LeaseNow,
 		}, d.Store),
 	}
 }
@@ -194,7 +196,7 @@
 	ranked := d.candidates(g.id)
 	canTry := g.canTry(slices.Index(ranked, d.Self), now)
 	if canTry && d.isCallDue(g, now) {
-		g.lease.SetNote(encodeNote(endpoints))
+		g.lease.SetNote(encodeNote(endpoints, now))
 		d.call(ctx, g, now)
 	}
 	d.reportSent(g, endpoints, ranked[0], now)
@@ -274,7 +276,7 @@
 		g.retryInterval = minRetryInterval
 		if errors.Is(err, lease.ErrNotHeld) {
 			g.retryInterval = min(2*interval, maxRetryInterval)
-			d.applyNote(g.lease.HolderNote(), now)
+			d.applyNote(g.lease, now)
 		}
 		g.storeFailed = err != nil && !errors.Is(err, lease.ErrNotHeld) && !errors.Is(err, objectapi.ErrConflict)
 		select {
@@ -285,28 +287,38 @@
 }
 
 // note is what the holder of a lease publishes with it: the limits that it uses, by endpoint.
-type note map[pushback.Key]float64
+type note map[pushback.Key]noteLimit
 
-func encodeNote(endpoints []pushback.Limited) []byte {
+// noteLimit is a limit with its age when the note was written.
+type noteLimit struct {
+	PerSecond float64 `json:"per_second"`
+	AgeMS     int64   `json:"age_ms"`
+}
+
+func encodeNote(endpoints []pushback.Limited, now time.Time) []byte {
 	n := note{}
 	for _, e := range endpoints {
-		n[e.Key] = e.RequestsPerSecond
+		n[e.Key] = noteLimit{e.RequestsPerSecond, now.Sub(e.AsOf).Milliseconds()}
 	}
 	// Numbers and maps of numbers always encode.
 	data, _ := json.Marshal(n)
 	return data
 }
 
-// applyNote confirms the limits that the holder of a lease uses. A process that no peer knows learns of
-// them in no other way, and would return to the endpoints when its own knowledge expires.
-func (d *Divider) applyNote(data []byte, now time.Time) {
+// applyNote confirms the limits that the holder of a lease uses, as of the time up to which it is certain
+// that they were named. A process that no peer knows learns of them in no other way, and would return to
+// the endpoints when its own knowledge expires.
+func (d *Divider) applyNote(l *lease.Lease, now time.Time) {
+	data, writtenAfter := l.HolderNote(), l.HolderNoteWrittenAfter()
 	var n note
-	if len(data) == 0 || json.Unmarshal(data, &n) != nil {
+	if len(data) == 0 || writtenAfter.IsZero() || json.Unmarshal(data, &n) != nil {
 		return
 	}
-	for key, perSecond := range n {
-		if perSecond > 0 && perSecond < pushback.MaxRate {
-			d.Registry.Merge(pushback.News{Endpoint: key, RequestsPerSecond: perSecond, AsOf: now}, "the lease", now)
+	age := d.leaseNow().Sub(writtenAfter)
+	for key, limit := range n {
+		if limit.PerSecond > 0 && limit.PerSecond < pushback.MaxRate && limit.AgeMS >= 0 && limit.AgeMS < maxNoteAge.Milliseconds() {
+			asOf := now.Add(-age - time.Duration(limit.AgeMS)*time.Millisecond)
+			d.Registry.Merge(pushback.News{Endpoint: key, RequestsPerSecond: limit.PerSecond, AsOf: asOf}, "the lease", now)
 		}
 	}
 }
--- a/internal/coordination/limitshare/divider_test.go
+++ b/internal/coordination/limitshare/divider_test.go
@@ -323,6 +323,59 @@
 	})
 }
 
+// TestNoteOfEndedHolderSaysNothing guards against limits that ended long ago and come back into force because
+// the record of a holder that crashed still names them.
+func TestNoteOfEndedHolderSaysNothing(t *testing.T) {
+	f := newFakeFleet(2)
+	holder, later := f.processes[0], f.processes[1]
+	f.now = f.now.Add(loanTime)
+	holder.observe(4)
+	f.until(t, 5*escalation, func() bool {
+		holder.step()
+		return holder.endpoint.Share(f.now) > 0
+	})
+	f.now = f.now.Add(time.Hour)
+	other := later.divider.Registry.Endpoint(f.sameGroup("e"), 1, domain)
+	f.until(t, 2*leaseTerm, func() bool {
+		other.Observe(pushback.Signal{RequestsPerSecond: 4}, f.now, f.now)
+		later.step()
+		if l := later.endpoint.Limit(); l.RequestsPerSecond > 0 {
+			t.Fatalf("the limit of an hour ago is in force again: %+v", l)
+		}
+		return other.Share(f.now) > 0
+	})
+}
+
+// TestUnusedLimitEnds guards against a limit that processes confirm to each other through the lease for good,
+// although none of them sends the endpoint a request.
+func TestUnusedLimitEnds(t *testing.T) {
+	f := newFakeFleet(29)
+	for _, p := range f.processes {
+		p.view = nil
+		p.observe(4)
+	}
+	f.until(t, 40*time.Second, func() bool {
+		limited := 0
+		for _, p := range f.processes {
+			p.step()
+			if p.endpoint.Limit().RequestsPerSecond > 0 {
+				limited++
+			}
+		}
+		return limited == 0
+	})
+}
+
+// sameGroup returns the ID of another endpoint whose limit the same lease covers.
+func (f *fakeFleet) sameGroup(id string) string {
+	group := pushback.KeyOf(id, 1) % groupCount
+	for i := 0; ; i++ {
+		if other := fmt.Sprint("other", i); pushback.KeyOf(other, 1)%groupCount == group {
+			return other
+		}
+	}
+}
+
 // until advances the time in small steps until a condition holds.
 func (f *fakeFleet) until(t *testing.T, limit time.Duration, holds func() bool) {
 	t.Helper()
--- a/internal/coordination/pushback/registry.go
+++ b/internal/coordination/pushback/registry.go
@@ -134,7 +134,8 @@
 	Key               Key
 	ID, Domain        string
 	RequestsPerSecond float64
-	Since             time.Time
+	// Since is when this process learned of the limit, AsOf when an answer last named it.
+	Since, AsOf time.Time
 }
 
 // Limited lists the endpoints that limit their requests and are known by more than their key.
@@ -143,7 +144,7 @@
 	for _, e := range r.allAsking() {
 		e.mu.Lock()
 		if e.isLimited(now) && e.limit.RequestsPerSecond > 0 && e.id != "" && !e.isLeaving() {
-			out = append(out, Limited{e, e.key, e.id, e.domain, e.limit.RequestsPerSecond, e.limit.Since})
+			out = append(out, Limited{e, e.key, e.id, e.domain, e.limit.RequestsPerSecond, e.limit.Since, e.limit.AsOf})
 		}
 		e.updateAsking(now)
 		e.mu.Unlock()
