Own interface: the limit of an endpoint goes to the entries that send

Callers of an entry saw refusals while the endpoint, the only one of its service, was idle: each entry used an equal part of the reported limit, whether the others had requests or not. With 29 entries and a limit of 2 a second one that has all requests got 1 through in 20 s, of 40.

The agent, which enforces the limit for all, now counts the entries that have sent runs within 4 s and reports that with its load; each of them uses its part, and one that has sent nothing counts itself besides. TestReportedLimitGoesToThoseThatSend failed with 1, wants 30 to 42. TestAgentCountsSenders checks the count.

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -61,6 +61,8 @@
 	// It is replaced when another process of the endpoint answers.
 	asks     atomic.Pointer[pushback.Endpoint]
 	pushback *pushback.Registry
+	// limitSenders are the entries that send runs while there is a limit.
+	limitSenders recentSenders
 
 	draining atomic.Bool
 	inflight calls
@@ -167,7 +169,7 @@
 	return fleet.Load{
 		AtMS: time.Now().UnixMilli(), LinkRate: link, Running: int(a.running.Load()), Queued: int(a.waiting.Load()),
 		QueuedTokens: int(a.waitingTokens.Load()), PrefillRate: rate, RequestLimit: a.asks.Load().Limit().RequestsPerSecond,
-		RestMS: int(a.restLeft().Milliseconds()),
+		LimitSenders: a.limitSenders.count(time.Now()), RestMS: int(a.restLeft().Milliseconds()),
 	}
 }
 
--- a/internal/coordination/agent/pushback_test.go
+++ b/internal/coordination/agent/pushback_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/grpc/peer"
+
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/transport/pushbackheader"
 )
@@ -48,6 +52,22 @@
 	}
 }
 
+// TestAgentCountsSenders guards against a load that counts entries which send nothing, or none.
+func TestAgentCountsSenders(t *testing.T) {
+	a := agentBeside(t, newEngine())
+	a.ObserveAnswer(pushbackheader.Asks{RequestsPerSecond: 0.001}, time.Now())
+	for _, from := range []string{"10.0.0.1:5", "10.0.0.2:5", "10.0.0.1:5"} {
+		ctx := peer.NewContext(t.Context(), &peer.Peer{Addr: net.TCPAddrFromAddrPort(netip.MustParseAddrPort(from))})
+		a.Run(&wire.RunRequest{RequestId: "r", TimeoutMs: 1000, Call: &wire.RunRequest_Prompt{Prompt: &wire.Prompt{Model: "m", Text: "chair"}}}, &eventStream{runStream: runStream{ctx: ctx}})
+	}
+	if got := a.load().LimitSenders; got != 2 {
+		t.Errorf("the load counts %d senders, want 2", got)
+	}
+	if got := a.limitSenders.count(time.Now().Add(time.Minute)); got != 0 {
+		t.Errorf("a minute later %d senders are counted, want 0", got)
+	}
+}
+
 // TestAgentPublishesThatItsEndpointLeaves guards against runs for an endpoint whose answers say that it shuts
 // down, and against one that has started again and gets none.
 func TestAgentPublishesThatItsEndpointLeaves(t *testing.T) {
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -57,7 +57,7 @@
 	if r.GetTicket() != nil {
 		return a.runTicket(stream.Context(), r, send)
 	}
-	if refused := a.acquire(); refused != nil {
+	if refused := a.acquire(stream.Context()); refused != nil {
 		return send(a.withLoad(refusedEvent(refused)))
 	}
 	ctx, cancel := a.runContext(stream.Context(), r)
@@ -67,8 +67,11 @@
 }
 
 // acquire counts a run against the limit that the endpoint names, or refuses it if the endpoint asks for
-// fewer runs, or for none.
-func (a *Agent) acquire() *wire.Refused {
+// fewer runs, or for none. ctx is that of the entry's call.
+func (a *Agent) acquire(ctx context.Context) *wire.Refused {
+	if a.asks.Load().Limit().RequestsPerSecond > 0 {
+		a.limitSenders.record(ctx, time.Now())
+	}
 	ok, retryIn := a.asks.Load().Acquire(time.Now())
 	if ok {
 		return nil
@@ -127,7 +130,7 @@
 		return send(a.withLoad(refusedEvent(refuse(CodeLeaving, wire.Ran_RAN_NO, 0, "the endpoint is leaving"))))
 	}
 	if started {
-		if refused := a.acquire(); refused != nil {
+		if refused := a.acquire(ctx); refused != nil {
 			record.Abandon()
 			return send(a.withLoad(refusedEvent(refused)))
 		}
--- a/internal/coordination/routing/limit_test.go
+++ b/internal/coordination/routing/limit_test.go
@@ -87,6 +87,29 @@
 	}
 }
 
+// TestReportedLimitGoesToThoseThatSend guards against an entry that turns its callers away while the limit's
+// parts of other entries, which have no requests, are unused.
+func TestReportedLimitGoesToThoseThatSend(t *testing.T) {
+	d, _ := newDirectory(t, 1)
+	d.Senders = func() int { return 29 }
+	now := epoch.Add(time.Minute)
+	d.UsableMembers("s", now)
+	c := Choice{Member: fleet.Member{ID: "e0", Incarnation: 1}}
+	sent := 0
+	for ms := 0; ms < 20000; ms += 100 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		if ms%1000 == 0 {
+			d.ObserveLoad(c, fleet.Load{RequestLimit: 2, LimitSenders: 1, AtMS: at.UnixMilli()}, at)
+		}
+		if d.Choose("s", nil, &Request{PromptTokens: 1, Now: at}).Member.ID != "" {
+			sent++
+		}
+	}
+	if sent < 30 || sent > 42 {
+		t.Errorf("got %d requests in 20 s of a limit of 2 a second, want 30 to 42", sent)
+	}
+}
+
 // TestReportedRest guards against an entry that sends runs to an endpoint whose agent reports that it
 // rests.
 func TestReportedRest(t *testing.T) {
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -67,8 +67,8 @@
 }
 
 // observeReportedPushback applies what an endpoint asks for as its agent reports it with the load. The
-// agent enforces a limit for all processes together; each uses an equal part, so that the agent refuses
-// few requests.
+// agent enforces a limit for all processes together; each that sends uses an equal part, so that the agent
+// refuses few requests. senders counts all processes, for agents that do not count those that send.
 func (t *trackedEndpoint) observeReportedPushback(load fleet.Load, senders int, now time.Time) {
 	perSecond := load.RequestLimit
 	if perSecond == 0 && load.RestMS == 0 && !t.Pushback.IsAsking() {
@@ -76,6 +76,12 @@
 	}
 	t.Pushback.Observe(pushback.Signal{RequestsPerSecond: perSecond, RetryAfter: time.Duration(load.RestMS) * time.Millisecond}, now, now)
 	if perSecond > 0 {
+		if load.LimitSenders > 0 {
+			senders = load.LimitSenders
+			if t.Pushback.RecentSends(now) == 0 {
+				senders++
+			}
+		}
 		t.Pushback.SetShare(pushback.Share{RequestsPerSecond: perSecond / float64(senders), Until: now.Add(reportedShareTime)}, now)
 	}
 }
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -101,6 +101,9 @@
 	// RequestLimit is the number of requests a second that the endpoint accepts from all entries
 	// together, 0 for no limit.
 	RequestLimit float64 `json:"request_limit,omitempty"`
+	// LimitSenders is the number of entries that have sent the agent runs of late, whether it took them
+	// or not; 0 if it is not counted.
+	LimitSenders int `json:"limit_senders,omitempty"`
 	// RestMS is for how much longer the endpoint accepts no requests, in milliseconds.
 	RestMS int `json:"rest_ms,omitempty"`
 }
@@ -162,7 +165,7 @@
 	return &wire.Load{
 		Running: uint32(l.Running), Queued: uint32(l.Queued),
 		QueuedTokens: uint64(l.QueuedTokens), PrefillRate: uint32(l.PrefillRate), LinkRate: uint32(l.LinkRate), AtMs: l.AtMS,
-		RequestLimit: float32(l.RequestLimit), RestMs: uint32(l.RestMS),
+		RequestLimit: float32(l.RequestLimit), LimitSenders: uint32(l.LimitSenders), RestMs: uint32(l.RestMS),
 	}
 }
 
@@ -171,7 +174,7 @@
 	return Load{
 		Running: int(w.GetRunning()), Queued: int(w.GetQueued()),
 		QueuedTokens: int(w.GetQueuedTokens()), PrefillRate: int(w.GetPrefillRate()), LinkRate: int(w.GetLinkRate()), AtMS: w.GetAtMs(),
-		RequestLimit: float64(w.GetRequestLimit()), RestMS: int(w.GetRestMs()),
+		RequestLimit: float64(w.GetRequestLimit()), LimitSenders: int(w.GetLimitSenders()), RestMS: int(w.GetRestMs()),
 	}
 }
 
