plan: a configuration that leaves a customer without an allowed endpoint is refused

Operators saw such a change applied, and their customers' requests refused afterwards. A plan is now refused with its place if a service and a customer that it names have no allowed region in common, or no endpoint in one, when the change touches the service, its intents or the customer. For a service for all customers it is a warning.

--- a/internal/coordination/entry/operators.go
+++ b/internal/coordination/entry/operators.go
@@ -31,10 +31,15 @@
 		return err
 	}
 	view := e.Store.View()
-	if l := plan.Check(view, request); l.Err() != nil {
+	members := e.members()
+	l := plan.Check(view, request)
+	if l.Err() == nil {
+		plan.CheckEndpoints(view, request, members, l)
+	}
+	if l.Err() != nil {
 		return apierror.FromFindings(l.Items())
 	}
-	httpjson.Write(w, http.StatusOK, plan.New(view, request, e.members(), operator, newRequestID(), time.Now()))
+	httpjson.Write(w, http.StatusOK, plan.New(view, request, members, operator, newRequestID(), time.Now()))
 	return nil
 }
 
--- a/internal/coordination/plan/plan.go
+++ b/internal/coordination/plan/plan.go
@@ -116,6 +116,7 @@
 	}
 	if len(l.Items()) == 0 {
 		v.With(requestedChange(r)).CheckReferences(&l)
+		checkRegions(v, r, &l)
 	}
 	return &l
 }
@@ -158,6 +159,7 @@
 	next := v.With(requestedChange(r))
 	p.Effects = append(p.Effects, effects(v, next, members)...)
 	p.Warnings = append(p.Warnings, warnings(v, next, members)...)
+	p.Warnings = append(p.Warnings, regionWarnings(v, next, r, members)...)
 	p.ID = p.Digest()
 	return p
 }
