Own interface: context is copied to and read from stores in allowed regions only

A customer with allowed_regions had its context copied to any store: stores had a failure domain and no region. Stores have a region now; copies and imports leave out those that service and customer don't both allow, and a store without a region is used by requests without a limit alone.

--- a/internal/coordination/contexttransfer/mover.go
+++ b/internal/coordination/contexttransfer/mover.go
@@ -12,6 +12,7 @@
 	"limpetwall/internal/state/blockseal"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/residency"
 	"limpetwall/internal/transport/boundedqueue"
 	"limpetwall/internal/transport/engine"
 	"limpetwall/internal/transport/kvstore"
@@ -58,6 +59,7 @@
 
 type export struct {
 	customer *config.Customer
+	regions  residency.Rule
 	keys     []contextkey.Key
 	bytes    int64
 }
@@ -90,9 +92,9 @@
 	return r
 }
 
-// remotes returns the stores of a chunk, best first.
-func (m *Mover) remotes(chunk contextkey.Key, copies int) []*remote {
-	hosts := RankStores(m.config.View().StoreHosts, chunk, copies)
+// remotes returns the stores of a chunk in the allowed regions, best first.
+func (m *Mover) remotes(regions residency.Rule, chunk contextkey.Key, copies int) []*remote {
+	hosts := RankStores(allowedStores(m.config.View().StoreHosts, regions), chunk, copies)
 	out := make([]*remote, 0, len(hosts))
 	for _, h := range hosts {
 		out = append(out, m.remoteOf(h))
@@ -123,6 +125,11 @@
 	RequestID    string
 }
 
+// regions returns the regions in which the prompt's context may be.
+func (p Prompt) regions() residency.Rule {
+	return residency.Intersect(p.Service.Regions, p.Customer.Regions)
+}
+
 // ImportContext imports the chunks that are worth importing before a run, and returns the number
 // of imported tokens. The engine recomputes all that could not be imported.
 func (m *Mover) ImportContext(ctx context.Context, p Prompt) int {
@@ -154,7 +161,7 @@
 	}
 	missing := p.Keys[resident:]
 	for _, key := range missing {
-		for _, r := range m.remotes(key, 1) {
+		for _, r := range m.remotes(p.regions(), key, 1) {
 			in.LinkRate += r.link.Rate(now) / float64(len(missing))
 			in.LinkBacklog = max(in.LinkBacklog, r.link.Backlog())
 		}
@@ -211,7 +218,7 @@
 // to the engine. Nothing that fails verification reaches the engine: a freed slot, a torn or
 // outdated block or another customer's block would otherwise end up in this caller's answer.
 func (m *Mover) importChunk(ctx context.Context, p Prompt, key contextkey.Key) bool {
-	for _, r := range m.remotes(key, p.Service.Copies()) {
+	for _, r := range m.remotes(p.regions(), key, p.Service.Copies()) {
 		if m.importFrom(ctx, r, p, key) {
 			return true
 		}
@@ -253,7 +260,7 @@
 	}
 	m.markUsed(p.Keys...)
 	missing := m.notStored(p.Keys)
-	remotes := m.remotes(p.Keys[0], 1)
+	remotes := m.remotes(p.regions(), p.Keys[0], 1)
 	if len(remotes) == 0 || len(missing) == 0 {
 		return
 	}
@@ -262,7 +269,7 @@
 		Objective: p.Service.Objective, LinkRate: remotes[0].link.Rate(time.Now()),
 	})
 	if ratio >= 1 {
-		m.exports.TryPush(export{customer: p.Customer, keys: missing, bytes: p.Status.PieceBytes})
+		m.exports.TryPush(export{customer: p.Customer, regions: p.regions(), keys: missing, bytes: p.Status.PieceBytes})
 	}
 }
 
@@ -296,7 +303,7 @@
 	defer cancel()
 	agents := m.agents()
 	for _, key := range e.keys {
-		r := m.remotes(key, 1)
+		r := m.remotes(e.regions, key, 1)
 		if len(r) == 0 {
 			return
 		}
--- a/internal/coordination/contexttransfer/placement.go
+++ b/internal/coordination/contexttransfer/placement.go
@@ -8,6 +8,7 @@
 
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/residency"
 )
 
 // RankStores returns the stores for the copies of a chunk, best first, by rendezvous
@@ -23,6 +24,17 @@
 	return spreadDomains(ranked, copies)
 }
 
+// allowedStores returns the stores in allowed regions.
+func allowedStores(stores []*config.StoreHost, regions residency.Rule) []*config.StoreHost {
+	var out []*config.StoreHost
+	for _, s := range stores {
+		if regions.Allows(s.Region) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func storeScore(id string, chunk contextkey.Key) uint64 {
 	var buf [8 + contextkey.Size]byte
 	binary.LittleEndian.PutUint64(buf[:], xxhash.Sum64String(id))
--- a/internal/coordination/contexttransfer/transfer_test.go
+++ b/internal/coordination/contexttransfer/transfer_test.go
@@ -253,15 +253,15 @@
 	version   = "v1"
 )
 
-func runWithFixture(t *testing.T, test func(f *fixture)) {
+func runWithFixture(t *testing.T, test func(f *fixture), documents ...config.Document) {
 	synctest.Test(t, func(t *testing.T) {
 		store := config.NewStore()
-		documents := []config.Document{
+		documents := append([]config.Document{
 			{Ref: config.Ref{Kind: config.KindCustomer, ID: "a"}, Spec: json.RawMessage(`{"key_hashes":[],"limits":{},"salt":"YQ=="}`)},
 			{Ref: config.Ref{Kind: config.KindCustomer, ID: "b"}, Spec: json.RawMessage(`{"key_hashes":[],"limits":{},"salt":"Yg=="}`)},
 			{Ref: config.Ref{Kind: config.KindService, ID: "s"}, Spec: json.RawMessage(`{"kind":"prompt","customers":["*"],"objective":{"weight_recompute":1},"limits":{}}`)},
 			{Ref: config.Ref{Kind: config.KindStore, ID: "kv"}, Spec: json.RawMessage(`{"url":"http://kv","domain":"d","tier":"memory","link_bytes_per_second":1000000000}`)},
-		}
+		}, documents...)
 		if err := store.Apply(config.Change{Revision: 1, Puts: documents}); err != nil {
 			t.Fatal(err)
 		}
@@ -321,6 +321,39 @@
 	return strings.Join(enginestandin.Answer(text, version, 0, 8), "")
 }
 
+// TestContextStaysInAllowedRegions guards against copies of a customer's context in a store outside the regions that
+// the customer or the service allow, and against prompts that read such copies.
+func TestContextStaysInAllowedRegions(t *testing.T) {
+	customer := func(regions string) config.Document {
+		return config.Document{Ref: config.Ref{Kind: config.KindCustomer, ID: "a"}, Spec: json.RawMessage(`{"key_hashes":[],"limits":{},"salt":"YQ==","allowed_regions":[` + regions + `]}`)}
+	}
+	store := func(region string) config.Document {
+		return config.Document{Ref: config.Ref{Kind: config.KindStore, ID: "kv"}, Spec: json.RawMessage(
+			`{"url":"http://kv","domain":"d","region":"` + region + `","tier":"memory","link_bytes_per_second":1000000000}`)}
+	}
+	rows := []struct {
+		name      string
+		documents []config.Document
+		imports   bool
+	}{
+		{"no limit", []config.Document{customer(""), store("west")}, true},
+		{"the customer's region", []config.Document{customer(`"east","west"`), store("west")}, true},
+		{"another region", []config.Document{customer(`"east"`), store("west")}, false},
+		{"a store without a region", []config.Document{customer(`"east"`), store("")}, false},
+	}
+	for _, row := range rows {
+		runWithFixture(t, func(f *fixture) {
+			f.runPrompt("a", promptText("x"))
+			for i := range 4 {
+				f.runPrompt("b", promptText(fmt.Sprint("other", i)))
+			}
+			if _, imported := f.runPrompt("a", promptText("x")); (imported > 0) != row.imports {
+				t.Errorf("%s: %d tokens were imported, want any: %v", row.name, imported, row.imports)
+			}
+		}, row.documents...)
+	}
+}
+
 // TestCorruptBlocksNeverReachAnswer sends a prompt again whose context the engine has evicted,
 // while its store host returns faulty blocks of each kind.
 //
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -184,6 +184,8 @@
 	URL string `json:"url"`
 	// Domain is the failure domain of the store.
 	Domain string `json:"domain"`
+	// Region of the store. Without one it holds no context of requests whose regions are limited.
+	Region string `json:"region,omitempty"`
 	// Tier is "memory" or "disk".
 	Tier string `json:"tier"`
 	// LinkBytesPerSecond is the nominal rate of the store's link.
