--- a/internal/coordination/contextcache/tracker.go
+++ b/internal/coordination/contextcache/tracker.go
@@ -37,7 +37,7 @@
 	Peers func() []string
 	// Now is a clock that keeps running while the host is suspended.
 	Now func() time.Time
-	// RestLeft, if set, returns for how much longer the engine at an address wants no calls of this
+	// RestLeft, if set, returns for how much longer the engine at an address accepts no calls of this
 	// process.
 	RestLeft func(address string) time.Duration
 	// OnEngineStart, if set, is called when an engine's answer gives another start time than
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -50,7 +50,7 @@
 	SentInWindow   int     `json:"sent_in_window,omitempty"`
 	// LeavingForMS is how long ago an answer first said that the endpoint leaves, omitted if none did.
 	LeavingForMS int64 `json:"leaving_for_ms,omitempty"`
-	// RestLeftMS is for how much longer the endpoint wanted no requests of this process.
+	// RestLeftMS is for how much longer the endpoint accepted no requests of this process.
 	RestLeftMS int64 `json:"rest_left_ms,omitempty"`
 }
 
