--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -34,6 +34,8 @@
 	Model    string
 	// Weights is the version of the model, 0 if the endpoint has none.
 	Weights int64
+	// SoftwareVersion is the version of the endpoint's own software, empty if it names none.
+	SoftwareVersion string
 	// Orders is the number of load orders accepted since the start.
 	Orders int64
 	// ColdFor is how much longer the endpoint was to stay cold when it wrote the entry.
@@ -258,6 +260,7 @@
 		}
 		s.Log.Info("endpoint listed", zap.String("endpoint", i.ID), zap.String("service", i.Service), zap.String("address", i.Address),
 			zap.String("domain", i.Domain), zap.Bool("leaving", i.Leaving), zap.Int64("weights", i.Weights),
+			zap.String("software_version", i.SoftwareVersion),
 			zap.Bool("back", reappeared), zap.Duration("cold_for", i.ColdFor), zap.Uint64("revision", i.Revision))
 	}
 }
@@ -265,7 +268,7 @@
 // isSameRow reports whether two entries of one start make the same row of the table.
 func isSameRow(a, b Instance) bool {
 	return a.Leaving == b.Leaving && a.Weights == b.Weights && a.Model == b.Model &&
-		a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain
+		a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain && a.SoftwareVersion == b.SoftwareVersion
 }
 
 // ObserveStart records the start and the weights that an endpoint itself reported. The report
@@ -364,7 +367,7 @@
 		Address: k.Address, Host: k.Address, Domain: k.Domain, Region: s.Regions[k.Domain], Role: fleet.RoleAgent,
 		Endpoint: fleet.Endpoint{
 			ID: k.ID, Kind: kind, Labels: map[string]string{ServiceLabel: k.Service}, Model: k.Model,
-			WeightVersion: VersionName(k.Weights), Loading: noNewRuns, ColdUntil: k.coldUntil,
+			WeightVersion: VersionName(k.Weights), SoftwareVersion: k.SoftwareVersion, Loading: noNewRuns, ColdUntil: k.coldUntil,
 		},
 	}, time.Now())
 }
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -28,6 +28,9 @@
 	Segments []Segment
 	// LastEvent is the ID of the last event of a stream that the caller has received.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this
+	// attempt takes up, empty if it takes up none.
+	Resumes string
 }
 
 // Attempt is what the gateway adds to the caller's header for one attempt at an endpoint.
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -408,6 +408,9 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.RetryBudget.Earn()
+	if x.call.Resumes != "" {
+		x.g.count("streams.taken_up")
+	}
 	if x.isForceStopped() {
 		// Don't send anything now: closing the endpoint's connection would come too late to keep the
 		// request from running.
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -19,6 +19,8 @@
 	Error    string `json:"error,omitempty"`
 	Status   int    `json:"status,omitempty"`
 	Weights  string `json:"weights,omitempty"`
+	// SoftwareVersion is that of the endpoint.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Reused is set if the connection had carried another request, Answered if any byte of an
 	// answer came back on it.
 	Reused   bool `json:"connection_reused"`
@@ -87,6 +89,9 @@
 	if x.hasCallerLeft() {
 		fields = append(fields, zap.String("caller_left_by", ingress.CallerEnd(x.r.Context())))
 	}
+	if x.call.Resumes != "" {
+		fields = append(fields, zap.String("resumes", x.call.Resumes), zap.String("last_event", x.call.LastEvent))
+	}
 	if x.call.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", x.call.PromptTokens), zap.Int("stored_tokens", x.storedTokens))
 	}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -206,7 +206,7 @@
 	now := time.Now()
 	record := attemptRecord{
 		Endpoint: c.Member.ID, Reason: string(c.Reason), Outcome: o.kind.String(), TookMS: now.Sub(started).Milliseconds(),
-		Weights: c.Member.Endpoint.WeightVersion, ExpectedMS: c.TTFT.Milliseconds(), CachedTokens: c.CachedTokens,
+		Weights: c.Member.Endpoint.WeightVersion, SoftwareVersion: c.Member.Endpoint.SoftwareVersion, ExpectedMS: c.TTFT.Milliseconds(), CachedTokens: c.CachedTokens,
 		Imported: strings.Join(attempt.ImportFrom, ","), Saved: strings.Join(attempt.ExportTo, ","),
 		Running: c.LoadSnapshot.Running, Queued: c.LoadSnapshot.Queued, Sent: c.LoadSnapshot.Sent, Own: c.LoadSnapshot.Own,
 		LoadAgeMS: c.LoadSnapshot.LoadAge.Milliseconds(), PeerRunning: c.LoadSnapshot.PeerRunning, PeerUnread: c.LoadSnapshot.PeerUnread,
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -48,7 +48,9 @@
 	Model         string            `json:"model,omitempty"`
 	WeightVersion string            `json:"weight_version,omitempty"`
 	Adapter       string            `json:"adapter,omitempty"`
-	Role          string            `json:"role,omitempty"`
+	// SoftwareVersion is the version of the endpoint's own software, empty if it names none.
+	SoftwareVersion string `json:"software_version,omitempty"`
+	Role            string `json:"role,omitempty"`
 	// Loading is true while an order to load is carried out.
 	Loading bool `json:"loading,omitempty"`
 	// Leaving is true while the endpoint's own answers say that it shuts down.
@@ -64,7 +66,7 @@
 
 func (e Endpoint) equal(o Endpoint) bool {
 	return e.ID == o.ID && e.Kind == o.Kind && e.Model == o.Model && e.WeightVersion == o.WeightVersion &&
-		e.Adapter == o.Adapter && e.Role == o.Role && e.Loading == o.Loading && e.Leaving == o.Leaving &&
+		e.SoftwareVersion == o.SoftwareVersion && e.Adapter == o.Adapter && e.Role == o.Role && e.Loading == o.Loading && e.Leaving == o.Leaving &&
 		e.ColdUntil.Equal(o.ColdUntil) && e.OrderError == o.OrderError && e.OrderRevision == o.OrderRevision && maps.Equal(e.Labels, o.Labels)
 }
 
