Failing tests: streams go on at another software version than the one that began them

A caller whose version is gone is served by the other one. A moved run (gateway) and a resumed answer of the own interface (runs) go on at another version too. A gauge says how many processes a gateway knows, for the tests and for operators.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strconv"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/contentreport"
@@ -31,6 +32,7 @@
 		return
 	}
 	watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
+	metrics.NewRegisteredFunctionalGauge("gateway.processes_known", p.gateway.Metrics, func() int64 { return int64(sharer.Processes()) })
 	p.shareNotices(sharer, director)
 	p.shareContents(sharer, keeper)
 	p.shareQuarantines(sharer)
--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -362,3 +363,60 @@
 		t.Errorf("still counted as in flight: %+v", work)
 	}
 }
+
+// TestMovedRunStaysAtItsSoftwareVersion guards against a run that leaves a draining engine and goes on at one of another
+// software version.
+func TestMovedRunStaysAtItsSoftwareVersion(t *testing.T) {
+	rows := []struct {
+		name     string
+		versions []string
+		// destination is the engine where the run goes on, 0 if it stays.
+		destination int
+	}{
+		{"another engine of its version is left", []string{"v1", "v2", "v1"}, 2},
+		{"no other engine of its version is left", []string{"v1", "v2", "v2"}, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			copier := &fakeCopier{firstCopied: make(chan struct{}), stopped: make(chan struct{})}
+			begun := make(chan struct{})
+			var s *testServer
+			s = newTestServer(t, singleRoute(routes.Streaming, 1), func(c net.Conn, r *http.Request) {
+				respondStream("", "1")(c, r)
+				close(begun)
+				for isDecided := false; !isDecided; {
+					select {
+					case <-copier.stopped:
+						isDecided = true
+					case <-time.After(time.Millisecond):
+						isDecided = metrics.GetOrRegisterCounter("gateway.runs_moved.no_destination", s.gateway.Metrics).Count() > 0
+					}
+				}
+				if row.destination == 0 {
+					io.WriteString(c, lastChunk)
+				}
+			}, respondStream(lastChunk, "2"), respondStream(lastChunk, "2"))
+			s.useEngines(copier)
+			for i, e := range s.endpoints {
+				instance, _ := s.gateway.State.Instance(e.id)
+				instance.Revision, instance.SoftwareVersion = uint64(40+i), row.versions[i]
+				s.gateway.State.SetInstance(instance)
+			}
+			s.gateway.State.SetLoading("i-2", true)
+			go func() {
+				<-begun
+				s.gateway.State.SetLoading("i-1", false)
+				s.gateway.State.SetLoading("i-2", false)
+				leaveFirstEngine(s.gateway.State)
+			}()
+			if _, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part")); err != nil || !strings.Contains(body, "id: 1") {
+				t.Errorf("got %q, error %v, want event 1", body, err)
+			}
+			for i, e := range s.endpoints[1:] {
+				if got := e.requestCount() > 0; got != (i+1 == row.destination) {
+					t.Errorf("the run went on at engine %d: %v, want it at %d (0: none)", i+1, got, row.destination)
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -460,6 +460,42 @@
 	}
 }
 
+// TestResumeKeepsSoftwareVersion guards against an answer that another software version goes on with: after the stream
+// breaks, only endpoints of another version are left.
+func TestResumeKeepsSoftwareVersion(t *testing.T) {
+	rows := []struct {
+		name  string
+		job   *Job
+		begin func(q *wire.RunRequest) []*wire.RunEvent
+		code  string
+	}{
+		{"prompt", promptJob(), func(q *wire.RunRequest) []*wire.RunEvent {
+			return []*wire.RunEvent{eventFor(q, started()), eventFor(q, tokens(0, "a"))}
+		}, apierror.CodeStreamLost},
+		{"plain call", plainJob(http.MethodGet), func(q *wire.RunRequest) []*wire.RunEvent {
+			return []*wire.RunEvent{
+				eventFor(q, &wire.RunEvent{Event: &wire.RunEvent_PlainHead{PlainHead: &wire.PlainHead{Status: http.StatusOK}}}),
+				eventFor(q, &wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: []byte("a")}}),
+			}
+		}, apierror.CodeStreamLost},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r, fake := newRunner(t, 2, func(_ int, q *wire.RunRequest) []*wire.RunEvent { return row.begin(q) })
+			for _, m := range r.Table.Members() {
+				if m.Role == fleet.RoleAgent {
+					m.Version, m.Endpoint.SoftwareVersion = m.Version+1, "of "+m.ID
+					r.Table.Merge(m, time.Now())
+				}
+			}
+			_, err := r.Run(t.Context(), row.job, &recordingSink{})
+			if err == nil || err.Code != row.code || fake.callCount() != 1 {
+				t.Errorf("got error %+v after %d calls, want %s after 1", err, fake.callCount(), row.code)
+			}
+		})
+	}
+}
+
 // TestLateFirstTokenIsHedged guards against a caller that waits for an endpoint that stays silent.
 // The caller must get the whole answer from a second endpoint, once, and the silent attempt must be
 // canceled. Without a budget, or for a plain call, there is no second attempt.
