A moved run stays at the software version that began it

Callers saw streams with events of two software versions when an engine drained: the destination of a moved run was chosen by weights, room and region alone. A choice can now be pinned to a software version, and that of a moved run is; a run without such an engine stays until its end. In a large fleet a pinned choice goes through the endpoints from a random one on: a sample would miss a version that few have.

--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -174,7 +174,7 @@
 	return &continuation{choice: target, source: source, handle: handle}
 }
 
-// chooseDestination picks an engine with the same weights and with free capacity; the choice is
+// chooseDestination picks an engine with the same weights and software version and with free capacity; the choice is
 // empty if there is none.
 func (x *exchange) chooseDestination(c routing.Choice) routing.Choice {
 	heldTokens := x.call.PromptTokens + x.call.OutputTokens
@@ -182,7 +182,7 @@
 		// The run's memory is copied with it: the destination needs no prefill.
 		HeldTokens: heldTokens, MeanHeldTokens: heldTokens, HoldingsKnown: true, SegmentsKnown: true, PlacementHashKnown: true,
 		Domain: x.g.Domain, CrossDomainPenalty: crossDomainPenalty, Urgency: x.urgency(), Objective: config.Objective{WeightTTFT: 1},
-		WeightVersion: c.Member.Endpoint.WeightVersion, Residency: x.residency, Now: time.Now(),
+		WeightVersion: c.Member.Endpoint.WeightVersion, SoftwarePinned: true, SoftwareVersion: c.Member.Endpoint.SoftwareVersion, Residency: x.residency, Now: time.Now(),
 		// An engine that is to load soon would have to move the run again, or refuse it.
 		Exclude: append(x.g.State.NextToLoad(c.Member.ID), c.Member.ID),
 	})
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -74,6 +74,9 @@
 	Residency residency.Rule
 	// WeightVersion, if set, is the only one accepted (a resumed run).
 	WeightVersion string
+	// SoftwarePinned restricts the choice to endpoints of SoftwareVersion, for a stream that one of them began.
+	SoftwarePinned  bool
+	SoftwareVersion string
 	// Exclude lists members already tried.
 	Exclude []string
 	Now     time.Time
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -35,6 +35,8 @@
 	// localCandidates is the number of random candidates in the deciding process's own
 	// failure domain, for requests with Request.Local set.
 	localCandidates = 4
+	// pinnedCandidates is the number of candidates among the endpoints of a pinned software version.
+	pinnedCandidates = 8
 	// maxCandidates bounds the candidates of one decision.
 	maxCandidates = scanLimit + 4
 	// defaultPrefillRate, in tokens per second, is assumed of an endpoint without a
@@ -201,6 +203,9 @@
 	if r.WeightVersion != "" && e.Endpoint.WeightVersion != r.WeightVersion {
 		return false
 	}
+	if r.SoftwarePinned && e.Endpoint.SoftwareVersion != r.SoftwareVersion {
+		return false
+	}
 	return r.Residency.Allows(e.Region)
 }
 
@@ -232,11 +237,14 @@
 // random candidates, so that they do not all choose the endpoint that looked idle.
 func Decide(endpoints []Endpoint, r *Request, random Random) Decision {
 	var set candidateSet
-	if len(endpoints) <= scanLimit {
+	switch {
+	case len(endpoints) <= scanLimit:
 		for i := range endpoints {
 			set.add(&endpoints[i], ReasonAll, r)
 		}
-	} else {
+	case r.SoftwarePinned:
+		set.addFrom(int(random.Uint64()%uint64(len(endpoints))), endpoints, pinnedCandidates, r)
+	default:
 		set.sample(endpoints, r, random)
 		if set.n == 0 {
 			// All sampled endpoints are filtered out: consider all rather than refuse.
@@ -367,6 +375,17 @@
 	}
 }
 
+// addFrom adds up to n endpoints in their order, from a position on. Few endpoints may have the pinned software version:
+// a sample would miss most of them.
+func (c *candidateSet) addFrom(start int, endpoints []Endpoint, n int, r *Request) {
+	for i := range endpoints {
+		if c.n == n {
+			return
+		}
+		c.add(&endpoints[(start+i)%len(endpoints)], ReasonAll, r)
+	}
+}
+
 // addHealthy adds up to n endpoints that are not degraded, starting at a random one.
 func (c *candidateSet) addHealthy(endpoints []Endpoint, n int, r *Request, random Random) {
 	start := int(random.Uint64() % uint64(len(endpoints)))
