A stream is resumed within an answer at the software version that began it only

Callers saw events of two software versions in one answer when an endpoint crashed or broke off in the middle: the next attempt went to any endpoint of the service. From the first event on, the choice of an exchange is pinned to the version of the endpoint that brought it. If none is left, the answer is cut and the caller may come back.

--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -124,6 +124,9 @@
 		return last.next.choice
 	}
 	request.Now = time.Now()
+	if begun := x.stream.begunBy; begun != nil {
+		request.SoftwarePinned, request.SoftwareVersion = true, begun.SoftwareVersion
+	}
 	choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
 	if choice.Member.ID != "" || x.staleEndpoint == "" {
 		return choice
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -169,7 +169,7 @@
 	if p.started {
 		return nil
 	}
-	p.started, p.weightVersion = true, s.GetWeightVersion()
+	p.started, p.weightVersion, p.softwareVersion = true, s.GetWeightVersion(), a.choice.Member.Endpoint.SoftwareVersion
 	if err := p.sink.Started(s.GetWeightVersion(), int(s.GetPromptTokens()), int(s.GetCachedTokens())); err != nil {
 		return clientGoneOutcome(err)
 	}
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -103,9 +103,11 @@
 	sink          Sink
 	started       bool
 	weightVersion string
-	tokens        []string
-	headSent      bool
-	bodyBytes     int
+	// softwareVersion is that of the endpoint that began the stream.
+	softwareVersion string
+	tokens          []string
+	headSent        bool
+	bodyBytes       int
 }
 
 // Run executes a job. The error is the final answer to its caller.
@@ -151,6 +153,7 @@
 	var last *outcome
 	for number := uint32(1); number <= maxAttempts; number++ {
 		request.Now, request.WeightVersion = time.Now(), p.weightVersion
+		request.SoftwarePinned, request.SoftwareVersion = p.started, p.softwareVersion
 		choice := r.Directory.Choose(job.Service.ID, keys, request)
 		if choice.Member.ID == "" {
 			return Result{}, noEndpointError(choice, last, p)
