Own interface: an answer goes on at the software version that began it only

Engines name their software version in their status and at the start of each answer; agents publish it and pass it on. An entry pins the next attempt to it, and ends an attempt at an engine that was replaced behind its agent before the agent read its status. Hedged attempts write nothing before one of them owns the answer, so the owner's version counts; a plain answer whose body has begun is never resumed.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -37,6 +37,7 @@
 	case "engine":
 		f.StringVar(&s.Engine.Model, "model", "toy", "model served")
 		f.StringVar(&s.Engine.WeightVersion, "weight-version", "v1", "weight version served")
+		f.StringVar(&s.Engine.SoftwareVersion, "software-version", "", "version of the engine's own software")
 		f.IntVar(&s.Engine.PrefillRate, "prefill-rate", 20_000, "tokens prefilled a second; 0 takes no time")
 		f.DurationVar(&s.Engine.TokenTime, "token-time", 5*time.Millisecond, "time between tokens")
 		f.IntVar(&s.Engine.Slots, "slots", 64, "prompts that run together")
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -153,7 +153,7 @@
 	}
 	a.node.Table().Update(time.Now(), func(m *fleet.Member) {
 		m.Endpoint.Model, m.Endpoint.WeightVersion = status.Model, status.WeightVersion
-		m.Endpoint.Adapter, m.Endpoint.Role = status.Adapter, status.Role
+		m.Endpoint.Adapter, m.Endpoint.Role, m.Endpoint.SoftwareVersion = status.Adapter, status.Role, status.SoftwareVersion
 	})
 }
 
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -368,7 +368,7 @@
 func startedEvent(s *engine.Started, imported int) *wire.RunEvent {
 	return &wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{
 		WeightVersion: s.WeightVersion, CachedTokens: uint32(s.CachedTokens), PromptTokens: uint32(s.PromptTokens),
-		ImportedTokens: uint32(imported),
+		ImportedTokens: uint32(imported), SoftwareVersion: s.SoftwareVersion,
 	}}}
 }
 
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -166,10 +166,14 @@
 func (a *attempt) handleStarted(s *wire.Started) *outcome {
 	p := a.progress
 	a.runner.Directory.RecordCachedTokens(a.choice, int(s.GetCachedTokens()), int(s.GetImportedTokens()), time.Now())
+	if p.started && s.GetSoftwareVersion() != p.softwareVersion {
+		// The engine behind the agent was replaced after the agent last read its status.
+		return &outcome{sent: true, ran: wire.Ran_RAN_YES, code: "software_version_changed", message: "the engine has another software version than the one that began the answer"}
+	}
 	if p.started {
 		return nil
 	}
-	p.started, p.weightVersion, p.softwareVersion = true, s.GetWeightVersion(), a.choice.Member.Endpoint.SoftwareVersion
+	p.started, p.weightVersion, p.softwareVersion = true, s.GetWeightVersion(), s.GetSoftwareVersion()
 	if err := p.sink.Started(s.GetWeightVersion(), int(s.GetPromptTokens()), int(s.GetCachedTokens())); err != nil {
 		return clientGoneOutcome(err)
 	}
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -496,6 +496,24 @@
 	}
 }
 
+// TestReplacedEngineDoesNotGoOn guards against an answer that an engine goes on with that was replaced by one of another
+// software version behind the same agent, before the agent has read its status.
+func TestReplacedEngineDoesNotGoOn(t *testing.T) {
+	r, fake := newRunner(t, 2, func(n int, q *wire.RunRequest) []*wire.RunEvent {
+		begin := started()
+		if n == 1 {
+			return []*wire.RunEvent{eventFor(q, begin), eventFor(q, tokens(0, "a"))}
+		}
+		begin.GetStarted().SoftwareVersion = "new"
+		return []*wire.RunEvent{eventFor(q, begin), eventFor(q, tokens(1, "b")), eventFor(q, finished(2))}
+	})
+	sink := &recordingSink{}
+	_, err := r.Run(t.Context(), promptJob(), sink)
+	if err == nil || err.Code != apierror.CodeStreamLost || strings.Join(sink.tokens, "") != "a" || fake.callCount() != 2 {
+		t.Errorf("got %q and error %+v after %d calls, want a lost stream after a", sink.tokens, err, fake.callCount())
+	}
+}
+
 // TestLateFirstTokenIsHedged guards against a caller that waits for an endpoint that stays silent.
 // The caller must get the whole answer from a second endpoint, once, and the silent attempt must be
 // canceled. Without a budget, or for a plain call, there is no second attempt.
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -134,7 +134,7 @@
 		w.Endpoint = &wire.Endpoint{
 			Id: e.ID, Kind: e.Kind, Labels: e.Labels, Model: e.Model,
 			WeightVersion: e.WeightVersion, Adapter: e.Adapter, Role: e.Role,
-			Loading: e.Loading, OrderError: e.OrderError, OrderRevision: e.OrderRevision, Leaving: e.Leaving,
+			Loading: e.Loading, OrderError: e.OrderError, OrderRevision: e.OrderRevision, Leaving: e.Leaving, SoftwareVersion: e.SoftwareVersion,
 		}
 	}
 	return w
@@ -156,7 +156,7 @@
 			ID: e.GetId(), Kind: e.GetKind(), Labels: e.GetLabels(), Model: e.GetModel(),
 			WeightVersion: e.GetWeightVersion(), Adapter: e.GetAdapter(), Role: e.GetRole(),
 			Loading: e.GetLoading(), OrderError: e.GetOrderError(), OrderRevision: e.GetOrderRevision(),
-			Leaving: e.GetLeaving(),
+			Leaving: e.GetLeaving(), SoftwareVersion: e.GetSoftwareVersion(),
 		}
 	}
 	return m
--- a/internal/transport/engine/engine.go
+++ b/internal/transport/engine/engine.go
@@ -50,6 +50,8 @@
 	WeightVersion string `json:"weight_version"`
 	CachedTokens  int    `json:"cached_tokens"`
 	PromptTokens  int    `json:"prompt_tokens"`
+	// SoftwareVersion is the version of the engine's own software, empty if it names none.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 // Event is one step of an answer; exactly one field is set.
@@ -83,6 +85,8 @@
 	PrefillRate int `json:"prefill_rate"`
 	// PieceBytes is the size of one exported piece of context.
 	PieceBytes int64 `json:"piece_bytes"`
+	// SoftwareVersion is the version of the engine's own software, empty if it names none.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 // Order changes what an engine serves.
--- a/internal/transport/engine/standin/standin.go
+++ b/internal/transport/engine/standin/standin.go
@@ -19,8 +19,10 @@
 type Config struct {
 	Model         string
 	WeightVersion string
-	Adapter       string
-	Role          string
+	// SoftwareVersion is the version of the engine's own software. Answers of two versions differ.
+	SoftwareVersion string
+	Adapter         string
+	Role            string
 	// PrefillRate is in tokens per second; 0 takes no time.
 	PrefillRate int
 	// TokenTime is the time between tokens.
@@ -73,7 +75,7 @@
 		runs:    map[string]int{},
 		status: engine.Status{
 			Model: cfg.Model, WeightVersion: cfg.WeightVersion, Adapter: cfg.Adapter,
-			Role: cfg.Role, PrefillRate: cfg.PrefillRate, PieceBytes: cfg.PieceBytes,
+			Role: cfg.Role, PrefillRate: cfg.PrefillRate, PieceBytes: cfg.PieceBytes, SoftwareVersion: cfg.SoftwareVersion,
 		},
 	}
 }
@@ -163,13 +165,13 @@
 	}
 	e.storeBlocks(r, cached)
 	if !s.send(engine.Event{Started: &engine.Started{
-		WeightVersion: version, CachedTokens: cached * contextkey.ChunkTokens, PromptTokens: tokens,
+		WeightVersion: version, CachedTokens: cached * contextkey.ChunkTokens, PromptTokens: tokens, SoftwareVersion: e.cfg.SoftwareVersion,
 	}}) {
 		e.countCanceled()
 		return
 	}
 	for i := len(r.ResumeTokens); i < r.MaxTokens; i++ {
-		if !sleep(s.ctx, e.cfg.TokenTime) || !s.send(engine.Event{Tokens: []string{Token(seed, version, r.Seed, i)}}) {
+		if !sleep(s.ctx, e.cfg.TokenTime) || !s.send(engine.Event{Tokens: []string{Token(seed, version+e.cfg.SoftwareVersion, r.Seed, i)}}) {
 			e.countCanceled()
 			return
 		}
