Callers take up streams at the software version that began them

Callers who came back to another gateway got the rest of their stream from any version: nothing read the header that names the attempt which brought the first event, and the gateway that had to choose had never seen that attempt.

Each gateway records, at the first event of a resumable stream and before it forwards it, which service and version began it (streamorigin). While a service has more than one version, the record goes at once to two other gateways, one of them in another failure domain; up to six get all. A gateway that does not know a stream asks all others, for 100 ms at most. If nobody knows, the stream goes on only if the service has had a single version for a minute by an up-to-date list; otherwise the caller is refused (stream_origin_unknown, a time to come back). A stream whose version has no endpoint left is refused at once (stream_version_gone, start again); an outdated list does not say that. What is taken up is not refused for a long wait: few endpoints may go on with it.

The exchange uses a loop drawn from those of quarantines and pushback (datagram.Channel), which use it too now.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -25,6 +25,7 @@
 	"limpetwall/internal/coordination/rollout"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/bootclock"
@@ -174,7 +175,7 @@
 		Domain: s.Platform.Domain, State: state, Watcher: watcher,
 		Directory: routing.NewDirectory(state.Table, state.Services, contextIndex, self.Incarnation),
 		Pool:      upstream.NewPool(endpointDialer.Dial), Dial: endpointDialer.Dial, RetryBudget: runs.NewRetryBudget(retryPart*b.RetryRatio, platformRetryBurst),
-		Codec: platform.Codec{}, ContextTracker: keeper, Log: log, Metrics: registry,
+		Codec: platform.Codec{}, Origins: streamorigin.NewRegistry(), ContextTracker: keeper, Log: log, Metrics: registry,
 		RequestLogLimiter: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
 	p.gateway.Directory.Pushback.Log = log
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -14,6 +14,7 @@
 	"limpetwall/internal/coordination/leasenotice"
 	"limpetwall/internal/coordination/limitshare"
 	"limpetwall/internal/coordination/loadreport"
+	"limpetwall/internal/coordination/origingossip"
 	"limpetwall/internal/coordination/pushbackgossip"
 	"limpetwall/internal/coordination/quarantinegossip"
 	"limpetwall/internal/coordination/rollout"
@@ -38,6 +39,7 @@
 	p.shareQuarantines(sharer)
 	p.claimColdEndpoints(self, sharer, store, director)
 	p.shareLimits(self, sharer, store)
+	p.shareOrigins(sharer)
 }
 
 // shareLoad exchanges reports of the runs in flight with the other gateways. If that is not possible, it
@@ -163,5 +165,21 @@
 	return exchanger
 }
 
+// shareOrigins exchanges with the other gateways which software version began each stream. Without it, a stream that
+// another gateway began goes on only while its service has a single version.
+func (p *gatewayProcess) shareOrigins(sharer *loadreport.Exchanger) {
+	if p.settings.Platform.Streams == "" {
+		return
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Streams))
+	if err != nil {
+		p.log.Error("origins of streams are not shared with other gateways", zap.Error(err))
+		return
+	}
+	exchanger := origingossip.New(group, p.gateway.Origins, sharer.Address.Addr(), sharer.Hosts, sharer.DomainHosts, p.log)
+	p.gateway.FindOrigin = exchanger.Find
+	p.run(exchanger.Run)
+}
+
 // hostOf returns the host of a valid address.
 func hostOf(address string) string { return netip.MustParseAddrPort(address).Addr().String() }
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -211,6 +211,18 @@
 	return out
 }
 
+// HasSoftware reports whether an endpoint of a service that does not leave has a software version.
+func (s *State) HasSoftware(service, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.instances {
+		if k.Service == service && k.SoftwareVersion == version && !k.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // HasService reports whether a service is in the configuration in force. Before the first
 // configuration, it reports true for every service.
 func (s *State) HasService(service string) bool {
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -55,6 +55,10 @@
 	}
 	message := "no endpoint of the service is known"
 	switch c.Refusal {
+	case routing.RefusalNoneUsable:
+		if o := x.stream.origin; o != nil && !x.g.State.HasSoftware(o.Service, o.Version) {
+			return refusalEnding(versionGone(*o))
+		}
 	case routing.RefusalAllFull:
 		message = "all endpoints of the service are full"
 	case routing.RefusalAllCold:
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/runs"
+	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/receipt"
 	"limpetwall/internal/state/fingerprint"
@@ -64,6 +65,10 @@
 	// with QueryWeights. If nil, none is asked.
 	WeightQueries *boundedqueue.Queue[string]
 	QueryWeights  QueryWeightsFunc
+	// Origins holds which software version began each stream. FindOrigin also asks other processes for the origin of a
+	// stream; if it is nil, only this process's own knowledge counts.
+	Origins    *streamorigin.Registry
+	FindOrigin func(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, bool)
 	// Copier copies running requests between engines. If nil, none is moved.
 	Copier RunCopier
 	// IsLeader reports whether this process holds the lease for the work that only one process does.
@@ -408,9 +413,6 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.RetryBudget.Earn()
-	if x.call.Resumes != "" {
-		x.g.count("streams.taken_up")
-	}
 	if x.isForceStopped() {
 		// Don't send anything now: closing the endpoint's connection would come too late to keep the
 		// request from running.
@@ -422,5 +424,8 @@
 	if refusal := x.checkQuarantine(ctx); refusal != nil {
 		return refusalEnding(refusal)
 	}
+	if refusal := x.takeUpStream(ctx); refusal != nil {
+		return refusalEnding(refusal)
+	}
 	return x.run(ctx)
 }
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -124,8 +124,8 @@
 		return last.next.choice
 	}
 	request.Now = time.Now()
-	if begun := x.stream.begunBy; begun != nil {
-		request.SoftwarePinned, request.SoftwareVersion = true, begun.SoftwareVersion
+	if origin := x.stream.origin; origin != nil {
+		request.SoftwarePinned, request.SoftwareVersion = true, origin.Version
 	}
 	choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
 	if choice.Member.ID != "" || x.staleEndpoint == "" {
@@ -148,6 +148,10 @@
 	if x.service.Engine == nil || sent > 0 {
 		return nil
 	}
+	if x.stream.isTakenUp && c.Wait < x.timeLeft() {
+		// The caller has a part of its answer already, and few engines may go on with it.
+		return nil
+	}
 	ok, delay := admission.Accept(admission.Candidate{
 		Wait: c.Wait, TTFT: c.TTFT, Objective: x.route.Objective, TimeLeft: x.timeLeft(), PriorityRank: x.table.PriorityRank(x.priority(), x.service.Name),
 	})
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -12,10 +12,9 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
-	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/routing"
-	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -27,8 +26,12 @@
 	// unresumable is set if the caller has received data after the last event with an id, or part
 	// of an answer that is not a stream. Nothing can be appended to either.
 	unresumable bool
-	// begunBy is the endpoint that brought the first event, nil before.
-	begunBy *fleet.Endpoint
+	// origin is the service and the software version that began the stream, nil before its first event.
+	origin *streamorigin.Origin
+	// isTakenUp is set if another attempt of the caller brought the first event.
+	isTakenUp bool
+	// isRecorded is set once the origin is recorded for this attempt of the caller.
+	isRecorded bool
 }
 
 // errTruncatedEvent is returned when a stream ends inside an event.
@@ -124,7 +127,7 @@
 		if x.firstEventAt.IsZero() {
 			x.firstEventAt = time.Now()
 			x.onStreamBegun()
-			x.recordStreamVersion(c)
+			x.recordOrigin(c)
 			x.g.Directory.RecordFirstToken(c, x.firstEventAt)
 			if !x.headWritten {
 				metrics.GetOrRegisterTimer("gateway.first_event", x.g.Metrics).UpdateSince(x.startedAt)
@@ -141,20 +144,6 @@
 	}
 }
 
-// recordStreamVersion records the endpoint that begins the stream, and reports an attempt that goes on with it at
-// another software version: what two versions write does not fit together.
-func (x *exchange) recordStreamVersion(c routing.Choice) {
-	switch begun := x.stream.begunBy; {
-	case begun == nil:
-		x.stream.begunBy = &c.Member.Endpoint
-	case begun.SoftwareVersion != c.Member.Endpoint.SoftwareVersion:
-		x.g.count("streams.software_version_changed")
-		x.g.Log.Warn("stream goes on at another software version", zap.String("request_id", x.call.ID),
-			zap.String("begun_by", begun.ID), zap.String("begun_version", begun.SoftwareVersion),
-			zap.String("endpoint", c.Member.ID), zap.String("software_version", c.Member.Endpoint.SoftwareVersion))
-	}
-}
-
 // writeStreamHead writes the status and header to the caller unless that is done already. It is called
 // with the first event, or at the end of an empty stream: until then, another endpoint may still be tried
 // from scratch.
--- /dev/null
+++ b/internal/coordination/gateway/takeup.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/coordination/streamorigin"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/routes"
+)
+
+// takeUpStream decides, for a request that takes up a stream of an earlier attempt of its caller, where it may go on. It
+// returns the refusal if it may not; other requests are not concerned.
+func (x *exchange) takeUpStream(ctx context.Context) *apierror.Error {
+	if x.g.Origins == nil || !x.isResumable() || (x.call.Resumes == "" && x.call.LastEvent == "") {
+		return nil
+	}
+	x.g.count("streams.taken_up")
+	known := x.streamKnowledge(ctx)
+	origin, verdict := streamorigin.Decide(known)
+	x.g.count("streams." + verdict.String())
+	x.g.Log.Info("stream taken up", zap.String("request_id", x.call.ID), zap.String("resumes", x.call.Resumes),
+		zap.String("last_event", x.call.LastEvent), zap.String("verdict", verdict.String()), zap.String("service", origin.Service),
+		zap.String("software_version", origin.Version), zap.Bool("origin_known", known.IsKnown), zap.Bool("sole_version", known.HasSole),
+		zap.Bool("endpoints_current", known.IsFresh))
+	switch verdict {
+	case streamorigin.GoOn:
+		x.stream.origin, x.stream.isTakenUp = &origin, true
+		x.service = x.table.Services[origin.Service]
+		return nil
+	case streamorigin.Gone:
+		return versionGone(origin)
+	case streamorigin.NotListed:
+		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoEndpoint,
+			"no endpoint of software version "+origin.Version+", which began the stream, is known, but the list of endpoints may be outdated", retryAfter())
+	}
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeStreamOriginUnknown,
+		"it is not known which software version began the stream", retryAfter())
+}
+
+func versionGone(o streamorigin.Origin) *apierror.Error {
+	message := "no endpoint of software version " + o.Version + ", which began the stream, is left"
+	return apierror.New(http.StatusServiceUnavailable, apierror.CodeStreamVersionGone, message).WithRan(apierror.RanNo, apierror.AdviceRestart)
+}
+
+func (x *exchange) isResumable() bool { return x.route.Kind == routes.Streaming && x.route.Resumable }
+
+// streamKnowledge returns what is known of the stream that the request takes up.
+func (x *exchange) streamKnowledge(ctx context.Context) streamorigin.Knowledge {
+	now := time.Now()
+	k := streamorigin.Knowledge{
+		Service: x.service.Name, IsFresh: x.g.Watcher.AnswerAge(now) <= configStaleAfter,
+		IsListed:  func(o streamorigin.Origin) bool { return x.g.State.HasSoftware(o.Service, o.Version) },
+		IsAllowed: x.isTarget,
+	}
+	if x.call.Resumes != "" {
+		k.Origin, k.IsKnown = x.findOrigin(ctx, x.streamKey(x.call.Resumes))
+	}
+	// A route to several services may have sent the stream to another one than this request.
+	if len(x.route.Targets) == 1 {
+		k.Sole, k.HasSole = x.g.Origins.SoleVersion(x.service.Name, now)
+	}
+	return k
+}
+
+// isTarget reports whether the request's route leads to a service that exists.
+func (x *exchange) isTarget(service string) bool {
+	return x.table.Services[service] != nil && slices.ContainsFunc(x.route.Targets, func(t routes.Target) bool { return t.Service == service })
+}
+
+// streamKey returns the key of the stream that an attempt of this caller has begun.
+func (x *exchange) streamKey(attempt string) streamorigin.Key {
+	customer := ""
+	if x.customer != nil {
+		customer = x.customer.Name
+	}
+	return streamorigin.KeyOf(customer, attempt)
+}
+
+func (x *exchange) findOrigin(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, bool) {
+	if x.g.FindOrigin == nil {
+		return x.g.Origins.Find(stream)
+	}
+	defer metrics.GetOrRegisterTimer("gateway.streams.origin_search", x.g.Metrics).UpdateSince(time.Now())
+	return x.g.FindOrigin(ctx, stream)
+}
+
+// recordOrigin records, at the first event of an attempt, which software version began the stream. It reports an attempt
+// that goes on with a stream at another version.
+func (x *exchange) recordOrigin(c routing.Choice) {
+	here := streamorigin.Origin{Service: x.service.Name, Version: c.Member.Endpoint.SoftwareVersion}
+	if x.stream.origin == nil {
+		x.stream.origin = &here
+	}
+	if origin := *x.stream.origin; origin != here {
+		x.g.count("streams.software_version_changed")
+		x.g.Log.Error("stream goes on at another software version", zap.String("request_id", x.call.ID), zap.String("service", origin.Service),
+			zap.String("begun_version", origin.Version), zap.String("endpoint", c.Member.ID), zap.String("software_version", here.Version))
+	}
+	if x.g.Origins != nil && x.isResumable() && !x.stream.isRecorded {
+		x.stream.isRecorded = true
+		x.g.Origins.Record(x.streamKey(x.call.ID), *x.stream.origin, time.Now())
+	}
+}
--- a/internal/coordination/order_test.go
+++ b/internal/coordination/order_test.go
@@ -13,8 +13,8 @@
 // groups lists the packages of each group, from the top.
 var groups = [][]string{
 	{"gateway", "entry", "agent", "runs", "rollout", "errorbudget"},
-	{"gossip", "loadreport", "contentreport", "leasenotice", "quarantinegossip", "pushbackgossip"},
-	{"routing", "admission", "pushback", "limitshare", "warmup", "quarantine", "plan", "contextcache", "contexttransfer"},
+	{"gossip", "loadreport", "contentreport", "leasenotice", "quarantinegossip", "pushbackgossip", "origingossip"},
+	{"routing", "admission", "pushback", "limitshare", "warmup", "quarantine", "streamorigin", "plan", "contextcache", "contexttransfer"},
 	{"discovery", "configlog", "lease", "idempotency"},
 }
 
--- a/internal/coordination/pushbackgossip/exchanger.go
+++ b/internal/coordination/pushbackgossip/exchanger.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"limpetwall/internal/coordination/limitshare"
 	"limpetwall/internal/coordination/pushback"
@@ -62,7 +59,7 @@
 	received := make(chan struct{})
 	go func() {
 		defer close(received)
-		e.Group.Receive(ctx, e.receive)
+		e.channel().Receive(ctx, e.receive)
 	}()
 	requests, startedAt := 0, time.Now()
 	var repeat <-chan time.Time
@@ -90,7 +87,7 @@
 
 // askPeers asks a few others for what they know. It returns whether there were any.
 func (e *Exchanger) askPeers() bool {
-	hosts := sample(e.Hosts(), requestHosts)
+	hosts := datagram.Sample(e.Hosts(), requestHosts)
 	if len(hosts) > 0 {
 		e.send(&wire.PushbackReport{Asks: true}, hosts)
 	}
@@ -113,7 +110,7 @@
 	for _, r := range e.repeated {
 		hosts := e.Hosts()
 		if len(hosts) > maxBroadcastHosts {
-			hosts = sample(hosts, fanout)
+			hosts = datagram.Sample(hosts, fanout)
 		}
 		e.sendNews(r.news, r.leaving, hosts)
 		if r.left--; r.left > 0 {
@@ -127,12 +124,6 @@
 	e.send(&wire.PushbackReport{Limits: newsToWire(news, time.Now()), Leaving: keysToWire(leaving)}, hosts)
 }
 
-// sample returns up to n of the hosts, at random.
-func sample(hosts []netip.Addr, n int) []netip.Addr {
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return hosts[:min(n, len(hosts))]
-}
-
 // Lend implements limitshare.Messenger.
 func (e *Exchanger) Lend(to netip.Addr, loans []limitshare.Loan) {
 	r := &wire.PushbackReport{}
@@ -162,13 +153,11 @@
 
 func (e *Exchanger) send(r *wire.PushbackReport, hosts []netip.Addr) {
 	r.Limits, r.Used, r.Leaving, r.Needed = truncate(r.Limits), truncate(r.Used), truncate(r.Leaving), truncate(r.Needed)
-	data, err := proto.Marshal(r)
-	if err != nil || len(data) > datagram.MaxSize {
-		e.Log.Error("pushback report can't be encoded or is too large", zap.Int("bytes", len(data)), zap.Error(err))
-		return
-	}
-	// A message may be lost anyway.
-	e.Group.Send(data, hosts)
+	e.channel().Send(r, hosts)
+}
+
+func (e *Exchanger) channel() *datagram.Channel[wire.PushbackReport, *wire.PushbackReport] {
+	return &datagram.Channel[wire.PushbackReport, *wire.PushbackReport]{Socket: e.Group, Kind: "pushback report", Log: e.Log}
 }
 
 // truncate returns a random part of a list that is too long for a message.
@@ -180,14 +169,8 @@
 	return list[:maxEntries]
 }
 
-func (e *Exchanger) receive(data []byte, from net.Addr) {
-	var r wire.PushbackReport
-	udp, ok := from.(*net.UDPAddr)
-	if err := proto.Unmarshal(data, &r); err != nil || !ok {
-		e.Log.Warn("pushback report does not decode", zap.Stringer("from", from), zap.Error(errors.Trace(err)))
-		return
-	}
-	host, now := udp.AddrPort().Addr().Unmap(), time.Now()
+func (e *Exchanger) receive(r *wire.PushbackReport, host netip.Addr) {
+	now := time.Now()
 	for _, l := range r.GetLimits() {
 		e.Registry.Merge(newsFromWire(l, now), host.String(), now)
 	}
--- a/internal/coordination/quarantinegossip/exchanger.go
+++ b/internal/coordination/quarantinegossip/exchanger.go
@@ -12,7 +12,6 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
-	"google.golang.org/protobuf/proto"
 
 	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/protocol/wire"
@@ -36,8 +35,6 @@
 	maxBroadcastHosts = 6
 	// messageBytes is about the size of the updates in one message: with all repetitions they take 3 KB/s at most.
 	messageBytes = 200
-	// headerBytes is the size of a datagram's headers, which count as well.
-	headerBytes = 28
 	// recordsPerAnswer bounds the cost of a comparison; a process that lacks many quarantines reads them from the
 	// store.
 	recordsPerAnswer = 3
@@ -110,8 +107,7 @@
 		return 0
 	}
 	if len(hosts) > maxBroadcastHosts {
-		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-		hosts = hosts[:fanout]
+		hosts = datagram.Sample(hosts, fanout)
 	}
 	// The digests are left out: updates alone are no comparison.
 	return e.send(&wire.QuarantineReport{Step: stepLast, Cases: quarantine.RecordsToWire(records, e.Now())}, hosts)
@@ -126,25 +122,19 @@
 
 // send returns how many bytes it sent.
 func (e *Exchanger) send(r *wire.QuarantineReport, hosts []netip.Addr) int {
-	data, err := proto.Marshal(r)
-	if err != nil || len(data) > datagram.MaxSize {
-		e.Log.Error("quarantine report can't be encoded or is too large", zap.Int("bytes", len(data)), zap.Error(err))
-		return 0
-	}
-	// A message may be lost anyway: updates are repeated, and so are comparisons.
-	e.Group.Send(data, hosts)
-	return len(hosts) * (len(data) + headerBytes)
+	return e.channel().Send(r, hosts)
+}
+
+func (e *Exchanger) channel() *datagram.Channel[wire.QuarantineReport, *wire.QuarantineReport] {
+	return &datagram.Channel[wire.QuarantineReport, *wire.QuarantineReport]{Socket: e.Group, Kind: "quarantine report", Log: e.Log}
 }
 
-// receive merges a report. If a comparison finds a difference, both sides send some of the records in the buckets
+func (e *Exchanger) receive(data []byte, from net.Addr) { e.channel().Dispatch(data, from, e.merge) }
+
+// merge merges a report. If a comparison finds a difference, both sides send some of the records in the buckets
 // that differ.
-func (e *Exchanger) receive(data []byte, from net.Addr) {
-	var r wire.QuarantineReport
-	err := proto.Unmarshal(data, &r)
-	if err == nil {
-		err = e.Quarantines.MergeWire(r.GetCases(), e.Now())
-	}
-	if err != nil {
+func (e *Exchanger) merge(r *wire.QuarantineReport, from netip.Addr) {
+	if err := e.Quarantines.MergeWire(r.GetCases(), e.Now()); err != nil {
 		e.Log.Warn("quarantine report does not decode", zap.Stringer("from", from), zap.Error(errors.Trace(err)))
 		return
 	}
@@ -152,13 +142,9 @@
 	if r.GetStep() >= stepLast || own == other {
 		return
 	}
-	udp, ok := from.(*net.UDPAddr)
-	if !ok {
-		return
-	}
 	records := quarantine.RecordsToWire(e.sampleDifferences(own, other), e.Now())
 	answer := &wire.QuarantineReport{Digests: digestsToWire(own), Step: r.GetStep() + 1, Cases: records}
-	e.send(answer, []netip.Addr{udp.AddrPort().Addr().Unmap()})
+	e.send(answer, []netip.Addr{from})
 }
 
 // digestsToWire omits the digests of a tracker without quarantines, as most are.
--- a/internal/coordination/quarantinegossip/exchanger_test.go
+++ b/internal/coordination/quarantinegossip/exchanger_test.go
@@ -114,7 +114,7 @@
 // counters, headers included.
 func (f *fleet) sendRate(passed time.Duration) float64 {
 	datagrams, bytes := f.network.SentSinceLastCall()
-	return float64(bytes+headerBytes*datagrams) / float64(len(f.hosts)) / passed.Seconds()
+	return float64(bytes+datagram.HeaderBytes*datagrams) / float64(len(f.hosts)) / passed.Seconds()
 }
 
 // quarantine makes a process quarantine requests: five crashes are enough whatever else crashed.
--- /dev/null
+++ b/internal/coordination/streamorigin/decide.go
@@ -0,0 +1,60 @@
+package streamorigin
+
+// Verdict says what becomes of a stream that a caller takes up.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// GoOn: the stream goes on at its version.
+	GoOn Verdict = iota + 1
+	// Unknown: it is not known which version began the stream. Another process may know it.
+	Unknown
+	// Gone: no endpoint of its version is left, or the route no longer leads to its service.
+	Gone
+	// NotListed: this process knows no endpoint of its version, and its list of endpoints may be outdated.
+	NotListed
+)
+
+// String returns the name used in logs and in names of metrics.
+func (v Verdict) String() string {
+	return [...]string{"", "goes_on", "origin_unknown", "version_gone", "version_not_listed"}[v]
+}
+
+// Knowledge is what a process knows of a stream that a caller takes up.
+type Knowledge struct {
+	// Origin is valid if IsKnown.
+	Origin  Origin
+	IsKnown bool
+	// Sole is the only version of the service, valid if HasSole.
+	Sole    string
+	HasSole bool
+	// Service is where the request would go if it were new.
+	Service string
+	// IsFresh is set if the list of endpoints is up to date.
+	IsFresh bool
+	// IsListed reports whether an endpoint of an origin is listed that does not leave.
+	IsListed func(Origin) bool
+	// IsAllowed reports whether the request's route leads to a service.
+	IsAllowed func(service string) bool
+}
+
+// Decide returns the origin at which a stream goes on, or why it does not.
+func Decide(k Knowledge) (Origin, Verdict) {
+	o := k.Origin
+	if !k.IsKnown {
+		// Without another version, any endpoint's events fit. An outdated list may lack the other version.
+		if !k.HasSole || !k.IsFresh {
+			return Origin{}, Unknown
+		}
+		o = Origin{Service: k.Service, Version: k.Sole}
+	}
+	switch {
+	case !k.IsAllowed(o.Service):
+		return o, Gone
+	case k.IsListed(o):
+		return o, GoOn
+	case !k.IsFresh:
+		return o, NotListed
+	}
+	return o, Gone
+}
--- /dev/null
+++ b/internal/coordination/streamorigin/registry.go
@@ -0,0 +1,265 @@
+package streamorigin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// retention is how long origins, and versions without an endpoint, are remembered at least: longer than a stream and
+	// the caller's return take.
+	retention = time.Minute
+	// maxOrigins bounds the origins of one generation; two are kept. Beyond it they are forgotten sooner.
+	maxOrigins = 16_384
+	// maxPending bounds the records that wait to be sent; the oldest are dropped.
+	maxPending = 4_096
+	// maxVersions bounds the remembered versions of all services.
+	maxVersions = 1_024
+)
+
+// Key identifies a stream by its customer and the attempt that brought its first event.
+type Key uint64
+
+// KeyOf returns the key of a stream. The customer is part of it, so that no customer's attempt can be named by another.
+func KeyOf(customer, attempt string) Key {
+	var h xxhash.Digest
+	h.Reset()
+	h.WriteString(customer)
+	h.Write([]byte{0})
+	h.WriteString(attempt)
+	return Key(h.Sum64())
+}
+
+// Origin is the service and the software version that began a stream.
+type Origin struct {
+	Service, Version string
+}
+
+// Record is the origin of one stream.
+type Record struct {
+	Stream Key
+	Origin Origin
+}
+
+// VersionAge is a software version and how long ago an endpoint last had it.
+type VersionAge struct {
+	Origin Origin
+	Age    time.Duration
+}
+
+// Registry holds the origins of recent streams, of this process and of those that send it theirs. It is safe for
+// concurrent use.
+type Registry struct {
+	mu sync.Mutex
+	// current and previous are two generations of origins; current replaces previous after retention.
+	current, previous map[Key]Origin
+	currentSince      time.Time
+	// pending are this process's records that no other process has been sent, and ready says that some may be sent.
+	pending []pendingRecord
+	ready   chan struct{}
+	// versions holds when each version was last seen at an endpoint.
+	versions map[Origin]time.Time
+	// waiting are closed when an origin arrives.
+	waiting map[Key][]chan struct{}
+}
+
+type pendingRecord struct {
+	Record
+	since time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{
+		current: map[Key]Origin{}, previous: map[Key]Origin{}, versions: map[Origin]time.Time{},
+		waiting: map[Key][]chan struct{}{}, ready: make(chan struct{}, 1),
+	}
+}
+
+// Record records the origin of a stream that this process has begun to forward.
+func (r *Registry) Record(stream Key, o Origin, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeVersion(o, now)
+	if !r.add(stream, o, now) {
+		return
+	}
+	if len(r.pending) == maxPending {
+		r.pending = slices.Delete(r.pending, 0, maxPending/2)
+	}
+	r.pending = append(r.pending, pendingRecord{Record{stream, o}, now})
+	if r.versionCount(o.Service) > 1 {
+		r.signalReady()
+	}
+}
+
+func (r *Registry) signalReady() {
+	select {
+	case r.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Registry) versionCount(service string) int {
+	count := 0
+	for o := range r.versions {
+		if o.Service == service {
+			count++
+		}
+	}
+	return count
+}
+
+// Ready returns a channel that yields when TakePending may return records.
+func (r *Registry) Ready() <-chan struct{} { return r.ready }
+
+// Merge records an origin that another process has sent.
+func (r *Registry) Merge(stream Key, o Origin, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeVersion(o, now)
+	r.add(stream, o, now)
+	for _, arrived := range r.waiting[stream] {
+		close(arrived)
+	}
+	delete(r.waiting, stream)
+}
+
+// add adds an origin, and reports whether it was not known; r.mu is held. The first origin of a stream stays.
+func (r *Registry) add(stream Key, o Origin, now time.Time) bool {
+	if now.Sub(r.currentSince) >= retention || len(r.current) >= maxOrigins {
+		r.previous, r.current, r.currentSince = r.current, map[Key]Origin{}, now
+	}
+	if _, known := r.find(stream); known {
+		return false
+	}
+	r.current[stream] = o
+	return true
+}
+
+func (r *Registry) find(stream Key) (Origin, bool) {
+	if o, ok := r.current[stream]; ok {
+		return o, true
+	}
+	o, ok := r.previous[stream]
+	return o, ok
+}
+
+// Find returns the origin of a stream, if it is known.
+func (r *Registry) Find(stream Key) (Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.find(stream)
+}
+
+// Arrival returns a channel that is closed when another process sends the origin of a stream. The caller cancels the wait.
+func (r *Registry) Arrival(stream Key) (arrived <-chan struct{}, cancel func()) {
+	c := make(chan struct{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.find(stream); known {
+		close(c)
+		return c, func() {}
+	}
+	r.waiting[stream] = append(r.waiting[stream], c)
+	return c, func() { r.stopWaiting(stream, c) }
+}
+
+func (r *Registry) stopWaiting(stream Key, c chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := slices.DeleteFunc(r.waiting[stream], func(other chan struct{}) bool { return other == c })
+	if r.waiting[stream] = list; len(list) == 0 {
+		delete(r.waiting, stream)
+	}
+}
+
+// SeeVersions records the versions that endpoints have now.
+func (r *Registry) SeeVersions(list []Origin, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range list {
+		r.seeVersion(o, now)
+	}
+}
+
+// MergeVersions records versions that another process has seen.
+func (r *Registry) MergeVersions(list []VersionAge, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range list {
+		r.seeVersion(v.Origin, now.Add(-v.Age))
+	}
+}
+
+func (r *Registry) seeVersion(o Origin, at time.Time) {
+	if last, known := r.versions[o]; known {
+		if at.After(last) {
+			r.versions[o] = at
+		}
+		return
+	}
+	if len(r.versions) == maxVersions {
+		return
+	}
+	if r.versions[o] = at; len(r.pending) > 0 && r.versionCount(o.Service) > 1 {
+		r.signalReady()
+	}
+}
+
+// Versions returns the versions that endpoints have had within retention, and forgets the others.
+func (r *Registry) Versions(now time.Time) []VersionAge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expireVersions(now)
+	out := make([]VersionAge, 0, len(r.versions))
+	for o, at := range r.versions {
+		out = append(out, VersionAge{o, max(0, now.Sub(at))})
+	}
+	return out
+}
+
+func (r *Registry) expireVersions(now time.Time) {
+	for o, at := range r.versions {
+		if now.Sub(at) > retention {
+			delete(r.versions, o)
+		}
+	}
+}
+
+// SoleVersion returns the version of a service if its endpoints have had no other within retention.
+func (r *Registry) SoleVersion(service string, now time.Time) (version string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expireVersions(now)
+	for o := range r.versions {
+		if o.Service == service {
+			version = o.Version
+		}
+	}
+	return version, r.versionCount(service) == 1
+}
+
+// TakePending returns up to limit records of this process to send to others. While a service has one version only, its
+// streams can go on anywhere, and their records wait: they are sent if another version appears.
+func (r *Registry) TakePending(limit int, now time.Time) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expireVersions(now)
+	var out []Record
+	kept := r.pending[:0]
+	for _, p := range r.pending {
+		switch {
+		case now.Sub(p.since) > retention:
+		case len(out) < limit && r.versionCount(p.Origin.Service) > 1:
+			out = append(out, p.Record)
+		default:
+			kept = append(kept, p)
+		}
+	}
+	r.pending = kept
+	return out
+}
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -35,6 +35,8 @@
 	AdviceFix Advice = "fix_request"
 	// AdviceNever: it will not be run; find out by other means.
 	AdviceNever Advice = "do_not_retry"
+	// AdviceRestart: the stream can't be taken up; send its request again from the beginning.
+	AdviceRestart Advice = "start_again"
 )
 
 // Codes of errors raised by an entry; agents add their own.
@@ -60,6 +62,10 @@
 	CodeInternalFailure = "internal"
 	// CodeQuarantined: the request has crashed the endpoints that ran it.
 	CodeQuarantined = "request_quarantined"
+	// CodeStreamVersionGone: no endpoint is left that could go on with the stream.
+	CodeStreamVersionGone = "stream_version_gone"
+	// CodeStreamOriginUnknown: it is not known which software version began the stream.
+	CodeStreamOriginUnknown = "stream_origin_unknown"
 )
 
 // Retry is the advice with its time.
@@ -149,7 +155,8 @@
 	}
 	// The official OpenAI clients repeat 409, 429 and 5xx on their own unless
 	// told not to; what must not be sent again says so in their words.
-	if e.Retry.Advice == AdviceNever || e.Retry.Advice == AdviceFix {
+	switch e.Retry.Advice {
+	case AdviceNever, AdviceFix, AdviceRestart:
 		h.Set("X-Should-Retry", "false")
 	}
 	w.WriteHeader(e.Status)
