--- /dev/null
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -0,0 +1,140 @@
+package streamorigin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	old   = Origin{"s", "v1"}
+	next  = Origin{"s", "v2"}
+)
+
+func TestDecide(t *testing.T) {
+	both := func(Origin) bool { return true }
+	none := func(Origin) bool { return false }
+	anyService := func(string) bool { return true }
+	rows := []struct {
+		name string
+		know Knowledge
+		want Verdict
+	}{
+		{"known and served", Knowledge{Origin: old, IsKnown: true, IsListed: both}, GoOn},
+		{"known and gone", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsListed: none}, Gone},
+		{"known, not listed, the list is outdated", Knowledge{Origin: old, IsKnown: true, IsListed: none}, NotListed},
+		{"known, the only version is another", Knowledge{Origin: old, IsKnown: true, IsFresh: true, HasSole: true, Sole: "v2", IsListed: func(o Origin) bool { return o == next }}, Gone},
+		{"not known, a single version", Knowledge{HasSole: true, Sole: "v1", IsFresh: true, IsListed: both}, GoOn},
+		{"not known, a single version by an outdated list", Knowledge{HasSole: true, Sole: "v1", IsListed: both}, Unknown},
+		{"not known, two versions", Knowledge{IsFresh: true, IsListed: both}, Unknown},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			row.know.Service, row.know.IsAllowed = "s", anyService
+			if _, got := Decide(row.know); got != row.want {
+				t.Errorf("got %v, want %v", got, row.want)
+			}
+		})
+	}
+	moved := Knowledge{Origin: old, IsKnown: true, IsListed: both, IsAllowed: func(string) bool { return false }}
+	if _, got := Decide(moved); got != Gone {
+		t.Errorf("a stream whose route no longer leads to its service: got %v, want %v", got, Gone)
+	}
+}
+
+// TestVersionThatLeftIsRemembered guards against a stream of a version that has just left, of unknown origin, which goes on
+// at the version that is left because that looks like the only one.
+func TestVersionThatLeftIsRemembered(t *testing.T) {
+	r := NewRegistry()
+	r.SeeVersions([]Origin{old, next}, epoch)
+	r.SeeVersions([]Origin{next}, epoch.Add(retention/2))
+	if _, sole := r.SoleVersion("s", epoch.Add(retention/2)); sole {
+		t.Error("a version is the only one half a minute after another left")
+	}
+	r.SeeVersions([]Origin{next}, epoch.Add(retention))
+	if version, sole := r.SoleVersion("s", epoch.Add(retention+time.Second)); !sole || version != "v2" {
+		t.Errorf("got %q, %v; want v2 as the only version", version, sole)
+	}
+	if _, sole := r.SoleVersion("other", epoch); sole {
+		t.Error("a service without endpoints has an only version")
+	}
+}
+
+// TestRecordsWaitForASecondVersion guards against records that are sent although all streams can go on anywhere, and
+// against streams from before a second version appeared that nobody knows.
+func TestRecordsWaitForASecondVersion(t *testing.T) {
+	r := NewRegistry()
+	r.Record(1, old, epoch)
+	r.Record(2, old, epoch.Add(retention))
+	now := epoch.Add(retention + time.Second)
+	if got := r.TakePending(10, now); len(got) != 0 {
+		t.Errorf("got %v with a single version, want none", got)
+	}
+	select {
+	case <-r.Ready():
+		t.Error("records are ready with a single version")
+	default:
+	}
+	r.SeeVersions([]Origin{old, next}, now)
+	select {
+	case <-r.Ready():
+	default:
+		t.Error("no record is ready once there are two versions")
+	}
+	if got := r.TakePending(10, now); len(got) != 1 || got[0] != (Record{2, old}) {
+		t.Errorf("got %v, want the record of the stream that is not too old", got)
+	}
+	if got := r.TakePending(10, now); len(got) != 0 {
+		t.Errorf("got %v a second time", got)
+	}
+}
+
+// TestRegistryIsBounded guards against callers that make a process hold any number of origins, and against forgetting
+// those of streams that may still be taken up.
+func TestRegistryIsBounded(t *testing.T) {
+	r := NewRegistry()
+	for i := range 5 * maxOrigins {
+		r.Record(Key(i+1), old, epoch)
+		r.SeeVersions([]Origin{{"s", fmt.Sprint(i)}}, epoch)
+	}
+	if n := len(r.current) + len(r.previous); n > 2*maxOrigins || len(r.pending) > maxPending || len(r.versions) > maxVersions {
+		t.Errorf("%d origins, %d pending records, %d versions are held", n, len(r.pending), len(r.versions))
+	}
+	r = NewRegistry()
+	r.Record(1, old, epoch)
+	r.Record(2, next, epoch.Add(retention))
+	r.Record(3, next, epoch.Add(2*retention-time.Second))
+	if o, ok := r.Find(1); !ok || o != old {
+		t.Errorf("got %v, %v; want the origin of a stream within retention", o, ok)
+	}
+	r.Record(4, next, epoch.Add(2*retention))
+	if _, ok := r.Find(1); ok {
+		t.Error("an origin is held for more than two generations")
+	}
+}
+
+// TestFirstOriginStays guards against an origin that a later attempt of the same stream replaces.
+func TestFirstOriginStays(t *testing.T) {
+	r := NewRegistry()
+	r.Record(1, old, epoch)
+	r.Merge(1, next, epoch)
+	if o, _ := r.Find(1); o != old {
+		t.Errorf("got %v, want %v", o, old)
+	}
+	if KeyOf("a", "bc") == KeyOf("ab", "c") || KeyOf("club", "1") == KeyOf("other", "1") {
+		t.Error("streams of two customers have one key")
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := NewRegistry()
+	r.SeeVersions([]Origin{old, next}, epoch)
+	b.ReportAllocs()
+	for i := range b.N {
+		r.Record(KeyOf("club", "9c41d07be2a35f68")+Key(i), old, epoch)
+		if i%40 == 0 {
+			r.TakePending(40, epoch)
+		}
+	}
+}
