--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -27,6 +27,9 @@
 	devLinkRate    = 100 << 20
 )
 
+// devSoftwareVersions are the versions of the engines' software, which serve side by side.
+var devSoftwareVersions = []string{"1.1", "1.2"}
+
 type devSettings struct {
 	Listen   string
 	Entries  int
@@ -109,7 +112,8 @@
 	}
 	domains := []string{"domain-a", "domain-b", "domain-c"}
 	for i := range s.Engines {
-		if err := d.agent(fmt.Sprintf("engine-%d", i+1), domains[i%3], "engine", "-engine", "pool=models"); err != nil {
+		software := devSoftwareVersions[i%len(devSoftwareVersions)]
+		if err := d.agent(fmt.Sprintf("engine-%d", i+1), domains[i%3], "engine", "-engine", "pool=models", "-software-version", software); err != nil {
 			return err
 		}
 	}
@@ -168,8 +172,8 @@
 	}
 }
 
-func (d *site) agent(id, domain, kind, flagName, labels string) error {
-	url, admin, err := d.standin(kind)
+func (d *site) agent(id, domain, kind, flagName, labels string, standinArgs ...string) error {
+	url, admin, err := d.standin(kind, standinArgs...)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -43,6 +43,7 @@
 	headerContinueFrom = "T-Continue"
 	headerLimit        = "T-Limit"
 	headerLeaving      = "T-Leaving"
+	headerResumes      = "T-Resumes"
 )
 
 type testCodec struct{}
@@ -51,7 +52,7 @@
 	if h.Get("T-Bad") != "" {
 		return Call{}, errors.New("T-Bad: is not accepted")
 	}
-	c := Call{ID: h.Get(headerID), Key: h.Get(headerKey), LastEvent: h.Get(headerLastEvent)}
+	c := Call{ID: h.Get(headerID), Key: h.Get(headerKey), LastEvent: h.Get(headerLastEvent), Resumes: h.Get(headerResumes)}
 	if ms, err := strconv.Atoi(h.Get(headerTimeLeft)); err == nil {
 		c.Deadline = time.Duration(ms) * time.Millisecond
 	}
--- /dev/null
+++ b/internal/coordination/gateway/takeup_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"limpetwall/internal/coordination/streamorigin"
+	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/routes"
+)
+
+// newVersionedServer serves a gateway in front of endpoints of the given software versions, each of which answers with the
+// events 1 and 2.
+func newVersionedServer(t *testing.T, versions ...string) *testServer {
+	list := singleRoute(routes.Streaming, 2)
+	list[0].Resumable = true
+	answers := make([]responder, len(versions))
+	for i := range answers {
+		answers[i] = respondStream(lastChunk, "1", "2")
+	}
+	s := newTestServer(t, list, answers...)
+	for i, version := range versions {
+		s.setVersion(i, version)
+	}
+	s.gateway.Origins = streamorigin.NewRegistry()
+	s.gateway.Watcher.RecordAnswer(time.Now())
+	s.gateway.syncEndpoints(nil)
+	return s
+}
+
+func (s *testServer) setVersion(endpoint int, version string) {
+	instance, _ := s.gateway.State.Instance(s.endpoints[endpoint].id)
+	instance.Revision, instance.SoftwareVersion = instance.Revision+100, version
+	s.gateway.State.SetInstance(instance)
+}
+
+// begun records that an attempt of the test's customer began at a software version.
+func (s *testServer) begun(attempt, service, version string) {
+	s.gateway.Origins.Merge(streamorigin.KeyOf("club", attempt), streamorigin.Origin{Service: service, Version: version}, time.Now())
+}
+
+// TestTakenUpStreams guards against a stream that is taken up at another software version, or refused although it could
+// go on, by a gateway that has never seen its first attempt.
+func TestTakenUpStreams(t *testing.T) {
+	const resumes, last = headerResumes + ": first", headerLastEvent + ": 1"
+	rows := []struct {
+		name     string
+		versions []string
+		prepare  func(s *testServer)
+		lines    []string
+		// code is that of the refusal, empty if the stream goes on at endpoint.
+		code     string
+		endpoint int
+	}{
+		{"its origin is known", []string{"v1", "v2", "v2"}, func(s *testServer) { s.begun("first", "s", "v1") }, []string{resumes, last}, "", 0},
+		{"its origin is not known", []string{"v1", "v2"}, nil, []string{resumes, last}, apierror.CodeStreamOriginUnknown, 0},
+		{"it names no attempt", []string{"v1", "v2"}, nil, []string{last}, apierror.CodeStreamOriginUnknown, 0},
+		{"another customer's attempt", []string{"v1", "v2"}, func(s *testServer) {
+			s.gateway.Origins.Merge(streamorigin.KeyOf("other", "first"), streamorigin.Origin{Service: "s", Version: "v1"}, time.Now())
+		}, []string{resumes, last}, apierror.CodeStreamOriginUnknown, 0},
+		{"a single version", []string{"v1"}, nil, []string{resumes, last}, "", 0},
+		{"a single version, and no attempt named", []string{"v1"}, nil, []string{last}, "", 0},
+		{"endpoints that name no version", []string{""}, nil, []string{resumes, last}, "", 0},
+		{"a single version by an outdated list", []string{"v1"}, func(s *testServer) { s.gateway.Watcher.RecordAnswer(time.Now().Add(-time.Hour)) },
+			[]string{resumes, last}, apierror.CodeStreamOriginUnknown, 0},
+		{"its version is gone", []string{"v2"}, func(s *testServer) { s.begun("first", "s", "v1") }, []string{resumes, last}, apierror.CodeStreamVersionGone, 0},
+		{"the last endpoint of its version leaves", []string{"v1", "v2"}, func(s *testServer) {
+			s.begun("first", "s", "v1")
+			leaveFirstEngine(s.gateway.State)
+		}, []string{resumes, last}, apierror.CodeStreamVersionGone, 0},
+		{"its version is not listed, the list is outdated", []string{"v2"}, func(s *testServer) {
+			s.begun("first", "s", "v1")
+			s.gateway.Watcher.RecordAnswer(time.Now().Add(-time.Hour))
+		}, []string{resumes, last}, apierror.CodeNoEndpoint, 0},
+		{"its service is no target of the route", []string{"v1"}, func(s *testServer) { s.begun("first", "before", "v1") }, []string{resumes, last}, apierror.CodeStreamVersionGone, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newVersionedServer(t, row.versions...)
+			if row.prepare != nil {
+				row.prepare(s)
+			}
+			resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", row.lines...))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if row.code == "" {
+				if resp.StatusCode != http.StatusOK || s.endpoints[row.endpoint].requestCount() != 1 {
+					t.Errorf("got %d %s, want the rest of the stream from endpoint %d", resp.StatusCode, body, row.endpoint)
+				}
+				return
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, `"code":"`+row.code+`"`) || s.requestCount() > 0 {
+				t.Errorf("got %d %s after %d requests, want %s and none", resp.StatusCode, body, s.requestCount(), row.code)
+			}
+			isFinal := row.code == apierror.CodeStreamVersionGone
+			if comesBack := resp.Header.Get("Retry-After") != ""; comesBack == isFinal || isFinal != strings.Contains(body, `"advice":"start_again"`) {
+				t.Errorf("got Retry-After %q and %s; want start_again if the stream can't go on, else a time to come back", resp.Header.Get("Retry-After"), body)
+			}
+		})
+	}
+}
+
+// TestStreamGoesOnInItsService guards against a stream on a route to several services that another service goes on with.
+func TestStreamGoesOnInItsService(t *testing.T) {
+	list := singleRoute(routes.Streaming, 2)
+	list[0].Resumable = true
+	list[0].Targets = []routes.Target{{Service: "s", Weight: 1}, {Service: "other", Weight: 1_000_000}}
+	s := newVersionedServer(t, "v1")
+	s.gateway.State.SetRoutes(routes.New(2, 50, list, []routes.Service{{Name: "s"}, {Name: "other"}},
+		[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	s.begun("first", "s", "v1")
+	resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerResumes+": first", headerLastEvent+": 1"))
+	if err != nil || resp.StatusCode != http.StatusOK || s.endpoints[0].requestCount() != 1 {
+		t.Errorf("got %v %s, error %v; want the rest of the stream from the service that began it", resp.StatusCode, body, err)
+	}
+	resp, body, err = s.do(s.newRequest("POST", "/r/x", "prompt", headerResumes+": nobody's", headerLastEvent+": 1"))
+	if err != nil || !strings.Contains(body, apierror.CodeStreamOriginUnknown) {
+		t.Errorf("got %v %s, error %v; want a refusal, as either service may have begun it", resp.StatusCode, body, err)
+	}
+}
+
+// TestFirstEventRecordsTheOrigin guards against a stream whose caller comes back before its origin is recorded, and against
+// one recorded for an attempt that brought no event.
+func TestFirstEventRecordsTheOrigin(t *testing.T) {
+	s := newVersionedServer(t, "v1")
+	if resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt")); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v %s %v", resp, body, err)
+	}
+	want := streamorigin.Origin{Service: "s", Version: "v1"}
+	if got, ok := s.gateway.Origins.Find(streamorigin.KeyOf("club", "id-1")); !ok || got != want {
+		t.Errorf("got %v, %v; want %v", got, ok, want)
+	}
+	empty := newVersionedServer(t)
+	empty.do(empty.newRequest("POST", "/r/x", "prompt"))
+	if got, ok := empty.gateway.Origins.Find(streamorigin.KeyOf("club", "id-1")); ok {
+		t.Errorf("got %v for a request without an event", got)
+	}
+}
