--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"limpetwall/internal/coordination/contextcache"
 	"limpetwall/internal/coordination/routing"
-	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/state/fleet"
 )
 
@@ -43,13 +41,9 @@
 	current := map[string]fleet.Incarnation{}
 	now := time.Now()
 	weights, engines, endpoints := map[string]int64{}, map[string]contextcache.Engine{}, map[string]uint64{}
-	var versions []streamorigin.Origin
 	for _, i := range g.State.Instances() {
 		current[i.Address] = i.Incarnation()
 		weights[i.Model] = max(weights[i.Model], i.Weights)
-		if v := (streamorigin.Origin{Service: i.Service, Version: i.SoftwareVersion}); !slices.Contains(versions, v) {
-			versions = append(versions, v)
-		}
 		properties := routing.Properties{Slots: i.Slots, PrefillRate: defaultPrefillRate, LinkRate: defaultLinkRate, CountsOnly: true}
 		engine := contextcache.Engine{Domain: i.Domain}
 		if s := table.Services[i.Service]; s != nil && s.Engine != nil {
@@ -71,7 +65,7 @@
 		g.ContextTracker.SetEngines(engines)
 	}
 	if g.Origins != nil {
-		g.Origins.SeeVersions(versions, now)
+		g.Origins.SeeVersions(g.softwareVersions(), now)
 	}
 	for address, incarnation := range previous {
 		// Connections to a previous incarnation are dead: a request sent on one would be
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -61,6 +61,7 @@
 	}
 	// A route to several services may have sent the stream to another one than this request.
 	if len(x.route.Targets) == 1 {
+		x.g.Origins.SeeVersions(x.g.softwareVersions(), now)
 		k.Sole, k.HasSole = x.g.Origins.SoleVersion(x.service.Name, now)
 	}
 	if x.call.Resumes == "" {
@@ -79,6 +80,17 @@
 // that has just seen another one knows better.
 const soleVersionSearch = 30 * time.Millisecond
 
+// softwareVersions returns the versions of the listed endpoints.
+func (g *Gateway) softwareVersions() []streamorigin.Origin {
+	var versions []streamorigin.Origin
+	for _, i := range g.State.Instances() {
+		if v := (streamorigin.Origin{Service: i.Service, Version: i.SoftwareVersion}); !slices.Contains(versions, v) {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
 // isTarget reports whether the request's route leads to a service that exists.
 func (x *exchange) isTarget(service string) bool {
 	return x.table.Services[service] != nil && slices.ContainsFunc(x.route.Targets, func(t routes.Target) bool { return t.Service == service })
--- a/internal/coordination/gateway/takeup_test.go
+++ b/internal/coordination/gateway/takeup_test.go
@@ -26,7 +26,6 @@
 	}
 	s.gateway.Origins = streamorigin.NewRegistry()
 	s.gateway.Watcher.RecordAnswer(time.Now())
-	s.gateway.syncEndpoints(nil)
 	return s
 }
 
