Origins of streams go to keepers that follow from the stream, not from its process

A gateway that did not know a stream asked all others: 14,208 bytes a question at 370 gateways, which is over the budget where one stream in a hundred is taken up elsewhere (59 a second: 2.3 KB/s a gateway beside 2.0 for the records). A record now goes to the two processes with the highest rendezvous hash for the stream, of different failure domains, and these are asked first; only if they are silent for 40 ms, all others are.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -176,7 +176,15 @@
 		p.log.Error("origins of streams are not shared with other gateways", zap.Error(err))
 		return
 	}
-	exchanger := origingossip.New(group, p.gateway.Origins, sharer.Address.Addr(), sharer.Hosts, sharer.DomainHosts, p.log)
+	peers := func() []origingossip.Peer {
+		domains := sharer.Domains()
+		out := make([]origingossip.Peer, 0, len(domains))
+		for host, domain := range domains {
+			out = append(out, origingossip.Peer{Host: host, Domain: domain})
+		}
+		return out
+	}
+	exchanger := origingossip.New(group, p.gateway.Origins, origingossip.Peer{Host: sharer.Address.Addr(), Domain: sharer.Domain}, peers, p.log)
 	p.gateway.FindOrigin = exchanger.Find
 	p.run(exchanger.Run)
 }
--- a/internal/coordination/loadreport/exchanger.go
+++ b/internal/coordination/loadreport/exchanger.go
@@ -123,6 +123,17 @@
 	return e.hosts(func(*peer) bool { return true })
 }
 
+// Domains returns the failure domains of the known other processes by host.
+func (e *Exchanger) Domains() map[netip.Addr]string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[netip.Addr]string, len(e.peers))
+	for address, p := range e.peers {
+		out[address.Addr()] = p.domain
+	}
+	return out
+}
+
 // DomainHosts returns the hosts of the known other processes of the own failure domain that have not stopped.
 func (e *Exchanger) DomainHosts() []netip.Addr {
 	return e.hosts(func(p *peer) bool { return p.domain == e.Domain && !p.hasLeft })
--- a/internal/coordination/origingossip/exchanger.go
+++ b/internal/coordination/origingossip/exchanger.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -18,19 +16,17 @@
 )
 
 const (
-	// copies is the number of other processes that get a process's records.
-	copies = 2
-	// maxBroadcastHosts is the number of other processes up to which all of them get the records.
-	maxBroadcastHosts = 6
+	// maxBroadcastPeers is the number of other processes up to which all of them get the records.
+	maxBroadcastPeers = 6
 	// recordsPerMessage and versionsPerMessage keep a message within one datagram: a record takes 14 bytes, a version
 	// with long names some 40.
 	recordsPerMessage  = 40
 	versionsPerMessage = 15
-	// messagesPerBatch bounds the messages sent at once, and batchPause is the time until the next ones: when a second
-	// version appears, the records of a minute are sent.
-	messagesPerBatch = 8
-	batchPause       = 20 * time.Millisecond
-	// askTimeout is how long an answer is awaited, and askRepeat after what time the question is sent once more.
+	// batchesAtOnce bounds the batches of records sent at once, and batchPause is the time until the next ones: when a
+	// second version appears, the records of a minute are sent.
+	batchesAtOnce = 8
+	batchPause    = 20 * time.Millisecond
+	// askTimeout is how long an answer is awaited, and askRepeat after what time all others are asked.
 	askTimeout = 100 * time.Millisecond
 	askRepeat  = 40 * time.Millisecond
 	// askRate and askBurst bound the datagrams per second with which a process asks for streams, as callers can name any:
@@ -45,21 +41,28 @@
 	startTime     = 10 * time.Second
 )
 
+// Peer is a process that serves the same callers.
+type Peer struct {
+	Host netip.Addr
+	// Domain is its failure domain.
+	Domain string
+}
+
 // Exchanger exchanges origins with other processes. Create it with New.
 type Exchanger struct {
 	channel *datagram.Channel[wire.StreamReport, *wire.StreamReport]
 	origins *streamorigin.Registry
-	self    netip.Addr
-	// hosts lists the other processes, of all failure domains, domainHosts those of the own one.
-	hosts, domainHosts func() []netip.Addr
-	asks               *rate.Limiter
+	self    Peer
+	// peers lists the other processes, of all failure domains.
+	peers func() []Peer
+	asks  *rate.Limiter
 }
 
-// New returns an exchanger of the origins in a registry. Self is this process's host.
-func New(group *datagram.Socket, origins *streamorigin.Registry, self netip.Addr, hosts, domainHosts func() []netip.Addr, log *zap.Logger) *Exchanger {
+// New returns an exchanger of the origins in a registry.
+func New(group *datagram.Socket, origins *streamorigin.Registry, self Peer, peers func() []Peer, log *zap.Logger) *Exchanger {
 	return &Exchanger{
 		channel: &datagram.Channel[wire.StreamReport, *wire.StreamReport]{Socket: group, Kind: "stream report", Log: log},
-		origins: origins, self: self, hosts: hosts, domainHosts: domainHosts, asks: rate.NewLimiter(askRate, askBurst),
+		origins: origins, self: self, peers: peers, asks: rate.NewLimiter(askRate, askBurst),
 	}
 }
 
@@ -84,7 +87,7 @@
 func (e *Exchanger) askAtStart(ctx context.Context) {
 	end := time.Now().Add(startTime)
 	for requests := 0; requests < startRequests && time.Now().Before(end) && sleep.For(ctx, startInterval); {
-		hosts := datagram.Sample(e.hosts(), requestHosts)
+		hosts := datagram.Sample(hostsOf(e.peers()), requestHosts)
 		if len(hosts) > 0 {
 			e.channel.Send(&wire.StreamReport{AsksVersions: true}, hosts)
 			requests++
@@ -92,15 +95,15 @@
 	}
 }
 
-// sendRecords sends the records of streams that have begun. They do not wait for others: many streams take 100 ms in all,
-// and those whose record was not sent are refused if this process is killed.
+// sendRecords sends the records of streams that have begun to their keepers. They do not wait for others: many streams take
+// 100 ms in all, and those whose record was not sent are refused if this process is killed.
 func (e *Exchanger) sendRecords(ctx context.Context) {
-	receivers := e.receivers()
-	if len(receivers) == 0 {
+	peers := e.peers()
+	if len(peers) == 0 {
 		return
 	}
 	for sent := 0; ; sent++ {
-		if sent == messagesPerBatch {
+		if sent == batchesAtOnce {
 			sent = 0
 			if !sleep.For(ctx, batchPause) {
 				return
@@ -110,65 +113,58 @@
 		if len(records) == 0 {
 			return
 		}
-		e.channel.Send(recordsToWire(records), receivers)
+		e.sendBatch(records, peers)
 	}
 }
 
-// receivers returns the processes that get this process's records: one of another failure domain, if there is any, as
-// hosts of one domain may be lost together.
-func (e *Exchanger) receivers() []netip.Addr {
-	hosts := e.hosts()
-	if len(hosts) <= maxBroadcastHosts {
-		return hosts
-	}
-	inDomain := map[netip.Addr]bool{}
-	for _, host := range e.domainHosts() {
-		inDomain[host] = true
-	}
-	var out []netip.Addr
-	for len(out) < copies {
-		next, ok := e.nextReceiver(hosts, func(host netip.Addr) bool { return len(out) == 0 && inDomain[host] }, out)
-		if !ok {
-			next, ok = e.nextReceiver(hosts, func(netip.Addr) bool { return false }, out)
-		}
-		if !ok {
-			break
+func (e *Exchanger) sendBatch(records []streamorigin.Record, peers []Peer) {
+	if len(peers) <= maxBroadcastPeers {
+		e.channel.Send(recordsToWire(records), hostsOf(peers))
+		return
+	}
+	byKeeper := map[netip.Addr][]streamorigin.Record{}
+	for _, record := range records {
+		for _, keeper := range keepers(record.Stream, e.self, peers) {
+			byKeeper[keeper] = append(byKeeper[keeper], record)
 		}
-		out = append(out, next)
 	}
-	return out
+	for keeper, list := range byKeeper {
+		e.channel.Send(recordsToWire(list), []netip.Addr{keeper})
+	}
 }
 
-// nextReceiver picks the host with the highest rendezvous hash that is neither excluded nor picked yet. Each process has
-// other receivers, and keeps them while they live.
-func (e *Exchanger) nextReceiver(hosts []netip.Addr, isExcluded func(netip.Addr) bool, picked []netip.Addr) (best netip.Addr, ok bool) {
-	var highest uint64
-	for _, host := range hosts {
-		if isExcluded(host) || slices.Contains(picked, host) {
-			continue
-		}
-		if hash := xxhash.Sum64String(e.self.String() + "/" + host.String()); !ok || hash > highest {
-			best, highest, ok = host, hash, true
-		}
+func hostsOf(peers []Peer) []netip.Addr {
+	hosts := make([]netip.Addr, 0, len(peers))
+	for _, p := range peers {
+		hosts = append(hosts, p.Host)
+	}
+	return hosts
+}
+
+// ask asks some hosts for the origin of a stream.
+func (e *Exchanger) ask(stream streamorigin.Key, hosts []netip.Addr) {
+	if len(hosts) > 0 && e.asks.AllowN(time.Now(), len(hosts)) {
+		e.channel.Send(&wire.StreamReport{Asks: []uint64{uint64(stream)}}, hosts)
 	}
-	return best, ok
 }
 
-// Find returns the origin of a stream. If this process does not know it, it asks the others.
+// Find returns the origin of a stream. If this process does not know it, it asks the keepers of the stream, and then all
+// others: the process that recorded the origin may live though its keepers do not, or have picked others.
 func (e *Exchanger) Find(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, bool) {
 	if origin, ok := e.origins.Find(stream); ok {
 		return origin, true
 	}
-	hosts := e.hosts()
-	if len(hosts) == 0 || !e.asks.AllowN(time.Now(), len(hosts)) {
-		return streamorigin.Origin{}, false
+	peers := e.peers()
+	all := hostsOf(peers)
+	first := all
+	if len(peers) > maxBroadcastPeers {
+		first = keepers(stream, e.self, peers)
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	arrived, stopWaiting := e.origins.Arrival(stream)
 	defer stopWaiting()
-	question := &wire.StreamReport{Asks: []uint64{uint64(stream)}}
-	e.channel.Send(question, hosts)
+	e.ask(stream, first)
 	repeat := time.NewTimer(askRepeat)
 	defer repeat.Stop()
 	for {
@@ -176,7 +172,7 @@
 		case <-arrived:
 			return e.origins.Find(stream)
 		case <-repeat.C:
-			e.channel.Send(question, hosts)
+			e.ask(stream, all)
 		case <-ctx.Done():
 			return streamorigin.Origin{}, false
 		}
--- a/internal/coordination/origingossip/exchanger_test.go
+++ b/internal/coordination/origingossip/exchanger_test.go
@@ -62,23 +62,17 @@
 
 // start starts a process that knows nothing of what its predecessor knew.
 func (f *fleet) start(n int) {
-	var others, inDomain []netip.Addr
-	for i, host := range f.hosts {
-		if i == n || f.random.Float64() >= f.knownShare {
-			continue
+	peerOf := func(i int) Peer { return Peer{f.hosts[i], fmt.Sprint(i % domains)} }
+	var others []Peer
+	for i := range f.hosts {
+		if i != n && f.random.Float64() < f.knownShare {
+			others = append(others, peerOf(i))
 		}
-		others = append(others, host)
-		if i%domains == n%domains {
-			inDomain = append(inDomain, host)
-		}
-	}
-	hosts := func(list []netip.Addr) func() []netip.Addr {
-		return func() []netip.Addr { return append([]netip.Addr(nil), list...) }
 	}
 	p := &process{host: f.hosts[n], registry: streamorigin.NewRegistry()}
 	p.registry.SeeVersions(versions, time.Now())
 	group := &datagram.Socket{Conn: f.network.Listen(netip.AddrPortFrom(p.host, port)), Port: port}
-	p.exchange = New(group, p.registry, p.host, hosts(others), hosts(inDomain), zap.NewNop())
+	p.exchange = New(group, p.registry, peerOf(n), func() []Peer { return others }, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -348,7 +342,7 @@
 // not exist.
 func TestForeignReports(t *testing.T) {
 	registry := streamorigin.NewRegistry()
-	e := New(&datagram.Socket{Conn: datagramtest.New().Listen(netip.AddrPort{})}, registry, netip.Addr{}, nil, nil, zap.NewNop())
+	e := New(&datagram.Socket{Conn: datagramtest.New().Listen(netip.AddrPort{})}, registry, Peer{}, func() []Peer { return nil }, zap.NewNop())
 	rapid.Check(t, func(rt *rapid.T) {
 		data := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(rt, "data")
 		e.channel.Dispatch(data, &net.UDPAddr{}, e.receive)
