A kind of request that was at no crash is held back with its deadly resource

With three kinds of request for one deadly resource, seven endpoints crashed where six are allowed: the third kind had been at no crash, so nothing held it back, however many the others had crashed. Once five crashes, which are enough whatever else crashed, are those of two or more kinds for a resource that nothing has survived, a further kind is refused like them; with fewer it may be the one that runs to its end and shows that the resource is not the cause.

--- a/internal/coordination/quarantine/blame.go
+++ b/internal/coordination/quarantine/blame.go
@@ -62,17 +62,42 @@
 	r := t.records[key]
 	switch {
 	case r == nil || !now.Before(r.expiresAt()):
-		return Status{}
+		return t.checkSubject(key.Subject())
 	case r.Level > 0 && now.Before(r.Until):
 		return Status{Standing: Quarantined, After: r.Until.Sub(now), Crashes: len(r.Crashes)}
 	case r.Level > 0:
 		return Status{Standing: OnTrial, After: pendingRetryAfter, Crashes: len(r.Crashes)}
+	case len(r.Crashes) == 0:
+		return t.checkSubject(key.Subject())
 	case t.isBlamed(r, t.related(r)):
 		return Status{Standing: Pending, After: pendingRetryAfter, Crashes: len(r.Crashes)}
 	}
 	return Status{}
 }
 
+// checkSubject returns the status of a request that was at no crash itself, by those for the same resource that
+// were; t.mu is held. It is refused only once as many crashes are theirs as are enough on their own: until then it
+// may be the first of them that runs to its end, which clears it.
+func (t *Tracker) checkSubject(key fingerprint.Subject) Status {
+	s := t.bySubject[key]
+	if s == nil || s.survived {
+		return Status{}
+	}
+	var related []*Record
+	for _, r := range s.records {
+		if len(r.Crashes) > 0 {
+			related = append(related, r)
+		}
+	}
+	if len(related) < 2 || len(related) > maxRelated {
+		return Status{}
+	}
+	if n := len(crashesOf(related)); n >= sufficientCrashes && t.isBlamed(related[0], related) {
+		return Status{Standing: Pending, After: pendingRetryAfter, Crashes: n}
+	}
+	return Status{}
+}
+
 // IsSuspect reports whether a request was in flight at a crash or is quarantined: it should not run twice at the
 // same time.
 func (t *Tracker) IsSuspect(key fingerprint.Key) bool {
