--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -424,7 +424,7 @@
 	if refusal := x.checkQuarantine(ctx); refusal != nil {
 		return refusalEnding(refusal)
 	}
-	if refusal := x.takeUpStream(ctx); refusal != nil {
+	if refusal := x.resolveResumption(ctx); refusal != nil {
 		return refusalEnding(refusal)
 	}
 	return x.run(ctx)
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/resumption.go
@@ -15,9 +15,9 @@
 	"limpetwall/internal/state/routes"
 )
 
-// takeUpStream decides, for a request that takes up a stream of an earlier attempt of its caller, where it may go on. It
-// returns the refusal if it may not; other requests are not concerned.
-func (x *exchange) takeUpStream(ctx context.Context) *apierror.Error {
+// resolveResumption decides where a stream that the caller resumes may go on. It returns a refusal if it may not, and nil
+// for requests that resume no stream.
+func (x *exchange) resolveResumption(ctx context.Context) *apierror.Error {
 	if x.g.Origins == nil || !x.isResumable() || (x.call.Resumes == "" && x.call.LastEvent == "") {
 		return nil
 	}
@@ -30,8 +30,8 @@
 		zap.String("software_version", origin.Version), zap.Bool("origin_known", known.IsKnown), zap.Bool("sole_version", known.HasSole),
 		zap.Bool("endpoints_current", known.IsFresh))
 	switch verdict {
-	case streamorigin.GoOn:
-		x.stream.origin, x.stream.isTakenUp = &origin, true
+	case streamorigin.Resume:
+		x.stream.origin, x.stream.isResumption = &origin, true
 		x.service = x.table.Services[origin.Service]
 		return nil
 	case streamorigin.Gone:
@@ -51,7 +51,7 @@
 
 func (x *exchange) isResumable() bool { return x.route.Kind == routes.Streaming && x.route.Resumable }
 
-// streamKnowledge returns what is known of the stream that the request takes up.
+// streamKnowledge returns what is known of the stream that the request resumes.
 func (x *exchange) streamKnowledge(ctx context.Context) streamorigin.Knowledge {
 	now := time.Now()
 	k := streamorigin.Knowledge{
@@ -61,7 +61,7 @@
 	}
 	// A route to several services may have sent the stream to another one than this request.
 	if len(x.route.Targets) == 1 {
-		x.g.Origins.SeeVersions(x.g.softwareVersions(), now)
+		x.g.Origins.ObserveVersions(x.g.softwareVersions(), now)
 		k.Sole, k.HasSole = x.g.Origins.SoleVersion(x.service.Name, now)
 	}
 	if x.call.Resumes == "" {
--- a/internal/coordination/gateway/takeup_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -40,9 +40,9 @@
 	s.gateway.Origins.Merge(streamorigin.KeyOf("club", attempt), streamorigin.Origin{Service: service, Version: version}, time.Now())
 }
 
-// TestTakenUpStreams guards against a stream that is taken up at another software version, or refused although it could
+// TestResumptions guards against a stream that is taken up at another software version, or refused although it could
 // go on, by a gateway that has never seen its first attempt.
-func TestTakenUpStreams(t *testing.T) {
+func TestResumptions(t *testing.T) {
 	const resumes, last = headerResumes + ": first", headerLastEvent + ": 1"
 	rows := []struct {
 		name     string
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -148,7 +148,7 @@
 	if x.service.Engine == nil || sent > 0 {
 		return nil
 	}
-	if x.stream.isTakenUp && c.Wait < x.timeLeft() {
+	if x.stream.isResumption && c.Wait < x.timeLeft() {
 		// The caller has a part of its answer already, and few engines may go on with it.
 		return nil
 	}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -28,8 +28,8 @@
 	unresumable bool
 	// origin is the service and the software version that began the stream, nil before its first event.
 	origin *streamorigin.Origin
-	// isTakenUp is set if another attempt of the caller brought the first event.
-	isTakenUp bool
+	// isResumption is set if an earlier attempt of the caller brought the first event.
+	isResumption bool
 	// isRecorded is set once the origin is recorded for this attempt of the caller.
 	isRecorded bool
 }
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -65,7 +65,7 @@
 		g.ContextTracker.SetEngines(engines)
 	}
 	if g.Origins != nil {
-		g.Origins.SeeVersions(g.softwareVersions(), now)
+		g.Origins.ObserveVersions(g.softwareVersions(), now)
 	}
 	for address, incarnation := range previous {
 		// Connections to a previous incarnation are dead: a request sent on one would be
--- a/internal/coordination/origingossip/exchanger_test.go
+++ b/internal/coordination/origingossip/exchanger_test.go
@@ -70,7 +70,7 @@
 		}
 	}
 	p := &process{host: f.hosts[n], registry: streamorigin.NewRegistry()}
-	p.registry.SeeVersions(versions, time.Now())
+	p.registry.ObserveVersions(versions, time.Now())
 	group := &datagram.Socket{Conn: f.network.Listen(netip.AddrPortFrom(p.host, port)), Port: port}
 	p.exchange = New(group, p.registry, peerOf(n), func() []Peer { return others }, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -5,8 +5,8 @@
 
 // The verdicts.
 const (
-	// GoOn: the stream goes on at its version.
-	GoOn Verdict = iota + 1
+	// Resume: the stream goes on at its version.
+	Resume Verdict = iota + 1
 	// Unknown: it is not known which version began the stream. Another process may know it.
 	Unknown
 	// Gone: no endpoint of its version is left, or the route no longer leads to its service.
@@ -52,7 +52,7 @@
 	case !k.IsAllowed(o.Service):
 		return o, Gone
 	case k.IsListed(o):
-		return o, GoOn
+		return o, Resume
 	case !k.IsFresh:
 		return o, NotListed
 	}
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -83,7 +83,7 @@
 func (r *Registry) Record(stream Key, o Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seeVersion(o, now)
+	r.observeVersion(o, now)
 	if !r.add(stream, o, now) {
 		return
 	}
@@ -120,7 +120,7 @@
 func (r *Registry) Merge(stream Key, o Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seeVersion(o, now)
+	r.observeVersion(o, now)
 	r.add(stream, o, now)
 	for _, arrived := range r.waiting[stream] {
 		close(arrived)
@@ -177,12 +177,12 @@
 	}
 }
 
-// SeeVersions records the versions that endpoints have now.
-func (r *Registry) SeeVersions(list []Origin, now time.Time) {
+// ObserveVersions records the versions that endpoints have now.
+func (r *Registry) ObserveVersions(list []Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range list {
-		r.seeVersion(o, now)
+		r.observeVersion(o, now)
 	}
 }
 
@@ -191,11 +191,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, v := range list {
-		r.seeVersion(v.Origin, now.Add(-v.Age))
+		r.observeVersion(v.Origin, now.Add(-v.Age))
 	}
 }
 
-func (r *Registry) seeVersion(o Origin, at time.Time) {
+func (r *Registry) observeVersion(o Origin, at time.Time) {
 	if last, known := r.versions[o]; known {
 		if at.After(last) {
 			r.versions[o] = at
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -21,11 +21,11 @@
 		know Knowledge
 		want Verdict
 	}{
-		{"known and served", Knowledge{Origin: old, IsKnown: true, IsListed: both}, GoOn},
+		{"known and served", Knowledge{Origin: old, IsKnown: true, IsListed: both}, Resume},
 		{"known and gone", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsListed: none}, Gone},
 		{"known, not listed, the list is outdated", Knowledge{Origin: old, IsKnown: true, IsListed: none}, NotListed},
 		{"known, the only version is another", Knowledge{Origin: old, IsKnown: true, IsFresh: true, HasSole: true, Sole: "v2", IsListed: func(o Origin) bool { return o == next }}, Gone},
-		{"not known, a single version", Knowledge{HasSole: true, Sole: "v1", IsFresh: true, IsListed: both}, GoOn},
+		{"not known, a single version", Knowledge{HasSole: true, Sole: "v1", IsFresh: true, IsListed: both}, Resume},
 		{"not known, a single version by an outdated list", Knowledge{HasSole: true, Sole: "v1", IsListed: both}, Unknown},
 		{"not known, two versions", Knowledge{IsFresh: true, IsListed: both}, Unknown},
 	}
@@ -47,12 +47,12 @@
 // at the version that is left because that looks like the only one.
 func TestVersionThatLeftIsRemembered(t *testing.T) {
 	r := NewRegistry()
-	r.SeeVersions([]Origin{old, next}, epoch)
-	r.SeeVersions([]Origin{next}, epoch.Add(retention/2))
+	r.ObserveVersions([]Origin{old, next}, epoch)
+	r.ObserveVersions([]Origin{next}, epoch.Add(retention/2))
 	if _, sole := r.SoleVersion("s", epoch.Add(retention/2)); sole {
 		t.Error("a version is the only one half a minute after another left")
 	}
-	r.SeeVersions([]Origin{next}, epoch.Add(retention))
+	r.ObserveVersions([]Origin{next}, epoch.Add(retention))
 	if version, sole := r.SoleVersion("s", epoch.Add(retention+time.Second)); !sole || version != "v2" {
 		t.Errorf("got %q, %v; want v2 as the only version", version, sole)
 	}
@@ -76,7 +76,7 @@
 		t.Error("records are ready with a single version")
 	default:
 	}
-	r.SeeVersions([]Origin{old, next}, now)
+	r.ObserveVersions([]Origin{old, next}, now)
 	select {
 	case <-r.Ready():
 	default:
@@ -96,7 +96,7 @@
 	r := NewRegistry()
 	for i := range 5 * maxOrigins {
 		r.Record(Key(i+1), old, epoch)
-		r.SeeVersions([]Origin{{"s", fmt.Sprint(i)}}, epoch)
+		r.ObserveVersions([]Origin{{"s", fmt.Sprint(i)}}, epoch)
 	}
 	if n := len(r.current) + len(r.previous); n > 2*maxOrigins || len(r.pending) > maxPending || len(r.versions) > maxVersions {
 		t.Errorf("%d origins, %d pending records, %d versions are held", n, len(r.pending), len(r.versions))
@@ -129,7 +129,7 @@
 
 func BenchmarkRecord(b *testing.B) {
 	r := NewRegistry()
-	r.SeeVersions([]Origin{old, next}, epoch)
+	r.ObserveVersions([]Origin{old, next}, epoch)
 	b.ReportAllocs()
 	for i := range b.N {
 		r.Record(KeyOf("club", "9c41d07be2a35f68")+Key(i), old, epoch)
