Log lines follow what they say

The line, and those of a configuration in force and of an endpoint that is gone, were written before the change took place, so a process that loses the processor in between acts on the old state after its line; such a log misleads whoever explains a request. They are written after it now.

TestLinesFollowWhatTheySay failed before for two of its three lines.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -138,11 +138,11 @@
 	if old != nil && (t.Version < old.Version || t.Revision <= old.Revision) {
 		return
 	}
-	s.Log.Info("configuration in force", zap.Uint64("version", t.Version), zap.Uint64("revision", t.Revision),
-		zap.Int("services", len(t.Services)))
 	s.publishServices(t)
 	s.routes.Store(t)
 	s.onRoutes(t)
+	s.Log.Info("configuration in force", zap.Uint64("version", t.Version), zap.Uint64("revision", t.Revision),
+		zap.Int("services", len(t.Services)))
 }
 
 // intentSpec and serviceSpec are the JSON forms of documents; see config.Intent.
@@ -438,10 +438,10 @@
 		return
 	}
 	k.removedAt = now
-	s.Log.Info("endpoint no longer listed", zap.String("endpoint", id), zap.Bool("store_was_away", storeWasAway))
 	if !storeWasAway {
 		s.removeInstance(k)
 	}
+	s.Log.Info("endpoint no longer listed", zap.String("endpoint", id), zap.Bool("store_was_away", storeWasAway))
 }
 
 // ReplaceInstances records a complete list of instances. Those not in it are handled as by
@@ -490,8 +490,8 @@
 	s.mu.Lock()
 	for _, k := range s.instances {
 		if !k.removedAt.IsZero() && !now.Before(k.goneAt(recovered)) {
-			s.Log.Info("endpoint is gone", zap.String("endpoint", k.ID))
 			s.removeInstance(k)
+			s.Log.Info("endpoint is gone", zap.String("endpoint", k.ID))
 		}
 	}
 	s.mu.Unlock()
