--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -12,7 +12,7 @@
 	// retention is how long origins, and versions without an endpoint, are remembered at least: longer than a stream and
 	// the caller's return take.
 	retention = time.Minute
-	// maxOrigins bounds the origins of one generation; two are kept. Beyond it they are forgotten sooner.
+	// maxOrigins bounds the origins of one generation; two are kept. Beyond it they are evicted sooner.
 	maxOrigins = 16_384
 	// maxPending bounds the records that wait to be sent; the oldest are dropped.
 	maxPending = 4_096
@@ -210,7 +210,7 @@
 	}
 }
 
-// Versions returns the versions that endpoints have had within retention, and forgets the others.
+// Versions returns the versions that endpoints have had within retention, and removes the others.
 func (r *Registry) Versions(now time.Time) []VersionAge {
 	r.mu.Lock()
 	defer r.mu.Unlock()
