--- a/internal/coordination/origingossip/exchanger_test.go
+++ b/internal/coordination/origingossip/exchanger_test.go
@@ -46,70 +46,26 @@
 	hosts   []netip.Addr
 	// knownShare is the share of the others that each process knows.
 	knownShare float64
-	// links holds which processes know each other in a small fleet. There it is mutual and none is alone: a process reports
-	// its load to all that it knows, which then know it.
-	links     map[[2]int]bool
-	processes []*process
+	processes  []*process
 }
 
-// smallFleet is the number of processes up to which all report their load to all others; see package loadreport.
-const smallFleet = 7
-
 func newFleet(size int, knownShare float64, seed uint64) *fleet {
 	f := &fleet{network: datagramtest.New(), random: rand.New(rand.NewPCG(seed, seed)), knownShare: knownShare, processes: make([]*process, size)}
 	for n := range size {
 		f.hosts = append(f.hosts, netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}))
 	}
-	if size <= smallFleet {
-		f.drawLinks()
-	}
 	for n := range size {
 		f.start(n)
 	}
 	return f
 }
 
-func (f *fleet) drawLinks() {
-	f.links = map[[2]int]bool{}
-	link := func(a, b int) { f.links[[2]int{a, b}], f.links[[2]int{b, a}] = true, true }
-	for a := range f.hosts {
-		for b := range a {
-			if f.random.Float64() < f.knownShare {
-				link(a, b)
-			}
-		}
-	}
-	for n := range f.hosts {
-		if f.isCutOff(n, nil) {
-			link(n, (n+1)%len(f.hosts))
-		}
-	}
-}
-
-// isCutOff reports whether a process of a small fleet knows none of the others but those that were killed.
-func (f *fleet) isCutOff(process int, killed map[int]bool) bool {
-	for other := range f.hosts {
-		if f.links[[2]int{process, other}] && !killed[other] {
-			return false
-		}
-	}
-	return f.links != nil
-}
-
-// isKnown draws whether a process knows another.
-func (f *fleet) isKnown(process, other int) bool {
-	if f.links != nil {
-		return f.links[[2]int{process, other}]
-	}
-	return f.random.Float64() < f.knownShare
-}
-
 // start starts a process that knows nothing of what its predecessor knew.
 func (f *fleet) start(n int) {
 	peerOf := func(i int) Peer { return Peer{f.hosts[i], fmt.Sprint(i % domains)} }
 	var others []Peer
 	for i := range f.hosts {
-		if i != n && f.isKnown(n, i) {
+		if i != n && f.random.Float64() < f.knownShare {
 			others = append(others, peerOf(i))
 		}
 	}
@@ -200,8 +156,6 @@
 // result is what became of the streams of killed and of living processes, of each asked for a sample.
 type result struct {
 	killedAsked, killedFound, aliveAsked, aliveFound, wrong int
-	// isAnyCutOff is set if a living process of a small fleet knows no other living one.
-	isAnyCutOff bool
 }
 
 // sampleSize is the number of streams of killed and of living processes that are asked for.
@@ -225,9 +179,6 @@
 		}
 	}
 	f.random.Shuffle(len(streams), func(i, j int) { streams[i], streams[j] = streams[j], streams[i] })
-	for n := range f.hosts {
-		r.isAnyCutOff = r.isAnyCutOff || (!isKilled[n] && f.isCutOff(n, isKilled))
-	}
 	var ofKilled, ofAlive []begun
 	for _, b := range streams {
 		switch {
@@ -282,7 +233,7 @@
 	if float64(r.killedFound) < smallestShare*float64(r.killedAsked) {
 		report.Fatalf("%+v: %d of %d origins of killed processes are found, want half or more", s, r.killedFound, r.killedAsked)
 	}
-	if !r.isAnyCutOff && float64(r.aliveFound) < smallestShare*float64(r.aliveAsked) {
+	if float64(r.aliveFound) < smallestShare*float64(r.aliveAsked) {
 		report.Fatalf("%+v: %d of %d origins of living processes are found, want half or more", s, r.aliveFound, r.aliveAsked)
 	}
 }
--- a/internal/transport/ingress/accept_test.go
+++ b/internal/transport/ingress/accept_test.go
@@ -34,17 +34,14 @@
 			}
 			s := newServer(ok)
 			held := &heldListener{TCPListener: l.(*net.TCPListener), stopped: make(chan struct{})}
-			served, accepting := make(chan error, 1), make(chan struct{})
-			go func() {
-				served <- s.Serve(&failingListener{heldListener: held, fails: row.fails, late: row.late, accepting: accepting})
-			}()
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(&failingListener{heldListener: held, fails: row.fails, late: row.late}) }()
 			c, err := net.Dial("tcp", l.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer c.Close()
 			io.WriteString(c, getRequest)
-			<-accepting
 			done := make(chan error, 1)
 			go func() { done <- s.Stop(context.Background()) }()
 			c.SetReadDeadline(time.Now().Add(10 * time.Second))
@@ -64,13 +61,9 @@
 	*heldListener
 	fails error
 	late  bool
-	// accepting is closed by the first Accept.
-	accepting chan struct{}
-	first     sync.Once
 }
 
 func (l *failingListener) Accept() (net.Conn, error) {
-	l.first.Do(func() { close(l.accepting) })
 	if err := l.fails; err != nil {
 		<-l.stopped
 		l.fails = nil
