ingress: a stop waits for a listener that is open and not served yet

What callers saw: a connection that opened, a request sent on it, and "connection reset by peer".

Cause: the kernel accepts connections from the moment the listener opens, but the server learned of it only when the goroutine that serves it ran.

Fix: Register announces a listener in the goroutine that opens it, so a stop waits for it. Serve on a server that was stopped accepts what is queued and answers it, and returns then, as for a listener that was served all along.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -105,6 +105,7 @@
 	}
 	server := ingress.New(e.Handler(), ingress.Config{MaxHeaderBytes: s.MaxHeader, Log: p.zap, Metrics: p.metrics})
 	server.SetLimits(routes.Limits{HeaderTimeout: s.ReadHeaderTimeout})
+	server.Register(listener)
 	defer server.Close()
 	p.run(binder.Run)
 	p.run(runner.WatchMembership)
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -297,6 +297,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", p.gateway.ServeReady)
 	p.ready = p.ownServer(mux)
+	p.clients.Register(clients)
 	p.run(func(context.Context) { logServe(p.log, "callers", p.clients.Serve(clients)) })
 	p.run(func(context.Context) { logServe(p.log, "readiness", p.ready.Serve(ready)) })
 	return nil
--- a/internal/transport/ingress/drain.go
+++ b/internal/transport/ingress/drain.go
@@ -26,7 +26,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	for l := range s.listeners {
+	for _, l := range s.listeners {
 		l.stop()
 	}
 	s.checkDrained()
@@ -82,23 +82,6 @@
 	s.checkDrained()
 }
 
-func (s *Server) addListener(l *listener) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return false
-	}
-	s.listeners[l] = struct{}{}
-	return true
-}
-
-func (s *Server) removeListener(l *listener) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.listeners, l)
-	s.checkDrained()
-}
-
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/ingress/http2.go
+++ b/internal/transport/ingress/http2.go
@@ -21,9 +21,12 @@
 // HTTP/2 has an http.Server of its own without a listener: its Shutdown sends GOAWAY, whereas the
 // Shutdown of the server for HTTP/1.1 would drop requests.
 func (s *Server) ServeTLS(l net.Listener, config *tls.Config) error {
+	inner := s.register(l)
+	inner.secure = true
 	h2 := &http.Server{MaxHeaderBytes: s.http.MaxHeaderBytes, ErrorLog: s.http.ErrorLog}
 	// Serve configures HTTP/2 and returns, as there is nothing to accept.
 	if err := h2.Serve(noListener{}); err != net.ErrClosed {
+		s.removeListener(inner)
 		return errors.Annotate(err, "setting up HTTP/2")
 	}
 	serve := h2.TLSNextProto[nextProtoHTTP2]
@@ -37,7 +40,7 @@
 	s.mu.Lock()
 	s.h2 = h2
 	s.mu.Unlock()
-	return s.serve(&listener{Listener: l, server: s, secure: true}, func(inner net.Listener) error { return s.http.ServeTLS(inner, "", "") })
+	return s.serve(inner, func(inner net.Listener) error { return s.http.ServeTLS(inner, "", "") })
 }
 
 // goAway asks the callers of HTTP/2 connections to open new ones elsewhere.
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -7,12 +7,10 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -35,7 +33,7 @@
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
-	listeners map[*listener]struct{}
+	listeners map[net.Listener]*listener
 	// draining is set once a stop has begun; drained is closed when no connection is left.
 	draining bool
 	drained  chan struct{}
@@ -55,7 +53,7 @@
 // New returns a server that passes every request to handler.
 func New(handler http.Handler, c Config) *Server {
 	s := &Server{
-		report: newReporter(c.Log, c.Metrics), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{},
+		report: newReporter(c.Log, c.Metrics), conns: map[*conn]struct{}{}, listeners: map[net.Listener]*listener{},
 		drained: make(chan struct{}),
 	}
 	s.limits.Store(&routes.Limits{})
@@ -93,16 +91,18 @@
 // SetLimits puts limits in force.
 func (s *Server) SetLimits(l routes.Limits) { s.limits.Store(&l) }
 
-// Serve accepts connections until Stop, and then returns http.ErrServerClosed.
+// Register announces a listener that Serve or ServeTLS will be called with. A stop waits for it from
+// now on, although the goroutine that serves it may not run yet: the kernel accepts callers'
+// connections as soon as the listener is open.
+func (s *Server) Register(l net.Listener) { s.register(l) }
+
+// Serve accepts connections until Stop, and then returns http.ErrServerClosed. On a server that has
+// been stopped it serves the connections in the kernel's queue.
 func (s *Server) Serve(l net.Listener) error {
-	return s.serve(&listener{Listener: l, server: s}, s.http.Serve)
+	return s.serve(s.register(l), s.http.Serve)
 }
 
 func (s *Server) serve(inner *listener, serve func(net.Listener) error) error {
-	if !s.addListener(inner) {
-		inner.Close()
-		return http.ErrServerClosed
-	}
 	defer s.removeListener(inner)
 	return serve(inner)
 }
@@ -137,61 +137,9 @@
 func (s *Server) Close() error {
 	s.closed.Store(true)
 	err := s.http.Close()
+	s.closeListeners()
 	for end := time.Now().Add(closeWait); s.handlersInFlight.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(closePoll)
 	}
 	return err
 }
-
-type listener struct {
-	net.Listener
-	server *Server
-	secure bool
-	closed sync.Once
-	// hadFinalAccept is set once Accept has had its final window after the stop. New connections must
-	// not extend it.
-	hadFinalAccept bool
-}
-
-// Close implements net.Listener.
-func (l *listener) Close() error {
-	err := net.ErrClosed
-	l.closed.Do(func() { err = l.Listener.Close() })
-	return err
-}
-
-// Accept implements net.Listener. After a temporary error such as too many open files, a stopping
-// server goes on: the kernel's queue may hold connections that callers have already opened.
-func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) && !l.hadFinalAccept && l.allowFinalAccept() {
-		l.hadFinalAccept = true
-		inner, err = l.Listener.Accept()
-	}
-	switch {
-	case err == nil:
-	case l.server.isDraining() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)):
-		return nil, http.ErrServerClosed
-	default:
-		return nil, err
-	}
-	c := &conn{Conn: inner, server: l.server, isTLS: l.secure, inHandshake: l.secure}
-	l.server.add(c)
-	return c, nil
-}
-
-// allowFinalAccept sets a deadline in the near future, so that the next Accept takes connections from
-// the kernel's queue. With a deadline in the past it would not, and the process may have been paused
-// since the stop.
-func (l *listener) allowFinalAccept() bool {
-	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	return ok && d.SetDeadline(time.Now().Add(finalReadWindow)) == nil
-}
-
-// stop lets the listener accept the connections in the kernel's queue before it closes. Closing at
-// once would reset them.
-func (l *listener) stop() {
-	if !l.allowFinalAccept() {
-		l.Close()
-	}
-}
