--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -102,3 +106,66 @@
 		})
 	}
 }
+
+// TestEntryStoppedSoonAfterStartResetsNobody guards against callers that are reset because an entry is told to stop while it
+// opens its listener.
+func TestEntryStoppedSoonAfterStartResetsNobody(t *testing.T) {
+	const (
+		starts  = 4
+		callers = 4
+	)
+	s := newSite(t)
+	s.platform()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range starts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		l.Close()
+		args := append([]string{"limpetwall", "entry"}, s.common(fmt.Sprint("entry-", n), "domain-a")...)
+		p := &proc{cmd: &exec.Cmd{Path: self, Args: append(args, "-listen", address, "-drain-delay", "0s")}, exited: make(chan struct{})}
+		if err := p.cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			p.cmd.Wait()
+			close(p.exited)
+		}()
+		var calling sync.WaitGroup
+		var once sync.Once
+		for range callers {
+			calling.Go(func() {
+				for connectAndGet(t, address, p.exited, func() { once.Do(func() { p.cmd.Process.Signal(syscall.SIGTERM) }) }) {
+				}
+			})
+		}
+		calling.Wait()
+	}
+}
+
+// connectAndGet sends a request on a new connection, which must be answered if it opens. It returns false once the process has
+// ended.
+func connectAndGet(t *testing.T, address string, exited <-chan struct{}, connected func()) bool {
+	select {
+	case <-exited:
+		return false
+	default:
+	}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return true
+	}
+	defer c.Close()
+	connected()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Errorf("a caller whose connection opened got %v", err)
+	}
+	return true
+}
--- a/internal/transport/rpc/rpc_test.go
+++ b/internal/transport/rpc/rpc_test.go
@@ -55,3 +55,22 @@
 		t.Errorf("a silent peer: %v", err)
 	}
 }
+
+// TestStopBeforeServeIsNotReached guards against a run that counts as sent to a peer that stops before it serves.
+func TestStopBeforeServeIsNotReached(t *testing.T) {
+	for range 20 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server, pool := rpc.NewServer(nil), rpc.NewPool(nil)
+		waited := make(chan error, 1)
+		go func() { waited <- pool.WaitReady(t.Context(), listener.Addr().String()) }()
+		server.GracefulStop()
+		server.Serve(rpc.Linger(listener, time.Second))
+		if err := <-waited; !errors.Is(err, rpc.ErrNotReached) {
+			t.Errorf("got %v, want %v", err, rpc.ErrNotReached)
+		}
+		pool.Close()
+	}
+}
