Callers' listeners open last, and not in a process that was told to stop

What callers saw: a connection that opened and was reset, at a process whose start failed: the gateway opened the callers' port before the balancer's, which may be in use, and the own interface's entry opened it before it read its TLS files. A gateway that got SIGTERM before it listened opened its port all the same, and an entry that was told to stop while it joined was ready for a moment.

Fix: what may fail comes first. RunGateway returns if it was told to stop before it listens; an entry that was told to stop is never ready.

TestGatewayToldToStopOpensNoListener failed before, passes.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -40,6 +40,16 @@
 	Reload   <-chan os.Signal
 }
 
+// isRequested reports whether the process was told to stop.
+func (s Stop) isRequested() bool {
+	select {
+	case <-s.Graceful:
+		return true
+	default:
+		return false
+	}
+}
+
 // BaseSettings are common to entries and agents.
 type BaseSettings struct {
 	ID, Host, Domain, Region string
--- a/internal/command/base_test.go
+++ b/internal/command/base_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"limpetwall/internal/coordination/gossip"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/rpc"
+	"limpetwall/platform"
 )
 
 // newTestBase returns a base that joins its own fleet, and its log.
@@ -94,3 +96,34 @@
 		t.Errorf("got %d lines on the end of a listener, want none", n)
 	}
 }
+
+// TestGatewayToldToStopOpensNoListener guards against callers that connect to a process which was told to stop before.
+func TestGatewayToldToStopOpensNoListener(t *testing.T) {
+	store := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(store.Close)
+	clients, ready := freeAddress(t), freeAddress(t)
+	settings, err := platform.DecodeSettings(fmt.Appendf(nil, `{"node":"front-a-1","ip":"127.0.0.1","zone":"a","region":"r",
+	 "listen":{"front":%q,"ready":%q},"bounds":{"stable_window_ms":3000,"config_ms":2000,"drain_ms":2000,"grace_s":8,"lease_ms":3000,"version_ms":10000,"budget_window_s":10},
+	 "platform":{"address":%q,"form":"objects"}}`, clients, ready, store.Listener.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, lines := observer.New(zap.InfoLevel)
+	requestLines, moveRuns := 1, false
+	if err := RunGateway(&GatewaySettings{Platform: settings, RequestLines: &requestLines, MoveRuns: &moveRuns}, zap.New(core), stopped()); err != nil {
+		t.Error(err)
+	}
+	if n := lines.FilterMessage("started").Len(); n != 0 {
+		t.Errorf("got %d starts, want none", n)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"time"
@@ -99,6 +100,11 @@
 	}
 	defer p.close()
 	e, binder, runner := buildEntry(s, p, book)
+	callersTLS, err := loadCallersTLS(s, p.zap)
+	if err != nil {
+		return err
+	}
+	// This is the last step that may fail: callers who connect before would be reset.
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return errors.Annotate(err, "-listen")
@@ -116,11 +122,13 @@
 		p.node.RunReports(ctx, func() fleet.Load { return fleet.Load{Running: e.Inflight()} })
 	})
 	failed := make(chan error, 1)
-	p.run(func(context.Context) { failed <- serveCallers(server, listener, s, p.zap) })
+	p.run(func(context.Context) { failed <- serveCallers(server, listener, callersTLS) })
 	listening(listener.Addr().String())
 	built(p)
 	p.start(stop)
-	e.SetReady()
+	if !stop.isRequested() {
+		e.SetReady()
+	}
 	p.zap.Info("entry ready", zap.String("listen", listener.Addr().String()), zap.String("peer_listen", p.listener.Addr().String()), zap.Uint64("revision", p.store.View().Revision))
 	select {
 	case <-stop.Graceful:
@@ -174,16 +182,24 @@
 	return salt
 }
 
-func serveCallers(server *ingress.Server, listener net.Listener, s *EntrySettings, logger *zap.Logger) error {
+// loadCallersTLS returns the TLS settings of callers' connections, nil for plaintext.
+func loadCallersTLS(s *EntrySettings, logger *zap.Logger) (*tls.Config, error) {
 	if s.TLS.Cert == "" {
 		logger.Warn("connections to callers are plaintext", zap.String("listen", s.Listen))
-		return server.Serve(listener)
+		return nil, nil
 	}
 	source, err := tlsfiles.NewReloader(s.TLS)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	return source.ServerConfig(), nil
+}
+
+func serveCallers(server *ingress.Server, listener net.Listener, secure *tls.Config) error {
+	if secure == nil {
+		return server.Serve(listener)
 	}
-	return server.ServeTLS(listener, source.ServerConfig())
+	return server.ServeTLS(listener, secure)
 }
 
 // drainEntry stops in an order that interrupts no request: it first reports that it is not ready, so
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -128,6 +128,10 @@
 func RunGateway(s *GatewaySettings, log *zap.Logger, stop Stop) error {
 	p := newGatewayProcess(s, log)
 	defer p.close()
+	if stop.isRequested() {
+		log.Info("told to stop before it listened")
+		return nil
+	}
 	if err := p.listen(); err != nil {
 		return err
 	}
@@ -285,19 +289,20 @@
 }
 
 func (p *gatewayProcess) listen() error {
-	clients, err := net.Listen("tcp", p.settings.Platform.Clients)
-	if err != nil {
-		return errors.Annotate(err, "listening for callers")
-	}
 	ready, err := net.Listen("tcp", p.settings.Platform.Ready)
 	if err != nil {
-		clients.Close()
 		return errors.Annotate(err, "listening for the balancer's probe")
 	}
+	// This comes last: callers who connect before a start fails would be reset.
+	clients, err := net.Listen("tcp", p.settings.Platform.Clients)
+	if err != nil {
+		ready.Close()
+		return errors.Annotate(err, "listening for callers")
+	}
+	p.clients.Register(clients)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", p.gateway.ServeReady)
 	p.ready = p.ownServer(mux)
-	p.clients.Register(clients)
 	p.run(func(context.Context) { logServe(p.log, "callers", p.clients.Serve(clients)) })
 	p.run(func(context.Context) { logServe(p.log, "readiness", p.ready.Serve(ready)) })
 	return nil
