origingossip: a process that is heard of is sent records, also if membership lacks it

What callers saw: a stream that is taken up at another gateway, after the one that began it was killed, is refused ("stream_origin_unknown") although another lives that could know.

Cause: records go to the processes that membership lists, and questions too.

Fix: the questions of a process that starts, and their answers, say who sends them and name some of the processes that the sender knows; a sender that nobody knows is asked to introduce itself. Those heard of are sent records and questions for a minute, as long as origins are kept. Only processes whose own reports arrive are named, so that one that is gone is forgotten (TestGoneProcessIsForgotten). The first question goes out at once and not after 200 ms. A question and its answer take some 110 bytes more, at a start or for an unknown sender only.

--- a/internal/coordination/origingossip/exchanger.go
+++ b/internal/coordination/origingossip/exchanger.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,11 +36,13 @@
 	askRate  = 1_500
 	askBurst = 48_000
 	// startRequests is how often, at intervals of startInterval, a process that has started asks requestHosts others for
-	// the versions that they know, and startTime how long it waits for others to ask.
+	// the versions and processes that they know, and startTime how long it waits for others to ask.
 	startRequests = 3
 	startInterval = 200 * time.Millisecond
 	requestHosts  = 3
 	startTime     = 10 * time.Second
+	// namedPeers is the number of processes that one introduces to another.
+	namedPeers = 6
 )
 
 // Peer is a process that serves the same callers.
@@ -53,9 +57,10 @@
 	channel *datagram.Channel[wire.StreamReport, *wire.StreamReport]
 	origins *streamorigin.Registry
 	self    Peer
-	// peers lists the other processes, of all failure domains.
-	peers func() []Peer
-	asks  *rate.Limiter
+	// peers lists the other processes that membership knows, of all failure domains; acquaintances are further ones.
+	peers         func() []Peer
+	acquaintances acquaintances
+	asks          *rate.Limiter
 }
 
 // New returns an exchanger of the origins in a registry.
@@ -82,23 +87,58 @@
 	}
 }
 
+// knownPeers lists all other processes that this one knows.
+func (e *Exchanger) knownPeers() []Peer {
+	members := e.peers()
+	return slices.Concat(members, e.acquaintances.list(members, time.Now()))
+}
+
 // askAtStart asks a few others for the versions that they know: this process has not seen those whose last endpoint left
-// before it started.
+// before it started. Those that are asked learn of this process, and tell it of further ones.
 func (e *Exchanger) askAtStart(ctx context.Context) {
 	end := time.Now().Add(startTime)
-	for requests := 0; requests < startRequests && time.Now().Before(end) && sleep.For(ctx, startInterval); {
-		hosts := datagram.Sample(hostsOf(e.peers()), requestHosts)
+	for requests := 0; requests < startRequests && time.Now().Before(end); {
+		hosts := datagram.Sample(hostsOf(e.knownPeers()), requestHosts)
 		if len(hosts) > 0 {
-			e.channel.Send(&wire.StreamReport{AsksVersions: true}, hosts)
+			e.introduce(&wire.StreamReport{AsksVersions: true}, hosts)
 			requests++
 		}
+		if !sleep.For(ctx, startInterval) {
+			return
+		}
+	}
+}
+
+// introduce sends a report that says where this process runs and names some of the processes that it knows.
+func (e *Exchanger) introduce(r *wire.StreamReport, hosts []netip.Addr) {
+	members := e.peers()
+	named := slices.Concat(members, e.acquaintances.senders(members, time.Now()))
+	rand.Shuffle(len(named), func(i, j int) { named[i], named[j] = named[j], named[i] })
+	r.Introduction = &wire.StreamIntroduction{Domain: e.self.Domain, Peers: peersToWire(named[:min(len(named), namedPeers)])}
+	e.channel.Send(r, hosts)
+}
+
+// meet records who sent a report and whom it names. A sender that is not known yet is asked to introduce itself.
+func (e *Exchanger) meet(introduction *wire.StreamIntroduction, from netip.Addr, now time.Time) {
+	if introduction != nil {
+		e.acquaintances.add(Peer{from, introduction.GetDomain()}, true, now)
+		for _, p := range peersFromWire(introduction.GetPeers()) {
+			if p.Host != e.self.Host {
+				e.acquaintances.add(p, false, now)
+			}
+		}
+		return
+	}
+	isMember := func(p Peer) bool { return p.Host == from }
+	if !e.acquaintances.refresh(from, now) && !slices.ContainsFunc(e.peers(), isMember) && e.asks.Allow() {
+		e.introduce(&wire.StreamReport{AsksVersions: true}, []netip.Addr{from})
 	}
 }
 
 // sendRecords sends the records of streams that have begun to their keepers. They do not wait for others: many streams take
 // 100 ms in all, and those whose record was not sent are refused if this process is killed.
 func (e *Exchanger) sendRecords(ctx context.Context) {
-	peers := e.peers()
+	peers := e.knownPeers()
 	if len(peers) == 0 {
 		return
 	}
@@ -154,7 +194,7 @@
 	if origin, ok := e.origins.Find(stream); ok {
 		return origin, true
 	}
-	peers := e.peers()
+	peers := e.knownPeers()
 	all := hostsOf(peers)
 	first := all
 	if len(peers) > maxBroadcastPeers {
@@ -183,6 +223,7 @@
 // processes, the answers that say nothing would be most of the traffic.
 func (e *Exchanger) receive(r *wire.StreamReport, from netip.Addr) {
 	now := time.Now()
+	e.meet(r.GetIntroduction(), from, now)
 	versions := versionsFromWire(r.GetVersions())
 	e.origins.MergeVersions(versions, now)
 	for _, o := range r.GetOrigins() {
@@ -204,11 +245,14 @@
 	}
 }
 
+// sendVersions answers a process that asks for the versions and processes that this one knows.
 func (e *Exchanger) sendVersions(now time.Time, to netip.Addr) {
 	versions := e.origins.Versions(now)
-	for len(versions) > 0 {
+	for {
 		n := min(len(versions), versionsPerMessage)
-		e.channel.Send(&wire.StreamReport{Versions: versionsToWire(versions[:n])}, []netip.Addr{to})
-		versions = versions[n:]
+		e.introduce(&wire.StreamReport{Versions: versionsToWire(versions[:n])}, []netip.Addr{to})
+		if versions = versions[n:]; len(versions) == 0 {
+			return
+		}
 	}
 }
--- a/internal/coordination/origingossip/format.go
+++ b/internal/coordination/origingossip/format.go
@@ -1,6 +1,7 @@
 package origingossip
 
 import (
+	"net/netip"
 	"time"
 
 	"limpetwall/internal/coordination/streamorigin"
@@ -41,3 +42,22 @@
 	}
 	return out
 }
+
+func peersToWire(peers []Peer) []*wire.StreamPeer {
+	out := make([]*wire.StreamPeer, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, &wire.StreamPeer{Host: p.Host.AsSlice(), Domain: p.Domain})
+	}
+	return out
+}
+
+// peersFromWire decodes the processes that a report names, without those that have no valid address.
+func peersFromWire(peers []*wire.StreamPeer) []Peer {
+	out := make([]Peer, 0, min(len(peers), namedPeers))
+	for _, p := range peers[:min(len(peers), namedPeers)] {
+		if host, ok := netip.AddrFromSlice(p.GetHost()); ok {
+			out = append(out, Peer{host.Unmap(), p.GetDomain()})
+		}
+	}
+	return out
+}
