origingossip: records wait for the first peer, not for the next stream

What callers saw: a stream that began while its gateway knew no other one, such as in the first moments after a start, is refused elsewhere once that gateway is killed, unless another stream began there in between.

Cause: the signal that records are pending was used up although there was nobody to send them to.

--- a/internal/coordination/origingossip/exchanger.go
+++ b/internal/coordination/origingossip/exchanger.go
@@ -76,14 +76,19 @@
 	var workers sync.WaitGroup
 	workers.Go(func() { e.channel.Receive(ctx, e.receive) })
 	workers.Go(func() { e.askAtStart(ctx) })
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-e.origins.Ready():
-			e.sendRecords(ctx)
+		case <-retry:
 		case <-ctx.Done():
 			workers.Wait()
 			return
 		}
+		retry = nil
+		if !e.sendRecords(ctx) {
+			retry = time.After(startInterval)
+		}
 	}
 }
 
@@ -136,22 +141,23 @@
 }
 
 // sendRecords sends the records of streams that have begun to their keepers. They do not wait for others: many streams take
-// 100 ms in all, and those whose record was not sent are refused if this process is killed.
-func (e *Exchanger) sendRecords(ctx context.Context) {
+// 100 ms in all, and those whose record was not sent are refused if this process is killed. It returns false if no other
+// process is known yet.
+func (e *Exchanger) sendRecords(ctx context.Context) bool {
 	peers := e.knownPeers()
 	if len(peers) == 0 {
-		return
+		return false
 	}
 	for sent := 0; ; sent++ {
 		if sent == batchesAtOnce {
 			sent = 0
 			if !sleep.For(ctx, batchPause) {
-				return
+				return true
 			}
 		}
 		records := e.origins.TakePending(recordsPerMessage, time.Now())
 		if len(records) == 0 {
-			return
+			return true
 		}
 		e.sendBatch(records, peers)
 	}
--- a/internal/coordination/origingossip/knowledge_test.go
+++ b/internal/coordination/origingossip/knowledge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +82,31 @@
 	}
 }
 
+// TestRecordsAreSentOncePeersAreKnown guards against streams that cannot go on because they began before their process knew
+// another.
+func TestRecordsAreSentOncePeersAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startKnowing(nil, nil)
+		defer f.stop()
+		f.kill(0)
+		var isKnown atomic.Bool
+		f.processes[0] = f.startWith(0, func() []Peer {
+			if !isKnown.Load() {
+				return nil
+			}
+			return []Peer{{f.hosts[1], "1"}}
+		})
+		streams := f.beginStreams(3)
+		time.Sleep(time.Second)
+		isKnown.Store(true)
+		time.Sleep(time.Second)
+		f.kill(0)
+		if found, wrong := f.found(streams); found != len(streams) || wrong > 0 {
+			t.Errorf("%d of %d origins are found, %d are wrong; want all found", found, len(streams), wrong)
+		}
+	})
+}
+
 // TestGoneProcessIsForgotten guards against a process that is gone and which the others name to each other for good.
 func TestGoneProcessIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
