loadreport: a peer whose reports are lost one way is not dropped

The same list decides who is told of requests that crash endpoints, of endpoints that leave or ask for rest, and of leases.

Cause: a process that gets no reports of a peer for 30 s drops it, and removes it from the registry, although what it sends may still arrive there. The peer goes on sending to it and knows of nothing.

Fix: every 2 s a report names peers whose own reports arrive at its sender; a process keeps, and learns of, a peer that another one hears. Of two processes nobody else hears either: in fleets of up to 7 a silent peer is told what all are told for five minutes more, which covers its next entry in the registry. It does not count as a process that shares limits or loads. A peer that is gone is dropped at all within 36 s as before (TestGonePeerIsDropped). Names take some 100 bytes, 200 bytes a second.

--- a/internal/coordination/loadreport/encoding.go
+++ b/internal/coordination/loadreport/encoding.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -33,6 +34,9 @@
 	for _, w := range work[:min(len(work), maxReportedEndpoints)] {
 		m.Work = append(m.Work, encodeWork(w))
 	}
+	for _, p := range r.Heard[:min(len(r.Heard), maxHeard)] {
+		m.Heard = append(m.Heard, &wire.WorkPeer{Host: p.Address.Addr().AsSlice(), Port: uint32(p.Address.Port()), Domain: p.Domain})
+	}
 	return proto.Marshal(m)
 }
 
@@ -65,6 +69,11 @@
 		}
 		r.Work = append(r.Work, work)
 	}
+	for _, p := range m.GetHeard()[:min(len(m.GetHeard()), maxHeard)] {
+		if host, ok := netip.AddrFromSlice(p.GetHost()); ok && p.GetPort() <= math.MaxUint16 {
+			r.Heard = append(r.Heard, routing.PeerAddress{Address: netip.AddrPortFrom(host.Unmap(), uint16(p.GetPort())), Domain: p.GetDomain()})
+		}
+	}
 	return r, nil
 }
 
--- a/internal/coordination/loadreport/exchanger.go
+++ b/internal/coordination/loadreport/exchanger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"net"
 	"net/netip"
@@ -29,8 +30,17 @@
 	// smallFleet is the number of other processes up to which all of them get reports. In a
 	// larger fleet only those of the own failure domain do, which use the same endpoints most.
 	smallFleet = 6
-	// silenceTimeout is how long a peer may send no report before it is sent none either.
+	// silenceTimeout is how long a peer may send no report, neither here nor to others that report here, before it is sent
+	// none either.
 	silenceTimeout = 30 * time.Second
+	// heardInterval is how often a report names peers that are heard, at most maxHeard of them, and heardWithin how recent
+	// their last report is then. At 100 bytes, four times a round, that is 200 bytes a second.
+	heardInterval = 8 * reportInterval
+	heardWithin   = 5 * time.Second
+	maxHeard      = smallFleet
+	// silentRetention is how long a silent peer of a small fleet is still told what all are told: its messages may be lost on
+	// the way here while ours arrive there. It covers two readings of the registry, where one that lives adds itself again.
+	silentRetention = 5 * time.Minute
 	// registryInterval is how often the registry is read again, to find the processes that a
 	// start during a partition missed.
 	registryInterval = time.Minute
@@ -66,12 +76,22 @@
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
-	// silent are the peers that were sent reports for silenceTimeout and sent none.
-	silent map[netip.AddrPort]bool
+	// silent are the peers that were sent reports for silenceTimeout and sent none, for silentRetention.
+	silent map[netip.AddrPort]silentPeer
 	// lastTarget is the index of the last peer that got a report; the next round continues
 	// after it.
 	lastTarget int
 	lastNumber uint64
+	// namedHeard is when a report last named the peers that are heard.
+	namedHeard time.Time
+}
+
+// silentPeer is a peer that was evicted as silent.
+type silentPeer struct {
+	domain string
+	since  time.Time
+	// isUnlisted is set once its registry entry was removed.
+	isUnlisted bool
 }
 
 // peer is another process.
@@ -79,6 +99,9 @@
 	domain string
 	// lastSeen is when its last report arrived, or when it was first found in the registry.
 	lastSeen time.Time
+	// heard is when its last report arrived here, and vouched when another peer's report said that it arrived there; zero
+	// before.
+	heard, vouched time.Time
 	// reportedSince is when reports to it began; zero while it is sent none.
 	reportedSince time.Time
 	// hasLeft is true once it has announced that it stops. It is sent reports until it counts as silent: a process that
@@ -92,13 +115,13 @@
 	if p.reportedSince.IsZero() {
 		return 0
 	}
-	return min(now.Sub(p.lastSeen), now.Sub(p.reportedSince))
+	return min(now.Sub(p.lastSeen), now.Sub(p.vouched), now.Sub(p.reportedSince))
 }
 
 // Run exchanges reports until ctx ends, and then announces that this process leaves.
 func (e *Exchanger) Run(ctx context.Context) {
 	e.mu.Lock()
-	e.peers, e.silent = map[netip.AddrPort]*peer{}, map[netip.AddrPort]bool{}
+	e.peers, e.silent = map[netip.AddrPort]*peer{}, map[netip.AddrPort]silentPeer{}
 	e.mu.Unlock()
 	var workers sync.WaitGroup
 	workers.Go(e.receive)
@@ -118,16 +141,21 @@
 	workers.Wait()
 }
 
-// Hosts returns the hosts of the known other processes, of all failure domains.
+// Hosts returns the hosts of the other processes, of all failure domains, that are told what all are told.
 func (e *Exchanger) Hosts() []netip.Addr {
-	return e.hosts(func(*peer) bool { return true })
+	return slices.Collect(maps.Keys(e.Domains()))
 }
 
-// Domains returns the failure domains of the known other processes by host.
+// Domains returns the failure domains of Hosts.
 func (e *Exchanger) Domains() map[netip.Addr]string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := make(map[netip.Addr]string, len(e.peers))
+	out := make(map[netip.Addr]string, len(e.peers)+len(e.silent))
+	if len(e.peers) < smallFleet {
+		for address, p := range e.silent {
+			out[address.Addr()] = p.domain
+		}
+	}
 	for address, p := range e.peers {
 		out[address.Addr()] = p.domain
 	}
@@ -172,7 +200,7 @@
 	}
 	e.lastNumber++
 	data, err := encode(routing.PeerReport{
-		Sender: e.Incarnation, Number: e.lastNumber, Domain: e.Domain, Work: e.Directory.OwnWork(), Leaving: leaving,
+		Sender: e.Incarnation, Number: e.lastNumber, Domain: e.Domain, Work: e.Directory.OwnWork(), Leaving: leaving, Heard: e.nextHeard(),
 	})
 	if err != nil {
 		e.Log.Error("failed to encode a load report", zap.Error(err))
@@ -212,12 +240,38 @@
 	return out
 }
 
-// evictSilent removes the peers that have been silent for silenceTimeout. The caller must hold e.mu.
+// nextHeard returns, every heardInterval, some of the peers whose reports arrive here. Their reports may not arrive at
+// others, who would drop them and keep from them what all are told.
+func (e *Exchanger) nextHeard() []routing.PeerAddress {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.Sub(e.namedHeard) < heardInterval {
+		return nil
+	}
+	e.namedHeard = now
+	var out []routing.PeerAddress
+	for address, p := range e.peers {
+		// Only its own reports count: two processes that vouch for a third by each other's word would keep it for good.
+		if len(out) < maxHeard && !p.hasLeft && now.Sub(p.heard) < heardWithin {
+			out = append(out, routing.PeerAddress{Address: address, Domain: p.domain})
+		}
+	}
+	return out
+}
+
+// evictSilent removes the peers that have been silent for silenceTimeout, and forgets them after silentRetention. The
+// caller must hold e.mu.
 func (e *Exchanger) evictSilent(now time.Time) {
 	for address, p := range e.peers {
 		if p.silentFor(now) > silenceTimeout {
 			delete(e.peers, address)
-			e.silent[address] = true
+			e.silent[address] = silentPeer{domain: p.domain, since: now}
+		}
+	}
+	for address, p := range e.silent {
+		if now.Sub(p.since) > silentRetention {
+			delete(e.silent, address)
 		}
 	}
 }
@@ -257,8 +311,23 @@
 		e.peers[address] = &peer{}
 	}
 	p := e.peers[address]
-	p.domain, p.lastSeen, p.hasLeft = r.Domain, now, false
+	p.domain, p.lastSeen, p.heard, p.hasLeft = r.Domain, now, now, false
 	delete(e.silent, address)
+	e.recordVouched(r.Heard, now)
+}
+
+// recordVouched records the peers whose reports another one gets. The caller must hold e.mu.
+func (e *Exchanger) recordVouched(heard []routing.PeerAddress, now time.Time) {
+	for _, h := range heard {
+		if h.Address == e.Address {
+			continue
+		}
+		if e.peers[h.Address] == nil {
+			e.peers[h.Address] = &peer{domain: h.Domain, lastSeen: now}
+		}
+		e.peers[h.Address].vouched = now
+		delete(e.silent, h.Address)
+	}
 }
 
 // runRegistration adds this process to the registry and reads the others from it, again and
@@ -321,8 +390,9 @@
 func (e *Exchanger) addListed(domain string, address netip.AddrPort) (remove bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.silent[address] {
-		delete(e.silent, address)
+	if s, ok := e.silent[address]; ok && !s.isUnlisted {
+		s.isUnlisted = true
+		e.silent[address] = s
 		return true
 	}
 	if e.peers[address] == nil {
--- a/internal/coordination/routing/peers.go
+++ b/internal/coordination/routing/peers.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Work is what one process has in flight at one endpoint.
 type Work struct {
@@ -33,6 +36,14 @@
 	Work   []Work
 	// Leaving is set if the sender is stopping.
 	Leaving bool
+	// Heard are some of the processes whose reports the sender has had lately; not in every report.
+	Heard []PeerAddress
+}
+
+// PeerAddress is where another process takes reports.
+type PeerAddress struct {
+	Address netip.AddrPort
+	Domain  string
 }
 
 // peer is the last report of one other process.
--- a/internal/transport/datagram/datagramtest/network.go
+++ b/internal/transport/datagram/datagramtest/network.go
@@ -18,14 +18,18 @@
 	random        *rand.Rand
 	conns         map[netip.AddrPort]*conn
 	isolated      map[netip.AddrPort]bool
+	cut           map[link]bool
 	loss          float64
 	sentDatagrams int
 	sentBytes     int
 }
 
+// link is one direction between two addresses.
+type link struct{ from, to netip.AddrPort }
+
 // New returns a network without packet loss.
 func New() *Network {
-	return &Network{random: rand.New(rand.NewPCG(1, 1)), conns: map[netip.AddrPort]*conn{}, isolated: map[netip.AddrPort]bool{}}
+	return &Network{random: rand.New(rand.NewPCG(1, 1)), conns: map[netip.AddrPort]*conn{}, isolated: map[netip.AddrPort]bool{}, cut: map[link]bool{}}
 }
 
 // conn is the connection at one address of the network. It implements only those methods of
@@ -59,6 +63,13 @@
 	n.isolated[address] = isolated
 }
 
+// SetCut starts or stops dropping every datagram from one address to another; the other direction is not affected.
+func (n *Network) SetCut(from, to netip.AddrPort, isCut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link{from, to}] = isCut
+}
+
 // SetLoss sets the fraction of all datagrams that are dropped.
 func (n *Network) SetLoss(fraction float64) {
 	n.mu.Lock()
@@ -84,7 +95,7 @@
 	n.sentBytes += len(data)
 	address := to.(*net.UDPAddr).AddrPort()
 	peer := n.conns[address]
-	if peer == nil || n.isolated[address] || n.isolated[c.address] || n.random.Float64() < n.loss {
+	if peer == nil || n.isolated[address] || n.isolated[c.address] || n.cut[link{c.address, address}] || n.random.Float64() < n.loss {
 		return len(data), nil
 	}
 	select {
