origingossip: a gateway that knows no other refuses an unknown stream at once

What callers saw: a stream that is taken up at a lone gateway that does not know it is refused after 100 ms (30 while its service has one version) in which nobody was asked. The question is left out when there is nobody to ask. TestLoneProcessDecidesAtOnce failed before (after 100 ms), passes.

--- a/internal/coordination/origingossip/exchanger.go
+++ b/internal/coordination/origingossip/exchanger.go
@@ -201,6 +201,9 @@
 		return origin, true
 	}
 	peers := e.knownPeers()
+	if len(peers) == 0 {
+		return streamorigin.Origin{}, false
+	}
 	all := hostsOf(peers)
 	first := all
 	if len(peers) > maxBroadcastPeers {
--- a/internal/coordination/origingossip/knowledge_test.go
+++ b/internal/coordination/origingossip/knowledge_test.go
@@ -128,3 +128,15 @@
 		}
 	})
 }
+
+// TestLoneProcessDecidesAtOnce guards against a caller that waits for an answer although there is nobody to ask.
+func TestLoneProcessDecidesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startKnowing(nil)
+		defer f.stop()
+		asked := time.Now()
+		if _, ok := f.processes[0].exchange.Find(t.Context(), 7); ok || time.Since(asked) > 0 {
+			t.Errorf("got an origin: %v, after %v; want none at once", ok, time.Since(asked))
+		}
+	})
+}
