idempotency: bindings are written again until they stand, also after returns in a row

What callers saw: a keyed call, such as a booking, that ran twice: the platform came back from an older copy, its key was bound to another ticket by the retry at another entry.

Cause: recent bindings are written again once after a return.

Fix: the channel of the next return is taken before the writes, and writes are repeated after 200 ms while any fails.

TestBindingOutlivesReturnsInARow failed before in 5 of 5 rows (bound to the second ticket, or to none), passes, also with -race.

--- a/internal/coordination/idempotency/binder.go
+++ b/internal/coordination/idempotency/binder.go
@@ -82,6 +82,8 @@
 	recentTime = time.Minute
 	// maxRecent bounds the recent bindings, at about 100 bytes each: a thousand a second.
 	maxRecent = 60_000
+	// restoreRetryDelay is the pause before recent bindings are written again after a write failed.
+	restoreRetryDelay = 200 * time.Millisecond
 )
 
 // NewBinder returns a binder; Run must run for it to answer.
@@ -131,25 +133,42 @@
 // restoreLoop writes recent bindings again when the platform has come back from an older copy: a retry
 // of a request that ran would otherwise be bound to another ticket, and run twice.
 func (b *Binder) restoreLoop(ctx context.Context) {
+	returned := b.api.Eras().Changed()
+	var retry <-chan time.Time
 	for {
-		returned := b.api.Eras().Changed()
 		select {
 		case <-returned:
+			// Taken before the writes: the platform may come back from an older copy again during them.
+			returned = b.api.Eras().Changed()
+		case <-retry:
 		case <-ctx.Done():
 			return
 		}
-		batches := map[int][]bindRequest{}
-		b.mu.Lock()
-		for key, r := range b.recent {
-			if time.Since(r.at) < recentTime {
-				batches[pageNumber(key)] = append(batches[pageNumber(key)], bindRequest{key: key, proposed: r.ticket, result: make(chan bindResult, 1)})
-			}
+		retry = nil
+		if err := b.restore(ctx); err != nil {
+			retry = time.After(restoreRetryDelay)
 		}
-		b.mu.Unlock()
-		for number, batch := range batches {
-			b.bindPage(ctx, number, batch)
+	}
+}
+
+// restore writes recent bindings again, as far as the platform lacks them. It returns an error if the platform could not be
+// read or written.
+func (b *Binder) restore(ctx context.Context) (err error) {
+	batches := map[int][]bindRequest{}
+	b.mu.Lock()
+	for key, r := range b.recent {
+		if time.Since(r.at) < recentTime {
+			batches[pageNumber(key)] = append(batches[pageNumber(key)], bindRequest{key: key, proposed: r.ticket, result: make(chan bindResult, 1)})
 		}
 	}
+	b.mu.Unlock()
+	for number, batch := range batches {
+		b.bindPage(ctx, number, batch)
+		if result := <-batch[0].result; errors.Is(result.err, ErrPlatform) {
+			err = result.err
+		}
+	}
+	return err
 }
 
 // remember keeps a binding that is about to be answered.
--- a/internal/coordination/idempotency/binder_test.go
+++ b/internal/coordination/idempotency/binder_test.go
@@ -15,11 +15,13 @@
 )
 
 // lossyStore fails writes by its script, one letter for each: 'l' loses the response,
-// 'n' the request, 'd' means unavailable. Writes after its end succeed.
+// 'n' the request, 'd' means unavailable, 'r' has the store come back from the copy older
+// once more after the write. Writes after its end succeed.
 type lossyStore struct {
 	*standin.Store
 	mu     sync.Mutex
 	script string
+	older  standin.Copy
 }
 
 func (l *lossyStore) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
@@ -37,6 +39,8 @@
 		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
 	case 'd':
 		return objectapi.Object{}, objectapi.ErrUnavailable
+	case 'r':
+		defer l.Restore(l.older)
 	}
 	return l.Store.Put(ctx, key, value, version)
 }
@@ -157,6 +161,23 @@
 	}
 }
 
+// TestBindingOutlivesReturnsInARow guards against a call that runs twice, as the platform came back from an older copy again,
+// or did not answer, while bindings were written again.
+func TestBindingOutlivesReturnsInARow(t *testing.T) {
+	for _, script := range []string{"or", "orr", "od", "oddd", "odrd"} {
+		withBinders(t, script, 2, func(api *lossyStore, all []*Binder) {
+			api.older = api.Copy()
+			key := HashKey("c", "s", "k")
+			all[0].Bind(context.Background(), key, Ticket{1, 1})
+			api.Restore(api.older)
+			time.Sleep(10 * time.Second)
+			if got, err := all[1].Bind(context.Background(), key, Ticket{2, 2}); got != (Ticket{1, 1}) {
+				t.Errorf("script %q: retry through another entry: got ticket %v, %v, want {1 1}", script, got, err)
+			}
+		})
+	}
+}
+
 func TestFullPageRefusesNewKeys(t *testing.T) {
 	api := standin.New()
 	p := page{bindings: map[Key]binding{}}
