--- a/internal/coordination/loadreport/exchanger.go
+++ b/internal/coordination/loadreport/exchanger.go
@@ -99,9 +99,9 @@
 	domain string
 	// lastSeen is when its last report arrived, or when it was first found in the registry.
 	lastSeen time.Time
-	// heard is when its last report arrived here, and vouched when another peer's report said that it arrived there; zero
-	// before.
-	heard, vouched time.Time
+	// heard is when its last report arrived here, and heardByOthers when another peer last said that its reports arrive
+	// there; zero before.
+	heard, heardByOthers time.Time
 	// reportedSince is when reports to it began; zero while it is sent none.
 	reportedSince time.Time
 	// hasLeft is true once it has announced that it stops. It is sent reports until it counts as silent: a process that
@@ -115,7 +115,7 @@
 	if p.reportedSince.IsZero() {
 		return 0
 	}
-	return min(now.Sub(p.lastSeen), now.Sub(p.vouched), now.Sub(p.reportedSince))
+	return min(now.Sub(p.lastSeen), now.Sub(p.heardByOthers), now.Sub(p.reportedSince))
 }
 
 // Run exchanges reports until ctx ends, and then announces that this process leaves.
@@ -252,7 +252,7 @@
 	e.namedHeard = now
 	var out []routing.PeerAddress
 	for address, p := range e.peers {
-		// Only its own reports count: two processes that vouch for a third by each other's word would keep it for good.
+		// Only its own reports count: by each other's word, two processes would keep a third one that is gone.
 		if len(out) < maxHeard && !p.hasLeft && now.Sub(p.heard) < heardWithin {
 			out = append(out, routing.PeerAddress{Address: address, Domain: p.domain})
 		}
@@ -313,11 +313,11 @@
 	p := e.peers[address]
 	p.domain, p.lastSeen, p.heard, p.hasLeft = r.Domain, now, now, false
 	delete(e.silent, address)
-	e.recordVouched(r.Heard, now)
+	e.recordHeardByOthers(r.Heard, now)
 }
 
-// recordVouched records the peers whose reports another one gets. The caller must hold e.mu.
-func (e *Exchanger) recordVouched(heard []routing.PeerAddress, now time.Time) {
+// recordHeardByOthers records the peers whose reports another one gets. The caller must hold e.mu.
+func (e *Exchanger) recordHeardByOthers(heard []routing.PeerAddress, now time.Time) {
 	for _, h := range heard {
 		if h.Address == e.Address {
 			continue
@@ -325,7 +325,7 @@
 		if e.peers[h.Address] == nil {
 			e.peers[h.Address] = &peer{domain: h.Domain, lastSeen: now}
 		}
-		e.peers[h.Address].vouched = now
+		e.peers[h.Address].heardByOthers = now
 		delete(e.silent, h.Address)
 	}
 }
--- a/internal/coordination/origingossip/exchanger.go
+++ b/internal/coordination/origingossip/exchanger.go
@@ -57,10 +57,10 @@
 	channel *datagram.Channel[wire.StreamReport, *wire.StreamReport]
 	origins *streamorigin.Registry
 	self    Peer
-	// peers lists the other processes that membership knows, of all failure domains; acquaintances are further ones.
-	peers         func() []Peer
-	acquaintances acquaintances
-	asks          *rate.Limiter
+	// peers lists the other processes that membership knows, of all failure domains; learned are further ones.
+	peers   func() []Peer
+	learned learnedPeers
+	asks    *rate.Limiter
 }
 
 // New returns an exchanger of the origins in a registry.
@@ -95,7 +95,7 @@
 // knownPeers lists all other processes that this one knows.
 func (e *Exchanger) knownPeers() []Peer {
 	members := e.peers()
-	return slices.Concat(members, e.acquaintances.list(members, time.Now()))
+	return slices.Concat(members, e.learned.list(members, time.Now()))
 }
 
 // askAtStart asks a few others for the versions that they know: this process has not seen those whose last endpoint left
@@ -105,7 +105,7 @@
 	for requests := 0; requests < startRequests && time.Now().Before(end); {
 		hosts := datagram.Sample(hostsOf(e.knownPeers()), requestHosts)
 		if len(hosts) > 0 {
-			e.introduce(&wire.StreamReport{AsksVersions: true}, hosts)
+			e.sendIntroduction(&wire.StreamReport{AsksVersions: true}, hosts)
 			requests++
 		}
 		if !sleep.For(ctx, startInterval) {
@@ -114,29 +114,29 @@
 	}
 }
 
-// introduce sends a report that says where this process runs and names some of the processes that it knows.
-func (e *Exchanger) introduce(r *wire.StreamReport, hosts []netip.Addr) {
+// sendIntroduction sends a report that also says where this process runs and names some of the processes that it knows.
+func (e *Exchanger) sendIntroduction(r *wire.StreamReport, hosts []netip.Addr) {
 	members := e.peers()
-	named := slices.Concat(members, e.acquaintances.senders(members, time.Now()))
+	named := slices.Concat(members, e.learned.senders(members, time.Now()))
 	rand.Shuffle(len(named), func(i, j int) { named[i], named[j] = named[j], named[i] })
 	r.Introduction = &wire.StreamIntroduction{Domain: e.self.Domain, Peers: peersToWire(named[:min(len(named), namedPeers)])}
 	e.channel.Send(r, hosts)
 }
 
-// meet records who sent a report and whom it names. A sender that is not known yet is asked to introduce itself.
-func (e *Exchanger) meet(introduction *wire.StreamIntroduction, from netip.Addr, now time.Time) {
+// learnPeers records who sent a report and whom it names. A sender that is not known yet is asked to introduce itself.
+func (e *Exchanger) learnPeers(introduction *wire.StreamIntroduction, from netip.Addr, now time.Time) {
 	if introduction != nil {
-		e.acquaintances.add(Peer{from, introduction.GetDomain()}, true, now)
+		e.learned.add(Peer{from, introduction.GetDomain()}, true, now)
 		for _, p := range peersFromWire(introduction.GetPeers()) {
 			if p.Host != e.self.Host {
-				e.acquaintances.add(p, false, now)
+				e.learned.add(p, false, now)
 			}
 		}
 		return
 	}
 	isMember := func(p Peer) bool { return p.Host == from }
-	if !e.acquaintances.refresh(from, now) && !slices.ContainsFunc(e.peers(), isMember) && e.asks.Allow() {
-		e.introduce(&wire.StreamReport{AsksVersions: true}, []netip.Addr{from})
+	if !e.learned.refresh(from, now) && !slices.ContainsFunc(e.peers(), isMember) && e.asks.Allow() {
+		e.sendIntroduction(&wire.StreamReport{AsksVersions: true}, []netip.Addr{from})
 	}
 }
 
@@ -232,7 +232,7 @@
 // processes, the answers that say nothing would be most of the traffic.
 func (e *Exchanger) receive(r *wire.StreamReport, from netip.Addr) {
 	now := time.Now()
-	e.meet(r.GetIntroduction(), from, now)
+	e.learnPeers(r.GetIntroduction(), from, now)
 	versions := versionsFromWire(r.GetVersions())
 	e.origins.MergeVersions(versions, now)
 	for _, o := range r.GetOrigins() {
@@ -259,7 +259,7 @@
 	versions := e.origins.Versions(now)
 	for {
 		n := min(len(versions), versionsPerMessage)
-		e.introduce(&wire.StreamReport{Versions: versionsToWire(versions[:n])}, []netip.Addr{to})
+		e.sendIntroduction(&wire.StreamReport{Versions: versionsToWire(versions[:n])}, []netip.Addr{to})
 		if versions = versions[n:]; len(versions) == 0 {
 			return
 		}
--- a/internal/coordination/origingossip/knowledge_test.go
+++ b/internal/coordination/origingossip/knowledge_test.go
@@ -118,11 +118,11 @@
 		}
 		f.kill(0)
 		for range 4 {
-			time.Sleep(acquaintanceLifetime / 2)
-			f.processes[1].exchange.introduce(&wire.StreamReport{AsksVersions: true}, []netip.Addr{f.hosts[2]})
-			f.processes[2].exchange.introduce(&wire.StreamReport{AsksVersions: true}, []netip.Addr{f.hosts[1]})
+			time.Sleep(learnedRetention / 2)
+			f.processes[1].exchange.sendIntroduction(&wire.StreamReport{AsksVersions: true}, []netip.Addr{f.hosts[2]})
+			f.processes[2].exchange.sendIntroduction(&wire.StreamReport{AsksVersions: true}, []netip.Addr{f.hosts[1]})
 		}
-		time.Sleep(2 * acquaintanceLifetime)
+		time.Sleep(2 * learnedRetention)
 		if got := f.processes[2].exchange.knownPeers(); len(got) != 1 {
 			t.Errorf("got known processes %v, want one", got)
 		}
