--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -40,7 +40,7 @@
 	Reload   <-chan os.Signal
 }
 
-// isRequested reports whether the process was told to stop.
+// isRequested reports whether a stop was requested.
 func (s Stop) isRequested() bool {
 	select {
 	case <-s.Graceful:
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -129,7 +129,7 @@
 	p := newGatewayProcess(s, log)
 	defer p.close()
 	if stop.isRequested() {
-		log.Info("told to stop before it listened")
+		log.Info("stop requested before listening")
 		return nil
 	}
 	if err := p.listen(); err != nil {
--- a/internal/coordination/loadreport/encoding.go
+++ b/internal/coordination/loadreport/encoding.go
@@ -34,8 +34,8 @@
 	for _, w := range work[:min(len(work), maxReportedEndpoints)] {
 		m.Work = append(m.Work, encodeWork(w))
 	}
-	for _, p := range r.Heard[:min(len(r.Heard), maxHeard)] {
-		m.Heard = append(m.Heard, &wire.WorkPeer{Host: p.Address.Addr().AsSlice(), Port: uint32(p.Address.Port()), Domain: p.Domain})
+	for _, p := range r.LivePeers[:min(len(r.LivePeers), maxLivePeers)] {
+		m.LivePeers = append(m.LivePeers, &wire.WorkPeer{Host: p.Address.Addr().AsSlice(), Port: uint32(p.Address.Port()), Domain: p.Domain})
 	}
 	return proto.Marshal(m)
 }
@@ -69,9 +69,9 @@
 		}
 		r.Work = append(r.Work, work)
 	}
-	for _, p := range m.GetHeard()[:min(len(m.GetHeard()), maxHeard)] {
+	for _, p := range m.GetLivePeers()[:min(len(m.GetLivePeers()), maxLivePeers)] {
 		if host, ok := netip.AddrFromSlice(p.GetHost()); ok && p.GetPort() <= math.MaxUint16 {
-			r.Heard = append(r.Heard, routing.PeerAddress{Address: netip.AddrPortFrom(host.Unmap(), uint16(p.GetPort())), Domain: p.GetDomain()})
+			r.LivePeers = append(r.LivePeers, routing.PeerAddress{Address: netip.AddrPortFrom(host.Unmap(), uint16(p.GetPort())), Domain: p.GetDomain()})
 		}
 	}
 	return r, nil
--- a/internal/coordination/loadreport/exchanger.go
+++ b/internal/coordination/loadreport/exchanger.go
@@ -30,16 +30,16 @@
 	// smallFleet is the number of other processes up to which all of them get reports. In a
 	// larger fleet only those of the own failure domain do, which use the same endpoints most.
 	smallFleet = 6
-	// silenceTimeout is how long a peer may send no report, neither here nor to others that report here, before it is sent
-	// none either.
+	// silenceTimeout is how long a peer may send no report, neither to this process nor to another that
+	// names it as live, before it is sent none either.
 	silenceTimeout = 30 * time.Second
-	// heardInterval is how often a report names peers that are heard, at most maxHeard of them, and heardWithin how recent
-	// their last report is then. At 100 bytes, four times a round, that is 200 bytes a second.
-	heardInterval = 8 * reportInterval
-	heardWithin   = 5 * time.Second
-	maxHeard      = smallFleet
-	// silentRetention is how long a silent peer of a small fleet is still told what all are told: its messages may be lost on
-	// the way here while ours arrive there. It covers two readings of the registry, where one that lives adds itself again.
+	// livePeersInterval is how often a report names live peers, at most maxLivePeers of them. A peer is live if its last
+	// report is no older than liveWithin. At 100 bytes, four times a round, that is 200 bytes a second.
+	livePeersInterval = 8 * reportInterval
+	liveWithin        = 5 * time.Second
+	maxLivePeers      = smallFleet
+	// silentRetention is how long broadcasts still go to a silent peer of a small fleet: its messages may be lost on the way
+	// here while ours arrive there. It covers two readings of the registry, where a live process adds itself again.
 	silentRetention = 5 * time.Minute
 	// registryInterval is how often the registry is read again, to find the processes that a
 	// start during a partition missed.
@@ -82,8 +82,8 @@
 	// after it.
 	lastTarget int
 	lastNumber uint64
-	// namedHeard is when a report last named the peers that are heard.
-	namedHeard time.Time
+	// namedLivePeers is when a report last named live peers.
+	namedLivePeers time.Time
 }
 
 // silentPeer is a peer that was evicted as silent.
@@ -99,9 +99,8 @@
 	domain string
 	// lastSeen is when its last report arrived, or when it was first found in the registry.
 	lastSeen time.Time
-	// heard is when its last report arrived here, and heardByOthers when another peer last said that its reports arrive
-	// there; zero before.
-	heard, heardByOthers time.Time
+	// lastReport is when its last report arrived, and confirmed when another peer last named it as live; zero before.
+	lastReport, confirmed time.Time
 	// reportedSince is when reports to it began; zero while it is sent none.
 	reportedSince time.Time
 	// hasLeft is true once it has announced that it stops. It is sent reports until it counts as silent: a process that
@@ -115,7 +114,7 @@
 	if p.reportedSince.IsZero() {
 		return 0
 	}
-	return min(now.Sub(p.lastSeen), now.Sub(p.heardByOthers), now.Sub(p.reportedSince))
+	return min(now.Sub(p.lastSeen), now.Sub(p.confirmed), now.Sub(p.reportedSince))
 }
 
 // Run exchanges reports until ctx ends, and then announces that this process leaves.
@@ -141,7 +140,7 @@
 	workers.Wait()
 }
 
-// Hosts returns the hosts of the other processes, of all failure domains, that are told what all are told.
+// Hosts returns the hosts of the other processes, of all failure domains, to which broadcasts go.
 func (e *Exchanger) Hosts() []netip.Addr {
 	return slices.Collect(maps.Keys(e.Domains()))
 }
@@ -200,7 +199,7 @@
 	}
 	e.lastNumber++
 	data, err := encode(routing.PeerReport{
-		Sender: e.Incarnation, Number: e.lastNumber, Domain: e.Domain, Work: e.Directory.OwnWork(), Leaving: leaving, Heard: e.nextHeard(),
+		Sender: e.Incarnation, Number: e.lastNumber, Domain: e.Domain, Work: e.Directory.OwnWork(), Leaving: leaving, LivePeers: e.nextLivePeers(),
 	})
 	if err != nil {
 		e.Log.Error("failed to encode a load report", zap.Error(err))
@@ -240,28 +239,28 @@
 	return out
 }
 
-// nextHeard returns, every heardInterval, some of the peers whose reports arrive here. Their reports may not arrive at
-// others, who would drop them and keep from them what all are told.
-func (e *Exchanger) nextHeard() []routing.PeerAddress {
+// nextLivePeers returns, every livePeersInterval, some of the peers whose reports arrive here. Their reports may not arrive at
+// others, who would drop them and leave them out of broadcasts.
+func (e *Exchanger) nextLivePeers() []routing.PeerAddress {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if now.Sub(e.namedHeard) < heardInterval {
+	if now.Sub(e.namedLivePeers) < livePeersInterval {
 		return nil
 	}
-	e.namedHeard = now
+	e.namedLivePeers = now
 	var out []routing.PeerAddress
 	for address, p := range e.peers {
-		// Only its own reports count: by each other's word, two processes would keep a third one that is gone.
-		if len(out) < maxHeard && !p.hasLeft && now.Sub(p.heard) < heardWithin {
+		// Only its own reports count: otherwise two processes would confirm to each other one that is gone.
+		if len(out) < maxLivePeers && !p.hasLeft && now.Sub(p.lastReport) < liveWithin {
 			out = append(out, routing.PeerAddress{Address: address, Domain: p.domain})
 		}
 	}
 	return out
 }
 
-// evictSilent removes the peers that have been silent for silenceTimeout, and forgets them after silentRetention. The
-// caller must hold e.mu.
+// evictSilent removes the peers that have been silent for silenceTimeout, and drops what it keeps of them after
+// silentRetention. The caller must hold e.mu.
 func (e *Exchanger) evictSilent(now time.Time) {
 	for address, p := range e.peers {
 		if p.silentFor(now) > silenceTimeout {
@@ -311,21 +310,21 @@
 		e.peers[address] = &peer{}
 	}
 	p := e.peers[address]
-	p.domain, p.lastSeen, p.heard, p.hasLeft = r.Domain, now, now, false
+	p.domain, p.lastSeen, p.lastReport, p.hasLeft = r.Domain, now, now, false
 	delete(e.silent, address)
-	e.recordHeardByOthers(r.Heard, now)
+	e.recordConfirmed(r.LivePeers, now)
 }
 
-// recordHeardByOthers records the peers whose reports another one gets. The caller must hold e.mu.
-func (e *Exchanger) recordHeardByOthers(heard []routing.PeerAddress, now time.Time) {
-	for _, h := range heard {
+// recordConfirmed records the peers that another one names as live. The caller must hold e.mu.
+func (e *Exchanger) recordConfirmed(live []routing.PeerAddress, now time.Time) {
+	for _, h := range live {
 		if h.Address == e.Address {
 			continue
 		}
 		if e.peers[h.Address] == nil {
 			e.peers[h.Address] = &peer{domain: h.Domain, lastSeen: now}
 		}
-		e.peers[h.Address].heardByOthers = now
+		e.peers[h.Address].confirmed = now
 		delete(e.silent, h.Address)
 	}
 }
--- a/internal/coordination/loadreport/onewaycut_test.go
+++ b/internal/coordination/loadreport/onewaycut_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// TestOneWayCutKeepsPeer guards against a process that drops a live peer whose reports are lost on the way, and so keeps from
-// it what all are told.
+// TestOneWayCutKeepsPeer guards against a process that drops a live peer whose reports are lost on the way, and leaves it out of
+// broadcasts.
 func TestOneWayCutKeepsPeer(t *testing.T) {
 	for _, size := range []int{2, 3, 5, 12} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -48,7 +48,7 @@
 	}
 }
 
-// TestGonePeerIsDropped guards against processes that keep one that is gone by each other's word.
+// TestGonePeerIsDropped guards against processes that confirm to each other a peer that is gone.
 func TestGonePeerIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet()
@@ -56,7 +56,7 @@
 		time.Sleep(10 * time.Second)
 		f.network.SetIsolated(gone.address, true)
 		gone.stop()
-		time.Sleep(silenceTimeout + heardWithin + time.Second)
+		time.Sleep(silenceTimeout + liveWithin + time.Second)
 		for _, p := range []*process{one, two} {
 			if got := p.exchanger.Processes(); got != 2 {
 				t.Errorf("got %d processes, want 2", got)
--- a/internal/coordination/origingossip/exchanger.go
+++ b/internal/coordination/origingossip/exchanger.go
@@ -99,7 +99,7 @@
 }
 
 // askAtStart asks a few others for the versions that they know: this process has not seen those whose last endpoint left
-// before it started. Those that are asked learn of this process, and tell it of further ones.
+// before it started. Those that are asked learn of this process, and name further ones in their answers.
 func (e *Exchanger) askAtStart(ctx context.Context) {
 	end := time.Now().Add(startTime)
 	for requests := 0; requests < startRequests && time.Now().Before(end); {
--- a/internal/coordination/origingossip/learned.go
+++ b/internal/coordination/origingossip/learned.go
@@ -48,7 +48,7 @@
 	l.byHost[p.Host] = known
 }
 
-// evict forgets the processes that no report came from or named lately, and reports whether there were any.
+// evict removes the processes whose learnedRetention is over, and reports whether there were any.
 func (l *learnedPeers) evict(now time.Time) bool {
 	before := len(l.byHost)
 	for host, known := range l.byHost {
--- a/internal/coordination/routing/peers.go
+++ b/internal/coordination/routing/peers.go
@@ -36,11 +36,11 @@
 	Work   []Work
 	// Leaving is set if the sender is stopping.
 	Leaving bool
-	// Heard are some of the processes whose reports the sender has had lately; not in every report.
-	Heard []PeerAddress
+	// LivePeers are some of the processes whose reports the sender receives; not in every report.
+	LivePeers []PeerAddress
 }
 
-// PeerAddress is where another process takes reports.
+// PeerAddress is the address at which another process receives reports.
 type PeerAddress struct {
 	Address netip.AddrPort
 	Domain  string
