--- a/internal/coordination/origingossip/knowledge_test.go
+++ b/internal/coordination/origingossip/knowledge_test.go
@@ -140,3 +140,20 @@
 		}
 	})
 }
+
+// TestLearnedPeersAreBounded guards against memory and broadcasts that grow with the processes that reports name.
+func TestLearnedPeersAreBounded(t *testing.T) {
+	var l learnedPeers
+	now := time.Now()
+	for n := range 10 * maxLearned {
+		l.add(Peer{netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), "a"}, false, now)
+	}
+	if got := len(l.list(nil, now)); got != maxLearned {
+		t.Errorf("got %d learned peers, want %d", got, maxLearned)
+	}
+	later := now.Add(2 * learnedRetention)
+	l.add(Peer{netip.AddrFrom4([4]byte{10, 2, 0, 1}), "a"}, false, later)
+	if got := len(l.list(nil, later)); got != 1 {
+		t.Errorf("got %d learned peers once the others' time is over, want 1", got)
+	}
+}
--- a/internal/coordination/origingossip/learned.go
+++ b/internal/coordination/origingossip/learned.go
@@ -14,11 +14,8 @@
 	maxLearned = 64
 )
 
-// learnedPeers are the processes that this one has learned of from reports. Membership may lack them: it learns of a process
-// that has just started after up to a second, and of one whose messages do not arrive here not at all.
-//
-// Without them, knowledge may be one-sided: a process that is not known to another is sent none of its records, and can't go
-// on with its streams once that other is killed.
+// learnedPeers are the processes that this one has learned of from reports. Membership may lack one that has just started, or
+// whose messages are lost on the way here; it would be sent no records, and could not resume this process's streams.
 type learnedPeers struct {
 	mu     sync.Mutex
 	byHost map[netip.Addr]learnedPeer
