--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -61,6 +61,8 @@
 // Load is the number of requests that an endpoint reports, and its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes at the endpoint, 0 if it does not say.
+	Slowdown float64
 }
 
 // Reply is the metadata in the header of an endpoint's answer.
--- a/internal/state/fleet/member.go
+++ b/internal/state/fleet/member.go
@@ -98,6 +98,9 @@
 	// LinkRate is how fast contexts come from the stores, in tokens per second;
 	// 0 if there are none.
 	LinkRate int `json:"link_rate,omitempty"`
+	// Slowdown is how many times as long as usual work takes there, 0 if that is not known: a host may
+	// be shared with other work.
+	Slowdown float64 `json:"slowdown,omitempty"`
 	// AtMS is when the agent took it, by its own clock, in Unix ms.
 	AtMS int64 `json:"at_ms,omitempty"`
 	// RequestLimit is the number of requests a second that the endpoint accepts from all entries
