routes, admission: the route's priority orders the requests of customers with the same one

Cause, from the logs: all kinds were refused at 0.55 of their objective, the rank of priority 1. Every customer of these configurations has a priority, nearly all the same one, and it replaced the route's, so that all requests had one rank and one urgency at the engines. By the longer objective of the least urgent kind its wait could also be longest (0.3 of 1,200 ms against 0.8 of 400 ms).

The customer's priority now comes first and the route's orders the requests of customers with the same one, for refusals and for the engines; a request may wait by the shortest objective of those as urgent or more. The table of TestCustomerPriorityDecidesOverload had customers that its configuration lacks, and fixed that a priority replaces the route's; it now has them in the configuration and checks both orders.

--- a/internal/coordination/admission/accept.go
+++ b/internal/coordination/admission/accept.go
@@ -7,8 +7,10 @@
 	// Wait is the expected time until an endpoint starts on it, TTFT that until its
 	// first token.
 	Wait, TTFT time.Duration
-	// Objective is the time within which its first token is on time, 0 if none is
-	// asked for; TimeLeft is the time after which its caller no longer waits.
+	// Objective is the shortest time to the first token that is asked for by requests of the
+	// service that are as urgent or more, 0 if none is. Less urgent requests with a longer
+	// objective would otherwise be accepted where more urgent ones are refused.
+	// TimeLeft is the time after which its caller no longer waits.
 	Objective, TimeLeft time.Duration
 	// PriorityRank is the rank among the priorities of its service, from 0 for the most
 	// urgent to 1 for the least.
--- a/internal/coordination/admission/accept_test.go
+++ b/internal/coordination/admission/accept_test.go
@@ -47,11 +47,18 @@
 	{22.4, 50 * time.Millisecond, 2 * time.Second, 0},
 }
 
-// simulate sends requests of trafficMix to engines that process one prompt after the
+// shortObjectivesMix has long prompts whose objective is three times that of the urgent kinds.
+var shortObjectivesMix = []requestClass{
+	{160, 107 * time.Millisecond, 1200 * time.Millisecond, 1},
+	{477, 6 * time.Millisecond, 400 * time.Millisecond, 0},
+	{198, 18 * time.Millisecond, 400 * time.Millisecond, 0.5},
+}
+
+// simulate sends requests of a mix to engines that process one prompt after the
 // other in order of arrival, each to the engine with the shortest queue. From 5 s to
 // 15 s only the remaining engines are available. It returns the share of each kind that
 // was on time, during that and in the ten seconds after.
-func simulate(accept func(Candidate) bool, engines, remaining int) (during, after [3]float64) {
+func simulate(mix []requestClass, accept func(Candidate) bool, engines, remaining int) (during, after [3]float64) {
 	random := rand.New(rand.NewPCG(1, 2))
 	busyUntil := make([]time.Duration, engines)
 	var arrived, inTime [2][3]float64
@@ -61,7 +68,7 @@
 		if now >= 5*time.Second && now < 15*time.Second {
 			available = busyUntil[:remaining]
 		}
-		for i, class := range trafficMix {
+		for i, class := range mix {
 			if random.Float64() >= class.perSecond*step.Seconds() {
 				continue
 			}
@@ -88,7 +95,7 @@
 			}
 		}
 	}
-	for i := range trafficMix {
+	for i := range mix {
 		during[i], after[i] = inTime[0][i]/arrived[0][i], inTime[1][i]/arrived[1][i]
 	}
 	return during, after
@@ -107,8 +114,8 @@
 		return ok
 	}
 	const engines, remaining = 8, 4
-	before, _ := simulate(acceptAll, engines, remaining)
-	during, after := simulate(accept, engines, remaining)
+	before, _ := simulate(trafficMix, acceptAll, engines, remaining)
+	during, after := simulate(trafficMix, accept, engines, remaining)
 	t.Logf("on time without refusals: %.2f; with refusals: %.2f, afterwards %.2f", before, during, after)
 	if before[1] > 0.3 {
 		t.Errorf("the load is no overload: %.2f on time without refusals", before)
@@ -125,3 +132,33 @@
 		}
 	}
 }
+
+// TestShortObjectivesBesideLongOnes lets a third of the engines carry long prompts with a long objective beside urgent
+// requests with a short one.
+//
+// By its own objective, a long prompt may wait longer than an urgent request, takes the room and is served instead: 0.20
+// and 0.06 of the urgent kinds were on time.
+func TestShortObjectivesBesideLongOnes(t *testing.T) {
+	const engines, remaining = 30, 16
+	accept := func(c Candidate) bool { ok, _ := Accept(c); return ok }
+	own, _ := simulate(shortObjectivesMix, accept, engines, remaining)
+	strictest, after := simulate(shortObjectivesMix, func(c Candidate) bool {
+		c.Objective = 400 * time.Millisecond
+		return accept(c)
+	}, engines, remaining)
+	t.Logf("on time by its own objective: %.2f, by the shortest of the more urgent: %.2f, afterwards %.2f", own, strictest, after)
+	if own[1] > 0.5 {
+		t.Errorf("urgent requests on time by each kind's own objective: got %.2f, the load is no overload", own[1])
+	}
+	if strictest[1] < 0.95 || strictest[2] < 0.95 {
+		t.Errorf("on time: got %.2f, want at least 0.95 of the urgent kinds", strictest)
+	}
+	if strictest[0] < 0.5 {
+		t.Errorf("on time: got %.2f of the long prompts, want at least half: the engines have room for them", strictest[0])
+	}
+	for i, share := range after {
+		if share < 0.95 {
+			t.Errorf("kind %d after the overload: got %.2f on time, want at least 0.95", i, share)
+		}
+	}
+}
--- a/internal/coordination/gateway/config_test.go
+++ b/internal/coordination/gateway/config_test.go
@@ -101,32 +101,42 @@
 	}
 }
 
-// TestCustomerPriorityDecidesOverload checks which prompts are refused at a wait of half their objective, for customers
-// with and without a priority of their own.
+// TestCustomerPriorityDecidesOverload checks how long prompts may wait before they are refused, for customers with and
+// without a priority of their own.
 //
-// A customer's priority takes precedence over the route's, for refusals as for scheduling in the engines.
+// A customer's priority takes precedence over the route's, for refusals as for scheduling in the engines, and the route's
+// decides among customers with the same priority.
 func TestCustomerPriorityDecidesOverload(t *testing.T) {
 	list := []routes.Route{
 		{Name: "urgent", Host: "h", Prefix: "/u/", Priority: 0, Objective: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
-		{Name: "patient", Host: "h", Prefix: "/p/", Priority: 2, Objective: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
+		{Name: "patient", Host: "h", Prefix: "/p/", Priority: 2, Objective: 3 * time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
 	}
 	services := []routes.Service{{Name: "s", Engine: &routes.Engine{}}}
-	table := routes.New(1, 1, list, services, nil, routes.Limits{})
+	with := func(priority int) routes.Customer { return routes.Customer{HasPriority: true, Priority: priority} }
 	for _, row := range []struct {
-		name     string
-		route    int
-		customer *routes.Customer
-		refused  bool
+		name      string
+		customers []routes.Customer
+		route     int
+		customer  int
+		wait      time.Duration
+		refused   bool
 	}{
-		{"urgent route", 0, nil, false},
-		{"patient route", 1, nil, true},
-		{"customer without a priority", 0, &routes.Customer{}, false},
-		{"patient customer on the urgent route", 0, &routes.Customer{HasPriority: true, Priority: 2}, true},
-		{"urgent customer on the patient route", 1, &routes.Customer{HasPriority: true, Priority: 0}, false},
-		{"customer beyond all routes", 0, &routes.Customer{HasPriority: true, Priority: 9}, true},
+		{"urgent route, no keys", nil, 0, -1, 700 * time.Millisecond, false},
+		{"patient route, no keys", nil, 1, -1, 400 * time.Millisecond, true},
+		{"urgent route, customer without a priority", []routes.Customer{{}}, 0, 0, 700 * time.Millisecond, false},
+		{"urgent route, customers alike", []routes.Customer{with(1), with(1)}, 0, 0, 700 * time.Millisecond, false},
+		{"patient route, customers alike", []routes.Customer{with(1), with(1)}, 1, 0, 400 * time.Millisecond, true},
+		{"urgent customer on the patient route", []routes.Customer{with(0), with(9)}, 1, 0, 500 * time.Millisecond, false},
+		{"patient customer on the urgent route", []routes.Customer{with(0), with(9)}, 0, 1, 500 * time.Millisecond, true},
+		{"patient customer on the patient route", []routes.Customer{with(0), with(9)}, 1, 1, 400 * time.Millisecond, true},
 	} {
-		x := &exchange{table: table, route: &list[row.route], service: &services[0], customer: row.customer, deadline: time.Now().Add(time.Minute)}
-		refused := x.refuseOverload(routing.Choice{Wait: 500 * time.Millisecond, TTFT: 600 * time.Millisecond}, 0)
+		table := routes.New(1, 1, list, services, row.customers, routes.Limits{})
+		x := &exchange{table: table, route: &list[row.route], service: &services[0], deadline: time.Now().Add(time.Minute)}
+		if row.customer >= 0 {
+			x.customer = &row.customers[row.customer]
+		}
+		x.urgency = table.Urgency(x.customer, x.route, "s")
+		refused := x.refuseOverload(routing.Choice{Wait: row.wait, TTFT: row.wait + 100*time.Millisecond}, 0)
 		if (refused != nil) != row.refused {
 			t.Errorf("%s: got refusal %v", row.name, refused)
 		}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -128,6 +128,7 @@
 	service *routes.Service
 	// customer is nil on public routes.
 	customer *routes.Customer
+	urgency  routes.Urgency
 	// residency limits the regions in which the request and its context may be.
 	residency residency.Rule
 	body      []byte
@@ -322,6 +323,7 @@
 	if x.service == nil {
 		return x.refuseUnknown(http.StatusNotFound, apierror.CodeNotFound, "the route's service does not exist")
 	}
+	x.urgency = x.table.Urgency(x.customer, route, x.service.Name)
 	return nil
 }
 
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -181,7 +181,7 @@
 	target := x.g.Directory.Choose(x.service.Name, nil, &routing.Request{
 		// The run's memory is copied with it: the destination needs no prefill.
 		HeldTokens: heldTokens, MeanHeldTokens: heldTokens, HoldingsKnown: true, SegmentsKnown: true, PlacementHashKnown: true,
-		Domain: x.g.Domain, CrossDomainPenalty: crossDomainPenalty, Urgency: x.urgency(), Objective: config.Objective{WeightTTFT: 1},
+		Domain: x.g.Domain, CrossDomainPenalty: crossDomainPenalty, Urgency: x.urgency.Level, Objective: config.Objective{WeightTTFT: 1},
 		WeightVersion: c.Member.Endpoint.WeightVersion, SoftwarePinned: true, SoftwareVersion: c.Member.Endpoint.SoftwareVersion, Residency: x.residency, Now: time.Now(),
 		// An engine that is to load soon would have to move the run again, or refuse it.
 		Exclude: append(x.g.State.NextToLoad(c.Member.ID), c.Member.ID),
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -158,7 +158,7 @@
 		return nil
 	}
 	ok, delay := admission.Accept(admission.Candidate{
-		Wait: c.Wait, TTFT: c.TTFT, Objective: x.route.Objective, TimeLeft: x.timeLeft(), PriorityRank: x.table.PriorityRank(x.priority(), x.service.Name),
+		Wait: c.Wait, TTFT: c.TTFT, Objective: x.urgency.StrictestObjective, TimeLeft: x.timeLeft(), PriorityRank: x.urgency.Rank,
 	})
 	if ok {
 		return nil
@@ -278,7 +278,7 @@
 	}
 	return &routing.Request{
 		PromptTokens: x.call.PromptTokens, Domain: x.g.Domain, HeldTokens: held, MeanHeldTokens: mean,
-		SegmentsKnown: true, Urgency: x.urgency(), CrossDomainPenalty: crossDomainPenalty, Residency: x.residency,
+		SegmentsKnown: true, Urgency: x.urgency.Level, CrossDomainPenalty: crossDomainPenalty, Residency: x.residency,
 		Objective: config.Objective{
 			TTFTMS: int(x.route.Objective.Milliseconds()), WeightTTFT: 1, WeightRecompute: recomputeWeight, WeightLink: linkWeight,
 		},
@@ -303,13 +303,13 @@
 // loadOf converts the load that an endpoint reports, as of now.
 func loadOf(l Load) fleet.Load {
 	return fleet.Load{
-		Running: l.Running, Queued: l.Waiting, AtMS: time.Now().UnixMilli(),
+		Running: l.Running, Queued: l.Waiting, Slowdown: l.Slowdown, AtMS: time.Now().UnixMilli(),
 	}
 }
 
 // newAttempt returns the attempt to send to a chosen endpoint.
 func (x *exchange) newAttempt(c routing.Choice, p promptContext) Attempt {
-	a := Attempt{Instance: c.Member.ID, TimeLeft: x.timeLeft(), Urgency: x.urgency(), LastEvent: x.call.LastEvent}
+	a := Attempt{Instance: c.Member.ID, TimeLeft: x.timeLeft(), Urgency: x.urgency.Level, LastEvent: x.call.LastEvent}
 	if x.customer != nil {
 		a.Customer = x.customer.Name
 	}
@@ -318,14 +318,3 @@
 	}
 	return a
 }
-
-// priority returns the customer's priority if it has one, or else the route's; 0 is the highest.
-func (x *exchange) priority() int {
-	if x.customer != nil && x.customer.HasPriority {
-		return x.customer.Priority
-	}
-	return x.route.Priority
-}
-
-// urgency returns the priority on the endpoints' scale of 0 to 9.
-func (x *exchange) urgency() int { return max(0, min(9, x.priority())) }
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -119,7 +119,7 @@
 type Customer struct {
 	Name string
 	Keys []string
-	// Priority overrides the route's if HasPriority.
+	// Priority goes before the route's if HasPriority.
 	Priority    int
 	HasPriority bool
 	// Isolated customers share no context with others.
@@ -148,21 +148,20 @@
 
 	routesByHost   map[string][]*Route
 	customersByKey map[string]*Customer
-	// priorityRanges holds the least and the greatest priority of each service's routes.
-	priorityRanges map[string][2]int
+	// urgencyScales order the requests of each service.
+	urgencyScales map[string]*urgencyScale
 }
 
 // New builds a table.
 func New(version, revision uint64, list []Route, services []Service, customers []Customer, limits Limits) *Table {
 	t := &Table{
 		Version: version, Revision: revision, Limits: limits, KeysRequired: len(customers) > 0,
-		Services: map[string]*Service{}, routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{}, priorityRanges: map[string][2]int{},
+		Services: map[string]*Service{}, routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{}, urgencyScales: newUrgencyScales(list, customers),
 	}
 	for i := range list {
 		r := &list[i]
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
-		t.recordPriority(r)
 	}
 	for _, byLength := range t.routesByHost {
 		sort.SliceStable(byLength, func(a, b int) bool { return len(byLength[a].Prefix) > len(byLength[b].Prefix) })
@@ -178,30 +177,6 @@
 	return t
 }
 
-func (t *Table) recordPriority(r *Route) {
-	for _, target := range r.Targets {
-		bounds, ok := t.priorityRanges[target.Service]
-		if !ok {
-			bounds = [2]int{r.Priority, r.Priority}
-		}
-		t.priorityRanges[target.Service] = [2]int{min(bounds[0], r.Priority), max(bounds[1], r.Priority)}
-	}
-}
-
-// PriorityRank returns a priority's position between those of a service's routes: 0 for the most
-// urgent, 1 for the least urgent. A customer's own priority may lie outside that range and then
-// has the nearer rank.
-func (t *Table) PriorityRank(priority int, service string) float64 {
-	bounds := t.priorityRanges[service]
-	switch {
-	case priority <= bounds[0]:
-		return 0
-	case priority >= bounds[1]:
-		return 1
-	}
-	return float64(priority-bounds[0]) / float64(bounds[1]-bounds[0])
-}
-
 // Match returns the route of a host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/state/routes/routes_test.go
+++ b/internal/state/routes/routes_test.go
@@ -32,26 +32,3 @@
 		t.Error(zero)
 	}
 }
-
-func TestPriorityRank(t *testing.T) {
-	route := func(name string, priority int) Route {
-		return Route{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: priority, Targets: []Target{{"s", 1}}}
-	}
-	x := newTable(route("urgent", 0), route("middle", 1), route("patient", 2), Route{Host: "h", Prefix: "/x/", Priority: 7, Targets: []Target{{"alone", 1}}})
-	for name, want := range map[string]float64{"urgent": 0, "middle": 0.5, "patient": 1} {
-		if r, _ := x.Match("h", "/"+name+"/"); x.PriorityRank(r.Priority, "s") != want {
-			t.Errorf("route %s: got rank %g", name, x.PriorityRank(r.Priority, "s"))
-		}
-	}
-	if r, _ := x.Match("h", "/x/"); x.PriorityRank(r.Priority, "alone") != 0 {
-		t.Error("a service with one priority: got a rank other than 0")
-	}
-	for priority, want := range map[int]float64{-3: 0, 9: 1} {
-		if got := x.PriorityRank(priority, "s"); got != want {
-			t.Errorf("a customer's priority %d: got rank %g", priority, got)
-		}
-	}
-	if got := x.PriorityRank(9, "alone"); got != 1 {
-		t.Errorf("a customer with a less urgent priority than all routes: got rank %g, want 1", got)
-	}
-}
