contextcache: processes that start together leave engines to those that report them

Cause, counted in a scratch copy: 0.9 to 1.0 MB/s of answers to calls for events, which is the whole link. An engine's first answer holds its 4,000 stored events, 240 KB, and as no process had heard a report yet, each of the domain followed all 14 engines for the first seconds. A process now waits for reports of engines that it has just found for as long as their reporters may take to begin, and its own first calls come once it knows its peers. TestProcessesThatStartTogetherShareEngines read 168 first answers before, 40 at most now.

--- a/internal/coordination/contextcache/engines.go
+++ b/internal/coordination/contextcache/engines.go
@@ -26,6 +26,9 @@
 	// reading these answers all at once would use a starting process's whole processor for
 	// most of a second while callers wait.
 	startSpread = 4 * time.Second
+	// startDelay comes before it: a starting process learns within it who the other processes of its
+	// domain are, and leaves the engines to those that report them.
+	startDelay = 500 * time.Millisecond
 	// maxFullyFollowed is the largest number of engines that are all followed from the oldest
 	// event they still have. In a larger fleet a process follows only the engines of its own
 	// failure domain, to which it sends most requests, and only new events: the events of
@@ -76,6 +79,10 @@
 			t.engines[address] = newStore(routes.Store{Address: address, Domain: e.Domain, LinkBytesPerSecond: e.LinkBytesPerSecond})
 			// Engines are never listed: their contents come from events alone.
 			t.engines[address].listed = true
+			// The processes that report an engine may take that long to begin. If all processes that
+			// start together followed all engines meanwhile, their events, a quarter of a megabyte each,
+			// would fill a link of 10 Mbit/s for four seconds.
+			t.engines[address].reportedAt = t.Now().Add(startDelay + startSpread)
 			t.wake()
 		}
 		t.tokenBytes = max(t.tokenBytes, e.TokenBytes)
@@ -186,7 +193,7 @@
 // engine's contents, as that would stall the engine.
 func (t *Tracker) followEngine(ctx context.Context, address string) {
 	next := t.firstEngineEvent(address)
-	if !sleep.For(ctx, time.Duration(rand.Int64N(int64(startSpread)))) {
+	if !sleep.For(ctx, startDelay+time.Duration(rand.Int64N(int64(startSpread)))) {
 		return
 	}
 	p := pollPace{maxWait: engineWait}
--- a/internal/coordination/contextcache/reports_test.go
+++ b/internal/coordination/contextcache/reports_test.go
@@ -278,3 +278,50 @@
 		t.Error("the store is used before it is listed")
 	}
 }
+
+// backlogClient counts the first answers of engines, which hold all events that an engine still has.
+type backlogClient struct {
+	clockedClient
+	firstAnswers int
+}
+
+func (f *backlogClient) Events(ctx context.Context, address string, since int64, wait time.Duration) (Events, error) {
+	if since == fromNow {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.firstAnswers++
+		return Events{Epoch: f.epoch, Next: 1, Lost: true, ClockMS: time.Now().UnixMilli()}, nil
+	}
+	return f.clockedClient.Events(ctx, address, since, wait)
+}
+
+// TestProcessesThatStartTogetherShareEngines starts all processes of a domain at once before 20 engines.
+//
+// If each follows all engines until others report them, their first answers fill small links, and callers wait behind them.
+func TestProcessesThatStartTogetherShareEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engineCount = 20
+		engines := map[string]Engine{}
+		for i := range engineCount {
+			engines[fmt.Sprint("10.0.0.", i, ":80")] = Engine{Domain: "a", TokenBytes: 1}
+		}
+		client := &backlogClient{clockedClient: clockedClient{fakeClient{epoch: 1}}}
+		domain := newTestDomain(t, client, oneStore())
+		for _, tracker := range domain.trackers {
+			tracker.SetEngines(engines)
+		}
+		time.Sleep(10 * time.Second)
+		for i, tracker := range domain.trackers {
+			tracker.mu.Lock()
+			if !tracker.enginesKnown(tracker.Now()) {
+				t.Errorf("process %d does not know the engines", i)
+			}
+			tracker.mu.Unlock()
+		}
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		if most := reporters * engineCount; client.firstAnswers > most {
+			t.Errorf("%d first answers were read, want at most %d", client.firstAnswers, most)
+		}
+	})
+}
