contextcache: a change that one report missed is taken from the next one

Cause: applyReport dropped every change with a number below the next expected one. A report that fills several datagrams gives the same next number in each, so only its first datagram counted; and a change that the first of the two reporters had missed was dropped as old when the second one reported it.

Now a change is old only if a later change of its own segment is known. Below what is forgotten, and below a list, additions are ignored, since a late one could restore a segment that was freed and is being written again; late removals always count.

--- a/internal/coordination/contextcache/engines.go
+++ b/internal/coordination/contextcache/engines.go
@@ -269,7 +269,7 @@
 		t.observeClock(events.ClockMS, now)
 	}
 	if e.epoch != events.Epoch || events.Lost {
-		e.loadListing(Listing{Epoch: events.Epoch, Next: events.Next, Complete: map[SegmentKey]SegmentInfo{}}, now)
+		e.loadListing(Listing{Epoch: events.Epoch, Next: firstNumber(events), Complete: map[SegmentKey]SegmentInfo{}}, now)
 		events.Lost = false
 	}
 	// After a failed call the events continue where they stopped.
@@ -278,3 +278,11 @@
 	t.queueUnsent(address, e, events.Changes)
 	return e.next
 }
+
+// firstNumber returns the number of the first change in an answer, or the next one if it has none.
+func firstNumber(events Events) int64 {
+	if len(events.Changes) == 0 {
+		return events.Next
+	}
+	return events.Changes[0].Number
+}
--- a/internal/coordination/contextcache/reports.go
+++ b/internal/coordination/contextcache/reports.go
@@ -121,10 +121,13 @@
 	s.applyReport(r, asOf)
 }
 
-// applyReport applies the changes that are not known yet.
+// applyReport applies the changes that are not known yet. Some may have lower numbers than the
+// next expected one: another reporter may have missed them, and a report that fills several
+// datagrams gives the same next number in each.
 func (s *store) applyReport(r Report, asOf time.Time) {
 	for _, c := range r.Changes {
-		if c.Number >= s.next {
+		// A removal that comes late is applied: at worst a segment that is held counts as missing.
+		if c.Number >= s.floor || !c.Added {
 			s.applyChange(c)
 		}
 	}
--- a/internal/coordination/contextcache/store.go
+++ b/internal/coordination/contextcache/store.go
@@ -80,6 +80,7 @@
 	// reserved is the number of tokens that partial segments reserve.
 	reserved int
 	used     int
+	changeOrder
 	// startMS is Events.StartMS of the last answer that gave another one.
 	startMS int64
 	// lastAnswer is when the store last answered, by Tracker.Now.
@@ -102,6 +103,7 @@
 func (s *store) loadListing(l Listing, now time.Time) {
 	s.known, s.listed, s.epoch, s.next, s.lastAnswer = true, true, l.Epoch, l.Next, now
 	s.unsent = nil
+	s.changeOrder = changeOrder{floor: l.Next}
 	s.complete = l.Complete
 	s.used, s.reserved = 0, 0
 	for _, h := range l.Complete {
@@ -125,7 +127,11 @@
 	return true
 }
 
+// applyChange applies a change unless a later one of its segment is known.
 func (s *store) applyChange(c Change) {
+	if !s.accept(c) {
+		return
+	}
 	s.used -= s.complete[c.Segment].Tokens
 	if !c.Added || c.Tokens <= 0 {
 		delete(s.complete, c.Segment)
