--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -189,6 +189,7 @@
 		RequestLogLimiter: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
 	p.gateway.Directory.Pushback.Log = log
+	metrics.NewRegisteredFunctionalGauge("gateway.context_changes_out_of_order", registry, keeper.OutOfOrderChanges)
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_limited", registry, func() int64 { return int64(len(p.gateway.Directory.Pushback.Limited(time.Now()))) })
 	p.gateway.Guard = quarantine.NewGuard(quarantine.NewTracker(), store, log, registry, bootclock.Now)
 	if b.KeysRevoked > 0 {
--- a/internal/coordination/contextcache/order.go
+++ b/internal/coordination/contextcache/order.go
@@ -19,7 +19,7 @@
 
 // accept reports whether a change is to be applied, and records it if so.
 func (o *changeOrder) accept(c Change) bool {
-	if o.isOvertaken(c) {
+	if o.latestNumber(c.Segment) > c.Number {
 		return false
 	}
 	if len(o.latest) >= orderWindow {
@@ -35,12 +35,13 @@
 	return true
 }
 
-// isOvertaken reports whether a later change of the segment has been applied.
-func (o *changeOrder) isOvertaken(c Change) bool {
-	for _, numbers := range []map[SegmentKey]int64{o.latest, o.previous} {
-		if number, ok := numbers[c.Segment]; ok && number > c.Number {
-			return true
-		}
+// latestNumber returns the number of the latest known change of a segment, -1 if none is known.
+func (o *changeOrder) latestNumber(key SegmentKey) int64 {
+	if number, ok := o.latest[key]; ok {
+		return number
 	}
-	return false
+	if number, ok := o.previous[key]; ok {
+		return number
+	}
+	return -1
 }
--- a/internal/coordination/contextcache/reports.go
+++ b/internal/coordination/contextcache/reports.go
@@ -118,24 +118,36 @@
 		t.Log.Info("report shows a new epoch of a store or engine", zap.String("address", r.Address), zap.Int64("epoch", r.Epoch), zap.Int64("before", s.epoch))
 		s.loadListing(Listing{Epoch: r.Epoch, Complete: map[SegmentKey]SegmentInfo{}}, asOf)
 	}
-	s.applyReport(r, asOf)
+	t.outOfOrder += int64(s.applyReport(r, asOf))
 }
 
-// applyReport applies the changes that are not known yet. Some may have lower numbers than the
-// next expected one: another reporter may have missed them, and a report that fills several
-// datagrams gives the same next number in each.
-func (s *store) applyReport(r Report, asOf time.Time) {
+// applyReport applies the changes that are not known yet, and returns how many of them had lower
+// numbers than the next expected one: another reporter may have missed them, and a report that
+// fills several datagrams gives the same next number in each.
+func (s *store) applyReport(r Report, asOf time.Time) (outOfOrder int) {
 	for _, c := range r.Changes {
 		// A removal that comes late is applied: at worst a segment that is held counts as missing.
-		if c.Number >= s.floor || !c.Added {
-			s.applyChange(c)
+		if s.latestNumber(c.Segment) >= c.Number || c.Number < s.floor && c.Added {
+			continue
+		}
+		if c.Number < s.next {
+			outOfOrder++
 		}
+		s.applyChange(c)
 	}
 	s.known = true
 	s.next = max(s.next, r.Next)
 	if asOf.After(s.lastAnswer) {
 		s.lastAnswer = asOf
 	}
+	return outOfOrder
+}
+
+// OutOfOrderChanges returns how many reported changes were new although later ones were known.
+func (t *Tracker) OutOfOrderChanges() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outOfOrder
 }
 
 // queueUnsent queues changes for the other processes if this process reports the store;
--- a/internal/coordination/contextcache/tracker.go
+++ b/internal/coordination/contextcache/tracker.go
@@ -60,6 +60,8 @@
 	peers                    []string
 	reporterCache, reporting map[string]bool
 	endpointClock            endpointClock
+	// outOfOrder counts the changes that OutOfOrderChanges returns.
+	outOfOrder int64
 }
 
 // NewTracker returns a tracker without stores and engines.
