routing: first tokens are expected by a fixed time and a rate, and by the slowdown that endpoints report

Long prompts were refused for waits that would not have come.

Cause: the time that every first token takes (the way, the connection, the step) was counted as time for each token of the prompts that sample an engine's rate, and not at all for short prompts. The reported slowdown and the time of plain calls were part of no estimate.

The fixed time is learned from prompts of few tokens and taken off the samples of the rate. Plain calls have a mean time, one for a service.

--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,7 +52,9 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
-	random     *rand.Rand
+	// callTimes holds the mean times of plain calls by service.
+	callTimes map[string]*callTime
+	random    *rand.Rand
 }
 
 // NewDirectory returns a directory over a fleet table and a configuration. The
@@ -63,7 +65,7 @@
 		table: table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
-		modelRates: map[string]*modelRate{}, random: rand.New(rand.NewPCG(seed, seed)),
+		modelRates: map[string]*modelRate{}, callTimes: map[string]*callTime{}, random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -164,6 +166,7 @@
 		}
 	}
 	d.removeIdlePeerWork()
+	d.removeUnusedCallTimes()
 }
 
 // removeIdlePeerWork removes the sums of unknown endpoints without work.
@@ -206,6 +209,8 @@
 	LinkRate int
 	// CountsOnly is set if its reports hold counts of requests, but no tokens.
 	CountsOnly bool
+	// PlainService names the service whose plain calls it serves, empty if it runs a model.
+	PlainService string
 }
 
 // SetProperties sets the properties of an endpoint. Unknown members are ignored.
@@ -218,6 +223,10 @@
 		return
 	}
 	t.Slots, t.MemoryTokens, t.CountsOnly = p.Slots, p.MemoryTokens, p.CountsOnly
+	t.CallTime = nil
+	if p.PlainService != "" {
+		t.CallTime = d.callTimeOf(p.PlainService)
+	}
 	if t.Load.PrefillRate == 0 {
 		t.assumedRate = float64(p.PrefillRate)
 		t.Load.PrefillRate, t.Load.LinkRate = p.PrefillRate, p.LinkRate
@@ -278,7 +287,9 @@
 	seen       bool
 	heldTokens int
 	chosenAt   time.Time
-	prefill    *prefill
+	// slowdown is how many times as long as usual the work was expected to take.
+	slowdown float64
+	prefill  *prefill
 }
 
 // prefill is the computation of a run's prompt, until its answer begins.
@@ -286,8 +297,13 @@
 	// tokens are to be computed for the prompt and queuedTokens before them, as expected
 	// by the decision.
 	tokens, queuedTokens int
-	urgency              int
-	done                 bool
+	// otherWait is the part of the expected time to the first token that depends neither on these
+	// tokens nor on the model: transfers, slots, memory and the way.
+	otherWait time.Duration
+	urgency   int
+	done      bool
+	// answered is set once a first token has come: the run is a stream.
+	answered bool
 }
 
 // Choose picks an endpoint for a request to a service and counts the request as sent.
@@ -343,12 +359,15 @@
 	e.Running++
 	e.HeldTokens += r.HeldTokens
 	pending := &prefill{tokens: decision.WorkTokens, queuedTokens: e.queuedTokens(r.Urgency), urgency: r.Urgency}
+	usual := e.fixedTime() + e.usualCallTime() + seconds(float64(pending.tokens)/e.prefillRate())
+	slowdown := e.slowdown(r.Now, usual)
+	pending.otherWait = decision.TTFT - time.Duration(slowdown*float64(usual+seconds(float64(pending.queuedTokens)/e.prefillRate())))
 	e.Unread[r.Urgency] += decision.WorkTokens
 	d.tracked[e.ID].recordSend(decision.WorkTokens, r.Now)
 	e.Pushback.RecordSend(r.Now)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
-		heldTokens: r.HeldTokens, chosenAt: r.Now, LoadSnapshot: snapshot, prefill: pending,
+		heldTokens: r.HeldTokens, chosenAt: r.Now, slowdown: slowdown, LoadSnapshot: snapshot, prefill: pending,
 	}
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -87,12 +87,15 @@
 	if imported > 0 {
 		transfer = r.transferTime(e, cached, imported)
 	}
-	work := float64(recomputed) / e.prefillRate()
-	insertion := r.insertionCost(cached) / e.prefillRate()
+	usual := e.fixedTime() + e.usualCallTime() + seconds(float64(recomputed)/e.prefillRate())
+	slowdown := e.slowdown(r.Now, usual)
+	rate := e.prefillRate() / slowdown
+	work := float64(recomputed) / rate
+	insertion := r.insertionCost(cached) / rate
 	// An import proceeds while the engine works through its queue.
-	queue := seconds(float64(e.queuedTokens(r.Urgency)) / e.prefillRate())
-	slot := e.slotWait(r.Now)
-	ttft := max(transfer, queue) + seconds(work) + slot + e.memoryWait(r, r.HeldTokens) + e.overhead(r)
+	queue := seconds(float64(e.queuedTokens(r.Urgency)) / rate)
+	slot := time.Duration(slowdown * float64(e.slotWait(r.Now)))
+	ttft := max(transfer, queue) + time.Duration(slowdown*float64(usual)) + slot + e.memoryWait(r, r.HeldTokens) + e.overhead(r)
 	late := latenessCost(ttft, r)
 	capacityWait := slot + e.memoryWait(r, r.meanHeldTokens())
 	// A delay that the request causes to others weighs as much as its own waiting.
--- a/internal/coordination/routing/outcome.go
+++ b/internal/coordination/routing/outcome.go
@@ -14,7 +14,13 @@
 		return
 	}
 	t.finishPrefill(c)
-	t.observePrefillRate(c.prefill.tokens+c.prefill.queuedTokens, now.Sub(c.chosenAt))
+	c.prefill.answered = true
+	tokens, took := c.prefill.tokens+c.prefill.queuedTokens, time.Duration(float64(now.Sub(c.chosenAt)-c.prefill.otherWait)/c.slowdown)
+	if t.CountsOnly && t.CallTime == nil {
+		t.ModelRate.observeFixed(tokens, took)
+		took -= t.ModelRate.fixed
+	}
+	t.observePrefillRate(tokens, took)
 }
 
 // finishPrefill subtracts a run's prompt from the unread tokens, once.
@@ -52,6 +58,8 @@
 type modelRate struct {
 	// mean is in tokens per second, 0 before the first observation.
 	mean float64
+	// fixed is the mean time to the first token of a prompt without tokens to compute.
+	fixed time.Duration
 }
 
 func (r *modelRate) observe(assumed, observed float64) {
@@ -73,10 +81,13 @@
 // observePrefillRate updates an engine's prefill rate with the time that it took to compute
 // tokens. The rate of a busy engine includes what it does between the chunks of a prompt.
 func (t *trackedEndpoint) observePrefillRate(tokens int, took time.Duration) {
-	if !t.CountsOnly || tokens < minRateSampleTokens || took <= 0 || t.assumedRate == 0 {
+	if !t.CountsOnly || tokens < minRateSampleTokens || t.assumedRate == 0 {
 		return
 	}
-	observed := float64(tokens) / took.Seconds()
+	observed := t.assumedRate * maxRateFactor
+	if took > 0 {
+		observed = float64(tokens) / took.Seconds()
+	}
 	observed = max(observed, t.assumedRate/maxRateFactor)
 	observed = min(observed, t.assumedRate*maxRateFactor)
 	t.Load.PrefillRate = int(harmonicMean(float64(t.Load.PrefillRate), observed, rateSampleWeight))
@@ -125,6 +136,7 @@
 	if !failed {
 		t.failures, t.ejections = 0, 0
 		t.observeRunTime(now.Sub(c.chosenAt))
+		t.observeCallTime(c, now.Sub(c.chosenAt))
 		return
 	}
 	t.failures++
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -107,6 +107,8 @@
 	MemoryTokens, HeldTokens int
 	// RunTime is the moving average of how long whole runs take.
 	RunTime time.Duration
+	// CallTime is the mean time of the plain calls of the endpoint's service, nil if it runs a model.
+	CallTime *callTime
 	// Unread is the prompt tokens, by urgency, of this process's runs that have not
 	// begun to answer. It replaces the reported queue where reports hold no tokens.
 	Unread [UrgencyLevels]int
--- a/internal/coordination/routing/tracked.go
+++ b/internal/coordination/routing/tracked.go
@@ -128,6 +128,8 @@
 	// counts the runs that this process sent since then, and Own all its runs there.
 	Running, Queued, Sent, Own int
 	LoadAge                    time.Duration
+	// Slowdown is how many times as long as usual work took there by that report, 0 if it did not say.
+	Slowdown float64
 	// HeldTokens is the engine memory that this process's runs occupy.
 	HeldTokens int
 	// PeerRunning and PeerUnread count the runs and the unread prompt tokens that other
@@ -144,7 +146,7 @@
 }
 
 func (t *trackedEndpoint) snapshot(now time.Time) LoadSnapshot {
-	s := LoadSnapshot{Running: t.Load.Running, Queued: t.Load.Queued, Sent: t.SentRuns, Own: t.Running, HeldTokens: t.HeldTokens}
+	s := LoadSnapshot{Running: t.Load.Running, Queued: t.Load.Queued, Sent: t.SentRuns, Own: t.Running, HeldTokens: t.HeldTokens, Slowdown: t.Load.Slowdown}
 	if t.loadTakenMS != 0 {
 		s.LoadAge = now.Sub(time.UnixMilli(t.loadTakenMS).Add(t.clockOffset))
 	}
