gateway: the error of estimates is a metric, and the request log tells the reported slowdown

Expected against actual time was in the request log only, line by line. Two timers for each kind of request say by how much answers come later or earlier than expected, and a counter how many missed by more than half of their objective: by then the choice of the endpoint may have decided whether they were on time.

--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -42,6 +42,9 @@
 	Sent      int   `json:"sent"`
 	Own       int   `json:"own"`
 	LoadAgeMS int64 `json:"load_age_ms"`
+	// Slowdown is how many times as long as usual work took there by that report, omitted if it did
+	// not say.
+	Slowdown float64 `json:"slowdown,omitempty"`
 	// PeerRunning counts the runs that other processes reported in flight there, PeerUnread the
 	// prompt tokens of theirs that the endpoint has not read yet.
 	PeerRunning int `json:"peer_running"`
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"limpetwall/internal/coordination/admission"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/protocol/apierror"
@@ -221,7 +223,7 @@
 		Weights: c.Member.Endpoint.WeightVersion, SoftwareVersion: c.Member.Endpoint.SoftwareVersion, ExpectedMS: c.TTFT.Milliseconds(), CachedTokens: c.CachedTokens,
 		Imported: strings.Join(attempt.ImportFrom, ","), Saved: strings.Join(attempt.ExportTo, ","),
 		Running: c.LoadSnapshot.Running, Queued: c.LoadSnapshot.Queued, Sent: c.LoadSnapshot.Sent, Own: c.LoadSnapshot.Own,
-		LoadAgeMS: c.LoadSnapshot.LoadAge.Milliseconds(), PeerRunning: c.LoadSnapshot.PeerRunning, PeerUnread: c.LoadSnapshot.PeerUnread,
+		LoadAgeMS: c.LoadSnapshot.LoadAge.Milliseconds(), Slowdown: c.LoadSnapshot.Slowdown, PeerRunning: c.LoadSnapshot.PeerRunning, PeerUnread: c.LoadSnapshot.PeerUnread,
 	}
 	record.Reused, record.Answered = x.trace.Reused, x.trace.Answered
 	record.LeavingForMS, record.RestLeftMS = c.LoadSnapshot.LeavingFor.Milliseconds(), c.LoadSnapshot.RestLeft.Milliseconds()
@@ -241,6 +243,9 @@
 		record.Error = o.err.Error()
 	}
 	x.attempts = append(x.attempts, record)
+	if o.kind == delivered {
+		x.observeEstimate(c.TTFT, x.answerTime(started, now))
+	}
 	x.g.count("attempts." + o.kind.String())
 	if len(x.attempts) > 1 {
 		x.g.count("retries")
@@ -248,6 +253,28 @@
 	x.g.reportOutcome(c, o, now)
 }
 
+// answerTime returns the time that an attempt's estimate is about: until the first event of a stream,
+// until the end of a plain call.
+func (x *exchange) answerTime(started, now time.Time) time.Duration {
+	if x.firstEventAt.After(started) {
+		return x.firstEventAt.Sub(started)
+	}
+	return now.Sub(started)
+}
+
+// observeEstimate measures the error of an estimate. An estimate is off if it missed by more than half
+// of the route's objective: by less, it rarely decides whether an answer is on time.
+func (x *exchange) observeEstimate(expected, took time.Duration) {
+	name, missed := "estimates."+x.kind()+".answered_later", took-expected
+	if missed < 0 {
+		name, missed = "estimates."+x.kind()+".answered_earlier", -missed
+	}
+	metrics.GetOrRegisterTimer("gateway."+name, x.g.Metrics).Update(missed)
+	if objective := x.route.Objective; objective > 0 && missed > objective/2 {
+		x.g.count("estimates." + x.kind() + ".off")
+	}
+}
+
 // reportOutcome reports the outcome of an attempt to the directory. Attempts that this process or the
 // caller ended count neither as success nor as failure: an endpoint that hangs would stay in use if
 // each caller that gives up on it counted as a success.
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -53,6 +53,9 @@
 			properties.MemoryTokens = s.Engine.MemoryTokens
 			engine.TokenBytes, engine.LinkBytesPerSecond = s.Engine.TokenBytes, s.Engine.LinkBytesPerSecond
 		}
+		if i.Model == "" {
+			properties.PlainService = i.Service
+		}
 		if i.Model != "" {
 			engines[i.Address] = engine
 			endpoints[i.Address] = routing.HashID(i.ID)
