--- a/internal/coordination/routing/uneven_test.go
+++ b/internal/coordination/routing/uneven_test.go
@@ -139,6 +139,38 @@
 	}
 }
 
+// TestStoppedReportsOfEngineAreForgotten guards against shunning an engine for good whose reports stop
+// after it said that work takes four times as long there.
+func TestStoppedReportsOfEngineAreForgotten(t *testing.T) {
+	const engines, prompts = 4, 100
+	d, table := newDirectory(t, engines)
+	for _, m := range table.Members() {
+		d.SetProperties(m.ID, Properties{PrefillRate: 40_000, CountsOnly: true, Slots: 64}, epoch)
+	}
+	share := func(id string, now time.Time) float64 {
+		n := 0
+		for i := range prompts {
+			c := d.Choose("s", nil, &Request{
+				PromptTokens: 2000, SegmentsKnown: true, HoldingsKnown: true, PlacementHash: splitMix64(uint64(i)), PlacementHashKnown: true,
+				Now: now, Domain: "d", Objective: config.Objective{WeightTTFT: 1, TTFTMS: 400},
+			})
+			if c.Member.ID == id {
+				n++
+			}
+			d.Release(c)
+		}
+		return float64(n) / prompts
+	}
+	slow := table.Members()[0]
+	d.ObserveLoad(Choice{Member: slow}, fleet.Load{Slowdown: 4, AtMS: epoch.UnixMilli()}, epoch)
+	if got := share(slow.ID, epoch.Add(100*time.Millisecond)); got > 0.05 {
+		t.Errorf("share of the slow engine: got %.2f, want at most 0.05", got)
+	}
+	if got := share(slow.ID, epoch.Add(maxSlowdownAge+time.Millisecond)); got < 0.15 {
+		t.Errorf("share after its reports stopped: got %.2f, want about 0.25", got)
+	}
+}
+
 // TestRestartForgetsSlowdown guards against judging an endpoint that starts again under its id by what
 // its earlier incarnation reported.
 func TestRestartForgetsSlowdown(t *testing.T) {
