gateway, limpetctl: who is refused and why, by urgency and by customer

Operators saw refusals by code and route only: under overload they could not tell whether the least urgent requests were refused first, as they should be, nor whether one customer took the room of the others.

- Counters gateway.refusals.CODE.urgency_N, at most ten for each code.
- Gauges gateway.customer_share_percent.rank_1 to rank_5: which part of the answers of the last 10 s the customers with most of them got.
- Request lines have the urgency, and retry_after_ms where one is told.
- limpetctl summary lists requests, answers, refusals for load and otherwise and the shares of answers and prompt tokens by urgency and by customer (20 with most requests, the others in one line).

No decision uses any of it. The summary's golden file is unchanged: logs without these fields print as before.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -189,6 +189,9 @@
 		RequestLogLimiter: rate.NewLimiter(rate.Limit(*s.RequestLines), *s.RequestLines),
 	}
 	p.gateway.Directory.Pushback.Log = log
+	for rank := range gateway.ListedCustomerShares {
+		metrics.NewRegisteredFunctionalGauge(fmt.Sprintf("gateway.customer_share_percent.rank_%d", rank+1), registry, func() int64 { return p.gateway.CustomerSharePercent(rank) })
+	}
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_limited", registry, func() int64 { return int64(len(p.gateway.Directory.Pushback.Limited(time.Now()))) })
 	p.gateway.Guard = quarantine.NewGuard(quarantine.NewTracker(), store, log, registry, bootclock.Now)
 	if b.KeysRevoked > 0 {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,8 @@
 	weights atomic.Pointer[map[string]int64]
 	// requestSizes holds the mean size of each route's requests, in tokens.
 	requestSizes requestSizes
+	// customerShares measures which part of the answers each customer gets.
+	customerShares customerShares
 	// engineHashes maps the address of each engine to the hash of its instance ID.
 	engineHashes atomic.Pointer[map[string]uint64]
 	crashProbes  crashProbes
@@ -200,8 +203,13 @@
 	case endRefused:
 		outcome = e.refusal.Code
 		x.writeRefusal(e.refusal)
+		x.countRefusal(e.refusal.Code)
 	}
 	got := x.receiptFor(e)
+	isOverloaded := e.kind == endRefused && e.refusal.Code == apierror.CodeOverloaded
+	if x.customer != nil && (got == receipt.Answer || isOverloaded) {
+		x.g.observeShare(x.customer.Name, got == receipt.Answer)
+	}
 	x.logRequest(e.refusal, got)
 	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.startedAt)
@@ -219,6 +227,14 @@
 	metrics.GetOrRegisterCounter("gateway."+name, g.Metrics).Inc(1)
 }
 
+// countRefusal counts a refusal by its reason and the request's urgency, at most routes.MaxUrgencyLevel+1 counters for each
+// code. Requests that were refused before they had a service have no urgency.
+func (x *exchange) countRefusal(code string) {
+	if x.service != nil {
+		x.g.count("refusals." + code + ".urgency_" + strconv.Itoa(x.urgency.Level))
+	}
+}
+
 func (x *exchange) kind() string {
 	if x.route == nil {
 		return "unrouted"
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -104,6 +104,9 @@
 	if x.customer != nil {
 		fields = append(fields, zap.String("customer", x.customer.Name))
 	}
+	if x.service != nil {
+		fields = append(fields, zap.Int("urgency", x.urgency.Level))
+	}
 	if x.cachedFingerprint != nil {
 		fields = append(fields, zap.Stringer("fingerprint", *x.cachedFingerprint))
 	}
@@ -113,6 +116,9 @@
 	if refusal != nil {
 		fields = append(fields, zap.Int("status", refusal.Status), zap.String("code", refusal.Code),
 			zap.String("ran", string(refusal.Ran)), zap.String("reason", refusal.Message))
+		if refusal.Retry.AfterMS > 0 {
+			fields = append(fields, zap.Int64("retry_after_ms", refusal.Retry.AfterMS))
+		}
 	}
 	x.g.Log.Info("request", fields...)
 }
--- a/internal/operatorcli/summary.go
+++ b/internal/operatorcli/summary.go
@@ -7,11 +7,14 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"limpetwall/internal/protocol/apierror"
 )
 
 // requestLine is a request as its gateway logs it, as far as a summary needs it.
@@ -24,6 +27,8 @@
 	Code         string          `json:"code"`
 	Ran          string          `json:"ran"`
 	Reason       string          `json:"reason"`
+	Customer     string          `json:"customer"`
+	Urgency      *int            `json:"urgency"`
 	PromptTokens int64           `json:"prompt_tokens"`
 	StoredTokens int64           `json:"stored_tokens"`
 	Attempts     []attemptFields `json:"attempts"`
@@ -47,6 +52,78 @@
 	Requests   int            `json:"requests"`
 	Unreadable int            `json:"unreadable_lines"`
 	Routes     []*RouteTotals `json:"routes"`
+	// Urgencies and Customers say who was served and who was refused. Customers has the maxListedCustomers with most
+	// requests, and one entry for all others.
+	Urgencies []*GroupTotals `json:"urgencies"`
+	Customers []*GroupTotals `json:"customers"`
+}
+
+// maxListedCustomers bounds the customers in a summary; a large fleet has 1,500.
+const maxListedCustomers = 20
+
+// otherCustomers is the name of the entry for the customers that are not listed.
+const otherCustomers = "(others)"
+
+// GroupTotals are those of the requests of one customer, or of one urgency.
+type GroupTotals struct {
+	Name     string `json:"name"`
+	Requests int    `json:"requests"`
+	Answers  int    `json:"answers"`
+	// Overloaded counts the requests that were refused for load, Refused those refused for other reasons.
+	Overloaded int `json:"refused_for_load"`
+	Refused    int `json:"refused_otherwise"`
+	// AnswerTokens are the prompt tokens of its answers.
+	AnswerTokens int64 `json:"prompt_tokens_answered"`
+}
+
+func (t *GroupTotals) add(l requestLine) {
+	t.Requests++
+	switch {
+	case l.CallerGot == "answer":
+		t.Answers++
+		t.AnswerTokens += l.PromptTokens
+	case l.Code == apierror.CodeOverloaded:
+		t.Overloaded++
+	case l.CallerGot == "refusal":
+		t.Refused++
+	}
+}
+
+func (t *GroupTotals) merge(other *GroupTotals) {
+	t.Requests += other.Requests
+	t.Answers += other.Answers
+	t.Overloaded += other.Overloaded
+	t.Refused += other.Refused
+	t.AnswerTokens += other.AnswerTokens
+}
+
+// groups are totals by name.
+type groups map[string]*GroupTotals
+
+func (g groups) add(name string, l requestLine) {
+	if g[name] == nil {
+		g[name] = &GroupTotals{Name: name}
+	}
+	g[name].add(l)
+}
+
+// sorted returns the totals by their number of requests, the largest first.
+func (g groups) sorted() []*GroupTotals {
+	return slices.SortedFunc(maps.Values(g), func(a, b *GroupTotals) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// limit merges all but the first n of a list into one entry.
+func limit(list []*GroupTotals, n int) []*GroupTotals {
+	if len(list) <= n {
+		return list
+	}
+	rest := &GroupTotals{Name: otherCustomers}
+	for _, t := range list[n:] {
+		rest.merge(t)
+	}
+	return append(list[:n:n], rest)
 }
 
 // RouteTotals are those of one route's requests.
@@ -126,13 +203,15 @@
 
 // summarizer adds up requests line by line: the logs of a large fleet don't fit into memory.
 type summarizer struct {
-	hosts  map[string]bool
-	routes map[string]*RouteTotals
-	out    Summary
+	hosts     map[string]bool
+	routes    map[string]*RouteTotals
+	urgencies groups
+	customers groups
+	out       Summary
 }
 
 func newSummarizer() *summarizer {
-	return &summarizer{hosts: map[string]bool{}, routes: map[string]*RouteTotals{}}
+	return &summarizer{hosts: map[string]bool{}, routes: map[string]*RouteTotals{}, urgencies: groups{}, customers: groups{}}
 }
 
 func (s *summarizer) read(log io.Reader) error {
@@ -159,6 +238,12 @@
 		s.routes[name] = newRouteTotals(name)
 	}
 	s.routes[name].add(l)
+	if l.Urgency != nil {
+		s.urgencies.add(strconv.Itoa(*l.Urgency), l)
+	}
+	if l.Customer != "" {
+		s.customers.add(l.Customer, l)
+	}
 }
 
 // maxTime is the largest time that is distinguished.
@@ -250,6 +335,8 @@
 			return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Reason, b.Reason))
 		})
 	}
+	s.out.Urgencies = slices.SortedFunc(maps.Values(s.urgencies), func(a, b *GroupTotals) int { return cmp.Compare(a.Name, b.Name) })
+	s.out.Customers = limit(s.customers.sorted(), maxListedCustomers)
 	return s.out
 }
 
@@ -297,9 +384,36 @@
 			}
 		}
 	})
+	c.groupSection("Who was refused, by urgency (0 is served first)", "URGENCY", s.Urgencies)
+	c.groupSection("Who was refused, by customer", "CUSTOMER", s.Customers)
 	return ExitOK
 }
 
+// groupSection prints a table of groups; it omits one without rows.
+func (c *cli) groupSection(title, name string, list []*GroupTotals) {
+	if len(list) == 0 {
+		return
+	}
+	var all GroupTotals
+	for _, t := range list {
+		all.merge(t)
+	}
+	c.section(title, name+"\tREQUESTS\tANSWERED\tREFUSED FOR LOAD\tREFUSED OTHERWISE\tSHARE OF ANSWERS\tOF THEIR PROMPT TOKENS", func(w *tabwriter.Writer) {
+		for _, t := range list {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\n", t.Name, t.Requests, t.Answers, t.Overloaded, t.Refused,
+				part(int64(t.Answers), int64(all.Answers)), part(t.AnswerTokens, all.AnswerTokens))
+		}
+	})
+}
+
+// part returns n as a fraction of all, 0 if there are none.
+func part(n, all int64) float64 {
+	if all == 0 {
+		return 0
+	}
+	return float64(n) / float64(all)
+}
+
 // withPrompts returns the routes whose prompts were served.
 func (s Summary) withPrompts() []*RouteTotals {
 	return slices.DeleteFunc(slices.Clone(s.Routes), func(t *RouteTotals) bool { return t.Tokens.Prompts == 0 })
--- a/internal/operatorcli/summary_test.go
+++ b/internal/operatorcli/summary_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -83,3 +84,49 @@
 		}
 	}
 }
+
+// TestSummaryOfRefusals has thirty customers, one of which asks for half of everything: a summary must say whose requests were
+// refused and which part of the answers each gets, and its list of customers must stay short.
+func TestSummaryOfRefusals(t *testing.T) {
+	var log strings.Builder
+	line := func(customer string, urgency int, rest string) {
+		fmt.Fprintf(&log, `{"host":"front-a","msg":"request","route":"chat","customer":%q,"urgency":%d,"prompt_tokens":100,%s}`+"\n", customer, urgency, rest)
+	}
+	const answered, refused = `"caller_got":"answer"`, `"caller_got":"refusal","code":"overloaded"`
+	for i := range 30 {
+		line("large", 0, answered)
+		line("large", 1, refused)
+		line(fmt.Sprintf("small-%02d", i), 1, answered)
+	}
+	line("small-00", 1, `"caller_got":"refusal","code":"timeout"`)
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(log.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, code := runSummary(t, "-o", "json", path)
+	if code != ExitOK {
+		t.Fatalf("got exit %d: %s", code, errs)
+	}
+	var s Summary
+	if err := json.Unmarshal([]byte(out), &s); err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Customers) != maxListedCustomers+1 {
+		t.Fatalf("got %d customers listed, want %d and the others", len(s.Customers), maxListedCustomers)
+	}
+	for _, row := range []struct{ got, want GroupTotals }{
+		{*s.Customers[0], GroupTotals{Name: "large", Requests: 60, Answers: 30, Overloaded: 30, AnswerTokens: 3000}},
+		{*s.Customers[1], GroupTotals{Name: "small-00", Requests: 2, Answers: 1, Refused: 1, AnswerTokens: 100}},
+		{*s.Customers[maxListedCustomers], GroupTotals{Name: otherCustomers, Requests: 11, Answers: 11, AnswerTokens: 1100}},
+		{*s.Urgencies[0], GroupTotals{Name: "0", Requests: 30, Answers: 30, AnswerTokens: 3000}},
+		{*s.Urgencies[1], GroupTotals{Name: "1", Requests: 61, Answers: 30, Overloaded: 30, Refused: 1, AnswerTokens: 3000}},
+	} {
+		if row.got != row.want {
+			t.Errorf("got %+v, want %+v", row.got, row.want)
+		}
+	}
+	table, _, _ := runSummary(t, path)
+	if want := "large     60        30        30                0                  0.500             0.500"; !strings.Contains(table, want) {
+		t.Errorf("got\n%s\nwant the line %q", table, want)
+	}
+}
