--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -190,6 +190,9 @@
 	}
 	p.gateway.Directory.Pushback.Log = log
 	metrics.NewRegisteredFunctionalGauge("gateway.context_changes_out_of_order", registry, keeper.OutOfOrderChanges)
+	for rank := range gateway.ListedCustomerShares {
+		metrics.NewRegisteredFunctionalGauge(fmt.Sprintf("gateway.customer_share_percent.rank_%d", rank+1), registry, func() int64 { return p.gateway.CustomerSharePercent(rank) })
+	}
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_limited", registry, func() int64 { return int64(len(p.gateway.Directory.Pushback.Limited(time.Now()))) })
 	p.gateway.Guard = quarantine.NewGuard(quarantine.NewTracker(), store, log, registry, bootclock.Now)
 	if b.KeysRevoked > 0 {
