gateway: the longest pause of a stream is measured, logged and counted

Nothing in logs or metrics said why. A route's target_gap_ms and an engine's stride are decoded. The request line has the longest pause, its endpoint and what is unread and runs there; a histogram and a counter by route kind.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -163,6 +163,8 @@
 	lastFailure *bufferedAnswer
 	// stream records which part of a stream the caller has received.
 	stream streamState
+	// pauses records the pauses between the stream's events, over all attempts.
+	pauses pauseRecord
 	// relocation may move the run of the current attempt to another engine.
 	relocation *relocation
 	// bodyTimedOut is set if the body was incomplete at the request's deadline.
@@ -202,6 +204,7 @@
 		x.writeRefusal(e.refusal)
 	}
 	got := x.receiptFor(e)
+	x.countPauses()
 	x.logRequest(e.refusal, got)
 	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.startedAt)
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -95,6 +95,7 @@
 	if x.call.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", x.call.PromptTokens), zap.Int("stored_tokens", x.storedTokens))
 	}
+	fields = append(fields, x.pauses.logFields()...)
 	if x.table != nil {
 		fields = append(fields, zap.Uint64("config_version", x.table.Version))
 	}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -137,6 +137,7 @@
 				metrics.GetOrRegisterTimer("gateway.first_event", x.g.Metrics).UpdateSince(x.startedAt)
 			}
 		}
+		x.recordEvent(c, time.Now())
 		if quarantine.HasRunWell(time.Since(x.firstEventAt)) {
 			x.recordRanWell(x.firstEventAt)
 		}
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -44,6 +44,8 @@
 	// Timeout is the longest time until an answer is complete, Objective the time
 	// within which an answer (for a stream, its first event) is on time.
 	Timeout, Objective time.Duration
+	// MaxPause is the longest pause between the events of a stream that is on time, 0 for any.
+	MaxPause time.Duration
 	// MaxAttempts is the number of endpoints that one request may be sent to.
 	MaxAttempts int
 	// Priority 0 is the most urgent.
@@ -89,6 +91,8 @@
 	// LinkBytesPerSecond is the rate at which one server imports or exports context.
 	LinkBytesPerSecond int64
 	Models             []string
+	// EventTokens is how many tokens one event of a stream holds, 0 if unknown.
+	EventTokens int
 }
 
 // Store describes a context store.
