--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,6 +52,10 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
+	// readings is by service, with one entry for each whose prompts were read beside limited streams.
+	readings map[string]*reading
+	// pauseRisks is by service, with one entry for each that had a stream with a limit of its pauses.
+	pauseRisks map[string]*PauseRisk
 	random     *rand.Rand
 }
 
@@ -63,7 +67,7 @@
 		table: table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
-		modelRates: map[string]*modelRate{}, random: rand.New(rand.NewPCG(seed, seed)),
+		modelRates: map[string]*modelRate{}, pauseRisks: map[string]*PauseRisk{}, readings: map[string]*reading{}, random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -90,6 +94,7 @@
 		}
 		list := d.endpoints[service]
 		sort.Slice(list, func(i, j int) bool { return list[i].Hash < list[j].Hash })
+		rankByDomain(list)
 		d.capacity[service] = totalCapacity(list)
 		d.localEndpoints[service] = endpointsInDomain(list, d.table.Self().Domain)
 	}
@@ -326,6 +331,8 @@
 	if r.CrossDomainPenalty > 0 {
 		r.Local = d.localEndpoints[service]
 	}
+	r.PauseRisk = d.pauseRisks[service]
+	r.ReaderShare = d.readerShare(service)
 	decision := Decide(d.endpoints[service], r, d.random)
 	if decision.Endpoint == nil {
 		if decision.Refusal == RefusalPushback {
@@ -346,6 +353,7 @@
 	e.Unread[r.Urgency] += decision.WorkTokens
 	d.tracked[e.ID].recordSend(decision.WorkTokens, r.Now)
 	e.Pushback.RecordSend(r.Now)
+	d.recordReading(service, r, decision.WorkTokens)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
 		heldTokens: r.HeldTokens, chosenAt: r.Now, LoadSnapshot: snapshot, prefill: pending,
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -74,6 +74,9 @@
 	fleet.Member
 	// Hash is the HashID of the endpoint's id, its position on the hash ring.
 	Hash uint64
+	// Rank is the endpoint's place among those of its failure domain, from 0 to less than 1, in an order
+	// that is the same for all processes.
+	Rank float64
 	// MaxConcurrent bounds the runs from this process (0: no bound).
 	MaxConcurrent int
 	// ColdRate is the number of requests per second that the endpoint withstands while it is
