--- a/internal/coordination/gateway/pauses.go
+++ b/internal/coordination/gateway/pauses.go
@@ -37,15 +37,9 @@
 		return
 	}
 	metrics.GetOrRegisterTimer("gateway.longest_pause."+x.kind(), x.g.Metrics).Update(x.pauses.longest)
-	limit := x.maxPause()
-	if limit == 0 {
-		return
-	}
-	isLate := x.pauses.longest > limit
-	if isLate {
+	if limit := x.maxPause(); limit > 0 && x.pauses.longest > limit {
 		x.g.count("late_by_pause." + x.kind())
 	}
-	x.g.Directory.RecordPauses(x.service.Name, limit, isLate, x.pauses.during)
 }
 
 // maxPause returns the longest pause with which the answer is on time, 0 if there is no limit or the
@@ -68,11 +62,3 @@
 		zap.Int("pause_unread", p.during.UnreadTokens), zap.Float64("pause_slowdown", p.during.Slowdown),
 	}
 }
-
-// eventTokens returns how many tokens one event of an answer holds, 0 if that is not known.
-func (x *exchange) eventTokens() int {
-	if x.service.Engine == nil {
-		return 0
-	}
-	return x.service.Engine.EventTokens
-}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,11 +52,9 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
-	// readings is by service, with one entry for each whose prompts were read beside limited streams.
-	readings map[string]*reading
-	// pauseRisks is by service, with one entry for each that had a stream with a limit of its pauses.
-	pauseRisks map[string]*PauseRisk
-	random     *rand.Rand
+	// mixes is by service, with one entry for each that has limits of pauses.
+	mixes  map[string]*mix
+	random *rand.Rand
 }
 
 // NewDirectory returns a directory over a fleet table and a configuration. The
@@ -67,7 +65,7 @@
 		table: table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
-		modelRates: map[string]*modelRate{}, pauseRisks: map[string]*PauseRisk{}, readings: map[string]*reading{}, random: rand.New(rand.NewPCG(seed, seed)),
+		modelRates: map[string]*modelRate{}, mixes: map[string]*mix{}, random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -331,8 +329,7 @@
 	if r.CrossDomainPenalty > 0 {
 		r.Local = d.localEndpoints[service]
 	}
-	r.PauseRisk = d.pauseRisks[service]
-	r.ReaderShare = d.readerShare(service)
+	r.Parting = d.mixes[service].parting()
 	decision := Decide(d.endpoints[service], r, d.random)
 	if decision.Endpoint == nil {
 		if decision.Refusal == RefusalPushback {
@@ -353,7 +350,7 @@
 	e.Unread[r.Urgency] += decision.WorkTokens
 	d.tracked[e.ID].recordSend(decision.WorkTokens, r.Now)
 	e.Pushback.RecordSend(r.Now)
-	d.recordReading(service, r, decision.WorkTokens)
+	d.recordMix(service, r, decision.WorkTokens)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
 		heldTokens: r.HeldTokens, chosenAt: r.Now, LoadSnapshot: snapshot, prefill: pending,
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -65,13 +65,10 @@
 	// MaxPause is the longest pause between events with which the answer is on time, 0 if the answer
 	// has no limit or only one event.
 	MaxPause time.Duration
-	// PauseRisk is what long prompts do to the streams beside them, nil if that is not known.
-	// Directory sets it.
-	PauseRisk *PauseRisk
-	// EventTokens is how many tokens one event of an answer holds, 0 if unknown. ReaderShare is the share
-	// of endpoints that long prompts prefer, 0 if they prefer none. Directory sets it.
-	EventTokens int
-	ReaderShare float64
+	// OutputTokens is the most tokens that the answer has.
+	OutputTokens int
+	// Parting divides the endpoints between prompts and streams; the zero value does not. Directory sets it.
+	Parting Parting
 	// Domain is the failure domain of the deciding process.
 	Domain string
 	// Local are the endpoints of that domain, ordered by Hash; if nil, candidates are
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -145,6 +145,8 @@
 	ReasonPreferred    Reason = "home"
 	ReasonRandom       Reason = "random"
 	ReasonAll          Reason = "all"
+	// ReasonPart: the endpoint is preferred by requests that mostly read, or by those that mostly write.
+	ReasonPart Reason = "part"
 	// ReasonLimited: the endpoint limits its requests, and few processes may use it.
 	ReasonLimited Reason = "limited"
 )
@@ -329,6 +331,7 @@
 	for _, preferred := range preferredEndpoints(ring, r.PlacementHash) {
 		c.add(preferred, ReasonPreferred, r)
 	}
+	c.addOfPart(ring, r, random)
 	if len(r.Local) == 0 {
 		c.addRandom(endpoints, randomCandidates, r, random)
 	} else if !c.hasHealthy(r) {
