--- a/internal/coordination/routing/parting.go
+++ b/internal/coordination/routing/parting.go
@@ -19,10 +19,10 @@
 	// minMixSamples is from how many requests on a mix is used; with fewer, chance decides it.
 	minMixSamples = 50
 	// minPart is the least share of the endpoints of either part, so that neither is starved.
-	minPart = 0.2
+	minPart = 0.35
 	// readingPenalty and writingPenalty are what an endpoint of the other part costs, in multiples of the
 	// limit of a pause. A prompt makes several streams late, a stream at most itself.
-	readingPenalty = 1
+	readingPenalty = 0.5
 	writingPenalty = 0.25
 	// partCandidates is the number of candidates of the request's own part.
 	partCandidates = 3
