--- a/internal/coordination/gateway/pauses.go
+++ b/internal/coordination/gateway/pauses.go
@@ -37,9 +37,15 @@
 		return
 	}
 	metrics.GetOrRegisterTimer("gateway.longest_pause."+x.kind(), x.g.Metrics).Update(x.pauses.longest)
-	if limit := x.maxPause(); limit > 0 && x.pauses.longest > limit {
+	limit := x.maxPause()
+	if limit == 0 {
+		return
+	}
+	isLate := x.pauses.longest > limit
+	if isLate {
 		x.g.count("late_by_pause." + x.kind())
 	}
+	x.g.Directory.RecordPauses(x.service.Name, limit, isLate, x.pauses.during)
 }
 
 // maxPause returns the longest pause with which the answer is on time, 0 if there is no limit or the
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,9 +52,9 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
-	// mixes is by service, with one entry for each that has limits of pauses.
-	mixes  map[string]*mix
-	random *rand.Rand
+	// pauseRisks is by service, with one entry for each that had a stream with a limit of its pauses.
+	pauseRisks map[string]*PauseRisk
+	random     *rand.Rand
 }
 
 // NewDirectory returns a directory over a fleet table and a configuration. The
@@ -65,7 +65,7 @@
 		table: table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
-		modelRates: map[string]*modelRate{}, mixes: map[string]*mix{}, random: rand.New(rand.NewPCG(seed, seed)),
+		modelRates: map[string]*modelRate{}, pauseRisks: map[string]*PauseRisk{}, random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -92,7 +92,6 @@
 		}
 		list := d.endpoints[service]
 		sort.Slice(list, func(i, j int) bool { return list[i].Hash < list[j].Hash })
-		rankByDomain(list)
 		d.capacity[service] = totalCapacity(list)
 		d.localEndpoints[service] = endpointsInDomain(list, d.table.Self().Domain)
 	}
@@ -329,7 +328,7 @@
 	if r.CrossDomainPenalty > 0 {
 		r.Local = d.localEndpoints[service]
 	}
-	r.Parting = d.mixes[service].parting()
+	r.PauseRisk = d.pauseRisks[service]
 	decision := Decide(d.endpoints[service], r, d.random)
 	if decision.Endpoint == nil {
 		if decision.Refusal == RefusalPushback {
@@ -350,7 +349,6 @@
 	e.Unread[r.Urgency] += decision.WorkTokens
 	d.tracked[e.ID].recordSend(decision.WorkTokens, r.Now)
 	e.Pushback.RecordSend(r.Now)
-	d.recordMix(service, r, decision.WorkTokens)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
 		heldTokens: r.HeldTokens, chosenAt: r.Now, LoadSnapshot: snapshot, prefill: pending,
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -65,10 +65,9 @@
 	// MaxPause is the longest pause between events with which the answer is on time, 0 if the answer
 	// has no limit or only one event.
 	MaxPause time.Duration
-	// OutputTokens is the most tokens that the answer has.
-	OutputTokens int
-	// Parting divides the endpoints between prompts and streams; the zero value does not. Directory sets it.
-	Parting Parting
+	// PauseRisk is how often streams of the service are late by a pause, nil if that is not known.
+	// Directory sets it.
+	PauseRisk *PauseRisk
 	// Domain is the failure domain of the deciding process.
 	Domain string
 	// Local are the endpoints of that domain, ordered by Hash; if nil, candidates are
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -74,9 +74,6 @@
 	fleet.Member
 	// Hash is the HashID of the endpoint's id, its position on the hash ring.
 	Hash uint64
-	// Rank is the endpoint's place among those of its failure domain, from 0 to less than 1, in an order
-	// that is the same for all processes.
-	Rank float64
 	// MaxConcurrent bounds the runs from this process (0: no bound).
 	MaxConcurrent int
 	// ColdRate is the number of requests per second that the endpoint withstands while it is
@@ -145,8 +142,6 @@
 	ReasonPreferred    Reason = "home"
 	ReasonRandom       Reason = "random"
 	ReasonAll          Reason = "all"
-	// ReasonPart: the endpoint is preferred by requests that mostly read, or by those that mostly write.
-	ReasonPart Reason = "part"
 	// ReasonLimited: the endpoint limits its requests, and few processes may use it.
 	ReasonLimited Reason = "limited"
 )
@@ -331,7 +326,6 @@
 	for _, preferred := range preferredEndpoints(ring, r.PlacementHash) {
 		c.add(preferred, ReasonPreferred, r)
 	}
-	c.addOfPart(ring, r, random)
 	if len(r.Local) == 0 {
 		c.addRandom(endpoints, randomCandidates, r, random)
 	} else if !c.hasHealthy(r) {
