--- a/internal/coordination/gateway/pauses.go
+++ b/internal/coordination/gateway/pauses.go
@@ -37,25 +37,9 @@
 		return
 	}
 	metrics.GetOrRegisterTimer("gateway.longest_pause."+x.kind(), x.g.Metrics).Update(x.pauses.longest)
-	limit := x.maxPause()
-	if limit == 0 {
-		return
-	}
-	isLate := x.pauses.longest > limit
-	if isLate {
+	if limit := x.route.MaxPause; limit > 0 && x.pauses.longest > limit {
 		x.g.count("late_by_pause." + x.kind())
 	}
-	x.g.Directory.RecordPauses(x.service.Name, limit, isLate, x.pauses.during)
-}
-
-// maxPause returns the longest pause with which the answer is on time, 0 if there is no limit or the
-// answer has only one event.
-func (x *exchange) maxPause() time.Duration {
-	engine := x.service.Engine
-	if engine == nil || engine.EventTokens == 0 || x.call.OutputTokens <= engine.EventTokens {
-		return 0
-	}
-	return x.route.MaxPause
 }
 
 // logFields describes the longest pause in the log line of a request; nil if there was none.
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,8 +52,6 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
-	// pauseRisks is by service, with one entry for each that had a stream with a limit of its pauses.
-	pauseRisks map[string]*PauseRisk
 	random     *rand.Rand
 }
 
@@ -65,7 +63,7 @@
 		table: table, store: store, index: NewIndex(indexSize),
 		endpoints: map[string][]Endpoint{}, tracked: map[string]*trackedEndpoint{},
 		peers: map[uint64]peer{}, peerWork: map[uint32]*Work{}, reportingPeers: map[string]int{},
-		modelRates: map[string]*modelRate{}, pauseRisks: map[string]*PauseRisk{}, random: rand.New(rand.NewPCG(seed, seed)),
+		modelRates: map[string]*modelRate{}, random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -328,7 +326,6 @@
 	if r.CrossDomainPenalty > 0 {
 		r.Local = d.localEndpoints[service]
 	}
-	r.PauseRisk = d.pauseRisks[service]
 	decision := Decide(d.endpoints[service], r, d.random)
 	if decision.Endpoint == nil {
 		if decision.Refusal == RefusalPushback {
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -44,7 +44,6 @@
 			best = withImport
 		}
 	}
-	best.score += r.pauseCost(e, best.recomputed)
 	if e.Domain != r.Domain {
 		best.score += r.CrossDomainPenalty
 	}
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -62,12 +62,6 @@
 	// Urgency is 0 to 9; engines serve lower ones first.
 	Urgency   int
 	Objective config.Objective
-	// MaxPause is the longest pause between events with which the answer is on time, 0 if the answer
-	// has no limit or only one event.
-	MaxPause time.Duration
-	// PauseRisk is how often streams of the service are late by a pause, nil if that is not known.
-	// Directory sets it.
-	PauseRisk *PauseRisk
 	// Domain is the failure domain of the deciding process.
 	Domain string
 	// Local are the endpoints of that domain, ordered by Hash; if nil, candidates are
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -91,8 +91,6 @@
 	// LinkBytesPerSecond is the rate at which one server imports or exports context.
 	LinkBytesPerSecond int64
 	Models             []string
-	// EventTokens is how many tokens one event of a stream holds, 0 if unknown.
-	EventTokens int
 }
 
 // Store describes a context store.
