--- a/internal/coordination/routing/pauses_test.go
+++ b/internal/coordination/routing/pauses_test.go
@@ -20,7 +20,7 @@
 	restarted := c.Member
 	restarted.Incarnation, restarted.Version = 9, 2
 	table.Merge(restarted, now)
-	d.UsableMembers("s", now)
+	d.Choose("s", nil, &Request{PromptTokens: 500, Now: now})
 	if got := d.StreamLoad(c, now); got != (StreamLoad{}) {
 		t.Errorf("after a restart: got %+v, want nothing", got)
 	}
