--- a/internal/transport/fault/fault.go
+++ b/internal/transport/fault/fault.go
@@ -32,6 +32,8 @@
 	// RetryAfterMS rejects every call other than GET with status 503 and asks for rest, in
 	// milliseconds.
 	RetryAfterMS int `json:"retry_after_ms"`
+	// Noise answers every call with bytes that come until the caller closes; empty for none.
+	Noise Noise `json:"noise"`
 }
 
 // Injector applies faults to the HTTP handler of a stand-in.
@@ -113,6 +115,10 @@
 			http.Error(w, "injected outage", http.StatusServiceUnavailable)
 			return
 		}
+		if faults.Noise != "" {
+			faults.Noise.Answer(w)
+			return
+		}
 		if r.Method != http.MethodGet && in.consumeLostAnswer() {
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
