upstream: the head of an answer is bounded

Callers of an endpoint that answers with bytes without end waited until their deadlines, and a gateway held up to 1.2 GB of them. Cause: http.ReadResponse reads a head of any length, any number of lines and informational answers, for any time.

A head is awaited in the reader's buffer before it is parsed: 64 KB, 256 lines, 64 informational answers before the final one, 600 ms from its first byte (the time before that byte is the endpoint's to work in and stays unbounded; a gateway that was paused reads once more what has come). Beyond, or where the first bytes are no status line, the connection is closed and the attempt is broken, as any other: counted for ejection, sent elsewhere where the request may be repeated, else unknown. Bodies of foreign answers that are skipped get the same time.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -74,6 +74,8 @@
 	// writing is closed when the write of the current request ends; wrote is its error.
 	writing chan struct{}
 	wrote   error
+	// hasGrown is set if the reader has grown beyond readBuffer.
+	hasGrown bool
 }
 
 func newConn(c net.Conn) *conn {
@@ -157,24 +159,29 @@
 // endpoint may send a second answer to an earlier request late, and one caller would
 // otherwise get another's answer.
 func (c *conn) answer(r *Request) (*http.Response, error) {
-	if _, err := c.reader.Peek(1); err == io.EOF {
-		return nil, errors.Trace(io.ErrUnexpectedEOF)
-	} else if err != nil {
-		return nil, errors.Trace(err)
-	}
-	r.Trace.Answered = true
 	asked := &http.Request{Method: r.Method}
+	interim := 0
 	for skipped := 0; skipped <= maxForeign; {
-		resp, err := http.ReadResponse(c.reader, asked)
-		if err != nil {
+		// The time before the first byte of a head is the endpoint's to work in.
+		if _, err := c.reader.Peek(1); err == io.EOF {
+			return nil, errors.Trace(io.ErrUnexpectedEOF)
+		} else if err != nil {
 			return nil, errors.Trace(err)
 		}
+		r.Trace.Answered = true
+		resp, err := c.readHead(asked)
+		if err != nil {
+			return nil, err
+		}
 		switch resp.StatusCode / 100 {
 		case 0:
 			// net/http reads such a status and panics on writing it: the caller's connection
 			// would break without an answer, and the run would still be counted at the endpoint.
 			return nil, ErrForeign
 		case 1:
+			if interim++; interim > maxInterim {
+				return nil, errors.Annotate(ErrBadHead, "too many informational answers")
+			}
 			continue
 		}
 		if r.Matches(resp.Header, c.served == 1) {
@@ -184,13 +191,20 @@
 		if resp.Close {
 			break
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBody)); err != nil || n == maxForeignBody {
+		if !c.discard(resp.Body) {
 			break
 		}
 	}
 	return nil, ErrForeign
 }
 
+// discard reads the body of a foreign answer to its end, and reports whether it came within its bounds.
+func (c *conn) discard(body io.Reader) bool {
+	c.SetReadDeadline(time.Now().Add(foreignTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBody))
+	return err == nil && n < maxForeignBody && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // keepAlive returns how long an endpoint keeps an idle connection.
 func keepAlive(h http.Header, standard time.Duration) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- /dev/null
+++ b/internal/transport/upstream/head.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Bounds of an answer's head. An endpoint may send bytes that are no answer, without end.
+const (
+	// maxHeadBytes is four times what callers may usually send in a head.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the header fields, each of which takes many times its bytes in memory.
+	maxHeadLines = 256
+	// maxInterim is the number of informational answers before a final one: one a second for a minute, as a sign of
+	// life during a long prompt.
+	maxInterim = 64
+	// headTimeout is the time from the first byte of a head to its end. Endpoints write a head at once, and a lost
+	// segment is sent again after 200 and 400 ms. The time before the first byte, in which the endpoint is at work, is
+	// not bounded here.
+	headTimeout = 600 * time.Millisecond
+	// lateRead is the time to read what arrived before the timeout but was not read, as this process was paused.
+	lateRead = 50 * time.Millisecond
+	// foreignTimeout bounds reading the body of a foreign answer that is skipped.
+	foreignTimeout = headTimeout
+)
+
+// ErrBadHead means that what arrived is not the head of an answer or exceeds the bounds of one.
+const ErrBadHead = errors.ConstError("answer has no proper head")
+
+var httpPrefix = []byte("HTTP/")
+
+// readHead reads the head of one answer, whose first byte has arrived, within the bounds. The body is then read
+// from c.reader.
+func (c *conn) readHead(asked *http.Request) (*http.Response, error) {
+	if err := c.awaitHead(); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, asked)
+	return resp, errors.Trace(err)
+}
+
+// awaitHead waits until c.reader has buffered a whole head.
+func (c *conn) awaitHead() error {
+	var head headScan
+	var deadline time.Time
+	for isLate := false; ; {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		isWhole, err := head.scan(buffered)
+		switch {
+		case err != nil:
+			return err
+		case isWhole && deadline.IsZero():
+			return nil
+		case isWhole:
+			return errors.Trace(c.SetReadDeadline(time.Time{}))
+		case isLate:
+			return errors.Annotate(ErrBadHead, "its end is late")
+		}
+		if deadline.IsZero() {
+			deadline = time.Now().Add(headTimeout)
+			c.SetReadDeadline(deadline)
+		}
+		if len(buffered) == c.reader.Size() {
+			c.growReader(buffered)
+		}
+		_, err = c.reader.Peek(len(buffered) + 1)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			isLate = true
+			c.SetReadDeadline(time.Now().Add(lateRead))
+			c.reader.Peek(len(buffered) + 1)
+		case err == io.EOF:
+			return errors.Trace(io.ErrUnexpectedEOF)
+		case err != nil:
+			return errors.Trace(err)
+		}
+	}
+}
+
+// growReader replaces a reader whose buffer is full by one that holds the longest head allowed.
+func (c *conn) growReader(buffered []byte) {
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn)
+	c.reader = bufio.NewReaderSize(rest, maxHeadBytes)
+	c.reader.Peek(len(buffered))
+	c.hasGrown = true
+}
+
+// headScan looks for the end of a head in its first bytes, and checks its bounds.
+type headScan struct {
+	// scanned bytes are whole lines.
+	scanned, lines int
+}
+
+// scan reports whether buffered, which begins with what was scanned before, holds a whole head.
+func (s *headScan) scan(buffered []byte) (isWhole bool, err error) {
+	if n := min(len(buffered), len(httpPrefix)); !bytes.Equal(buffered[:n], httpPrefix[:n]) {
+		return false, errors.Annotate(ErrBadHead, "it does not begin with a status line")
+	}
+	for {
+		length := bytes.IndexByte(buffered[s.scanned:], '\n') + 1
+		if length == 0 {
+			break
+		}
+		line := buffered[s.scanned : s.scanned+length]
+		s.scanned += length
+		if s.lines++; s.lines > maxHeadLines+2 {
+			return false, errors.Annotate(ErrBadHead, "too many header lines")
+		}
+		if len(line) == 1 || (len(line) == 2 && line[0] == '\r') {
+			return true, nil
+		}
+	}
+	if len(buffered) >= maxHeadBytes {
+		return false, errors.Annotate(ErrBadHead, "too many bytes")
+	}
+	return false, nil
+}
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -104,7 +104,7 @@
 
 func checkReusable(head *http.Response, c *conn) error {
 	c.idleFor = keepAlive(head.Header, standardIdle+idleMargin) - idleMargin
-	if head.Close || c.idleFor <= 0 {
+	if head.Close || c.idleFor <= 0 || c.hasGrown {
 		return errNotReusable
 	}
 	return nil
@@ -128,7 +128,8 @@
 	r.conn = nil
 	// The end of the request's context must not close a connection that the next request uses.
 	alive := r.stop()
-	if err != io.EOF || r.err != nil || !alive || !c.isWritten() {
+	// Bytes behind the body belong to no request.
+	if err != io.EOF || r.err != nil || !alive || !c.isWritten() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
@@ -201,14 +202,15 @@
 	}
 }
 
-// Sweep closes connections that have been idle too long.
+// Sweep closes connections that have been idle too long, that their endpoints closed or on which bytes came that
+// belong to no request.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) >= c.idleFor {
+			if !c.isUsable(now) {
 				c.Close()
 				continue
 			}
