--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -26,6 +26,7 @@
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/exposition"
 	"limpetwall/internal/transport/hostlist"
+	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/rpc"
 	"limpetwall/internal/transport/settings"
@@ -185,7 +186,7 @@
 		advertise = listener.Addr().String()
 	}
 	logger = logger.With(zap.String("process", b.ID))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: httpjson.BoundHead(&http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute})}
 	p := &base{
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
 		api: objectapi.NewClient(b.ObjectAPI, client), pool: rpc.NewPool(clientTLS),
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -31,6 +31,7 @@
 	"limpetwall/internal/transport/bootclock"
 	"limpetwall/internal/transport/boundedqueue"
 	"limpetwall/internal/transport/exposition"
+	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/logging"
 	"limpetwall/internal/transport/settings"
@@ -157,7 +158,7 @@
 	registry := metrics.NewRegistry()
 	storeClient := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	observePushback := func(address string, s pushback.Signal) { p.gateway.ObservePushback(address, s) }
-	contextTransport := &platform.PushbackTransport{Next: &http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}, Observe: observePushback}
+	contextTransport := &platform.PushbackTransport{Next: httpjson.BoundHead(&http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}), Observe: observePushback}
 	keeper := contextcache.NewTracker(platform.NewContextStores(contextTransport), log, self.Domain, bootclock.Now)
 	keeper.Self, keeper.Regions = hostOf(s.Platform.Clients), s.Platform.Regions
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
@@ -170,7 +171,7 @@
 	state.EntryLifetime = entryHeartbeats * b.Heartbeat
 	keeper.OnEngineStart = state.ObserveStartByAddress
 	storeDialer := upstream.Dialer{Connect: storeConnect, Silence: silence}
-	storeTransport := &http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true}
+	storeTransport := httpjson.BoundHead(&http.Transport{DialContext: storeDialer.Dial, MaxIdleConnsPerHost: 8, DisableCompression: true})
 	store := platform.NewStore(s.Platform.Store, storeTransport)
 	store.Log = log
 	watcher := &discovery.Watcher{
@@ -197,7 +198,7 @@
 	}
 	p.clients = ingress.New(p.gateway, ingress.Config{Log: log, Metrics: registry})
 	engines := platform.NewEngines(&platform.PushbackTransport{
-		Next: &http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}, Observe: observePushback,
+		Next: httpjson.BoundHead(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}), Observe: observePushback,
 	})
 	director := p.director(state, store, engines)
 	director.IsResting, keeper.RestLeft = p.gateway.IsResting, p.gateway.RestLeft
--- a/internal/coordination/contexttransfer/mover.go
+++ b/internal/coordination/contexttransfer/mover.go
@@ -15,6 +15,7 @@
 	"limpetwall/internal/state/residency"
 	"limpetwall/internal/transport/boundedqueue"
 	"limpetwall/internal/transport/engine"
+	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/kvstore"
 )
 
@@ -66,7 +67,7 @@
 
 // HTTPStore opens stores through their HTTP adapter.
 func HTTPStore() OpenStore {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: httpjson.BoundHead(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})}
 	return func(url string) kvstore.Store { return kvstore.NewClient(url, client) }
 }
 
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -41,8 +41,8 @@
 // errEmptyStream is returned when the connection ends a stream that is not delimited otherwise before its first event.
 const errEmptyStream = errors.ConstError("stream ended before its first event")
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the size of one event of a stream: what a gateway keeps of each of its streams.
+const maxEventBytes = 256 << 10
 
 // streamAttempt makes an attempt whose answer is a stream. Each event is forwarded as soon as it is
 // complete, and only once. An attempt after a broken one resumes after the last event forwarded.
--- a/internal/operatorcli/main.go
+++ b/internal/operatorcli/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"limpetwall/internal/state/finding"
+	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/settings"
 )
 
@@ -162,6 +163,9 @@
 	return options, positional
 }
 
+// maxAnswer bounds an entry's answer, in bytes.
+const maxAnswer = 16 << 20
+
 // call sends a request to the entry and decodes an answer of an accepted status.
 func (c *cli) call(method, path string, in, out any, accept ...int) (int, error) {
 	var body io.Reader
@@ -177,13 +181,13 @@
 		return 0, err
 	}
 	r.Header.Set("Authorization", "Bearer "+*c.key)
-	client := &http.Client{Timeout: 30 * time.Second}
+	client := &http.Client{Timeout: 30 * time.Second, Transport: httpjson.BoundHead(&http.Transport{})}
 	resp, err := client.Do(r)
 	if err != nil {
 		return 0, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return resp.StatusCode, err
 	}
--- a/internal/operatorcli/quarantines.go
+++ b/internal/operatorcli/quarantines.go
@@ -11,6 +11,7 @@
 	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/state/finding"
 	"limpetwall/internal/state/fingerprint"
+	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/platform"
 )
@@ -30,7 +31,7 @@
 		if *address == "" {
 			return nil
 		}
-		return platform.NewStore(*address, &http.Transport{})
+		return platform.NewStore(*address, httpjson.BoundHead(&http.Transport{}))
 	}
 }
 
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -14,8 +14,12 @@
 	"limpetwall/internal/transport/httpjson"
 )
 
-// maxEventLine bounds one line of an answer stream, in bytes.
-const maxEventLine = 1 << 20
+const (
+	// maxEventLine bounds one line of an answer stream, in bytes.
+	maxEventLine = 1 << 20
+	// maxBlock bounds the body of an answer, in bytes; a block's content is the largest.
+	maxBlock = 64 << 20
+)
 
 // Client is the HTTP adapter: JSON calls, answers as one JSON event a line.
 type Client struct {
@@ -24,7 +28,7 @@
 
 // NewClient returns an adapter for the engine at base ("http://ip:port").
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{calls: httpjson.Client{Base: base, HTTP: client}}
+	return &Client{calls: httpjson.Client{Base: base, HTTP: client, MaxBody: maxBlock}}
 }
 
 var _ Engine = (*Client)(nil)
--- a/internal/transport/httpjson/httpjson.go
+++ b/internal/transport/httpjson/httpjson.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -13,9 +14,22 @@
 	"github.com/juju/errors"
 )
 
-// maxResponseSize limits a response body, in bytes. A value of the platform is at
-// most 1 MB, but a list contains many.
-const maxResponseSize = 64 << 20
+const (
+	// MaxHead bounds the head of a response with all informational ones before it, in bytes.
+	MaxHead = 64 << 10
+	// defaultMaxBody bounds a response body, in bytes: a page of the platform's lists, and what a kept store lists of
+	// 300,000 parts.
+	defaultMaxBody = 16 << 20
+)
+
+// ErrTooLarge is returned for a response body beyond the client's bound.
+const ErrTooLarge = errors.ConstError("response body is too large")
+
+// BoundHead bounds the heads that a transport reads. A server may send bytes that are no answer, without end.
+func BoundHead(t *http.Transport) *http.Transport {
+	t.MaxResponseHeaderBytes = MaxHead
+	return t
+}
 
 // ErrNotSent is returned when no connection was made, so that the call had no effect.
 const ErrNotSent = errors.ConstError("request was not sent")
@@ -36,6 +50,8 @@
 type Client struct {
 	Base string
 	HTTP *http.Client
+	// MaxBody bounds a response body in bytes; 0 is a bound that fits lists.
+	MaxBody int64
 }
 
 // Do sends in as JSON and decodes the response into out; either may be nil. It returns
@@ -58,7 +74,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	data, err := readBody(resp.Body, cmp.Or(c.MaxBody, defaultMaxBody))
 	if err != nil {
 		return resp.Header, errors.Annotatef(err, "reading answer of %s %s", method, path)
 	}
@@ -68,6 +84,15 @@
 	return resp.Header, errors.Annotatef(json.Unmarshal(data, out), "answer of %s %s", method, path)
 }
 
+// readBody reads a body to its end, which must come within limit bytes.
+func readBody(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrTooLarge
+	}
+	return data, err
+}
+
 // DoStream is like Do, but returns the response, for a body that is read as a stream.
 // The caller closes the body.
 func (c *Client) DoStream(ctx context.Context, method, path string, in any) (*http.Response, error) {
--- a/internal/transport/kvstore/kvstore.go
+++ b/internal/transport/kvstore/kvstore.go
@@ -61,9 +61,12 @@
 	calls httpjson.Client
 }
 
+// maxPart bounds the body of an answer, in bytes; a part's content is the largest.
+const maxPart = 64 << 20
+
 // NewClient returns an adapter for the store at base ("http://ip:port").
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{calls: httpjson.Client{Base: base, HTTP: client}}
+	return &Client{calls: httpjson.Client{Base: base, HTTP: client, MaxBody: maxPart}}
 }
 
 var _ Store = (*Client)(nil)
--- a/internal/transport/plainservice/plainservice.go
+++ b/internal/transport/plainservice/plainservice.go
@@ -10,6 +10,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"limpetwall/internal/transport/httpjson"
 )
 
 // Errors of the port.
@@ -57,7 +59,7 @@
 // the answer, and a booking would run twice. Without keep-alive there is none
 // to break.
 func NewTransport() *http.Transport {
-	return &http.Transport{DisableKeepAlives: true}
+	return httpjson.BoundHead(&http.Transport{DisableKeepAlives: true})
 }
 
 // NewClient returns an adapter for the service at base ("http://ip:port") that calls it through a
