routing: an endpoint within the wait that is allowed goes before a cheaper one beyond it

Cause: a holder of the prompt's context saves up to 1.7 s of cost for its computation, so it was chosen with a long queue, and the request was then refused for the wait there. A choice with a wait beyond what the request may wait now ranks behind all within it. The first new row of TestDecide failed before.

--- a/internal/coordination/admission/accept.go
+++ b/internal/coordination/admission/accept.go
@@ -33,17 +33,21 @@
 	minRetryAfter = 200 * time.Millisecond
 )
 
-// Accept reports whether a request should be sent, and if not, after what time its
-// caller should retry.
-func Accept(c Candidate) (ok bool, retryAfter time.Duration) {
+// MaxWait returns the longest time that a request may wait for an endpoint to start on it.
+func (c Candidate) MaxWait() time.Duration {
 	objective := c.Objective
 	if objective <= 0 {
 		// Without an objective, an answer is on time while its caller still waits.
 		objective = c.TimeLeft
 	}
 	waitFraction := mostUrgentWaitFraction + c.PriorityRank*(leastUrgentWaitFraction-mostUrgentWaitFraction)
-	maxWait := time.Duration(waitFraction * float64(objective))
-	if c.Wait <= maxWait && c.TTFT < c.TimeLeft {
+	return time.Duration(waitFraction * float64(objective))
+}
+
+// Accept reports whether a request should be sent, and if not, after what time its
+// caller should retry.
+func Accept(c Candidate) (ok bool, retryAfter time.Duration) {
+	if c.Wait <= c.MaxWait() && c.TTFT < c.TimeLeft {
 		return true, 0
 	}
 	retryAfter = time.Duration(retryAfterFraction * float64(c.Wait)).Round(time.Millisecond)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -131,6 +131,9 @@
 		return last.next.choice
 	}
 	request.Now = time.Now()
+	if x.canRefuseForWait() {
+		request.MaxWait = x.admissionCandidate().MaxWait()
+	}
 	if origin := x.stream.origin; origin != nil {
 		request.SoftwarePinned, request.SoftwareVersion = true, origin.Version
 	}
@@ -149,19 +152,29 @@
 	a.ContinueFrom, a.ImportFrom, a.ExportTo, a.ImportUntil = copied, nil, nil, 0
 }
 
+// canRefuseForWait reports whether the request may be refused because its answer would begin late. The
+// caller of a resumed stream has a part of its answer already, and few engines may go on with it.
+func (x *exchange) canRefuseForWait() bool {
+	return x.service.Engine != nil && !x.stream.isResumption
+}
+
+// admissionCandidate returns what is known of the request before an endpoint is chosen.
+func (x *exchange) admissionCandidate() admission.Candidate {
+	return admission.Candidate{Objective: x.urgency.StrictestObjective, TimeLeft: x.timeLeft(), PriorityRank: x.urgency.Rank}
+}
+
 // refuseOverload refuses a prompt whose answer would begin too late to be useful, before the prompt
 // uses any capacity of an engine.
 func (x *exchange) refuseOverload(c routing.Choice, sent int) *apierror.Error {
 	if x.service.Engine == nil || sent > 0 {
 		return nil
 	}
-	if x.stream.isResumption && c.Wait < x.timeLeft() {
-		// The caller has a part of its answer already, and few engines may go on with it.
+	if !x.canRefuseForWait() && c.Wait < x.timeLeft() {
 		return nil
 	}
-	ok, delay := admission.Accept(admission.Candidate{
-		Wait: c.Wait, TTFT: c.TTFT, Objective: x.urgency.StrictestObjective, TimeLeft: x.timeLeft(), PriorityRank: x.urgency.Rank,
-	})
+	candidate := x.admissionCandidate()
+	candidate.Wait, candidate.TTFT = c.Wait, c.TTFT
+	ok, delay := admission.Accept(candidate)
 	if ok {
 		return nil
 	}
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -77,6 +77,9 @@
 	// SoftwarePinned restricts the choice to endpoints of SoftwareVersion, for a stream that one of them began.
 	SoftwarePinned  bool
 	SoftwareVersion string
+	// MaxWait is the longest wait with which the request is not refused, 0 if it is never refused for
+	// its wait.
+	MaxWait time.Duration
 	// MayCrash is set if the request may crash its endpoint: it goes where fewest other requests run.
 	MayCrash bool
 	// Exclude lists members already tried.
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -64,6 +64,10 @@
 	// and moving from one to the next costs more computation than it saves in waiting.
 	// See docs/BENCHMARKS.md.
 	latenessWeight = 0.25
+	// refusalPenalty ranks endpoints with a wait beyond Request.MaxWait behind those within it, but
+	// before degraded ones: a busy endpoint that holds a prompt's context would otherwise be chosen for
+	// saving its computation, and the request be refused for the wait there, while others are idle.
+	refusalPenalty = 1e5
 	// crashCost is what each request at an endpoint costs that another may crash, in seconds of waiting:
 	// more than any prompt gains by its context, less than using a degraded endpoint.
 	crashCost = 1000
@@ -505,6 +509,9 @@
 	for i := range c.n {
 		cand := c.list[(start+i)%c.n]
 		e := evaluate(cand.endpoint, r, queueDepth)
+		if r.MaxWait > 0 && e.wait > r.MaxWait {
+			e.score += refusalPenalty
+		}
 		if r.MayCrash {
 			e.score += crashCost * float64(cand.endpoint.requestCount(r.Now))
 		}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -55,6 +55,21 @@
 			}
 			e[1].Running = 3
 		}, 1, ""},
+		{"an idle one, if the request is refused for the wait at the holder", func(e []Endpoint, r *Request) {
+			r.MaxWait = 100 * time.Millisecond
+			r.Holdings = []Holding{{Endpoint: e[2].Hash, Tokens: 8000, Chance: 1}}
+			for i := range e {
+				e[i].Load.QueuedTokens = 2000
+			}
+			e[1].Load.QueuedTokens = 500
+		}, 1, ""},
+		{"the holder, if the request is refused for the wait anywhere", func(e []Endpoint, r *Request) {
+			r.MaxWait = 100 * time.Millisecond
+			r.Holdings = []Holding{{Endpoint: e[2].Hash, Tokens: 8000, Chance: 1}}
+			for i := range e {
+				e[i].Load.QueuedTokens = 2000
+			}
+		}, 2, ""},
 		{"the idle one if none holds the context", func(e []Endpoint, _ *Request) {
 			for i := range e {
 				e[i].Load.QueuedTokens = 50_000
