--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -65,8 +65,9 @@
 	// See docs/BENCHMARKS.md.
 	latenessWeight = 0.25
 	// refusalPenalty ranks endpoints with a wait beyond Request.MaxWait behind those within it, but
-	// before degraded ones: a busy endpoint that holds a prompt's context would otherwise be chosen for
-	// saving its computation, and the request be refused for the wait there, while others are idle.
+	// before degraded ones, unless the service is overloaded: a busy endpoint that holds a prompt's
+	// context would otherwise be chosen for saving its computation, and the request be refused for the
+	// wait there, while others are idle.
 	refusalPenalty = 1e5
 	// crashCost is what each request at an endpoint costs that another may crash, in seconds of waiting:
 	// more than any prompt gains by its context, less than using a degraded endpoint.
@@ -489,6 +490,22 @@
 	return nil
 }
 
+// isMostlyWithinWait reports whether at least half of the candidates would start within the request's
+// MaxWait. Where most would not, the service is overloaded: to compute a context again at one of the
+// others would delay all requests there, so a request that is cheap only at a busy endpoint is refused.
+func (c *candidateSet) isMostlyWithinWait(r *Request, queueDepth float64) bool {
+	if r.MaxWait <= 0 {
+		return false
+	}
+	within := 0
+	for i := range c.n {
+		if evaluate(c.list[i].endpoint, r, queueDepth).wait <= r.MaxWait {
+			within++
+		}
+	}
+	return 2*within >= c.n
+}
+
 func (c *candidateSet) pick(r *Request, random Random) Decision {
 	best := Decision{Refusal: RefusalNoneUsable}
 	switch {
@@ -506,10 +523,11 @@
 		start = int(random.Uint64() % uint64(c.n))
 	}
 	queueDepth := c.meanQueueDepth(r)
+	avoidsRefusal := c.isMostlyWithinWait(r, queueDepth)
 	for i := range c.n {
 		cand := c.list[(start+i)%c.n]
 		e := evaluate(cand.endpoint, r, queueDepth)
-		if r.MaxWait > 0 && e.wait > r.MaxWait {
+		if avoidsRefusal && e.wait > r.MaxWait {
 			e.score += refusalPenalty
 		}
 		if r.MayCrash {
