--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,8 +29,10 @@
 )
 
 var (
-	record    io.Writer = os.Stdout
-	recordMu  sync.Mutex
+	record   io.Writer = os.Stdout
+	recordMu sync.Mutex
+	// isDecided is set once the verdict stands at the end of the record.
+	isDecided bool
 	startedAt = time.Now()
 	attempts  atomic.Int64
 	// folder holds the settings and logs of the gateways.
@@ -44,6 +46,9 @@
 func note(format string, args ...any) {
 	recordMu.Lock()
 	defer recordMu.Unlock()
+	if isDecided {
+		return
+	}
 	fmt.Fprintf(record, "%8.3f  %s\n", time.Since(startedAt).Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -80,6 +85,9 @@
 		word = "BROKEN"
 	}
 	note(word+": "+format, args...)
+	recordMu.Lock()
+	isDecided = true
+	recordMu.Unlock()
 	if broken {
 		exit(exitBroken)
 	}
