gateway: log when imports end, and by which weights context is freed

The attempt in the request log now has import_until_ms, and 'obsolete context freed' names the versions below which parts are freed.

--- a/internal/coordination/contextcache/tracker.go
+++ b/internal/coordination/contextcache/tracker.go
@@ -289,7 +289,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		err := t.Client.Free(callCtx, address, job.epoch, job.segments)
 		cancel()
-		t.Log.Info("obsolete context freed", zap.String("store", address), zap.Int("parts", len(job.segments)), zap.Error(err))
+		t.Log.Info("obsolete context freed", zap.String("store", address), zap.Int("parts", len(job.segments)), zap.Any("oldest_weights", oldest), zap.Error(err))
 	}
 }
 
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -35,6 +35,8 @@
 	// Imported lists the addresses to import context from, Saved those to save it to.
 	Imported string `json:"imported,omitempty"`
 	Saved    string `json:"saved,omitempty"`
+	// ImportUntilMS is when imports must end, by the endpoints' clock in Unix ms.
+	ImportUntilMS int64 `json:"import_until_ms,omitempty"`
 	// Running and Queued are the load that the endpoint reported LoadAgeMS earlier. Sent counts the
 	// requests sent by this process since that report, Own its requests in flight there.
 	Running   int   `json:"running"`
