contextcache: context of replaced weights is freed once no gateway can still import it

What callers saw.

The holder of the rollout lease freed what was older than the oldest weights in its own list of endpoints, at once. A store doesn't know who reads from it, and nothing bounded how long other gateways went on naming it as a source. The list is only where it showed: an endpoint that is listed no more serves on for any time, and a gateway that is turned away, cut off or paused knows neither that it left nor that weights were named.

Ruled out: wrong weights of a listed endpoint (i-1 to i-3 had 2), an import of newer weights (the torn one was of weights 1), a part saved again.

Two bounds that need no messages. A gateway imports context of a version from stores only if the import ends within 10 s of the last moment at which it knew for certain that no newer version was named (the start of the last answered call for weights). The holder frees 10.5 s after it learned of the newer version. Whatever a gateway heard or did not hear, the first moment is not after the naming and the second not before it. Endpoints' lists no longer matter. After the store came back from an older copy, a version counts as named once it is named in that era, and for 5 s nothing of it is relied on; the order to free carries the time after which it is not to be carried out. Imports from engines are as before.

Known limits. A gateway that the store does not answer for more than about 5 s imports nothing from stores for the rest of it; gateway.context_imports_withheld and imports_withheld in the request log show it.

--- a/internal/coordination/contextcache/capacity_test.go
+++ b/internal/coordination/contextcache/capacity_test.go
@@ -59,7 +59,7 @@
 			}
 		}
 		id := fmt.Sprint("p", n)
-		to := trackers[n%processes].Plan("s.1", id, []Segment{{id, tokens}}, "", 0, residency.Rule{}).SaveTo[0]
+		to := trackers[n%processes].Plan(Prompt{Salt: "s.1", Segments: []Segment{{id, tokens}}}, id, "", 0, residency.Rule{}).SaveTo[0]
 		if to == "" || free[to] < tokens {
 			lost++
 		} else {
--- a/internal/coordination/contextcache/plan.go
+++ b/internal/coordination/contextcache/plan.go
@@ -18,8 +18,7 @@
 
 const (
 	// maxImportTime is the longest time that an import may take. The engine discards one that
-	// is not complete by then and prefills the prompt. Stores free segments only after a longer
-	// time than this.
+	// is not complete by then and prefills the prompt.
 	maxImportTime = 1500 * time.Millisecond
 	// maxImportShare is the largest share of a prompt's objective that an import may take; the
 	// rest is left for queueing and for the prefill that a failed import makes necessary.
@@ -54,28 +53,46 @@
 	EnginesKnown bool
 }
 
+// Prompt is a prompt whose segments may be imported.
+type Prompt struct {
+	// Salt is the cache salt of the prompt, see Salt.
+	Salt     string
+	Segments []Segment
+	// StoresUntil is when imports from stores must have ended; see ReplacedUse.
+	StoresUntil time.Time
+}
+
+// canImport reports whether segments may be imported from stores for some time from now on.
+func (p Prompt) canImport(now time.Time, timeout time.Duration) bool {
+	return !now.Add(timeout).After(p.StoresUntil)
+}
+
 // Lookup looks a prompt up in all stores and engines.
-func (t *Tracker) Lookup(salt string, segments []Segment) LookupResult {
+func (t *Tracker) Lookup(p Prompt) LookupResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	result := LookupResult{Resident: t.residentEngines(salt, segments, now), EnginesKnown: t.enginesKnown(now)}
-	result.Segments = t.segmentSources(salt, segments, result.Resident, now)
+	result := LookupResult{Resident: t.residentEngines(p.Salt, p.Segments, now), EnginesKnown: t.enginesKnown(now)}
+	result.Segments = t.segmentSources(p, result.Resident, now)
 	return result
 }
 
 // segmentSources computes LookupResult.Segments; t.mu is held.
-func (t *Tracker) segmentSources(salt string, segments []Segment, resident []ResidentPrefix, now time.Time) []routing.Segment {
-	out := make([]routing.Segment, 0, len(segments))
+func (t *Tracker) segmentSources(p Prompt, resident []ResidentPrefix, now time.Time) []routing.Segment {
+	out := make([]routing.Segment, 0, len(p.Segments))
 	_, engine := splitByTarget(resident, "")
-	for i, segment := range segments {
+	fromStores := p.canImport(now, maxImportTime)
+	for i, segment := range p.Segments {
 		out = append(out, routing.Segment{Tokens: segment.Tokens})
 		if !t.clockOffsetKnown {
 			continue
 		}
 		source := t.engines[engine.Address]
 		if i >= engine.Segments {
-			source = t.stores[t.findStore(SegmentKey{salt, segment.ID}, segment.Tokens, now)]
+			source = nil
+			if fromStores {
+				source = t.stores[t.findStore(SegmentKey{p.Salt, segment.ID}, segment.Tokens, now)]
+			}
 		}
 		if source != nil {
 			out[i].Stored, out[i].Domain, out[i].TransferTime = true, source.config.Domain, source.transferTime(segment.Tokens, t.tokenBytes)
@@ -93,6 +110,9 @@
 	// ImportDeadline is when imports must end, on the endpoints' clock in Unix ms; 0 if that
 	// clock is not known.
 	ImportDeadline int64
+	// Withheld is set if stores hold segments that are not imported from them because the prompt's
+	// weights may have been replaced.
+	Withheld bool
 }
 
 // Plan decides where a prompt's segments are imported from and where they are saved.
@@ -107,27 +127,33 @@
 // imported ones. With 12 engines whose running requests fill most of 52,000 tokens, these
 // sources reduced the shared tokens that were prefilled again from 3.1 to 0.4 million of 8.8 on
 // the heaviest day.
-func (t *Tracker) Plan(salt, context string, segments []Segment, target string, objective time.Duration, rule residency.Rule) Plan {
+func (t *Tracker) Plan(prompt Prompt, context, target string, objective time.Duration, rule residency.Rule) Plan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Now()
+	now, segments := t.Now(), prompt.Segments
 	p := Plan{ImportFrom: make([]string, len(segments)), SaveTo: make([]string, len(segments))}
 	if !t.clockOffsetKnown {
 		return p
 	}
-	p.ImportDeadline = now.Add(importTimeout(objective)).UnixMilli() + t.clockOffset
-	own, other := splitByTarget(t.residentEngines(salt, segments, now), target)
+	timeout := importTimeout(objective)
+	p.ImportDeadline = now.Add(timeout).UnixMilli() + t.clockOffset
+	fromStores := prompt.canImport(now, timeout)
+	own, other := splitByTarget(t.residentEngines(prompt.Salt, segments, now), target)
 	contiguous := true
 	for i, segment := range segments {
-		key := SegmentKey{salt, segment.ID}
+		key := SegmentKey{prompt.Salt, segment.ID}
 		holder := t.findStore(key, segment.Tokens, now)
 		if holder != "" && contiguous {
 			p.StoredTokens += segment.Tokens
 		} else {
 			contiguous = false
 		}
-		p.ImportFrom[i] = holder
-		if i < other.Segments && (i >= own || holder == "") {
+		if fromStores {
+			p.ImportFrom[i] = holder
+		} else if holder != "" {
+			p.Withheld = true
+		}
+		if i < other.Segments && (i >= own || p.ImportFrom[i] == "") {
 			p.ImportFrom[i] = other.Address
 		}
 		if holder == "" {
--- a/internal/coordination/contextcache/residency_test.go
+++ b/internal/coordination/contextcache/residency_test.go
@@ -15,7 +15,7 @@
 	}{{[]string{"east"}, localAddress}, {[]string{"west"}, remoteAddress}, {[]string{"north"}, ""}} {
 		tracker, _ := newTracker(t)
 		tracker.Regions = map[string]string{"a": "east", "b": "west"}
-		p := tracker.Plan("s.1", "context", testSegments, "", 0, residency.Intersect(row.regions))
+		p := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", "", 0, residency.Intersect(row.regions))
 		if p.SaveTo[0] != row.want || p.SaveTo[1] != row.want {
 			t.Errorf("allowed in %v: saved to %q, want %q", row.regions, p.SaveTo, row.want)
 		}
--- a/internal/coordination/contextcache/store.go
+++ b/internal/coordination/contextcache/store.go
@@ -238,12 +238,12 @@
 	}
 }
 
-// obsoleteSegments lists the segments that no engine can use any more: their salt names a
-// version of weights below the oldest that an engine of their model still has.
-func (s *store) obsoleteSegments(oldest map[string]int64) []SegmentKey {
+// obsoleteSegments lists the segments whose salt names weights below the given version of their
+// model.
+func (s *store) obsoleteSegments(below map[string]int64) []SegmentKey {
 	var out []SegmentKey
 	for key, h := range s.complete {
-		if weights, ok := weightsVersion(key.Salt); ok && weights < oldest[h.Model] {
+		if weights, ok := weightsVersion(key.Salt); ok && weights < below[h.Model] {
 			out = append(out, key)
 		}
 	}
--- a/internal/coordination/contextcache/tracker.go
+++ b/internal/coordination/contextcache/tracker.go
@@ -17,8 +17,8 @@
 	List(ctx context.Context, address string) (Listing, error)
 	// Events waits for changes from event number since on.
 	Events(ctx context.Context, address string, since int64, wait time.Duration) (Events, error)
-	// Free deletes segments if the store is still in the given epoch.
-	Free(ctx context.Context, address string, epoch int64, segments []SegmentKey) error
+	// Free deletes segments if the store is still in the job's epoch and the job's time has not passed.
+	Free(ctx context.Context, address string, job FreeJob) error
 }
 
 // Tracker follows the contents of all stores and engines and plans imports and saves.
@@ -281,34 +281,55 @@
 // listTimeout.
 const maxFreedPerCall = 200
 
-// FreeObsolete frees the segments that no engine can use any more. An engine that has newer
-// weights has ended all runs under older ones, so nothing reads their segments: this needs no
-// agreement with other processes, but one process is enough.
-func (t *Tracker) FreeObsolete(ctx context.Context, oldest map[string]int64) {
-	for address, job := range t.freeJobs(oldest) {
+// ReplacedUse is how long context is imported from stores after its weights were replaced: a process
+// that can't tell whether they were stops that long after it last could. It covers an import and the age
+// of what a process knows between two answers of the platform's store.
+const ReplacedUse = 10 * time.Second
+
+// freeMargin is how much later than ReplacedUse segments are freed: processes measure it by clocks of
+// their own, and give the end of an import on the endpoints' clock.
+const freeMargin = 500 * time.Millisecond
+
+// FreeAfter is how long after their replacement weights are safe to name in FreeObsolete.
+const FreeAfter = ReplacedUse + freeMargin
+
+// FreeObsolete frees the segments of weights below the given versions of their models, which were
+// replaced at least FreeAfter ago. A call that a store has not begun by validUntil frees nothing.
+//
+// A store does not know who reads from it, and which processes still send prompts to engines with such
+// weights is not known either: engines that left and processes that were paused or hear nothing may do so
+// for any time. But no process starts an import that ends later than ReplacedUse after the replacement.
+func (t *Tracker) FreeObsolete(ctx context.Context, below map[string]int64, validUntil time.Time) {
+	for address, job := range t.freeJobs(below, validUntil) {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		err := t.Client.Free(callCtx, address, job.epoch, job.segments)
+		err := t.Client.Free(callCtx, address, job)
 		cancel()
-		t.Log.Info("obsolete context freed", zap.String("store", address), zap.Int("parts", len(job.segments)), zap.Any("oldest_weights", oldest), zap.Error(err))
+		t.Log.Info("obsolete context freed", zap.String("store", address), zap.Int("parts", len(job.Segments)), zap.Any("weights_below", below), zap.Error(err))
 	}
 }
 
-// freeJob lists segments to free in one store.
-type freeJob struct {
-	epoch    int64
-	segments []SegmentKey
+// FreeJob lists segments to free in one store.
+type FreeJob struct {
+	// Epoch is the epoch in which the store held the segments.
+	Epoch int64
+	// Until is when the store must have begun, on the endpoints' clock in Unix ms.
+	Until    int64
+	Segments []SegmentKey
 }
 
-func (t *Tracker) freeJobs(oldest map[string]int64) map[string]freeJob {
+func (t *Tracker) freeJobs(below map[string]int64, validUntil time.Time) map[string]FreeJob {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]freeJob{}
+	out := map[string]FreeJob{}
+	if !t.clockOffsetKnown {
+		return out
+	}
 	for address, s := range t.stores {
 		if !s.usable(t.Now()) {
 			continue
 		}
-		if segments := s.obsoleteSegments(oldest); len(segments) > 0 {
-			out[address] = freeJob{s.epoch, segments[:min(len(segments), maxFreedPerCall)]}
+		if segments := s.obsoleteSegments(below); len(segments) > 0 {
+			out[address] = FreeJob{s.epoch, validUntil.UnixMilli() + t.clockOffset, segments[:min(len(segments), maxFreedPerCall)]}
 		}
 	}
 	return out
--- a/internal/coordination/contextcache/tracker_test.go
+++ b/internal/coordination/contextcache/tracker_test.go
@@ -52,15 +52,20 @@
 
 var testSegments = []Segment{{"p1", 500}, {"p2", 1500}}
 
+// promptOf returns a prompt whose weights are not replaced soon.
+func (t *Tracker) promptOf(salt string, segments []Segment) Prompt {
+	return Prompt{Salt: salt, Segments: segments, StoresUntil: t.Now().Add(ReplacedUse)}
+}
+
 func (t *Tracker) plan(salt string) (from, to []string, stored int) {
-	p := t.Plan(salt, "context", testSegments, "", 0, residency.Rule{})
+	p := t.Plan(t.promptOf(salt, testSegments), "context", "", 0, residency.Rule{})
 	return p.ImportFrom, p.SaveTo, p.StoredTokens
 }
 
 // storedTokens returns the length of the prompt's prefix, in tokens, that can be imported.
 func (t *Tracker) storedTokens(salt string, segments []Segment) int {
 	tokens := 0
-	for _, i := range t.Lookup(salt, segments).Segments {
+	for _, i := range t.Lookup(t.promptOf(salt, segments)).Segments {
 		if !i.Stored {
 			break
 		}
@@ -93,7 +98,7 @@
 	if from, _, stored = tracker.plan("s.2"); from[0] != "" || stored != 0 {
 		t.Error("segments computed with other weights are imported")
 	}
-	if until := tracker.Plan("s.1", "context", testSegments, "", 0, residency.Rule{}).ImportDeadline; until != c.now.UnixMilli()+5000+maxImportTime.Milliseconds() {
+	if until := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", "", 0, residency.Rule{}).ImportDeadline; until != c.now.UnixMilli()+5000+maxImportTime.Milliseconds() {
 		t.Errorf("imports end at %d", until)
 	}
 }
@@ -163,15 +168,15 @@
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{
 		added(old, "p1", 1), added(now, "p1", 1), added("somebody else's", "p1", 1), added(old, "p2", 1),
 	}}, c.now)
-	if jobs := tracker.freeJobs(map[string]int64{"m": 1}); len(jobs) != 0 {
-		t.Errorf("freed while an engine has the old weights: %v", jobs)
+	if jobs := tracker.freeJobs(map[string]int64{"m": 1}, c.now); len(jobs) != 0 {
+		t.Errorf("freed although no newer weights are named: %v", jobs)
 	}
-	jobs := tracker.freeJobs(map[string]int64{"m": 2})
-	if job := jobs[localAddress]; len(jobs) != 1 || job.epoch != 7 || len(job.segments) != 2 || job.segments[0].Salt != old {
+	jobs := tracker.freeJobs(map[string]int64{"m": 2}, c.now)
+	if job := jobs[localAddress]; len(jobs) != 1 || job.Epoch != 7 || job.Until != c.now.UnixMilli()+5000 || len(job.Segments) != 2 || job.Segments[0].Salt != old {
 		t.Errorf("%v", jobs)
 	}
 	c.now = c.now.Add(2 * storeFreshFor)
-	if jobs := tracker.freeJobs(map[string]int64{"m": 2}); len(jobs) != 0 {
+	if jobs := tracker.freeJobs(map[string]int64{"m": 2}, c.now); len(jobs) != 0 {
 		t.Error("freed in a store that may have restarted")
 	}
 }
@@ -210,21 +215,21 @@
 	c := &fakeClock{epoch}
 	tracker := NewTracker(nil, zap.NewNop(), "a", c.Now)
 	tracker.SetEngines(map[string]Engine{localAddress: {Domain: "a"}, remoteAddress: {Domain: "b"}})
-	if tracker.Lookup("s", nil).EnginesKnown {
+	if tracker.Lookup(tracker.promptOf("s", nil)).EnginesKnown {
 		t.Error("engines count as known before any answer")
 	}
 	tracker.applyEngineEvents(localAddress, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p1", 500), added("s", "p2", 1500)}})
 	tracker.applyEngineEvents(remoteAddress, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p2", 1500)}})
-	resident := tracker.Lookup("s", testSegments).Resident
-	if !tracker.Lookup("s", nil).EnginesKnown || len(resident) != 1 || resident[0] != (ResidentPrefix{localAddress, 2000, 2}) {
+	resident := tracker.Lookup(tracker.promptOf("s", testSegments)).Resident
+	if !tracker.Lookup(tracker.promptOf("s", nil)).EnginesKnown || len(resident) != 1 || resident[0] != (ResidentPrefix{localAddress, 2000, 2}) {
 		t.Errorf("%+v", resident)
 	}
 	tracker.applyEngineEvents(localAddress, Events{Epoch: 2, Next: 1})
-	if len(tracker.Lookup("s", testSegments).Resident) != 0 {
+	if len(tracker.Lookup(tracker.promptOf("s", testSegments)).Resident) != 0 {
 		t.Error("the cache contents from before an engine's restart are still used")
 	}
 	c.now = c.now.Add(2 * engineFreshFor)
-	if tracker.Lookup("s", nil).EnginesKnown {
+	if tracker.Lookup(tracker.promptOf("s", nil)).EnginesKnown {
 		t.Error("engines count as known by old answers")
 	}
 }
@@ -260,10 +265,10 @@
 	return Events{Epoch: f.epoch, Next: since, ClockMS: 1}, nil
 }
 
-func (f *fakeClient) Free(_ context.Context, _ string, _ int64, segments []SegmentKey) error {
+func (f *fakeClient) Free(_ context.Context, _ string, job FreeJob) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.freed = append(f.freed, segments...)
+	f.freed = append(f.freed, job.Segments...)
 	return nil
 }
 
@@ -277,7 +282,7 @@
 	tracker := NewTracker(nil, zap.NewNop(), "a", c.Now)
 	tracker.SetEngines(map[string]Engine{localAddress: {Domain: "a"}, remoteAddress: {Domain: "b"}, "10.0.0.3:1": {Domain: "b"}})
 	tracker.applyEngineEvents(localAddress, Events{Epoch: 1, Next: 5})
-	if !tracker.Lookup("s", nil).EnginesKnown {
+	if !tracker.Lookup(tracker.promptOf("s", nil)).EnginesKnown {
 		t.Error("engines don't count as known though the own domain's engine is known")
 	}
 	rows := []struct {
@@ -292,11 +297,11 @@
 			t.Errorf("%s after %v: got delay %s", row.address, row.err, got)
 		}
 	}
-	if !tracker.Lookup("s", nil).EnginesKnown {
+	if !tracker.Lookup(tracker.promptOf("s", nil)).EnginesKnown {
 		t.Error("an engine's contents are dropped because it refused a call for its limit")
 	}
 	c.now = c.now.Add(2 * engineFreshFor)
-	if tracker.Lookup("s", nil).EnginesKnown {
+	if tracker.Lookup(tracker.promptOf("s", nil)).EnginesKnown {
 		t.Error("engines count as known by an engine that has refused calls for long")
 	}
 }
@@ -308,11 +313,11 @@
 	tracker.SetEngines(map[string]Engine{localAddress: {Domain: "a"}})
 	tracker.applyEngineEvents(localAddress, Events{Epoch: 1, Next: 5, Changes: []Change{added("s", "p1", 500)}})
 	tracker.handleEngineFailure(localAddress, errors.New("reset"))
-	if len(tracker.Lookup("s", testSegments).Resident) != 0 {
+	if len(tracker.Lookup(tracker.promptOf("s", testSegments)).Resident) != 0 {
 		t.Error("an engine's contents are used while it does not answer")
 	}
 	tracker.applyEngineEvents(localAddress, Events{Epoch: 1, Next: 6, Changes: []Change{added("s", "p2", 1500)}})
-	if r := tracker.Lookup("s", testSegments).Resident; len(r) != 1 || r[0].Segments != 2 {
+	if r := tracker.Lookup(tracker.promptOf("s", testSegments)).Resident; len(r) != 1 || r[0].Segments != 2 {
 		t.Errorf("got resident %+v, want two segments: the contents from before the failure are lost", r)
 	}
 }
@@ -394,14 +399,14 @@
 	tracker.SetEngines(map[string]Engine{target: {Domain: "a", TokenBytes: 1000, LinkBytesPerSecond: 1_000_000}, other: {Domain: "b", LinkBytesPerSecond: 1_000_000}})
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{added("s.1", "p2", 1500)}}, c.now)
 	tracker.applyEngineEvents(target, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500)}})
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != "" || p.ImportFrom[1] != localAddress {
+	if p := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", target, 0, residency.Rule{}); p.ImportFrom[0] != "" || p.ImportFrom[1] != localAddress {
 		t.Errorf("%q", p.ImportFrom)
 	}
 	tracker.applyEngineEvents(other, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500), added("s.1", "p2", 1500)}})
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != other || p.ImportFrom[1] != other {
+	if p := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", target, 0, residency.Rule{}); p.ImportFrom[0] != other || p.ImportFrom[1] != other {
 		t.Errorf("%q", p.ImportFrom)
 	}
-	segments := tracker.Lookup("s.1", testSegments).Segments
+	segments := tracker.Lookup(tracker.promptOf("s.1", testSegments)).Segments
 	if len(segments) != 2 || !segments[1].Stored || segments[1].Domain != "b" || segments[1].TransferTime != 1500*time.Millisecond {
 		t.Errorf("%+v", segments)
 	}
@@ -419,11 +424,11 @@
 	tracker.SetEngines(map[string]Engine{target: {Domain: "a"}, other: {Domain: "a"}})
 	tracker.applyEngineEvents(target, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500)}})
 	tracker.applyEngineEvents(other, Events{Epoch: 1, Changes: []Change{added("s.1", "p1", 500)}})
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != other || p.ImportFrom[1] != "" {
+	if p := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", target, 0, residency.Rule{}); p.ImportFrom[0] != other || p.ImportFrom[1] != "" {
 		t.Errorf("held by another engine only: got sources %q", p.ImportFrom)
 	}
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{added("s.1", "p1", 500), added("s.1", "p2", 1500)}}, c.now)
-	if p := tracker.Plan("s.1", "context", testSegments, target, 0, residency.Rule{}); p.ImportFrom[0] != localAddress || p.ImportFrom[1] != localAddress {
+	if p := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", target, 0, residency.Rule{}); p.ImportFrom[0] != localAddress || p.ImportFrom[1] != localAddress {
 		t.Errorf("held by a store, which evicts nothing by itself: got sources %q", p.ImportFrom)
 	}
 }
@@ -433,7 +438,7 @@
 	tracker, c := newTracker(t)
 	tracker.applyEvents(localAddress, Events{Epoch: 7, Changes: []Change{added("s.1", "other", 9_600)}}, c.now)
 	for i := range 8 {
-		p := tracker.Plan("s.1", fmt.Sprint("context ", i), []Segment{{fmt.Sprint("p", i), 1000}}, "", 0, residency.Rule{})
+		p := tracker.Plan(tracker.promptOf("s.1", []Segment{{fmt.Sprint("p", i), 1000}}), fmt.Sprint("context ", i), "", 0, residency.Rule{})
 		if p.SaveTo[0] != remoteAddress {
 			t.Errorf("context %d: got store %q, want the other one", i, p.SaveTo[0])
 		}
@@ -452,7 +457,7 @@
 		0:                      maxImportTime,
 	} {
 		tracker, c := newTracker(t)
-		if until := tracker.Plan("s.1", "context", testSegments, "", objective, residency.Rule{}).ImportDeadline; until != c.now.Add(5*time.Second+want).UnixMilli() {
+		if until := tracker.Plan(tracker.promptOf("s.1", testSegments), "context", "", objective, residency.Rule{}).ImportDeadline; until != c.now.Add(5*time.Second+want).UnixMilli() {
 			t.Errorf("objective %s: until %d", objective, until)
 		}
 	}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -81,6 +81,7 @@
 	departures    departures
 	targets       map[string]TargetWeights
 	targetChanged chan struct{}
+	weightsAnswer weightsAnswer
 	rowVersion    uint64
 	listed        bool
 	// evacuations holds the evacuated failure domains.
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -152,14 +152,17 @@
 	return w.Clock()
 }
 
-// confirm records when an answered call for the configuration began; other kinds are ignored.
-func (w *Watcher) confirm(kind string, began time.Time) {
-	if kind != w.Kinds.Config {
-		return
+// confirm records when an answered call for the configuration or for weights began, and the store's
+// revision in the answer; other kinds are ignored.
+func (w *Watcher) confirm(kind string, began time.Time, revision objectapi.Revision) {
+	switch kind {
+	case w.Kinds.Weights:
+		w.State.ConfirmWeights(began, revision.Era())
+	case w.Kinds.Config:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.configAsOf = began
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.configAsOf = began
 }
 
 // RecordAnswer records that the store has answered.
@@ -264,7 +267,7 @@
 	}
 	w.recordOutcome(kind, nil)
 	w.applyList(kind, records, revision)
-	w.confirm(kind, began)
+	w.confirm(kind, began, revision)
 	return revision, nil
 }
 
@@ -310,7 +313,7 @@
 			w.applyEvent(kind, e)
 		}
 		revision = next
-		w.confirm(kind, began)
+		w.confirm(kind, began, revision)
 	}
 	return ctx.Err()
 }
--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -22,7 +22,14 @@
 
 type learnedVersion struct {
 	version int64
-	at      time.Time
+	// at is when the version became the target, as far as this process or another knows.
+	at time.Time
+	// absentAt is when the last answered call began whose answer did not name the version yet, zero
+	// if there was none.
+	absentAt time.Time
+	// confirmedAt is when this process learned that the store names the version in the era confirmedEra.
+	confirmedAt  time.Time
+	confirmedEra uint64
 }
 
 // maxLearnedVersions bounds the number of versions remembered for a model.
@@ -33,10 +40,14 @@
 func (s *State) SetTarget(t TargetWeights) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now, era := s.Now(), t.Revision.Era()
+	s.targets[t.Model].confirm(t.Version, era, now)
 	if t.Version <= s.targets[t.Model].Version {
 		return
 	}
-	t.learned = append(s.targets[t.Model].learned, learnedVersion{t.Version, s.Now()})
+	t.learned = append(s.targets[t.Model].learned, learnedVersion{
+		version: t.Version, at: now, absentAt: s.weightsAnswer.asOf, confirmedAt: now, confirmedEra: era,
+	})
 	t.learned = t.learned[max(0, len(t.learned)-maxLearnedVersions):]
 	s.targets[t.Model] = t
 	s.notifyTargetChanged()
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -157,6 +157,8 @@
 	ranWell bool
 	// storedTokens counts the context tokens of the last attempt that stores held, for the log.
 	storedTokens int
+	// importsWithheld is contextcache.Plan.Withheld of the last attempt.
+	importsWithheld bool
 	// trace records how far the current attempt got on its connection.
 	trace upstream.Trace
 	// staleEndpoint is the ID of the endpoint whose reused connection closed before the answer
--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -69,12 +69,11 @@
 
 // setHoldings adds to a routing request what stores and engines hold of the prompt.
 func (x *exchange) setHoldings(r *routing.Request, p promptContext) {
-	weights := discovery.VersionName(x.g.newestWeights(x.call.Model))
-	if len(p.segments) == 0 || x.g.ContextTracker == nil || weights == "" {
+	weights := x.g.newestWeights(x.call.Model)
+	if len(p.segments) == 0 || x.g.ContextTracker == nil || weights == 0 {
 		return
 	}
-	salt := contextcache.Salt(p.sharingGroup, x.call.Model, weights)
-	contents := x.g.ContextTracker.Lookup(salt, p.segments)
+	contents := x.g.ContextTracker.Lookup(x.cachePrompt(p, x.call.Model, weights))
 	r.Segments, r.HoldingsKnown = contents.Segments, contents.EnginesKnown
 	if !r.HoldingsKnown {
 		return
@@ -95,15 +94,28 @@
 	if err != nil || x.g.ContextTracker == nil {
 		return
 	}
-	a.Weights, a.CacheSalt = weights, contextcache.Salt(p.sharingGroup, x.call.Model, c.Member.Endpoint.WeightVersion)
-	plan := x.g.ContextTracker.Plan(a.CacheSalt, strconv.FormatUint(p.placementHash, 36), p.segments, c.Member.Address, x.route.Objective, x.residency)
+	prompt := x.cachePrompt(p, c.Member.Endpoint.Model, weights)
+	a.Weights, a.CacheSalt = weights, prompt.Salt
+	plan := x.g.ContextTracker.Plan(prompt, strconv.FormatUint(p.placementHash, 36), c.Member.Address, x.route.Objective, x.residency)
 	a.ImportFrom, a.ExportTo = x.padToSegments(plan.ImportFrom), x.padToSegments(plan.SaveTo)
 	if strings.Join(plan.ImportFrom, "") != "" {
 		a.ImportUntil = plan.ImportDeadline
 	}
+	x.importsWithheld = plan.Withheld
+	if plan.Withheld {
+		x.g.count("context_imports_withheld")
+	}
 	x.storedTokens = plan.StoredTokens
 }
 
+// cachePrompt returns the prompt as caches know it under a version of a model's weights.
+func (x *exchange) cachePrompt(p promptContext, model string, weights int64) contextcache.Prompt {
+	return contextcache.Prompt{
+		Salt: contextcache.Salt(p.sharingGroup, x.call.Model, discovery.VersionName(weights)), Segments: p.segments,
+		StoresUntil: x.g.State.CurrentAsOf(model, weights).Add(contextcache.ReplacedUse),
+	}
+}
+
 // padToSegments appends empty addresses for the segments that belong to the request alone:
 // they are neither imported nor exported.
 func (x *exchange) padToSegments(addresses []string) []string {
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -37,6 +37,9 @@
 	Saved    string `json:"saved,omitempty"`
 	// ImportUntilMS is when imports must end, by the endpoints' clock in Unix ms.
 	ImportUntilMS int64 `json:"import_until_ms,omitempty"`
+	// ImportsWithheld is set if stores held segments that were not imported from them, as the weights
+	// may have been replaced.
+	ImportsWithheld bool `json:"imports_withheld,omitempty"`
 	// Running and Queued are the load that the endpoint reported LoadAgeMS earlier. Sent counts the
 	// requests sent by this process since that report, Own its requests in flight there.
 	Running   int   `json:"running"`
--- a/internal/coordination/gateway/sync.go
+++ b/internal/coordination/gateway/sync.go
@@ -96,22 +96,12 @@
 			return
 		}
 		if g.IsLeader() {
-			g.ContextTracker.FreeObsolete(ctx, g.oldestWeights())
+			below, validUntil := g.State.Replaced(contextcache.FreeAfter)
+			g.ContextTracker.FreeObsolete(ctx, below, validUntil)
 		}
 	}
 }
 
-// oldestWeights returns, for each model, the oldest weight version that an endpoint may have.
-func (g *Gateway) oldestWeights() map[string]int64 {
-	oldest := map[string]int64{}
-	for _, i := range g.State.Instances() {
-		if known, ok := oldest[i.Model]; !ok || i.Weights < known {
-			oldest[i.Model] = i.Weights
-		}
-	}
-	return oldest
-}
-
 // newestWeights returns the newest weight version of a model that an endpoint serves, 0 if
 // none is known.
 func (g *Gateway) newestWeights(model string) int64 {
