discovery: a failed call for endpoints is followed by the next without delay if it took long itself

Cause. front-mladost-1 was cut off from the store until 26.1 s; the entry was removed at 26.207 s. A missing entry counts as gone 2 s after the store answers again, and rules bind a gateway again 3 s after the cut, so the store must be heard within 1 s. A call without any answer (0.8 s) was followed by the next after 50 ms, but one whose connection failed (0.7 s) only after 400 ms: the store answered at 27.157 s by its log, and the server was used until 29.188 s, 88 ms too long.

The delay counts from the call's begin, and is at least 50 ms. Refused calls, which cost the store something, wait as before.

TestServerRemovedWhileConnectionsTimeOut plays cuts of 6 s and 0 to 1.15 s more over connections that fail after 0.7 s: at 7.15 s the server was used 3 s after the cut; now at none.

--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -57,11 +57,11 @@
 	// maxInstancesRetryDelay is shorter: an endpoint that left meanwhile is used until reappearWindow
 	// after the first answer, and that must be over when rules bind this process again, 3 s after a cut.
 	maxInstancesRetryDelay = 400 * time.Millisecond
-	// silentRetryDelay follows a call for endpoints that got no answer at all: the call itself
-	// has already waited. With a longer delay, a process that was cut off would use endpoints
-	// that left meanwhile until reappearWindow after it learns of them, which is longer than it
-	// may act on old knowledge.
-	silentRetryDelay = 50 * time.Millisecond
+	// minInstancesRetryDelay follows a call for endpoints that has taken longer than its delay, as one
+	// without an answer or a connection does. With a longer delay, a process that was cut off would
+	// use endpoints that left meanwhile until reappearWindow after it learns of them, which is longer
+	// than it may act on old knowledge.
+	minInstancesRetryDelay = 50 * time.Millisecond
 	// probeWait is the wait of a watch after a failed one. The sooner a call to a silent
 	// store gives up, the sooner the process finds that the store answers again.
 	probeWait = 100 * time.Millisecond
@@ -298,11 +298,10 @@
 		w.recordOutcome(kind, err)
 		if err != nil {
 			delay := retryDelay
-			if kind == w.Kinds.Instances && w.now().Sub(began) >= probeWait+callMargin {
-				delay = silentRetryDelay
-			} else {
-				retryDelay = min(2*retryDelay, w.maxRetryDelay(kind))
+			if kind == w.Kinds.Instances {
+				delay = max(minInstancesRetryDelay, retryDelay-w.now().Sub(began))
 			}
+			retryDelay = min(2*retryDelay, w.maxRetryDelay(kind))
 			if !w.waitToRetry(ctx, delay) {
 				return ctx.Err()
 			}
