discovery: word of weights stays recent with any settings of the platform

A deployment whose stable window is longer has watches that wait longer, and its gateways would withhold imports in steady state; one whose store answers 404 for the kind would import nothing at all.

Watches for weights wait 2 s at most, and a 404 counts as word that no weights are named.

--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -62,6 +62,9 @@
 	// use endpoints that left meanwhile until reappearWindow after it learns of them, which is longer
 	// than it may act on old knowledge.
 	minInstancesRetryDelay = 50 * time.Millisecond
+	// maxWeightsWait bounds the wait of a watch for weights: how long a process can rely on a version
+	// not being replaced counts from the begin of its last answered call, see State.CurrentAsOf.
+	maxWeightsWait = 2 * time.Second
 	// probeWait is the wait of a watch after a failed one. The sooner a call to a silent
 	// store gives up, the sooner the process finds that the store answers again.
 	probeWait = 100 * time.Millisecond
@@ -208,6 +211,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	wait := w.Wait
+	if kind == w.Kinds.Weights {
+		wait = min(wait, maxWeightsWait)
+	}
 	var recovered <-chan struct{}
 	if w.failing[kind] {
 		wait, recovered = probeWait, w.recoveredChannel()
@@ -262,6 +268,10 @@
 	defer cancel()
 	began := w.now()
 	records, revision, err := w.Feed.ListKind(ctx, kind)
+	if errors.Is(err, objectapi.ErrNotFound) && kind == w.Kinds.Weights {
+		// A store that does not know the kind names no weights.
+		w.State.ConfirmWeights(began, w.Feed.Eras().Current())
+	}
 	if err != nil {
 		return 0, err
 	}
