limitshare: a process that was paused takes no loans that waited in its socket

The holder of a limit lends parts of it for 2 s from when it sends a loan; the borrower counts these 2 s from when it reads it.

The borrower notices a gap of more than three steps (0.75 s) between its decisions, and drops loans until one step after it. The holder repeats those that still hold every 0.5 s. Left: a loan that is late by less than that, or delayed in the network, is used for as much too long; a date on loans would need the clocks of both.

--- a/internal/coordination/limitshare/divider.go
+++ b/internal/coordination/limitshare/divider.go
@@ -108,6 +108,7 @@
 
 	mu     sync.Mutex
 	groups map[groupID]*group
+	pauses pauseWatch
 }
 
 // group is what a process knows of one group of limited endpoints.
@@ -184,6 +185,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.pauses.tick(now)
 	for id, g := range d.groups {
 		if members[id] == nil && !g.isCalling && !g.hasLoans(now) {
 			delete(d.groups, id)
@@ -466,8 +468,16 @@
 	}
 }
 
-// Borrow applies loans of a holder.
+// Borrow applies loans of a holder, unless they may have waited for this process: a loan's time counts
+// from when it was sent. The holder repeats loans that still hold.
 func (d *Divider) Borrow(loans []Loan, now time.Time) {
+	d.mu.Lock()
+	canBeLate := d.pauses.canBeLate(now)
+	d.mu.Unlock()
+	if canBeLate {
+		d.Log.Info("loans of endpoints' limits dropped, as they may be old", zap.Int("loans", len(loans)))
+		return
+	}
 	for _, l := range loans {
 		if e := d.Registry.Find(l.Endpoint); e != nil {
 			e.SetShare(pushback.Share{RequestsPerSecond: l.RequestsPerSecond, Until: now.Add(min(l.ValidFor, loanTime))}, now)
--- a/internal/coordination/limitshare/divider_test.go
+++ b/internal/coordination/limitshare/divider_test.go
@@ -93,6 +93,9 @@
 	// losesMessages is set while nothing that the process sends arrives, isCutOff while nothing arrives
 	// at it.
 	losesMessages, isCutOff bool
+	// isPaused is set while the process does not run; loans that arrive meanwhile wait in its socket.
+	isPaused bool
+	waiting  [][]Loan
 	// lender is the process of whose loan the share is, nil if it is its own, and lentByFallback whether
 	// that process did not reach the store then.
 	lender         *fakeProcess
@@ -118,6 +121,21 @@
 	return f
 }
 
+// advance lets time pass, in which the processes run that are not paused.
+func (f *fakeFleet) advance(d time.Duration) {
+	for end := f.now.Add(d); ; {
+		f.now = f.now.Add(min(stepInterval, end.Sub(f.now)))
+		for _, p := range f.processes {
+			if !p.isPaused {
+				p.divider.pauses.tick(f.now)
+			}
+		}
+		if !f.now.Before(end) {
+			return
+		}
+	}
+}
+
 // restart starts the process's next life, which knows nothing.
 func (p *fakeProcess) restart(host netip.Addr) {
 	registry := pushback.NewRegistry()
@@ -158,7 +176,12 @@
 
 // Lend implements Messenger.
 func (p *fakeProcess) Lend(to netip.Addr, loans []Loan) {
-	if peer := p.fleet.byHost[to]; peer != nil && !p.losesMessages && !peer.isCutOff {
+	peer := p.fleet.byHost[to]
+	if peer != nil && peer.isPaused {
+		peer.waiting = append(peer.waiting, loans)
+		return
+	}
+	if peer != nil && !p.losesMessages && !peer.isCutOff {
 		peer.lender, peer.lentByFallback = p, p.isFallback()
 		peer.divider.Borrow(loans, p.fleet.now)
 	}
@@ -240,7 +263,7 @@
 	active := rapid.SliceOfN(rapid.IntRange(0, size-1), 1, 4).Draw(t, "active")
 	known := rapid.SliceOfN(rapid.IntRange(0, size-1), 1, 12).Draw(t, "known")
 	for range rapid.IntRange(1, 120).Draw(t, "steps") {
-		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+		f.advance(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
 		p := f.processes[rapid.SampledFrom(active).Draw(t, "process")]
 		f.store.next = fault(rapid.IntRange(0, 3).Draw(t, "fault"))
 		if rapid.Bool().Draw(t, "store is well") {
@@ -293,7 +316,7 @@
 	f := newFakeFleet(2)
 	holder, peer := f.processes[0], f.processes[1]
 	holder.view, peer.view = []netip.Addr{peer.divider.Self}, []netip.Addr{holder.divider.Self}
-	f.now = f.now.Add(loanTime)
+	f.advance(loanTime)
 	holder.observe(12)
 	peer.observe(12)
 	f.until(t, 5*escalation, func() bool {
@@ -318,7 +341,7 @@
 	f := newFakeFleet(3)
 	holder, borrower, next := f.processes[0], f.processes[1], f.processes[2]
 	holder.view = []netip.Addr{borrower.divider.Self}
-	f.now = f.now.Add(loanTime)
+	f.advance(loanTime)
 	for _, p := range f.processes {
 		p.observe(4)
 	}
@@ -343,7 +366,7 @@
 	f := newFakeFleet(3)
 	holder := f.processes[0]
 	holder.view = []netip.Addr{f.processes[1].divider.Self}
-	f.now = f.now.Add(loanTime)
+	f.advance(loanTime)
 	for _, p := range f.processes {
 		p.observe(12)
 	}
@@ -362,18 +385,51 @@
 	})
 }
 
+// TestLoansOfPausedBorrowerEnd guards against a borrower that was paused and takes loans that waited in its socket for new ones,
+// while the holder uses the whole limit again.
+func TestLoansOfPausedBorrowerEnd(t *testing.T) {
+	f := newFakeFleet(2)
+	holder, borrower := f.processes[0], f.processes[1]
+	holder.view = []netip.Addr{borrower.divider.Self}
+	f.advance(loanTime)
+	for _, p := range f.processes {
+		p.observe(4)
+	}
+	f.until(t, 5*escalation, func() bool {
+		holder.step()
+		return borrower.endpoint.Share(f.now) > 0
+	})
+	borrower.isPaused = true
+	for end := f.now.Add(loanTime); f.now.Before(end); f.advance(stepInterval) {
+		holder.step()
+	}
+	holder.view = nil
+	f.until(t, 2*loanTime, func() bool {
+		holder.observe(4)
+		holder.step()
+		return holder.endpoint.Share(f.now) == 4
+	})
+	borrower.isPaused = false
+	for _, loans := range borrower.waiting {
+		borrower.divider.Borrow(loans, f.now)
+	}
+	if leased, _, _ := f.used(); leased > 4 {
+		t.Errorf("got shares of %g a second after the pause, want at most 4", leased)
+	}
+}
+
 // TestNoteOfEndedHolderSaysNothing guards against limits that ended long ago and come back into force because
 // the record of a holder that crashed still names them.
 func TestNoteOfEndedHolderSaysNothing(t *testing.T) {
 	f := newFakeFleet(2)
 	holder, later := f.processes[0], f.processes[1]
-	f.now = f.now.Add(loanTime)
+	f.advance(loanTime)
 	holder.observe(4)
 	f.until(t, 5*escalation, func() bool {
 		holder.step()
 		return holder.endpoint.Share(f.now) > 0
 	})
-	f.now = f.now.Add(time.Hour)
+	f.advance(time.Hour)
 	other := later.divider.Registry.Endpoint(f.sameGroup("e"), 1, domain)
 	f.until(t, 2*leaseTerm, func() bool {
 		other.Observe(pushback.Signal{RequestsPerSecond: 4}, f.now, f.now)
@@ -418,7 +474,7 @@
 // until advances the time in small steps until a condition holds.
 func (f *fakeFleet) until(t *testing.T, limit time.Duration, holds func() bool) {
 	t.Helper()
-	for end := f.now.Add(limit); !holds(); f.now = f.now.Add(50 * time.Millisecond) {
+	for end := f.now.Add(limit); !holds(); f.advance(50 * time.Millisecond) {
 		if f.now.After(end) {
 			t.Fatalf("nothing happened within %v", limit)
 		}
