discovery: a holder that started after weights were named frees by the age in the lease's note

The lease's note has the age of each version. It is what somebody knew for that long, so it is not before the naming; it counts as long as the store never came back from an older copy, which may have forgotten the naming.

TestRestartedHolderFreesContextInTime failed before.

--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -27,7 +27,8 @@
 	// absentAt is when the last answered call began whose answer did not name the version yet, zero
 	// if there was none.
 	absentAt time.Time
-	// confirmedAt is when this process learned that the store names the version in the era confirmedEra.
+	// confirmedAt is when this process, or another whose word counts, learned that the store names the
+	// version in the era confirmedEra.
 	confirmedAt  time.Time
 	confirmedEra uint64
 }
@@ -143,10 +144,17 @@
 	for _, a := range ages {
 		learned := s.targets[a.Model].learned
 		for i := range learned {
+			if learned[i].version != a.Version {
+				continue
+			}
 			at := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
-			if learned[i].version == a.Version && at.Before(learned[i].at) {
+			if at.Before(learned[i].at) {
 				learned[i].at = at
 			}
+			// In a later era, the version may have been forgotten and named again since then.
+			if learned[i].confirmedEra == 0 && at.Before(learned[i].confirmedAt) {
+				learned[i].confirmedAt = at
+			}
 		}
 	}
 }
