gateway: log by which naming, and since when, weights count as replaced

Of a request that began on replaced weights the log did not say whether its gateway did not know of the naming, took it for later than it was, or believed the endpoint to have newer weights. An attempt now has the age and the version that it was judged by, "outdated state of endpoint weights changed" too, "weights named" says what is replaced, and an age taken from the lease's note is logged.

--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -50,9 +50,10 @@
 		version: t.Version, at: now, absentAt: s.weightsAnswer.asOf, confirmedAt: now, confirmedEra: era,
 	})
 	t.learned = t.learned[max(0, len(t.learned)-maxLearnedVersions):]
+	replaces := s.targets[t.Model].Version
 	s.targets[t.Model] = t
 	s.notifyTargetChanged()
-	s.Log.Info("weights named", zap.String("model", t.Model), zap.Int64("version", t.Version), revisionField("revision", t.Revision))
+	s.Log.Info("weights named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("replaces", replaces), revisionField("revision", t.Revision))
 }
 
 // notifyTargetChanged wakes those who wait on TargetChanged because there may be something
@@ -101,12 +102,34 @@
 // learnedAfter is when this process learned of the first version above the given one, the
 // zero time if there is none.
 func (t TargetWeights) learnedAfter(version int64) time.Time {
+	return t.successor(version).at
+}
+
+// successor returns the first version above the given one, the zero value if there is none.
+func (t TargetWeights) successor(version int64) learnedVersion {
 	for _, v := range t.learned {
 		if v.version > version {
-			return v.at
+			return v
 		}
 	}
-	return time.Time{}
+	return learnedVersion{}
+}
+
+// ReplacedFor returns how long ago a version of a model was replaced as far as this process knows, and
+// by which version, 0 if by none.
+func (s *State) ReplacedFor(model string, version int64) (age time.Duration, by int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replacedFor(model, version)
+}
+
+// replacedFor is ReplacedFor with s.mu held.
+func (s *State) replacedFor(model string, version int64) (age time.Duration, by int64) {
+	next := s.targets[model].successor(version)
+	if next.version == 0 {
+		return 0, 0
+	}
+	return s.Now().Sub(next.at), next.version
 }
 
 // VersionAge is how long ago a version of a model became the target.
@@ -149,6 +172,8 @@
 			}
 			at := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
 			if at.Before(learned[i].at) {
+				s.Log.Info("version was named earlier than known", zap.String("model", a.Model), zap.Int64("version", a.Version),
+					zap.Int64("age_ms", a.AgeMS), zap.Duration("known_age", now.Sub(learned[i].at)))
 				learned[i].at = at
 			}
 			// In a later era, the version may have been forgotten and named again since then.
@@ -199,7 +224,9 @@
 func (s *State) updateOutdated(k *knownInstance) {
 	if outdated := s.isOutdated(k); outdated != k.outdated {
 		k.outdated = outdated
-		s.Log.Info("outdated state of endpoint weights changed", zap.String("endpoint", k.ID), zap.Int64("weights", k.Weights), zap.Bool("outdated", outdated))
+		age, by := s.replacedFor(k.Model, k.Weights)
+		s.Log.Info("outdated state of endpoint weights changed", zap.String("endpoint", k.ID), zap.Int64("weights", k.Weights), zap.Bool("outdated", outdated),
+			zap.Int64("replaced_by", by), zap.Duration("replaced_for", age))
 	}
 }
 
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -19,6 +19,10 @@
 	Error    string `json:"error,omitempty"`
 	Status   int    `json:"status,omitempty"`
 	Weights  string `json:"weights,omitempty"`
+	// ReplacedForMS is how long ago the weights had been replaced by ReplacedBy when the attempt ended,
+	// as far as this process knows.
+	ReplacedForMS int64 `json:"weights_replaced_for_ms,omitempty"`
+	ReplacedBy    int64 `json:"weights_replaced_by,omitempty"`
 	// SoftwareVersion is that of the endpoint.
 	SoftwareVersion string `json:"software_version,omitempty"`
 	// Reused is set if the connection had carried another request, Answered if any byte of an
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -238,6 +238,10 @@
 		Running: c.LoadSnapshot.Running, Queued: c.LoadSnapshot.Queued, Sent: c.LoadSnapshot.Sent, Own: c.LoadSnapshot.Own,
 		LoadAgeMS: c.LoadSnapshot.LoadAge.Milliseconds(), Slowdown: c.LoadSnapshot.Slowdown, PeerRunning: c.LoadSnapshot.PeerRunning, PeerUnread: c.LoadSnapshot.PeerUnread,
 	}
+	if attempt.Weights > 0 {
+		age, by := x.g.State.ReplacedFor(c.Member.Endpoint.Model, attempt.Weights)
+		record.ReplacedForMS, record.ReplacedBy = age.Milliseconds(), by
+	}
 	record.Reused, record.Answered = x.trace.Reused, x.trace.Answered
 	record.LeavingForMS, record.RestLeftMS = c.LoadSnapshot.LeavingFor.Milliseconds(), c.LoadSnapshot.RestLeft.Milliseconds()
 	if c.LoadSnapshot.RequestsPerSecond > 0 {
