--- a/internal/coordination/gateway/weights_test.go
+++ b/internal/coordination/gateway/weights_test.go
@@ -44,6 +44,49 @@
 	<-closed
 }
 
+// TestRunThatWaitsWhileWeightsAreReplaced guards against a prompt that begins on replaced weights because they were replaced, or
+// turned out to have been replaced earlier, only after it was sent.
+func TestRunThatWaitsWhileWeightsAreReplaced(t *testing.T) {
+	const beginWithin = 200 * time.Millisecond
+	v2 := discovery.TargetWeights{Model: "m", Version: 2}
+	for _, row := range []struct {
+		name           string
+		before, during func(s *discovery.State)
+	}{
+		{"the version is named", func(*discovery.State) {}, func(s *discovery.State) { s.SetTarget(v2) }},
+		{"the version is older than known", func(s *discovery.State) {
+			s.SetTarget(v2)
+			s.BeginWithin = time.Hour
+		}, func(s *discovery.State) {
+			s.MergeVersionAges([]discovery.VersionAge{{Model: "m", Version: 2, AgeMS: time.Hour.Milliseconds()}})
+		}},
+		{"the endpoint is not listed any more", func(*discovery.State) {}, func(s *discovery.State) {
+			s.Remove("i-0", false, time.Now())
+			s.SetTarget(v2)
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			arrived := make(chan struct{}, 1)
+			s := newTestServer(t, singleRoute(routes.Streaming, 1), func(c net.Conn, _ *http.Request) {
+				arrived <- struct{}{}
+				io.Copy(io.Discard, c)
+			})
+			state := s.gateway.State
+			state.BeginWithin = beginWithin
+			state.SetInstance(discovery.Instance{ID: "i-0", Revision: 9, Service: "s", Address: s.endpoints[0].address, Domain: "a", Model: "m", Weights: 1})
+			row.before(state)
+			go func() {
+				<-arrived
+				row.during(state)
+			}()
+			resp, _, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerTimeLeft+": 5000"))
+			if err != nil || resp.StatusCode != 502 {
+				t.Errorf("got %v %v, want a 502 before the deadline", resp, err)
+			}
+		})
+	}
+}
+
 // TestEngineIsQueriedAfterWeightMismatch guards against a process that can't reach the store and
 // has all its prompts rejected by an engine that has loaded new weights.
 //
