discovery: the age of a version is known for certain, or its weights count as too old

Cause: the platform's store says which version is named, not since when. A process knew the time of a naming if it saw it, or from the note in the rollout lease, and took what it did not know for "now": a gateway that started after two namings knew the second only, and judged the weights that the first had replaced by it; ages of the first in the note were dropped; a note of a holder that had ended gave an age as of its writing; and a holder that started again overwrote the note before it had read it.

Change: each naming has the time of which it is certain, by what version it replaced. Exact is what came as an event of a watch without a gap, or was told by a process for which it is exact. Otherwise a time before the naming counts, and if there is none the weights are not used. Versions that a process has not seen itself are adopted from others. A process that does not know asks three others each 100 ms (versiongossip), and all compare now and then while an endpoint is behind. Notes read from the store bound an age from below only. The holder reads a note before it writes its own. Weights are retired by a loop of their own, not by the one that orders engines.

Why this holds: no process uses weights by a time that is later than the naming. TestNoRequestBeginsOnWeightsReplacedForLong plays 3 to 370 gateways with directors, leases, notices and late orders; it fails with any of the four safeguards taken out.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -219,6 +219,7 @@
 		p.gateway.Copier = engines
 	}
 	p.run(director.Run)
+	p.run(state.RunRetirement)
 	p.run(p.gateway.RunWeightQueries)
 	p.run(p.gateway.RunEndpointSync)
 	p.run(keeper.Run)
@@ -238,13 +239,13 @@
 	// A holder acts for up to act after its last renewal, and another takes over after a whole term plus
 	// the handover of act: orders of two holders are at least a term apart.
 	act := b.OrderLease / 4
-	return &rollout.Director{
-		State: state, Log: p.log, Holder: holder, Handover: act, Within: b.WeightsInForce, Now: bootclock.Now,
-		Lease: lease.New(lease.Config{
-			Key: rolloutLease, Holder: holder, Term: b.OrderLease, Act: act, CallTimeout: leaseCallTimeout, Now: bootclock.Now,
-		}, store),
-		Engines: engines,
+	d := &rollout.Director{
+		State: state, Log: p.log, Holder: holder, Handover: act, Within: b.WeightsInForce, Now: bootclock.Now, Engines: engines,
 	}
+	d.Lease = lease.New(lease.Config{
+		Key: rolloutLease, Holder: holder, Term: b.OrderLease, Act: act, CallTimeout: leaseCallTimeout, Now: bootclock.Now, OnNote: d.ObserveNote,
+	}, store)
+	return d
 }
 
 const (
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -18,6 +18,7 @@
 	"limpetwall/internal/coordination/pushbackgossip"
 	"limpetwall/internal/coordination/quarantinegossip"
 	"limpetwall/internal/coordination/rollout"
+	"limpetwall/internal/coordination/versiongossip"
 	"limpetwall/internal/coordination/warmup"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/bootclock"
@@ -35,6 +36,7 @@
 	watcher.Processes, director.Fleet = sharer.Processes, sharer.Processes
 	metrics.NewRegisteredFunctionalGauge("gateway.processes_known", p.gateway.Metrics, func() int64 { return int64(sharer.Processes()) })
 	p.shareNotices(sharer, director)
+	p.shareVersionAges(sharer)
 	p.shareContents(sharer, keeper)
 	p.shareQuarantines(sharer)
 	p.claimColdEndpoints(self, sharer, store, director)
@@ -78,6 +80,21 @@
 	p.run(caster.Run)
 }
 
+// shareVersionAges exchanges with the other gateways how long ago versions of weights were named. Without it, a gateway
+// knows that of what it has seen itself and from the rollout lease.
+func (p *gatewayProcess) shareVersionAges(sharer *loadreport.Exchanger) {
+	if p.settings.Platform.Versions == "" {
+		return
+	}
+	group, err := datagram.Listen(netip.MustParseAddrPort(p.settings.Platform.Versions))
+	if err != nil {
+		p.log.Error("ages of versions are not told to other gateways", zap.Error(err))
+		return
+	}
+	exchanger := &versiongossip.Exchanger{Group: group, Hosts: sharer.Hosts, State: p.gateway.State, Log: p.log}
+	p.run(exchanger.Run)
+}
+
 // claimColdEndpoints has one gateway of a domain use each of its cold endpoints.
 func (p *gatewayProcess) claimColdEndpoints(self fleet.Member, sharer *loadreport.Exchanger, store *platform.Store, director *rollout.Director) {
 	state := p.gateway.State
--- a/internal/coordination/discovery/replacement.go
+++ b/internal/coordination/discovery/replacement.go
@@ -42,14 +42,12 @@
 	if s.weightsAnswer.era > 0 && s.Now().Sub(s.weightsAnswer.eraSince) < eraSettleTime {
 		return time.Time{}
 	}
-	learned := s.targets[model].learned
-	if len(learned) == maxLearnedVersions && version < learned[0].version {
+	known := s.targets[model].namings
+	if len(known) == maxNamings && version < known[0].version {
 		return time.Time{}
 	}
-	for _, v := range learned {
-		if v.version > version {
-			return v.absentAt
-		}
+	if next, ok := known.after(version); ok {
+		return next.absentAt
 	}
 	return s.weightsAnswer.asOf
 }
@@ -67,7 +65,7 @@
 		return below, validUntil
 	}
 	for model, target := range s.targets {
-		for _, v := range target.learned {
+		for _, v := range target.namings {
 			if v.confirmedEra == s.weightsAnswer.era && now.Sub(v.confirmedAt) >= atLeast {
 				below[model] = max(below[model], v.version)
 			}
@@ -75,12 +73,3 @@
 	}
 	return below, validUntil
 }
-
-// confirm records that the store names a version, and so has replaced all versions below it.
-func (t TargetWeights) confirm(version int64, era uint64, now time.Time) {
-	for i := range t.learned {
-		if v := &t.learned[i]; v.version <= version && v.confirmedEra < era {
-			v.confirmedEra, v.confirmedAt = era, now
-		}
-	}
-}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -81,9 +81,11 @@
 	departures    departures
 	targets       map[string]TargetWeights
 	targetChanged chan struct{}
-	weightsAnswer weightsAnswer
-	rowVersion    uint64
-	listed        bool
+	// namingsChanged is closed when this process learns when a version was named.
+	namingsChanged chan struct{}
+	weightsAnswer  weightsAnswer
+	rowVersion     uint64
+	listed         bool
 	// evacuations holds the evacuated failure domains.
 	evacuations       map[string]*evacuation
 	evacuationsListed bool
@@ -117,7 +119,7 @@
 	return &State{
 		Table: fleet.NewTable(cfg, self, now), Services: config.NewStore(), Log: log, Now: time.Now, onRoutes: onRoutes,
 		instances: map[string]*knownInstance{}, conflicts: addressConflicts{firstSeen: map[string]objectapi.Revision{}, waiting: map[string]Instance{}},
-		departures: newDepartures(), targets: map[string]TargetWeights{}, targetChanged: make(chan struct{}), evacuations: map[string]*evacuation{},
+		departures: newDepartures(), targets: map[string]TargetWeights{}, targetChanged: make(chan struct{}), namingsChanged: make(chan struct{}), evacuations: map[string]*evacuation{},
 	}
 }
 
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -115,6 +115,9 @@
 	instancesEra *uint64
 	// configAsOf is when the last answered call for the configuration began.
 	configAsOf time.Time
+	// isWatchLive is set while the events of a watch are applied that has waited for them without a gap
+	// since the answer before. Only the loop of target weights uses it.
+	isWatchLive bool
 }
 
 // Run follows all kinds until ctx ends.
@@ -276,6 +279,9 @@
 		return 0, err
 	}
 	w.recordOutcome(kind, nil)
+	if kind == w.Kinds.Weights {
+		w.isWatchLive = false
+	}
 	w.applyList(kind, records, revision)
 	w.confirm(kind, began, revision)
 	return revision, nil
@@ -286,6 +292,7 @@
 func (w *Watcher) watch(ctx context.Context, kind string, revision objectapi.Revision) error {
 	retryDelay := minRetryDelay
 	limiter := rate.NewLimiter(rate.Every(w.watchInterval()), watchBurst)
+	lastAnswer, hasFailed := w.now(), false
 	for limiter.Wait(ctx) == nil {
 		limiter.SetLimit(rate.Every(w.watchInterval()))
 		wait, call, cancel := w.watchContext(ctx, kind)
@@ -303,10 +310,12 @@
 			return err
 		}
 		if err != nil && errors.Is(context.Cause(call), errStoreAnswers) {
+			hasFailed = true
 			continue
 		}
 		w.recordOutcome(kind, err)
 		if err != nil {
+			hasFailed = true
 			delay := retryDelay
 			if kind == w.Kinds.Instances {
 				delay = max(minInstancesRetryDelay, retryDelay-w.now().Sub(began))
@@ -318,6 +327,12 @@
 			continue
 		}
 		retryDelay = minRetryDelay
+		now := w.now()
+		if kind == w.Kinds.Weights {
+			// A process that was paused reads events long after they were sent.
+			w.isWatchLive = !hasFailed && now.Sub(lastAnswer) <= w.watchInterval()+wait+callMargin
+		}
+		lastAnswer, hasFailed = now, false
 		for _, e := range events {
 			w.applyEvent(kind, e)
 		}
@@ -489,6 +504,7 @@
 	if err != nil {
 		return err
 	}
+	target.MayBeOlder = !w.isWatchLive
 	w.State.SetTarget(target)
 	return nil
 }
--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"sort"
 	"strconv"
 	"time"
@@ -10,50 +11,43 @@
 	"limpetwall/internal/transport/objectapi"
 )
 
+// retireInterval is how often the age of replaced weights is checked while an endpoint has some.
+const retireInterval = 100 * time.Millisecond
+
 // TargetWeights is the version of a model that operators asked for.
 type TargetWeights struct {
 	Model    string
 	Version  int64
 	Revision objectapi.Revision
-	// learned holds, oldest first, when this process learned of each version that some
-	// endpoint may still lack.
-	learned []learnedVersion
-}
-
-type learnedVersion struct {
-	version int64
-	// at is when the version became the target, as far as this process or another knows.
-	at time.Time
-	// absentAt is when the last answered call began whose answer did not name the version yet, zero
-	// if there was none.
-	absentAt time.Time
-	// confirmedAt is when this process, or another whose word counts, learned that the store names the
-	// version in the era confirmedEra.
-	confirmedAt  time.Time
-	confirmedEra uint64
+	// MayBeOlder is set if the version may have been named long before this process learned of it.
+	MayBeOlder bool
+	namings    namings
 }
 
-// maxLearnedVersions bounds the number of versions remembered for a model.
-const maxLearnedVersions = 16
-
 // SetTarget records the version of a model that operators asked for. A version that is not
 // higher than the current target is ignored.
 func (s *State) SetTarget(t TargetWeights) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, era := s.Now(), t.Revision.Era()
-	s.targets[t.Model].confirm(t.Version, era, now)
-	if t.Version <= s.targets[t.Model].Version {
+	before := s.targets[t.Model]
+	before.namings.confirm(t.Version, era, now)
+	if t.Version <= before.Version {
 		return
 	}
-	t.learned = append(s.targets[t.Model].learned, learnedVersion{
-		version: t.Version, at: now, absentAt: s.weightsAnswer.asOf, confirmedAt: now, confirmedEra: era,
-	})
-	t.learned = t.learned[max(0, len(t.learned)-maxLearnedVersions):]
-	replaces := s.targets[t.Model].Version
+	n := naming{
+		version: t.Version, replaces: before.Version, at: now, isExact: !t.MayBeOlder, notBefore: s.weightsAnswer.asOf,
+		absentAt: s.weightsAnswer.asOf, confirmedAt: now, confirmedEra: era,
+	}
+	if t.MayBeOlder && before.Version == 0 && n.notBefore.IsZero() {
+		n.replaces = t.Version
+	}
+	t.namings = before.namings.with(n)
 	s.targets[t.Model] = t
 	s.notifyTargetChanged()
-	s.Log.Info("weights named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("replaces", replaces), revisionField("revision", t.Revision))
+	s.notifyNamingsChanged()
+	s.Log.Info("weights named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("replaces", before.Version),
+		zap.Bool("may_be_older", t.MayBeOlder), revisionField("revision", t.Revision))
 }
 
 // notifyTargetChanged wakes those who wait on TargetChanged because there may be something
@@ -84,7 +78,8 @@
 }
 
 // EndpointsBehind counts the endpoints that do not have the target weights of a model. since
-// is when the first version that the endpoint furthest behind lacks became the target.
+// is when the first version that the endpoint furthest behind lacks became the target, the zero
+// time if that is not known.
 func (s *State) EndpointsBehind(model string) (endpoints int, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,126 +91,70 @@
 			oldest = min(oldest, k.Weights)
 		}
 	}
-	return endpoints, target.learnedAfter(oldest)
-}
-
-// learnedAfter is when this process learned of the first version above the given one, the
-// zero time if there is none.
-func (t TargetWeights) learnedAfter(version int64) time.Time {
-	return t.successor(version).at
-}
-
-// successor returns the first version above the given one, the zero value if there is none.
-func (t TargetWeights) successor(version int64) learnedVersion {
-	for _, v := range t.learned {
-		if v.version > version {
-			return v
-		}
-	}
-	return learnedVersion{}
+	since, _ = target.namings.replacedAt(oldest)
+	return endpoints, since
 }
 
-// ReplacedFor returns how long ago a version of a model was replaced as far as this process knows, and
-// by which version, 0 if by none.
-func (s *State) ReplacedFor(model string, version int64) (age time.Duration, by int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.replacedFor(model, version)
-}
-
-// replacedFor is ReplacedFor with s.mu held.
-func (s *State) replacedFor(model string, version int64) (age time.Duration, by int64) {
-	next := s.targets[model].successor(version)
-	if next.version == 0 {
-		return 0, 0
-	}
-	return s.Now().Sub(next.at), next.version
-}
-
-// VersionAge is how long ago a version of a model became the target.
-type VersionAge struct {
-	Model   string `json:"model"`
-	Version int64  `json:"version"`
-	AgeMS   int64  `json:"age_ms"`
-}
-
-// VersionAges returns how long ago each version that some endpoint may still lack became
-// the target.
-func (s *State) VersionAges() []VersionAge {
+// RetireOutdated stops the use of endpoints whose weights were replaced more than
+// RetireAfter ago, and resumes it once they have newer ones. Answers made with outdated
+// weights are worthless by then.
+func (s *State) RetireOutdated() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []VersionAge
-	now := s.Now()
-	for _, target := range s.targets {
-		for _, v := range target.learned {
-			out = append(out, VersionAge{target.Model, v.version, now.Sub(v.at).Milliseconds()})
+	for _, k := range s.instances {
+		if s.isOutdated(k) != k.outdated {
+			s.writeRow(k, stateOf(k.Instance))
 		}
 	}
-	sort.Slice(out, func(a, b int) bool {
-		return out[a].Model < out[b].Model || (out[a].Model == out[b].Model && out[a].Version < out[b].Version)
-	})
-	return out
 }
 
-// MergeVersionAges adopts the ages that another process reports where they are higher. A
-// process that started after a version became the target would otherwise allow the replaced
-// weights for the whole time again.
-func (s *State) MergeVersionAges(ages []VersionAge) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Now()
-	for _, a := range ages {
-		learned := s.targets[a.Model].learned
-		for i := range learned {
-			if learned[i].version != a.Version {
-				continue
-			}
-			at := now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
-			if at.Before(learned[i].at) {
-				s.Log.Info("version was named earlier than known", zap.String("model", a.Model), zap.Int64("version", a.Version),
-					zap.Int64("age_ms", a.AgeMS), zap.Duration("known_age", now.Sub(learned[i].at)))
-				learned[i].at = at
-			}
-			// In a later era, the version may have been forgotten and named again since then.
-			if learned[i].confirmedEra == 0 && at.Before(learned[i].confirmedAt) {
-				learned[i].confirmedAt = at
-			}
+func (s *State) isOutdated(k *knownInstance) bool {
+	at, isReplaced := s.targets[k.Model].namings.replacedAt(k.Weights)
+	return s.RetireAfter > 0 && k.Model != "" && isReplaced && s.Now().Sub(at) > s.RetireAfter
+}
+
+// RunRetirement calls RetireOutdated whenever it may have something to do, until ctx ends.
+func (s *State) RunRetirement(ctx context.Context) {
+	for {
+		s.RetireOutdated()
+		changed, listed := s.NamingsChanged(), s.TargetChanged()
+		var check <-chan time.Time
+		if s.isAnyBehind() {
+			check = time.After(retireInterval)
+		}
+		select {
+		case <-check:
+		case <-changed:
+		case <-listed:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-// RetireOutdated stops the use of endpoints whose weights were replaced more than
-// RetireAfter ago, and resumes it once they have newer ones. Answers made with outdated
-// weights are worthless by then.
-func (s *State) RetireOutdated() {
+// isAnyBehind reports whether an endpoint lacks the target weights of its model.
+func (s *State) isAnyBehind() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range s.instances {
-		if s.isOutdated(k) != k.outdated {
-			s.writeRow(k, stateOf(k.Instance))
+		if k.Weights < s.targets[k.Model].Version {
+			return true
 		}
 	}
-}
-
-func (s *State) isOutdated(k *knownInstance) bool {
-	since := s.targets[k.Model].learnedAfter(k.Weights)
-	return s.RetireAfter > 0 && k.Model != "" && !since.IsZero() && s.Now().Sub(since) > s.RetireAfter
+	return false
 }
 
 // TimeLeftToBegin returns the time within which an endpoint must begin to answer requests
-// already sent to it. limited is false if its weights are the target weights or there is no limit.
-func (s *State) TimeLeftToBegin(id string) (left time.Duration, limited bool) {
+// already sent to it for a version of a model. limited is false if the version is the target or
+// there is no limit. It may change when NamingsChanged says so.
+func (s *State) TimeLeftToBegin(model string, version int64) (left time.Duration, limited bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k, ok := s.instances[id]
-	if !ok || s.BeginWithin == 0 {
-		return 0, false
-	}
-	since := s.targets[k.Model].learnedAfter(k.Weights)
-	if since.IsZero() {
+	at, isReplaced := s.targets[model].namings.replacedAt(version)
+	if s.BeginWithin <= 0 || version == 0 || !isReplaced {
 		return 0, false
 	}
-	return s.BeginWithin - s.Now().Sub(since), true
+	return s.BeginWithin - s.Now().Sub(at), true
 }
 
 // updateOutdated updates whether an endpoint's weights are outdated, and logs a change. It is
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -189,7 +190,8 @@
 	if target.Member.ID == "" {
 		return target
 	}
-	window, limited := x.g.State.TimeLeftToBegin(target.Member.ID)
+	version, _ := strconv.ParseInt(target.Member.Endpoint.WeightVersion, 10, 64)
+	window, limited := x.g.State.TimeLeftToBegin(target.Member.Endpoint.Model, version)
 	if target.CapacityWait > maxDestinationWait || (limited && window < minStartWindow) {
 		x.g.Directory.Release(target)
 		return routing.Choice{}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -100,7 +100,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	unwatch := x.cancelWhenBlamed(cancel)
 	x.onStreamBegun = unwatch
-	if left, limited := x.g.State.TimeLeftToBegin(c.Member.ID); limited {
+	version, _ := strconv.ParseInt(c.Member.Endpoint.WeightVersion, 10, 64)
+	if left, limited := x.g.State.TimeLeftToBegin(c.Member.Endpoint.Model, version); limited {
 		timer := time.AfterFunc(max(0, left), func() { cancel(errWeightsReplaced) })
 		x.onStreamBegun = func() {
 			timer.Stop()
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -41,6 +41,10 @@
 	// StepInterval is the least time between two calls of Step in all processes, 0 if unknown. The
 	// dates of notes are more precise with it.
 	StepInterval time.Duration
+	// OnNote, if set, is called with each note of another holder, or of this process before its start, as soon
+	// as it is known and before this process writes one of its own. writtenAfter is a time after which the note
+	// was written, zero if none is known; isRecent is set if its writer has just announced it.
+	OnNote func(note json.RawMessage, writtenAfter time.Time, isRecent bool)
 	// Now is the clock; nil means time.Now. If hosts may be suspended, it must advance
 	// meanwhile: a holder that resumes would otherwise assume that no time has passed.
 	Now func() time.Time
@@ -139,13 +143,6 @@
 	return l.writtenAfter
 }
 
-// LastNote is the note last read, of any holder.
-func (l *Lease) LastNote() []byte {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lastRead.Note
-}
-
 // LastWrite returns this process's last successful write: the version of the object after it,
 // and its value.
 func (l *Lease) LastWrite() (version int64, value []byte) {
@@ -158,14 +155,18 @@
 // store. Versions grow, so a delayed or repeated announcement of a version already seen changes
 // nothing. A late one only makes the lease expire later from this process's point of view.
 func (l *Lease) ObserveRenewal(version int64, value []byte) {
+	c := decodeContent(value)
+	if l.recordRenewal(version, c) && l.cfg.OnNote != nil {
+		l.cfg.OnNote(c.Note, time.Time{}, true)
+	}
+}
+
+// recordRenewal records an announced write, and reports whether it was new.
+func (l *Lease) recordRenewal(version int64, c content) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if version <= l.seenVersion || version <= l.version {
-		return
-	}
-	c := decodeContent(value)
-	if c.Holder == l.cfg.Holder {
-		return
+	if version <= l.seenVersion || version <= l.version || c.Holder == l.cfg.Holder {
+		return false
 	}
 	now := l.cfg.Now()
 	l.fence = 0
@@ -174,6 +175,7 @@
 	case l.renewals <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // LastObservedRenewal is when the holder last announced a renewal, the zero time if it never did.
@@ -290,7 +292,10 @@
 		return err
 	}
 	era := l.api.Eras().Current()
-	previous := l.applyRead(o, began)
+	previous, writtenAfter := l.applyRead(o, began)
+	if l.cfg.OnNote != nil {
+		l.cfg.OnNote(previous.Note, writtenAfter, false)
+	}
 	isOwn := l.isOwn(previous, began)
 	if !l.hasExpired(o.Version, began) && !isOwn {
 		return ErrNotHeld
@@ -345,8 +350,8 @@
 // applyRead records the value read from the object. A lease that names this process as
 // holder is from before its restart, or from a write whose answer was lost. Nobody else can
 // act under it, so it is acquired again at once, with a higher fencing token.
-func (l *Lease) applyRead(o objectapi.Object, began time.Time) content {
-	c := decodeContent(o.Value)
+func (l *Lease) applyRead(o objectapi.Object, began time.Time) (c content, writtenAfter time.Time) {
+	c = decodeContent(o.Value)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.Holder != l.cfg.Holder {
@@ -355,7 +360,7 @@
 	}
 	l.dateContent(c, began)
 	l.lastRead = c
-	return c
+	return c, l.writtenAfter
 }
 
 // dateContent records when the content read was written, as far as is known; l.mu is held. It has been
--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -91,6 +91,8 @@
 	// its note in the lease says that it orders.
 	lastOrderAt       time.Time
 	orderingAnnounced bool
+	// noteOrdering is what the note to be written next says of this.
+	noteOrdering bool
 	// meanLoadTime is a moving average of how long orders take.
 	meanLoadTime time.Duration
 	// inFlight holds the orders of this process that engines are carrying out, by engine.
@@ -249,16 +251,13 @@
 }
 
 func (d *Director) step(ctx context.Context, held bool) bool {
-	d.State.RetireOutdated()
 	if !held && d.noticeTimeLeft(d.isRolloutPending()) > 0 {
-		d.mergeVersionAges()
 		d.followHolder(true)
 		return false
 	}
 	ordering := d.isRolloutPending() || d.Now().Sub(d.lastOrderAt) < d.Handover
 	d.writeNote(ordering)
 	err := d.Lease.Step(ctx)
-	d.mergeVersionAges()
 	fence, notHeld := d.Lease.Fence(d.Now())
 	if (notHeld == nil) != held {
 		d.Log.Info("rollout lease", zap.Bool("held", notHeld == nil), zap.Uint64("fence", fence), zap.NamedError("last_call", err))
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -259,11 +259,12 @@
 			p.state.SetInstance(discovery.Instance{ID: id, Service: "llm", Model: "m", Weights: e.weights, Address: net.JoinHostPort("10.0.0.1", id)})
 		}
 		holder := fmt.Sprint("h", i)
-		p.lease = lease.New(lease.Config{Key: "k", Holder: holder, Term: term, Act: actWindow, CallTimeout: time.Second}, p.api)
 		d := &rollout.Director{
-			State: p.state, Lease: p.lease, Engines: engines, Log: zap.NewNop(), Holder: holder, Handover: actWindow,
+			State: p.state, Engines: engines, Log: zap.NewNop(), Holder: holder, Handover: actWindow,
 			Within: 10 * time.Second, Now: time.Now,
 		}
+		p.lease = lease.New(lease.Config{Key: "k", Holder: holder, Term: term, Act: actWindow, CallTimeout: time.Second, OnNote: d.ObserveNote}, p.api)
+		d.Lease = p.lease
 		if notices != nil {
 			d.Notices, d.Fleet = notices.join(p), func() int { return n }
 		}
--- a/internal/coordination/rollout/note.go
+++ b/internal/coordination/rollout/note.go
@@ -44,6 +44,7 @@
 }
 
 func (d *Director) writeNote(ordering bool) {
+	d.noteOrdering = ordering
 	n := leaseNote{Ordering: ordering, VersionAges: d.State.VersionAges(), Loading: make([]string, 0, len(d.inFlight))}
 	for id := range d.inFlight {
 		n.Loading = append(n.Loading, id)
@@ -122,12 +123,18 @@
 	}
 }
 
-// mergeVersionAges applies the version ages in the note that was last read from the lease.
-func (d *Director) mergeVersionAges() {
-	n, err := decodeNote(d.Lease.LastNote())
+// ObserveNote adopts what a note in the lease says of the ages of versions. See lease.Config.OnNote. It must run
+// before this process writes its own note: the first one after a start would otherwise lack the ages.
+func (d *Director) ObserveNote(data json.RawMessage, writtenAfter time.Time, isRecent bool) {
+	n, err := decodeNote(data)
 	if err != nil {
 		d.Log.Error("cannot decode lease note", zap.Error(err))
 		return
 	}
-	d.State.MergeVersionAges(n.VersionAges)
+	if isRecent {
+		d.State.MergeVersionAges(n.VersionAges)
+		return
+	}
+	d.State.MergeOldVersionAges(n.VersionAges, writtenAfter)
+	d.writeNote(d.noteOrdering)
 }
