gateway: what waits to begin is canceled by what becomes known of its weights meanwhile

What callers would see: a prompt that was sent before a naming, or by an age that proves to be too small, begins on replaced weights past their time. The time left to begin was read once, when the request was sent; for a request sent before the naming there was none, and none for endpoints that are not listed any more.

Change: the limit belongs to the model and the version that a request was sent for, and follows each change of what the process knows. Answers of repeatable requests that are not streams have it too, as nothing tells when they began. Continuations, retries and resumed streams are attempts like any other.

Not covered: requests that are neither streams nor repeatable; to cancel one that may run would leave its caller without an outcome.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -160,6 +160,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer x.cancelWhenBlamed(cancel)()
+	if x.route.Kind == routes.Idempotent {
+		// When an answer that is not a stream began is not known.
+		go x.cancelWhenReplaced(ctx, cancel, c.Member.Endpoint)
+	}
 	resp, reply, out := x.send(ctx, c, a)
 	if resp == nil {
 		return out
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -16,6 +16,7 @@
 	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/streamorigin"
+	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -99,14 +100,11 @@
 func (x *exchange) withBeginDeadline(ctx context.Context, c routing.Choice) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	unwatch := x.cancelWhenBlamed(cancel)
-	x.onStreamBegun = unwatch
-	version, _ := strconv.ParseInt(c.Member.Endpoint.WeightVersion, 10, 64)
-	if left, limited := x.g.State.TimeLeftToBegin(c.Member.Endpoint.Model, version); limited {
-		timer := time.AfterFunc(max(0, left), func() { cancel(errWeightsReplaced) })
-		x.onStreamBegun = func() {
-			timer.Stop()
-			unwatch()
-		}
+	waiting, endWait := context.WithCancel(ctx)
+	go x.cancelWhenReplaced(waiting, cancel, c.Member.Endpoint)
+	x.onStreamBegun = func() {
+		endWait()
+		unwatch()
 	}
 	return ctx, func() {
 		x.onStreamBegun()
@@ -114,6 +112,32 @@
 	}
 }
 
+// cancelWhenReplaced cancels an attempt once the weights that it was sent for may no longer be used, until
+// ctx ends. They may be replaced, or turn out to have been replaced earlier, while the request waits.
+func (x *exchange) cancelWhenReplaced(ctx context.Context, cancel context.CancelCauseFunc, sentTo fleet.Endpoint) {
+	version, err := strconv.ParseInt(sentTo.WeightVersion, 10, 64)
+	if err != nil {
+		return
+	}
+	for {
+		changed := x.g.State.NamingsChanged()
+		var end <-chan time.Time
+		if left, limited := x.g.State.TimeLeftToBegin(sentTo.Model, version); limited {
+			end = time.After(max(0, left))
+		}
+		select {
+		case <-end:
+			if ctx.Err() == nil {
+				cancel(errWeightsReplaced)
+			}
+			return
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // relayEvents forwards events until the stream ends.
 func (x *exchange) relayEvents(ctx context.Context, c routing.Choice, resp *upstream.Response) outcome {
 	reader := bufio.NewReader(resp)
