rollout: engines that do not answer take no time and no place from the others

TestUnansweredCallsDoNotDelayOtherEngines: 12 of 44 engines that answer no report, or no order, and are asked first: 0 engines loaded in 10 s (32 wanted), and the lease lost; half of all orders late: 29 after 15 s (40 wanted).

Cause: the holder called one engine after the other, 0.5 s each, in the loop that renews its lease, and an engine that had not answered was the first to be asked again.

Change: reports and orders of a round go out in parallel, 64 at most. An engine that did not answer keeps its place among those that load for a second, as it may have accepted the order; if it does not answer again it is left out for a second, and others take the place.

TestHolderFreezesAfterSlowReport wants two orders before the freeze where it wanted one: both places are used at the same moment, at the end of the holder's window. Its other checks are as they were.

--- a/internal/coordination/rollout/director.go
+++ b/internal/coordination/rollout/director.go
@@ -4,13 +4,16 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/lease"
@@ -102,6 +105,16 @@
 	markedLoading map[string]time.Time
 	// loaded holds the weights of engines whose orders this process recently saw end.
 	loaded map[string]loadedWeights
+	// unanswered holds the engines that did not answer the last report or order.
+	unanswered map[string]unansweredCall
+}
+
+// unansweredCall is the last call that an engine did not answer.
+type unansweredCall struct {
+	// retryAt is when the engine is called again.
+	retryAt time.Time
+	// count is the number of such calls in succession.
+	count int
 }
 
 type loadedWeights struct {
@@ -140,6 +153,10 @@
 	noticeTTLIdle = 2*holderIdleInterval + holderIdleInterval/2
 	// engineTimeout limits one report or order.
 	engineTimeout = 500 * time.Millisecond
+	// unansweredRetry is the time after which an engine that did not answer is called again.
+	unansweredRetry = time.Second
+	// maxParallelCalls bounds the calls to engines at a time.
+	maxParallelCalls = 64
 	// loadTimeout is the time after which an accepted order is considered lost, and
 	// silenceTimeout the time without a report after which an engine makes way for another.
 	loadTimeout    = 8 * time.Second
@@ -163,6 +180,7 @@
 // Run checks the lease and sends orders while holding it, until ctx ends.
 func (d *Director) Run(ctx context.Context) {
 	d.inFlight, d.markedLoading, d.loaded = map[string]inFlightOrder{}, map[string]time.Time{}, map[string]loadedWeights{}
+	d.unanswered = map[string]unansweredCall{}
 	held := false
 	for {
 		timer := time.NewTimer(d.pollDelay(held))
@@ -301,38 +319,63 @@
 
 // pollOrders asks the engines with an order in flight for their progress.
 func (d *Director) pollOrders(ctx context.Context) {
+	var polled []inFlightOrder
 	for id, l := range d.inFlight {
 		if d.isResting(l.instance) {
 			l.lastReport = d.Now()
 			d.inFlight[id] = l
 			continue
 		}
-		report, err := d.report(ctx, l.instance)
-		now, known := d.State.Instance(id)
-		if !known || now.Born != l.instance.Born {
-			// An order ends when the engine that accepted it starts again; the engine is
-			// ordered again.
-			d.Log.Info("order lost with its engine", zap.String("endpoint", id), zap.Bool("known", known), zap.Int64("ordered", l.version))
-			delete(d.inFlight, id)
-			continue
-		}
-		if err != nil {
-			d.Log.Warn("engine does not report", zap.String("endpoint", id), zap.Error(err))
-		} else {
-			l.lastReport = d.Now()
-			d.inFlight[id] = l
-		}
-		weights := report.Weights[l.instance.Model]
-		d.State.ObserveWeights(id, weights)
-		finished := err == nil && !report.Busy
-		if finished || d.Now().Sub(l.since) > loadTimeout || d.Now().Sub(l.lastReport) > silenceTimeout {
-			d.Log.Info("order ended", zap.String("endpoint", id), zap.Int64("ordered", l.version), zap.Int64("weights", weights),
-				zap.Duration("took", d.Now().Sub(l.since)))
-			d.observeLoadTime(d.Now().Sub(l.since))
-			d.loaded[id] = loadedWeights{weights, d.Now()}
-			delete(d.inFlight, id)
-			d.State.SetLoading(id, false)
-		}
+		polled = append(polled, l)
+	}
+	reports, failures := make([]EngineReport, len(polled)), make([]error, len(polled))
+	inParallel(len(polled), func(n int) { reports[n], failures[n] = d.report(ctx, polled[n].instance) })
+	for n, l := range polled {
+		d.recordProgress(l, reports[n], failures[n])
+	}
+}
+
+// inParallel calls f with 0 to n-1, maxParallelCalls at a time, and waits for all. Engines that do not answer would
+// otherwise take up the time of the others, and the lease.
+func inParallel(n int, f func(int)) {
+	var group errgroup.Group
+	group.SetLimit(maxParallelCalls)
+	for i := range n {
+		group.Go(func() error {
+			f(i)
+			return nil
+		})
+	}
+	group.Wait()
+}
+
+// recordProgress records what an engine with an order in flight has reported.
+func (d *Director) recordProgress(l inFlightOrder, report EngineReport, err error) {
+	id := l.instance.ID
+	now, known := d.State.Instance(id)
+	if !known || now.Born != l.instance.Born {
+		// An order ends when the engine that accepted it starts again; the engine is
+		// ordered again.
+		d.Log.Info("order lost with its engine", zap.String("endpoint", id), zap.Bool("known", known), zap.Int64("ordered", l.version))
+		delete(d.inFlight, id)
+		return
+	}
+	if err != nil {
+		d.Log.Warn("engine does not report", zap.String("endpoint", id), zap.Error(err))
+	} else {
+		l.lastReport = d.Now()
+		d.inFlight[id] = l
+	}
+	weights := report.Weights[l.instance.Model]
+	d.State.ObserveWeights(id, weights)
+	finished := err == nil && !report.Busy
+	if finished || d.Now().Sub(l.since) > loadTimeout || d.Now().Sub(l.lastReport) > silenceTimeout {
+		d.Log.Info("order ended", zap.String("endpoint", id), zap.Int64("ordered", l.version), zap.Int64("weights", weights),
+			zap.Duration("took", d.Now().Sub(l.since)))
+		d.observeLoadTime(d.Now().Sub(l.since))
+		d.loaded[id] = loadedWeights{weights, d.Now()}
+		delete(d.inFlight, id)
+		d.State.SetLoading(id, false)
 	}
 }
 
@@ -360,13 +403,32 @@
 // sendOrders sends the orders that Decide returns.
 func (d *Director) sendOrders(ctx context.Context) {
 	members := d.members()
-	orders, _ := Decide(d.desiredView(members), members)
+	orders, _ := Decide(d.desiredView(members), slices.DeleteFunc(members, d.isLeftOut))
+	var sent []sentOrder
 	for _, o := range orders {
 		instance, ok := d.State.Instance(o.Member.ID)
 		if ok && !d.isResting(instance) {
-			d.sendOrder(ctx, instance, d.State.TargetVersion(instance.Model))
+			sent = append(sent, sentOrder{instance: instance, version: d.State.TargetVersion(instance.Model)})
 		}
 	}
+	inParallel(len(sent), func(n int) { d.sendOrder(ctx, &sent[n]) })
+	for _, o := range sent {
+		d.recordSent(o)
+	}
+	maps.DeleteFunc(d.unanswered, func(_ string, call unansweredCall) bool { return d.Now().Sub(call.retryAt) > loadTimeout })
+}
+
+// isLeftOut reports whether an engine is left out of the next orders because it has not answered repeatedly. After the first
+// time it keeps its place among those that load: it may have accepted the order.
+func (d *Director) isLeftOut(m fleet.Member) bool {
+	call, ok := d.unanswered[m.ID]
+	return ok && call.count > 1 && d.Now().Before(call.retryAt)
+}
+
+// mayBeLoading reports whether an engine may have accepted the order that it has not answered.
+func (d *Director) mayBeLoading(id string) bool {
+	call, ok := d.unanswered[id]
+	return ok && d.Now().Before(call.retryAt)
 }
 
 func (d *Director) isResting(i discovery.Instance) bool { return d.IsResting != nil && d.IsResting(i) }
@@ -381,7 +443,7 @@
 		e := &members[i].Endpoint
 		// The table also shows endpoints as loading that get no requests because their weights
 		// are old; these must be ordered all the more.
-		e.Loading = d.State.IsLoading(members[i].ID)
+		e.Loading = d.State.IsLoading(members[i].ID) || d.mayBeLoading(members[i].ID)
 		if target := d.State.TargetVersion(e.Model); versionOf(members[i]) > target {
 			e.WeightVersion = discovery.VersionName(target)
 		}
@@ -450,19 +512,32 @@
 	return max(usualLoads, min(needed, int(maxLoadingFraction*float64(engines))))
 }
 
+// sentOrder is an order of one round and what became of it.
+type sentOrder struct {
+	instance discovery.Instance
+	version  int64
+	report   EngineReport
+	// isAnswered is set unless the engine did not answer the last call.
+	isAnswered bool
+	// isLoading is set if the engine carries out this order or another one.
+	isLoading bool
+	// wasSent is set once the order itself was sent.
+	wasSent bool
+}
+
 // sendOrder orders one engine. It first asks the engine for its report, which has the orders
 // accepted so far; the platform's list shows them late.
-func (d *Director) sendOrder(ctx context.Context, i discovery.Instance, version int64) {
+func (d *Director) sendOrder(ctx context.Context, o *sentOrder) {
+	i := o.instance
 	report, err := d.report(ctx, i)
 	if err != nil {
 		d.Log.Warn("engine does not report", zap.String("endpoint", i.ID), zap.Error(err))
 		return
 	}
+	o.report, o.isAnswered = report, true
 	d.State.ObserveWeights(i.ID, report.Weights[i.Model])
-	if report.Busy || report.Weights[i.Model] >= version {
-		if report.Busy {
-			d.track(i, version)
-		}
+	if report.Busy || report.Weights[i.Model] >= o.version {
+		o.isLoading = report.Busy
 		return
 	}
 	// The lease is checked again before each order, since what came before it took time.
@@ -470,15 +545,39 @@
 	if err != nil {
 		return
 	}
-	d.lastOrderAt = d.Now()
 	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	err = d.Engines.Order(callCtx, i, WeightsOrder{Model: i.Model, Version: version, Holder: d.Holder, Fence: fence, Expect: report.Orders})
-	d.Log.Info("order", zap.String("endpoint", i.ID), zap.String("model", i.Model), zap.Int64("weights", version),
+	err = d.Engines.Order(callCtx, i, WeightsOrder{Model: i.Model, Version: o.version, Holder: d.Holder, Fence: fence, Expect: report.Orders})
+	d.Log.Info("order", zap.String("endpoint", i.ID), zap.String("model", i.Model), zap.Int64("weights", o.version),
 		zap.Int64("before", report.Weights[i.Model]), zap.Uint64("fence", fence), zap.Int64("expect", report.Orders), zap.Error(err))
-	if err == nil {
-		i.Born = cmp.Or(report.Born, i.Born)
-		d.track(i, version)
+	o.isLoading, o.isAnswered = err == nil, err == nil || isRefusal(err)
+	o.wasSent = true
+}
+
+// isRefusal reports whether an error says that the engine has certainly not accepted an order.
+func isRefusal(err error) bool {
+	for _, refusal := range [...]error{ErrBusy, ErrFenced, ErrOrderRefused, ErrOtherInstance} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordSent records what became of an order.
+func (d *Director) recordSent(o sentOrder) {
+	id := o.instance.ID
+	if o.wasSent {
+		d.lastOrderAt = d.Now()
+	}
+	if o.isAnswered {
+		delete(d.unanswered, id)
+	} else {
+		d.unanswered[id] = unansweredCall{retryAt: d.Now().Add(unansweredRetry), count: d.unanswered[id].count + 1}
+	}
+	if o.isLoading {
+		o.instance.Born = cmp.Or(o.report.Born, o.instance.Born)
+		d.track(o.instance, o.version)
 	}
 }
 
