discovery: an endpoint that goes back to older weights is seen to have them

What callers would see: an endpoint whose prompts are all rejected until its end, each for a retry; with more such endpoints, a model whose rollout never ends. By reading, not seen in a run: an order that is carried out late may come after a newer one, if the engine has started again under its id and happens to have accepted as many orders as the late one expects.

Cause: "within one start, the version of the weights only grows". The entry and the reports of the endpoint said otherwise and were ignored.

Change: a later entry of the same start with an older version than the entry before counts, and so do reports that say the same for longer than reports lag. Late entries, entries of an older copy of the store and single reports do not. The holder then orders the endpoint again. Prompts could not run on the wrong weights before either: each names its version.

TestEndpointReturnsToOlderWeights: its row of a later entry got 3 where 2 is wanted without the change.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -213,7 +213,7 @@
 	p.gateway.WeightQueries = boundedqueue.New[string](gateway.MaxWeightQueries)
 	p.gateway.QueryWeights = func(ctx context.Context, i discovery.Instance) (gateway.EngineReport, error) {
 		report, err := engines.Report(ctx, i)
-		return gateway.EngineReport{Born: report.Born, Weights: report.Weights[i.Model]}, err
+		return gateway.EngineReport{Born: report.Born, Weights: report.Weights[i.Model], Busy: report.Busy}, err
 	}
 	if *s.MoveRuns {
 		p.gateway.Copier = engines
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -106,6 +106,10 @@
 	removedEra uint64
 	// coldUntil is until when the endpoint is cold, by time.Now.
 	coldUntil time.Time
+	// listedWeights is the version of the weights in the endpoint's newest entry.
+	listedWeights int64
+	// reportedOlder is an older version than the known one that the endpoint itself reports.
+	reportedOlder olderWeights
 	// listedLeaving is set once the endpoint's entry has said that it leaves; its answers or a peer may
 	// have said so before.
 	listedLeaving bool
@@ -272,13 +276,19 @@
 	restarted := ok && i.Born != k.Born
 	firstListedLeaving := i.Leaving && !k.listedLeaving
 	k.listedLeaving = i.Leaving
+	listedBefore := k.listedWeights
+	k.listedWeights = i.Weights
 	if restarted {
 		s.recordRestart(k, i.Born)
 	} else {
 		// The entry may lag behind what the endpoint itself said, or be of an older copy of the
-		// store. Within one start, the version of the weights only grows, and an endpoint that
-		// leaves never stays.
-		i.Weights = max(i.Weights, k.Weights)
+		// store. Within one start, an endpoint that leaves never stays, and the version of the weights
+		// grows unless the endpoint itself has listed a newer one before.
+		if i.Weights >= listedBefore || i.Revision.Era() != k.Revision.Era() {
+			i.Weights = max(i.Weights, k.Weights)
+		} else if i.Weights < k.Weights {
+			s.logOlderWeights(k, i.Weights, "entry")
+		}
 		i.Leaving = i.Leaving || k.Leaving
 	}
 	reappeared := !k.removedAt.IsZero()
@@ -355,7 +365,7 @@
 // the entry that says for how long.
 func (s *State) recordRestart(k *knownInstance, born int64) {
 	s.Log.Info("endpoint restarted under the same id", zap.String("endpoint", k.ID), zap.Int64("born", born), zap.Int64("before", k.Born))
-	k.Born, k.Orders, k.loading, k.Leaving = born, 0, false, false
+	k.Born, k.Orders, k.loading, k.Leaving, k.reportedOlder = born, 0, false, false, olderWeights{}
 	k.setCold(s.coldStart(k.Service), time.Now())
 }
 
--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -211,7 +211,8 @@
 	return strconv.FormatInt(version, 10)
 }
 
-// ObserveWeights records the weights that an endpoint itself reported.
+// ObserveWeights records the weights that an endpoint had at some time since its start. Older ones than the known are
+// ignored, as what says so may be late.
 func (s *State) ObserveWeights(id string, weights int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,3 +224,42 @@
 	k.Weights = weights
 	s.writeRow(k, stateOf(k.Instance))
 }
+
+// olderWeights is a version that an endpoint reports though it had a newer one, and since when it does.
+type olderWeights struct {
+	version int64
+	since   time.Time
+}
+
+// reportLag is the time after which a report shows what the endpoint has by then.
+const reportLag = time.Second
+
+// ObserveReport records the weights that an endpoint reports while it carries out no order. It has older ones than known
+// if it says so for longer than reports lag: an order that was carried out late, after a newer one, has taken it back.
+func (s *State) ObserveReport(id string, weights int64) {
+	s.ObserveWeights(id, weights)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.instances[id]
+	switch {
+	case !ok || weights == 0 || weights >= k.Weights:
+		if ok {
+			k.reportedOlder = olderWeights{}
+		}
+		return
+	case k.reportedOlder.version != weights:
+		k.reportedOlder = olderWeights{weights, s.Now()}
+		return
+	case s.Now().Sub(k.reportedOlder.since) < reportLag:
+		return
+	}
+	s.logOlderWeights(k, weights, "reports")
+	k.Weights, k.reportedOlder = weights, olderWeights{}
+	s.writeRow(k, stateOf(k.Instance))
+	s.notifyTargetChanged()
+}
+
+func (s *State) logOlderWeights(k *knownInstance, weights int64, source string) {
+	s.Log.Warn("endpoint went back to older weights", zap.String("endpoint", k.ID), zap.Int64("weights", weights), zap.Int64("before", k.Weights),
+		zap.String("by_its", source))
+}
--- a/internal/coordination/gateway/weights.go
+++ b/internal/coordination/gateway/weights.go
@@ -74,7 +74,11 @@
 		return
 	}
 	g.State.ObserveStart(id, report.Born, report.Weights)
-	g.State.ObserveWeights(id, report.Weights)
+	if report.Busy {
+		g.State.ObserveWeights(id, report.Weights)
+	} else {
+		g.State.ObserveReport(id, report.Weights)
+	}
 }
 
 // EngineReport is an engine's answer to a query for its weight version.
@@ -83,6 +87,8 @@
 	Born int64
 	// Weights is the version of its model's weights.
 	Weights int64
+	// Busy is set while the engine carries out an order.
+	Busy bool
 }
 
 // QueryWeightsFunc queries an engine for the version of its model's weights.
