--- a/internal/coordination/discovery/namings.go
+++ b/internal/coordination/discovery/namings.go
@@ -34,6 +34,9 @@
 // maxNamings bounds the number of versions remembered for a model.
 const maxNamings = 16
 
+// maxVersionAge is the highest age that processes report: beyond it, all ages mean the same.
+const maxVersionAge = 24 * time.Hour
+
 // with returns the namings with one more.
 func (l namings) with(n naming) namings {
 	i, _ := slices.BinarySearchFunc(l, n, compareVersions)
@@ -134,7 +137,7 @@
 		for _, n := range target.namings {
 			if of[modelVersion{model, n.version}] {
 				out = append(out, VersionAge{
-					Model: model, Version: n.version, AgeMS: now.Sub(n.at).Milliseconds(), IsExact: n.isExact, Replaces: n.replaces,
+					Model: model, Version: n.version, AgeMS: min(now.Sub(n.at), maxVersionAge).Milliseconds(), IsExact: n.isExact, Replaces: n.replaces,
 				})
 			}
 		}
@@ -172,7 +175,7 @@
 // may have forgotten them.
 func (s *State) mergeVersionAge(a VersionAge, now, writtenAfter time.Time, isExact bool) {
 	target, ok := s.targets[a.Model]
-	if !ok || a.Version > target.Version || a.Version <= 0 || a.AgeMS < 0 {
+	if !ok || a.Version > target.Version || a.Version <= 0 || a.AgeMS < 0 || a.AgeMS > maxVersionAge.Milliseconds() {
 		return
 	}
 	age := time.Duration(a.AgeMS) * time.Millisecond
