discovery: an endpoint whose model is not known gets no prompts

Of an endpoint known before, the model was forgotten too, and with it since when its weights are replaced: it was never retired.

Change: within a start, an entry without a model keeps the model known; an endpoint of a service with models gets no work while none is known. "It names no server to use": its own next entry does.

--- /dev/null
+++ b/internal/coordination/discovery/model_test.go
@@ -0,0 +1,65 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
+)
+
+// TestEntryWithoutModel guards against prompts without a version to run on and without a context of their own, which are sent to
+// an endpoint whose entry another writer has left without its model; and against such weights that are never outdated.
+func TestEntryWithoutModel(t *testing.T) {
+	table := func(models ...string) *routes.Table {
+		return routes.New(1, 1, nil, []routes.Service{{Name: "s", Engine: &routes.Engine{Models: models}}}, nil, routes.Limits{})
+	}
+	whole := Instance{ID: "i", Revision: 1, Service: "s", Model: "m", Weights: 1}
+	bare := Instance{ID: "i", Revision: 2, Service: "s"}
+	for _, row := range []struct {
+		name   string
+		happen func(s *State)
+		want   bool
+	}{
+		{"the first entry known", func(s *State) {
+			s.SetRoutes(table("m"))
+			s.SetInstance(bare)
+		}, false},
+		{"known before the configuration", func(s *State) {
+			s.SetInstance(bare)
+			s.SetRoutes(table("m"))
+		}, false},
+		{"the endpoint's own entry follows", func(s *State) {
+			s.SetRoutes(table("m"))
+			s.SetInstance(bare)
+			again := whole
+			again.Revision = 3
+			s.SetInstance(again)
+		}, true},
+		{"the model is known from before", func(s *State) {
+			s.SetRoutes(table("m"))
+			s.SetInstance(whole)
+			s.SetInstance(bare)
+		}, true},
+		{"known from before, and outdated", func(s *State) {
+			s.RetireAfter = time.Nanosecond
+			s.SetRoutes(table("m"))
+			s.SetInstance(whole)
+			s.SetInstance(bare)
+			s.SetTarget(TargetWeights{Model: "m", Version: 2, MayBeOlder: true})
+			s.RetireOutdated()
+		}, false},
+		{"a service without models", func(s *State) {
+			s.SetRoutes(table())
+			s.SetInstance(bare)
+		}, true},
+	} {
+		s := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+		row.happen(s)
+		if m, _ := s.Table.Get("i"); m.Endpoint.Loading == row.want {
+			t.Errorf("%s: got use of the endpoint %v, want %v", row.name, !m.Endpoint.Loading, row.want)
+		}
+	}
+}
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"encoding/json"
 	"sort"
 	"strconv"
@@ -98,6 +99,8 @@
 	// loading is set while the endpoint carries out a load order, outdated while its weights
 	// must not be used any more.
 	loading, outdated bool
+	// lacksModel is set while the endpoint must not be used because its model is not known.
+	lacksModel bool
 	// draining is closed when the endpoint should have no more runs.
 	draining chan struct{}
 	// removedAt is when the entry was found missing, zero while it is listed; removedEra is the era of
@@ -157,6 +160,11 @@
 	}
 	s.publishServices(t)
 	s.routes.Store(t)
+	for _, k := range s.instances {
+		if s.lacksModel(k) != k.lacksModel {
+			s.writeRow(k, stateOf(k.Instance))
+		}
+	}
 	s.onRoutes(t)
 	s.Log.Info("configuration in force", zap.Uint64("version", t.Version), revisionField("revision", objectapi.Revision(t.Revision)),
 		zap.Int("services", len(t.Services)))
@@ -290,6 +298,7 @@
 			s.logOlderWeights(k, i.Weights, "entry")
 		}
 		i.Leaving = i.Leaving || k.Leaving
+		i.Model = cmp.Or(i.Model, k.Model)
 	}
 	reappeared := !k.removedAt.IsZero()
 	coldChanged := (!ok || i.Revision > k.Revision) && k.setCold(i.ColdFor, time.Now())
@@ -415,7 +424,8 @@
 	s.rowVersion++
 	s.updateOutdated(k)
 	s.updateDraining(k)
-	noNewRuns := k.loading || k.outdated || s.evacuations[k.Domain] != nil
+	k.lacksModel = s.lacksModel(k)
+	noNewRuns := k.loading || k.outdated || k.lacksModel || s.evacuations[k.Domain] != nil
 	kind := fleet.KindPlain
 	if k.Model != "" {
 		kind = fleet.KindEngine
@@ -442,6 +452,17 @@
 	return k.draining
 }
 
+// lacksModel reports whether an endpoint's entry names no model though the endpoint's service has some: another writer
+// has left it out. A prompt that is sent there has no version of weights that it must run on, nor context of its own.
+func (s *State) lacksModel(k *knownInstance) bool {
+	t := s.routes.Load()
+	if t == nil || t.Services[k.Service] == nil || k.Model != "" {
+		return false
+	}
+	engine := t.Services[k.Service].Engine
+	return engine != nil && len(engine.Models) > 0
+}
+
 // updateDraining signals the runs of an endpoint to move elsewhere, once each time that the
 // endpoint begins to drain.
 func (s *State) updateDraining(k *knownInstance) {
