rollout: the holder's note names the weights of engines whose entries lack them

Cause: the note named what an engine had loaded for 5 s, and only if the holder saw the order end. An order that was not answered and carried out late is found by the next report; the holder knew, the others did not. Who takes an endpoint for outdated sends it nothing, so no answer shows otherwise, and in the soak entries are never written anew.

Change: the note also names the weights of each endpoint whose entry has older ones, for as long as it does.

--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -225,6 +225,19 @@
 	s.writeRow(k, stateOf(k.Instance))
 }
 
+// WeightsAheadOfEntries returns the weights of the endpoints whose entries have older ones, by endpoint.
+func (s *State) WeightsAheadOfEntries() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int64{}
+	for id, k := range s.instances {
+		if k.Weights > k.listedWeights {
+			out[id] = k.Weights
+		}
+	}
+	return out
+}
+
 // olderWeights is a version that an endpoint reports though it had a newer one, and since when it does.
 type olderWeights struct {
 	version int64
--- a/internal/coordination/rollout/director_test.go
+++ b/internal/coordination/rollout/director_test.go
@@ -590,17 +590,49 @@
 // Only the holder asks the engines. Without its note the other processes would continue to
 // send requests for the old weights, and the engines reject these for a second or two.
 func TestFollowersLearnLoadedWeights(t *testing.T) {
+	for _, row := range []struct {
+		name       string
+		lateOrders float64
+		within     time.Duration
+	}{{"orders answered", 0, 6 * time.Second}, {"orders carried out late", 1, 20 * time.Second}} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeEngines(1, 1, 1)
+				processes := startDirectors(t, f, 3)
+				time.Sleep(10 * time.Second)
+				f.withLock(func() { f.lateOrders = row.lateOrders })
+				setTarget(processes, 2)
+				time.Sleep(row.within)
+				for i, p := range processes {
+					for _, instance := range p.state.Instances() {
+						if instance.Weights != 2 {
+							t.Errorf("process %d lists %s with weights %d, want 2", i, instance.ID, instance.Weights)
+						}
+					}
+				}
+				time.Sleep(12 * time.Second)
+			})
+		})
+	}
+}
+
+// TestNoteNamesWeightsThatEntriesLack guards against a process that starts long after a rollout and never uses an endpoint, whose
+// entry still has the replaced weights.
+func TestNoteNamesWeightsThatEntriesLack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeEngines(1, 1, 1)
-		processes := startDirectors(t, f, 3)
+		processes := startDirectors(t, f, 2)
 		time.Sleep(10 * time.Second)
 		setTarget(processes, 2)
-		time.Sleep(6 * time.Second)
+		time.Sleep(time.Minute)
+		for _, p := range processes {
+			p.state.Remove("e0", false, time.Now())
+			p.state.SetInstance(discovery.Instance{ID: "e0", Revision: 9, Service: "llm", Model: "m", Weights: 1, Address: "10.0.0.1:e0"})
+		}
+		time.Sleep(5 * time.Second)
 		for i, p := range processes {
-			for _, instance := range p.state.Instances() {
-				if instance.Weights != 2 {
-					t.Errorf("process %d lists %s with weights %d, want 2", i, instance.ID, instance.Weights)
-				}
+			if instance, _ := p.state.Instance("e0"); instance.Weights != 2 {
+				t.Errorf("process %d lists e0 with weights %d, want 2", i, instance.Weights)
 			}
 		}
 	})
--- a/internal/coordination/rollout/note.go
+++ b/internal/coordination/rollout/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -29,8 +30,9 @@
 	Ordering bool `json:"ordering"`
 	// VersionAges lists how long versions have been target versions.
 	VersionAges []discovery.VersionAge `json:"named"`
-	// Loaded holds the weights of engines that recently carried out orders. Engines reject
-	// requests for other weights, and the platform's list lags behind.
+	// Loaded holds the weights of engines that recently carried out orders, and of those whose entry has
+	// older ones. Engines reject requests for other weights, the platform's list lags behind, and who takes an
+	// engine's weights for outdated sends it nothing that would show otherwise.
 	Loaded map[string]int64 `json:"loaded,omitempty"`
 }
 
@@ -51,6 +53,7 @@
 	}
 	sort.Strings(n.Loading)
 	n.Loaded = d.recentlyLoaded()
+	maps.Copy(n.Loaded, d.State.WeightsAheadOfEntries())
 	data, err := json.Marshal(n)
 	if err != nil {
 		d.Log.Error("cannot encode lease note", zap.Error(err))
