--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -66,9 +66,9 @@
 // entryHeartbeats is the number of heartbeats that an endpoint may miss before its entry lapses.
 const entryHeartbeats = 3
 
-// beginMargin is how long before the end of the time of replaced weights a request is canceled, so that
-// the endpoint learns of it in time.
-const beginMargin = 300 * time.Millisecond
+// beginMargin is how long before the end of the time of replaced weights a request is canceled. Timers fire late on a host
+// without processor time, and the endpoint must learn of it in time.
+const beginMargin = 700 * time.Millisecond
 
 // retireEarly is how long before the end of their time replaced weights are no longer used: a request
 // may wait that long in an engine before it begins. Requests with a predicted wait of over 1.6 s are
