--- a/internal/coordination/discovery/namings.go
+++ b/internal/coordination/discovery/namings.go
@@ -243,16 +243,31 @@
 }
 
 // LacksVersionAges reports whether this process does not know since when weights of some endpoint are replaced.
-func (s *State) LacksVersionAges() bool {
+func (s *State) LacksVersionAges() bool { return s.EndpointsOfUnknownAge() > 0 }
+
+// EndpointsOfUnknownAge counts the endpoints of which this process does not know since when their weights are replaced.
+func (s *State) EndpointsOfUnknownAge() (count int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range s.instances {
 		next, ok := s.targets[k.Model].namings.after(k.Weights)
 		if ok && (!next.isExact || next.replaces > k.Weights) {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
+}
+
+// OutdatedEndpoints counts the endpoints that get no work because of their weights.
+func (s *State) OutdatedEndpoints() (count int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.instances {
+		if k.outdated || k.lacksModel {
+			count++
+		}
+	}
+	return count
 }
 
 // ReplacedFor returns how long ago a version of a model was replaced and by which version, 0 if by none. The age is
