discovery: an entry without weights is no return to older ones

Entries without weights leave what is known. The rows of TestEntryWithoutModel that know the model want the version too; two failed before.

--- a/internal/coordination/discovery/model_test.go
+++ b/internal/coordination/discovery/model_test.go
@@ -22,27 +22,29 @@
 		name   string
 		happen func(s *State)
 		want   bool
+		// isKnown is set if the model and the weights must be known in the end.
+		isKnown bool
 	}{
 		{"the first entry known", func(s *State) {
 			s.SetRoutes(table("m"))
 			s.SetInstance(bare)
-		}, false},
+		}, false, false},
 		{"known before the configuration", func(s *State) {
 			s.SetInstance(bare)
 			s.SetRoutes(table("m"))
-		}, false},
+		}, false, false},
 		{"the endpoint's own entry follows", func(s *State) {
 			s.SetRoutes(table("m"))
 			s.SetInstance(bare)
 			again := whole
 			again.Revision = 3
 			s.SetInstance(again)
-		}, true},
+		}, true, true},
 		{"the model is known from before", func(s *State) {
 			s.SetRoutes(table("m"))
 			s.SetInstance(whole)
 			s.SetInstance(bare)
-		}, true},
+		}, true, true},
 		{"known from before, and outdated", func(s *State) {
 			s.RetireAfter = time.Nanosecond
 			s.SetRoutes(table("m"))
@@ -50,16 +52,19 @@
 			s.SetInstance(bare)
 			s.SetTarget(TargetWeights{Model: "m", Version: 2, MayBeOlder: true})
 			s.RetireOutdated()
-		}, false},
+		}, false, true},
 		{"a service without models", func(s *State) {
 			s.SetRoutes(table())
 			s.SetInstance(bare)
-		}, true},
+		}, true, false},
 	} {
 		s := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
 		row.happen(s)
 		if m, _ := s.Table.Get("i"); m.Endpoint.Loading == row.want {
 			t.Errorf("%s: got use of the endpoint %v, want %v", row.name, !m.Endpoint.Loading, row.want)
 		}
+		if m, _ := s.Table.Get("i"); row.isKnown && (m.Endpoint.Model != "m" || m.Endpoint.WeightVersion != "1") {
+			t.Errorf("%s: got model %q, weights %q, want m, 1", row.name, m.Endpoint.Model, m.Endpoint.WeightVersion)
+		}
 	}
 }
--- a/internal/coordination/discovery/namings.go
+++ b/internal/coordination/discovery/namings.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -44,7 +45,7 @@
 	return out[max(0, len(out)-maxNamings):]
 }
 
-func compareVersions(a, b naming) int { return int(a.version - b.version) }
+func compareVersions(a, b naming) int { return cmp.Compare(a.version, b.version) }
 
 // after returns the first known naming of a version above the given one.
 func (l namings) after(version int64) (next naming, ok bool) {
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -285,14 +285,16 @@
 	firstListedLeaving := i.Leaving && !k.listedLeaving
 	k.listedLeaving = i.Leaving
 	listedBefore := k.listedWeights
-	k.listedWeights = i.Weights
+	if i.Weights > 0 {
+		k.listedWeights = i.Weights
+	}
 	if restarted {
 		s.recordRestart(k, i.Born)
 	} else {
 		// The entry may lag behind what the endpoint itself said, or be of an older copy of the
 		// store. Within one start, an endpoint that leaves never stays, and the version of the weights
 		// grows unless the endpoint itself has listed a newer one before.
-		if i.Weights >= listedBefore || i.Revision.Era() != k.Revision.Era() {
+		if i.Weights == 0 || i.Weights >= listedBefore || i.Revision.Era() != k.Revision.Era() {
 			i.Weights = max(i.Weights, k.Weights)
 		} else if i.Weights < k.Weights {
 			s.logOlderWeights(k, i.Weights, "entry")
