discovery: endpoints with a model wait for the first word of target weights

The gateway had started 18 ms before: it knew configuration and endpoints, and not yet which version was named; the list of versions came within the next millisecond.

Change: until the store has first answered for target weights, endpoints with a model get no work; plain services do. A store that does not know the kind answers too.

TestEndpointsAwaitTargetWeights; the state had no such wait before (the test does not compile without it).

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -166,7 +166,7 @@
 		keeper.SetStores(t.Services)
 	})
 	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
-	state.BeginWithin = b.WeightsInForce - beginMargin
+	state.BeginWithin, state.AwaitsWeights = b.WeightsInForce-beginMargin, true
 	state.FollowsEvacuations, state.Regions = b.Evacuation > 0, s.Platform.Regions
 	state.EntryLifetime = entryHeartbeats * b.Heartbeat
 	keeper.OnEngineStart = state.ObserveStartByAddress
--- a/internal/coordination/discovery/model_test.go
+++ b/internal/coordination/discovery/model_test.go
@@ -68,3 +68,26 @@
 		}
 	}
 }
+
+// TestEndpointsAwaitTargetWeights guards against prompts that a process sends on weights replaced long ago, when it has just
+// started and knows the endpoints, but not yet which weights are named.
+func TestEndpointsAwaitTargetWeights(t *testing.T) {
+	s := NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	s.AwaitsWeights = true
+	s.SetInstance(Instance{ID: "engine", Revision: 1, Service: "s", Address: "10.0.0.1:1", Model: "m", Weights: 1})
+	s.SetInstance(Instance{ID: "plain", Revision: 2, Service: "p", Address: "10.0.0.1:2"})
+	isUsed := func(id string) bool {
+		m, _ := s.Table.Get(id)
+		return !m.Endpoint.Loading
+	}
+	if isUsed("engine") || !isUsed("plain") {
+		t.Errorf("got use of the engine %v, of the plain endpoint %v, want only the latter", isUsed("engine"), isUsed("plain"))
+	}
+	changed := s.NamingsChanged()
+	s.ConfirmWeights(time.Now(), 0)
+	<-changed
+	s.RetireOutdated()
+	if !isUsed("engine") {
+		t.Error("the engine is not used once the store has answered for weights")
+	}
+}
--- a/internal/coordination/discovery/replacement.go
+++ b/internal/coordination/discovery/replacement.go
@@ -31,7 +31,11 @@
 	if era > s.weightsAnswer.era {
 		s.weightsAnswer.era, s.weightsAnswer.eraSince = era, s.Now()
 	}
+	isFirst := s.weightsAnswer.asOf.IsZero()
 	s.weightsAnswer.asOf = asOf
+	if isFirst {
+		s.notifyNamingsChanged()
+	}
 }
 
 // CurrentAsOf returns the last time at which no version of a model newer than the given one had been
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -65,6 +65,8 @@
 	// BeginWithin is how long after its weights were replaced an endpoint may still begin to
 	// answer a request that was sent before; 0 sets no limit.
 	BeginWithin time.Duration
+	// AwaitsWeights is set if endpoints with a model get no work before the store has answered a call for target weights.
+	AwaitsWeights bool
 	// FollowsEvacuations is set if the platform lets operators evacuate failure domains.
 	FollowsEvacuations bool
 	// Regions holds the region of each failure domain. Set it before use.
--- a/internal/coordination/discovery/weights.go
+++ b/internal/coordination/discovery/weights.go
@@ -109,6 +109,9 @@
 }
 
 func (s *State) isOutdated(k *knownInstance) bool {
+	if s.AwaitsWeights && k.Model != "" && s.weightsAnswer.asOf.IsZero() {
+		return true
+	}
 	at, isReplaced := s.targets[k.Model].namings.replacedAt(k.Weights)
 	return s.RetireAfter > 0 && k.Model != "" && isReplaced && s.Now().Sub(at) > s.RetireAfter
 }
