gateway: lines tell a stop's part in a request's end from the endpoint's

A stop that is killed at the end of its grace left the same log as one that ended well.

Request lines now have events and last_event_ago, in a stop stopping_for and began_in_stop, an attempt continued_from, the line of a moved run stop_ordered; 'requests ended' closes each stop. No logic changes.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -349,6 +349,9 @@
 	notice, end := min(balancerNotice, grace/2), now.Add(grace-graceMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	defer func() {
+		p.log.Info("requests ended", zap.Int64("requests_left", p.gateway.InFlight()), zap.Duration("took", time.Since(now)))
+	}()
 	p.gateway.MarkNotReady()
 	p.stopServing()
 	p.gateway.SetDrainWindow(now.Add(notice+crossing), end)
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -98,8 +98,8 @@
 }
 
 // drainWindow is the last phase of a stop: requests that start after refuseAfter may be refused,
-// and the process exits at end.
-type drainWindow struct{ refuseAfter, end time.Time }
+// and the process exits at end. began is when the process was told to stop.
+type drainWindow struct{ began, refuseAfter, end time.Time }
 
 // MarkNotReady makes the readiness probe fail. Requests are still served.
 func (g *Gateway) MarkNotReady() { g.notReady.Store(true) }
@@ -107,7 +107,7 @@
 // SetDrainWindow announces that the process exits at end. A request that starts after refuseAfter is
 // refused if its deadline is later than end: it could be cut off while an endpoint runs it.
 func (g *Gateway) SetDrainWindow(refuseAfter, end time.Time) {
-	g.drain.Store(&drainWindow{refuseAfter, end})
+	g.drain.Store(&drainWindow{time.Now(), refuseAfter, end})
 }
 
 // InFlight returns the number of requests in flight.
--- a/internal/coordination/gateway/pauses.go
+++ b/internal/coordination/gateway/pauses.go
@@ -13,9 +13,11 @@
 // the pause's end.
 type pauseRecord struct {
 	lastEventAt time.Time
-	longest     time.Duration
-	endpoint    string
-	during      routing.StreamLoad
+	// events counts the events forwarded.
+	events   int
+	longest  time.Duration
+	endpoint string
+	during   routing.StreamLoad
 }
 
 // recordEvent records that an event is forwarded.
@@ -28,6 +30,7 @@
 		}
 	}
 	p.lastEventAt = now
+	p.events++
 }
 
 // countPauses counts the longest pause of an exchange that has streamed, and whether it made the
@@ -42,13 +45,17 @@
 	}
 }
 
-// logFields describes the longest pause in the log line of a request; nil if there was none.
-func (p *pauseRecord) logFields() []zap.Field {
-	if p.longest == 0 {
+// logFields describes the events forwarded and the longest pause between them; nil if there was no event.
+func (p *pauseRecord) logFields(now time.Time) []zap.Field {
+	if p.events == 0 {
 		return nil
 	}
-	return []zap.Field{
+	fields := []zap.Field{zap.Int("events", p.events), zap.Duration("last_event_ago", now.Sub(p.lastEventAt))}
+	if p.longest == 0 {
+		return fields
+	}
+	return append(fields,
 		zap.Duration("longest_pause", p.longest), zap.String("pause_endpoint", p.endpoint), zap.Int("pause_running", p.during.Running),
 		zap.Int("pause_unread", p.during.UnreadTokens), zap.Float64("pause_slowdown", p.during.Slowdown),
-	}
+	)
 }
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -161,7 +161,7 @@
 	moved := err == nil
 	x.g.Log.Info("run relocation finished", zap.String("request_id", x.call.ID), zap.String("from", c.Member.ID), zap.String("to", target.Member.ID),
 		zap.String("from_software_version", c.Member.Endpoint.SoftwareVersion), zap.String("to_software_version", target.Member.Endpoint.SoftwareVersion),
-		zap.Bool("done", moved), zap.Duration("took", time.Since(startedAt)), zap.Error(err))
+		zap.Bool("stop_ordered", stopOrdered), zap.Bool("done", moved), zap.Duration("took", time.Since(startedAt)), zap.Error(err))
 	if !moved {
 		if stopOrdered && !errors.Is(err, ErrRunNotFound) {
 			r.maybeStopped = true
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -39,6 +39,8 @@
 	// Imported lists the addresses to import context from, Saved those to save it to.
 	Imported string `json:"imported,omitempty"`
 	Saved    string `json:"saved,omitempty"`
+	// ContinuedFrom names the copy of the run that the attempt continues.
+	ContinuedFrom string `json:"continued_from,omitempty"`
 	// ImportUntilMS is when imports must end, by the endpoints' clock in Unix ms.
 	ImportUntilMS int64 `json:"import_until_ms,omitempty"`
 	// ImportsWithheld is set if stores held segments that were not imported from them, as the weights
@@ -107,7 +109,10 @@
 	if x.call.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", x.call.PromptTokens), zap.Int("stored_tokens", x.storedTokens))
 	}
-	fields = append(fields, x.pauses.logFields()...)
+	fields = append(fields, x.pauses.logFields(time.Now())...)
+	if d := x.g.drain.Load(); d != nil {
+		fields = append(fields, zap.Duration("stopping_for", time.Since(d.began)), zap.Duration("began_in_stop", x.startedAt.Sub(d.began)))
+	}
 	if x.table != nil {
 		fields = append(fields, zap.Uint64("config_version", x.table.Version))
 	}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -234,7 +234,7 @@
 	record := attemptRecord{
 		Endpoint: c.Member.ID, Reason: string(c.Reason), Outcome: o.kind.String(), TookMS: now.Sub(started).Milliseconds(),
 		Weights: c.Member.Endpoint.WeightVersion, SoftwareVersion: c.Member.Endpoint.SoftwareVersion, ExpectedMS: c.TTFT.Milliseconds(), CachedTokens: c.CachedTokens,
-		Imported: strings.Join(attempt.ImportFrom, ","), Saved: strings.Join(attempt.ExportTo, ","), ImportUntilMS: attempt.ImportUntil, ImportsWithheld: x.importsWithheld,
+		Imported: strings.Join(attempt.ImportFrom, ","), Saved: strings.Join(attempt.ExportTo, ","), ImportUntilMS: attempt.ImportUntil, ImportsWithheld: x.importsWithheld, ContinuedFrom: attempt.ContinueFrom,
 		Running: c.LoadSnapshot.Running, Queued: c.LoadSnapshot.Queued, Sent: c.LoadSnapshot.Sent, Own: c.LoadSnapshot.Own,
 		LoadAgeMS: c.LoadSnapshot.LoadAge.Milliseconds(), Slowdown: c.LoadSnapshot.Slowdown, PeerRunning: c.LoadSnapshot.PeerRunning, PeerUnread: c.LoadSnapshot.PeerUnread,
 	}
--- a/internal/coordination/gateway/stop_test.go
+++ b/internal/coordination/gateway/stop_test.go
@@ -209,3 +209,33 @@
 		t.Errorf("got %d requests counted as left by their callers, want 1", n)
 	}
 }
+
+// TestLineOfCutStreamShowsTheStopsPart guards against a line of a cut stream that does not tell whether the stop or the
+// endpoint ended it.
+func TestLineOfCutStreamShowsTheStopsPart(t *testing.T) {
+	waiting := make(chan struct{}, 1)
+	s := newTestServer(t, singleRoute(routes.Streaming, 1), blockAfter(waiting, respondStream("", "1", "2")))
+	core, lines := observer.New(zap.InfoLevel)
+	s.gateway.Log = zap.New(core)
+	stop := s.startStoppable()
+	reader := bufio.NewReader(s.sendRaw("Content-Length: 5\r\n\r\norder"))
+	<-waiting
+	for seen := ""; !strings.Contains(seen, "id: 2"); {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen += line
+	}
+	s.gateway.SetDrainWindow(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
+	stop()
+	io.Copy(io.Discard, reader)
+	s.server.Close()
+	line := lines.FilterMessage("request").All()[0].ContextMap()
+	if line["events"] != int64(2) || line["last_event_ago"] == nil || line["stopping_for"] == nil {
+		t.Errorf("got events %v, last_event_ago %v, stopping_for %v; want 2 and two times", line["events"], line["last_event_ago"], line["stopping_for"])
+	}
+	if began, _ := line["began_in_stop"].(time.Duration); began >= 0 {
+		t.Errorf("got began_in_stop %v, want a negative time: the request began before the stop", began)
+	}
+}
