--- a/internal/coordination/gateway/relocate_test.go
+++ b/internal/coordination/gateway/relocate_test.go
@@ -22,6 +22,8 @@
 type fakeCopier struct {
 	// first and last are the errors of the first and of the final copy.
 	first, last error
+	// retained is the handle that comes with the error of the final copy.
+	retained string
 	// firstCopied is closed by the first copy, stopped by the final one.
 	firstCopied, stopped chan struct{}
 
@@ -39,6 +41,9 @@
 		answer, stage = f.last, f.stopped
 	}
 	close(stage)
+	if answer != nil && last {
+		return f.retained, answer
+	}
 	if answer != nil {
 		return "", answer
 	}
