gateway: a run that was stopped to be moved goes on at its source

Callers of a stream that may neither be repeated nor resumed lost it when the gateway moved its run and the destination did not take it: the final copy found no capacity, brought no answer, or the destination rejected the run or could not be reached. The caller had its first events and then a closed connection.

Cause: the run was stopped by the gateway's own order, and the only place where it could go on was the destination. The handle of what the source keeps of a stopped run was released at once.

The continuation now has a second place, the source, which keeps the memory of a run that it stopped: it is asked once, by the same handle, if the destination has not run it. A run that has returned stays there. A connection that broke at the destination is not followed by another attempt, as the run may go on there.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -172,8 +172,10 @@
 	stream streamState
 	// pauses records the pauses between the stream's events, over all attempts.
 	pauses pauseRecord
-	// relocation may move the run of the current attempt to another engine.
-	relocation *relocation
+	// relocation may move the run of the current attempt to another engine. hasReturned is set once a run that was
+	// stopped for that goes on at its source, where it then stays.
+	relocation  *relocation
+	hasReturned bool
 	// bodyTimedOut is set if the body was incomplete at the request's deadline.
 	bodyTimedOut bool
 	// headWritten is set once an endpoint's status and header have been written to the caller;
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -69,6 +69,9 @@
 	// source and handle identify the copy.
 	source discovery.Instance
 	handle string
+	// sourceChoice is the choice of the source. returned is set once the run goes on there.
+	sourceChoice routing.Choice
+	returned     bool
 }
 
 // copyName identifies the copy in an attempt's header.
@@ -88,8 +91,10 @@
 	done    chan struct{}
 	// next is set before done is closed if the run has been stopped and copied.
 	next *continuation
-	// maybeStopped is set before done is closed if the run was ordered to stop but was not copied.
+	// maybeStopped is set before done is closed if the run was ordered to stop but was not copied. retained is then
+	// what its source keeps of it, nil if that is not known.
 	maybeStopped bool
+	retained     *continuation
 }
 
 // watchRelocation starts to watch an attempt, and relocates its run when its engine is drained. ctx is the attempt's
@@ -98,7 +103,7 @@
 	r := &relocation{done: make(chan struct{})}
 	ctx, r.stop = context.WithCancel(ctx)
 	draining := x.g.State.Draining(c.Member.ID)
-	if x.g.Copier == nil || draining == nil || attempt.Weights == 0 {
+	if x.g.Copier == nil || draining == nil || attempt.Weights == 0 || x.hasReturned {
 		close(r.done)
 		return r
 	}
@@ -163,16 +168,48 @@
 		zap.String("from_software_version", c.Member.Endpoint.SoftwareVersion), zap.String("to_software_version", target.Member.Endpoint.SoftwareVersion),
 		zap.Bool("stop_ordered", stopOrdered), zap.Bool("done", moved), zap.Duration("took", time.Since(startedAt)), zap.Error(err))
 	if !moved {
+		x.g.count("runs_moved.failed")
+		x.g.Directory.Release(target)
 		if stopOrdered && !errors.Is(err, ErrRunNotFound) {
 			r.maybeStopped = true
+			if handle != "" {
+				r.retained = &continuation{source: source, handle: handle, sourceChoice: c}
+				return nil
+			}
 		}
-		x.g.count("runs_moved.failed")
-		x.g.Directory.Release(target)
 		x.dropCopy(source, handle)
 		return nil
 	}
 	x.g.count("runs_moved.done")
-	return &continuation{choice: target, source: source, handle: handle}
+	return &continuation{choice: target, source: source, handle: handle, sourceChoice: c}
+}
+
+// endStoppedRun returns the outcome of an attempt whose run was ordered to stop and was not copied: it goes on at its source,
+// unless the answer is complete or the request has ended.
+func (x *exchange) endStoppedRun(ctx context.Context, out outcome, retained *continuation) outcome {
+	if out.kind != broken || ctx.Err() != nil {
+		x.dropCopy(retained.source, retained.handle)
+		return out
+	}
+	return x.returnToSource(retained, out)
+}
+
+// canReturn reports whether a run that was stopped to continue elsewhere may go on at its source: the destination has not
+// run it.
+func (c *continuation) canReturn(ctx context.Context, o outcome) bool {
+	return !c.returned && ctx.Err() == nil && (o.kind == rejected || o.kind == notReached)
+}
+
+// returnToSource returns the outcome by which a stopped run goes on at its source, or the outcome given if the source is gone.
+func (x *exchange) returnToSource(c *continuation, o outcome) outcome {
+	choice := x.g.Directory.Resume(c.sourceChoice)
+	if choice.Member.ID == "" {
+		x.dropCopy(c.source, c.handle)
+		return o
+	}
+	x.hasReturned = true
+	x.g.count("runs_moved.returned")
+	return outcome{kind: relocated, next: &continuation{choice: choice, source: c.source, handle: c.handle, sourceChoice: c.sourceChoice, returned: true}}
 }
 
 // chooseDestination picks an engine with the same weights and software version and with free capacity; the choice is
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -78,8 +78,9 @@
 		}
 		started := time.Now()
 		attempt := x.newAttempt(choice, prompt)
-		if last.next != nil {
-			attempt.continueFrom(last.next.copyName())
+		continued := last.next
+		if continued != nil {
+			attempt.continueFrom(continued.copyName())
 		}
 		if x.route.Kind == routes.Streaming {
 			last = x.streamAttempt(ctx, choice, attempt)
@@ -98,6 +99,9 @@
 			unreached++
 		}
 		x.recordSurvival(last, started)
+		if continued != nil && continued.canReturn(ctx, last) {
+			last = x.returnToSource(continued, last)
+		}
 		switch last.kind {
 		case delivered:
 			return ending{kind: endAnswered}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -73,6 +73,8 @@
 	out = x.relayEvents(ctx, c, resp)
 	next, moved := x.relocation.finish()
 	switch {
+	case !moved && x.relocation.retained != nil:
+		return x.endStoppedRun(requestCtx, x.relocation.correctOutcome(out, resp), x.relocation.retained)
 	case !moved:
 		return x.relocation.correctOutcome(out, resp)
 	case requestCtx.Err() != nil:
--- a/internal/coordination/routing/outcome.go
+++ b/internal/coordination/routing/outcome.go
@@ -164,6 +164,21 @@
 	d.removeRun(c)
 }
 
+// Resume counts the run of an earlier choice once more at its endpoint, where it goes on with its memory, so that nothing of its
+// prompt is computed. The choice is empty if the endpoint is gone or has restarted.
+func (d *Directory) Resume(c Choice) Choice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.trackedFor(c)
+	if t == nil {
+		return Choice{}
+	}
+	t.Running++
+	t.HeldTokens += c.heldTokens
+	c.prefill = &prefill{done: true}
+	return c
+}
+
 // refusalEjection is how long an endpoint that refused a run is ejected: about the time in
 // which a full endpoint ends a run.
 const refusalEjection = 100 * time.Millisecond
