gateway: a stopping process stops no run that it can't bring elsewhere in time

A gateway that was about to exit still ordered runs to stop in order to move them. The stream was then cut while no engine worked on it, which nothing excuses.

A move takes up to two copies and the close of the stream.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -442,6 +442,12 @@
 	return d != nil && x.startedAt.After(d.refuseAfter) && x.deadline.After(d.end)
 }
 
+// isEndingWithin reports whether the process is to exit before a time has passed.
+func (g *Gateway) isEndingWithin(t time.Duration) bool {
+	d := g.drain.Load()
+	return d != nil && time.Until(d.end) < t
+}
+
 // serve runs the prepared request until it has an ending, its deadline passes or the caller leaves.
 func (x *exchange) serve() ending {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -51,6 +51,8 @@
 	// streamCloseTimeout is how long the stream of a stopped run may take to close before it is cut.
 	// Events still in transit are sent again by the engine where the run continues.
 	streamCloseTimeout = 200 * time.Millisecond
+	// relocationTime is the longest time in which a run that is moved may be at no engine.
+	relocationTime = 2*copyTimeout + streamCloseTimeout
 	// dropTimeout bounds the release of a copy.
 	dropTimeout = 500 * time.Millisecond
 	// minStartWindow is how long a destination with replaced weights must still be allowed to begin
@@ -114,7 +116,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep.For(ctx, relocationDelay) || !r.hasOutput.Load() {
+		if !sleep.For(ctx, relocationDelay) || !r.hasOutput.Load() || x.g.isEndingWithin(relocationTime) {
 			return
 		}
 		if r.next = x.relocate(ctx, r, c); r.next != nil && sleep.For(ctx, streamCloseTimeout) {
