gateway: a forced stop ends requests whose run is being copied

A request whose run is being moved waits for the copy, up to 2 s, whatever happens to the request. A forced stop gives requests 0.3 s: the process exited before the handler returned, so the caller's connection just ended, and the log had no line of the request.

A forced stop now cancels the copy, and copies are not released any more then: the engines do so by themselves.

TestForcedStopEndsRequestsWhoseRunIsBeingCopied failed before: the request ended 1.95 s after the stop.

--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -153,6 +153,11 @@
 	// The calls must not be canceled by the end of the stream, which the final copy brings about.
 	copyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*copyTimeout)
 	defer cancel()
+	defer context.AfterFunc(x.r.Context(), func() {
+		if x.isForceStopped() {
+			cancel()
+		}
+	})()
 	startedAt := time.Now()
 	stopOrdered := false
 	handle, err := x.g.Copier.Copy(copyCtx, source, x.call.ID, target.Member.Address, false)
@@ -262,6 +267,10 @@
 	if handle == "" {
 		return
 	}
+	if x.isForceStopped() {
+		// The process exits: its caller must not wait for this, and the engine releases the copy by itself.
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
 	if err := x.g.Copier.Drop(ctx, source, handle); err != nil {
