gateway: a request that has waited is not sent to an endpoint late in a stop

A stopping gateway refuses what begins late and could be cut by its exit. It asked for this when the request came, not when it was sent: one that a full endpoint had rejected, or that had waited for anything else, was sent on late and cut while an endpoint ran it. Its caller then had no promise; a refusal tells it that the request has not run, and where it may go.

The question is now asked before each attempt as long as no endpoint can have run the request. Streams that have begun and moved runs go on.

TestRequestIsNotSentLateInStop failed before: the second endpoint got the request.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -82,6 +82,11 @@
 	return refusalEnding(apierror.Later(http.StatusServiceUnavailable, code, message, retryAfter()))
 }
 
+// tooLateEnding returns the refusal of a request that could be cut when the process exits.
+func tooLateEnding() ending {
+	return notRunEnding(apierror.CodeStopping, "the gateway stops before the request's time is up")
+}
+
 // retryAfter returns a Retry-After with jitter, which spreads the retries of callers refused together.
 func retryAfter() time.Duration {
 	return retryAfterMin + time.Duration(rand.Int64N(int64(retryAfterJitter)))
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -104,8 +104,8 @@
 // MarkNotReady makes the readiness probe fail. Requests are still served.
 func (g *Gateway) MarkNotReady() { g.notReady.Store(true) }
 
-// SetDrainWindow announces that the process exits at end. A request that starts after refuseAfter is
-// refused if its deadline is later than end: it could be cut off while an endpoint runs it.
+// SetDrainWindow announces that the process exits at end. A request that no endpoint has got by refuseAfter
+// is refused if its deadline is later than end: it could be cut off while an endpoint runs it.
 func (g *Gateway) SetDrainWindow(refuseAfter, end time.Time) {
 	g.drain.Store(&drainWindow{time.Now(), refuseAfter, end})
 }
@@ -435,11 +435,11 @@
 	return err
 }
 
-// isTooLate reports whether the request started in the drain window and its deadline is later than
+// isTooLate reports whether the request would begin in the drain window and its deadline is later than
 // the process's exit.
-func (x *exchange) isTooLate() bool {
+func (x *exchange) isTooLate(now time.Time) bool {
 	d := x.g.drain.Load()
-	return d != nil && x.startedAt.After(d.refuseAfter) && x.deadline.After(d.end)
+	return d != nil && now.After(d.refuseAfter) && x.deadline.After(d.end)
 }
 
 // isEndingWithin reports whether the process is to exit before a time has passed.
@@ -458,8 +458,8 @@
 		// request from running.
 		return x.forcedStopEnding()
 	}
-	if x.isTooLate() {
-		return notRunEnding(apierror.CodeStopping, "the gateway stops before the request's time is up")
+	if x.isTooLate(time.Now()) {
+		return tooLateEnding()
 	}
 	if refusal := x.checkQuarantine(ctx); refusal != nil {
 		return refusalEnding(refusal)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -63,6 +63,9 @@
 	var last outcome
 	sent, unreached := 0, 0
 	for {
+		if last.next == nil && !x.headWritten && x.hasNotRun() && x.isTooLate(time.Now()) {
+			return tooLateEnding()
+		}
 		choice := x.chooseEndpoint(request, prompt, last)
 		if choice.Member.ID == "" {
 			return x.noEndpointEnding(choice, sent, last)
