gateway: the window for long requests closes half a second earlier in a stop

Callers of a stream lost it at the exit of a stopping gateway although they had sent it over 3 s after the signal, from when on a cut is excused by nothing. The gateway refused what began over 3.0 s after it had handled the signal: no margin for a process that gets the processor late (a quota gives it none for up to a tenth of a second), so that it counted from too late.

The window now closes when idle connections do, 2.5 s after the signal was handled: the balancer has noticed by then. What comes later gets 'not run' and asks elsewhere at once. Requests whose own time ends before the exit are served as before.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -330,8 +330,6 @@
 	// balancerNotice is how long the balancer takes to notice that a process is not ready and to stop
 	// sending it new connections: two probes, one per second.
 	balancerNotice = 2500 * time.Millisecond
-	// crossing is the additional time for requests that were in transit when connections closed.
-	crossing = 500 * time.Millisecond
 	// graceMargin is the part of the time to stop that is reserved for the process's exit.
 	graceMargin = 500 * time.Millisecond
 	// lastAnswers is the part of graceMargin for the answers to interrupted requests. The rest is for
@@ -354,7 +352,7 @@
 	}()
 	p.gateway.MarkNotReady()
 	p.stopServing()
-	p.gateway.SetDrainWindow(now.Add(notice+crossing), end)
+	p.gateway.SetDrainWindow(now.Add(notice), end)
 	p.clients.DisableKeepAlives()
 	select {
 	case <-time.After(notice):
