gateway: a stopping gateway refuses streams that would outlast it

The window in which it takes on long requests said nothing of their length.

Each route now has the mean and mean deviation of the time of its whole answers. A stopping gateway refuses, as not run, what would end after its exit by that; its caller comes to another gateway at once.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -86,6 +86,8 @@
 	weights atomic.Pointer[map[string]int64]
 	// requestSizes holds the mean size of each route's requests, in tokens.
 	requestSizes requestSizes
+	// answerTimes holds how long the answers of each route take.
+	answerTimes answerTimes
 	// customerShares measures which part of the answers each customer gets.
 	customerShares customerShares
 	// engineHashes maps the address of each engine to the hash of its instance ID.
@@ -97,15 +99,14 @@
 	inFlight     atomic.Int64
 }
 
-// drainWindow is the last phase of a stop: requests that start after refuseAfter may be refused,
-// and the process exits at end. began is when the process was told to stop.
+// drainWindow is a stop: requests that start after refuseAfter may be refused, and the process exits at end. began is when the process was told to stop.
 type drainWindow struct{ began, refuseAfter, end time.Time }
 
 // MarkNotReady makes the readiness probe fail. Requests are still served.
 func (g *Gateway) MarkNotReady() { g.notReady.Store(true) }
 
-// SetDrainWindow announces that the process exits at end. A request that no endpoint has got by refuseAfter
-// is refused if its deadline is later than end: it could be cut off while an endpoint runs it.
+// SetDrainWindow announces that the process exits at end. A request whose deadline is later is refused if no endpoint
+// has got it by refuseAfter, or if answers of its route usually take longer than is left: it would be cut off.
 func (g *Gateway) SetDrainWindow(refuseAfter, end time.Time) {
 	g.drain.Store(&drainWindow{time.Now(), refuseAfter, end})
 }
@@ -220,6 +221,9 @@
 		x.g.observeShare(x.customer.Name, got == receipt.Answer)
 	}
 	x.countPauses()
+	if e.kind == endAnswered {
+		x.g.answerTimes.observe(x.route.Name, time.Since(x.startedAt))
+	}
 	x.logRequest(e.refusal, got)
 	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.startedAt)
@@ -435,11 +439,13 @@
 	return err
 }
 
-// isTooLate reports whether the request would begin in the drain window and its deadline is later than
-// the process's exit.
+// isTooLate reports whether a request that would begin now might be cut off by the process's exit, see SetDrainWindow.
 func (x *exchange) isTooLate(now time.Time) bool {
 	d := x.g.drain.Load()
-	return d != nil && now.After(d.refuseAfter) && x.deadline.After(d.end)
+	if d == nil || !x.deadline.After(d.end) {
+		return false
+	}
+	return now.After(d.refuseAfter) || now.Add(x.g.answerTimes.most(x.route.Name)).After(d.end)
 }
 
 // isEndingWithin reports whether the process is to exit before a time has passed.
