--- a/internal/transport/httpjson/httpjson.go
+++ b/internal/transport/httpjson/httpjson.go
@@ -46,6 +46,12 @@
 	return http.StatusText(e.Status) + ": " + e.Body
 }
 
+// BodyDecoder is implemented by what decodes a response body itself.
+type BodyDecoder interface {
+	// DecodeBody decodes a body, of which it may keep parts.
+	DecodeBody(body []byte) error
+}
+
 // Client calls one server.
 type Client struct {
 	Base string
@@ -54,7 +60,8 @@
 	MaxBody int64
 }
 
-// Do sends in as JSON and decodes the response into out; either may be nil. It returns
+// Do sends in as JSON and decodes the response into out, a BodyDecoder or any value that
+// encoding/json decodes into; either may be nil. It returns
 // ErrNotSent when the connection could not be made, a *StatusError, or another error,
 // after which the call may have taken effect.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
@@ -81,7 +88,14 @@
 	if out == nil {
 		return resp.Header, nil
 	}
-	return resp.Header, errors.Annotatef(json.Unmarshal(data, out), "answer of %s %s", method, path)
+	return resp.Header, errors.Annotatef(decodeBody(data, out), "answer of %s %s", method, path)
+}
+
+func decodeBody(data []byte, out any) error {
+	if d, ok := out.(BodyDecoder); ok {
+		return d.DecodeBody(data)
+	}
+	return json.Unmarshal(data, out)
 }
 
 // readBody reads a body to its end, which must come within limit bytes.
