--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/logging"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/sleep"
 )
@@ -429,7 +430,7 @@
 	list := make([]Instance, 0, len(records))
 	for _, r := range records {
 		if i, err := w.Decoder.Instance(r); err != nil {
-			w.Log.Error("cannot decode instance", zap.String("endpoint", r.Name), zap.Error(err))
+			w.Log.Error("cannot decode instance", zap.String("endpoint", r.Name), logging.Error(err))
 		} else {
 			list = append(list, i)
 		}
@@ -483,7 +484,7 @@
 	}
 	if err != nil {
 		w.Log.Error("cannot decode object", zap.String("kind", kind), zap.String("name", e.Name),
-			revisionField("revision", e.Revision), zap.Error(err))
+			revisionField("revision", e.Revision), logging.Error(err))
 	}
 }
 
--- a/internal/transport/logging/logging.go
+++ b/internal/transport/logging/logging.go
@@ -16,3 +16,12 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.AddSync(w), level)
 	return zap.New(core)
 }
+
+// maxErrorText bounds the text of an error in a line, in bytes.
+const maxErrorText = 300
+
+// Error is zap.Error for an error whose text may repeat what others sent, at any length.
+func Error(err error) zap.Field {
+	text := err.Error()
+	return zap.String("error", text[:min(len(text), maxErrorText)])
+}
