--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -159,7 +159,9 @@
 	storeClient := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	observePushback := func(address string, s pushback.Signal) { p.gateway.ObservePushback(address, s) }
 	contextTransport := &platform.PushbackTransport{Next: httpjson.BoundHead(&http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}), Observe: observePushback}
-	keeper := contextcache.NewTracker(platform.NewContextStores(contextTransport), log, self.Domain, bootclock.Now)
+	contextStores := platform.NewContextStores(contextTransport)
+	contextStores.Log = log
+	keeper := contextcache.NewTracker(contextStores, log, self.Domain, bootclock.Now)
 	keeper.Self, keeper.Regions = hostOf(s.Platform.Clients), s.Platform.Regions
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
 		p.clients.SetLimits(t.Limits)
