warmup: a large rate of the configuration no longer ends the process

A service whose cold_per_s was 10^10 or more, or a typing error away from that, made the process that claimed one of its cold endpoints reserve a time for each request of a second: "panic: runtime error: makeslice: len out of range", or the machine's memory. The next process claimed the endpoint and ended too, and a restarted one again, for as long as the endpoint was cold.

A window allows at most 4,096 requests a second, which take 100 KB. TestWindowOfLargeRate failed before with the panic above, in NewWindow.

--- a/internal/coordination/warmup/warmup_test.go
+++ b/internal/coordination/warmup/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -321,3 +322,13 @@
 	}
 	return out, nil
 }
+
+// TestWindowOfLargeRate guards against a rate of the configuration that takes the process down with its memory.
+func TestWindowOfLargeRate(t *testing.T) {
+	for _, perSecond := range []float64{1e300, math.Inf(1), 1e18, 1e10, -1e300, math.NaN()} {
+		w := NewWindow(perSecond)
+		if now := time.Now(); !w.HasRoom(now) || len(w.sent) > maxPerSecond {
+			t.Errorf("%g: got room %v and %d times, want room and at most %d", perSecond, w.HasRoom(now), len(w.sent), maxPerSecond)
+		}
+	}
+}
--- a/internal/coordination/warmup/window.go
+++ b/internal/coordination/warmup/window.go
@@ -14,9 +14,16 @@
 // period is the length of the window.
 const period = time.Second
 
-// NewWindow returns a window that allows so many requests per second, at least one.
+// maxPerSecond bounds the requests per second of a window, whose memory grows with them: 100 KB. No cold endpoint withstands more.
+const maxPerSecond = 4096
+
+// NewWindow returns a window that allows so many requests per second, at least one and at most maxPerSecond.
 func NewWindow(perSecond float64) *Window {
-	return &Window{sent: make([]time.Time, max(1, int(perSecond)))}
+	requests := 1
+	if perSecond > 1 {
+		requests = int(min(perSecond, maxPerSecond))
+	}
+	return &Window{sent: make([]time.Time, requests)}
 }
 
 // HasRoom reports whether a request may be sent now.
