--- a/internal/coordination/configlog/configlog.go
+++ b/internal/coordination/configlog/configlog.go
@@ -9,6 +9,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -229,15 +231,26 @@
 	if err != nil {
 		return
 	}
-	previous := ""
+	previous := uint64(0)
 	for _, o := range objects {
-		if o.Key < snapshotKey(current, 0) {
-			previous = o.Key[:len(snapshotPrefix)+20]
+		if revision, ok := snapshotRevision(o.Key); ok && revision < current {
+			previous = max(previous, revision)
 		}
 	}
 	for _, o := range objects {
-		if o.Key < snapshotKey(current, 0) && o.Key[:len(snapshotPrefix)+20] != previous {
+		if revision, ok := snapshotRevision(o.Key); ok && revision < previous {
 			l.api.Delete(ctx, o.Key, o.Version)
 		}
 	}
 }
+
+// snapshotRevision returns the revision of a snapshot by the key of one of its parts; false if the key is none.
+func snapshotRevision(key string) (revision uint64, ok bool) {
+	digits, part, _ := strings.Cut(strings.TrimPrefix(key, snapshotPrefix), ".")
+	revision, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	number, err := strconv.Atoi(part)
+	return revision, err == nil && key == snapshotKey(revision, number)
+}
