Fuzz targets of the peers' messages that had none

What a process does with messages about limits, streams' origins and versions was not tried with messages of other content; those about quarantines, contents, load and leases were.

--- a/internal/coordination/versiongossip/exchanger_test.go
+++ b/internal/coordination/versiongossip/exchanger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -10,8 +12,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"limpetwall/internal/coordination/discovery"
+	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/datagram"
@@ -114,3 +118,29 @@
 		stop()
 	})
 }
+
+// FuzzReceive receives messages of any content: none may end the process, nor make a target of a version that the store has not named.
+func FuzzReceive(f *testing.F) {
+	message, err := proto.Marshal(&wire.VersionReport{Asks: true, Ages: []*wire.VersionAge{{Model: "m", Version: 2, AgeMs: 1, Exact: true}, {Model: "m", Version: math.MaxInt64, Replaces: -1, AgeMs: math.MaxUint64}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{message, {}, []byte("\xff"), message[:len(message)/2]} {
+		f.Add(seed)
+	}
+	network := datagramtest.New()
+	from := netip.MustParseAddrPort("10.0.0.2:1")
+	s := discovery.NewState(fleet.Member{ID: "self"}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+	s.RetireAfter = time.Hour
+	s.SetInstance(discovery.Instance{ID: "i", Revision: 1, Model: "m", Weights: 1})
+	s.SetTarget(discovery.TargetWeights{Model: "m", Version: 2})
+	e := &Exchanger{
+		Group: &datagram.Socket{Conn: network.Listen(netip.MustParseAddrPort("10.0.0.1:1")), Port: 1}, Hosts: func() []netip.Addr { return nil }, State: s, Log: zap.NewNop(),
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e.channel().Dispatch(data, net.UDPAddrFromAddrPort(from), e.receive)
+		if version := s.TargetVersion("m"); version != 2 {
+			t.Errorf("%q: got target version %d, want 2", data, version)
+		}
+	})
+}
