gateway: an answer that nobody signed or that names no attempt is none

A server stopped in the middle of its answer's head and closed. Heads that end inside a line, behind one or before the blank line never passed for whole.

Cause: on a fresh connection an answer without an ID was taken for the attempt's, as rejections may leave it out, and the signature, which comes with each answer that a server gives, was only passed on and never looked for.

Now an answer other than a rejection must name its attempt, and one below 500 must be signed. Anything else is an attempt that broke: it is repeated or resumed as any broken one, and the caller of what may not be repeated gets a 502 with an unknown outcome. The rule covers 3xx and 4xx too, which callers take as final and never repeat (a cut 404 ended requests that a second endpoint served). A failure that names its attempt is passed on without a signature as before: a 5xx promises nothing, and the endpoint's own says more than ours. Its connection is closed, and its endpoint is checked for a crash, as a head is where a crashing server stops. Signed is decoded by the platform and decided on here.

Not noticeable, and not changed: a head that is signed, named and ends in a blank line but lost its length line, before an empty body and the end of the connection (a whole answer may have neither length nor body), and a length that lost digits, as bytes behind a whole answer are to be ignored.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -91,11 +91,27 @@
 		return nil, Reply{}, out
 	}
 	reply := x.g.Codec.DecodeReply(resp.Status, resp.Header)
+	if !x.isGenuine(resp.Status, reply) {
+		resp.Close()
+		return nil, Reply{}, x.classifyError(ctx, errUnsigned)
+	}
 	x.g.recordReply(c, reply, sentAt)
 	return resp, reply, outcome{}
 }
 
-// isOwnAnswer reports whether an answer belongs to this attempt by its ID. Refusals may leave the ID
+// errUnsigned is returned for an answer whose head may have been cut, although it looks whole.
+const errUnsigned = errors.ConstError("answer lacks the endpoint's signature or the ID of its attempt")
+
+// isGenuine reports whether an answer is one that an endpoint gives. Rejections need neither the ID of their attempt
+// nor a signature. Failures need no signature: they promise nothing, whereas callers take any other answer as final.
+func (x *exchange) isGenuine(status int, r Reply) bool {
+	if r.NotRun {
+		return true
+	}
+	return r.ID == x.call.ID && (r.Signed || status >= http.StatusInternalServerError)
+}
+
+// isOwnAnswer reports whether an answer may belong to this attempt by its ID. Rejections may leave the ID
 // out; on a connection that has carried no other request they can't belong to another.
 func (x *exchange) isOwnAnswer(h http.Header, fresh bool) bool {
 	id := x.g.Codec.DecodeReply(0, h).ID
--- a/internal/coordination/gateway/bench_test.go
+++ b/internal/coordination/gateway/bench_test.go
@@ -86,7 +86,7 @@
 func BenchmarkPlainRequest(b *testing.B) {
 	body := strings.Repeat("a", 800)
 	g := newBenchGateway(b, routes.NonIdempotent, func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 800\r\n\r\n%s", headerID, r.Header.Get(headerID), body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nContent-Length: 800\r\n\r\n%s", headerID, r.Header.Get(headerID), body)
 	})
 	b.ReportAllocs()
 	began := cpuTime(b)
@@ -106,7 +106,7 @@
 		fmt.Fprintf(&all, "%x\r\n%s\r\n", len(text), text)
 	}
 	g := newBenchGateway(b, routes.Streaming, func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", headerID, r.Header.Get(headerID), all.String())
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", headerID, r.Header.Get(headerID), all.String())
 	})
 	b.ReportAllocs()
 	began := cpuTime(b)
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -69,6 +69,8 @@
 type Reply struct {
 	// ID is the ID of the attempt that is answered.
 	ID string
+	// Signed is set if the answer bears the endpoint's signature. Only rejections and failures may lack it.
+	Signed bool
 	// NotRun is set if the endpoint did not run the request and never will.
 	NotRun bool
 	// Misdirected is set if the endpoint is not the instance that the request names, or
--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -40,9 +40,10 @@
 // connection counted as a crash, the request would be blamed for it.
 func TestCrashDetection(t *testing.T) {
 	truncated := func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 50\r\n\r\nhalf", headerID, r.Header.Get(headerID))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nContent-Length: 50\r\n\r\nhalf", headerID, r.Header.Get(headerID))
 	}
 	reset := func(c net.Conn, _ *http.Request) { c.(*net.TCPConn).SetLinger(0) }
+	bareHead := respondBytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	var s *testServer
 	rows := []struct {
 		name    string
@@ -54,6 +55,9 @@
 		{"a crash", routes.NonIdempotent, func(c net.Conn, r *http.Request) { s.crashEndpoint(0)(c, r) }, false, true},
 		{"crash during a stream", routes.Streaming, func(c net.Conn, r *http.Request) { s.crashEndpoint(0)(c, r); respondStream("", "1")(c, r) }, false, true},
 		{"crash during an answer", routes.NonIdempotent, func(c net.Conn, r *http.Request) { s.crashEndpoint(0)(c, r); truncated(c, r) }, false, true},
+		{"crash in a head", routes.NonIdempotent, func(c net.Conn, r *http.Request) { s.crashEndpoint(0)(c, r); bareHead(c, r) }, false, true},
+		{"crash in a stream's head", routes.Streaming, func(c net.Conn, r *http.Request) { s.crashEndpoint(0)(c, r); bareHead(c, r) }, false, true},
+		{"head without signature", routes.NonIdempotent, bareHead, false, false},
 		{"leaving endpoint exits", routes.NonIdempotent, func(c net.Conn, r *http.Request) { s.crashEndpoint(0)(c, r) }, true, false},
 		{"lost answer", routes.NonIdempotent, closeConn, false, false},
 		{"truncated answer", routes.NonIdempotent, truncated, false, false},
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -172,7 +172,7 @@
 // connection must break.
 func TestPartialAnswerIsNotJoinedToAnother(t *testing.T) {
 	truncated := func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 201 X\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), 2*maxBufferedBytes, strings.Repeat("b", maxBufferedBytes))
+		fmt.Fprintf(c, "HTTP/1.1 201 X\r\n%s: %s\r\nStamp: 201\r\nContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), 2*maxBufferedBytes, strings.Repeat("b", maxBufferedBytes))
 	}
 	rows := map[string]responder{
 		"events without ids":       respondTruncatedStream("data: one\n\n"),
@@ -196,7 +196,7 @@
 // respondTruncatedStream sends text as the first chunk of a stream and then closes the connection.
 func respondTruncatedStream(text string) responder {
 	return func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", headerID, r.Header.Get(headerID), len(text), text)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", headerID, r.Header.Get(headerID), len(text), text)
 	}
 }
 
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -79,7 +79,7 @@
 	limit, _ := strconv.ParseFloat(h.Get(headerLimit), 64)
 	rest, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
 	return Reply{
-		ID: h.Get(headerID), NotRun: misdirected || h.Get(headerNotRun) != "", Misdirected: misdirected, Weights: weights,
+		ID: h.Get(headerID), Signed: h.Get("Stamp") != "", NotRun: misdirected || h.Get(headerNotRun) != "", Misdirected: misdirected, Weights: weights,
 		Pushback: pushback.Signal{RequestsPerSecond: limit, Leaving: h.Get(headerLeaving) != "", RetryAfter: time.Duration(rest * float64(time.Second))},
 	}
 }
@@ -297,10 +297,10 @@
 func TestOutcomes(t *testing.T) {
 	const safe, unsafe = routes.Idempotent, routes.NonIdempotent
 	truncated := func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 50\r\n\r\nhalf", headerID, r.Header.Get(headerID))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nContent-Length: 50\r\n\r\nhalf", headerID, r.Header.Get(headerID))
 	}
 	foreign := func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 2\r\n\r\nno", headerID)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\nStamp: 200\r\nContent-Length: 2\r\n\r\nno", headerID)
 	}
 	rows := []struct {
 		name     string
@@ -360,7 +360,7 @@
 func TestTruncatedLongAnswerIsNotRetried(t *testing.T) {
 	long := strings.Repeat("a", 2*maxBufferedBytes)
 	truncated := func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), len(long)+1, long)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nStamp: 200\r\nContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), len(long)+1, long)
 	}
 	s := newTestServer(t, singleRoute(routes.Idempotent, 2), truncated, truncated)
 	_, body, err := s.do(s.newRequest("GET", "/r/x", ""))
--- a/internal/coordination/gateway/stale_test.go
+++ b/internal/coordination/gateway/stale_test.go
@@ -22,7 +22,7 @@
 // keepAlive answers the first request on a connection, and calls next for the second one on it.
 func keepAlive(next responder) responder {
 	return func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), len(firstBody), firstBody)
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\nStamp: 200\r\nContent-Length: %d\r\n\r\n%s", headerID, r.Header.Get(headerID), len(firstBody), firstBody)
 		second, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
--- a/internal/coordination/gateway/sync_test.go
+++ b/internal/coordination/gateway/sync_test.go
@@ -30,6 +30,7 @@
 	var connections atomic.Int64
 	endpoint := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set("Stamp", "200")
 		w.Write([]byte("a"))
 	}))
 	endpoint.Config.ConnState = func(_ net.Conn, s http.ConnState) {
