upstream: chunks of a version of the protocol that has none are no answer

By RFC 9112, 6.1, the framing of such an answer is faulty. Its head is now ErrBadHead, as other bytes that are no answer; answers of HTTP/1.0 with a length or the end of the connection stay as they are.

Before the change: TestBrokenAnswers/chunks_of_a_version_without_them ("5\r\nwhole\r\n0\r\n\r\n" <nil>) and 12 rows of the gateway's TestCutHeadIsNoAnswer and TestCutHeadOnReusedConnection (got 200 OK "5\r\nwhole\r\n0\r\n\r\n", stamp "1"; want status 502). FuzzHead found nothing in 290,000 executions.

--- a/internal/coordination/gateway/heads_test.go
+++ b/internal/coordination/gateway/heads_test.go
@@ -43,6 +43,7 @@
 	"half a transfer coding":            "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Transfer-Encoding: chun\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"transfer coding without a value":   "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Transfer-Encoding:\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"transfer coding twice":             "HTTP/1.1 200 OK\r\n" + namedLine + signedLine + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"chunks of an older protocol":       "HTTP/1.0 200 OK\r\n" + namedLine + signedLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"unsigned, empty":                   "HTTP/1.1 200 OK\r\n" + namedLine + "Content-Length: 0\r\n\r\n",
 	"unsigned, length":                  "HTTP/1.1 200 OK\r\n" + namedLine + "Content-Length: 5\r\n\r\nwhole",
 	"unsigned, chunks":                  "HTTP/1.1 200 OK\r\n" + namedLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -33,7 +33,12 @@
 // ErrBadHead means that what arrived is not the head of an answer or exceeds the bounds of one.
 const ErrBadHead = errors.ConstError("answer has no proper head")
 
-var httpPrefix = []byte("HTTP/")
+var (
+	httpPrefix = []byte("HTTP/")
+	// firstCoded is the first version of the protocol whose answers may have a transfer coding.
+	firstCoded     = []byte("HTTP/1.1")
+	transferCoding = []byte("Transfer-Encoding")
+)
 
 // readHead reads the head of one answer, whose first byte has arrived, within the bounds. The body is then read
 // from c.reader.
@@ -95,6 +100,8 @@
 type headScan struct {
 	// scanned bytes are whole lines.
 	scanned, lines int
+	// isUncoded is set if the answer's version of the protocol has no transfer codings.
+	isUncoded bool
 }
 
 // scan reports whether buffered, which begins with what was scanned before, holds a whole head.
@@ -115,9 +122,21 @@
 		if len(line) == 1 || (len(line) == 2 && line[0] == '\r') {
 			return true, nil
 		}
+		if s.lines == 1 {
+			s.isUncoded = bytes.Compare(line, firstCoded) < 0
+		} else if s.isUncoded && hasName(line, transferCoding) {
+			// net/http ignores it there, and would take the sizes of the chunks for a part of the body.
+			return false, errors.Annotate(ErrBadHead, "its version of the protocol has no transfer codings")
+		}
 	}
 	if len(buffered) >= maxHeadBytes {
 		return false, errors.Annotate(ErrBadHead, "too many bytes")
 	}
 	return false, nil
 }
+
+// hasName reports whether a header line is that of a field.
+func hasName(line, field []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return bytes.EqualFold(name, field)
+}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -157,6 +157,12 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nhalf", idHeader, id)
 			c.(*net.TCPConn).SetLinger(0)
 		}, "", true},
+		{"chunks of a version without them", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\n%s: %s\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", idHeader, id)
+		}, "", true},
+		{"an older version, ended", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\n%s: %s\r\nA: b\r\n Transfer-Encoding: chunked\r\n\r\nwhole", idHeader, id)
+		}, "whole", false},
 		{"no answer at all", func(net.Conn, string) {}, "", true},
 		{"bytes that are no answer", func(c net.Conn, _ string) { io.WriteString(c, "garbage\r\n\r\n") }, "", true},
 		{"a status that does not exist", func(c net.Conn, id string) {
