agent: a plain service's answer that a crash ends is not whole

A plain service that crashed inside an answer with neither a length nor chunks closed its connection as the end of such an answer does: the agent reported the run as finished, and the caller got half an answer, or an empty 200, as a whole one. The gateway has checked the endpoint after such answers for long; the agent did so only after broken ones.

The adapter now says of an answer that only the end of its connection delimits it, and the agent looks whether the service still listens before it takes that end for the answer's. A leaving service is taken at its word, as it exits once its answers are complete. The run counts as broken, as one that may have run, and as ended by a crash.

Before the change TestCutPlainAnswerIsNotWhole failed in 2 of 17 rows, "to the end by a crash" and "head, then a crash" ("got ... finished:{reason:"stop"} ... at the end, want a broken run"). Its other rows held before: cut heads, lengths and chunks.

Not noticeable: a service that lives on and closes an unframed answer early. Plain services sign nothing.

--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -383,6 +383,7 @@
 func (a *Agent) executePlain(ctx context.Context, r *wire.RunRequest, p *wire.PlainCall, send emit) {
 	a.running.Add(1)
 	defer a.running.Add(-1)
+	begun := time.Now()
 	headers := http.Header{}
 	for _, h := range p.GetHeaders() {
 		headers[h.GetName()] = h.GetValues()
@@ -402,7 +403,7 @@
 	if send(a.withLoad(&wire.RunEvent{Event: &wire.RunEvent_PlainHead{PlainHead: head}})) != nil {
 		return
 	}
-	a.copyBody(answer.Body, send)
+	a.copyBody(answer, begun, send)
 }
 
 func plainRefusal(err error) *wire.Refused {
@@ -412,12 +413,13 @@
 	return refuse(CodeBroken, wire.Ran_RAN_UNKNOWN, 0, err.Error())
 }
 
-func (a *Agent) copyBody(body io.Reader, send emit) {
+// copyBody passes the body of an answer to a call on, which was begun at a time.
+func (a *Agent) copyBody(answer plainservice.Answer, begun time.Time, send emit) {
 	total := int64(0)
 	for {
 		// A fresh buffer each time: the record keeps the event.
 		buf := make([]byte, bodyChunk)
-		n, err := body.Read(buf)
+		n, err := answer.Body.Read(buf)
 		total += int64(n)
 		if total > a.cfg.MaxPlainAnswer {
 			send(refusedEvent(refuse(CodeBroken, wire.Ran_RAN_YES, 0, "the service's answer is too large")))
@@ -426,6 +428,10 @@
 		if n > 0 && send(&wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: buf[:n]}}) != nil {
 			return
 		}
+		if err == io.EOF && answer.EndsWithConnection && a.crashOf(begun) != 0 {
+			// A crash closes connections as the end of an answer does.
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			send(a.withLoad(finishedEvent("stop", 0)))
 			return
--- a/internal/transport/plainservice/plainservice.go
+++ b/internal/transport/plainservice/plainservice.go
@@ -37,6 +37,9 @@
 	Status  int
 	Headers http.Header
 	Body    io.ReadCloser
+	// EndsWithConnection is set if only the end of the connection delimits the body: one that a crash
+	// cuts looks complete.
+	EndsWithConnection bool
 }
 
 // Service is one endpoint of a plain service.
@@ -83,7 +86,11 @@
 	if err != nil {
 		return Answer{}, classify(err)
 	}
-	return Answer{Status: resp.StatusCode, Headers: resp.Header, Body: resp.Body}, nil
+	return Answer{
+		Status: resp.StatusCode, Headers: resp.Header, Body: resp.Body,
+		// A body that net/http has decompressed has an end of its own.
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed,
+	}, nil
 }
 
 func classify(err error) error {
