ingress: a cut answer to a caller of HTTP/1.0 is reset

HTTP/1.0 has no chunks: only the end of the connection delimits an answer whose length is not declared, as of a stream, a long answer and all answers of plain services. Proxies before a gateway often speak that version. Callers of HTTP/1.1 lack the last chunk and were not affected.

Now a connection whose handler aborted, failed, or is cut by the server's end is reset if its request came with HTTP/1.0. A caller may lose bytes that it has not read yet; those of a cut answer were of no use to it.

--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -62,6 +62,7 @@
 	reason, q, since := c.unansweredReason(), c.request, c.firstByte
 	written := c.phase == answered && c.readErr == nil
 	unread := written && q != nil && !q.bodyRead.Load()
+	cut := c.phase != answered && q != nil && q.hasNoChunks
 	c.phase, c.request = answered, nil
 	c.mu.Unlock()
 	if reason != "" {
@@ -77,11 +78,22 @@
 	case written:
 		c.awaitAcknowledgment()
 	}
+	if cut {
+		c.reset()
+	}
 	// The connection must be closed before a stop can end.
 	defer c.server.remove(c)
 	return c.Conn.Close()
 }
 
+// reset has the connection closed by a reset. After an ordinary close, a cut answer that only the end of the
+// connection delimits would look complete.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 // refuseTimedOutHeader answers a request whose header was incomplete at its limit.
 func (c *conn) refuseTimedOutHeader() {
 	c.server.report.count("headers_late")
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -73,7 +73,7 @@
 func (s *Server) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.handlersInFlight.Add(1)
-		q := &request{conn: connOf(r.Context())}
+		q := &request{conn: connOf(r.Context()), hasNoChunks: !r.ProtoAtLeast(1, 1)}
 		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, q))
 		if r.Body == http.NoBody {
 			q.bodyRead.Store(true)
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -447,3 +448,53 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestCutAnswerWithoutChunks guards against a cut answer to a caller of HTTP/1.0 that its close makes look whole.
+func TestCutAnswerWithoutChunks(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	begin := func(w http.ResponseWriter, text string) {
+		io.WriteString(w, text)
+		http.NewResponseController(w).Flush()
+		begun <- struct{}{}
+	}
+	rows := []struct {
+		name   string
+		handle http.HandlerFunc
+		// stops is set if the server is closed during the answer.
+		stops, isWhole bool
+	}{
+		{"whole", func(w http.ResponseWriter, _ *http.Request) { begin(w, "whole") }, false, true},
+		{"aborted", func(w http.ResponseWriter, _ *http.Request) { begin(w, "half"); panic(http.ErrAbortHandler) }, false, false},
+		{"failed", func(w http.ResponseWriter, _ *http.Request) { begin(w, "half"); panic("failure") }, false, false},
+		{"cut by the server's end", func(w http.ResponseWriter, r *http.Request) {
+			begin(w, "half")
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}, true, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := newServer(row.handle)
+			go s.Serve(l)
+			defer s.Close()
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, "GET / HTTP/1.0\r\n\r\n")
+			<-begun
+			if row.stops {
+				s.Close()
+			}
+			got, err := io.ReadAll(c)
+			if (err == nil) != row.isWhole || (row.isWhole && !strings.HasSuffix(string(got), "\r\n\r\nwhole")) {
+				t.Errorf("got %q, error %v; want it to end whole: %v", got, err, row.isWhole)
+			}
+		})
+	}
+}
--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -86,6 +86,9 @@
 	id   atomic.Pointer[string]
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
+	// hasNoChunks is set if the protocol's version has no chunks: the end of the connection delimits an answer
+	// whose length is not declared.
+	hasNoChunks bool
 }
 
 // trackedBody records when a request's body was read to its end.
