objectapi: an answer that names no version is none

A read now leaves the API unavailable, and a write has an unknown outcome; no object has version 0. Empty bodies and half documents were errors already.

Before the change TestAnswersThatHoldNothing failed for 3 of its 6 answers, in reads, watches and writes (get, answer "{}": got {Key: Version:0 Value:[]}, error <nil>; want ErrUnavailable).

--- a/internal/transport/objectapi/objectapi.go
+++ b/internal/transport/objectapi/objectapi.go
@@ -98,9 +98,15 @@
 	if err != nil {
 		return Object{}, readError(err)
 	}
+	if o.Version == 0 {
+		return Object{}, readError(errNoVersion)
+	}
 	return o, o.setEra(era)
 }
 
+// errNoVersion is returned for an answer without the version that is due. What else it lacks must not read as empty.
+const errNoVersion = errors.ConstError("answer names no version of the object")
+
 // setEra turns the version from the store's number into a Revision.
 func (o *Object) setEra(era uint64) error {
 	revision, err := NewRevision(era, uint64(o.Version))
@@ -135,6 +141,9 @@
 	if err != nil {
 		return Object{}, err
 	}
+	if o.Version == 0 {
+		return Object{}, writeError(errNoVersion)
+	}
 	o.Value = value
 	return o, o.setEra(era)
 }
--- a/internal/transport/objectapi/objectapi_test.go
+++ b/internal/transport/objectapi/objectapi_test.go
@@ -1,6 +1,7 @@
 package objectapi_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -106,3 +107,24 @@
 		})
 	}
 }
+
+// TestAnswersThatHoldNothing guards against a 200 without the fields that are due, which reads as an empty object or as a write
+// that took effect at no version.
+func TestAnswersThatHoldNothing(t *testing.T) {
+	for _, answer := range []string{"", "{", "{}", "null", `{"key":"k","value":"YQ=="}`, `{"key":"k","version":7`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, answer) }))
+		defer server.Close()
+		client := objectapi.NewClient(server.URL, server.Client())
+		if o, err := client.Get(t.Context(), "k"); !errors.Is(err, objectapi.ErrUnavailable) {
+			t.Errorf("get, answer %q: got %+v, error %v; want ErrUnavailable", answer, o, err)
+		}
+		if o, err := client.Watch(t.Context(), "k", 7, time.Millisecond); !errors.Is(err, objectapi.ErrUnavailable) {
+			t.Errorf("watch, answer %q: got %+v, error %v; want ErrUnavailable", answer, o, err)
+		}
+		for _, version := range []int64{0, 7} {
+			if o, err := client.Put(t.Context(), "k", []byte("a"), version); !errors.Is(err, objectapi.ErrOutcomeUnknown) {
+				t.Errorf("put at %d, answer %q: got version %d, error %v; want ErrOutcomeUnknown", version, answer, o.Version, err)
+			}
+		}
+	}
+}
