engine: a block without content is none

An engine's 200 without the content of a block that it was asked for was taken for the block: an agent would seal nothing as the block's context and store it, and other engines would import that under the block's key, with a sound seal. Now it is an error, and nothing is stored. Half documents were errors already, as they are no JSON.

Before the change TestExportWithoutContentIsNone failed for 4 of its 7 answers (answer "{}": got 0 bytes, want an error). TestCutStreamIsBroken, 14 ways to cut a stream of an engine, held before and after.

--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -115,9 +115,15 @@
 func (c *Client) Export(ctx context.Context, block contextkey.Key) ([]byte, error) {
 	var b blockBody
 	err := c.calls.Do(ctx, http.MethodGet, "/blocks/"+block.String(), nil, &b)
+	if err == nil && len(b.Content) == 0 {
+		return nil, errNoContent
+	}
 	return b.Content, callError(err)
 }
 
+// errNoContent is returned for a block without content. Another engine would import it as the block's context.
+const errNoContent = errors.ConstError("answer holds no content of the block")
+
 // Import implements Engine.
 func (c *Client) Import(ctx context.Context, block contextkey.Key, content []byte) error {
 	err := c.calls.Do(ctx, http.MethodPut, "/blocks/"+block.String(), blockBody{Content: content}, nil)
