discovery: a process that exits reports no outage of the store

Each exit of a gateway logged 'store does not answer' for all kinds, as the end of its watches looked like a failed call.

The watcher no longer records calls that its own end has canceled. TestEndedWatcherReportsNoOutage failed before: 3 lines, none wanted.

--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -209,6 +209,9 @@
 			delay = minRetryDelay
 			err = w.watch(ctx, kind, revision)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		w.recordOutcome(kind, err)
 		if errors.Is(err, objectapi.ErrCompacted) {
 			continue
@@ -337,6 +340,9 @@
 			hasFailed = true
 			continue
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		w.recordOutcome(kind, err)
 		if err != nil {
 			hasFailed = true
--- a/internal/coordination/discovery/watcher_test.go
+++ b/internal/coordination/discovery/watcher_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -8,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
@@ -312,3 +314,24 @@
 	fmt.Printf("%q %q\n", VersionName(0), VersionName(12))
 	// Output: "" "12"
 }
+
+// TestEndedWatcherReportsNoOutage guards against lines of a store that does not answer, written because the process exits.
+func TestEndedWatcherReportsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zap.InfoLevel)
+		state := NewState(fleet.Member{ID: "self", Incarnation: 1}, zap.NewNop(), time.Now(), func(*routes.Table) {})
+		w := &Watcher{Feed: newFakeFeed(), Decoder: fakeDecoder{}, Kinds: kinds, State: state, Log: zap.New(core), Wait: 2 * time.Second}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		if got := lines.FilterMessage("store does not answer").Len(); got != 0 {
+			t.Errorf("got %d lines of an outage, want none", got)
+		}
+	})
+}
