objectapi, hostlist: one odd row no longer hides the others of its list

A row of the host list that can't be read made the whole list unavailable: no host was known to leave, and a process that started found no seeds in it. An object of another writer did the same to a list of the object API, there also with a version out of range.

Both lists are decoded row by row; one line a call counts the rows left out and says why the first was.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -187,9 +187,11 @@
 	}
 	logger = logger.With(zap.String("process", b.ID))
 	client := &http.Client{Transport: httpjson.BoundHead(&http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute})}
+	api, hosts := objectapi.NewClient(b.ObjectAPI, client), hostlist.NewClient(b.HostList, client)
+	api.Log, hosts.Log = logger, logger
 	p := &base{
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
-		api: objectapi.NewClient(b.ObjectAPI, client), pool: rpc.NewPool(clientTLS),
+		api: api, pool: rpc.NewPool(clientTLS),
 		server: rpc.NewServer(serverTLS), listener: rpc.Linger(listener, lingerQuiet),
 	}
 	p.log = configlog.New(p.api)
@@ -201,7 +203,7 @@
 	if b.Seeds != "" {
 		b.Spread.Seeds = strings.Split(b.Seeds, ",")
 	}
-	p.node = gossip.New(b.Spread, table, p.store, p.log, hostlist.NewClient(b.HostList, client), p.pool, logger)
+	p.node = gossip.New(b.Spread, table, p.store, p.log, hosts, p.pool, logger)
 	wire.RegisterPeerServer(p.server, &gossip.Server{Node: p.node, ErrorBudget: burn})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	// The drain begins only with a stop.
--- a/internal/transport/hostlist/hostlist.go
+++ b/internal/transport/hostlist/hostlist.go
@@ -7,8 +7,10 @@
 	"net/http"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"limpetwall/internal/transport/httpjson"
+	"limpetwall/internal/transport/logging"
 )
 
 // ErrUnavailable is returned when the host list could not be read.
@@ -41,18 +43,23 @@
 // Client reads the host list over HTTP.
 type Client struct {
 	calls httpjson.Client
+	// Log tells of rows that can't be read; set it before use.
+	Log *zap.Logger
 }
 
 // NewClient returns a client of the host list at the URL base ("http://ip:port").
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{calls: httpjson.Client{Base: base, HTTP: client}}
+	return &Client{calls: httpjson.Client{Base: base, HTTP: client}, Log: zap.NewNop()}
 }
 
 // Hosts implements List.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	var hosts []Host
+	var hosts httpjson.List[Host]
 	if err := c.calls.Do(ctx, http.MethodGet, "/v1/hosts", nil, &hosts); err != nil {
 		return nil, errors.WithType(err, ErrUnavailable)
 	}
-	return hosts, nil
+	if hosts.Unreadable > 0 {
+		c.Log.Error("rows of the host list can't be read", zap.Int("rows", hosts.Unreadable), logging.Error(hosts.Err))
+	}
+	return hosts.Entries, nil
 }
--- a/internal/transport/httpjson/split.go
+++ b/internal/transport/httpjson/split.go
@@ -51,6 +51,34 @@
 	return out, err
 }
 
+// List is the out of a call whose answer is an array. Its elements are decoded one by one: one that can't be read must not take
+// the others with it.
+type List[E any] struct {
+	Entries []E
+	// Unreadable is the number of elements that could not be decoded, and Err why the first could not.
+	Unreadable int
+	Err        error
+}
+
+// DecodeBody implements BodyDecoder.
+func (l *List[E]) DecodeBody(body []byte) error {
+	elements, err := Elements(body)
+	if err != nil {
+		return err
+	}
+	for _, element := range elements {
+		var entry E
+		if err := json.Unmarshal(element, &entry); err != nil {
+			if l.Unreadable++; l.Err == nil {
+				l.Err = err
+			}
+			continue
+		}
+		l.Entries = append(l.Entries, entry)
+	}
+	return nil
+}
+
 // splitter finds the values in JSON text without recursion.
 type splitter struct{ rest []byte }
 
--- a/internal/transport/objectapi/objectapi.go
+++ b/internal/transport/objectapi/objectapi.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"limpetwall/internal/transport/httpjson"
+	"limpetwall/internal/transport/logging"
 )
 
 // MaxValue is the largest value the platform takes, in bytes.
@@ -64,11 +66,13 @@
 type Client struct {
 	calls httpjson.Client
 	eras  Eras
+	// Log tells of objects in lists that can't be read; set it before use.
+	Log *zap.Logger
 }
 
 // NewClient returns an adapter for the object API at base ("http://ip:port").
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{calls: httpjson.Client{Base: base, HTTP: client}}
+	return &Client{calls: httpjson.Client{Base: base, HTTP: client}, Log: zap.NewNop()}
 }
 
 var _ API = (*Client)(nil)
@@ -147,17 +151,23 @@
 
 // List implements API.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
-	var list []Object
+	var list httpjson.List[Object]
 	era, err := c.call(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(prefix), nil, &list)
 	if err != nil {
 		return nil, readError(err)
 	}
-	for i := range list {
-		if err := list[i].setEra(era); err != nil {
-			return nil, err
+	out := make([]Object, 0, len(list.Entries))
+	for _, o := range list.Entries {
+		if err := o.setEra(era); err != nil {
+			list.Unreadable, list.Err = list.Unreadable+1, err
+			continue
 		}
+		out = append(out, o)
 	}
-	return list, nil
+	if list.Unreadable > 0 {
+		c.Log.Error("objects can't be read", zap.String("prefix", prefix), zap.Int("objects", list.Unreadable), logging.Error(list.Err))
+	}
+	return out, nil
 }
 
 // Watch implements API. A version of an earlier era is none that the store could wait for.
--- a/internal/transport/objectapi/objectapi_test.go
+++ b/internal/transport/objectapi/objectapi_test.go
@@ -1,8 +1,11 @@
 package objectapi_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +109,23 @@
 		})
 	}
 }
+
+// TestOddObjectOfList guards against an object of another writer that hides the others of its list.
+func TestOddObjectOfList(t *testing.T) {
+	deep := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+	for _, odd := range []string{`7`, `{"key":7}`, `{"key":"p/odd","more":` + deep + `}`, deep, `{"key":"p/odd","version":1e400}`, `{"key":"p/odd","version":-1}`,
+		`{"key":"p/odd","version":9223372036854775807}`, `{"key":"p/odd","version":1,"value":"no base64!"}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `[{"key":"p/a","version":1,"value":"eA=="},%s,{"key":"p/b","version":2,"value":"eA=="}]`, odd)
+		}))
+		list, err := objectapi.NewClient(server.URL, server.Client()).List(t.Context(), "p/")
+		server.Close()
+		var keys []string
+		for _, o := range list {
+			keys = append(keys, o.Key)
+		}
+		if err != nil || !slices.Equal(keys, []string{"p/a", "p/b"}) {
+			t.Errorf("%.60s: got %v, error %.200v; want p/a and p/b", odd, keys, err)
+		}
+	}
+}
