platform: one odd entry of the configuration no longer keeps the rest from use

A route, a service or a customer with a field of another type, a number out of range or one nested too deeply made the whole configuration unreadable. A gateway that started was never ready; a running one kept the configuration before, and with it keys that were taken away, for every later version until the entry was mended.

The entries are now read one by one. One that can't be read stays what the configuration before had under its name, as it did so far, while the others are in force. If there is none, it serves nothing: a route's requests get 404 rather than fall to a broader route that may be public, a customer's keys are unknown, and keys stay required if no customer can be read. A line names such entries. The version, the limits and the lists themselves must still be readable.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,6 +168,12 @@
 		}
 		return
 	}
+	if unreadable := t.Unreadable(); len(unreadable) > 0 {
+		text := strings.Join(unreadable, ", ")
+		s.Log.Error("entries of the configuration can't be read", zap.Uint64("version", t.Version), zap.Int("entries", len(unreadable)),
+			zap.String("names", text[:min(len(text), loggedNames)]))
+		t = t.Completed(old)
+	}
 	if old != nil && !t.HasSameRoutes(old) {
 		s.former.add(old, s.Now())
 	}
@@ -182,6 +189,9 @@
 		zap.Int("services", len(t.Services)))
 }
 
+// loggedNames bounds the names of entries in one line, in bytes.
+const loggedNames = 300
+
 // intentSpec and serviceSpec are the JSON forms of documents; see config.Intent.
 type intentSpec struct {
 	Service string            `json:"service"`
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -57,6 +58,9 @@
 	Resumable bool
 	// Regions are those whose endpoints may serve the route; empty allows all.
 	Regions []string
+	// Unreadable is set if the configuration's entry can't be read. Only Name, Host and Prefix count then: no service serves the
+	// route, and no other route its requests.
+	Unreadable bool
 }
 
 // IsRepeatable reports whether a request that may have run may be sent again from
@@ -116,6 +120,8 @@
 	ColdRate  float64
 	Engine    *Engine
 	Store     *Store
+	// Unreadable is set if the configuration's entry of that name can't be read. The table has no such service then.
+	Unreadable bool
 }
 
 // Customer is the owner of keys.
@@ -129,6 +135,8 @@
 	Isolated bool
 	// Regions are those whose endpoints may serve the customer; empty allows all.
 	Regions []string
+	// Unreadable is set if the configuration's entry of that name can't be read. No key is the customer's then.
+	Unreadable bool
 }
 
 // Limits bound what a caller may send, and how long it may take.
@@ -153,16 +161,25 @@
 	customersByKey map[string]*Customer
 	// urgencyScales order the requests of each service.
 	urgencyScales map[string]*urgencyScale
+	// list, services and customers are the entries that the table was built from.
+	list      []Route
+	services  []Service
+	customers []Customer
 }
 
 // New builds a table.
 func New(version, revision uint64, list []Route, services []Service, customers []Customer, limits Limits) *Table {
 	t := &Table{
 		Version: version, Revision: revision, Limits: limits, KeysRequired: len(customers) > 0,
-		Services: map[string]*Service{}, routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{}, urgencyScales: newUrgencyScales(list, customers),
+		Services: map[string]*Service{}, routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{},
+		list: list, services: services, customers: customers,
 	}
+	t.urgencyScales = newUrgencyScales(list, slices.DeleteFunc(slices.Clone(customers), func(c Customer) bool { return c.Unreadable }))
 	for i := range list {
 		r := &list[i]
+		if r.Unreadable {
+			r.Targets = []Target{{}}
+		}
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
@@ -170,9 +187,14 @@
 		sort.SliceStable(byLength, func(a, b int) bool { return len(byLength[a].Prefix) > len(byLength[b].Prefix) })
 	}
 	for i := range services {
-		t.Services[services[i].Name] = &services[i]
+		if !services[i].Unreadable {
+			t.Services[services[i].Name] = &services[i]
+		}
 	}
 	for i := range customers {
+		if customers[i].Unreadable {
+			continue
+		}
 		for _, key := range customers[i].Keys {
 			t.customersByKey[key] = &customers[i]
 		}
@@ -180,6 +202,51 @@
 	return t
 }
 
+// Unreadable returns the names of the entries that can't be read, with what they are.
+func (t *Table) Unreadable() (names []string) {
+	for _, r := range t.list {
+		if r.Unreadable {
+			names = append(names, "route "+r.Name)
+		}
+	}
+	for _, s := range t.services {
+		if s.Unreadable {
+			names = append(names, "service "+s.Name)
+		}
+	}
+	for _, c := range t.customers {
+		if c.Unreadable {
+			names = append(names, "customer "+c.Name)
+		}
+	}
+	return names
+}
+
+// Completed returns the table with an earlier one's entries in place of those of the same names that can't be read: one odd entry
+// neither keeps the others of its configuration from being in force, nor ends what it stood for.
+func (t *Table) Completed(earlier *Table) *Table {
+	if earlier == nil || len(t.Unreadable()) == 0 {
+		return t
+	}
+	list, services, customers := slices.Clone(t.list), slices.Clone(t.services), slices.Clone(t.customers)
+	for i, r := range list {
+		if before := slices.IndexFunc(earlier.list, func(e Route) bool { return e.Name == r.Name }); r.Unreadable && before >= 0 {
+			list[i] = earlier.list[before]
+		}
+	}
+	for i, s := range services {
+		if before := slices.IndexFunc(earlier.services, func(e Service) bool { return e.Name == s.Name }); s.Unreadable && before >= 0 {
+			services[i] = earlier.services[before]
+		}
+	}
+	for i, c := range customers {
+		if before := slices.IndexFunc(earlier.customers, func(e Customer) bool { return e.Name == c.Name }); c.Unreadable && before >= 0 {
+			customers[i] = earlier.customers[before]
+		}
+	}
+	return New(t.Version, t.Revision, list, services, customers, t.Limits)
+}
+
 // Match returns the route of a host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
