--- a/internal/coordination/originstore/archive_test.go
+++ b/internal/coordination/originstore/archive_test.go
@@ -248,6 +248,91 @@
 	}
 }
 
+// slowStore is a store whose calls take storeDelay. It notes when each write began, and when each stream was first stored.
+type slowStore struct {
+	*standin.Store
+	began  []time.Time
+	stored map[streamorigin.Key]time.Time
+}
+
+const storeDelay = 20 * time.Millisecond
+
+func (s *slowStore) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	s.began = append(s.began, time.Now())
+	time.Sleep(storeDelay)
+	o, err := s.Store.Put(ctx, key, value, version)
+	if err != nil {
+		return o, err
+	}
+	records, err := decode(value)
+	for _, record := range records {
+		if _, ok := s.stored[record.Stream]; !ok {
+			s.stored[record.Stream] = time.Now()
+		}
+	}
+	return o, err
+}
+
+// TestOriginsAreStoredWithinAnInterval guards against writes that are due just after a look at the time, and wait for the next one.
+func TestOriginsAreStoredWithinAnInterval(t *testing.T) {
+	const moment, length, streams = 10 * time.Microsecond, 3 * time.Second, 20 * streamRate
+	for _, size := range []int{1, 3, 29, 45, 370} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, registry := &slowStore{Store: standin.New(), stored: map[streamorigin.Key]time.Time{}}, streamorigin.NewRegistry()
+				registry.ObserveVersions(versions, time.Now())
+				others := make([]netip.Addr, size-1)
+				for i := range others {
+					others[i] = netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+				}
+				a := &Archive{
+					Store: store, Origins: registry, Self: netip.MustParseAddr("10.0.0.1"), IsLeader: func() bool { return false },
+					Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+					// As with a real clock, a moment passes between the look at the time and the write.
+					Hosts: func() []netip.Addr {
+						time.Sleep(moment)
+						return others
+					},
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					a.Run(ctx)
+				}()
+				begun := map[streamorigin.Key]time.Time{}
+				for key := streamorigin.Key(1); key <= streams; key++ {
+					time.Sleep(time.Second / streamRate)
+					begun[key] = time.Now()
+					registry.Record(key, versions[key%2], time.Now())
+					time.AfterFunc(length, func() { registry.End(key, true, time.Now()) })
+				}
+				time.Sleep(length)
+				cancel()
+				<-done
+				interval := max(minInterval, time.Duration(size)*fleetInterval)
+				most, worst := interval+storeDelay+10*moment, time.Duration(0)
+				for key, at := range begun {
+					stored, ok := store.stored[key]
+					if !ok {
+						t.Fatalf("stream %d was not stored", key)
+					}
+					worst = max(worst, stored.Sub(at))
+				}
+				if worst > most {
+					t.Errorf("a stream was stored %v after it began, want %v or less", worst, most)
+				}
+				for i := 1; i < len(store.began); i++ {
+					if gap := store.began[i].Sub(store.began[i-1]); gap < interval {
+						t.Fatalf("a write began %v after the one before it, want %v or more", gap, interval)
+					}
+				}
+				t.Logf("%d writes, the latest %v after its stream began", len(store.began), worst)
+			})
+		})
+	}
+}
+
 // TestStoredOriginsOfGoneHostsAreRemoved guards against objects that nobody removes after their host is gone.
 func TestStoredOriginsOfGoneHostsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
