gateway: streams that callers may take up begin at recorded software versions

Callers got streams of two software versions.

Cause: a version served from the moment it was listed, and was recorded a call later. Whoever starts after the loss of all takes the record for whole.

Fix: a stream that its caller may take up begins only at an endpoint whose version the store has acknowledged or shown to hold. Where a recorded version serves, it goes there at once. If there is none, it waits for the record, a second at most, and is refused then as not run, with a time to come back. Refusing is chosen over serving, as nobody who starts later could tell such a stream from one of the recorded version. A gateway that stops does not wait.

What a process takes for recorded must still be: others remove a version a minute after it left. Versions in use stay recorded while an older copy of the store, whose record is not whole, is mended.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -59,7 +59,7 @@
 	if sharer != nil {
 		recorder.Rank, recorder.Processes = sharer.Rank, sharer.Processes
 	}
-	p.gateway.RefreshVersions = recorder.Refresh
+	p.gateway.RefreshVersions, p.gateway.RequiresRecord = recorder.Refresh, true
 	metrics.NewRegisteredFunctionalGauge("gateway.streams.all_versions_known", p.gateway.Metrics, func() int64 {
 		if p.gateway.Origins.KnowsAllVersions(time.Now()) {
 			return 1
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -54,6 +54,9 @@
 		return x.finalEnding(last, sent)
 	}
 	message := "no endpoint of the service is known"
+	if x.isUnrecorded {
+		message = "the software version of the service's endpoints is not recorded yet"
+	}
 	switch c.Refusal {
 	case routing.RefusalNoneUsable:
 		if o := x.stream.origin; o != nil && !x.g.State.HasSoftware(o.Service, o.Version) {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -72,6 +72,8 @@
 	FindOrigin func(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, streamorigin.Source)
 	// RefreshVersions, if set, reads which software versions other processes have recorded.
 	RefreshVersions func(ctx context.Context)
+	// RequiresRecord is set if streams that callers may take up begin only at software versions that the stored record holds.
+	RequiresRecord bool
 	// Copier copies running requests between engines. If nil, none is moved.
 	Copier RunCopier
 	// IsLeader reports whether this process holds the lease for the work that only one process does.
@@ -170,6 +172,10 @@
 	lastFailure *bufferedAnswer
 	// stream records which part of a stream the caller has received.
 	stream streamState
+	// recordDeadline is until when the request waits for the record of a software version, zero before it waits. isUnrecorded is
+	// set if it has waited in vain.
+	recordDeadline time.Time
+	isUnrecorded   bool
 	// pauses records the pauses between the stream's events, over all attempts.
 	pauses pauseRecord
 	// relocation may move the run of the current attempt to another engine.
--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -123,6 +123,55 @@
 	return versions
 }
 
+// recordWait bounds the time that a stream waits for the record of its software version: the record holds a new version within a
+// second if the store answers.
+const recordWait = time.Second
+
+// recordedVersions returns the software versions at which the stream may begin, and a channel that is closed when they may have
+// changed. isLimited is false if it may go to any: all gateways may be lost right after the first event, and those that start then
+// know only what is recorded. The origin of a stream that is taken up was recorded before.
+func (x *exchange) recordedVersions() (versions []string, changed <-chan struct{}, isLimited bool) {
+	if !x.g.RequiresRecord || !x.isResumable() || x.stream.keys != nil || x.stream.isOriginKnown {
+		return nil, nil, false
+	}
+	return x.g.Origins.RecordedVersions(x.service.Name, time.Now())
+}
+
+// awaitRecord waits until the record holds a software version of the service's endpoints that it did not when an endpoint was
+// chosen among those of others. It returns false if there is none, and if the wait is over.
+func (x *exchange) awaitRecord(ctx context.Context, chosenAmong []string) bool {
+	recorded, changed, isLimited := x.recordedVersions()
+	if !isLimited || x.g.drain.Load() != nil {
+		return false
+	}
+	missing := slices.DeleteFunc(x.g.Origins.VersionsOf(x.service.Name, time.Now()), func(version string) bool {
+		return slices.Contains(chosenAmong, version) || !x.g.State.HasSoftware(x.service.Name, version)
+	})
+	if len(missing) == 0 {
+		return false
+	}
+	if x.recordDeadline.IsZero() {
+		x.g.count("streams.waited_for_record")
+		x.recordDeadline = time.Now().Add(min(recordWait, x.timeLeft()-minTimeLeft))
+	}
+	timer := time.NewTimer(time.Until(x.recordDeadline))
+	defer timer.Stop()
+	for isLimited && !slices.ContainsFunc(missing, func(version string) bool { return slices.Contains(recorded, version) }) {
+		select {
+		case <-changed:
+		case <-timer.C:
+			x.isUnrecorded = true
+			x.g.count("streams.unrecorded")
+			return false
+		case <-ctx.Done():
+			return false
+		}
+		recorded, changed, isLimited = x.recordedVersions()
+	}
+	// A gateway that has begun to stop may have too little time left for a request that has waited.
+	return x.g.drain.Load() == nil
+}
+
 // isTarget reports whether the request's route leads to a service that exists.
 func (x *exchange) isTarget(service string) bool {
 	return x.table.Services[service] != nil && slices.ContainsFunc(x.route.Targets, func(t routes.Target) bool { return t.Service == service })
--- a/internal/coordination/gateway/resumption_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -172,3 +172,76 @@
 		t.Errorf("got %v for an attempt that nobody has seen", got)
 	}
 }
+
+// TestStreamsBeginAtRecordedVersions guards against a stream that begins at a software version which gateways that start after the loss of
+// all do not find in the record, and against waits where the record holds what serves.
+func TestStreamsBeginAtRecordedVersions(t *testing.T) {
+	const soon, recordedAfter = 300 * time.Millisecond, 400 * time.Millisecond
+	rows := []struct {
+		name               string
+		versions, recorded []string
+		// later is recorded after recordedAfter.
+		later string
+		lines []string
+		plain bool
+		// served are the endpoints that may get requests; the request is refused if there is none.
+		served   []int
+		min, max time.Duration
+	}{
+		{"a single version", []string{"v1", "v1"}, []string{"v1"}, "", nil, false, []int{0, 1}, 0, soon},
+		{"endpoints that name no version", []string{""}, []string{""}, "", nil, false, []int{0}, 0, soon},
+		{"a new version beside a recorded one", []string{"v2", "v1", "v2"}, []string{"v1"}, "", nil, false, []int{1}, 0, soon},
+		{"a new version alone", []string{"v2"}, []string{"v1"}, "v2", nil, false, []int{0}, recordedAfter, recordedAfter + soon},
+		{"nothing is recorded yet", []string{"v1"}, nil, "v1", nil, false, []int{0}, recordedAfter, recordedAfter + soon},
+		{"a new version that is not recorded in time", []string{"v2"}, []string{"v1"}, "", nil, false, nil, recordWait, recordWait + soon},
+		{"another version is recorded meanwhile", []string{"v2"}, []string{"v1"}, "v3", nil, false, nil, recordWait, recordWait + soon},
+		{"no endpoint", nil, []string{"v1"}, "", nil, false, nil, 0, soon},
+		{"streams that nobody takes up", []string{"v2"}, []string{"v1"}, "", nil, true, []int{0}, 0, soon},
+		{"a stream that began at a version that the record has lost", []string{"v1", "v2"}, []string{"v2"}, "", []string{headerResumes + ": first", headerLastEvent + ": 1"}, false, []int{0}, 0, soon},
+		{"a stream of unknown origin at the only version", []string{"v2"}, nil, "", []string{headerLastEvent + ": 1"}, false, nil, recordWait, recordWait + soon},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newVersionedServer(t, row.versions...)
+			if row.plain {
+				s.gateway.State.SetRoutes(routes.New(2, 50, singleRoute(routes.Streaming, 2), []routes.Service{{Name: "s"}},
+					[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+			}
+			if row.lines != nil && len(row.versions) > 1 {
+				s.begun("first", "s", row.versions[0])
+			}
+			var recorded []streamorigin.Origin
+			for _, version := range row.recorded {
+				recorded = append(recorded, streamorigin.Origin{Service: "s", Version: version})
+			}
+			s.gateway.RequiresRecord = true
+			s.gateway.Origins.ObserveVersions(s.gateway.softwareVersions(), time.Now())
+			s.gateway.Origins.SetRecorded(recorded)
+			if row.later != "" {
+				time.AfterFunc(recordedAfter, func() {
+					s.gateway.Origins.SetRecorded(append(recorded, streamorigin.Origin{Service: "s", Version: row.later}))
+				})
+			}
+			sent := time.Now()
+			resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", row.lines...))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(sent); took < row.min || took > row.max {
+				t.Errorf("answered after %v, want %v to %v", took, row.min, row.max)
+			}
+			served := 0
+			for _, i := range row.served {
+				served += s.endpoints[i].requestCount()
+			}
+			switch {
+			case served != s.requestCount():
+				t.Errorf("endpoints got %d requests, %d of them at a version where the stream may begin", s.requestCount(), served)
+			case row.served != nil && resp.StatusCode != http.StatusOK:
+				t.Errorf("got %d %s, want a stream", resp.StatusCode, body)
+			case row.served == nil && (resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !strings.Contains(body, `"ran":"no"`)):
+				t.Errorf("got %d %s, want a refusal as not run, and a time to come back", resp.StatusCode, body)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -64,6 +64,9 @@
 	sent, unreached := 0, 0
 	for {
 		choice := x.chooseEndpoint(request, prompt, last)
+		for choice.Member.ID == "" && x.awaitRecord(ctx, request.SoftwareVersions) {
+			choice = x.chooseEndpoint(request, prompt, last)
+		}
 		if choice.Member.ID == "" {
 			return x.noEndpointEnding(choice, sent, last)
 		}
@@ -137,6 +140,7 @@
 	if origin := x.stream.origin; origin != nil {
 		request.SoftwarePinned, request.SoftwareVersion = true, origin.Version
 	}
+	request.SoftwareVersions, _, request.SoftwareLimited = x.recordedVersions()
 	choice := x.g.Directory.Choose(x.service.Name, prompt.keys, request)
 	if choice.Member.ID != "" || x.staleEndpoint == "" {
 		return choice
--- a/internal/coordination/routing/request.go
+++ b/internal/coordination/routing/request.go
@@ -77,6 +77,9 @@
 	// SoftwarePinned restricts the choice to endpoints of SoftwareVersion, for a stream that one of them began.
 	SoftwarePinned  bool
 	SoftwareVersion string
+	// SoftwareLimited restricts the choice to endpoints of one of SoftwareVersions.
+	SoftwareLimited  bool
+	SoftwareVersions []string
 	// MaxWait is the longest wait with which the request is not refused, 0 if it is never refused for
 	// its wait.
 	MaxWait time.Duration
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -216,6 +216,9 @@
 	if r.SoftwarePinned && e.Endpoint.SoftwareVersion != r.SoftwareVersion {
 		return false
 	}
+	if r.SoftwareLimited && !slices.Contains(r.SoftwareVersions, e.Endpoint.SoftwareVersion) {
+		return false
+	}
 	return r.Residency.Allows(e.Region)
 }
 
--- a/internal/coordination/routing/software_test.go
+++ b/internal/coordination/routing/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -35,3 +36,37 @@
 		}
 	}
 }
+
+// TestLimitedSoftwareVersions guards against a stream that begins at a software version that it may not, and against one that is refused
+// in a large fleet because the few endpoints where it may are not among the candidates.
+func TestLimitedSoftwareVersions(t *testing.T) {
+	for _, size := range []int{3, 29, 940} {
+		for _, allowed := range [][]string{nil, {"v1"}, {"v2"}, {"v1", "v2"}} {
+			t.Run(fmt.Sprintf("%d endpoints, %v", size, allowed), func(t *testing.T) {
+				endpoints, random, chosen := newEndpoints(size), newRandom(), map[string]int{}
+				for i := range endpoints {
+					endpoints[i].Endpoint.SoftwareVersion = "v1"
+				}
+				endpoints[7%size].Endpoint.SoftwareVersion = "v2"
+				endpoints[5%size].Endpoint.SoftwareVersion = "v3"
+				for range 200 {
+					r := newRequest()
+					r.SoftwareLimited, r.SoftwareVersions = true, allowed
+					d := Decide(endpoints, r, random)
+					if d.Endpoint == nil {
+						if allowed != nil || d.Refusal != RefusalNoneUsable {
+							t.Fatalf("refused for %q, want an endpoint if a version is allowed", d.Refusal)
+						}
+						continue
+					}
+					if chosen[d.Endpoint.Endpoint.SoftwareVersion]++; !slices.Contains(allowed, d.Endpoint.Endpoint.SoftwareVersion) {
+						t.Fatalf("got an endpoint of version %q", d.Endpoint.Endpoint.SoftwareVersion)
+					}
+				}
+				if len(allowed) > 0 && chosen[allowed[0]] == 0 {
+					t.Errorf("got %v, want endpoints of %s", chosen, allowed[0])
+				}
+			})
+		}
+	}
+}
--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -61,7 +61,7 @@
 	stored  record
 	version int64
 	readIn  uint64
-	// readAt is when the last call for the record began.
+	// readAt is when the last read of the record began.
 	readAt  time.Time
 	listEra uint64
 	// mayRemove is set while versions may be removed from the record.
@@ -152,7 +152,7 @@
 	if generation == 0 {
 		return nil
 	}
-	if !r.isRead || r.readIn != generation {
+	if r.needsRead(generation) {
 		if err := r.read(ctx, generation); err != nil {
 			return err
 		}
@@ -235,9 +235,9 @@
 		}
 		r.listEra = era
 	}
-	r.Origins.ObserveVersions(r.added(stored), now)
+	r.Origins.MergeVersions(r.added(stored), now)
 	r.Origins.ConfirmVersions(stored.origins(), generation, isComplete, now)
-	r.setStored(stored, o.Version, now)
+	r.setStored(stored, o.Version, isComplete, now)
 	r.readIn, r.isRead, r.IsFirstStart = generation, true, false
 	if isNews {
 		r.Log.Info("record of software versions read", zap.Any("versions", stored.Versions), zap.Bool("complete", isComplete),
@@ -247,12 +247,18 @@
 }
 
 // added returns the versions of a record that the one known so far lacks.
-func (r *Recorder) added(stored record) []streamorigin.Origin {
-	return slices.DeleteFunc(stored.origins(), func(o streamorigin.Origin) bool { return !r.heldSince[o].IsZero() })
+func (r *Recorder) added(stored record) []streamorigin.VersionAge {
+	var out []streamorigin.VersionAge
+	for _, o := range stored.origins() {
+		if r.heldSince[o].IsZero() {
+			out = append(out, streamorigin.VersionAge{Origin: o})
+		}
+	}
+	return out
 }
 
-// setStored records what the stored record holds.
-func (r *Recorder) setStored(stored record, version int64, now time.Time) {
+// setStored records what the stored record holds, and whether it is taken for whole.
+func (r *Recorder) setStored(stored record, version int64, isComplete bool, now time.Time) {
 	held := make(map[streamorigin.Origin]time.Time, len(stored.Versions))
 	for _, o := range stored.origins() {
 		if held[o] = now; !r.heldSince[o].IsZero() {
@@ -260,6 +266,23 @@
 		}
 	}
 	r.stored, r.version, r.heldSince = stored, version, held
+	recorded := stored.origins()
+	if !isComplete {
+		// An older copy that lacks a version misleads nobody while it is not whole, and streams still begin at the version.
+		for _, v := range r.Origins.Versions(now) {
+			if r.Origins.IsRecorded(v.Origin) && !slices.Contains(recorded, v.Origin) {
+				recorded = append(recorded, v.Origin)
+			}
+		}
+	}
+	r.Origins.SetRecorded(recorded)
+}
+
+// needsRead reports whether the record must be read for what it holds.
+func (r *Recorder) needsRead(generation uint64) bool {
+	return !r.isRead || r.readIn != generation || slices.ContainsFunc(r.Origins.Versions(time.Now()), func(v streamorigin.VersionAge) bool {
+		return !r.heldSince[v.Origin].IsZero() && !r.Origins.IsRecorded(v.Origin)
+	})
 }
 
 // target returns what the record should hold.
@@ -311,7 +334,7 @@
 		r.isRead = false
 		return errors.Annotate(err, "record of software versions")
 	}
-	r.setStored(target, o.Version, time.Now())
+	r.setStored(target, o.Version, target.isCompleteIn(objectapi.Revision(o.Version).Era()), time.Now())
 	metrics.GetOrRegisterCounter("gateway.streams.version_records_written", r.Metrics).Inc(1)
 	r.Log.Info("record of software versions written", zap.Any("versions", target.Versions), zap.Bool("complete", target.CompleteIn != nil))
 	return nil
--- a/internal/coordination/softwarerecord/recorder_test.go
+++ b/internal/coordination/softwarerecord/recorder_test.go
@@ -227,3 +227,30 @@
 		})
 	}
 }
+
+// TestStreamsBeginWhileAnOlderCopyIsMended guards against streams that wait at versions in use because the store came back from a copy whose
+// record lacks them.
+func TestStreamsBeginWhileAnOlderCopyIsMended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		registry, stop := observed(store, true, 0, "v1")
+		defer stop()
+		keepSeeing(time.Second, registry, "v1")
+		older := store.Copy()
+		keepSeeing(2*time.Second, registry, "v1", "v2")
+		store.Restore(older)
+		registry.BeginFollowing(time.Now())
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			see(registry, "v1", "v2")
+			for _, v := range []string{"v1", "v2"} {
+				if !registry.IsRecorded(streamorigin.Origin{Service: service, Version: v}) {
+					t.Fatalf("%s is not taken for recorded though the record is not whole", v)
+				}
+			}
+		}
+		if got, want := stored(store), []string{"v1", "v2"}; !slices.Equal(got, want) {
+			t.Errorf("got stored versions %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -13,6 +13,9 @@
 	// Retention is how long origins, and versions without an endpoint, are remembered at least: longer than a stream and
 	// the caller's return take.
 	Retention = time.Minute
+	// recordedFor is how long after a version was last listed here the stored record is known to hold it still: less than the time,
+	// at least Retention, after which other processes remove it.
+	recordedFor = Retention / 2
 	// maxOrigins bounds the origins of one generation; two are kept. Beyond it they are evicted sooner.
 	maxOrigins = 16_384
 	// MaxOpen bounds the streams that may still be taken up.
@@ -82,6 +85,12 @@
 	overflowedAt time.Time
 	// versionsChanged is closed when a version is added, or when following begins anew.
 	versionsChanged chan struct{}
+	// recorded holds, by service, the versions that the stored record is known to hold; recordedChanged is closed when some are added.
+	recorded        map[string][]string
+	recordedChanged chan struct{}
+	// listedAt holds when each version was last listed here, and followedAt is when the list was last up to date.
+	listedAt   map[Origin]time.Time
+	followedAt time.Time
 	// waiting are closed when an origin arrives.
 	waiting map[Key][]chan struct{}
 }
@@ -102,7 +111,8 @@
 	return &Registry{
 		open: map[Key]openStream{}, current: map[Key]Origin{}, previous: map[Key]Origin{}, versions: map[Origin]time.Time{},
 		waiting: map[Key][]chan struct{}{}, ready: make(chan struct{}, 1), versionsChanged: make(chan struct{}),
-		followed: make(chan struct{}),
+		followed: make(chan struct{}), recordedChanged: make(chan struct{}),
+		listedAt: map[Origin]time.Time{},
 	}
 }
 
@@ -311,6 +321,10 @@
 	defer r.mu.Unlock()
 	r.wasConfirmed = r.knowsAllVersions(now)
 	r.followedSince, r.isConfirmed = now, false
+	if time.Since(r.followedAt) > recordedFor {
+		// Other processes may have removed versions that have come back since.
+		r.recorded = nil
+	}
 	r.generation++
 	r.notifyVersionsChanged()
 }
@@ -319,6 +333,7 @@
 func (r *Registry) RecordFollowed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.followedAt = time.Now()
 	close(r.followed)
 	r.followed = make(chan struct{})
 }
@@ -368,13 +383,18 @@
 }
 
 func (r *Registry) knowsAllVersions(now time.Time) bool {
-	if !r.overflowedAt.IsZero() && now.Sub(r.overflowedAt) <= Retention {
+	if r.hasOverflowed(now) {
 		return false
 	}
 	return r.isConfirmed || r.generation > 0 && now.Sub(r.followedSince) > Retention
 }
 
-// VersionsChanged returns a channel that is closed when a version is added, or when following begins anew.
+func (r *Registry) hasOverflowed(now time.Time) bool {
+	return !r.overflowedAt.IsZero() && now.Sub(r.overflowedAt) <= Retention
+}
+
+// VersionsChanged returns a channel that is closed when a version is added, when one must be read anew from the stored record, or
+// when following begins anew.
 func (r *Registry) VersionsChanged() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -386,6 +406,36 @@
 	r.versionsChanged = make(chan struct{})
 }
 
+// SetRecorded records which versions the stored record holds. One that is listed again after it was not for a while must be read
+// anew, as others may have removed it: VersionsChanged tells.
+func (r *Registry) SetRecorded(list []Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recorded := map[string][]string{}
+	for _, o := range list {
+		recorded[o.Service] = append(recorded[o.Service], o.Version)
+	}
+	r.recorded = recorded
+	close(r.recordedChanged)
+	r.recordedChanged = make(chan struct{})
+}
+
+// IsRecorded reports whether the stored record is known to hold a version.
+func (r *Registry) IsRecorded(o Origin) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.recorded[o.Service], o.Version)
+}
+
+// RecordedVersions returns the versions of a service that the stored record is known to hold, and a channel that is closed when
+// there may be others. The caller must not modify them. ok is false if a version was dropped for want of space within Retention:
+// it can't be recorded.
+func (r *Registry) RecordedVersions(service string, now time.Time) (versions []string, changed <-chan struct{}, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recorded[service], r.recordedChanged, !r.hasOverflowed(now)
+}
+
 // FollowedFor returns for how long all changes of endpoints have been seen, 0 before the first list.
 func (r *Registry) FollowedFor(now time.Time) time.Duration {
 	r.mu.Lock()
@@ -416,10 +466,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range list {
+		if now.Sub(r.listedAt[o]) > recordedFor {
+			r.forgetRecorded(o)
+		}
+		r.listedAt[o] = now
 		r.observeVersion(o, now)
 	}
 }
 
+func (r *Registry) forgetRecorded(o Origin) {
+	if !slices.Contains(r.recorded[o.Service], o.Version) {
+		return
+	}
+	r.recorded[o.Service] = slices.DeleteFunc(slices.Clone(r.recorded[o.Service]), func(v string) bool { return v == o.Version })
+	r.notifyVersionsChanged()
+}
+
 // MergeVersions records versions that another process has seen.
 func (r *Registry) MergeVersions(list []VersionAge, now time.Time) {
 	r.mu.Lock()
@@ -464,6 +526,11 @@
 			delete(r.versions, o)
 		}
 	}
+	for o, at := range r.listedAt {
+		if now.Sub(at) > Retention {
+			delete(r.listedAt, o)
+		}
+	}
 }
 
 // SoleVersion returns the version of a service if its endpoints are known to have had no other within Retention.
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -209,3 +209,58 @@
 		t.Errorf("got %v as open, want the origin %v that is remembered", got, old)
 	}
 }
+
+// TestRecordedVersionIsForgotten guards against a version that is taken for recorded though other processes may have removed it since, and
+// against one that is not though it is in use.
+func TestRecordedVersionIsForgotten(t *testing.T) {
+	rows := []struct {
+		name string
+		play func(r *Registry, now time.Time)
+		want bool
+	}{
+		{"it stays listed", func(r *Registry, now time.Time) {
+			for i := range 2 * Retention / time.Second {
+				r.ObserveVersions([]Origin{old}, now.Add(i*time.Second))
+			}
+		}, true},
+		{"it comes back soon", func(r *Registry, now time.Time) { r.ObserveVersions([]Origin{old}, now.Add(recordedFor)) }, true},
+		{"it comes back late", func(r *Registry, now time.Time) { r.ObserveVersions([]Origin{old}, now.Add(recordedFor+time.Second)) }, false},
+		{"it comes back late, and others have heard of it", func(r *Registry, now time.Time) {
+			r.MergeVersions([]VersionAge{{old, 0}}, now.Add(recordedFor))
+			r.ObserveVersions([]Origin{old}, now.Add(recordedFor+time.Second))
+		}, false},
+		{"it comes back after it was forgotten", func(r *Registry, now time.Time) {
+			r.Versions(now.Add(2 * Retention))
+			r.ObserveVersions([]Origin{old}, now.Add(2*Retention))
+		}, false},
+		{"endpoints are listed anew", func(r *Registry, now time.Time) { r.BeginFollowing(now) }, true},
+		{"endpoints are listed anew after a long gap", func(r *Registry, now time.Time) {
+			r.followedAt = now.Add(-recordedFor - time.Second)
+			r.BeginFollowing(now)
+		}, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r, now := NewRegistry(), time.Now()
+			r.BeginFollowing(now)
+			r.RecordFollowed()
+			r.ObserveVersions([]Origin{old, next}, now)
+			r.SetRecorded([]Origin{old})
+			changed := r.VersionsChanged()
+			row.play(r, now)
+			if got := r.IsRecorded(old); got != row.want {
+				t.Errorf("got %v, want %v", got, row.want)
+			}
+			if r.IsRecorded(next) {
+				t.Error("a version that is not in the record is taken for recorded")
+			}
+			select {
+			case <-changed:
+			default:
+				if !row.want {
+					t.Error("nobody is told to read the record")
+				}
+			}
+		})
+	}
+}
