lease: the renewals of a holder's processes differ

Two processes acted under one lease: the holder restarted twice with one renewal in between, and another process took the lease over while the last one acted (ONE; rollout and limits name a holder by host and address, so that a restarted gateway goes on under its name).

Cause: each process numbers its renewals from 1. The first one of the last process wrote the same bytes as that of the process before, and the store left the version as it was; to the others, the lease was not renewed.

Fix: the value names the process by a random number. Dates of notes, which count renewals, count only those of one process.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -50,11 +51,13 @@
 	Now func() time.Time
 }
 
-// content is the value of the object. Sequence makes the value differ at each renewal: a
-// store may leave the version unchanged when the same bytes are written again, and the
+// content is the value of the object. Process and Sequence make the value differ at each renewal:
+// a store may leave the version unchanged when the same bytes are written again, and the
 // other processes would then consider the lease expired.
 type content struct {
-	Holder   string          `json:"holder"`
+	Holder string `json:"holder"`
+	// Process is drawn by each process of the holder, whose sequence begins anew.
+	Process  uint64          `json:"process,omitempty"`
 	Sequence uint64          `json:"sequence"`
 	Note     json.RawMessage `json:"note,omitempty"`
 	// Era is the era of the store in which the writer read the object that it replaces.
@@ -89,7 +92,8 @@
 	// readAt is when the last read began, and writtenAfter a time after which the content
 	// read was written, zero if unknown.
 	readAt, writtenAfter time.Time
-	// sequence and note are written with this process's own renewals.
+	// process, sequence and note are written with this process's own renewals.
+	process  uint64
 	sequence uint64
 	note     json.RawMessage
 	// takeoverPending is set once a write that takes the lease over from another holder has
@@ -114,7 +118,7 @@
 	if cfg.Act == 0 {
 		cfg.Act = cfg.renewWindow()
 	}
-	return &Lease{cfg: cfg, api: api, renewals: make(chan struct{}, 1)}
+	return &Lease{cfg: cfg, api: api, process: rand.Uint64(), renewals: make(chan struct{}, 1)}
 }
 
 // SetNote sets the note, in JSON, that the next renewal publishes to the other processes.
@@ -203,7 +207,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sequence++
-	data, err := json.Marshal(content{Holder: l.cfg.Holder, Sequence: l.sequence, Note: l.note, Era: era})
+	data, err := json.Marshal(content{Holder: l.cfg.Holder, Process: l.process, Sequence: l.sequence, Note: l.note, Era: era})
 	return data, errors.Trace(err)
 }
 
@@ -367,12 +371,13 @@
 // written since the last read if it differs. Each write of the same holder began at least StepInterval
 // after the one before.
 func (l *Lease) dateContent(c content, began time.Time) {
-	switch isNew := c.Holder != l.lastRead.Holder || c.Sequence != l.lastRead.Sequence; {
+	isSameProcess := c.Holder == l.lastRead.Holder && c.Process == l.lastRead.Process
+	switch isNew := !isSameProcess || c.Sequence != l.lastRead.Sequence; {
 	case l.readAt.IsZero():
 	case c.Era != l.api.Eras().Current():
 		// An older copy of the store may have brought it back.
 		l.writtenAfter = time.Time{}
-	case isNew && c.Holder == l.lastRead.Holder && c.Sequence > l.lastRead.Sequence:
+	case isSameProcess && c.Sequence > l.lastRead.Sequence:
 		earlier := time.Duration(c.Sequence-l.lastRead.Sequence-1) * l.cfg.StepInterval
 		l.writtenAfter = l.readAt.Add(min(earlier, began.Sub(l.readAt)) - l.cfg.CallTimeout)
 	case isNew:
