--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -86,6 +86,8 @@
 	weights atomic.Pointer[map[string]int64]
 	// requestSizes holds the mean size of each route's requests, in tokens.
 	requestSizes requestSizes
+	// answerTimes holds how long the answers of each route take.
+	answerTimes answerTimes
 	// customerShares measures which part of the answers each customer gets.
 	customerShares customerShares
 	// engineHashes maps the address of each engine to the hash of its instance ID.
@@ -97,15 +99,14 @@
 	inFlight     atomic.Int64
 }
 
-// drainWindow is the last phase of a stop: requests that start after refuseAfter may be refused,
-// and the process exits at end. began is when the process was told to stop.
+// drainWindow is a stop: requests that start after refuseAfter may be refused, and the process exits at end. began is when the process was told to stop.
 type drainWindow struct{ began, refuseAfter, end time.Time }
 
 // MarkNotReady makes the readiness probe fail. Requests are still served.
 func (g *Gateway) MarkNotReady() { g.notReady.Store(true) }
 
-// SetDrainWindow announces that the process exits at end. A request that starts after refuseAfter is
-// refused if its deadline is later than end: it could be cut off while an endpoint runs it.
+// SetDrainWindow announces that the process exits at end. A request whose deadline is later is refused if no endpoint
+// has got it by refuseAfter, or if answers of its route usually take longer than is left: it would be cut off.
 func (g *Gateway) SetDrainWindow(refuseAfter, end time.Time) {
 	g.drain.Store(&drainWindow{time.Now(), refuseAfter, end})
 }
@@ -172,8 +173,10 @@
 	stream streamState
 	// pauses records the pauses between the stream's events, over all attempts.
 	pauses pauseRecord
-	// relocation may move the run of the current attempt to another engine.
-	relocation *relocation
+	// relocation may move the run of the current attempt to another engine. hasReturned is set once a run that was
+	// stopped for that goes on at its source, where it then stays.
+	relocation  *relocation
+	hasReturned bool
 	// bodyTimedOut is set if the body was incomplete at the request's deadline.
 	bodyTimedOut bool
 	// headWritten is set once an endpoint's status and header have been written to the caller;
@@ -218,6 +221,9 @@
 		x.g.observeShare(x.customer.Name, got == receipt.Answer)
 	}
 	x.countPauses()
+	if e.kind == endAnswered {
+		x.g.answerTimes.observe(x.route.Name, time.Since(x.startedAt))
+	}
 	x.logRequest(e.refusal, got)
 	x.g.count("requests." + x.kind() + "." + outcome)
 	metrics.GetOrRegisterTimer("gateway.request."+x.kind(), x.g.Metrics).UpdateSince(x.startedAt)
@@ -433,11 +439,19 @@
 	return err
 }
 
-// isTooLate reports whether the request started in the drain window and its deadline is later than
-// the process's exit.
-func (x *exchange) isTooLate() bool {
+// isTooLate reports whether a request that would begin now might be cut off by the process's exit, see SetDrainWindow.
+func (x *exchange) isTooLate(now time.Time) bool {
 	d := x.g.drain.Load()
-	return d != nil && x.startedAt.After(d.refuseAfter) && x.deadline.After(d.end)
+	if d == nil || !x.deadline.After(d.end) {
+		return false
+	}
+	return now.After(d.refuseAfter) || now.Add(x.g.answerTimes.most(x.route.Name)).After(d.end)
+}
+
+// isEndingWithin reports whether the process is to exit before a time has passed.
+func (g *Gateway) isEndingWithin(t time.Duration) bool {
+	d := g.drain.Load()
+	return d != nil && time.Until(d.end) < t
 }
 
 // serve runs the prepared request until it has an ending, its deadline passes or the caller leaves.
@@ -450,8 +464,8 @@
 		// request from running.
 		return x.forcedStopEnding()
 	}
-	if x.isTooLate() {
-		return notRunEnding(apierror.CodeStopping, "the gateway stops before the request's time is up")
+	if x.isTooLate(time.Now()) {
+		return tooLateEnding()
 	}
 	if refusal := x.checkQuarantine(ctx); refusal != nil {
 		return refusalEnding(refusal)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -63,6 +63,9 @@
 	var last outcome
 	sent, unreached := 0, 0
 	for {
+		if last.next == nil && !x.headWritten && x.hasNotRun() && x.isTooLate(time.Now()) {
+			return tooLateEnding()
+		}
 		choice := x.chooseEndpoint(request, prompt, last)
 		if choice.Member.ID == "" {
 			return x.noEndpointEnding(choice, sent, last)
@@ -78,8 +81,9 @@
 		}
 		started := time.Now()
 		attempt := x.newAttempt(choice, prompt)
-		if last.next != nil {
-			attempt.continueFrom(last.next.copyName())
+		continued := last.next
+		if continued != nil {
+			attempt.continueFrom(continued.copyName())
 		}
 		if x.route.Kind == routes.Streaming {
 			last = x.streamAttempt(ctx, choice, attempt)
@@ -98,6 +102,9 @@
 			unreached++
 		}
 		x.recordSurvival(last, started)
+		if continued != nil && continued.canReturn(ctx, last) {
+			last = x.returnToSource(continued, last)
+		}
 		switch last.kind {
 		case delivered:
 			return ending{kind: endAnswered}
