--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -159,7 +159,9 @@
 	storeClient := upstream.Dialer{Connect: connectTimeout, Silence: silence}
 	observePushback := func(address string, s pushback.Signal) { p.gateway.ObservePushback(address, s) }
 	contextTransport := &platform.PushbackTransport{Next: httpjson.BoundHead(&http.Transport{DialContext: storeClient.Dial, MaxIdleConnsPerHost: 2}), Observe: observePushback}
-	keeper := contextcache.NewTracker(platform.NewContextStores(contextTransport), log, self.Domain, bootclock.Now)
+	contextStores := platform.NewContextStores(contextTransport)
+	contextStores.Log = log
+	keeper := contextcache.NewTracker(contextStores, log, self.Domain, bootclock.Now)
 	keeper.Self, keeper.Regions = hostOf(s.Platform.Clients), s.Platform.Regions
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
 		p.clients.SetLimits(t.Limits)
@@ -330,6 +332,8 @@
 	// balancerNotice is how long the balancer takes to notice that a process is not ready and to stop
 	// sending it new connections: two probes, one per second.
 	balancerNotice = 2500 * time.Millisecond
+	// crossing is the additional time for requests that were in transit when idle connections closed.
+	crossing = 250 * time.Millisecond
 	// graceMargin is the part of the time to stop that is reserved for the process's exit.
 	graceMargin = 500 * time.Millisecond
 	// lastAnswers is the part of graceMargin for the answers to interrupted requests. The rest is for
@@ -352,7 +356,7 @@
 	}()
 	p.gateway.MarkNotReady()
 	p.stopServing()
-	p.gateway.SetDrainWindow(now.Add(notice), end)
+	p.gateway.SetDrainWindow(now.Add(notice+crossing), end)
 	p.clients.DisableKeepAlives()
 	select {
 	case <-time.After(notice):
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/logging"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/sleep"
 )
@@ -208,6 +209,9 @@
 			delay = minRetryDelay
 			err = w.watch(ctx, kind, revision)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		w.recordOutcome(kind, err)
 		if errors.Is(err, objectapi.ErrCompacted) {
 			continue
@@ -336,6 +340,9 @@
 			hasFailed = true
 			continue
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		w.recordOutcome(kind, err)
 		if err != nil {
 			hasFailed = true
@@ -429,7 +436,7 @@
 	list := make([]Instance, 0, len(records))
 	for _, r := range records {
 		if i, err := w.Decoder.Instance(r); err != nil {
-			w.Log.Error("cannot decode instance", zap.String("endpoint", r.Name), zap.Error(err))
+			w.Log.Error("cannot decode instance", zap.String("endpoint", r.Name), logging.Error(err))
 		} else {
 			list = append(list, i)
 		}
@@ -483,7 +490,7 @@
 	}
 	if err != nil {
 		w.Log.Error("cannot decode object", zap.String("kind", kind), zap.String("name", e.Name),
-			revisionField("revision", e.Revision), zap.Error(err))
+			revisionField("revision", e.Revision), logging.Error(err))
 	}
 }
 
--- a/internal/transport/objectapi/objectapi_test.go
+++ b/internal/transport/objectapi/objectapi_test.go
@@ -1,8 +1,12 @@
 package objectapi_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +110,44 @@
 		})
 	}
 }
+
+// TestAnswersThatHoldNothing guards against a 200 without the fields that are due, which reads as an empty object or as a write
+// that took effect at no version.
+func TestAnswersThatHoldNothing(t *testing.T) {
+	for _, answer := range []string{"", "{", "{}", "null", `{"key":"k","value":"YQ=="}`, `{"key":"k","version":7`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, answer) }))
+		defer server.Close()
+		client := objectapi.NewClient(server.URL, server.Client())
+		if o, err := client.Get(t.Context(), "k"); !errors.Is(err, objectapi.ErrUnavailable) {
+			t.Errorf("get, answer %q: got %+v, error %v; want ErrUnavailable", answer, o, err)
+		}
+		if o, err := client.Watch(t.Context(), "k", 7, time.Millisecond); !errors.Is(err, objectapi.ErrUnavailable) {
+			t.Errorf("watch, answer %q: got %+v, error %v; want ErrUnavailable", answer, o, err)
+		}
+		for _, version := range []int64{0, 7} {
+			if o, err := client.Put(t.Context(), "k", []byte("a"), version); !errors.Is(err, objectapi.ErrOutcomeUnknown) {
+				t.Errorf("put at %d, answer %q: got version %d, error %v; want ErrOutcomeUnknown", version, answer, o.Version, err)
+			}
+		}
+	}
+}
+
+// TestOddObjectOfList guards against an object of another writer that hides the others of its list.
+func TestOddObjectOfList(t *testing.T) {
+	deep := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+	for _, odd := range []string{`7`, `{"key":7}`, `{"key":"p/odd","more":` + deep + `}`, deep, `{"key":"p/odd","version":1e400}`, `{"key":"p/odd","version":-1}`,
+		`{"key":"p/odd","version":9223372036854775807}`, `{"key":"p/odd","version":1,"value":"no base64!"}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `[{"key":"p/a","version":1,"value":"eA=="},%s,{"key":"p/b","version":2,"value":"eA=="}]`, odd)
+		}))
+		list, err := objectapi.NewClient(server.URL, server.Client()).List(t.Context(), "p/")
+		server.Close()
+		var keys []string
+		for _, o := range list {
+			keys = append(keys, o.Key)
+		}
+		if err != nil || !slices.Equal(keys, []string{"p/a", "p/b"}) {
+			t.Errorf("%.60s: got %v, error %.200v; want p/a and p/b", odd, keys, err)
+		}
+	}
+}
