gateway: a moved run that ran well is not called back as one that crashes engines

A run that has shown that it spares its engine is moved even if its request is blamed meanwhile. What it had shown was then forgotten, so that it was canceled where it went on, and not sent back to its source.

--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -50,7 +50,8 @@
 // streamAttempt makes an attempt whose answer is a stream. Each event is forwarded as soon as it is
 // complete, and only once. An attempt after a broken one resumes after the last event forwarded.
 func (x *exchange) streamAttempt(ctx context.Context, c routing.Choice, a Attempt) outcome {
-	x.firstEventAt, x.ranWell = time.Time{}, false
+	// What a run has shown before a move still holds where it goes on.
+	x.firstEventAt, x.ranWell = time.Time{}, x.ranWell && a.ContinueFrom != ""
 	if x.stream.lastID != "" {
 		a.LastEvent = x.stream.lastID
 	}
@@ -103,7 +104,10 @@
 // predicted, and its answer would be useless. The returned function releases the context.
 func (x *exchange) withBeginDeadline(ctx context.Context, c routing.Choice) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	unwatch := x.cancelWhenBlamed(cancel)
+	unwatch := func() {}
+	if !x.ranWell {
+		unwatch = x.cancelWhenBlamed(cancel)
+	}
 	waiting, endWait := context.WithCancel(ctx)
 	go x.cancelWhenReplaced(waiting, cancel, c.Member.Endpoint)
 	x.onStreamBegun = func() {
