gateway: a forced stop ends the release of a copy too

A stream that ended whole while its run was ordered to stop gets its end when its handler returns, which waits up to 0.5 s for the release of the copy. A forced stop that came meanwhile did not end that wait: the process exits 0.3 s after it, and the caller had no end.

TestWholeAnswerDoesNotWaitForItsMove/release_of_a_copy_that_hangs failed before: the answer ended 0.45 s after the cut.

--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -273,6 +273,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 	defer cancel()
+	defer context.AfterFunc(x.r.Context(), func() {
+		if x.isForceStopped() {
+			cancel()
+		}
+	})()
 	if err := x.g.Copier.Drop(ctx, source, handle); err != nil {
 		x.g.Log.Info("failed to release the copy of a run", zap.String("request_id", x.call.ID), zap.String("endpoint", source.ID), zap.Error(err))
 	}
