gateway: a request that ends before it is sent ejects no endpoint

An attempt whose time was over, whose weights could no longer begin or whose request was blamed while its connection was opened counted as one whose endpoint can't be reached, and one of these ejects the endpoint. A caller with a deadline of 1 ms did so.

TestOwnEndBeforeSendingEjectsNoEndpoint failed before for all three causes.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -55,7 +55,7 @@
 	// staleConnection is set if a reused connection closed before any byte of the answer arrived.
 	// The endpoint may serve the request on a fresh connection.
 	staleConnection bool
-	// stopOrdered is set if this process had the run stopped in order to move it.
+	// stopOrdered is set if this process had the run stopped in order to move it, or ended the attempt before it was sent.
 	stopOrdered bool
 	// next is where a moved run continues.
 	next *continuation
@@ -125,7 +125,7 @@
 	case x.hasCallerLeft():
 		return outcome{kind: callerLeft, err: err}
 	case errors.Is(err, upstream.ErrNotSent):
-		return outcome{kind: notReached, err: err}
+		return outcome{kind: notReached, err: err, stopOrdered: ctx.Err() != nil}
 	case x.isForceStopped():
 		return outcome{kind: stopped, err: err}
 	case errors.Is(context.Cause(ctx), errBlamed):
