gateway: the lines of requests that a forced stop cuts are not dropped

The limit of lines a second also held for them: with more requests in flight than it allows, nothing told what became of the others.

TestLinesOfCutRequestsAreNotDropped failed before: 1 line of 6 requests at 1 line a second.

--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -84,9 +84,9 @@
 	return receipt.Nothing
 }
 
-// logRequest writes the log line of the request, at most one for each.
+// logRequest writes the log line of the request, at most one for each. A forced stop cuts many at once, and each has its line.
 func (x *exchange) logRequest(refusal *apierror.Error, got receipt.Receipt) {
-	if x.g.RequestLogLimiter != nil && !x.g.RequestLogLimiter.Allow() {
+	if x.g.RequestLogLimiter != nil && !x.isForceStopped() && !x.g.RequestLogLimiter.Allow() {
 		x.g.count("request_lines_dropped")
 		return
 	}
--- a/internal/coordination/gateway/requestlog_test.go
+++ b/internal/coordination/gateway/requestlog_test.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/time/rate"
 
 	"limpetwall/internal/protocol/receipt"
 	"limpetwall/internal/state/routes"
@@ -97,3 +98,23 @@
 		t.Errorf("got time_given %v, want none", given)
 	}
 }
+
+// TestLinesOfCutRequestsAreNotDropped guards against a forced stop that cuts more requests at once than lines a second are
+// written, so that nothing tells what became of them.
+func TestLinesOfCutRequestsAreNotDropped(t *testing.T) {
+	const requests = 6
+	waiting := make(chan struct{}, requests)
+	s := newTestServer(t, singleRoute(routes.Streaming, 1), blockAfter(waiting, respondStream("", "1")))
+	s.gateway.RequestLogLimiter = rate.NewLimiter(1, 1)
+	logs := s.observeLogs()
+	stop := s.startStoppable()
+	for range requests {
+		s.sendRaw("Content-Length: 5\r\n\r\norder")
+		<-waiting
+	}
+	stop()
+	s.server.Close()
+	if n := logs.FilterMessage("request").Len(); n != requests {
+		t.Errorf("got %d lines of %d requests that were cut", n, requests)
+	}
+}
