gateway: a run that goes on after a move is no beginning under replaced weights

Callers lost begun streams whose run was moved: a continuation was canceled as one that had not begun in time, once the weights of its engine had been replaced for as long as nothing may begin on them. At its source, whose weights are those, that is at once; at the destination, whose turn is left at least a second, after copies of up to 2.2 s.

Continuations are no longer watched for it.

--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -56,7 +56,7 @@
 		a.LastEvent = x.stream.lastID
 	}
 	requestCtx := ctx
-	ctx, stop := x.withBeginDeadline(requestCtx, c)
+	ctx, stop := x.withBeginDeadline(requestCtx, c, a.ContinueFrom != "")
 	defer stop()
 	resp, reply, out := x.send(ctx, c, a)
 	if resp == nil {
@@ -101,15 +101,17 @@
 // withBeginDeadline returns a context that is canceled while the stream has not begun, if the request is
 // found to crash endpoints or if the endpoint's replaced weights may no longer be used. Endpoints that
 // are about to load other weights are the fullest: a request may wait there for seconds longer than
-// predicted, and its answer would be useless. The returned function releases the context.
-func (x *exchange) withBeginDeadline(ctx context.Context, c routing.Choice) (context.Context, func()) {
+// predicted, and its answer would be useless. A run that goes on has begun. The returned function releases the context.
+func (x *exchange) withBeginDeadline(ctx context.Context, c routing.Choice, isContinued bool) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	unwatch := func() {}
 	if !x.ranWell {
 		unwatch = x.cancelWhenBlamed(cancel)
 	}
 	waiting, endWait := context.WithCancel(ctx)
-	go x.cancelWhenReplaced(waiting, cancel, c.Member.Endpoint)
+	if !isContinued {
+		go x.cancelWhenReplaced(waiting, cancel, c.Member.Endpoint)
+	}
 	x.onStreamBegun = func() {
 		endWait()
 		unwatch()
