gateway: a run returns to a leaving source only while that may be sent requests

A final copy that hangs takes until 2.25 s after the notice, and leaving endpoints get requests for 2 s (DRAIN).

The copies of a leaving engine's run end, and its return is allowed, until half a second before the time for which leaving endpoints serve; the setting was read and not used. The time in which a run may be at no engine now counts the connection to the destination, too.

TestRunReturnsToLeavingSourceInTime, found by the review, failed before: sent 2.25 s after the notice. It now sets the new field to the 2 s that it demands.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -225,7 +225,7 @@
 		return gateway.EngineReport{Born: report.Born, Weights: report.Weights[i.Model], Busy: report.Busy}, err
 	}
 	if *s.MoveRuns {
-		p.gateway.Copier = engines
+		p.gateway.Copier, p.gateway.EndpointDrain = engines, b.EndpointDrain
 	}
 	p.run(director.Run)
 	p.run(state.RunRetirement)
--- a/internal/coordination/gateway/continuedrun_test.go
+++ b/internal/coordination/gateway/continuedrun_test.go
@@ -190,6 +190,7 @@
 		respondStream(lastChunk, "3")(c, r)
 	}), reject)
 	s.useEngines(copier)
+	s.gateway.EndpointDrain = serves
 	logs := s.observeLogs()
 	hang := copier.beforeLast
 	copier.beforeLast = func(ctx context.Context) {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -76,6 +76,8 @@
 	RequiresRecord bool
 	// Copier copies running requests between engines. If nil, none is moved.
 	Copier RunCopier
+	// EndpointDrain is for how long after its notice a leaving endpoint may be sent requests. 0 sets no limit.
+	EndpointDrain time.Duration
 	// IsLeader reports whether this process holds the lease for the work that only one process does.
 	IsLeader func() bool
 	Log      *zap.Logger
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -51,8 +51,11 @@
 	// streamCloseTimeout is how long the stream of a stopped run may take to close before it is cut.
 	// Events still in transit are sent again by the engine where the run continues.
 	streamCloseTimeout = 200 * time.Millisecond
-	// relocationTime is the longest time in which a run that is moved may be at no engine.
-	relocationTime = 2*copyTimeout + streamCloseTimeout
+	// relocationTime is the longest time in which a run that is moved may be at no engine: for the copies, the end of its stream, and
+	// a connection to the destination.
+	relocationTime = 2*copyTimeout + streamCloseTimeout + copyTimeout
+	// returnMargin is subtracted from the time for which a leaving endpoint serves: a request that is sent to it arrives later.
+	returnMargin = 500 * time.Millisecond
 	// dropTimeout bounds the release of a copy.
 	dropTimeout = 500 * time.Millisecond
 	// minStartWindow is how long a destination with replaced weights must still be allowed to begin
@@ -71,8 +74,9 @@
 	// source and handle identify the copy.
 	source discovery.Instance
 	handle string
-	// sourceChoice is the choice of the source. returned is set once the run goes on there.
+	// sourceChoice is the choice of the source, which began to drain at drainedAt. returned is set once the run goes on there.
 	sourceChoice routing.Choice
+	drainedAt    time.Time
 	returned     bool
 }
 
@@ -116,10 +120,11 @@
 		case <-ctx.Done():
 			return
 		}
+		drainedAt := time.Now()
 		if !sleep.For(ctx, relocationDelay) || !r.hasOutput.Load() || x.g.isEndingWithin(relocationTime) {
 			return
 		}
-		if r.next = x.relocate(ctx, r, c); r.next != nil && sleep.For(ctx, streamCloseTimeout) {
+		if r.next = x.relocate(ctx, r, c, drainedAt); r.next != nil && sleep.For(ctx, streamCloseTimeout) {
 			cut()
 		}
 	}()
@@ -140,7 +145,7 @@
 // relocate stops a run and copies it to another engine; it returns nil if the run was not moved.
 // The first copy, made while the run continues, finds out whether the destination has capacity: a
 // run that is stopped without any could only continue at its source, which may already refuse it.
-func (x *exchange) relocate(ctx context.Context, r *relocation, c routing.Choice) *continuation {
+func (x *exchange) relocate(ctx context.Context, r *relocation, c routing.Choice, drainedAt time.Time) *continuation {
 	source, known := x.g.State.Instance(c.Member.ID)
 	if !known {
 		return nil
@@ -151,7 +156,11 @@
 		return nil
 	}
 	// The calls must not be canceled by the end of the stream, which the final copy brings about.
-	copyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*copyTimeout)
+	limit := 2 * copyTimeout
+	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
+		limit = min(limit, time.Until(until))
+	}
+	copyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	defer context.AfterFunc(x.r.Context(), func() {
 		if x.isForceStopped() {
@@ -180,7 +189,7 @@
 		if stopOrdered && !errors.Is(err, ErrRunNotFound) {
 			r.maybeStopped = true
 			if handle != "" {
-				r.retained = &continuation{source: source, handle: handle, sourceChoice: c}
+				r.retained = &continuation{source: source, handle: handle, sourceChoice: c, drainedAt: drainedAt}
 				return nil
 			}
 		}
@@ -188,7 +197,7 @@
 		return nil
 	}
 	x.g.count("runs_moved.done")
-	return &continuation{choice: target, source: source, handle: handle, sourceChoice: c}
+	return &continuation{choice: target, source: source, handle: handle, sourceChoice: c, drainedAt: drainedAt}
 }
 
 // endStoppedRun returns the outcome of an attempt whose run was ordered to stop and was not copied: it goes on at its source,
@@ -207,9 +216,22 @@
 	return !c.returned && ctx.Err() == nil && (o.kind == rejected || o.kind == notReached)
 }
 
-// returnToSource returns the outcome by which a stopped run goes on at its source, or the outcome given if the source is gone.
+// acceptsUntil returns until when a draining endpoint may be sent requests, zero if that has no limit: it loads weights.
+func (g *Gateway) acceptsUntil(i discovery.Instance, drainedAt time.Time) time.Time {
+	listed, ok := g.State.Instance(i.ID)
+	if g.EndpointDrain <= 0 || (ok && !listed.Leaving) {
+		return time.Time{}
+	}
+	return drainedAt.Add(g.EndpointDrain - returnMargin)
+}
+
+// returnToSource returns the outcome by which a stopped run goes on at its source, or the outcome given if the source is gone or
+// has been leaving for too long.
 func (x *exchange) returnToSource(c *continuation, o outcome) outcome {
-	choice := x.g.Directory.Resume(c.sourceChoice)
+	var choice routing.Choice
+	if until := x.g.acceptsUntil(c.source, c.drainedAt); until.IsZero() || time.Now().Before(until) {
+		choice = x.g.Directory.Resume(c.sourceChoice)
+	}
 	if choice.Member.ID == "" {
 		x.dropCopy(c.source, c.handle)
 		return o
