gateway: a stop takes as long as the settings file of that moment allows

The platform may change the settings file without a signal. A gateway that was told to stop went by the time to stop that it had read before, and would have been killed with its requests if that was shorter since; the same with SIGHUP and SIGTERM both pending. It now reads the file at the signal, for 0.1 s at most.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -143,6 +143,8 @@
 		case <-stop.Reload:
 			p.reload()
 		case <-stop.Graceful:
+			p.reloadInTime()
+			p.reloadInTime()
 			p.drain(stop)
 			return nil
 		}
--- a/internal/command/gateway_settings.go
+++ b/internal/command/gateway_settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -38,8 +39,34 @@
 
 // reload reads the platform's settings file again. Only the time to stop takes
 // effect at once; the rest is fixed in parts that are running.
-func (p *gatewayProcess) reload() {
-	next, err := platform.ReadSettings(p.settings.Path)
+func (p *gatewayProcess) reload() { p.applySettings(platform.ReadSettings(p.settings.Path)) }
+
+// maxFinalReload bounds the read of the settings file in a stop.
+const maxFinalReload = 100 * time.Millisecond
+
+// reloadInTime reads the settings file before a stop: it may have changed without a signal, and with it the time to stop.
+func (p *gatewayProcess) reloadInTime() {
+	type result struct {
+		settings platform.Settings
+		err      error
+	}
+	read := make(chan result, 1)
+	go func() {
+		next, err := platform.ReadSettings(p.settings.Path)
+		read <- result{next, err}
+	}()
+	select {
+	case r := <-read:
+		if r.err != nil || len(changedPlaces(p.settings.Platform, r.settings)) > 0 {
+			p.applySettings(r.settings, r.err)
+		}
+	case <-time.After(maxFinalReload):
+		p.log.Warn("settings file is not read in time, the old settings stay in force", zap.String("path", p.settings.Path))
+	}
+}
+
+// applySettings puts settings that were read in force.
+func (p *gatewayProcess) applySettings(next platform.Settings, err error) {
 	if err != nil {
 		p.log.Error("settings not reloaded, the old ones stay in force", zap.String("path", p.settings.Path), zap.Error(err))
 		return
