gateway: a few answers must be seen before a route's times refuse anything

One answer of 20 s as a route's first made a stopping gateway refuse all long requests of the route: 20 s and 10 s of deviation, 49.5 s in sum, which took 262 to 292 answers to fall below 5 s.

--- a/internal/coordination/gateway/answertimes_test.go
+++ b/internal/coordination/gateway/answertimes_test.go
@@ -15,6 +15,10 @@
 	if got := a.most("unknown"); got != 0 {
 		t.Errorf("got %v for a route without answers, want 0", got)
 	}
+	a.observe("rare", time.Minute)
+	if got := a.most("rare"); got != 0 {
+		t.Errorf("got %v after a single answer, want 0", got)
+	}
 	for i := range 1000 {
 		a.observe("steady", time.Second)
 		a.observe("mixed", time.Duration(1+i%5)*time.Second)
@@ -50,7 +54,9 @@
 		t.Run(row.name, func(t *testing.T) {
 			s := newTestServer(t, singleRoute(routes.Streaming, 1), respondStream(lastChunk, "1"))
 			if row.takes > 0 {
-				s.gateway.answerTimes.observe("r", row.takes)
+				for range minAnswers {
+					s.gateway.answerTimes.observe("r", row.takes)
+				}
 			}
 			s.gateway.SetDrainWindow(time.Now().Add(time.Minute), time.Now().Add(5*time.Second))
 			resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt"))
