discovery: a store without history is not listed without pause

When the store has no history for a watch, the kind is listed again at once. A store that keeps none, or less than a list takes, answers each watch so: with answers after 2 ms a process made 15,391 calls in 10 s, far beyond the rates at which the store refuses calls of all processes.

After four lists at once, a list that follows a watch without history waits as watches do, 250 ms in a small fleet and up to a second in a large one. TestStoreWithoutHistory failed before: "got 15391 calls to the store in 10 s, want at most 276".

--- a/internal/coordination/discovery/watch_rate_test.go
+++ b/internal/coordination/discovery/watch_rate_test.go
@@ -67,3 +67,28 @@
 		}
 	})
 }
+
+// TestStoreWithoutHistory guards against a process that lists without pause where the store has no history for any watch.
+func TestStoreWithoutHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		const latency = 2 * time.Millisecond
+		feed.update(func() {
+			feed.oldest = 1 << 30
+			feed.latency = map[string]time.Duration{kinds.Config: latency, kinds.Instances: latency, kinds.Weights: latency}
+		})
+		state, _ := startWatcher(t, feed)
+		time.Sleep(10 * time.Second)
+		feed.put("servers", "i-1", false)
+		time.Sleep(minWatchInterval + 10*time.Millisecond)
+		if got := len(state.Instances()); got != 1 {
+			t.Errorf("got %d known endpoints, want 1 by the next list", got)
+		}
+		var calls int
+		feed.update(func() { calls = feed.calls })
+		// A list and a watch of three kinds in each interval.
+		if most := 3*2*(int(10*time.Second/minWatchInterval)+watchBurst) + 12; calls > most {
+			t.Errorf("got %d calls to the store in 10 s, want at most %d", calls, most)
+		}
+	})
+}
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -203,6 +203,7 @@
 // what was removed meanwhile.
 func (w *Watcher) followKind(ctx context.Context, kind string) {
 	delay := minRetryDelay
+	relists := rate.NewLimiter(rate.Every(w.watchInterval()), watchBurst)
 	for ctx.Err() == nil {
 		revision, err := w.list(ctx, kind)
 		if err == nil {
@@ -211,6 +212,11 @@
 		}
 		w.recordOutcome(kind, err)
 		if errors.Is(err, objectapi.ErrCompacted) {
+			// A store that keeps no history answers so each time.
+			relists.SetLimit(rate.Every(w.watchInterval()))
+			if relists.Wait(ctx) != nil {
+				return
+			}
 			continue
 		}
 		if !w.waitToRetry(ctx, delay) {
