--- a/internal/coordination/gateway/moveforcedstop_test.go
+++ b/internal/coordination/gateway/moveforcedstop_test.go
@@ -10,15 +10,15 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/state/routes"
 )
 
 // stagedCopier signals each of its calls and hangs in one of them until its context ends.
 type stagedCopier struct {
-	hangs  string
-	refuse bool
-	enter  func(stage string)
+	hangs string
+	enter func(stage string)
 }
 
 func (s stagedCopier) stage(ctx context.Context, name string) error {
