--- a/internal/coordination/originstore/archive.go
+++ b/internal/coordination/originstore/archive.go
@@ -22,9 +22,9 @@
 	// callTimeout bounds one call to the store.
 	callTimeout = 700 * time.Millisecond
 	// minInterval is the shortest time between two writes of a process, and fleetInterval the mean time between those of all
-	// processes: 182 a second. Those that follow a start of all at once fit into 200 then, half of what a store takes.
+	// processes: 200 a second, half of what a store takes.
 	minInterval   = 200 * time.Millisecond
-	fleetInterval = 5500 * time.Microsecond
+	fleetInterval = 5 * time.Millisecond
 	// writeBytes is what a process writes at most, in bytes per second on the wire, or streamBytes for each stream that begins if
 	// that is more. writeBurst is what it may write at once, and wireFactor the size on the wire of a byte of the value: the
 	// store's form encodes it once more.
@@ -94,8 +94,8 @@
 
 // Run keeps the origins until ctx ends.
 func (a *Archive) Run(ctx context.Context) {
-	timer := time.NewTimer(minInterval)
-	defer timer.Stop()
+	ticker := time.NewTicker(minInterval)
+	defer ticker.Stop()
 	a.all, a.recent, a.budget = object{key: keyOf(a.Self)}, object{key: recentKeyOf(a.Self)}, rate.NewLimiter(writeBytes, writeBurst)
 	isRead, era := false, a.Store.Eras().Current()
 	started, nextRead := time.Now(), time.Time{}
@@ -119,14 +119,8 @@
 			lastSweep = now
 			a.sweep(ctx)
 		}
-		// Between writes, the store's eras, hosts and streams are looked at.
-		wait := minInterval
-		if due := time.Until(a.nextWrite); due > 0 {
-			wait = min(wait, due)
-		}
-		timer.Reset(wait)
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
