gateway: a test measures an answer's time from before the timer that lets it begin

The test starts a timer of 400 ms, at whose end the version is recorded, and takes the time of sending only after that; the answer came 400 ms after the timer began and 61 us less after the later reading. The time of sending is now taken first. Both bounds stay: the lower one then holds for every order of events, and the upper one is stricter by the same microseconds.

--- a/internal/coordination/gateway/resumption_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -217,12 +217,12 @@
 			s.gateway.RequiresRecord = true
 			s.gateway.Origins.ObserveVersions(s.gateway.softwareVersions(), time.Now())
 			s.gateway.Origins.SetRecorded(recorded)
+			sent := time.Now()
 			if row.later != "" {
 				time.AfterFunc(recordedAfter, func() {
 					s.gateway.Origins.SetRecorded(append(recorded, streamorigin.Origin{Service: "s", Version: row.later}))
 				})
 			}
-			sent := time.Now()
 			resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", row.lines...))
 			if err != nil {
 				t.Fatal(err)
