ingress: a closing connection waits as long as its caller acknowledges

Cause: a stop sends GOAWAY; net/http closes the connection a second after its last stream, and the close waited two seconds in all for the caller to acknowledge. Window updates of the caller then met a closed socket, whose reset drops what is unsent. The stop had 17 s left.

The two seconds now count from the last acknowledgment, 30 s bound the whole wait, and an immediate close ends it.

--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// lingerTimeout bounds the wait for the caller before a connection is closed after an answer.
+	// lingerTimeout bounds the wait for the caller before a connection is closed after an answer, or for its
+	// next acknowledgment; maxLinger bounds the whole wait for acknowledgments.
 	lingerTimeout = 2 * time.Second
+	maxLinger     = 30 * time.Second
 	// refusalWriteTimeout bounds the write of an answer that this package itself gives.
 	refusalWriteTimeout = time.Second
 	// ackPollInterval and maxAckPollInterval bound the intervals at which the send buffer is polled: the
@@ -113,37 +115,49 @@
 }
 
 // awaitAcknowledgment reads until the caller has closed its sending side or acknowledged everything that
-// was sent to it, for lingerTimeout at most. Closing earlier would reset the connection, and drop unsent
-// bytes, if there are unread bytes or more arrive. The kernel sends what is unsent after lingerTimeout.
+// was sent to it, as long as it goes on to acknowledge within lingerTimeout, for maxLinger at most. Closing
+// earlier would reset the connection, and drop unsent bytes, if there are unread bytes or more arrive, such
+// as the window updates of HTTP/2. The kernel sends what is unsent after that.
 func (c *conn) awaitAcknowledgment() {
 	if c.CloseWrite() != nil {
 		return
 	}
 	began := time.Now()
-	for wait := ackPollInterval; c.hasUnacknowledgedBytes() && time.Since(began) < lingerTimeout; wait = min(2*wait, maxAckPollInterval) {
+	progressed, unacknowledged := began, c.unacknowledgedBytes()
+	for wait := ackPollInterval; unacknowledged > 0 && !c.server.closed.Load(); wait = min(2*wait, maxAckPollInterval) {
 		if c.Conn.SetReadDeadline(time.Now().Add(wait)) != nil {
 			return
 		}
 		if _, err := io.Copy(io.Discard, c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
+		now, left := time.Now(), c.unacknowledgedBytes()
+		if left < unacknowledged {
+			progressed, unacknowledged = now, left
+		}
+		if now.Sub(progressed) >= lingerTimeout || now.Sub(began) >= maxLinger {
+			return
+		}
 	}
 }
 
-// hasUnacknowledgedBytes reports whether the caller's kernel has yet to acknowledge bytes or the end of
-// the sending side.
-func (c *conn) hasUnacknowledgedBytes() bool {
+// unacknowledgedBytes returns how many bytes, the end of the sending side among them, the caller's kernel
+// has yet to acknowledge; 0 if that is not known.
+func (c *conn) unacknowledgedBytes() int {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
 	n := 0
 	raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && n > 0
+	if err != nil {
+		return 0
+	}
+	return n
 }
 
 // CloseWrite closes the sending side. net/http does so too, after an answer that leaves a body unread.
--- a/internal/transport/ingress/lastbytes_test.go
+++ b/internal/transport/ingress/lastbytes_test.go
@@ -76,3 +76,36 @@
 		})
 	}
 }
+
+// TestStopEndsThoughCallerReadsNothing guards against callers that keep a stop waiting by never reading an answer.
+func TestStopEndsThoughCallerReadsNothing(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 64<<10)
+	returned := make(chan struct{})
+	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Write(body)
+		close(returned)
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	defer s.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).SetReadBuffer(8 << 10)
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	<-returned
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	began := time.Now()
+	if err := s.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > lingerTimeout+time.Second {
+		t.Errorf("the stop took %v", took)
+	}
+}
