gateway: a test waits for a move's own release as it waits for the request

Trace: a request that ends before its run was stopped does not wait for a copy in flight (relocation.finish); the forced stop cancels the copy, and the watch's goroutine then releases the destination. The test waited up to 100 ms for the request's own count only, and read the directory at that moment, without order between the two. Released 5 ms late (trial, a pause put before the release) the old test fails and this one passes. The test now waits for both, within the same 100 ms; what is not released by then fails as before.

--- a/internal/coordination/gateway/moveforcedstop_test.go
+++ b/internal/coordination/gateway/moveforcedstop_test.go
@@ -123,7 +123,8 @@
 			if took > 200*time.Millisecond {
 				t.Errorf("the request ended %v after the cut, want within 200ms", took)
 			}
-			for deadline := time.Now().Add(100 * time.Millisecond); s.gateway.InFlight() > 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			hasWork := func() bool { return s.gateway.InFlight() > 0 || len(s.gateway.Directory.OwnWork()) > 0 }
+			for deadline := time.Now().Add(100 * time.Millisecond); hasWork() && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 			}
 			if n := lines.FilterMessage("request").Len(); n != 1 {
 				t.Errorf("got %d lines of the request, want 1", n)
