runs: going on after an agent's stop needs no retry budget

The same class: requests that reach an agent before its entry has learned that it leaves (endpoint_leaving).

The budget keeps a failing fleet from being loaded with a multiple of its traffic. A stop that an agent reports itself ends each of its runs once, and it takes no others, so the additional load is bounded by what it had. Such a retry now spends nothing; maxAttempts still bounds it, and failures of any other kind spend as before (row endpoint_busy: 60 of 60 refused without budget).

Before: 35 of 60 lost, 60 of 60 requests refused at a leaving agent without budget.

--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -23,6 +23,12 @@
 	"limpetwall/internal/transport/rpc"
 )
 
+// Codes of an agent that stops.
+const (
+	codeLeaving = "endpoint_leaving"
+	codeCut     = "cut_by_shutdown"
+)
+
 // maxAttempts bounds the endpoints tried for one request. A hedge that does not decide its round is
 // not counted.
 const maxAttempts = 4
@@ -164,7 +170,7 @@
 		// service whose only endpoint fails would drain it without making a retry, and callers
 		// of other services would get errors that a retry could have avoided. From here on the
 		// retry is made.
-		if number > 1 && !r.Budget.Spend() {
+		if number > 1 && !last.isStopOfEndpoint() && !r.Budget.Spend() {
 			r.Directory.Release(choice)
 			return Result{}, last.retryLaterError(p, "the retry budget is used up")
 		}
@@ -212,6 +218,12 @@
 	crashedIncarnation uint64
 }
 
+// isStopOfEndpoint reports whether the agent said that it stops. Each of its runs ends so once, and it
+// takes no others: going on elsewhere needs no retry budget.
+func (o *outcome) isStopOfEndpoint() bool {
+	return o.refused && (o.code == codeCut || o.code == codeLeaving)
+}
+
 func (o *outcome) result(number uint32, c routing.Choice) Result {
 	return Result{
 		FinishReason: o.finished.GetReason(), CompletionTokens: int(o.finished.GetCompletionTokens()),
