gateway: max_attempts also bounds a run whose move reaches nobody

A run that was moved and whose destination could not be reached, nor its source to which it returned, went on at a third endpoint beyond its route's max_attempts (BUDGET).

Cause: canRetry asked only how many endpoints had not been reached when the last one had not; without a move that is enough, as an attempt is made only while the bound allows one more. A move makes attempts without asking.

--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -220,7 +220,9 @@
 	}
 	switch last.kind {
 	case notReached:
-		return unreached < maxUnreached
+		if unreached >= maxUnreached {
+			return false
+		}
 	case rejected:
 	case answeredFailure, broken:
 		if !x.route.IsRepeatable() && !resumable {
--- a/internal/coordination/gateway/stoppedrun_test.go
+++ b/internal/coordination/gateway/stoppedrun_test.go
@@ -208,3 +208,36 @@
 		t.Errorf("got %v %q, error %v, %d requests sent; want a refusal as not run after the first", resp, body, err, s.requestCount())
 	}
 }
+
+// TestUnreachedMoveStaysWithinMaxAttempts guards against a moved run that is sent to more endpoints than its route allows, as
+// neither its destination nor its source can be reached.
+func TestUnreachedMoveStaysWithinMaxAttempts(t *testing.T) {
+	for _, row := range []struct {
+		attempts, want int
+	}{{1, 0}, {2, 1}} {
+		t.Run(fmt.Sprint("max attempts ", row.attempts), func(t *testing.T) {
+			copier := &fakeCopier{firstCopied: make(chan struct{}), stopped: make(chan struct{})}
+			begun := make(chan struct{})
+			s := newTestServer(t, singleRoute(routes.Streaming, row.attempts), streamUntilStopped(begun, copier.stopped, "1", "2"), reject, respondStream(lastChunk, "3"))
+			s.endpoints[1].listener.Close()
+			s.useEngines(copier)
+			route := singleRoute(routes.Streaming, row.attempts)
+			route[0].Resumable = true
+			s.gateway.State.SetRoutes(routes.New(3, 10, route, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
+				[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+			s.gateway.State.SetLoading("i-2", true)
+			go func() {
+				<-begun
+				s.gateway.State.SetLoading("i-1", false)
+				leaveFirstEngine(s.gateway.State)
+				<-copier.stopped
+				s.endpoints[0].listener.Close()
+				s.gateway.State.SetLoading("i-2", false)
+			}()
+			_, body, _ := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part"))
+			if got := s.endpoints[2].requestCount(); got != row.want {
+				t.Errorf("a further endpoint got %d requests, want %d; events %s", got, row.want, eventIDs(body))
+			}
+		})
+	}
+}
