gateway: a moved run returns to its source if its destination breaks off before an event

The gateway took a broken connection for a run that may go on at the destination.

So the source may be asked: it goes on if the destination has not used the copy, and rejects it otherwise; the run is never at both. A request that is found to crash endpoints does not return. The return goes to an endpoint that has been counted already, and the destination is excluded like any endpoint that failed: without that, a resumable stream with max_attempts 3 did not reach its third endpoint.

TestStoppedRunGoesOnAtItsSource, three new rows red before ("got events 1 2 and error unexpected EOF, want events 1 2 3"; the source got 1 request instead of 2), ten runs pass. TestFailedMoveUsesMaxAttempts (four rows, before two named TestUnreachedMoveStaysWithinMaxAttempts) passes ten times.

--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -210,10 +210,20 @@
 	return x.returnToSource(retained, out)
 }
 
-// canReturn reports whether a run that was stopped to continue elsewhere may go on at its source: the destination has not
-// run it.
-func (c *continuation) canReturn(ctx context.Context, o outcome) bool {
-	return !c.returned && ctx.Err() == nil && (o.kind == rejected || o.kind == notReached)
+// canReturn reports whether a run that was stopped to continue elsewhere may go on at its source, after its attempt at the
+// destination: the destination has rejected it, or has brought no event of it. If it has used the copy, the source rejects it,
+// as a copy can be used once.
+func (x *exchange) canReturn(ctx context.Context, c *continuation, o outcome, probe *crashProbe) bool {
+	if c.returned || ctx.Err() != nil {
+		return false
+	}
+	switch o.kind {
+	case rejected, notReached:
+		return true
+	case broken:
+		return x.firstEventAt.IsZero() && !x.isRetryBlocked(ctx, probe)
+	}
+	return false
 }
 
 // acceptsUntil returns until when a draining endpoint may be sent requests, zero if that has no limit: it loads weights.
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -99,13 +99,16 @@
 		}
 		x.recordAttempt(choice, attempt, last, started)
 		probe := x.probeCrash(choice, last, started)
-		if last.kind != notReached {
-			sent++
-		} else {
+		switch {
+		case last.kind == notReached:
 			unreached++
+		case continued == nil || !continued.returned:
+			// The source of a moved run has been counted.
+			sent++
 		}
 		x.recordSurvival(last, started)
-		if continued != nil && continued.canReturn(ctx, last) {
+		if continued != nil && x.canReturn(ctx, continued, last, probe) {
+			request.Exclude = append(request.Exclude, choice.Member.ID)
 			last = x.returnToSource(continued, last)
 		}
 		switch last.kind {
--- a/internal/coordination/gateway/stoppedrun_test.go
+++ b/internal/coordination/gateway/stoppedrun_test.go
@@ -48,6 +48,9 @@
 		{"no answer to the final copy", io.ErrUnexpectedEOF, "", reject, respondStream(lastChunk, "3"), whole, "h1"},
 		{"rejected by the destination", nil, "", reject, respondStream(lastChunk, "3"), whole, "h1"},
 		{"destination can't be reached", nil, "", nil, respondStream(lastChunk, "3"), whole, "h1"},
+		{"destination breaks the connection before an event", nil, "", closeConn, respondStream(lastChunk, "3"), whole, "h1"},
+		{"destination breaks its stream before an event", nil, "", respondStream(""), respondStream(lastChunk, "3"), whole, "h1"},
+		{"destination has used the copy and breaks the connection", nil, "", closeConn, reject, "1 2", "h1"},
 		{"rejected by both", nil, "", reject, reject, "1 2", "h1"},
 	}
 	for _, row := range rows {
@@ -209,17 +212,27 @@
 	}
 }
 
-// TestUnreachedMoveStaysWithinMaxAttempts guards against a moved run that is sent to more endpoints than its route allows, as
-// neither its destination nor its source can be reached.
-func TestUnreachedMoveStaysWithinMaxAttempts(t *testing.T) {
+// TestFailedMoveUsesMaxAttempts guards against a moved run that is sent to more endpoints than its route allows, or to fewer, as
+// neither its destination nor its source takes it.
+func TestFailedMoveUsesMaxAttempts(t *testing.T) {
 	for _, row := range []struct {
+		name           string
 		attempts, want int
-	}{{1, 0}, {2, 1}} {
-		t.Run(fmt.Sprint("max attempts ", row.attempts), func(t *testing.T) {
+		// reached is set if the destination breaks the connection and the source rejects the run; neither is reached otherwise.
+		reached bool
+	}{
+		{"not reached, one attempt", 1, 0, false},
+		{"not reached, two attempts", 2, 1, false},
+		{"broken and rejected, two attempts", 2, 0, true},
+		{"broken and rejected, three attempts", 3, 1, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
 			copier := &fakeCopier{firstCopied: make(chan struct{}), stopped: make(chan struct{})}
 			begun := make(chan struct{})
-			s := newTestServer(t, singleRoute(routes.Streaming, row.attempts), streamUntilStopped(begun, copier.stopped, "1", "2"), reject, respondStream(lastChunk, "3"))
-			s.endpoints[1].listener.Close()
+			s := newTestServer(t, singleRoute(routes.Streaming, row.attempts), firstThen(streamUntilStopped(begun, copier.stopped, "1", "2"), reject), closeConn, respondStream(lastChunk, "3"))
+			if !row.reached {
+				s.endpoints[1].listener.Close()
+			}
 			s.useEngines(copier)
 			route := singleRoute(routes.Streaming, row.attempts)
 			route[0].Resumable = true
@@ -231,7 +244,9 @@
 				s.gateway.State.SetLoading("i-1", false)
 				leaveFirstEngine(s.gateway.State)
 				<-copier.stopped
-				s.endpoints[0].listener.Close()
+				if !row.reached {
+					s.endpoints[0].listener.Close()
+				}
 				s.gateway.State.SetLoading("i-2", false)
 			}()
 			_, body, _ := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part"))
