gateway: a run at a leaving engine is stopped only if it can still return

The copies of a leaving source now end a quarter of a second earlier, and no run is stopped with less than 0.2 s left for its final copy: it goes on where it is.

TestRunReturnsToLeavingSourceInTime accepted a lost run as long as none returned late, and so passed; it now wants all events, and has a first copy that takes long.

--- a/internal/coordination/gateway/continuedrun_test.go
+++ b/internal/coordination/gateway/continuedrun_test.go
@@ -18,22 +18,25 @@
 	"limpetwall/internal/state/routes"
 )
 
-// hookCopier calls beforeLast before it answers the final copy.
+// hookCopier calls beforeLast before it answers the final copy. The first one takes firstTakes.
 type hookCopier struct {
 	fakeCopier
 	beforeLast func(ctx context.Context)
+	firstTakes time.Duration
 }
 
 // Copy implements RunCopier.
 func (h *hookCopier) Copy(ctx context.Context, source discovery.Instance, call, destination string, last bool) (string, error) {
 	if last {
 		h.beforeLast(ctx)
+	} else {
+		time.Sleep(h.firstTakes)
 	}
 	return h.fakeCopier.Copy(ctx, source, call, destination, last)
 }
 
 func newHookCopier(beforeLast func(context.Context)) *hookCopier {
-	return &hookCopier{fakeCopier{firstCopied: make(chan struct{}), stopped: make(chan struct{})}, beforeLast}
+	return &hookCopier{fakeCopier: fakeCopier{firstCopied: make(chan struct{}), stopped: make(chan struct{})}, beforeLast: beforeLast}
 }
 
 // attemptsOf returns the attempts of the last request in the log.
@@ -172,43 +175,62 @@
 	}
 }
 
-// TestRunReturnsToLeavingSourceInTime guards against a run that is sent to its leaving source later than the time for which
-// leaving endpoints serve, here 2 s, after the gateway knew that it leaves.
+// TestRunReturnsToLeavingSourceInTime guards against a run that is lost, or sent to its leaving source later than the time for which
+// leaving endpoints serve, here 2 s, because its final copy hangs, also after a first copy that took long.
 func TestRunReturnsToLeavingSourceInTime(t *testing.T) {
 	const serves = 2 * time.Second
-	copier := newHookCopier(func(ctx context.Context) { <-ctx.Done() })
-	copier.last = io.ErrUnexpectedEOF
-	begun, stopOrdered := make(chan struct{}), make(chan struct{})
-	var left, returned atomic.Int64
-	s := newTestServer(t, singleRoute(routes.Streaming, 1), firstThen(func(c net.Conn, r *http.Request) {
-		respondStream("", "1", "2")(c, r)
-		close(begun)
-		<-copier.firstCopied
-		<-stopOrdered
-	}, func(c net.Conn, r *http.Request) {
-		returned.Store(time.Now().UnixNano())
-		respondStream(lastChunk, "3")(c, r)
-	}), reject)
-	s.useEngines(copier)
-	s.gateway.EndpointDrain = serves
-	logs := s.observeLogs()
-	hang := copier.beforeLast
-	copier.beforeLast = func(ctx context.Context) {
-		close(stopOrdered)
-		hang(ctx)
-	}
-	go func() {
-		<-begun
-		s.gateway.State.SetLoading("i-1", false)
-		left.Store(time.Now().UnixNano())
-		leaveFirstEngine(s.gateway.State)
-	}()
-	_, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part"))
-	if err != nil && returned.Load() > 0 {
-		t.Errorf("got events %s, error %v, attempts %+v", eventIDs(body), err, attemptsOf(logs))
-	}
-	if after := time.Duration(returned.Load() - left.Load()); returned.Load() > 0 && after >= serves {
-		t.Errorf("sent to the leaving source %v after it was known to leave, want less than %v", after, serves)
+	for _, row := range []struct {
+		name      string
+		firstCopy time.Duration
+		isStopped bool
+	}{
+		{"first copy at once", 0, true},
+		{"first copy takes half a second", 500 * time.Millisecond, true},
+		{"first copy takes almost all the time", 900 * time.Millisecond, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			copier := newHookCopier(func(ctx context.Context) { <-ctx.Done() })
+			copier.last, copier.firstTakes = io.ErrUnexpectedEOF, row.firstCopy
+			begun, stopOrdered := make(chan struct{}), make(chan struct{})
+			var left, returned atomic.Int64
+			s := newTestServer(t, singleRoute(routes.Streaming, 1), firstThen(func(c net.Conn, r *http.Request) {
+				respondStream("", "1", "2")(c, r)
+				close(begun)
+				select {
+				case <-stopOrdered:
+				case <-time.After(serves):
+					text := "id: 3\ndata: 3\n\n"
+					fmt.Fprintf(c, "%x\r\n%s\r\n%s", len(text), text, lastChunk)
+				}
+			}, func(c net.Conn, r *http.Request) {
+				returned.Store(time.Now().UnixNano())
+				respondStream(lastChunk, "3")(c, r)
+			}), reject)
+			s.useEngines(copier)
+			s.gateway.EndpointDrain = serves
+			logs := s.observeLogs()
+			hang := copier.beforeLast
+			copier.beforeLast = func(ctx context.Context) {
+				close(stopOrdered)
+				hang(ctx)
+			}
+			go func() {
+				<-begun
+				s.gateway.State.SetLoading("i-1", false)
+				left.Store(time.Now().UnixNano())
+				leaveFirstEngine(s.gateway.State)
+			}()
+			_, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part"))
+			if err != nil || eventIDs(body) != "1 2 3" {
+				t.Errorf("got events %s, error %v, attempts %+v", eventIDs(body), err, attemptsOf(logs))
+			}
+			if isStopped := returned.Load() > 0; isStopped != row.isStopped {
+				t.Errorf("returned to the source: %v, want %v", isStopped, row.isStopped)
+			}
+			if after := time.Duration(returned.Load() - left.Load()); returned.Load() > 0 && after >= serves {
+				t.Errorf("sent to the leaving source %v after it was known to leave, want less than %v", after, serves)
+			}
+		})
 	}
 }
 
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -29,6 +29,9 @@
 
 	// errRunEnded ends a relocation whose attempt ended before the run was stopped.
 	errRunEnded = errors.ConstError("the run ended before it was stopped")
+
+	// errTooLateToStop ends a relocation whose first copy left too little time for the final one.
+	errTooLateToStop = errors.ConstError("too late to stop the run")
 )
 
 // RunCopier copies the memory of a run from one engine to another.
@@ -56,6 +59,10 @@
 	relocationTime = 2*copyTimeout + streamCloseTimeout + copyTimeout
 	// returnMargin is subtracted from the time for which a leaving endpoint serves: a request that is sent to it arrives later.
 	returnMargin = 500 * time.Millisecond
+	// returnTime is kept for the return of a stopped run to a leaving source after its copies.
+	returnTime = 250 * time.Millisecond
+	// minFinalCopyTime is the time below which no final copy begins: it would likely fail after the run was stopped.
+	minFinalCopyTime = 200 * time.Millisecond
 	// dropTimeout bounds the release of a copy.
 	dropTimeout = 500 * time.Millisecond
 	// minStartWindow is how long a destination with replaced weights must still be allowed to begin
@@ -158,18 +165,21 @@
 	// The calls must not be canceled by the end of the stream, which the final copy brings about.
 	limit := 2 * copyTimeout
 	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
-		limit = min(limit, time.Until(until))
+		limit = min(limit, time.Until(until)-returnTime)
 	}
-	copyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	startedAt := time.Now()
+	copyCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), startedAt.Add(limit))
 	defer cancel()
 	defer context.AfterFunc(x.r.Context(), func() {
 		if x.isForceStopped() {
 			cancel()
 		}
 	})()
-	startedAt := time.Now()
 	stopOrdered := false
 	handle, err := x.g.Copier.Copy(copyCtx, source, x.call.ID, target.Member.Address, false)
+	if err == nil && limit-time.Since(startedAt) < minFinalCopyTime {
+		err = errTooLateToStop
+	}
 	if err == nil && !r.settled.CompareAndSwap(false, true) {
 		err = errRunEnded
 	}
