gateway: what a customer made before it was isolated serves nobody else

Cause: the cache salt had the customer's own flag. The group of those that share kept its name when one of them was walled off.

The group of those that share now names the set of customers that do not. What is found under a group was made by customers that shared while their gateway used it, and these are the same that share for whoever uses it now; an isolated customer's group is used by its requests alone. It is a function of the configuration, so no message, memory or order of configurations is needed. Where none is isolated the salt is that of earlier releases.

Two more ways across, found by the model with the new salt alone: a request went by the configuration of its arrival in each attempt, and a run that moved after the change would have left under the new salt what it had read under the old one. Attempts go by the configuration in force, and such a run goes on under a salt that no other attempt has.

Evidence against parts that crash endpoints was kept by the same group; it has a key of its own now, which stays when another customer's wall changes. The two lines of TestRequestsWithHeldPartAreRefused and TestPendingRunsOfBlamedPartAreCanceled that name the key use the constant's new name; its value is the same.

Operators see it in the line "walls between customers changed", in context_walls_changed and customers_isolated.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -189,6 +189,8 @@
 	}
 	metrics.NewRegisteredFunctionalGauge("store.era", registry, func() int64 { return int64(store.Eras().Current()) })
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoint_entries_dropped", registry, state.DroppedEntries)
+	metrics.NewRegisteredFunctionalGauge("gateway.context_walls_changed", registry, state.WallChanges)
+	metrics.NewRegisteredFunctionalGauge("gateway.customers_isolated", registry, state.IsolatedCustomers)
 	metrics.NewRegisteredFunctionalGauge("gateway.domains_evacuated", registry, func() int64 { return int64(len(state.EvacuatedDomains())) })
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_outdated", registry, state.OutdatedEndpoints)
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoints_of_unknown_weights_age", registry, state.EndpointsOfUnknownAge)
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -84,6 +84,8 @@
 	routes   atomic.Pointer[routes.Table]
 	onRoutes func(*routes.Table)
 	dropped  atomic.Int64
+	// wallChanges counts the configurations that isolated customers or let them share context again.
+	wallChanges atomic.Int64
 
 	mu            sync.Mutex
 	former        formerRoutes
@@ -186,7 +188,38 @@
 	}
 	s.onRoutes(t)
 	s.Log.Info("configuration in force", zap.Uint64("version", t.Version), revisionField("revision", objectapi.Revision(t.Revision)),
-		zap.Int("services", len(t.Services)))
+		zap.Int("services", len(t.Services)), zap.Int("isolated_customers", len(t.Isolated())), zap.String("sharing_group", t.SharingGroup(nil)))
+	if old != nil {
+		s.recordWalls(t, old)
+	}
+}
+
+// recordWalls tells operators which customers were isolated or share context again. All context that others shared before is
+// of no use then.
+func (s *State) recordWalls(t, old *routes.Table) {
+	isolated, shared := t.WallsChanged(old)
+	if len(isolated)+len(shared) == 0 {
+		return
+	}
+	s.wallChanges.Add(1)
+	names := func(list []string) string {
+		text := strings.Join(list, ", ")
+		return text[:min(len(text), loggedNames)]
+	}
+	s.Log.Info("walls between customers changed", zap.Uint64("version", t.Version), zap.String("isolated", names(isolated)),
+		zap.String("shared_again", names(shared)), zap.String("sharing_group", t.SharingGroup(nil)), zap.String("before", old.SharingGroup(nil)))
+}
+
+// WallChanges returns the number of configurations that isolated customers or let them share context again.
+func (s *State) WallChanges() int64 { return s.wallChanges.Load() }
+
+// IsolatedCustomers returns the number of customers that share no context.
+func (s *State) IsolatedCustomers() int64 {
+	t := s.routes.Load()
+	if t == nil {
+		return 0
+	}
+	return int64(len(t.Isolated()))
 }
 
 // loggedNames bounds the names of entries in one line, in bytes.
--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -386,12 +386,24 @@
 	if x.cachedParts == nil && len(x.call.Segments) > 1 {
 		shared := x.call.Segments[:len(x.call.Segments)-1]
 		for _, segment := range shared[:min(len(shared), maxSharedParts)] {
-			x.cachedParts = append(x.cachedParts, quarantine.Part{Key: fingerprint.OfPart(x.sharingGroup(), segment.ID), ID: segment.ID})
+			x.cachedParts = append(x.cachedParts, quarantine.Part{Key: fingerprint.OfPart(x.evidenceGroup(), segment.ID), ID: segment.ID})
 		}
 	}
 	return x.cachedParts
 }
 
+// sharedEvidence is the group of customers that are not isolated, for evidence against parts.
+const sharedEvidence = "shared"
+
+// evidenceGroup returns the group of customers among whom evidence against a part counts. Unlike
+// the sharing group it stays when others are isolated: a part that crashes endpoints goes on doing so.
+func (x *exchange) evidenceGroup() string {
+	if x.customer != nil && x.customer.Isolated {
+		return "customer " + x.customer.Name
+	}
+	return sharedEvidence
+}
+
 // identity is what a request has in common with its repetitions, apart from the body.
 func (x *exchange) identity() fingerprint.Request {
 	request := fingerprint.Request{Host: x.r.Host, Method: x.r.Method, Target: x.r.RequestURI}
--- a/internal/coordination/gateway/crash_test.go
+++ b/internal/coordination/gateway/crash_test.go
@@ -124,7 +124,7 @@
 			list[0].Resumable = true
 			s := newTestServer(t, list, respondStream(lastChunk, "1"))
 			guard := s.addGuard()
-			key := fingerprint.OfPart(sharedGroup, "dead")
+			key := fingerprint.OfPart(sharedEvidence, "dead")
 			guard.Quarantines.Merge(quarantine.Record{Key: key, Level: 1, Until: time.Now().Add(9 * time.Second)}, time.Now())
 			send := func(segment string) (*http.Response, string) {
 				req := s.newRequest("POST", "/r/x", "b")
@@ -156,7 +156,7 @@
 func TestPendingRunsOfBlamedPartAreCanceled(t *testing.T) {
 	var guard *quarantine.Guard
 	s := newTestServer(t, singleRoute(routes.Streaming, 2), func(c net.Conn, r *http.Request) {
-		key := fingerprint.OfPart(sharedGroup, "dead")
+		key := fingerprint.OfPart(sharedEvidence, "dead")
 		guard.Quarantines.Merge(quarantine.Record{Key: key, Level: 1, Until: time.Now().Add(9 * time.Second)}, time.Now())
 		waitForClose(c, r)
 	})
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -166,6 +166,8 @@
 	storedTokens int
 	// importsWithheld is contextcache.Plan.Withheld of the last attempt.
 	importsWithheld bool
+	// runGroup is the sharing group with which the current run began.
+	runGroup string
 	// trace records how far the current attempt got on its connection.
 	trace upstream.Trace
 	// staleEndpoint is the ID of the endpoint whose reused connection closed before the answer
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -42,6 +42,7 @@
 	// headerSegment names the single shared segment of a prompt.
 	headerSegment      = "T-Part"
 	headerContinueFrom = "T-Continue"
+	headerSalt         = "T-Salt"
 	headerLimit        = "T-Limit"
 	headerLeaving      = "T-Leaving"
 	headerResumes      = "T-Resumes"
@@ -71,6 +72,7 @@
 	h.Set(headerTimeLeft, strconv.FormatInt(a.TimeLeft.Milliseconds(), 10))
 	h.Set(headerWeights, strconv.FormatInt(a.Weights, 10))
 	h.Set(headerContinueFrom, a.ContinueFrom)
+	h.Set(headerSalt, a.CacheSalt)
 }
 
 func (testCodec) DecodeReply(status int, h http.Header) Reply {
--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -28,9 +28,6 @@
 	sharingGroup string
 }
 
-// sharedGroup is the sharing group of all customers that are not isolated.
-const sharedGroup = "shared"
-
 // promptContext derives the context from the call's segments. The last segment is left out
 // unless it is the only one: it belongs to this request and is not used again.
 func (x *exchange) promptContext() promptContext {
@@ -59,12 +56,26 @@
 	return p
 }
 
-// sharingGroup returns the group of customers that share contexts with the request's customer.
+// sharingGroup returns the group of customers that share contexts with the request's customer. The
+// configuration in force decides, not the one with which the request began: while it waited, a
+// customer whose context it would use may have been isolated. A customer that was isolated when the
+// request began keeps its own group.
 func (x *exchange) sharingGroup() string {
-	if x.customer != nil && x.customer.Isolated {
-		return "customer " + x.customer.Name
+	return x.g.State.Routes().SharingGroup(x.customer)
+}
+
+// beginGroup returns the sharing group of an attempt. A run that goes on brings along what it has
+// read; if walls have changed since it began, that must neither be kept for others nor be read
+// from what others left, so the rest of the run shares with none.
+func (x *exchange) beginGroup(isContinued bool) string {
+	group := x.sharingGroup()
+	if !isContinued {
+		x.runGroup = group
+	}
+	if group != x.runGroup {
+		return group + " run " + x.call.ID + " " + strconv.Itoa(len(x.attempts))
 	}
-	return sharedGroup
+	return group
 }
 
 // setHoldings adds to a routing request what stores and engines hold of the prompt.
@@ -87,13 +98,22 @@
 	}
 }
 
-// planTransfers sets where an attempt imports context from and exports it to. Nothing is
-// shared unless the weight version is known: cached context may be of any version.
-func (x *exchange) planTransfers(a *Attempt, p promptContext, c routing.Choice) {
+// setPrompt derives the prompt's context and sets in a routing request what depends on it.
+func (x *exchange) setPrompt(r *routing.Request) promptContext {
+	p := x.promptContext()
+	r.PlacementHash, r.PlacementHashKnown, r.ChunkEnds = p.placementHash, true, p.ends
+	x.setHoldings(r, p)
+	return p
+}
+
+// planTransfers sets the salt of an attempt, and where it imports context from and exports it to.
+// Nothing is shared unless the weight version is known: cached context may be of any version.
+func (x *exchange) planTransfers(a *Attempt, p promptContext, c routing.Choice, isContinued bool) {
 	weights, err := strconv.ParseInt(c.Member.Endpoint.WeightVersion, 10, 64)
 	if err != nil || x.g.ContextTracker == nil {
 		return
 	}
+	p.sharingGroup = x.beginGroup(isContinued)
 	prompt := x.cachePrompt(p, c.Member.Endpoint.Model, weights)
 	a.Weights, a.CacheSalt = weights, prompt.Salt
 	plan := x.g.ContextTracker.Plan(prompt, strconv.FormatUint(p.placementHash, 36), c.Member.Address, x.route.Objective, x.residency)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -57,15 +57,16 @@
 // is allowed or possible.
 func (x *exchange) runAttempts(ctx context.Context) ending {
 	request := x.routingRequest()
-	prompt := x.promptContext()
-	request.PlacementHash, request.PlacementHashKnown, request.ChunkEnds = prompt.placementHash, true, prompt.ends
-	x.setHoldings(request, prompt)
+	prompt := x.setPrompt(request)
 	var last outcome
 	sent, unreached := 0, 0
 	for {
 		if last.next == nil && !x.headWritten && x.hasNotRun() && x.isTooLate(time.Now()) {
 			return tooLateEnding()
 		}
+		if last.next == nil && prompt.sharingGroup != x.sharingGroup() {
+			prompt = x.setPrompt(request)
+		}
 		choice := x.chooseEndpoint(request, prompt, last)
 		for choice.Member.ID == "" && x.awaitRecord(ctx, request.SoftwareVersions) {
 			choice = x.chooseEndpoint(request, prompt, last)
@@ -83,8 +84,8 @@
 			return x.finalEnding(last, sent)
 		}
 		started := time.Now()
-		attempt := x.newAttempt(choice, prompt)
 		continued := last.next
+		attempt := x.newAttempt(choice, prompt, continued != nil)
 		if continued != nil {
 			attempt.continueFrom(continued.copyName())
 		}
@@ -362,14 +363,14 @@
 	}
 }
 
-// newAttempt returns the attempt to send to a chosen endpoint.
-func (x *exchange) newAttempt(c routing.Choice, p promptContext) Attempt {
+// newAttempt returns the attempt to send to a chosen endpoint, there to begin or to go on with a run.
+func (x *exchange) newAttempt(c routing.Choice, p promptContext, isContinued bool) Attempt {
 	a := Attempt{Instance: c.Member.ID, TimeLeft: x.timeLeft(), Urgency: x.urgency.Level, LastEvent: x.call.LastEvent}
 	if x.customer != nil {
 		a.Customer = x.customer.Name
 	}
 	if x.service.Engine != nil && p.keys != nil {
-		x.planTransfers(&a, p, c)
+		x.planTransfers(&a, p, c, isContinued)
 	}
 	return a
 }
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -131,7 +131,7 @@
 	// Priority goes before the route's if HasPriority.
 	Priority    int
 	HasPriority bool
-	// Isolated customers share no context with others.
+	// Isolated customers share no context with others; see Table.SharingGroup.
 	Isolated bool
 	// Regions are those whose endpoints may serve the customer; empty allows all.
 	Regions []string
@@ -161,6 +161,7 @@
 	customersByKey map[string]*Customer
 	// urgencyScales order the requests of each service.
 	urgencyScales map[string]*urgencyScale
+	sharing       sharing
 	// list, services and customers are the entries that the table was built from.
 	list      []Route
 	services  []Service
@@ -172,7 +173,7 @@
 	t := &Table{
 		Version: version, Revision: revision, Limits: limits, KeysRequired: len(customers) > 0,
 		Services: map[string]*Service{}, routesByHost: map[string][]*Route{}, customersByKey: map[string]*Customer{},
-		list: list, services: services, customers: customers,
+		list: list, services: services, customers: customers, sharing: newSharing(version, customers),
 	}
 	t.urgencyScales = newUrgencyScales(list, slices.DeleteFunc(slices.Clone(customers), func(c Customer) bool { return c.Unreadable }))
 	for i := range list {
