gateway: an isolated customer's key keeps its wall on public routes, too

What callers saw: nothing; but prompts of an isolated customer on a route that needs no key shared KV cache with everybody's, although they carried its key.

Cause: a request on a public route has no customer, and without one it was in the group of those that share.

The key that comes with the request decides on the sharing group alone; who may send, priorities and what engines are told stay as they were. Found by reading.

--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -59,9 +59,13 @@
 // sharingGroup returns the group of customers that share contexts with the request's customer. The
 // configuration in force decides, not the one with which the request began: while it waited, a
 // customer whose context it would use may have been isolated. A customer that was isolated when the
-// request began keeps its own group.
+// request began keeps its own group. On public routes a key that comes with the request counts, too.
 func (x *exchange) sharingGroup() string {
-	return x.g.State.Routes().SharingGroup(x.customer)
+	table, customer := x.g.State.Routes(), x.customer
+	if customer == nil && x.call.Key != "" {
+		customer, _ = table.CustomerOf(x.call.Key)
+	}
+	return table.SharingGroup(customer)
 }
 
 // beginGroup returns the sharing group of an attempt. A run that goes on brings along what it has
--- a/internal/coordination/gateway/walls_test.go
+++ b/internal/coordination/gateway/walls_test.go
@@ -87,6 +87,38 @@
 	}
 }
 
+// TestPublicRoutesKeepWalls guards against an isolated customer's prompts on a public route, which needs no key, that share
+// context with those of others.
+func TestPublicRoutesKeepWalls(t *testing.T) {
+	salts := make(chan string, 1)
+	answer := func(c net.Conn, r *http.Request) {
+		salts <- r.Header.Get(headerSalt)
+		respond(200, "served")(c, r)
+	}
+	s := newTestServer(t, singleRoute(routes.Idempotent, 2), answer, answer)
+	s.useEngines(nil)
+	s.gateway.Copier = nil
+	list := singleRoute(routes.Idempotent, 2)
+	list[0].Public = true
+	s.gateway.State.SetRoutes(routes.New(20, 120, list, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}}, []routes.Customer{
+		{Name: "club", Keys: []string{"key"}, Isolated: true}, {Name: "other", Keys: []string{"key-2"}},
+	}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+	saltOf := func(key string) string {
+		req := s.newRequest("POST", "/r/x", "prompt", headerSegment+": part")
+		if req.Header.Del(headerKey); key != "" {
+			req.Header.Set(headerKey, key)
+		}
+		if resp, _, err := s.do(req); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("got %v, error %v", resp, err)
+		}
+		return <-salts
+	}
+	club, other, unknown, none := saltOf("key"), saltOf("key-2"), saltOf("key-3"), saltOf("")
+	if club == "" || club == other || other != unknown || other != none {
+		t.Errorf("got salt %q of the isolated customer, %q of another, %q with an unknown key, %q without one", club, other, unknown, none)
+	}
+}
+
 // TestMovedRunSharesWithNoneAfterNewWalls guards against context that a run brings along across a wall: one that goes on
 // after a wall was raised neither keeps it for others nor reads theirs.
 func TestMovedRunSharesWithNoneAfterNewWalls(t *testing.T) {
