gateway: a stream that waits in an engine's queue crosses no wall raised meanwhile

What callers saw: nothing; but a stream that was sent before a configuration isolated a customer, and waited in the engine's queue, began with the salt that it was sent with however much later: with parts that this customer had made, or the isolated customer's own with those of others.

Cause: the salt goes out with the request, and nothing looked at it again.

A stream that shares context, has not begun half a second after a customer was isolated and may be sent again is taken back and sent with the new salt, by the same watch as one whose engine's weights were replaced. Customers that share again take nothing back. Streams that may be sent only once, and plain answers, of which nobody knows whether they have begun, are left: docs/design/walls.md.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -87,11 +87,13 @@
 	// wallChanges counts the configurations that isolated customers or let them share context again.
 	wallChanges atomic.Int64
 
-	mu            sync.Mutex
-	former        formerRoutes
-	instances     map[string]*knownInstance
-	conflicts     addressConflicts
-	departures    departures
+	mu         sync.Mutex
+	former     formerRoutes
+	instances  map[string]*knownInstance
+	conflicts  addressConflicts
+	departures departures
+	// wallsRaised is closed when a configuration that isolates a customer comes into force.
+	wallsRaised   chan struct{}
 	targets       map[string]TargetWeights
 	targetChanged chan struct{}
 	// namingsChanged is closed when this process learns when a version was named.
@@ -138,7 +140,7 @@
 	return &State{
 		Table: fleet.NewTable(cfg, self, now), Services: config.NewStore(), Log: log, Now: time.Now, onRoutes: onRoutes,
 		instances: map[string]*knownInstance{}, conflicts: addressConflicts{firstSeen: map[string]objectapi.Revision{}, waiting: map[string]Instance{}},
-		departures: newDepartures(), targets: map[string]TargetWeights{}, targetChanged: make(chan struct{}), namingsChanged: make(chan struct{}), evacuations: map[string]*evacuation{},
+		departures: newDepartures(), targets: map[string]TargetWeights{}, targetChanged: make(chan struct{}), wallsRaised: make(chan struct{}), namingsChanged: make(chan struct{}), evacuations: map[string]*evacuation{},
 	}
 }
 
@@ -194,7 +196,7 @@
 	}
 }
 
-// recordWalls tells operators which customers were isolated or share context again. All context that others shared before is
+// recordWalls wakes those who wait on WallsRaised, and tells operators which customers were isolated or share context again. All context that others shared before is
 // of no use then.
 func (s *State) recordWalls(t, old *routes.Table) {
 	isolated, shared := t.WallsChanged(old)
@@ -202,6 +204,10 @@
 		return
 	}
 	s.wallChanges.Add(1)
+	if len(isolated) > 0 {
+		close(s.wallsRaised)
+		s.wallsRaised = make(chan struct{})
+	}
 	names := func(list []string) string {
 		text := strings.Join(list, ", ")
 		return text[:min(len(text), loggedNames)]
@@ -210,6 +216,13 @@
 		zap.String("shared_again", names(shared)), zap.String("sharing_group", t.SharingGroup(nil)), zap.String("before", old.SharingGroup(nil)))
 }
 
+// WallsRaised returns a channel that is closed when a configuration that isolates a customer comes into force.
+func (s *State) WallsRaised() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wallsRaised
+}
+
 // WallChanges returns the number of configurations that isolated customers or let them share context again.
 func (s *State) WallChanges() int64 { return s.wallChanges.Load() }
 
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -130,8 +130,8 @@
 		return outcome{kind: stopped, err: err}
 	case errors.Is(context.Cause(ctx), errBlamed):
 		return outcome{kind: canceledByQuarantine, err: errBlamed}
-	case errors.Is(context.Cause(ctx), errWeightsReplaced):
-		return outcome{kind: broken, err: errWeightsReplaced}
+	case errors.Is(context.Cause(ctx), errWeightsReplaced), errors.Is(context.Cause(ctx), errWallRaised):
+		return outcome{kind: broken, err: context.Cause(ctx)}
 	case ctx.Err() != nil:
 		return outcome{kind: timedOut, err: err}
 	}
@@ -179,7 +179,7 @@
 	defer x.cancelWhenBlamed(cancel)()
 	if x.route.Kind == routes.Idempotent {
 		// When an answer that is not a stream began is not known.
-		go x.cancelWhenReplaced(ctx, cancel, c.Member.Endpoint)
+		go x.cancelWhenReplaced(ctx, cancel, c.Member.Endpoint, nil)
 	}
 	resp, reply, out := x.send(ctx, c, a)
 	if resp == nil {
--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -147,7 +147,7 @@
 	if errors.As(err, &network) && network.Timeout() {
 		return false
 	}
-	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errWeightsReplaced) && !errors.Is(err, errRunStopped)
+	return !errors.Is(err, upstream.ErrForeign) && !errors.Is(err, errWeightsReplaced) && !errors.Is(err, errWallRaised) && !errors.Is(err, errRunStopped)
 }
 
 // runProbe carries out a probe, and blames its runs if the endpoint has crashed.
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -168,6 +168,9 @@
 	importsWithheld bool
 	// runGroup is the sharing group with which the current run began.
 	runGroup string
+	// sharedTable is the configuration by which the current attempt shares context with other customers, nil
+	// if it shares none.
+	sharedTable *routes.Table
 	// trace records how far the current attempt got on its connection.
 	trace upstream.Trace
 	// staleEndpoint is the ID of the endpoint whose reused connection closed before the answer
--- a/internal/coordination/gateway/ownend_test.go
+++ b/internal/coordination/gateway/ownend_test.go
@@ -13,7 +13,7 @@
 // TestOwnEndBeforeSendingEjectsNoEndpoint guards against a sound endpoint that is ejected as one that can't be reached, as the
 // time of a request, or this process's reason to send it, ended while a connection was opened.
 func TestOwnEndBeforeSendingEjectsNoEndpoint(t *testing.T) {
-	for _, cause := range []error{context.DeadlineExceeded, errWeightsReplaced, errBlamed, nil} {
+	for _, cause := range []error{context.DeadlineExceeded, errWeightsReplaced, errWallRaised, errBlamed, nil} {
 		s := newTestServer(t, singleRoute(routes.Idempotent, 1), closeConn)
 		x := &exchange{g: s.gateway, r: s.newRequest("GET", "/r/x", "")}
 		ctx, cancel := context.WithCancelCause(t.Context())
--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -12,6 +12,7 @@
 	"limpetwall/internal/coordination/discovery"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/state/contextkey"
+	"limpetwall/internal/state/routes"
 )
 
 // promptContext identifies the shared context of a prompt for routing and for transfers between caches.
@@ -60,8 +61,10 @@
 // configuration in force decides, not the one with which the request began: while it waited, a
 // customer whose context it would use may have been isolated. A customer that was isolated when the
 // request began keeps its own group. On public routes a key that comes with the request counts, too.
-func (x *exchange) sharingGroup() string {
-	table, customer := x.g.State.Routes(), x.customer
+func (x *exchange) sharingGroup() string { return x.sharingGroupIn(x.g.State.Routes()) }
+
+func (x *exchange) sharingGroupIn(table *routes.Table) string {
+	customer := x.customer
 	if customer == nil && x.call.Key != "" {
 		customer, _ = table.CustomerOf(x.call.Key)
 	}
@@ -72,10 +75,14 @@
 // read; if walls have changed since it began, that must neither be kept for others nor be read
 // from what others left, so the rest of the run shares with none.
 func (x *exchange) beginGroup(isContinued bool) string {
-	group := x.sharingGroup()
+	table := x.g.State.Routes()
+	group := x.sharingGroupIn(table)
 	if !isContinued {
 		x.runGroup = group
 	}
+	if x.sharedTable = nil; group == table.SharingGroup(nil) {
+		x.sharedTable = table
+	}
 	if group != x.runGroup {
 		return group + " run " + x.call.ID + " " + strconv.Itoa(len(x.attempts))
 	}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -17,6 +17,7 @@
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/state/routes"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -98,8 +99,18 @@
 // endpoint's weights may no longer be used.
 const errWeightsReplaced = errors.ConstError("the endpoint's weights were replaced before it began")
 
+const (
+	// errWallRaised is the cause when an attempt that has not begun is canceled because a customer was
+	// isolated with which it would share context.
+	errWallRaised = errors.ConstError("a customer was isolated before it began")
+	// wallGrace is how long an attempt that was sent before a customer was isolated may still begin. Few
+	// wait longer, and each that is canceled spends from the retry budget.
+	wallGrace = 500 * time.Millisecond
+)
+
 // withBeginDeadline returns a context that is canceled while the stream has not begun, if the request is
-// found to crash endpoints or if the endpoint's replaced weights may no longer be used. Endpoints that
+// found to crash endpoints, if the endpoint's replaced weights may no longer be used, or if it would use
+// context across a new wall. Endpoints that
 // are about to load other weights are the fullest: a request may wait there for seconds longer than
 // predicted, and its answer would be useless. A run that goes on has begun. The returned function releases the context.
 func (x *exchange) withBeginDeadline(ctx context.Context, c routing.Choice, isContinued bool) (context.Context, func()) {
@@ -110,7 +121,12 @@
 	}
 	waiting, endWait := context.WithCancel(ctx)
 	if !isContinued {
-		go x.cancelWhenReplaced(waiting, cancel, c.Member.Endpoint)
+		shared := x.sharedTable
+		if !x.canResume() || len(x.attempts)+1 >= x.route.MaxAttempts {
+			// It could not be sent again.
+			shared = nil
+		}
+		go x.cancelWhenReplaced(waiting, cancel, c.Member.Endpoint, shared)
 	}
 	x.onStreamBegun = func() {
 		endWait()
@@ -123,14 +139,21 @@
 }
 
 // cancelWhenReplaced cancels an attempt once the weights that it was sent for may no longer be used, until
-// ctx ends. They may be replaced, or turn out to have been replaced earlier, while the request waits.
-func (x *exchange) cancelWhenReplaced(ctx context.Context, cancel context.CancelCauseFunc, sentTo fleet.Endpoint) {
+// ctx ends. They may be replaced, or turn out to have been replaced earlier, while the request waits. It does
+// so, too, if a customer is isolated that was not so in the configuration shared, nil if that does not matter.
+func (x *exchange) cancelWhenReplaced(ctx context.Context, cancel context.CancelCauseFunc, sentTo fleet.Endpoint, shared *routes.Table) {
 	version, err := strconv.ParseInt(sentTo.WeightVersion, 10, 64)
 	if err != nil {
 		return
 	}
+	var wallEnd <-chan time.Time
 	for {
-		changed := x.g.State.NamingsChanged()
+		changed, walls := x.g.State.NamingsChanged(), x.g.State.WallsRaised()
+		if shared != nil && wallEnd == nil {
+			if isolated, _ := x.g.State.Routes().WallsChanged(shared); len(isolated) > 0 {
+				wallEnd = time.After(wallGrace)
+			}
+		}
 		var end <-chan time.Time
 		if left, limited := x.g.State.TimeLeftToBegin(sentTo.Model, version); limited {
 			end = time.After(max(0, left))
@@ -141,7 +164,13 @@
 				cancel(errWeightsReplaced)
 			}
 			return
+		case <-wallEnd:
+			if ctx.Err() == nil {
+				cancel(errWallRaised)
+			}
+			return
 		case <-changed:
+		case <-walls:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordination/gateway/walls_test.go
+++ b/internal/coordination/gateway/walls_test.go
@@ -22,13 +22,17 @@
 
 // setWalls puts a configuration in force in which only the named customers are isolated; "club" sends the requests.
 func (s *testServer) setWalls(version uint64, kind routes.Kind, isolated ...string) {
+	s.setCustomers(version, singleRoute(kind, 2), isolated)
+}
+
+func (s *testServer) setCustomers(version uint64, list []routes.Route, isolated []string) {
 	customers := []routes.Customer{{Name: "club", Keys: []string{"key"}}, {Name: "other", Keys: []string{"key-2"}}}
 	for i := range customers {
 		for _, name := range isolated {
 			customers[i].Isolated = customers[i].Isolated || customers[i].Name == name
 		}
 	}
-	s.gateway.State.SetRoutes(routes.New(version, 100+version, singleRoute(kind, 2), []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
+	s.gateway.State.SetRoutes(routes.New(version, 100+version, list, []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4}}},
 		customers, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
 }
 
@@ -119,6 +123,57 @@
 	}
 }
 
+// TestStreamThatWaitsDoesNotCrossNewWalls guards against a stream that waits in an engine's queue while a customer is isolated, and
+// then begins with context of both sides of the wall.
+func TestStreamThatWaitsDoesNotCrossNewWalls(t *testing.T) {
+	for _, row := range []struct {
+		name          string
+		before, after []string
+		resumable     bool
+		// sent are the attempts that are made.
+		sent int
+	}{
+		{"another customer is isolated", nil, []string{"other"}, true, 2},
+		{"the customer is isolated", nil, []string{"club"}, true, 2},
+		{"another customer is shared again", []string{"other"}, nil, true, 1},
+		{"an isolated customer's request", []string{"club"}, []string{"club", "other"}, true, 1},
+		{"a stream that may be sent only once", nil, []string{"other"}, false, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var s *testServer
+			salts := make(chan string, 3)
+			setWalls := func(version uint64, isolated []string) {
+				list := singleRoute(routes.Streaming, 2)
+				list[0].Resumable = row.resumable
+				s.setCustomers(version, list, isolated)
+			}
+			wait := firstThen(func(c net.Conn, r *http.Request) {
+				setWalls(30, row.after)
+				time.Sleep(wallGrace + 300*time.Millisecond)
+				respondStream(lastChunk, "1")(c, r)
+			}, respondStream(lastChunk, "1"))
+			answer := func(c net.Conn, r *http.Request) {
+				salts <- r.Header.Get(headerSalt)
+				wait(c, r)
+			}
+			s = newTestServer(t, singleRoute(routes.Streaming, 2), answer, answer)
+			s.useEngines(nil)
+			s.gateway.Copier = nil
+			s.gateway.State.SetLoading("i-1", false)
+			setWalls(20, row.before)
+			if _, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part")); err != nil || body != "id: 1\ndata: 1\n\n" {
+				t.Fatalf("got %q, error %v", body, err)
+			}
+			if got := s.requestCount(); got != row.sent {
+				t.Fatalf("got %d attempts, want %d", got, row.sent)
+			}
+			if first := <-salts; row.sent == 2 && first == <-salts {
+				t.Errorf("both attempts have salt %q", first)
+			}
+		})
+	}
+}
+
 // TestMovedRunSharesWithNoneAfterNewWalls guards against context that a run brings along across a wall: one that goes on
 // after a wall was raised neither keeps it for others nor reads theirs.
 func TestMovedRunSharesWithNoneAfterNewWalls(t *testing.T) {
