discovery: an isolated customer that is deleted is named in the log

What operators saw: a customer that was isolated and then deleted stood under shared_again in "walls between customers changed". It is the one case that the salt can't hold: the configuration no longer says that it was isolated.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -199,8 +199,8 @@
 // recordWalls wakes those who wait on WallsRaised, and tells operators which customers were isolated or share context again. All context that others shared before is
 // of no use then.
 func (s *State) recordWalls(t, old *routes.Table) {
-	isolated, shared := t.WallsChanged(old)
-	if len(isolated)+len(shared) == 0 {
+	isolated, shared, deleted := t.WallsChanged(old)
+	if len(isolated)+len(shared)+len(deleted) == 0 {
 		return
 	}
 	s.wallChanges.Add(1)
@@ -213,7 +213,7 @@
 		return text[:min(len(text), loggedNames)]
 	}
 	s.Log.Info("walls between customers changed", zap.Uint64("version", t.Version), zap.String("isolated", names(isolated)),
-		zap.String("shared_again", names(shared)), zap.String("sharing_group", t.SharingGroup(nil)), zap.String("before", old.SharingGroup(nil)))
+		zap.String("shared_again", names(shared)), zap.String("deleted", names(deleted)), zap.String("sharing_group", t.SharingGroup(nil)), zap.String("before", old.SharingGroup(nil)))
 }
 
 // WallsRaised returns a channel that is closed when a configuration that isolates a customer comes into force.
--- a/internal/coordination/discovery/walls_test.go
+++ b/internal/coordination/discovery/walls_test.go
@@ -18,8 +18,8 @@
 	core, lines := observer.New(zapcore.InfoLevel)
 	s := NewState(fleet.Member{ID: "self"}, zap.New(core), time.Now(), func(*routes.Table) {})
 	for i, customers := range [][]routes.Customer{
-		{{Name: "a"}, {Name: "b", Isolated: true}},
-		{{Name: "a"}, {Name: "b", Isolated: true}, {Name: "c"}},
+		{{Name: "a"}, {Name: "b", Isolated: true}, {Name: "d", Isolated: true}},
+		{{Name: "a"}, {Name: "b", Isolated: true}, {Name: "c"}, {Name: "d", Isolated: true}},
 		{{Name: "a", Isolated: true}, {Name: "b"}, {Name: "c"}},
 	} {
 		s.SetRoutes(routes.New(uint64(i+1), uint64(i+1), nil, nil, customers, routes.Limits{}))
@@ -29,7 +29,7 @@
 		t.Fatalf("got %d lines, %d changes and %d isolated, want one of each", len(changes), s.WallChanges(), s.IsolatedCustomers())
 	}
 	fields := changes[0].ContextMap()
-	if fields["isolated"] != "a" || fields["shared_again"] != "b" || fields["sharing_group"] == fields["before"] {
+	if fields["isolated"] != "a" || fields["shared_again"] != "b" || fields["deleted"] != "d" || fields["sharing_group"] == fields["before"] {
 		t.Errorf("got %v", fields)
 	}
 }
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -150,7 +150,7 @@
 	for {
 		changed, walls := x.g.State.NamingsChanged(), x.g.State.WallsRaised()
 		if shared != nil && wallEnd == nil {
-			if isolated, _ := x.g.State.Routes().WallsChanged(shared); len(isolated) > 0 {
+			if isolated, _, _ := x.g.State.Routes().WallsChanged(shared); len(isolated) > 0 {
 				wallEnd = time.After(wallGrace)
 			}
 		}
--- a/internal/state/routes/sharing.go
+++ b/internal/state/routes/sharing.go
@@ -73,10 +73,18 @@
 // Isolated returns, sorted, the names of the customers that share no context.
 func (t *Table) Isolated() []string { return slices.Sorted(maps.Keys(t.sharing.isolated)) }
 
-// WallsChanged returns the names of the customers that share no context in this table but did in
-// an earlier one, and of those that did not share any in the earlier one but do in this.
-func (t *Table) WallsChanged(earlier *Table) (isolated, shared []string) {
-	return missingIn(earlier.sharing.isolated, t.Isolated()), missingIn(t.sharing.isolated, earlier.Isolated())
+// WallsChanged returns the names of the customers that share no context in this table but did in an
+// earlier one, of those that did not share any in the earlier one but do in this, and of those that
+// did not and are no longer customers.
+func (t *Table) WallsChanged(earlier *Table) (isolated, shared, deleted []string) {
+	for _, name := range missingIn(t.sharing.isolated, earlier.Isolated()) {
+		if slices.ContainsFunc(t.customers, func(c Customer) bool { return c.Name == name }) {
+			shared = append(shared, name)
+		} else {
+			deleted = append(deleted, name)
+		}
+	}
+	return missingIn(earlier.sharing.isolated, t.Isolated()), shared, deleted
 }
 
 // missingIn returns the names that a set does not contain.
--- a/internal/state/routes/sharing_cost_test.go
+++ b/internal/state/routes/sharing_cost_test.go
@@ -52,6 +52,8 @@
 	return !known
 }
 
+func joinIsolated(c map[string]bool, name string) bool { return join(c, name) && isolate(c, name) }
+
 func leave(c map[string]bool, name string) bool {
 	_, known := c[name]
 	delete(c, name)
@@ -202,7 +204,11 @@
 			return !c[name] && leave(c, name)
 		}}, 0},
 		{"customers isolated and shared again", []func(map[string]bool, string) bool{isolate, share}, 1200},
-		{"all of these and isolated ones that leave", []func(map[string]bool, string) bool{isolate, share, join, leave}, 1200},
+		{"isolated customers join and leave", []func(map[string]bool, string) bool{
+			joinIsolated, func(c map[string]bool, name string) bool { return c[name] && leave(c, name) },
+		}, 1200},
+		{"all but isolated customers that join", []func(map[string]bool, string) bool{isolate, share, join, leave}, 1200},
+		{"all of these", []func(map[string]bool, string) bool{isolate, share, join, joinIsolated, leave}, 1200},
 	} {
 		costs, least, all := make([]int, len(ways)), 0, 0
 		for seed := range uint64(days) {
--- a/internal/state/routes/sharing_test.go
+++ b/internal/state/routes/sharing_test.go
@@ -80,8 +80,8 @@
 
 // TestWallsChanged guards against operators who are told of the wrong walls.
 func TestWallsChanged(t *testing.T) {
-	isolated, shared := tableOf(2, "a", "B", "c", "D").WallsChanged(tableOf(1, "A", "b", "c", "D"))
-	if !slices.Equal(isolated, []string{"b"}) || !slices.Equal(shared, []string{"a"}) {
-		t.Errorf("got isolated %v and shared again %v, want b and a", isolated, shared)
+	isolated, shared, deleted := tableOf(2, "a", "B", "c", "D").WallsChanged(tableOf(1, "A", "b", "c", "D", "E", "f"))
+	if !slices.Equal(isolated, []string{"b"}) || !slices.Equal(shared, []string{"a"}) || !slices.Equal(deleted, []string{"e"}) {
+		t.Errorf("got isolated %v, shared again %v and deleted %v, want b, a and e", isolated, shared, deleted)
 	}
 }
