rpc: a closing connection takes no pause of its own for silence

A stopped agent or entry reset connections whose peer still read: the peer's callers lost the end of streams that the server counts as whole.

Cause, of the same class as in ingress: the server waited for bytes that the peer sends, and a timer gave it up after a time without any. Two things make a peer that reads look quiet: - it reads on and sends nothing for as long, as window updates come only once per quarter of a window; - the server itself was paused. Its timer has then expired before it reads what arrived meanwhile.

The peer's acknowledgments now count too, and what gives it up is ten checks in a row that find it quiet, not a time: a paused process makes no checks. As before, the wait as a whole is bounded by the server's stop.

--- a/internal/transport/rpc/linger.go
+++ b/internal/transport/rpc/linger.go
@@ -4,10 +4,17 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
+// quietChecks is how often in a row a closing connection's peer must be found quiet before it is given up. Checks are
+// counted, not time: in a time for which this process itself was paused, the peer cannot be found quiet.
+const quietChecks = 10
+
 // Linger wraps a server's listener so that its connections close without a reset. One whose peer is quiet for a
-// while is given up: a peer that still reads tells so in window updates.
+// while is given up: a peer that still reads acknowledges, and sends window updates.
 //
 // When a server has been stopped gracefully, grpc gives a connection one second after its last
 // write and closes it. A peer that is further behind goes on sending window updates. They meet a
@@ -40,18 +47,20 @@
 	quiet time.Duration
 
 	mu sync.Mutex
-	// end closes the connection if nobody else does, nil before the first Close.
-	end *time.Timer
+	// check runs the next check of the peer, nil before the first Close.
+	check *time.Timer
+	// unacknowledged is the number of bytes that the peer's kernel had yet to acknowledge at the last check.
+	unacknowledged int
+	// quietFor counts the checks since the peer last acknowledged or sent anything.
+	quietFor int
 }
 
 // Read implements net.Conn. Under TLS only the first Close arrives, so the peer's end must do.
 func (c *lingerConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	c.mu.Lock()
-	lingers := c.end != nil
-	if lingers && err == nil {
-		c.end.Reset(c.quiet)
-	}
+	c.quietFor = 0
+	lingers := c.check != nil
 	c.mu.Unlock()
 	if lingers && err != nil {
 		c.Close()
@@ -63,10 +72,42 @@
 func (c *lingerConn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.end != nil {
-		c.end.Stop()
+	if c.check != nil {
+		c.check.Stop()
 		return c.TCPConn.Close()
 	}
-	c.end = time.AfterFunc(c.quiet, func() { c.TCPConn.Close() })
-	return c.TCPConn.CloseWrite()
+	c.quietFor = 0
+	err := c.TCPConn.CloseWrite()
+	c.unacknowledged, _ = c.unacknowledgedBytes()
+	c.check = time.AfterFunc(c.quiet/quietChecks, c.checkPeer)
+	return err
+}
+
+// checkPeer closes the connection once the peer has been quiet for long enough.
+func (c *lingerConn) checkPeer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quietFor++
+	left, err := c.unacknowledgedBytes()
+	if left < c.unacknowledged {
+		c.quietFor, c.unacknowledged = 0, left
+	}
+	if err != nil || c.quietFor >= quietChecks {
+		c.TCPConn.Close()
+		return
+	}
+	c.check.Reset(c.quiet / quietChecks)
+}
+
+// unacknowledgedBytes returns how many bytes, the end of the sending side among them, the peer's kernel has yet to
+// acknowledge.
+func (c *lingerConn) unacknowledgedBytes() (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if failed := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); failed != nil {
+		err = failed
+	}
+	return n, errors.Trace(err)
 }
