runs: going on after an agent was found gone needs no retry budget

The reason is that of an agent's own stop: each of the runs that an agent had ends so once, and an agent that was found gone is sent no others, so the additional load is bounded by what it had. If the verdict was wrong, the run's cancellation frees its place there. maxAttempts bounds the tries as before, and a connection that broke still spends budget, as its agent is sent further requests.

--- a/internal/coordination/runs/agentstop_test.go
+++ b/internal/coordination/runs/agentstop_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"limpetwall/internal/protocol/wire"
+	"limpetwall/internal/state/fleet"
 )
 
 // TestRunsCutByAStoppingAgentGoOn guards against streams that callers lose because an agent that stops has cut more runs at once
@@ -59,3 +63,62 @@
 		})
 	}
 }
+
+// TestRunsAtAGoneAgentGoOn guards against streams that callers lose because an agent that vanished, restarted or was wrongly found
+// dead had more runs at once than the retry budget allows, although another agent could go on with each.
+func TestRunsAtAGoneAgentGoOn(t *testing.T) {
+	const runs = 60
+	for name, end := range map[string]func(m *fleet.Member){
+		"dead":      func(m *fleet.Member) { m.State = fleet.Dead },
+		"restarted": func(m *fleet.Member) { m.Incarnation++ },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, fake := newRunner(t, 2, func(_ int, q *wire.RunRequest) []*wire.RunEvent {
+				if len(q.GetPrompt().GetResumeTokens()) > 0 {
+					return []*wire.RunEvent{eventFor(q, started()), eventFor(q, tokens(2, "c")), eventFor(q, finished(3))}
+				}
+				return []*wire.RunEvent{eventFor(q, started()), eventFor(q, tokens(0, "a", "b"))}
+			})
+			fake.hangs = func(q *wire.RunRequest) bool { return len(q.GetPrompt().GetResumeTokens()) == 0 }
+			r.Budget = NewRetryBudget(0, 0)
+			change := func(id string, apply func(m *fleet.Member)) {
+				m, _ := r.Table.Get(id)
+				apply(&m)
+				m.Version++
+				r.Table.Merge(m, time.Now())
+			}
+			// The runs begin at one agent, and the other can go on with them.
+			change("agent-1", func(m *fleet.Member) { m.State = fleet.Dead })
+			var waiting sync.WaitGroup
+			var lost, ended atomic.Int32
+			begun := make(chan struct{}, runs)
+			for range runs {
+				waiting.Go(func() {
+					defer ended.Add(1)
+					sink := &callbackSink{}
+					sink.onToken = func() {
+						if len(sink.tokens) == 0 {
+							begun <- struct{}{}
+						}
+					}
+					if _, err := r.Run(t.Context(), promptJob(), sink); err != nil || strings.Join(sink.tokens, "") != "abc" {
+						lost.Add(1)
+					}
+				})
+			}
+			for range runs {
+				<-begun
+			}
+			change("agent-1", func(m *fleet.Member) { m.State = fleet.Alive })
+			change("agent-0", end)
+			for ended.Load() < runs {
+				r.cancelAtGoneMembers(time.Now().Add(goneIdleTimeout))
+				time.Sleep(time.Millisecond)
+			}
+			waiting.Wait()
+			if n := lost.Load(); n > 0 {
+				t.Errorf("lost %d of %d streams of a gone agent", n, runs)
+			}
+		})
+	}
+}
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -104,7 +104,7 @@
 	case errors.Is(cause, errHedgeLost):
 		return hedgeLostOutcome()
 	case errors.Is(cause, errEndpointGone):
-		out.code, out.message = "endpoint_gone", cause.Error()
+		out.code, out.message, out.cause = "endpoint_gone", cause.Error(), cause
 	case cause != nil:
 		// The caller left, the deadline passed or this entry stops: the endpoint did not fail.
 		out.endpointFailed, out.message = false, cause.Error()
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"limpetwall/internal/coordination/quarantine"
@@ -170,7 +171,7 @@
 		// service whose only endpoint fails would drain it without making a retry, and callers
 		// of other services would get errors that a retry could have avoided. From here on the
 		// retry is made.
-		if number > 1 && !last.isStopOfEndpoint() && !r.Budget.Spend() {
+		if number > 1 && last.needsRetryBudget() && !r.Budget.Spend() {
 			r.Directory.Release(choice)
 			return Result{}, last.retryLaterError(p, "the retry budget is used up")
 		}
@@ -218,10 +219,11 @@
 	crashedIncarnation uint64
 }
 
-// isStopOfEndpoint reports whether the agent said that it stops. Each of its runs ends so once, and it
-// takes no others: going on elsewhere needs no retry budget.
-func (o *outcome) isStopOfEndpoint() bool {
-	return o.refused && (o.code == codeCut || o.code == codeLeaving)
+// needsRetryBudget reports whether the attempt after this outcome spends retry budget. None is spent if the agent said
+// that it stops, or if membership found it gone: each of its runs ends so once, and it is sent no others.
+func (o *outcome) needsRetryBudget() bool {
+	isStop := o.refused && (o.code == codeCut || o.code == codeLeaving)
+	return !isStop && !errors.Is(o.cause, errEndpointGone)
 }
 
 func (o *outcome) result(number uint32, c routing.Choice) Result {
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -38,6 +38,8 @@
 	silentAttempt uint32
 	arrived       chan struct{}
 	ended         chan uint32
+	// hangs reports whether a call gets nothing after the events of its script until its context ends; nil if none does.
+	hangs func(r *wire.RunRequest) bool
 }
 
 func (f *fakeAgent) callCount() int {
@@ -62,6 +64,9 @@
 			return err
 		}
 	}
+	if f.hangs != nil && f.hangs(r) {
+		<-s.Context().Done()
+	}
 	return nil
 }
 
