runs: a stream is not given up while its connection still delivers

An entry that lags behind gave up streams of an agent that had stopped in order, or was wrongly found dead, although what they waited for was under way: an attempt at a gone member was canceled once it had been without an event for two seconds itself.

The attempts at one life of a member share a connection, and events of one may lie behind those of others. Such an attempt is now canceled when neither it nor another at that life of the member has had an event for two seconds. When a host vanishes nothing arrives for any of them, so they are given up as soon as before. Arrivals count, not deliveries: a caller that does not read keeps none of the others waiting.

TestIdleAttemptBesideArrivingAnswer fails before ("got canceled true, want false") and passes after. Processes that starve still take each other for dead; a stream whose whole connection stands for two seconds at such a verdict goes on elsewhere.

--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return a.brokenOutcome(ctx, err)
 		}
-		a.idle.end()
+		a.idle.end(time.Now())
 		if out := a.handle(event); out != nil {
 			return out
 		}
--- a/internal/coordination/runs/liveness.go
+++ b/internal/coordination/runs/liveness.go
@@ -24,6 +24,8 @@
 	// since is zero while an event is being delivered to the caller: whether others have arrived
 	// after it is not known.
 	since time.Time
+	// arrived is when the last event arrived, zero before the first.
+	arrived time.Time
 }
 
 func (t *idleTracker) begin(now time.Time) {
@@ -32,7 +34,18 @@
 	t.since = now
 }
 
-func (t *idleTracker) end() { t.begin(time.Time{}) }
+// end records that an event has arrived.
+func (t *idleTracker) end(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.since, t.arrived = time.Time{}, now
+}
+
+func (t *idleTracker) lastArrival() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.arrived
+}
 
 // duration returns how long the attempt has waited.
 func (t *idleTracker) duration(now time.Time) time.Duration {
@@ -88,19 +101,22 @@
 	}
 }
 
-// cancelAtGoneMembers cancels the attempts at gone members that have been idle for goneIdleTimeout.
-// It returns the time until the next of them can have been idle for that long, 0 if none is left.
+// cancelAtGoneMembers cancels the attempts at gone members that have been idle for goneIdleTimeout, and whose members have
+// sent nothing to others either.
+// It returns the time until that can be so for the next of them, 0 if none is left.
 func (r *Runner) cancelAtGoneMembers(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var next time.Duration
 	for id, set := range r.attemptsByMember {
 		m, known := r.Table.Get(id)
+		arrivals := lastArrivals(set)
 		for a := range set {
 			if known && m.State != fleet.Dead && m.Incarnation == a.choice.Member.Incarnation {
 				continue
 			}
-			wait := goneIdleTimeout - a.idle.duration(now)
+			idle := min(a.idle.duration(now), now.Sub(arrivals[a.choice.Member.Incarnation]))
+			wait := goneIdleTimeout - idle
 			if wait <= 0 {
 				a.cancel(errEndpointGone)
 			} else if next == 0 || wait < next {
@@ -110,3 +126,16 @@
 	}
 	return next
 }
+
+// lastArrivals returns when the last event has arrived from each incarnation of a member. Its attempts share a
+// connection: while one of them gets events, those of the others may be behind them.
+func lastArrivals(set map[*attempt]struct{}) map[uint64]time.Time {
+	arrivals := map[uint64]time.Time{}
+	for a := range set {
+		incarnation, at := a.choice.Member.Incarnation, a.idle.lastArrival()
+		if at.After(arrivals[incarnation]) {
+			arrivals[incarnation] = at
+		}
+	}
+	return arrivals
+}
--- a/internal/coordination/runs/liveness_test.go
+++ b/internal/coordination/runs/liveness_test.go
@@ -90,7 +90,7 @@
 			r.register(a)
 			a.idle.begin(now.Add(-row.idle))
 			if row.idle == 0 {
-				a.idle.end()
+				a.idle.end(now)
 			}
 			if row.dead {
 				markAgentsDead(r, now)
@@ -105,6 +105,56 @@
 	}
 }
 
+// TestIdleAttemptBesideArrivingAnswer guards against streams that are given up at a member that has stopped, or was wrongly found
+// dead, while its connection still delivers what they wait for.
+func TestIdleAttemptBesideArrivingAnswer(t *testing.T) {
+	now := time.Now()
+	for _, row := range []struct {
+		name string
+		// restarted: the other attempt is at the member's next life, over another connection.
+		restarted bool
+		// arrived is how long ago the other attempt's last event arrived.
+		arrived time.Duration
+		// delivering: the other attempt's caller has not taken that event yet.
+		delivering bool
+		cancel     bool
+		recheck    time.Duration
+	}{
+		{"the other got an event", false, goneIdleTimeout / 4, false, false, goneIdleTimeout * 3 / 4},
+		{"the other is as idle", false, goneIdleTimeout, false, true, 0},
+		{"the other's caller does not read", false, time.Minute, true, true, goneIdleTimeout},
+		{"the other's is another connection", true, goneIdleTimeout / 4, false, true, goneIdleTimeout * 3 / 4},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			r, _ := newRunner(t, 1, nil)
+			member, _ := r.Table.Get("agent-0")
+			attemptAt := func(m fleet.Member, arrived time.Time) (context.Context, *attempt) {
+				ctx, cancel := context.WithCancelCause(t.Context())
+				a := &attempt{choice: routing.Choice{Member: m}, cancel: cancel}
+				r.register(a)
+				a.idle.end(arrived)
+				a.idle.begin(arrived)
+				return ctx, a
+			}
+			ctx, _ := attemptAt(member, now.Add(-goneIdleTimeout))
+			if row.restarted {
+				member.Incarnation++
+			}
+			_, other := attemptAt(member, now.Add(-row.arrived))
+			if row.delivering {
+				other.idle.end(now.Add(-row.arrived))
+			}
+			markAgentsDead(r, now)
+			if recheck := r.cancelAtGoneMembers(now); recheck != row.recheck {
+				t.Errorf("got a recheck after %v, want %v", recheck, row.recheck)
+			}
+			if canceled := errors.Is(context.Cause(ctx), errEndpointGone); canceled != row.cancel {
+				t.Errorf("got canceled %v, want %v", canceled, row.cancel)
+			}
+		})
+	}
+}
+
 // TestWatchMembershipCancelsIdleAttempt guards against an attempt that is not checked again after the
 // check at which it had not been idle for long enough.
 func TestWatchMembershipCancelsIdleAttempt(t *testing.T) {
