e2e: a fault before the first token is one before the first token

The test finds the busy engine by polling and then has what is left of 0.2 s of prefill to pause its agent. On a machine that is slower the stream has begun, and a stream that has begun is not hedged but given up once its agent is found dead.

The test now asks the engine after the fault whether it has stored the prompt's context, which it does at the end of its prefill, and begins again with a new site if so, five times at most. The prompt of these cases is therefore a whole piece of context long, its prefill still 0.2 s; checks and bounds are as before.

--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -99,18 +99,38 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t)
-			s.streamSite(3, "-token-time", "30ms", "-prefill-rate", "4000")
-			prompt := "describe: " + strings.Repeat("oak ", 800) // 0.2 s of prefill
-			result, first := make(chan answer, 1), make(chan struct{})
-			go func() {
-				result <- s.follow(http.MethodPost, s.url("entry-1", "/v1/completions"), customerKey, nil, completionBody(prompt, tokens), func() { close(first) })
-			}()
-			engine := s.busyEngine()
-			if !c.before {
-				<-first
+			// 0.2 s of prefill.
+			words, rate := 800, "4000"
+			if c.before {
+				// A prompt with a whole piece of context, which the engine stores at the end of its prefill.
+				words, rate = 2400, "12000"
+			}
+			prompt := "describe: " + strings.Repeat("oak ", words)
+			var s *site
+			var result chan answer
+			for try := 1; ; try++ {
+				s = newSite(t)
+				s.streamSite(3, "-token-time", "30ms", "-prefill-rate", rate)
+				result = make(chan answer, 1)
+				first := make(chan struct{})
+				go func() {
+					result <- s.follow(http.MethodPost, s.url("entry-1", "/v1/completions"), customerKey, nil, completionBody(prompt, tokens), func() { close(first) })
+				}()
+				engine := s.busyEngine()
+				if !c.before {
+					<-first
+				}
+				c.fault(s, strings.Replace(engine, "engine", "agent", 1), engine)
+				if !c.before || !s.prefilled(engine) {
+					break
+				}
+				// On a machine that is slow to break things the stream had begun before the fault.
+				if try == 5 {
+					t.Fatal("the fault came too late in all tries")
+				}
+				t.Logf("the fault came too late in try %d", try)
+				s.end()
 			}
-			c.fault(s, strings.Replace(engine, "engine", "agent", 1), engine)
 			a := <-result
 			text, whole := streamedText(a.body)
 			want := strings.Join(standin.Answer(prompt, "v1", 7, tokens), "")
@@ -150,6 +170,12 @@
 	return name
 }
 
+// prefilled reports whether an engine has computed a prompt: it may have sent tokens. One that does not answer has not.
+func (s *site) prefilled(engine string) bool {
+	a := s.try(http.MethodGet, "http://"+s.procs[engine].listen+"/events?after=0", "", nil, "")
+	return a.err == nil && strings.Contains(a.body, `"stored":true`)
+}
+
 // TestLeavingEndpointGetsNoNewWork marks a host as leaving, then tells an agent
 // to stop.
 //
