runs: an entry's own pause is not an agent's idle time

An entry that was paused gave up streams, at the moment at which it went on, at each member that its table held for dead or that others had found dead meanwhile: by the clock nothing had arrived for two seconds, but it had read nothing in that time.

Attempts are now checked every 250 ms. If more than a second lies between two checks, this process was paused, and the two seconds begin anew. What arrived meanwhile is then read first; a vanished host is given up two seconds after the pause.

Found by reading, when the cut streams of TestGracefulStopCutsNothing were traced; not seen in its logs. TestPauseIsNotIdleTime fails before (canceled at the first check) and passes after, three runs with the race detector. The e2e tests pass once, and TestGracefulStopCutsNothing 6 of 6 times with the race detector, two copies at a time on three cores.

--- a/internal/coordination/runs/liveness.go
+++ b/internal/coordination/runs/liveness.go
@@ -18,6 +18,13 @@
 // has stopped but whose answer is still arriving.
 const goneIdleTimeout = 2 * time.Second
 
+// Attempts are checked every goneCheckInterval. After a longer time than pausedAfter between two checks this process was
+// paused itself: what arrived meanwhile has not been read, so the idle time begins anew.
+const (
+	goneCheckInterval = goneIdleTimeout / 8
+	pausedAfter       = goneIdleTimeout / 2
+)
+
 // idleTracker records since when an attempt has waited for its endpoint's next event.
 type idleTracker struct {
 	mu sync.Mutex
@@ -88,13 +95,13 @@
 func (r *Runner) WatchMembership(ctx context.Context) {
 	for {
 		changed := r.Table.Changed()
-		var recheck <-chan time.Time
-		if wait := r.cancelAtGoneMembers(time.Now()); wait > 0 {
-			recheck = time.After(wait)
+		wait := goneCheckInterval
+		if left := r.cancelAtGoneMembers(time.Now()); left > 0 {
+			wait = min(wait, left)
 		}
 		select {
 		case <-changed:
-		case <-recheck:
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
@@ -107,6 +114,10 @@
 func (r *Runner) cancelAtGoneMembers(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.lastCheck.IsZero() && now.Sub(r.lastCheck) > pausedAfter {
+		r.resumedAt = now
+	}
+	r.lastCheck = now
 	var next time.Duration
 	for id, set := range r.attemptsByMember {
 		m, known := r.Table.Get(id)
@@ -115,7 +126,7 @@
 			if known && m.State != fleet.Dead && m.Incarnation == a.choice.Member.Incarnation {
 				continue
 			}
-			idle := min(a.idle.duration(now), now.Sub(arrivals[a.choice.Member.Incarnation]))
+			idle := min(a.idle.duration(now), now.Sub(arrivals[a.choice.Member.Incarnation]), now.Sub(r.resumedAt))
 			wait := goneIdleTimeout - idle
 			if wait <= 0 {
 				a.cancel(errEndpointGone)
--- a/internal/coordination/runs/liveness_test.go
+++ b/internal/coordination/runs/liveness_test.go
@@ -155,6 +155,46 @@
 	}
 }
 
+// TestPauseIsNotIdleTime guards against streams that are given up at once by an entry that was paused itself, before it has read
+// what arrived meanwhile.
+func TestPauseIsNotIdleTime(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// sinceCheck is the time between the last check and the one that finds the member dead.
+		sinceCheck time.Duration
+		cancel     bool
+		recheck    time.Duration
+	}{
+		{"not paused", goneCheckInterval, true, 0},
+		{"paused", time.Minute, false, goneIdleTimeout},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			r, _ := newRunner(t, 1, nil)
+			member, _ := r.Table.Get("agent-0")
+			ctx, cancel := context.WithCancelCause(t.Context())
+			a := &attempt{choice: routing.Choice{Member: member}, cancel: cancel}
+			r.register(a)
+			now := time.Now()
+			a.idle.begin(now.Add(-time.Minute))
+			r.cancelAtGoneMembers(now.Add(-row.sinceCheck))
+			markAgentsDead(r, now)
+			if recheck := r.cancelAtGoneMembers(now); recheck != row.recheck {
+				t.Errorf("got a recheck after %v, want %v", recheck, row.recheck)
+			}
+			if canceled := errors.Is(context.Cause(ctx), errEndpointGone); canceled != row.cancel {
+				t.Errorf("got canceled %v, want %v", canceled, row.cancel)
+			}
+			for at := now; at.Before(now.Add(goneIdleTimeout)); {
+				at = at.Add(goneCheckInterval)
+				r.cancelAtGoneMembers(at)
+			}
+			if !errors.Is(context.Cause(ctx), errEndpointGone) {
+				t.Error("the attempt is not canceled when nothing has arrived after the pause either")
+			}
+		})
+	}
+}
+
 // TestWatchMembershipCancelsIdleAttempt guards against an attempt that is not checked again after the
 // check at which it had not been idle for long enough.
 func TestWatchMembershipCancelsIdleAttempt(t *testing.T) {
--- a/internal/coordination/runs/runs.go
+++ b/internal/coordination/runs/runs.go
@@ -100,6 +100,9 @@
 
 	mu               sync.Mutex
 	attemptsByMember map[string]map[*attempt]struct{}
+	// lastCheck is when the attempts at gone members were last looked for, resumedAt when that was late because this process
+	// was paused.
+	lastCheck, resumedAt time.Time
 }
 
 // progress is what the caller has received so far. Only the attempt that owns it writes to it;
