--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return a.brokenOutcome(ctx, err)
 		}
-		a.idle.end()
+		a.idle.end(time.Now())
 		if out := a.handle(event); out != nil {
 			return out
 		}
@@ -104,7 +104,7 @@
 	case errors.Is(cause, errHedgeLost):
 		return hedgeLostOutcome()
 	case errors.Is(cause, errEndpointGone):
-		out.code, out.message = "endpoint_gone", cause.Error()
+		out.code, out.message, out.cause = "endpoint_gone", cause.Error(), cause
 	case cause != nil:
 		// The caller left, the deadline passed or this entry stops: the endpoint did not fail.
 		out.endpointFailed, out.message = false, cause.Error()
