originstore: a large write no longer delays the small ones after it

Callers that took streams up after a loss of all gateways were refused though the streams were seconds old, where few gateways begin many streams.

Cause: the large object takes 14 KB on the wire at 96 streams a second of 10 s, and was charged 8 KiB when it was written, against the 2 KB a second that a process earns apart from its streams. What its streams earned beyond the cost of a small write was dropped. At 16 streams a second of 4 minutes the cap on the charge also let a process write 1,645,592 bytes where 1,619,712 are allowed.

Fix: a budget keeps what streams earn, and each small write is charged twice, the second time for the next large one. The large one is written once the small ones since have cost as much, which is also where both together cost least. golang.org/x/time/rate is not used here any more.

--- a/internal/coordination/originstore/archive.go
+++ b/internal/coordination/originstore/archive.go
@@ -10,7 +10,6 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/transport/objectapi"
@@ -25,17 +24,14 @@
 	// processes: 200 a second, half of what a store takes.
 	minInterval   = 200 * time.Millisecond
 	fleetInterval = 5 * time.Millisecond
-	// writeBytes is what a process writes at most, in bytes per second on the wire, or streamBytes for each stream that begins if
-	// that is more. writeBurst is what it may write at once, and wireFactor the size on the wire of a byte of the value: the
-	// store's form encodes it once more.
+	// writeBytes is what a process writes at most, in bytes per second on the wire, with streamBytes more for each stream that
+	// begins. writeBurst is what it may write at once, and wireFactor the size on the wire of a byte of the value: the store's form
+	// encodes it once more. A write waits maxWait for bytes at most.
 	writeBytes  = 2 << 10
 	streamBytes = 150
 	writeBurst  = 8 << 10
 	wireFactor  = 1.35
-	// maxRecent is the number of streams in the small object from which the large one is written anew, and maxRecentShare the
-	// same as a share of those in the large one, if that is more.
-	maxRecent      = 40
-	maxRecentShare = 0.25
+	maxWait     = 4 * time.Second
 	// minListInterval is the shortest time between two lists of a process. Each list holds the origins of all processes, so
 	// the interval grows with the square of their number: all lists together are some 2 MB a second. Fleets of more than
 	// maxListHosts rely on the objects that each process reads at its start.
@@ -67,7 +63,7 @@
 	// all holds all open streams, as of its last write, and recent those that began since: most writes are small. Only Run's
 	// goroutine uses these and what follows.
 	all, recent object
-	budget      *rate.Limiter
+	budget      budget
 	// nextWrite is the earliest time of the next write.
 	nextWrite time.Time
 	// orphans are the objects that the last sweep found without a host.
@@ -96,7 +92,7 @@
 func (a *Archive) Run(ctx context.Context) {
 	ticker := time.NewTicker(minInterval)
 	defer ticker.Stop()
-	a.all, a.recent, a.budget = object{key: keyOf(a.Self)}, object{key: recentKeyOf(a.Self)}, rate.NewLimiter(writeBytes, writeBurst)
+	a.all, a.recent, a.budget = object{key: keyOf(a.Self)}, object{key: recentKeyOf(a.Self)}, newBudget(time.Now())
 	isRead, era := false, a.Store.Eras().Current()
 	started, nextRead := time.Now(), time.Time{}
 	lastSweep, answersFor := started, map[netip.Addr]bool{}
@@ -226,22 +222,19 @@
 	target, content := &a.recent, recent
 	switch {
 	case len(records) == 0 && len(a.recent.streams) > 0:
-	case len(records) == 0 && len(a.all.streams) > 0, missing > 0 && len(recent) > max(maxRecent, int(maxRecentShare*float64(len(a.all.streams)))):
+	case len(records) == 0 && len(a.all.streams) > 0, missing > 0 && a.budget.paysForLarge(len(recent), len(records)):
 		target, content = &a.all, records
 	case missing == 0:
 		return true
 	}
-	a.nextWrite = time.Now().Add(max(minInterval, time.Duration(processes)*fleetInterval))
+	began, interval := time.Now(), max(minInterval, time.Duration(processes)*fleetInterval)
+	a.nextWrite = began.Add(interval)
 	size, err := a.write(ctx, target, content)
 	if err != nil {
 		metrics.GetOrRegisterCounter("gateway.streams.origin_writes_failed", a.Metrics).Inc(1)
 		return false
 	}
-	now := time.Now()
-	cost := max(0, int(wireFactor*float64(size))-streamBytes*missing)
-	if delay := a.budget.ReserveN(now, min(cost, writeBurst)).DelayFrom(now); now.Add(delay).After(a.nextWrite) {
-		a.nextWrite = now.Add(delay)
-	}
+	a.nextWrite = a.budget.charge(began, time.Now(), size, missing, target == &a.all, interval)
 	metrics.GetOrRegisterCounter("gateway.streams.origin_writes", a.Metrics).Inc(1)
 	metrics.GetOrRegisterGauge("gateway.streams.origins_stored", a.Metrics).Update(int64(len(records)))
 	return true
--- a/internal/coordination/originstore/archive_test.go
+++ b/internal/coordination/originstore/archive_test.go
@@ -248,6 +248,122 @@
 	}
 }
 
+// slowStore is a store whose calls take storeDelay. It notes when each write began and its size, and when each stream was first stored.
+type slowStore struct {
+	*standin.Store
+	began  []time.Time
+	sizes  []int
+	stored map[streamorigin.Key]time.Time
+}
+
+const storeDelay = 20 * time.Millisecond
+
+func (s *slowStore) Put(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	s.began, s.sizes = append(s.began, time.Now()), append(s.sizes, len(value))
+	time.Sleep(storeDelay)
+	o, err := s.Store.Put(ctx, key, value, version)
+	if err != nil {
+		return o, err
+	}
+	records, err := decode(value)
+	for _, record := range records {
+		if _, ok := s.stored[record.Stream]; !ok {
+			s.stored[record.Stream] = time.Now()
+		}
+	}
+	return o, err
+}
+
+// delays is what measureDelays has measured.
+type delays struct {
+	// interval is the shortest time between two writes, worst how long after it began a stream was stored at the latest.
+	interval, worst time.Duration
+	// bytes is what was written on the wire, allowed what may be.
+	bytes, allowed float64
+}
+
+// measureDelays lets streams begin at one process of a fleet.
+func measureDelays(t *testing.T, size, rate int, streamTime, length time.Duration) delays {
+	const moment = 10 * time.Microsecond
+	store, registry := &slowStore{Store: standin.New(), stored: map[streamorigin.Key]time.Time{}}, streamorigin.NewRegistry()
+	others := make([]netip.Addr, size-1)
+	for i := range others {
+		others[i] = netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+	}
+	a := &Archive{
+		Store: store, Origins: registry, Self: netip.MustParseAddr("10.0.0.1"), IsLeader: func() bool { return false },
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+		// As with a real clock, a moment passes between the look at the time and the write.
+		Hosts: func() []netip.Addr {
+			time.Sleep(moment)
+			return others
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Run(ctx)
+	}()
+	begun, start := map[streamorigin.Key]time.Time{}, time.Now()
+	for key := streamorigin.Key(1); time.Since(start) < length; key++ {
+		time.Sleep(time.Second / time.Duration(rate))
+		registry.ObserveVersions(versions, time.Now())
+		begun[key] = time.Now()
+		registry.Record(key, versions[key%2], time.Now())
+		time.AfterFunc(streamTime, func() { registry.End(key, true, time.Now()) })
+	}
+	time.Sleep(5 * time.Second)
+	cancel()
+	<-done
+	d := delays{interval: time.Hour, allowed: writeBurst + writeBytes*time.Since(start).Seconds() + streamBytes*float64(len(begun))}
+	for key, at := range begun {
+		stored, ok := store.stored[key]
+		if !ok {
+			t.Fatalf("stream %d was not stored", key)
+		}
+		d.worst = max(d.worst, stored.Sub(at))
+	}
+	// Every stored byte counts, with the size of the store's form.
+	for i, began := range store.began {
+		if i > 0 {
+			d.interval = min(d.interval, began.Sub(store.began[i-1]))
+		}
+		d.bytes += wireFactor * float64(store.sizes[i])
+	}
+	t.Logf("%d writes, %v apart or more, the latest %v after its stream began; %.0f bytes on the wire of %.0f",
+		len(store.began), d.interval, d.worst, d.bytes, d.allowed)
+	return d
+}
+
+// TestBytesAreSpentEvenly guards against large writes that use up the bytes of those after them, and against more bytes than a
+// process may write.
+func TestBytesAreSpentEvenly(t *testing.T) {
+	for _, row := range []struct {
+		rate               int
+		streamTime, length time.Duration
+		most               time.Duration
+	}{
+		{6 * streamRate, streamTime, 30 * time.Second, 500 * time.Millisecond},
+		{25 * streamRate, streamTime, 30 * time.Second, 500 * time.Millisecond},
+		{4, 10 * time.Minute, 12 * time.Minute, 1700 * time.Millisecond},
+		{streamRate, 4 * time.Minute, 6 * time.Minute, 2950 * time.Millisecond},
+		{6 * streamRate, time.Minute, 2 * time.Minute, 1950 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d a second of %v", row.rate, row.streamTime), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := measureDelays(t, 3, row.rate, row.streamTime, row.length)
+				if d.worst > row.most {
+					t.Errorf("a stream was stored %v after it began, want %v or less", d.worst, row.most)
+				}
+				if d.bytes > d.allowed {
+					t.Errorf("got %.0f bytes on the wire, want %.0f at most", d.bytes, d.allowed)
+				}
+			})
+		})
+	}
+}
+
 // TestStoredOriginsOfGoneHostsAreRemoved guards against objects that nobody removes after their host is gone.
 func TestStoredOriginsOfGoneHostsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
