originstore: origins are written when they are due, 182 a second in large fleets

Cause: the next write was due 200 ms after the last one began, and Run looked at the time every 200 ms. The write began a moment after the tick, so that the next tick came too early by that moment, and the one after it wrote.

Fix, as in: Run waits until the next write is due, 200 ms at most.

At 370 processes 200 writes a second were both the mean and the limit. With 5.5 ms between the writes of all processes, 2.035 s at 370, each writes ten times in those 20 s.

--- a/internal/coordination/originstore/archive.go
+++ b/internal/coordination/originstore/archive.go
@@ -21,9 +21,9 @@
 	// callTimeout bounds one call to the store.
 	callTimeout = 700 * time.Millisecond
 	// minInterval is the shortest time between two writes of a process, and fleetInterval the mean time between those of all
-	// processes: 200 a second, half of what a store takes.
+	// processes: 182 a second. Those that follow a start of all at once fit into 200 then, half of what a store takes.
 	minInterval   = 200 * time.Millisecond
-	fleetInterval = 5 * time.Millisecond
+	fleetInterval = 5500 * time.Microsecond
 	// writeBytes is what a process writes at most, in bytes per second on the wire, with streamBytes more for each stream that
 	// begins. writeBurst is what it may write at once, and wireFactor the size on the wire of a byte of the value: the store's form
 	// encodes it once more. A write waits maxWait for bytes at most.
@@ -90,8 +90,8 @@
 
 // Run keeps the origins until ctx ends.
 func (a *Archive) Run(ctx context.Context) {
-	ticker := time.NewTicker(minInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(minInterval)
+	defer timer.Stop()
 	a.all, a.recent, a.budget = object{key: keyOf(a.Self)}, object{key: recentKeyOf(a.Self)}, newBudget(time.Now())
 	isRead, era := false, a.Store.Eras().Current()
 	started, nextRead := time.Now(), time.Time{}
@@ -115,8 +115,14 @@
 			lastSweep = now
 			a.sweep(ctx)
 		}
+		// Between writes, the store's eras, hosts and streams are looked at.
+		wait := minInterval
+		if due := time.Until(a.nextWrite); due > 0 {
+			wait = min(wait, due)
+		}
+		timer.Reset(wait)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordination/originstore/archive_test.go
+++ b/internal/coordination/originstore/archive_test.go
@@ -286,6 +286,7 @@
 func measureDelays(t *testing.T, size, rate int, streamTime, length time.Duration) delays {
 	const moment = 10 * time.Microsecond
 	store, registry := &slowStore{Store: standin.New(), stored: map[streamorigin.Key]time.Time{}}, streamorigin.NewRegistry()
+	registry.ObserveVersions(versions, time.Now())
 	others := make([]netip.Addr, size-1)
 	for i := range others {
 		others[i] = netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
@@ -336,6 +337,24 @@
 	return d
 }
 
+// TestOriginsAreStoredWithinAnInterval guards against writes that are due just after a look at the time and wait for the next one.
+func TestOriginsAreStoredWithinAnInterval(t *testing.T) {
+	for _, size := range []int{1, 3, 29, 45, 370} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := measureDelays(t, size, streamRate, streamTime, 30*time.Second)
+				interval := max(minInterval, time.Duration(size)*fleetInterval)
+				if most := interval + storeDelay + time.Millisecond; d.worst > most {
+					t.Errorf("a stream was stored %v after it began, want %v or less", d.worst, most)
+				}
+				if d.interval < interval {
+					t.Errorf("a write began %v after the one before it, want %v or more", d.interval, interval)
+				}
+			})
+		})
+	}
+}
+
 // TestBytesAreSpentEvenly guards against large writes that use up the bytes of those after them, and against more bytes than a
 // process may write.
 func TestBytesAreSpentEvenly(t *testing.T) {
@@ -344,11 +363,11 @@
 		streamTime, length time.Duration
 		most               time.Duration
 	}{
-		{6 * streamRate, streamTime, 30 * time.Second, 500 * time.Millisecond},
-		{25 * streamRate, streamTime, 30 * time.Second, 500 * time.Millisecond},
-		{4, 10 * time.Minute, 12 * time.Minute, 1700 * time.Millisecond},
-		{streamRate, 4 * time.Minute, 6 * time.Minute, 2950 * time.Millisecond},
-		{6 * streamRate, time.Minute, 2 * time.Minute, 1950 * time.Millisecond},
+		{6 * streamRate, streamTime, 30 * time.Second, 300 * time.Millisecond},
+		{25 * streamRate, streamTime, 30 * time.Second, 300 * time.Millisecond},
+		{4, 10 * time.Minute, 12 * time.Minute, 1500 * time.Millisecond},
+		{streamRate, 4 * time.Minute, 6 * time.Minute, 2750 * time.Millisecond},
+		{6 * streamRate, time.Minute, 2 * time.Minute, 1750 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%d a second of %v", row.rate, row.streamTime), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
