originstore: streams that begin rarely are stored at once

Cause: a process that had nothing to write looked again after 200 ms, though a write was due.

Fix: while a service has several versions, a process that may write looks every 25 ms, and 0.1 ms less often for each open stream and host, up to 200 ms. Writes stay as far apart as before.

Evidence: - TestRareStreamsAreStoredAtOnce, 3 streams a second, calls of 20 ms.

--- a/internal/coordination/originstore/archive.go
+++ b/internal/coordination/originstore/archive.go
@@ -24,6 +24,10 @@
 	// processes: 182 a second. Those that follow a start of all at once fit into 200 then, half of what a store takes.
 	minInterval   = 200 * time.Millisecond
 	fleetInterval = 5500 * time.Microsecond
+	// minLook is how often a process that may write looks for streams that began, and lookTime what it adds for each open stream
+	// and each host: a look goes over all of them, and must not take a share of a core that matters.
+	minLook  = 25 * time.Millisecond
+	lookTime = 100 * time.Microsecond
 	// writeBytes is what a process writes at most, in bytes per second on the wire, with streamBytes more for each stream that
 	// begins. writeBurst is what it may write at once, and wireFactor the size on the wire of a byte of the value: the store's form
 	// encodes it once more. A write waits maxWait for bytes at most.
@@ -95,7 +99,7 @@
 	a.all, a.recent, a.budget = object{key: keyOf(a.Self)}, object{key: recentKeyOf(a.Self)}, newBudget(time.Now())
 	isRead, era := false, a.Store.Eras().Current()
 	started, nextRead := time.Now(), time.Time{}
-	lastSweep, answersFor := started, map[netip.Addr]bool{}
+	lastSweep, answersFor, open := started, map[netip.Addr]bool{}, 0
 	for {
 		now, hosts := time.Now(), a.Hosts()
 		if current := a.Store.Eras().Current(); current != era {
@@ -109,18 +113,15 @@
 			}
 		}
 		if isRead && !now.Before(a.nextWrite) {
-			isRead = a.writeChanges(ctx, a.Origins.OpenRecords(now), len(hosts)+1)
+			records := a.Origins.OpenRecords(now)
+			open = len(records)
+			isRead = a.writeChanges(ctx, records, len(hosts)+1)
 		}
 		if now.Sub(lastSweep) >= sweepInterval && a.IsLeader() {
 			lastSweep = now
 			a.sweep(ctx)
 		}
-		// Between writes, the store's eras, hosts and streams are looked at.
-		wait := minInterval
-		if due := time.Until(a.nextWrite); due > 0 {
-			wait = min(wait, due)
-		}
-		timer.Reset(wait)
+		timer.Reset(a.nextLook(time.Now(), open+len(hosts)))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -129,6 +130,18 @@
 	}
 }
 
+// nextLook returns the time until Run looks at the store's eras, at the hosts and, if a write is due, at the open streams again; size
+// is the number of streams and hosts.
+func (a *Archive) nextLook(now time.Time, size int) time.Duration {
+	if due := a.nextWrite.Sub(now); due > 0 {
+		return min(due, minInterval)
+	}
+	if !a.Origins.HasSeveralVersions(now) {
+		return minInterval
+	}
+	return min(minLook+time.Duration(size)*lookTime, minInterval)
+}
+
 func keyOf(host netip.Addr) string { return keyPrefix + host.String() }
 
 func recentKeyOf(host netip.Addr) string { return keyOf(host) + ".recent" }
--- a/internal/coordination/originstore/archive_test.go
+++ b/internal/coordination/originstore/archive_test.go
@@ -355,6 +355,16 @@
 	}
 }
 
+// TestRareStreamsAreStoredAtOnce guards against streams that wait for the next look though a write is due.
+func TestRareStreamsAreStoredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := measureDelays(t, 3, 3, streamTime, 30*time.Second)
+		if most := 2*minLook + storeDelay; d.worst > most {
+			t.Errorf("a stream was stored %v after it began, want %v or less", d.worst, most)
+		}
+	})
+}
+
 // TestBytesAreSpentEvenly guards against large writes that use up the bytes of those after them, and against more bytes than a
 // process may write.
 func TestBytesAreSpentEvenly(t *testing.T) {
