gateway: a run returns to a leaving source only in the time since its notice

An engine that leaves got a request 2.06 s after its notice, 2 s (drain_ms) allowed: DRAIN. A run that it held back began there 1.8 s after the notice, was stopped to be moved, and its destination rejected it.

Cause: the bound for a return counted from the moment at which the watch of the attempt found its engine draining. The watch begins with the head of the answer, so a run that waits at a leaving engine got the whole time anew.

The time now counts from when this process learned that the engine leaves. A run that begins too late to return is moved as before, without the way back: its engine soon exits and would cut it. If the gateway stops, it is not stopped and goes on where it is. With a drain_ms of 1 s no run at a leaving engine had been moved since; runs are moved there again.

--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -113,6 +113,8 @@
 	lacksModel bool
 	// draining is closed when the endpoint should have no more runs.
 	draining chan struct{}
+	// leavingSince is when this process learned that the endpoint leaves, zero unless it does.
+	leavingSince time.Time
 	// removedAt is when the entry was found missing, zero while it is listed; removedEra is the era of
 	// the store in which it was.
 	removedAt  time.Time
@@ -487,6 +489,16 @@
 	return k.draining
 }
 
+// LeavingSince returns when this process learned that an endpoint leaves, zero if it does not or is not known.
+func (s *State) LeavingSince(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k, ok := s.instances[id]; ok {
+		return k.leavingSince
+	}
+	return time.Time{}
+}
+
 // lacksModel reports whether an endpoint's entry names no model though the endpoint's service has some: another writer
 // has left it out. A prompt that is sent there has no version of weights that it must run on, nor context of its own.
 func (s *State) lacksModel(k *knownInstance) bool {
@@ -499,8 +511,14 @@
 }
 
 // updateDraining signals the runs of an endpoint to move elsewhere, once each time that the
-// endpoint begins to drain.
+// endpoint begins to drain, and records since when it leaves.
 func (s *State) updateDraining(k *knownInstance) {
+	switch {
+	case !k.Leaving:
+		k.leavingSince = time.Time{}
+	case k.leavingSince.IsZero():
+		k.leavingSince = time.Now()
+	}
 	isDraining := false
 	select {
 	case <-k.draining:
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -127,7 +127,8 @@
 		case <-ctx.Done():
 			return
 		}
-		drainedAt := time.Now()
+		// An answer may begin long after its engine's notice.
+		drainedAt := cmp.Or(x.g.State.LeavingSince(c.Member.ID), time.Now())
 		if !sleep.For(ctx, relocationDelay) || !r.hasOutput.Load() || x.g.isEndingWithin(relocationTime) {
 			return
 		}
@@ -157,16 +158,22 @@
 	if !known {
 		return nil
 	}
+	limit := 2 * copyTimeout
+	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
+		// A run that began too late to return is still better off elsewhere than at an engine that exits, unless
+		// this process exits, too.
+		if left := time.Until(until) - returnTime; left >= minFinalCopyTime {
+			limit = min(limit, left)
+		} else if x.g.drain.Load() != nil {
+			return nil
+		}
+	}
 	target := x.chooseDestination(c)
 	if target.Member.ID == "" {
 		x.g.count("runs_moved.no_destination")
 		return nil
 	}
 	// The calls must not be canceled by the end of the stream, which the final copy brings about.
-	limit := 2 * copyTimeout
-	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
-		limit = min(limit, time.Until(until)-returnTime)
-	}
 	startedAt := time.Now()
 	copyCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), startedAt.Add(limit))
 	defer cancel()
