gateway: a moved run leaves its source time to take it back if nobody answers at its destination

A run at a leaving engine was lost if its final copy took long and its destination did not answer the connection: events 1 2 of 3.

The wait now ends 0.1 s before that time, if at least 0.1 s is left for it; otherwise the dialer alone bounds it, as before. A stream that the source does not close costs 0.2 s before, so a final copy in the last quarter of a second may still leave too little.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -81,7 +81,7 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header,
 		Body: x.body, HasBody: x.r.Header.Get("Content-Length") != "", Matches: x.isOwnAnswer,
 		// A run that goes on has no other chance, so no kept connection may end under it.
-		FreshConnection: c.Member.ID == x.staleEndpoint || a.ContinueFrom != "",
+		FreshConnection: c.Member.ID == x.staleEndpoint || a.ContinueFrom != "", OpenBy: x.connectBy,
 	}
 	sentAt := time.Now()
 	resp, err := x.g.Pool.Do(ctx, c.Member.Address, request)
--- a/internal/coordination/gateway/continuedrun_test.go
+++ b/internal/coordination/gateway/continuedrun_test.go
@@ -16,6 +16,7 @@
 	"limpetwall/internal/coordination/quarantine"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/upstream"
 )
 
 // hookCopier calls beforeLast before it answers the final copy. The first one takes firstTakes.
@@ -332,3 +333,35 @@
 		})
 	}
 }
+
+// TestRunReturnsToLeavingSourceFromSilentDestination guards against a run that is lost because a connection to its destination
+// hangs until its leaving source may not be sent requests any more.
+func TestRunReturnsToLeavingSourceFromSilentDestination(t *testing.T) {
+	const serves = 2 * time.Second
+	copier := newHookCopier(func(context.Context) { time.Sleep(850 * time.Millisecond) })
+	begun := make(chan struct{})
+	s := newTestServer(t, singleRoute(routes.Streaming, 1), firstThen(streamUntilStopped(begun, copier.stopped, "1", "2"), respondStream(lastChunk, "3")), reject)
+	s.useEngines(copier)
+	s.gateway.EndpointDrain = serves
+	dial, silent := s.gateway.Dial, s.endpoints[1].address
+	s.gateway.Pool = upstream.NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address != silent {
+			return dial(ctx, network, address)
+		}
+		// As long as a process waits for a connection.
+		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	logs := s.observeLogs()
+	go func() {
+		<-begun
+		s.gateway.State.SetLoading("i-1", false)
+		leaveFirstEngine(s.gateway.State)
+	}()
+	_, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part"))
+	if err != nil || eventIDs(body) != "1 2 3" {
+		t.Errorf("got events %s, error %v, attempts %+v", eventIDs(body), err, attemptsOf(logs))
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -160,6 +160,8 @@
 	onStreamBegun func()
 	// firstEventAt is when the first event of the current attempt arrived, zero before.
 	firstEventAt time.Time
+	// connectBy bounds the connection of the current attempt, zero if only the dialer does.
+	connectBy time.Time
 	// ranWell is set once the current attempt has shown that its request does not crash endpoints.
 	ranWell bool
 	// storedTokens counts the context tokens of the last attempt that stores held, for the log.
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -63,6 +63,8 @@
 	returnTime = 250 * time.Millisecond
 	// minFinalCopyTime is the time below which no final copy begins: it would likely fail after the run was stopped.
 	minFinalCopyTime = 200 * time.Millisecond
+	// minConnectTime is enough for a connection to an endpoint that can be reached.
+	minConnectTime = 100 * time.Millisecond
 	// dropTimeout bounds the release of a copy.
 	dropTimeout = 500 * time.Millisecond
 	// minStartWindow is how long a destination with replaced weights must still be allowed to begin
@@ -252,6 +254,16 @@
 	return drainedAt.Add(g.EndpointDrain - returnMargin)
 }
 
+// connectBy returns until when a moved run waits for a connection to its destination, zero if only the dialer bounds that:
+// a run whose source leaves could not return there afterwards.
+func (g *Gateway) connectBy(c *continuation) time.Time {
+	until := g.acceptsUntil(c.source, c.drainedAt)
+	if by := until.Add(-minConnectTime); !c.returned && !until.IsZero() && time.Until(by) >= minConnectTime {
+		return by
+	}
+	return time.Time{}
+}
+
 // returnToSource returns the outcome by which a stopped run goes on at its source, or the outcome given if the source is gone or
 // has been leaving for too long.
 func (x *exchange) returnToSource(c *continuation, o outcome) outcome {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -85,8 +85,10 @@
 		started := time.Now()
 		attempt := x.newAttempt(choice, prompt)
 		continued := last.next
+		x.connectBy = time.Time{}
 		if continued != nil {
 			attempt.continueFrom(continued.copyName())
+			x.connectBy = x.g.connectBy(continued)
 		}
 		if x.route.Kind == routes.Streaming {
 			last = x.streamAttempt(ctx, choice, attempt)
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -50,6 +50,8 @@
 	Matches func(h http.Header, fresh bool) bool
 	// FreshConnection requires a connection that has carried no other request.
 	FreshConnection bool
+	// OpenBy bounds the wait for a new connection, zero if only the dialer does.
+	OpenBy time.Time
 	// Trace is filled in by Pool.Do.
 	Trace Trace
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -71,7 +71,13 @@
 		// reachable.
 		r.Trace.Reused = false
 	}
-	c, err := p.open(ctx, address)
+	opening := ctx
+	if !r.OpenBy.IsZero() {
+		var cancel context.CancelFunc
+		opening, cancel = context.WithDeadline(ctx, r.OpenBy)
+		defer cancel()
+	}
+	c, err := p.open(opening, address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrNotSent)
 	}
