--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -63,6 +63,8 @@
 	returnTime = 250 * time.Millisecond
 	// minFinalCopyTime is the time below which no final copy begins: it would likely fail after the run was stopped.
 	minFinalCopyTime = 200 * time.Millisecond
+	// minConnectTime is enough for a connection to an endpoint that can be reached.
+	minConnectTime = 100 * time.Millisecond
 	// dropTimeout bounds the release of a copy.
 	dropTimeout = 500 * time.Millisecond
 	// minStartWindow is how long a destination with replaced weights must still be allowed to begin
@@ -127,7 +129,8 @@
 		case <-ctx.Done():
 			return
 		}
-		drainedAt := time.Now()
+		// An answer may begin long after its engine's notice.
+		drainedAt := cmp.Or(x.g.State.LeavingSince(c.Member.ID), time.Now())
 		if !sleep.For(ctx, relocationDelay) || !r.hasOutput.Load() || x.g.isEndingWithin(relocationTime) {
 			return
 		}
@@ -157,16 +160,22 @@
 	if !known {
 		return nil
 	}
+	limit := 2 * copyTimeout
+	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
+		// A run that began too late to return is still better off elsewhere than at an engine that exits, unless
+		// this process exits, too.
+		if left := time.Until(until) - returnTime; left >= minFinalCopyTime {
+			limit = min(limit, left)
+		} else if x.g.drain.Load() != nil {
+			return nil
+		}
+	}
 	target := x.chooseDestination(c)
 	if target.Member.ID == "" {
 		x.g.count("runs_moved.no_destination")
 		return nil
 	}
 	// The calls must not be canceled by the end of the stream, which the final copy brings about.
-	limit := 2 * copyTimeout
-	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
-		limit = min(limit, time.Until(until)-returnTime)
-	}
 	startedAt := time.Now()
 	copyCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), startedAt.Add(limit))
 	defer cancel()
@@ -231,7 +240,8 @@
 	case rejected, notReached:
 		return true
 	case broken:
-		return x.firstEventAt.IsZero() && !x.isRetryBlocked(ctx, probe)
+		// A run that has shown that it spares its engine may return unless its destination has crashed.
+		return x.firstEventAt.IsZero() && (!x.isRetryBlocked(ctx, probe) || x.ranWell && !probe.hasCrashed())
 	}
 	return false
 }
@@ -245,6 +255,16 @@
 	return drainedAt.Add(g.EndpointDrain - returnMargin)
 }
 
+// connectBy returns until when a moved run waits for a connection to its destination, zero if only the dialer bounds that:
+// a run whose source leaves could not return there afterwards.
+func (g *Gateway) connectBy(c *continuation) time.Time {
+	until := g.acceptsUntil(c.source, c.drainedAt)
+	if by := until.Add(-minConnectTime); !c.returned && !until.IsZero() && time.Until(by) >= minConnectTime {
+		return by
+	}
+	return time.Time{}
+}
+
 // returnToSource returns the outcome by which a stopped run goes on at its source, or the outcome given if the source is gone or
 // has been leaving for too long.
 func (x *exchange) returnToSource(c *continuation, o outcome) outcome {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -86,8 +86,10 @@
 		started := time.Now()
 		continued := last.next
 		attempt := x.newAttempt(choice, prompt, continued != nil)
+		x.connectBy = time.Time{}
 		if continued != nil {
 			attempt.continueFrom(continued.copyName())
+			x.connectBy = x.g.connectBy(continued)
 		}
 		if x.route.Kind == routes.Streaming {
 			last = x.streamAttempt(ctx, choice, attempt)
