gateway: a run that begins too late to return stays at its leaving engine

A gateway does not stop a run that it may be unable to continue: the run stays at its engine, which may serve for longer than drain_ms.

TestRunBegunAtLeavingSource: both rows "late" want the run to stay; they fail on the code before (source and destination got 1 and 1 requests).

--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -162,13 +162,10 @@
 	}
 	limit := 2 * copyTimeout
 	if until := x.g.acceptsUntil(source, drainedAt); !until.IsZero() {
-		// A run that began too late to return is still better off elsewhere than at an engine that exits, unless
-		// this process exits, too.
-		if left := time.Until(until) - returnTime; left >= minFinalCopyTime {
-			limit = min(limit, left)
-		} else if x.g.drain.Load() != nil {
-			return nil
-		}
+		limit = min(limit, time.Until(until)-returnTime)
+	}
+	if limit < minFinalCopyTime {
+		return nil
 	}
 	target := x.chooseDestination(c)
 	if target.Member.ID == "" {
