agent: each run that a stop cuts says so

Plain calls, and prompts that still wait for their engine, said endpoint_stream_broke, so going on elsewhere still needed retry budget, and the endpoint counted as failed and was asked whether it had crashed.

The code is now set for all runs at one place. What has run is reported as before; a call whose answer has begun still can't go on elsewhere.

--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -218,7 +218,12 @@
 func (a *Agent) execute(ctx context.Context, r *wire.RunRequest, send emit) {
 	started := time.Now()
 	noting := func(e *wire.RunEvent) error {
-		if refused := e.GetRefused(); refused != nil && ctx.Err() == nil {
+		refused := e.GetRefused()
+		switch {
+		case refused == nil:
+		case a.base.Err() != nil:
+			recordCut(refused)
+		case ctx.Err() == nil:
 			a.recordCrash(refused, started)
 		}
 		return send(e)
@@ -292,7 +297,7 @@
 	for {
 		event, err := stream.Next()
 		if err != nil {
-			return send(a.withLoad(refusedEvent(a.brokenStream(err))))
+			return send(a.withLoad(refusedEvent(refuse(CodeBroken, wire.Ran_RAN_YES, 0, err.Error()))))
 		}
 		place.start()
 		switch {
@@ -326,11 +331,11 @@
 	return p, knownCustomer && knownService && len(view.StoreHosts) > 0 && len(request.Blocks) > 0
 }
 
-func (a *Agent) brokenStream(err error) *wire.Refused {
-	if a.base.Err() != nil {
-		return refuse(CodeCut, wire.Ran_RAN_YES, 0, "the agent's shutdown deadline passed")
+// recordCut notes in a refusal that the agent's stop has ended the run, and not its endpoint.
+func recordCut(r *wire.Refused) {
+	if r.GetCode() == CodeBroken || r.GetCode() == CodeNotReached {
+		r.Code, r.Message, r.RetryAfterMs = CodeCut, "the agent's shutdown deadline passed", 0
 	}
-	return refuse(CodeBroken, wire.Ran_RAN_YES, 0, err.Error())
 }
 
 // engineRequest pins the weight version the agent last saw if the entry pinned
