gateway: a moved run is not sent to a destination that has left

An engine that began to leave while a run was copied to it got that run 1.1 s after its notice, 1 s (drain_ms) allowed: DRAIN. The copies take up to 2 s and the end of the stream 0.2 s, so it takes a slow final copy; drain_ms of 2 s leaves a window of 0.2 s and the time of a connection.

Cause: the bound of holds for the return only; a destination is checked when it is chosen. It is now held to the same time, as is one whose entry is gone; the run returns to its source.

TestRunIsNotSentToDestinationThatHasLeft: red before (one run), five runs pass. The package passes once.

--- a/internal/coordination/gateway/continuedrun_test.go
+++ b/internal/coordination/gateway/continuedrun_test.go
@@ -361,3 +361,37 @@
 		t.Errorf("got events %s, error %v, attempts %+v", eventIDs(body), err, attemptsOf(logs))
 	}
 }
+
+// TestRunIsNotSentToDestinationThatHasLeft guards against a run that is sent to its destination later than that may be sent
+// requests, as it began to leave while the run was copied to it.
+func TestRunIsNotSentToDestinationThatHasLeft(t *testing.T) {
+	const serves = time.Second
+	var s *testServer
+	copier := newHookCopier(func(context.Context) {
+		i, _ := s.gateway.State.Instance("i-1")
+		i.Leaving, i.Revision = true, i.Revision+100
+		s.gateway.State.SetInstance(i)
+		time.Sleep(serves + 100*time.Millisecond)
+	})
+	begun := make(chan struct{})
+	s = newTestServer(t, singleRoute(routes.Streaming, 1),
+		firstThen(streamUntilStopped(begun, copier.stopped, "1", "2"), respondStream(lastChunk, "3")), respondStream(lastChunk, "3"))
+	s.useEngines(copier)
+	s.gateway.EndpointDrain = serves
+	logs := s.observeLogs()
+	go func() {
+		<-begun
+		s.gateway.State.SetLoading("i-1", false)
+		s.gateway.State.SetLoading("i-0", true)
+	}()
+	_, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerSegment+": part"))
+	if err != nil || eventIDs(body) != "1 2 3" {
+		t.Errorf("got events %s, error %v, attempts %+v", eventIDs(body), err, attemptsOf(logs))
+	}
+	if n := s.endpoints[1].requestCount(); n != 0 {
+		t.Errorf("the destination got %d requests over %v after it was known to leave, want none", n, serves)
+	}
+	if work := s.gateway.Directory.OwnWork(); len(work) != 0 {
+		t.Errorf("still counted as in flight: %+v", work)
+	}
+}
--- a/internal/coordination/gateway/relocate.go
+++ b/internal/coordination/gateway/relocate.go
@@ -262,6 +262,12 @@
 	return time.Time{}
 }
 
+// hasLeft reports whether an endpoint has been leaving for too long to be sent a run that was copied to it meanwhile.
+func (g *Gateway) hasLeft(c routing.Choice) bool {
+	until := g.acceptsUntil(discovery.Instance{ID: c.Member.ID}, g.State.LeavingSince(c.Member.ID))
+	return !until.IsZero() && time.Now().After(until)
+}
+
 // returnToSource returns the outcome by which a stopped run goes on at its source, or the outcome given if the source is gone or
 // has been leaving for too long.
 func (x *exchange) returnToSource(c *continuation, o outcome) outcome {
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -85,6 +85,10 @@
 		out.stopOrdered = true
 		return out
 	}
+	if x.g.hasLeft(next.choice) {
+		x.g.Directory.Release(next.choice)
+		return x.returnToSource(next, outcome{kind: broken, err: errRunStopped, stopOrdered: true})
+	}
 	return outcome{kind: relocated, next: next}
 }
 
