--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -198,8 +198,8 @@
 	}
 }
 
-// recordWalls wakes those who wait on WallsRaised, and tells operators which customers were isolated or share context again. All context that others shared before is
-// of no use then.
+// recordWalls wakes those who wait on WallsRaised, and logs which customers were isolated or share context again. All context
+// that others shared before is of no use then.
 func (s *State) recordWalls(t, old *routes.Table) {
 	isolated, shared, deleted := t.WallsChanged(old)
 	if len(isolated)+len(shared)+len(deleted) == 0 {
