Stream take-ups say what their version rests on, attempts which event came first

The lines of today do not tell the hypotheses of the incident apart: a stream that goes on at the only known version now says whether the stored record was read since the request came (versions_read), and how old the list of endpoints is by its answer and by its call (endpoints_answer_age, endpoints_call_age); an attempt names its first event and the events that the caller had already.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -54,7 +54,7 @@
 func (p *gatewayProcess) recordSoftware(sharer *loadreport.Exchanger, store *platform.Store) {
 	recorder := &softwarerecord.Recorder{
 		Store: store, Origins: p.gateway.Origins, IsFirstStart: p.settings.Platform.FirstStart, Log: p.log, Metrics: p.gateway.Metrics,
-		Rank: func() int { return 0 }, Processes: func() int { return 1 }, Refreshes: make(chan chan struct{}),
+		Rank: func() int { return 0 }, Processes: func() int { return 1 }, Refreshes: make(chan chan bool),
 	}
 	if sharer != nil {
 		recorder.Rank, recorder.Processes = sharer.Rank, sharer.Processes
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -118,8 +118,8 @@
 	instancesRecoveredAt time.Time
 	// instancesEra is the era of the last list of endpoints, nil before the first.
 	instancesEra *uint64
-	// configAsOf is when the last answered call for the configuration began.
-	configAsOf time.Time
+	// configAsOf and instancesAsOf are when the last answered calls for the configuration and for endpoints began.
+	configAsOf, instancesAsOf time.Time
 	// isWatchLive is set while the events of a watch are applied that has waited for them without a gap
 	// since the answer before. Only the loop of target weights uses it.
 	isWatchLive bool
@@ -155,6 +155,14 @@
 	return now.Sub(w.instancesAnswer)
 }
 
+// EndpointsCallAge is how long ago the call began that the store last answered for endpoints. A process that was paused may read an
+// answer late: the list may be as old as the call.
+func (w *Watcher) EndpointsCallAge() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now().Sub(w.instancesAsOf)
+}
+
 // ConfigAge is an upper bound on how long ago the configuration in force may have been
 // replaced without this process knowing. It counts from the start of the call, because an
 // answer may be as old as its call: a process that was paused reads an answer long after
@@ -184,7 +192,7 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.instancesAnswer = time.Now()
+		w.instancesAsOf, w.instancesAnswer = began, time.Now()
 	case w.Kinds.Config:
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -70,8 +70,8 @@
 	// stream and searches the store; if it is nil, only this process's own knowledge counts.
 	Origins    *streamorigin.Registry
 	FindOrigin func(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, streamorigin.Source)
-	// RefreshVersions, if set, reads which software versions other processes have recorded.
-	RefreshVersions func(ctx context.Context)
+	// RefreshVersions, if set, reads which software versions other processes have recorded, and reports whether it has.
+	RefreshVersions func(ctx context.Context) bool
 	// RequiresRecord is set if streams that callers may take up begin only at software versions that the stored record holds.
 	RequiresRecord bool
 	// Copier copies running requests between engines. If nil, none is moved.
--- a/internal/coordination/gateway/requestlog.go
+++ b/internal/coordination/gateway/requestlog.go
@@ -32,6 +32,9 @@
 	// TookMS is the duration of the attempt, FirstMS the time to its first event.
 	TookMS  int64 `json:"took_ms"`
 	FirstMS int64 `json:"first_ms,omitempty"`
+	// FirstEvent is the id of the first event of a stream, EventsSkipped the number of those that the caller had already.
+	FirstEvent    string `json:"first_event,omitempty"`
+	EventsSkipped int    `json:"events_skipped,omitempty"`
 	// ExpectedMS is the predicted time to the first event, CachedTokens the prompt tokens that
 	// were expected to be in the endpoint's cache.
 	ExpectedMS   int64 `json:"expected_ms"`
--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -33,7 +33,8 @@
 		zap.String("last_event", x.call.LastEvent), zap.String("verdict", verdict.String()), zap.String("service", origin.Service),
 		zap.String("software_version", origin.Version), zap.Bool("origin_known", known.IsKnown), zap.String("origin_source", string(known.Source)), zap.Bool("sole_version", known.HasSole),
 		zap.Bool("endpoints_current", known.IsFresh), zap.Strings("service_versions", x.g.Origins.VersionsOf(x.service.Name, time.Now())),
-		zap.Duration("versions_followed_for", x.g.Origins.FollowedFor(time.Now())))
+		zap.Duration("versions_followed_for", x.g.Origins.FollowedFor(time.Now())), zap.Bool("versions_read", known.IsRecordRead),
+		zap.Duration("endpoints_answer_age", x.g.Watcher.EndpointsAge(time.Now())), zap.Duration("endpoints_call_age", x.g.Watcher.EndpointsCallAge()))
 	switch verdict {
 	case streamorigin.Resume:
 		x.stream.origin, x.stream.isResumption, x.stream.isOriginKnown = &origin, true, known.IsKnown
@@ -76,7 +77,8 @@
 		if x.searchOrigin(brief, &k); k.IsKnown {
 			return k
 		}
-		if k.Sole, k.HasSole = x.refreshSoleVersion(ctx); k.HasSole {
+		k.IsRecordRead = x.refreshVersions(ctx)
+		if k.Sole, k.HasSole = x.g.Origins.SoleVersion(x.service.Name, time.Now()); k.HasSole {
 			return k
 		}
 	}
@@ -93,15 +95,15 @@
 	k.IsKnown = k.Source != streamorigin.NotFound
 }
 
-// refreshSoleVersion returns the only version of the service by what other processes have recorded too: they may have seen a
-// version that is not listed here yet.
-func (x *exchange) refreshSoleVersion(ctx context.Context) (version string, ok bool) {
-	if x.g.RefreshVersions != nil {
-		ctx, cancel := context.WithTimeout(ctx, versionsRefresh)
-		defer cancel()
-		x.g.RefreshVersions(ctx)
+// refreshVersions reads what other processes have recorded, and reports whether it has: they may have seen a version that is not
+// listed here yet.
+func (x *exchange) refreshVersions(ctx context.Context) bool {
+	if x.g.RefreshVersions == nil {
+		return false
 	}
-	return x.g.Origins.SoleVersion(x.service.Name, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, versionsRefresh)
+	defer cancel()
+	return x.g.RefreshVersions(ctx)
 }
 
 // versionsRefresh bounds the time in which the recorded versions are read. A store that does not answer in time leaves what is
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -269,6 +269,9 @@
 	if x.firstEventAt.After(started) {
 		record.FirstMS = x.firstEventAt.Sub(started).Milliseconds()
 	}
+	if x.route.Kind == routes.Streaming {
+		record.FirstEvent, record.EventsSkipped = x.stream.firstID, x.stream.skipped
+	}
 	if o.answer != nil {
 		record.Status = o.answer.status
 		if x.canForwardStatus(o.answer.status) {
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -26,6 +26,9 @@
 	// lastID is the id of the last forwarded event that has one, lastNumber its value if numeric.
 	lastID     string
 	lastNumber int64
+	// firstID is the id of the first event of the last attempt, and skipped counts its events that the caller had.
+	firstID string
+	skipped int
 	// unresumable is set if the caller has received data after the last event with an id, or part
 	// of an answer that is not a stream. Nothing can be appended to either.
 	unresumable bool
@@ -53,6 +56,7 @@
 func (x *exchange) streamAttempt(ctx context.Context, c routing.Choice, a Attempt) outcome {
 	// What a run has shown before a move still holds where it goes on.
 	x.firstEventAt, x.ranWell = time.Time{}, x.ranWell && a.ContinueFrom != ""
+	x.stream.firstID, x.stream.skipped = "", 0
 	if x.stream.lastID != "" {
 		a.LastEvent = x.stream.lastID
 	}
@@ -249,9 +253,13 @@
 		st.unresumable = st.unresumable || !isComment(event)
 		return true
 	}
+	if st.firstID == "" {
+		st.firstID = id
+	}
 	number, err := strconv.ParseInt(id, 10, 64)
 	if err == nil {
 		if st.lastID != "" && number <= st.lastNumber {
+			st.skipped++
 			return false
 		}
 		st.lastNumber = number
--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -52,7 +52,7 @@
 	Rank func() int
 	// Processes is the number of processes, and Refreshes carries the requests of Refresh.
 	Processes func() int
-	Refreshes chan chan struct{}
+	Refreshes chan chan bool
 	Log       *zap.Logger
 	Metrics   metrics.Registry
 
@@ -120,30 +120,34 @@
 	}
 }
 
-// Refresh has the record read unless that has just been done, and waits for it. Other processes may have recorded a version that
-// this one does not list yet.
-func (r *Recorder) Refresh(ctx context.Context) {
-	done := make(chan struct{})
+// Refresh has the record read unless that has just been done, waits for it, and reports whether it was read. Other processes may
+// have recorded a version that this one does not list yet.
+func (r *Recorder) Refresh(ctx context.Context) bool {
+	done := make(chan bool, 1)
 	select {
 	case r.Refreshes <- done:
 	case <-ctx.Done():
-		return
+		return false
 	}
 	select {
-	case <-done:
+	case isRead := <-done:
+		return isRead
 	case <-ctx.Done():
+		return false
 	}
 }
 
-func (r *Recorder) refresh(ctx context.Context, done chan struct{}) {
-	defer close(done)
+func (r *Recorder) refresh(ctx context.Context, done chan<- bool) {
 	generation := r.Origins.Generation()
 	if generation == 0 || time.Since(r.readAt) < max(minRefreshAge, time.Duration(r.Processes())*refreshAgeUnit) {
+		done <- false
 		return
 	}
-	if err := r.read(ctx, generation); err != nil {
+	err := r.read(ctx, generation)
+	if err != nil {
 		r.Log.Info("record of software versions not refreshed", zap.Error(err))
 	}
+	done <- err == nil
 }
 
 // step reads the record if this process does not know all versions, and writes it if it is not what it should be.
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -40,6 +40,8 @@
 	// Sole is the only version of the service, valid if HasSole.
 	Sole    string
 	HasSole bool
+	// IsRecordRead is set if the stored versions were read since the request came.
+	IsRecordRead bool
 	// Service is where the request would go if it were new.
 	Service string
 	// IsFresh is set if the list of endpoints is up to date.
