A stream of unknown origin goes on only if the store says, after the request came, that there is one version

Streams begin only at versions that the stored record holds. So a read of the record that begins after the caller has come back shows every version at which its stream may have begun, whatever this gateway has heard and however long it was paused since. Without that answer the stream is refused with a time to come back. The former refresh also took reads of up to 50 ms, and 370 ms in the largest fleets, before the request. sharedread lets requests share reads, each of which begins after all that wait for it, at most a thousand a second of all processes.

The same cause with routes: an unknown stream was taken for one of the service to which this gateway's route leads, also if the configuration had been changed unheard. The store is asked for changes of the configuration at the same time.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -28,13 +28,14 @@
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/transport/bootclock"
 	"limpetwall/internal/transport/datagram"
+	"limpetwall/internal/transport/sharedread"
 	"limpetwall/platform"
 )
 
 // startSharing starts the exchange of information with the other gateways.
 func (p *gatewayProcess) startSharing(self fleet.Member, store *platform.Store, watcher *discovery.Watcher, director *rollout.Director, keeper *contextcache.Tracker) {
 	sharer := p.shareLoad(self, store)
-	p.recordSoftware(sharer, store)
+	p.recordSoftware(sharer, store, watcher)
 	if sharer == nil {
 		p.shareLimits(self, nil, store)
 		return
@@ -51,15 +52,17 @@
 }
 
 // recordSoftware keeps in the store which software versions endpoints have had: gateways may all end at once.
-func (p *gatewayProcess) recordSoftware(sharer *loadreport.Exchanger, store *platform.Store) {
+func (p *gatewayProcess) recordSoftware(sharer *loadreport.Exchanger, store *platform.Store, watcher *discovery.Watcher) {
 	recorder := &softwarerecord.Recorder{
 		Store: store, Origins: p.gateway.Origins, IsFirstStart: p.settings.Platform.FirstStart, Log: p.log, Metrics: p.gateway.Metrics,
-		Rank: func() int { return 0 }, Processes: func() int { return 1 }, Refreshes: make(chan chan bool),
+		Rank: func() int { return 0 },
 	}
+	processes := func() int { return 1 }
 	if sharer != nil {
-		recorder.Rank, recorder.Processes = sharer.Rank, sharer.Processes
+		recorder.Rank, processes = sharer.Rank, sharer.Processes
 	}
-	p.gateway.RefreshVersions, p.gateway.RequiresRecord = recorder.Refresh, true
+	p.gateway.RequiresRecord = true
+	p.confirmStreams(store, watcher, processes)
 	metrics.NewRegisteredFunctionalGauge("gateway.streams.all_versions_known", p.gateway.Metrics, func() int64 {
 		if p.gateway.Origins.KnowsAllVersions(time.Now()) {
 			return 1
@@ -69,6 +72,38 @@
 	p.run(recorder.Run)
 }
 
+const (
+	// confirmCallTimeout bounds a call that asks the store to confirm what is known.
+	confirmCallTimeout = 700 * time.Millisecond
+	// minConfirmInterval is the least time between two such calls of a kind, and confirmIntervalUnit what each process adds: all
+	// together ask a thousand times a second at most.
+	minConfirmInterval  = 20 * time.Millisecond
+	confirmIntervalUnit = time.Millisecond
+)
+
+// confirmStreams has the gateway ask the store what it must know for certain of a stream that a caller takes up.
+func (p *gatewayProcess) confirmStreams(store *platform.Store, watcher *discovery.Watcher, processes func() int) {
+	interval := func() time.Duration {
+		return max(minConfirmInterval, time.Duration(processes())*confirmIntervalUnit)
+	}
+	versions := &sharedread.Reader[[]streamorigin.Origin]{
+		Read:    func(ctx context.Context) ([]streamorigin.Origin, error) { return softwarerecord.ReadAll(ctx, store) },
+		Timeout: confirmCallTimeout, Interval: interval,
+	}
+	p.gateway.ReadVersions = versions.Get
+	confirm := func(kind string) func(context.Context) error {
+		reader := &sharedread.Reader[struct{}]{
+			Read:    func(ctx context.Context) (struct{}, error) { return struct{}{}, watcher.Confirm(ctx, kind) },
+			Timeout: confirmCallTimeout, Interval: interval,
+		}
+		return func(ctx context.Context) error {
+			_, err := reader.Get(ctx)
+			return err
+		}
+	}
+	p.gateway.ConfirmRoutes = confirm(platform.Kinds.Config)
+}
+
 // shareLoad exchanges reports of the runs in flight with the other gateways. If that is not possible, it
 // returns nil, and this gateway relies on the endpoints' own reports.
 func (p *gatewayProcess) shareLoad(self fleet.Member, store *platform.Store) *loadreport.Exchanger {
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -118,6 +118,8 @@
 	instancesRecoveredAt time.Time
 	// instancesEra is the era of the last list of endpoints, nil before the first.
 	instancesEra *uint64
+	// applied is, by kind, the revision up to which all changes are applied.
+	applied map[string]objectapi.Revision
 	// configAsOf and instancesAsOf are when the last answered calls for the configuration and for endpoints began.
 	configAsOf, instancesAsOf time.Time
 	// isWatchLive is set while the events of a watch are applied that has waited for them without a gap
@@ -183,6 +185,7 @@
 // confirm records an answer whose content is applied: when the call for the configuration or for weights began, with the store's
 // revision in the answer, and that there was an answer for endpoints or the configuration.
 func (w *Watcher) confirm(kind string, began time.Time, revision objectapi.Revision) {
+	w.recordApplied(kind, revision)
 	switch kind {
 	case w.Kinds.Weights:
 		w.State.ConfirmWeights(began, revision.Era())
@@ -200,6 +203,34 @@
 	}
 }
 
+func (w *Watcher) recordApplied(kind string, revision objectapi.Revision) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.applied == nil {
+		w.applied = map[string]objectapi.Revision{}
+	}
+	w.applied[kind] = revision
+}
+
+// ErrOutdated is returned when changes of a kind have not been applied.
+const ErrOutdated = errors.ConstError("changes have not been applied yet")
+
+// Confirm asks the store for changes of a kind that have not been applied. It returns nil if there was none when the store
+// answered, ErrOutdated if there was one or before the first list, and the store's error. It applies nothing.
+func (w *Watcher) Confirm(ctx context.Context, kind string) error {
+	w.mu.Lock()
+	revision, isListed := w.applied[kind]
+	w.mu.Unlock()
+	if !isListed {
+		return ErrOutdated
+	}
+	events, _, err := w.Feed.WatchKind(ctx, kind, revision, 0)
+	if errors.Is(err, objectapi.ErrCompacted) || err == nil && len(events) > 0 {
+		return ErrOutdated
+	}
+	return errors.Trace(err)
+}
+
 // RecordAnswer records that the store has answered for the configuration and for endpoints.
 func (w *Watcher) RecordAnswer(now time.Time) {
 	w.mu.Lock()
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -70,8 +70,11 @@
 	// stream and searches the store; if it is nil, only this process's own knowledge counts.
 	Origins    *streamorigin.Registry
 	FindOrigin func(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, streamorigin.Source)
-	// RefreshVersions, if set, reads which software versions other processes have recorded, and reports whether it has.
-	RefreshVersions func(ctx context.Context) bool
+	// ReadVersions, if set, reads all software versions at which streams may have begun before the call, from the stored record.
+	ReadVersions func(ctx context.Context) ([]streamorigin.Origin, error)
+	// ConfirmRoutes, if set, asks the store, after it is called, whether the routes have changed unnoticed. It returns an error if so,
+	// and if the store does not answer.
+	ConfirmRoutes func(ctx context.Context) error
 	// RequiresRecord is set if streams that callers may take up begin only at software versions that the stored record holds.
 	RequiresRecord bool
 	// Copier copies running requests between engines. If nil, none is moved.
--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -33,7 +33,7 @@
 		zap.String("last_event", x.call.LastEvent), zap.String("verdict", verdict.String()), zap.String("service", origin.Service),
 		zap.String("software_version", origin.Version), zap.Bool("origin_known", known.IsKnown), zap.String("origin_source", string(known.Source)), zap.Bool("sole_version", known.HasSole),
 		zap.Bool("endpoints_current", known.IsFresh), zap.Strings("service_versions", x.g.Origins.VersionsOf(x.service.Name, time.Now())),
-		zap.Duration("versions_followed_for", x.g.Origins.FollowedFor(time.Now())), zap.Bool("versions_read", known.IsRecordRead),
+		zap.Duration("versions_followed_for", x.g.Origins.FollowedFor(time.Now())),
 		zap.Duration("endpoints_answer_age", x.g.Watcher.EndpointsAge(time.Now())), zap.Duration("endpoints_call_age", x.g.Watcher.EndpointsCallAge()))
 	switch verdict {
 	case streamorigin.Resume:
@@ -65,27 +65,42 @@
 		IsListed:  func(o streamorigin.Origin) bool { return x.g.State.HasSoftware(o.Service, o.Version) },
 		IsAllowed: x.isTarget,
 	}
-	// A route to several services, or one that was changed, may have sent the stream to another one than this request.
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	if len(x.route.Targets) == 1 && !x.g.State.LedElsewhere(x.r.Host, path, x.service.Name) {
-		x.g.Origins.ObserveVersions(x.g.softwareVersions(), now)
-		k.Sole, k.HasSole = x.g.Origins.SoleVersion(x.service.Name, now)
-	}
-	if k.HasSole && k.IsFresh {
-		brief, cancel := context.WithTimeout(ctx, soleVersionSearch)
-		defer cancel()
-		if x.searchOrigin(brief, &k); k.IsKnown {
-			return k
+	x.g.Origins.ObserveVersions(x.g.softwareVersions(), now)
+	_, hasSole := x.g.Origins.SoleVersion(x.service.Name, now)
+	searching, endSearch := context.WithCancel(ctx)
+	defer endSearch()
+	found := make(chan struct{})
+	go func() {
+		defer close(found)
+		x.searchOrigin(searching, &k)
+	}()
+	if hasSole && k.IsFresh && x.isOnlyService() {
+		timer := time.NewTimer(soleVersionSearch)
+		defer timer.Stop()
+		select {
+		case <-found:
+			if k.IsKnown {
+				return k
+			}
+		case <-timer.C:
 		}
-		k.IsRecordRead = x.refreshVersions(ctx)
-		if k.Sole, k.HasSole = x.g.Origins.SoleVersion(x.service.Name, time.Now()); k.HasSole {
+		if sole, ok := x.confirmSoleVersion(ctx); ok {
+			endSearch()
+			<-found
+			k.Sole, k.HasSole = sole, true
 			return k
 		}
 	}
-	x.searchOrigin(ctx, &k)
+	<-found
 	return k
 }
 
+// isOnlyService reports whether a stream on the request's route has begun in its service, as far as this process has seen.
+func (x *exchange) isOnlyService() bool {
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	return len(x.route.Targets) == 1 && x.g.State.Routes() == x.table && !x.g.State.LedElsewhere(x.r.Host, path, x.service.Name)
+}
+
 // searchOrigin adds the origin of the stream that the request resumes to what is known, if it names one.
 func (x *exchange) searchOrigin(ctx context.Context, k *streamorigin.Knowledge) {
 	if x.call.Resumes == "" {
@@ -95,24 +110,60 @@
 	k.IsKnown = k.Source != streamorigin.NotFound
 }
 
-// refreshVersions reads what other processes have recorded, and reports whether it has: they may have seen a version that is not
-// listed here yet.
-func (x *exchange) refreshVersions(ctx context.Context) bool {
-	if x.g.RefreshVersions == nil {
-		return false
+// confirmSoleVersion returns the only version at which the stream may have begun. The store has to say so now, after the request
+// came: this process's list may lack a version that has just joined, and the silence of the store or of other processes proves
+// nothing, as this process may be cut off from them, or may have been paused.
+func (x *exchange) confirmSoleVersion(ctx context.Context) (version string, ok bool) {
+	if x.g.ReadVersions == nil {
+		return x.g.Origins.SoleVersion(x.service.Name, time.Now())
 	}
-	ctx, cancel := context.WithTimeout(ctx, versionsRefresh)
-	defer cancel()
-	return x.g.RefreshVersions(ctx)
+	var recorded []streamorigin.Origin
+	readVersions := func(ctx context.Context) (err error) {
+		recorded, err = x.g.ReadVersions(ctx)
+		return err
+	}
+	if !x.confirm(ctx, readVersions, x.g.ConfirmRoutes) || !x.isOnlyService() {
+		x.g.count("streams.sole_version_unconfirmed")
+		return "", false
+	}
+	count := 0
+	for _, o := range recorded {
+		if o.Service == x.service.Name {
+			version = o.Version
+			count++
+		}
+	}
+	return version, count == 1
 }
 
-// versionsRefresh bounds the time in which the recorded versions are read. A store that does not answer in time leaves what is
-// known of a recent list.
-const versionsRefresh = 100 * time.Millisecond
+// confirm asks the store several questions at once, and reports whether all are answered in time and with yes.
+func (x *exchange) confirm(ctx context.Context, questions ...func(context.Context) error) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	answers := make(chan error, len(questions))
+	for _, ask := range questions {
+		if ask == nil {
+			answers <- nil
+			continue
+		}
+		go func() { answers <- ask(ctx) }()
+	}
+	for range questions {
+		if err := <-answers; err != nil {
+			x.g.Log.Info("store has not confirmed what is known of streams", zap.String("request_id", x.call.ID), zap.Error(err))
+			return false
+		}
+	}
+	return true
+}
 
-// soleVersionSearch bounds the search for the origin of a stream whose service has had a single version: only a process
-// that has just seen another one knows better.
-const soleVersionSearch = 30 * time.Millisecond
+const (
+	// confirmTimeout bounds the wait for the store's confirmation. In the largest fleets a question waits for up to 0.4 s, so that all
+	// processes together ask a thousand times a second at most.
+	confirmTimeout = 500 * time.Millisecond
+	// soleVersionSearch is how long the origin is searched for before the store is asked: most are found, and cost it nothing.
+	soleVersionSearch = 30 * time.Millisecond
+)
 
 // softwareVersions returns the versions of the listed endpoints.
 func (g *Gateway) softwareVersions() []streamorigin.Origin {
--- a/internal/coordination/gateway/resumption_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -245,3 +247,42 @@
 		})
 	}
 }
+
+// TestSilenceDoesNotConfirm guards against a stream that goes on at the only version listed here, though the store has not said so since the request came.
+func TestSilenceDoesNotConfirm(t *testing.T) {
+	errSilent := errors.New("no answer")
+	both := []streamorigin.Origin{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}
+	rows := []struct {
+		name     string
+		prepare  func(*testServer)
+		recorded []streamorigin.Origin
+		// versionsErr and routesErr are how the store answers.
+		versionsErr, routesErr error
+		code                   string
+	}{
+		{"the store confirms the version", nil, both[:1], nil, nil, ""},
+		{"the store holds another version", nil, both, nil, nil, apierror.CodeStreamOriginUnknown},
+		{"the store holds versions of other services only", nil, []streamorigin.Origin{{Service: "other", Version: "v1"}}, nil, nil, apierror.CodeStreamOriginUnknown},
+		{"the store does not answer for versions", nil, both[:1], errSilent, nil, apierror.CodeStreamOriginUnknown},
+		{"the routes have changed", nil, both[:1], nil, errSilent, apierror.CodeStreamOriginUnknown},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newVersionedServer(t, "v1")
+			s.gateway.ReadVersions = func(context.Context) ([]streamorigin.Origin, error) { return row.recorded, row.versionsErr }
+			s.gateway.ConfirmRoutes = func(context.Context) error { return row.routesErr }
+			if row.prepare != nil {
+				row.prepare(s)
+			}
+			resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerResumes+": first", headerLastEvent+": 1"))
+			switch {
+			case err != nil:
+				t.Fatal(err)
+			case row.code == "" && (resp.StatusCode != http.StatusOK || s.requestCount() != 1):
+				t.Errorf("got %d %s, want the rest of the stream", resp.StatusCode, body)
+			case row.code != "" && (!strings.Contains(body, `"code":"`+row.code+`"`) || s.requestCount() > 0):
+				t.Errorf("got %d %s after %d requests, want %s and none", resp.StatusCode, body, s.requestCount(), row.code)
+			}
+		})
+	}
+}
--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -31,10 +31,6 @@
 	// rankDelay is the time by which each process waits longer than the one before it to write a change that all have
 	// seen: it finds the change written, and spares the store a write that would conflict.
 	rankDelay = 20 * time.Millisecond
-	// minRefreshAge is the age from which the record is read anew on request. It grows with the number of processes by
-	// refreshAgeUnit: all together read it a thousand times a second at most.
-	minRefreshAge  = 50 * time.Millisecond
-	refreshAgeUnit = time.Millisecond
 	// firstRanks wait rankDelay longer each, and those after them laterRankDelay: a version that one process only sees must be in the
 	// record within a second.
 	firstRanks     = 25
@@ -49,20 +45,15 @@
 	// IsFirstStart is set if the whole system starts for the first time: if there is no record then, there was no version.
 	IsFirstStart bool
 	// Rank is the position of this process among those that it knows.
-	Rank func() int
-	// Processes is the number of processes, and Refreshes carries the requests of Refresh.
-	Processes func() int
-	Refreshes chan chan bool
-	Log       *zap.Logger
-	Metrics   metrics.Registry
+	Rank    func() int
+	Log     *zap.Logger
+	Metrics metrics.Registry
 
 	// stored is the record last read or written, version the object's version, 0 if there is none. readIn is the
 	// registry's generation when it was last read. listEra is the era in which it was first read in that generation.
 	stored  record
 	version int64
 	readIn  uint64
-	// readAt is when the last read of the record began.
-	readAt  time.Time
 	listEra uint64
 	// mayRemove is set while versions may be removed from the record.
 	mayRemove bool
@@ -112,44 +103,12 @@
 		case <-changed:
 		case <-returned:
 		case <-timer.C:
-		case done := <-r.Refreshes:
-			r.refresh(ctx, done)
 		case <-ctx.Done():
 		}
 		timer.Stop()
 	}
 }
 
-// Refresh has the record read unless that has just been done, waits for it, and reports whether it was read. Other processes may
-// have recorded a version that this one does not list yet.
-func (r *Recorder) Refresh(ctx context.Context) bool {
-	done := make(chan bool, 1)
-	select {
-	case r.Refreshes <- done:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case isRead := <-done:
-		return isRead
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (r *Recorder) refresh(ctx context.Context, done chan<- bool) {
-	generation := r.Origins.Generation()
-	if generation == 0 || time.Since(r.readAt) < max(minRefreshAge, time.Duration(r.Processes())*refreshAgeUnit) {
-		done <- false
-		return
-	}
-	err := r.read(ctx, generation)
-	if err != nil {
-		r.Log.Info("record of software versions not refreshed", zap.Error(err))
-	}
-	done <- err == nil
-}
-
 // step reads the record if this process does not know all versions, and writes it if it is not what it should be.
 func (r *Recorder) step(ctx context.Context) error {
 	generation := r.Origins.Generation()
@@ -212,7 +171,6 @@
 
 // read reads the record, and merges it into what this process knows.
 func (r *Recorder) read(ctx context.Context, generation uint64) error {
-	r.readAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := r.Store.Get(ctx, objectKey)
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -37,11 +37,10 @@
 	Origin  Origin
 	IsKnown bool
 	Source  Source
-	// Sole is the only version of the service, valid if HasSole.
+	// Sole is the only version at which the service's streams have begun, valid if HasSole: the store has said so since the
+	// request came.
 	Sole    string
 	HasSole bool
-	// IsRecordRead is set if the stored versions were read since the request came.
-	IsRecordRead bool
 	// Service is where the request would go if it were new.
 	Service string
 	// IsFresh is set if the list of endpoints is up to date.
@@ -56,7 +55,7 @@
 func Decide(k Knowledge) (Origin, Verdict) {
 	o := k.Origin
 	if !k.IsKnown {
-		// Without another version, any endpoint's events fit. An outdated list may lack the other version.
+		// Without another version, any endpoint's events fit.
 		if !k.HasSole || !k.IsFresh {
 			return Origin{}, Unknown
 		}
