A version is said to be gone only if the store says, after the request came, that the list is current

A gateway whose list of endpoints lacks a version that has just joined told callers that their stream's version is gone (final, "start again") if the list's last answer was at most 4 s old. The same with a service to which the route leads by now. Such a list or configuration is as old as the last answer that was read, and says nothing of what came since. The store is asked whether either has changed; without an answer the caller gets a time to come back.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -101,7 +101,7 @@
 			return err
 		}
 	}
-	p.gateway.ConfirmRoutes = confirm(platform.Kinds.Config)
+	p.gateway.ConfirmEndpoints, p.gateway.ConfirmRoutes = confirm(platform.Kinds.Instances), confirm(platform.Kinds.Config)
 }
 
 // shareLoad exchanges reports of the runs in flight with the other gateways. If that is not possible, it
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -72,9 +72,9 @@
 	FindOrigin func(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, streamorigin.Source)
 	// ReadVersions, if set, reads all software versions at which streams may have begun before the call, from the stored record.
 	ReadVersions func(ctx context.Context) ([]streamorigin.Origin, error)
-	// ConfirmRoutes, if set, asks the store, after it is called, whether the routes have changed unnoticed. It returns an error if so,
-	// and if the store does not answer.
-	ConfirmRoutes func(ctx context.Context) error
+	// ConfirmEndpoints and ConfirmRoutes, if set, ask the store, after they are called, whether the endpoints or the routes have changed
+	// unnoticed. They return an error if so, and if the store does not answer.
+	ConfirmEndpoints, ConfirmRoutes func(ctx context.Context) error
 	// RequiresRecord is set if streams that callers may take up begin only at software versions that the stored record holds.
 	RequiresRecord bool
 	// Copier copies running requests between engines. If nil, none is moved.
--- a/internal/coordination/gateway/resumption_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -248,7 +248,8 @@
 	}
 }
 
-// TestSilenceDoesNotConfirm guards against a stream that goes on at the only version listed here, though the store has not said so since the request came.
+// TestSilenceDoesNotConfirm guards against a stream that goes on at the only version listed here, or that is said to be gone, though the
+// store has not said so since the request came.
 func TestSilenceDoesNotConfirm(t *testing.T) {
 	errSilent := errors.New("no answer")
 	both := []streamorigin.Origin{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}
@@ -256,20 +257,24 @@
 		name     string
 		prepare  func(*testServer)
 		recorded []streamorigin.Origin
-		// versionsErr and routesErr are how the store answers.
-		versionsErr, routesErr error
-		code                   string
+		// versionsErr, endpointsErr and routesErr are how the store answers.
+		versionsErr, endpointsErr, routesErr error
+		code                                 string
 	}{
-		{"the store confirms the version", nil, both[:1], nil, nil, ""},
-		{"the store holds another version", nil, both, nil, nil, apierror.CodeStreamOriginUnknown},
-		{"the store holds versions of other services only", nil, []streamorigin.Origin{{Service: "other", Version: "v1"}}, nil, nil, apierror.CodeStreamOriginUnknown},
-		{"the store does not answer for versions", nil, both[:1], errSilent, nil, apierror.CodeStreamOriginUnknown},
-		{"the routes have changed", nil, both[:1], nil, errSilent, apierror.CodeStreamOriginUnknown},
+		{"the store confirms the version", nil, both[:1], nil, nil, nil, ""},
+		{"the store holds another version", nil, both, nil, nil, nil, apierror.CodeStreamOriginUnknown},
+		{"the store holds versions of other services only", nil, []streamorigin.Origin{{Service: "other", Version: "v1"}}, nil, nil, nil, apierror.CodeStreamOriginUnknown},
+		{"the store does not answer for versions", nil, both[:1], errSilent, nil, nil, apierror.CodeStreamOriginUnknown},
+		{"the routes have changed", nil, both[:1], nil, nil, errSilent, apierror.CodeStreamOriginUnknown},
+		{"known, and gone", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, nil, nil, apierror.CodeStreamVersionGone},
+		{"known, and the endpoints have changed", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, errSilent, nil, apierror.CodeNoEndpoint},
+		{"known of another service, and the routes have changed", func(s *testServer) { s.begun("first", "later", "v1") }, nil, nil, nil, errSilent, apierror.CodeNoEndpoint},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			s := newVersionedServer(t, "v1")
 			s.gateway.ReadVersions = func(context.Context) ([]streamorigin.Origin, error) { return row.recorded, row.versionsErr }
+			s.gateway.ConfirmEndpoints = func(context.Context) error { return row.endpointsErr }
 			s.gateway.ConfirmRoutes = func(context.Context) error { return row.routesErr }
 			if row.prepare != nil {
 				row.prepare(s)
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -11,7 +11,7 @@
 	Unknown
 	// Gone: no endpoint of its version is left, or the route no longer leads to its service.
 	Gone
-	// NotListed: this process knows no endpoint of its version, and its list of endpoints may be outdated.
+	// NotListed: this process knows no endpoint of its version to which the route leads, and what it knows may be outdated.
 	NotListed
 )
 
@@ -43,8 +43,11 @@
 	HasSole bool
 	// Service is where the request would go if it were new.
 	Service string
-	// IsFresh is set if the list of endpoints is up to date.
+	// IsFresh is set if the store has recently answered for endpoints.
 	IsFresh bool
+	// IsCurrent reports whether the list of endpoints and the routes are those that the store has, as it has said since the request
+	// came. It may ask the store.
+	IsCurrent func() bool
 	// IsListed reports whether an endpoint of an origin is listed that does not leave.
 	IsListed func(Origin) bool
 	// IsAllowed reports whether the request's route leads to a service.
@@ -62,11 +65,9 @@
 		o = Origin{Service: k.Service, Version: k.Sole}
 	}
 	switch {
-	case !k.IsAllowed(o.Service):
-		return o, Gone
-	case k.IsListed(o):
+	case k.IsAllowed(o.Service) && k.IsListed(o):
 		return o, Resume
-	case !k.IsFresh:
+	case !k.IsFresh || !k.IsCurrent():
 		return o, NotListed
 	}
 	return o, Gone
