Records of streams are sent while the store is away, also of a service with a single version

While a service has one version, records of its streams wait: anybody may go on with them. That needs the store's word now, so that while the store is away for all gateways only streams of known origin go on. As soon as the store ceases to answer for endpoints, a gateway sends the records of its streams that are not whole, and those that begin meanwhile; nothing is sent while the store answers.

TestRecordsAreSentWhileStoreIsAway (none were sent before).

--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -102,6 +102,8 @@
 	Heartbeat time.Duration
 	// Processes, if set, returns the number of processes that watch.
 	Processes func() int
+	// OnInstancesAway, if set, is called when the store ceases to answer for endpoints, and when it answers again. It must not block.
+	OnInstancesAway func(isAway bool)
 	// Clock, for ConfigAge, also advances while the host is suspended; nil means time.Now.
 	Clock func() time.Time
 
@@ -448,6 +450,9 @@
 	case !answered && !w.failing[kind]:
 		w.Log.Warn("store does not answer", zap.String("kind", kind), zap.Error(err))
 	}
+	if w.OnInstancesAway != nil && kind == w.Kinds.Instances && answered == w.failing[kind] {
+		w.OnInstancesAway(!answered)
+	}
 	w.failing[kind] = !answered
 }
 
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -93,6 +93,8 @@
 	followedAt time.Time
 	// waiting are closed when an origin arrives.
 	waiting map[Key][]chan struct{}
+	// isStoreAway is set while the store does not answer for endpoints.
+	isStoreAway bool
 }
 
 // openStream is a stream that is not whole. brokenAt is when it broke off, zero while it runs.
@@ -131,11 +133,26 @@
 		r.pending = slices.Delete(r.pending, 0, maxPending/2)
 	}
 	r.pending = append(r.pending, pendingRecord{Record{stream, o}, now})
-	if r.versionCount(o.Service) > 1 {
+	if r.mustShare(o.Service) {
 		r.signalReady()
 	}
 }
 
+// SetStoreAway records whether the store answers for endpoints. While it does not, streams go on elsewhere only if their origin is
+// known there, so that the records of a single version are sent too.
+func (r *Registry) SetStoreAway(isAway bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isStoreAway = isAway; isAway && len(r.pending) > 0 {
+		r.signalReady()
+	}
+}
+
+// mustShare reports whether other processes need the origins of a service's streams.
+func (r *Registry) mustShare(service string) bool {
+	return r.isStoreAway || r.versionCount(service) > 1
+}
+
 // End records that a stream has ended here. Unless it is whole, its caller may take it up.
 func (r *Registry) End(stream Key, isWhole bool, now time.Time) {
 	r.mu.Lock()
@@ -173,6 +190,11 @@
 	}
 }
 
+func (r *Registry) isOpen(stream Key) bool {
+	_, ok := r.open[stream]
+	return ok
+}
+
 func (r *Registry) setOpen(stream Key, s openStream, now time.Time) {
 	if len(r.open) >= MaxOpen && now.Sub(r.openExpiredAt) >= time.Second {
 		r.expireOpen(now)
@@ -546,8 +568,9 @@
 	return version, r.versionCount(service) == 1 && r.knowsAllVersions(now)
 }
 
-// TakePending returns up to limit records of this process to send to others. While a service has one version only, its
-// streams can go on anywhere, and their records wait: they are sent if another version appears.
+// TakePending returns up to limit records of this process to send to others. While a service has one version only and the store
+// answers, its streams can go on anywhere, and their records wait: they are sent if another version appears. If the store ceases to
+// answer, those of streams that are not whole are sent.
 func (r *Registry) TakePending(limit int, now time.Time) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -557,7 +580,7 @@
 	for _, p := range r.pending {
 		switch {
 		case now.Sub(p.since) > Retention:
-		case len(out) < limit && r.versionCount(p.Origin.Service) > 1:
+		case len(out) < limit && (r.versionCount(p.Origin.Service) > 1 || r.isStoreAway && r.isOpen(p.Stream)):
 			out = append(out, p.Record)
 		default:
 			kept = append(kept, p)
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -270,3 +271,40 @@
 		})
 	}
 }
+
+// TestRecordsAreSentWhileStoreIsAway guards against streams of a single version that nobody can take up while the store, which would have
+// to confirm that there is no other, does not answer.
+func TestRecordsAreSentWhileStoreIsAway(t *testing.T) {
+	r := NewRegistry()
+	isReady := func() bool {
+		select {
+		case <-r.Ready():
+			return true
+		default:
+			return false
+		}
+	}
+	r.Record(1, old, epoch)
+	r.Record(2, old, epoch)
+	r.End(2, true, epoch)
+	if got := r.TakePending(10, epoch); len(got) > 0 || isReady() {
+		t.Fatalf("got %v to send, want none while the store answers", got)
+	}
+	r.SetStoreAway(true)
+	if got := r.TakePending(10, epoch); !isReady() || !slices.Equal(got, []Record{{1, old}}) {
+		t.Errorf("got %v to send, want the stream that is not whole", got)
+	}
+	r.Record(3, old, epoch)
+	if got := r.TakePending(10, epoch); !isReady() || !slices.Equal(got, []Record{{3, old}}) {
+		t.Errorf("got %v to send, want the stream that began meanwhile", got)
+	}
+	r.SetStoreAway(false)
+	r.Record(4, old, epoch)
+	if got := r.TakePending(10, epoch); len(got) > 0 {
+		t.Errorf("got %v to send, want none once the store answers again", got)
+	}
+	r.ObserveVersions([]Origin{next}, epoch)
+	if got := r.TakePending(10, epoch); !slices.Equal(got, []Record{{2, old}, {4, old}}) {
+		t.Errorf("got %v to send once there are two versions, want those not yet sent", got)
+	}
+}
