--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -64,7 +64,12 @@
 		Service: x.service.Name, IsFresh: x.g.Watcher.EndpointsAge(now) <= configStaleAfter,
 		IsListed:  func(o streamorigin.Origin) bool { return x.g.State.HasSoftware(o.Service, o.Version) },
 		IsAllowed: x.isTarget,
-		IsCurrent: func() bool { return x.confirm(ctx, x.g.ConfirmEndpoints, x.g.ConfirmRoutes) },
+		IsCurrent: func(o streamorigin.Origin) bool {
+			if !x.isTarget(o.Service) {
+				return x.confirm(ctx, x.g.ConfirmRoutes)
+			}
+			return x.confirm(ctx, x.g.ConfirmEndpoints)
+		},
 	}
 	x.g.Origins.ObserveVersions(x.g.softwareVersions(), now)
 	_, hasSole := x.g.Origins.SoleVersion(x.service.Name, now)
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -45,9 +45,9 @@
 	Service string
 	// IsFresh is set if the store has recently answered for endpoints.
 	IsFresh bool
-	// IsCurrent reports whether the list of endpoints and the routes are those that the store has, as it has said since the request
-	// came. It may ask the store.
-	IsCurrent func() bool
+	// IsCurrent reports whether what keeps an origin's stream from going on here, the route or the list of endpoints, is what the
+	// store has, as it has said since the request came. It may ask the store.
+	IsCurrent func(Origin) bool
 	// IsListed reports whether an endpoint of an origin is listed that does not leave.
 	IsListed func(Origin) bool
 	// IsAllowed reports whether the request's route leads to a service.
@@ -67,7 +67,7 @@
 	switch {
 	case k.IsAllowed(o.Service) && k.IsListed(o):
 		return o, Resume
-	case !k.IsFresh || !k.IsCurrent():
+	case !k.IsFresh || !k.IsCurrent(o):
 		return o, NotListed
 	}
 	return o, Gone
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -17,7 +17,7 @@
 	both := func(Origin) bool { return true }
 	none := func(Origin) bool { return false }
 	anyService := func(string) bool { return true }
-	confirmed := func() bool { return true }
+	confirmed := func(Origin) bool { return true }
 	rows := []struct {
 		name string
 		know Knowledge
@@ -25,7 +25,7 @@
 	}{
 		{"known and served", Knowledge{Origin: old, IsKnown: true, IsListed: both}, Resume},
 		{"known and gone", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: confirmed, IsListed: none}, Gone},
-		{"known, not listed, the store has not confirmed the list", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: func() bool { return false }, IsListed: none}, NotListed},
+		{"known, not listed, the store has not confirmed the list", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: func(Origin) bool { return false }, IsListed: none}, NotListed},
 		{"known, not listed, the list is outdated", Knowledge{Origin: old, IsKnown: true, IsListed: none}, NotListed},
 		{"known, the only version is another", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: confirmed, HasSole: true, Sole: "v2", IsListed: func(o Origin) bool { return o == next }}, Gone},
 		{"not known, a single version", Knowledge{HasSole: true, Sole: "v1", IsFresh: true, IsListed: both}, Resume},
@@ -44,7 +44,7 @@
 	if _, got := Decide(moved); got != Gone {
 		t.Errorf("a stream whose route no longer leads to its service: got %v, want %v", got, Gone)
 	}
-	moved.IsCurrent = func() bool { return false }
+	moved.IsCurrent = func(Origin) bool { return false }
 	if _, got := Decide(moved); got != NotListed {
 		t.Errorf("a stream whose service the route may lead to by now: got %v, want %v", got, NotListed)
 	}
