Tests of final refusals by a gateway whose configuration is older than the stream's route

A stream whose known origin is a service to which the route does not lead is refused as gone, whatever the age of the configuration: the route may have been changed to lead there.

--- a/internal/coordination/gateway/joinedversion_test.go
+++ b/internal/coordination/gateway/joinedversion_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/state/routes"
 )
 
 // TestStreamOfUnlistedVersionIsNotGone guards against a final refusal by a gateway that has learned of a software version from another one,
@@ -42,3 +43,20 @@
 		t.Errorf("got %d %s, Retry-After %q, after %d requests; want a refusal with a time to come back, and none", resp.StatusCode, body, resp.Header.Get("Retry-After"), s.requestCount())
 	}
 }
+
+// TestStreamOfUnknownTargetIsNotGone guards against a final refusal by a gateway that has learned of a stream from another one, and whose
+// configuration is older: the route may lead to the stream's service now.
+func TestStreamOfUnknownTargetIsNotGone(t *testing.T) {
+	for _, age := range []time.Duration{2 * time.Second, configStaleAfter + time.Second} {
+		t.Run("the configuration was confirmed "+age.String()+" ago", func(t *testing.T) {
+			s := newVersionedServer(t, "v1")
+			list := singleRoute(routes.Streaming, 2)
+			list[0].Resumable = true
+			s.gateway.State.SetRoutes(routes.New(2, 50, list, []routes.Service{{Name: "s"}, {Name: "later"}},
+				[]routes.Customer{{Name: "club", Keys: []string{"key"}}}, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20}))
+			s.gateway.Watcher.RecordAnswer(time.Now().Add(-age))
+			s.begun("first", "later", "v1")
+			checkNotFinal(t, s)
+		})
+	}
+}
