gateway: a resumed stream forwards no event that its caller has

Events were compared only with those that this exchange had forwarded. The events before the first forwarded one were not compared with the last one that the caller names, which another gateway has sent: an endpoint that repeats it, or begins anew, had its repeats forwarded, and a number went back. A run that is moved, or returns to its source, does so only after its first event, from which on repeats were dropped already; the same holds for a further attempt.

Routes that are not resumable are left as they are: their endpoints may not know the header. Nor are ids compared that are no numbers.

Shown by TestResumedStreamRepeatsNoEvent: 6 of 9 rows failed; and both rows of TestMovedResumedStreamRepeatsNoEvent, where the source of the moved run repeats an event at its begin. An event that lacks in an answer is forwarded as before: nothing says that numbers are consecutive.

--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -23,7 +23,7 @@
 
 // streamState records what the caller has received of a stream.
 type streamState struct {
-	// lastID is the id of the last forwarded event that has one, lastNumber its value if numeric.
+	// lastID is the id of the last event that the caller has and that has one, lastNumber its value if numeric.
 	lastID     string
 	lastNumber int64
 	// firstID is the id of the first event of the last attempt, and skipped counts its events that the caller had.
@@ -57,6 +57,9 @@
 	// What a run has shown before a move still holds where it goes on.
 	x.firstEventAt, x.ranWell = time.Time{}, x.ranWell && a.ContinueFrom != ""
 	x.stream.firstID, x.stream.skipped = "", 0
+	if x.isResumable() {
+		x.stream.resumeAfter(x.call.LastEvent)
+	}
 	if x.stream.lastID != "" {
 		a.LastEvent = x.stream.lastID
 	}
@@ -246,6 +249,17 @@
 	return outcome{kind: delivered}
 }
 
+// resumeAfter records the last event that the caller has received elsewhere, unless events were forwarded since. An id that is no number
+// does not tell which events come before it.
+func (st *streamState) resumeAfter(id string) {
+	if st.lastID != "" {
+		return
+	}
+	if number, err := strconv.ParseInt(id, 10, 64); err == nil {
+		st.lastID, st.lastNumber = id, number
+	}
+}
+
 // advance reports whether an event is new to the caller, and if so records it as forwarded.
 func (st *streamState) advance(event []byte) bool {
 	id, ok := eventID(event)
