A gateway that has just started knows by which routes streams were led

A stream of unknown origin was taken for one of the service to which the route leads now, by a gateway that has started after the route was changed: 12 of 12 streams of TestStreamsOfFormerServiceDoNotMixAfterStart hold events of two services. Which services a route led to was remembered by processes only.

The stored record now also holds the fingerprint of where routes lead resumable streams, once that has been the same for a minute, and 0 after a change; a process with an older configuration changes neither. A stream of unknown origin goes on only if that is the fingerprint of the routes in force, which the store confirms at the same time. Until then origins are sent and stored as beside several versions. The gateway fails closed where it can't ask the store.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -165,13 +165,14 @@
 	contextStores.Log = log
 	keeper := contextcache.NewTracker(contextStores, log, self.Domain, bootclock.Now)
 	keeper.Self, keeper.Regions = hostOf(s.Platform.Clients), s.Platform.Regions
+	origins := streamorigin.NewRegistry()
 	state := discovery.NewState(self, log, time.Now(), func(t *routes.Table) {
 		p.clients.SetLimits(t.Limits)
 		keeper.SetStores(t.Services)
+		origins.SetStreamTargets(t.StreamTargets())
 	})
 	state.Now, state.RetireAfter = bootclock.Now, b.WeightsInForce-retireEarly
 	state.BeginWithin, state.AwaitsWeights = b.WeightsInForce-beginMargin, true
-	origins := streamorigin.NewRegistry()
 	state.OnListed, state.OnSoftware = origins.BeginFollowing, func(service, version string, now time.Time) {
 		origins.ObserveVersions([]streamorigin.Origin{{Service: service, Version: version}}, now)
 	}
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -55,7 +55,7 @@
 func (p *gatewayProcess) recordSoftware(sharer *loadreport.Exchanger, store *platform.Store, watcher *discovery.Watcher) {
 	recorder := &softwarerecord.Recorder{
 		Store: store, Origins: p.gateway.Origins, IsFirstStart: p.settings.Platform.FirstStart, Log: p.log, Metrics: p.gateway.Metrics,
-		Rank: func() int { return 0 },
+		Rank: func() int { return 0 }, StreamTargets: p.streamTargets,
 	}
 	processes := func() int { return 1 }
 	if sharer != nil {
@@ -86,8 +86,8 @@
 	interval := func() time.Duration {
 		return max(minConfirmInterval, time.Duration(processes())*confirmIntervalUnit)
 	}
-	versions := &sharedread.Reader[[]streamorigin.Origin]{
-		Read:    func(ctx context.Context) ([]streamorigin.Origin, error) { return softwarerecord.ReadAll(ctx, store) },
+	versions := &sharedread.Reader[streamorigin.Recorded]{
+		Read:    func(ctx context.Context) (streamorigin.Recorded, error) { return softwarerecord.ReadAll(ctx, store) },
 		Timeout: confirmCallTimeout, Interval: interval,
 	}
 	p.gateway.ReadVersions = versions.Get
@@ -104,6 +104,15 @@
 	p.gateway.ConfirmEndpoints, p.gateway.ConfirmRoutes = confirm(platform.Kinds.Instances), confirm(platform.Kinds.Config)
 }
 
+// streamTargets returns where the routes in force lead resumable streams.
+func (p *gatewayProcess) streamTargets() softwarerecord.StreamTargets {
+	since, t := p.gateway.State.StreamTargetsSince(), p.gateway.State.Routes()
+	if t == nil {
+		return softwarerecord.StreamTargets{}
+	}
+	return softwarerecord.StreamTargets{Fingerprint: t.StreamTargets(), ConfigVersion: t.Version, Since: since}
+}
+
 // shareLoad exchanges reports of the runs in flight with the other gateways. If that is not possible, it
 // returns nil, and this gateway relies on the endpoints' own reports.
 func (p *gatewayProcess) shareLoad(self fleet.Member, store *platform.Store) *loadreport.Exchanger {
--- a/internal/coordination/discovery/formerroutes.go
+++ b/internal/coordination/discovery/formerroutes.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// StreamTargetsSince returns since when this process has seen the routes in force lead resumable streams where they do.
+func (s *State) StreamTargetsSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streamTargetsSince
+}
+
 // LedElsewhere reports whether requests for a host and path may have been led to other services than the given one recently, as far
 // as this process has seen.
 func (s *State) LedElsewhere(host, path, service string) bool {
--- a/internal/coordination/discovery/state.go
+++ b/internal/coordination/discovery/state.go
@@ -87,11 +87,13 @@
 	// wallChanges counts the configurations that isolated customers or let them share context again.
 	wallChanges atomic.Int64
 
-	mu         sync.Mutex
-	former     formerRoutes
-	instances  map[string]*knownInstance
-	conflicts  addressConflicts
-	departures departures
+	mu     sync.Mutex
+	former formerRoutes
+	// streamTargetsSince is since when the routes have led resumable streams as they do.
+	streamTargetsSince time.Time
+	instances          map[string]*knownInstance
+	conflicts          addressConflicts
+	departures         departures
 	// wallsRaised is closed when a configuration that isolates a customer comes into force.
 	wallsRaised   chan struct{}
 	targets       map[string]TargetWeights
@@ -183,6 +185,9 @@
 	if old != nil && !t.HasSameRoutes(old) {
 		s.former.add(old, s.Now())
 	}
+	if old == nil || old.StreamTargets() != t.StreamTargets() {
+		s.streamTargetsSince = time.Now()
+	}
 	s.publishServices(t)
 	s.routes.Store(t)
 	for _, k := range s.instances {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -70,9 +70,10 @@
 	// stream and searches the store; if it is nil, only this process's own knowledge counts.
 	Origins    *streamorigin.Registry
 	FindOrigin func(ctx context.Context, stream streamorigin.Key) (streamorigin.Origin, streamorigin.Source)
-	// ReadVersions, if set, reads all software versions at which streams may have begun before the call, from the stored record.
-	ReadVersions func(ctx context.Context) ([]streamorigin.Origin, error)
-	// ConfirmEndpoints and ConfirmRoutes, if set, ask the store, after they are called, whether the endpoints or the routes have changed
+	// ReadVersions reads where streams may have begun before the call, from the stored record. A stream whose origin is not known
+	// goes on by that only.
+	ReadVersions func(ctx context.Context) (streamorigin.Recorded, error)
+	// ConfirmEndpoints and ConfirmRoutes ask the store, after they are called, whether the endpoints or the routes have changed
 	// unnoticed. They return an error if so, and if the store does not answer.
 	ConfirmEndpoints, ConfirmRoutes func(ctx context.Context) error
 	// RequiresRecord is set if streams that callers may take up begin only at software versions that the stored record holds.
--- a/internal/coordination/gateway/joinedversion_test.go
+++ b/internal/coordination/gateway/joinedversion_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,6 +37,8 @@
 // checkNotFinal takes a stream up whose endpoints may have joined, and fails the test unless the caller is told to come back.
 func checkNotFinal(t *testing.T, s *testServer) {
 	t.Helper()
+	silent := func(context.Context) error { return errors.New("no answer") }
+	s.gateway.ConfirmEndpoints, s.gateway.ConfirmRoutes = silent, silent
 	resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerResumes+": first", headerLastEvent+": 1"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -121,19 +121,19 @@
 // nothing, as this process may be cut off from them, or may have been paused.
 func (x *exchange) confirmSoleVersion(ctx context.Context) (version string, ok bool) {
 	if x.g.ReadVersions == nil {
-		return x.g.Origins.SoleVersion(x.service.Name, time.Now())
+		return "", false
 	}
-	var recorded []streamorigin.Origin
+	var recorded streamorigin.Recorded
 	readVersions := func(ctx context.Context) (err error) {
 		recorded, err = x.g.ReadVersions(ctx)
 		return err
 	}
-	if !x.confirm(ctx, readVersions, x.g.ConfirmRoutes) || !x.isOnlyService() {
+	if !x.confirm(ctx, readVersions, x.g.ConfirmRoutes) || !x.isOnlyService() || recorded.StreamTargets != x.table.StreamTargets() {
 		x.g.count("streams.sole_version_unconfirmed")
 		return "", false
 	}
 	count := 0
-	for _, o := range recorded {
+	for _, o := range recorded.Versions {
 		if o.Service == x.service.Name {
 			version = o.Version
 			count++
@@ -148,10 +148,6 @@
 	defer cancel()
 	answers := make(chan error, len(questions))
 	for _, ask := range questions {
-		if ask == nil {
-			answers <- nil
-			continue
-		}
 		go func() { answers <- ask(ctx) }()
 	}
 	for range questions {
--- a/internal/coordination/gateway/resumption_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -30,6 +30,11 @@
 	s.gateway.Origins.BeginFollowing(time.Now())
 	s.gateway.Origins.ConfirmVersions(nil, s.gateway.Origins.Generation(), true, time.Now())
 	s.gateway.Watcher.RecordAnswer(time.Now())
+	s.gateway.ReadVersions = func(context.Context) (streamorigin.Recorded, error) {
+		return streamorigin.Recorded{Versions: s.gateway.softwareVersions(), StreamTargets: s.gateway.State.Routes().StreamTargets()}, nil
+	}
+	confirmed := func(context.Context) error { return nil }
+	s.gateway.ConfirmEndpoints, s.gateway.ConfirmRoutes = confirmed, confirmed
 	return s
 }
 
@@ -260,20 +265,25 @@
 		// versionsErr, endpointsErr and routesErr are how the store answers.
 		versionsErr, endpointsErr, routesErr error
 		code                                 string
+		// targetsChanged is set if the record has been written for routes to other services.
+		targetsChanged uint64
 	}{
-		{"the store confirms the version", nil, both[:1], nil, nil, nil, ""},
-		{"the store holds another version", nil, both, nil, nil, nil, apierror.CodeStreamOriginUnknown},
-		{"the store holds versions of other services only", nil, []streamorigin.Origin{{Service: "other", Version: "v1"}}, nil, nil, nil, apierror.CodeStreamOriginUnknown},
-		{"the store does not answer for versions", nil, both[:1], errSilent, nil, nil, apierror.CodeStreamOriginUnknown},
-		{"the routes have changed", nil, both[:1], nil, nil, errSilent, apierror.CodeStreamOriginUnknown},
-		{"known, and gone", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, nil, nil, apierror.CodeStreamVersionGone},
-		{"known, and the endpoints have changed", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, errSilent, nil, apierror.CodeNoEndpoint},
-		{"known of another service, and the routes have changed", func(s *testServer) { s.begun("first", "later", "v1") }, nil, nil, nil, errSilent, apierror.CodeNoEndpoint},
+		{"the store confirms the version", nil, both[:1], nil, nil, nil, "", 0},
+		{"the store holds another version", nil, both, nil, nil, nil, apierror.CodeStreamOriginUnknown, 0},
+		{"the store holds versions of other services only", nil, []streamorigin.Origin{{Service: "other", Version: "v1"}}, nil, nil, nil, apierror.CodeStreamOriginUnknown, 0},
+		{"the store does not answer for versions", nil, both[:1], errSilent, nil, nil, apierror.CodeStreamOriginUnknown, 0},
+		{"the routes have changed", nil, both[:1], nil, nil, errSilent, apierror.CodeStreamOriginUnknown, 0},
+		{"the route has led elsewhere within a minute", nil, both[:1], nil, nil, nil, apierror.CodeStreamOriginUnknown, 1},
+		{"known, and gone", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, nil, nil, apierror.CodeStreamVersionGone, 0},
+		{"known, and the endpoints have changed", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, errSilent, nil, apierror.CodeNoEndpoint, 0},
+		{"known of another service, and the routes have changed", func(s *testServer) { s.begun("first", "later", "v1") }, nil, nil, nil, errSilent, apierror.CodeNoEndpoint, 0},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			s := newVersionedServer(t, "v1")
-			s.gateway.ReadVersions = func(context.Context) ([]streamorigin.Origin, error) { return row.recorded, row.versionsErr }
+			s.gateway.ReadVersions = func(context.Context) (streamorigin.Recorded, error) {
+				return streamorigin.Recorded{Versions: row.recorded, StreamTargets: s.gateway.State.Routes().StreamTargets() + row.targetsChanged}, row.versionsErr
+			}
 			s.gateway.ConfirmEndpoints = func(context.Context) error { return row.endpointsErr }
 			s.gateway.ConfirmRoutes = func(context.Context) error { return row.routesErr }
 			if row.prepare != nil {
--- a/internal/coordination/originstore/archive.go
+++ b/internal/coordination/originstore/archive.go
@@ -136,7 +136,7 @@
 	if due := a.nextWrite.Sub(now); due > 0 {
 		return min(due, minInterval)
 	}
-	if !a.Origins.HasSeveralVersions(now) {
+	if !a.Origins.NeedsStoredOrigins(now) {
 		return minInterval
 	}
 	return min(minLook+time.Duration(size)*lookTime, minInterval)
@@ -298,7 +298,7 @@
 // startList returns the list that is being read, or begins one; nil if the last one is too recent or the fleet too large.
 func (a *Archive) startList() *pendingList {
 	hosts := len(a.Hosts())
-	if hosts > maxListHosts || !a.Origins.HasSeveralVersions(time.Now()) {
+	if hosts > maxListHosts || !a.Origins.NeedsStoredOrigins(time.Now()) {
 		return nil
 	}
 	interval := max(minListInterval, time.Duration(hosts*hosts)*listIntervalUnit)
--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -44,6 +44,8 @@
 	Origins *streamorigin.Registry
 	// IsFirstStart is set if the whole system starts for the first time: if there is no record then, there was no version.
 	IsFirstStart bool
+	// StreamTargets, if set, returns where the routes lead resumable streams.
+	StreamTargets func() StreamTargets
 	// Rank is the position of this process among those that it knows.
 	Rank    func() int
 	Log     *zap.Logger
@@ -57,18 +59,34 @@
 	listEra uint64
 	// mayRemove is set while versions may be removed from the record.
 	mayRemove bool
+	// wasFirstStart is set while no streams can have begun before this process.
+	wasFirstStart bool
 	// isRead is set once the store has answered a call for the record.
 	isRead bool
 	// heldSince holds since when each version is known to be in the record.
 	heldSince map[streamorigin.Origin]time.Time
 }
 
+// StreamTargets is where the routes of a configuration lead resumable streams.
+type StreamTargets struct {
+	// Fingerprint is 0 before the first configuration.
+	Fingerprint uint64
+	// ConfigVersion is the configuration's, and Since is when this process first saw the routes lead there without a change since.
+	ConfigVersion uint64
+	Since         time.Time
+}
+
 // record is the stored form.
 type record struct {
 	Versions []versionEntry `json:"versions"`
 	// CompleteIn is the era of the store in which a process that knew all versions wrote the record, nil if none has. In
 	// another era, an older copy of the store may have lost versions.
 	CompleteIn *uint64 `json:"complete_in,omitempty"`
+	// StreamTargets is the fingerprint of where routes have led resumable streams for streamorigin.Retention or longer, 0 after a
+	// change: a process that has just started does not know by which routes the streams began that callers still take up.
+	// ConfigVersion is the version of the configuration by which it was written.
+	StreamTargets uint64 `json:"stream_targets,omitempty"`
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 }
 
 type versionEntry struct {
@@ -98,6 +116,14 @@
 		} else {
 			retryDelay = minRetryDelay
 		}
+		if r.wasFirstStart {
+			// The record lacks the routes until the first configuration is known.
+			wait = min(wait, maxRetryDelay)
+		}
+		if r.wasFirstStart {
+			// The record lacks the routes until the first configuration is known.
+			wait = min(wait, maxRetryDelay)
+		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-changed:
@@ -179,6 +205,7 @@
 	switch {
 	case errors.Is(err, objectapi.ErrNotFound):
 		isComplete, era = r.IsFirstStart, r.Store.Eras().Current()
+		r.wasFirstStart = r.IsFirstStart
 	case err != nil:
 		return errors.Annotate(err, "record of software versions")
 	default:
@@ -188,6 +215,7 @@
 			stored = record{}
 		}
 		isComplete = stored.isCompleteIn(era)
+		r.wasFirstStart = r.wasFirstStart && stored.StreamTargets == 0 && stored.ConfigVersion == 0
 	}
 	now := time.Now()
 	isNews := generation != r.readIn || o.Version != r.version
@@ -228,6 +256,7 @@
 		}
 	}
 	r.stored, r.version, r.heldSince = stored, version, held
+	r.Origins.SetSettledTargets(stored.StreamTargets)
 	recorded := stored.origins()
 	if !isComplete {
 		// An older copy that lacks a version misleads nobody while it is not whole, and streams still begin at the version.
@@ -273,13 +302,28 @@
 	if knowsAll {
 		out.CompleteIn = &era
 	}
+	out.StreamTargets, out.ConfigVersion = r.stored.StreamTargets, r.stored.ConfigVersion
+	if r.StreamTargets == nil {
+		return out
+	}
+	t := r.StreamTargets()
+	isOlder := t.ConfigVersion < out.ConfigVersion && r.stored.isCompleteIn(era)
+	if t.Fingerprint == 0 || t.Fingerprint == out.StreamTargets || isOlder {
+		return out
+	}
+	switch {
+	case r.wasFirstStart || now.Sub(t.Since) > streamorigin.Retention:
+		out.StreamTargets, out.ConfigVersion = t.Fingerprint, t.ConfigVersion
+	case out.StreamTargets != 0:
+		out.StreamTargets, out.ConfigVersion = 0, t.ConfigVersion
+	}
 	return out
 }
 
 func (r *Recorder) needsWrite(now time.Time) bool {
 	target := r.target(now)
 	isSameEra := (target.CompleteIn == nil) == (r.stored.CompleteIn == nil) && (target.CompleteIn == nil || *target.CompleteIn == *r.stored.CompleteIn)
-	return r.version == 0 || !isSameEra || !slices.Equal(target.Versions, r.stored.Versions)
+	return r.version == 0 || !isSameEra || target.StreamTargets != r.stored.StreamTargets || !slices.Equal(target.Versions, r.stored.Versions)
 }
 
 // write writes the record, unless another process has changed it meanwhile.
@@ -296,6 +340,9 @@
 		r.isRead = false
 		return errors.Annotate(err, "record of software versions")
 	}
+	if target.StreamTargets != 0 {
+		r.wasFirstStart = false
+	}
 	r.setStored(target, o.Version, target.isCompleteIn(objectapi.Revision(o.Version).Era()), time.Now())
 	metrics.GetOrRegisterCounter("gateway.streams.version_records_written", r.Metrics).Inc(1)
 	r.Log.Info("record of software versions written", zap.Any("versions", target.Versions), zap.Bool("complete", target.CompleteIn != nil))
--- a/internal/coordination/softwarerecord/recorder_test.go
+++ b/internal/coordination/softwarerecord/recorder_test.go
@@ -254,3 +254,61 @@
 		}
 	})
 }
+
+// TestChangedRoutesAreNotSettled guards against a process that has just started and takes the routes in force for those by which all
+// streams began, and against a process with an older configuration that undoes what others have recorded.
+func TestChangedRoutesAreNotSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		begin := func(isFirst bool, rank int, targets *StreamTargets) (stop func()) {
+			registry := streamorigin.NewRegistry()
+			recorder := &Recorder{
+				Store: store, Origins: registry, IsFirstStart: isFirst, Rank: func() int { return rank }, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+				StreamTargets: func() StreamTargets { return *targets },
+			}
+			registry.BeginFollowing(time.Now())
+			registry.ObserveVersions([]streamorigin.Origin{{Service: service, Version: "v1"}}, time.Now())
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				recorder.Run(ctx)
+			}()
+			return func() {
+				cancel()
+				<-done
+			}
+		}
+		check := func(when string, want uint64) {
+			t.Helper()
+			got, err := ReadAll(t.Context(), store)
+			if err != nil || got.StreamTargets != want {
+				t.Errorf("%s: got %d, error %v; want %d", when, got.StreamTargets, err, want)
+			}
+		}
+		first := StreamTargets{}
+		stopFirst := begin(true, 0, &first)
+		time.Sleep(time.Second)
+		first = StreamTargets{Fingerprint: 1, ConfigVersion: 1, Since: time.Now()}
+		time.Sleep(time.Second)
+		check("at the first start", 1)
+		behind := first
+		stopBehind := begin(false, 1, &behind)
+		time.Sleep(2 * streamorigin.Retention)
+		first = StreamTargets{Fingerprint: 2, ConfigVersion: 2, Since: time.Now()}
+		time.Sleep(2 * checkInterval)
+		check("after a change, beside a process that has not heard of it", 0)
+		first = StreamTargets{Fingerprint: 1, ConfigVersion: 3, Since: time.Now()}
+		time.Sleep(2 * checkInterval)
+		check("after a change back", 0)
+		stopFirst()
+		stopBehind()
+		started := StreamTargets{Fingerprint: 1, ConfigVersion: 3, Since: time.Now()}
+		stop := begin(false, 0, &started)
+		defer stop()
+		time.Sleep(streamorigin.Retention - time.Second)
+		check("under a minute after all have started anew", 0)
+		time.Sleep(time.Second + 2*checkInterval)
+		check("over a minute after", 1)
+	})
+}
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -31,6 +31,14 @@
 	FromStore  Source = "store"
 )
 
+// Recorded is what the store holds of where streams may have begun.
+type Recorded struct {
+	// Versions are all at which a stream may have begun that a caller can still take up.
+	Versions []Origin
+	// StreamTargets is the fingerprint of the routes by which such streams have been led, 0 if they were changed meanwhile.
+	StreamTargets uint64
+}
+
 // Knowledge is what a process knows of a stream that a caller takes up.
 type Knowledge struct {
 	// Origin is valid if IsKnown.
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -95,6 +95,9 @@
 	waiting map[Key][]chan struct{}
 	// isStoreAway is set while the store does not answer for endpoints.
 	isStoreAway bool
+	// streamTargets is the fingerprint of where the routes lead streams, settledTargets that of where streams have been led according
+	// to the stored record.
+	streamTargets, settledTargets uint64
 }
 
 // openStream is a stream that is not whole. brokenAt is when it broke off, zero while it runs.
@@ -148,9 +151,33 @@
 	}
 }
 
+// SetStreamTargets records the fingerprint of where the routes lead streams now. Until the stored record holds it too, streams that
+// began may have been led to other services, and go on elsewhere only if their origin is known there.
+func (r *Registry) SetStreamTargets(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.streamTargets == fingerprint {
+		return
+	}
+	r.streamTargets = fingerprint
+	r.notifyVersionsChanged()
+	if len(r.pending) > 0 && !r.isSettled() {
+		r.signalReady()
+	}
+}
+
+// SetSettledTargets records the fingerprint that the stored record holds.
+func (r *Registry) SetSettledTargets(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settledTargets = fingerprint
+}
+
+func (r *Registry) isSettled() bool { return r.streamTargets == r.settledTargets }
+
 // mustShare reports whether other processes need the origins of a service's streams.
 func (r *Registry) mustShare(service string) bool {
-	return r.isStoreAway || r.versionCount(service) > 1
+	return r.isStoreAway || !r.isSettled() || r.versionCount(service) > 1
 }
 
 // End records that a stream has ended here. Unless it is whole, its caller may take it up.
@@ -213,10 +240,14 @@
 	}
 }
 
-// HasSeveralVersions reports whether a service has had several versions within Retention.
-func (r *Registry) HasSeveralVersions(now time.Time) bool {
+// NeedsStoredOrigins reports whether streams go on elsewhere only if their origin is known there: a service has had several versions
+// within Retention, or routes have led elsewhere.
+func (r *Registry) NeedsStoredOrigins(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.isSettled() {
+		return true
+	}
 	r.expireVersions(now)
 	services := make(map[string]bool, len(r.versions))
 	for o := range r.versions {
@@ -228,7 +259,8 @@
 	return false
 }
 
-// OpenRecords returns, in order, the streams that callers may still take up, of services that have several versions.
+// OpenRecords returns, in order, the streams that callers may still take up, of services that have several versions, or of all if
+// routes have led elsewhere.
 func (r *Registry) OpenRecords(now time.Time) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -240,7 +272,7 @@
 	r.expireOpen(now)
 	var out []Record
 	for stream, s := range r.open {
-		if counts[s.origin.Service] > 1 {
+		if counts[s.origin.Service] > 1 || !r.isSettled() {
 			out = append(out, Record{stream, s.origin})
 		}
 	}
@@ -580,7 +612,7 @@
 	for _, p := range r.pending {
 		switch {
 		case now.Sub(p.since) > Retention:
-		case len(out) < limit && (r.versionCount(p.Origin.Service) > 1 || r.isStoreAway && r.isOpen(p.Stream)):
+		case len(out) < limit && (r.versionCount(p.Origin.Service) > 1 || r.mustShare(p.Origin.Service) && r.isOpen(p.Stream)):
 			out = append(out, p.Record)
 		default:
 			kept = append(kept, p)
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -308,3 +308,26 @@
 		t.Errorf("got %v to send once there are two versions, want those not yet sent", got)
 	}
 }
+
+// TestRecordsAreSentWhileRoutesAreNotSettled guards against streams of a single version that nobody can take up after a route was led to
+// another service.
+func TestRecordsAreSentWhileRoutesAreNotSettled(t *testing.T) {
+	r := NewRegistry()
+	r.SetStreamTargets(1)
+	r.SetSettledTargets(1)
+	r.Record(1, old, epoch)
+	if r.NeedsStoredOrigins(epoch) || len(r.OpenRecords(epoch)) > 0 || len(r.TakePending(10, epoch)) > 0 {
+		t.Fatal("origins are sent or stored while the routes are those of the record")
+	}
+	r.SetStreamTargets(2)
+	if got := r.OpenRecords(epoch); !r.NeedsStoredOrigins(epoch) || !slices.Equal(got, []Record{{1, old}}) {
+		t.Errorf("got %v to store, want the open stream", got)
+	}
+	if got := r.TakePending(10, epoch); !slices.Equal(got, []Record{{1, old}}) {
+		t.Errorf("got %v to send, want the open stream", got)
+	}
+	r.SetSettledTargets(2)
+	if r.NeedsStoredOrigins(epoch) {
+		t.Error("origins are stored though the routes are those of the record again")
+	}
+}
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -162,6 +162,8 @@
 	// urgencyScales order the requests of each service.
 	urgencyScales map[string]*urgencyScale
 	sharing       sharing
+	// streamTargets is the fingerprint of where resumable streams are led.
+	streamTargets uint64
 	// list, services and customers are the entries that the table was built from.
 	list      []Route
 	services  []Service
@@ -184,6 +186,7 @@
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
+	t.streamTargets = fingerprintOf(list)
 	for _, byLength := range t.routesByHost {
 		sort.SliceStable(byLength, func(a, b int) bool { return len(byLength[a].Prefix) > len(byLength[b].Prefix) })
 	}
