routing: endpoints that a process finds at its start count as equally old

A gateway that has just started learns its endpoints one by one, and only the first counted as found at the start: slow start raised the expected wait of all others by 50 ms, for 10 s. Every fresh gateway sent all requests to the endpoint that sorts first.

Trace of TestNoiseWithoutEnd/head_slow_header_line, the noisy endpoint being the first of six: the request log expects 0 ms there, 46 ms at the others before the first calls were timed and 78 ms after. All of requests 0 to 39, and none later, went to it from the three gateways, 13 each with up to 13 under way at a time; each was closed after 600 to 622 ms. The budget paid for 12 retries. 127 of 160 served, 48 met the noise.

What a process finds before its first choice is now taken to have been in use. The test stays listed: after its ejection the endpoint again gets a burst.

--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,6 +52,8 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
+	// hasChosen is set once an endpoint was chosen.
+	hasChosen bool
 	// callTimes holds the mean times of plain calls by service.
 	callTimes map[string]*callTime
 	random    *rand.Rand
@@ -136,8 +138,8 @@
 			FirstSeen: now, PeerWork: d.peerWorkOf(WorkID(m.ID, m.Incarnation)), HasPeerReports: d.reportingPeers[m.Domain] > 0,
 			ModelRate: d.modelRateOf(m.Endpoint.Model), Pushback: d.Pushback.Endpoint(m.ID, m.Incarnation, m.Domain),
 		}}
-		if len(d.tracked) == 0 || d.fleetGeneration == 0 {
-			// Endpoints that this process finds at its own start are not new.
+		if !d.hasChosen {
+			// Endpoints that this process finds before its first choice were in use before it started.
 			t.FirstSeen = now.Add(-slowStart)
 		}
 		d.tracked[m.ID] = t
@@ -351,6 +353,7 @@
 		}
 		return Choice{Refusal: decision.Refusal, RetryIn: decision.RetryIn}
 	}
+	d.hasChosen = true
 	e := decision.Endpoint
 	snapshot := d.tracked[e.ID].snapshot(r.Now)
 	if e.isCold(r.Now) {
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -299,6 +299,40 @@
 	}
 }
 
+// TestEndpointsFoundAtStartShareRequests guards against a process that has just started and sends all requests to the
+// endpoint that it found first, as if the others were new.
+func TestEndpointsFoundAtStartShareRequests(t *testing.T) {
+	const endpoints, requests = 6, 60
+	d, table := newDirectory(t, 0)
+	d.UsableMembers("s", epoch)
+	add := func(id int, now time.Time) {
+		name := fmt.Sprint("e", id)
+		table.Merge(fleet.Member{
+			ID: name, Incarnation: uint64(id + 1), Version: 1, Domain: "d",
+			Endpoint: fleet.Endpoint{ID: name, Labels: map[string]string{"pool": "x"}, Model: "m", WeightVersion: "v1"},
+		}, now)
+		d.UsableMembers("s", now)
+	}
+	now := epoch
+	for id := range endpoints {
+		now = now.Add(10 * time.Millisecond)
+		add(id, now)
+	}
+	chosen := map[string]int{}
+	for range requests {
+		chosen[d.Choose("s", nil, &Request{PromptTokens: 1, Now: now, Objective: config.Objective{WeightTTFT: 1}}).Member.ID]++
+	}
+	for id := range endpoints {
+		if n := chosen[fmt.Sprint("e", id)]; n < requests/endpoints/2 || n > requests/endpoints*2 {
+			t.Errorf("got %d of %d requests at endpoint %d of %d, want between half and twice its part", n, requests, id, endpoints)
+		}
+	}
+	add(endpoints, now)
+	if seen := d.tracked[fmt.Sprint("e", endpoints)].FirstSeen; !seen.Equal(now) {
+		t.Errorf("got an endpoint that joined after the first choice seen %s earlier, want now", now.Sub(seen))
+	}
+}
+
 // FuzzDecide checks that no decision chooses an endpoint that is excluded, full or has another
 // weight version.
 func FuzzDecide(f *testing.F) {
