routing: an endpoint whose ejection has ended is probed by one request at a time

An ejection ended all at once: the endpoint got its part of the requests, or more as it had had fewer than the others, and three of them had to fail before it was ejected again. Where a failure takes most of a second, as with a head that never ends, a burst had met it by then.

Until an answer begins there or a run ends well, an endpoint gets one request at a time from a process, unless there is no other, and one failed probe ejects it again. No new constant; retry budgets are as they were.

--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -292,6 +292,8 @@
 	// slowdown is how many times as long as usual the work was expected to take.
 	slowdown float64
 	prefill  *prefill
+	// isProbe is set if the endpoint was on probation.
+	isProbe bool
 }
 
 // prefill is the computation of a run's prompt, until its answer begins.
@@ -360,6 +362,9 @@
 		e.Warmup.Record(r.Now)
 	}
 	e.Running++
+	if e.OnProbation {
+		e.Probes++
+	}
 	e.HeldTokens += r.HeldTokens
 	pending := &prefill{tokens: decision.WorkTokens, queuedTokens: e.queuedTokens(r.Urgency), urgency: r.Urgency}
 	usual := e.fixedTime() + e.usualCallTime() + seconds(float64(pending.tokens)/e.prefillRate())
@@ -370,7 +375,7 @@
 	e.Pushback.RecordSend(r.Now)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
-		heldTokens: r.HeldTokens, chosenAt: r.Now, slowdown: slowdown, LoadSnapshot: snapshot, prefill: pending,
+		heldTokens: r.HeldTokens, chosenAt: r.Now, slowdown: slowdown, LoadSnapshot: snapshot, prefill: pending, isProbe: e.OnProbation,
 	}
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -53,10 +53,10 @@
 	return best
 }
 
-// isDegraded reports whether an endpoint is ejected or suspected to be dead. It is then used
-// only if there is no other.
+// isDegraded reports whether an endpoint is ejected, suspected to be dead, or being probed after an
+// ejection. It is then used only if there is no other.
 func (e *Endpoint) isDegraded(now time.Time) bool {
-	return e.EjectedUntil.After(now) || e.State == fleet.Suspect
+	return e.EjectedUntil.After(now) || e.State == fleet.Suspect || (e.OnProbation && e.Probes > 0)
 }
 
 // importableTokens returns how many tokens after the cached ones can be imported without a
--- a/internal/coordination/routing/outcome.go
+++ b/internal/coordination/routing/outcome.go
@@ -13,6 +13,7 @@
 	if t == nil || c.prefill.done {
 		return
 	}
+	t.OnProbation = false
 	t.finishPrefill(c)
 	c.prefill.answered = true
 	tokens, took := c.prefill.tokens+c.prefill.queuedTokens, time.Duration(float64(now.Sub(c.chosenAt)-c.prefill.otherWait)/c.slowdown)
@@ -119,6 +120,9 @@
 		return nil
 	}
 	t.Running--
+	if c.isProbe {
+		t.Probes--
+	}
 	t.HeldTokens -= c.heldTokens
 	t.finishPrefill(c)
 	return t
@@ -134,13 +138,14 @@
 		return
 	}
 	if !failed {
-		t.failures, t.ejections = 0, 0
+		t.failures, t.ejections, t.OnProbation = 0, 0, false
 		t.observeRunTime(now.Sub(c.chosenAt))
 		t.observeCallTime(c, now.Sub(c.chosenAt))
 		return
 	}
 	t.failures++
-	if t.failures >= failuresToEject {
+	// Nothing has gone well at an endpoint on probation since its ejection, so that one failure is enough.
+	if t.failures >= failuresToEject || (c.isProbe && t.OnProbation) {
 		t.eject(now, d.random)
 	}
 }
@@ -175,6 +180,7 @@
 	}
 	t.Running++
 	t.HeldTokens += c.heldTokens
+	c.isProbe = false
 	c.prefill = &prefill{done: true}
 	return c
 }
@@ -223,4 +229,5 @@
 	t.EjectedUntil = now.Add(length/2 + time.Duration(random.Int64N(int64(length/2)+1)))
 	t.failures = 0
 	t.ejections++
+	t.OnProbation = true
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -104,6 +104,11 @@
 	// EjectedUntil is until when the endpoint is used only if there is no other,
 	// because it failed, was unreachable or refused a run.
 	EjectedUntil time.Time
+	// OnProbation is set from an ejection until an answer begins or a run ends well. Meanwhile the
+	// endpoint gets one request at a time, a probe, unless there is no other.
+	OnProbation bool
+	// Probes is the number of probes from this process that are under way.
+	Probes int
 	// FirstSeen is when this process first saw this incarnation of the endpoint. For
 	// those found at its own start it is slowStart earlier.
 	FirstSeen time.Time
