Questions that confirm streams: 667 a second of each kind at most, none while the store is known to be silent

Three questions of a thousand a second each could take more than the 2,000 reads a second that all processes have. A caller is refused at once where the last call for endpoints got no answer.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -76,9 +76,9 @@
 	// confirmCallTimeout bounds a call that asks the store to confirm what is known.
 	confirmCallTimeout = 700 * time.Millisecond
 	// minConfirmInterval is the least time between two such calls of a kind, and confirmIntervalUnit what each process adds: all
-	// together ask a thousand times a second at most.
+	// processes together ask each of the three questions 667 times a second at most.
 	minConfirmInterval  = 20 * time.Millisecond
-	confirmIntervalUnit = time.Millisecond
+	confirmIntervalUnit = 1500 * time.Microsecond
 )
 
 // confirmStreams has the gateway ask the store what it must know for certain of a stream that a caller takes up.
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -159,6 +159,13 @@
 	return now.Sub(w.instancesAnswer)
 }
 
+// EndpointsAnswered reports whether the store has answered the last call for endpoints that has ended.
+func (w *Watcher) EndpointsAnswered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.failing[w.Kinds.Instances]
+}
+
 // EndpointsCallAge is how long ago the call began that the store last answered for endpoints. A process that was paused may read an
 // answer late: the list may be as old as the call.
 func (w *Watcher) EndpointsCallAge() time.Duration {
--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -80,7 +80,7 @@
 		defer close(found)
 		x.searchOrigin(searching, &k)
 	}()
-	if hasSole && k.IsFresh && x.isOnlyService() {
+	if hasSole && k.IsFresh && x.g.Watcher.EndpointsAnswered() && x.isOnlyService() {
 		timer := time.NewTimer(soleVersionSearch)
 		defer timer.Stop()
 		select {
@@ -160,9 +160,9 @@
 }
 
 const (
-	// confirmTimeout bounds the wait for the store's confirmation. In the largest fleets a question waits for up to 0.4 s, so that all
-	// processes together ask a thousand times a second at most.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout bounds the wait for the store's confirmation. In the largest fleets a question waits for up to 0.56 s for the next
+	// call.
+	confirmTimeout = 700 * time.Millisecond
 	// soleVersionSearch is how long the origin is searched for before the store is asked: most are found, and cost it nothing.
 	soleVersionSearch = 30 * time.Millisecond
 )
