--- a/internal/coordination/softwarerecord/recorder_test.go
+++ b/internal/coordination/softwarerecord/recorder_test.go
@@ -260,11 +260,11 @@
 func TestChangedRoutesAreNotSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New()
-		begin := func(isFirst bool, rank int, targets *StreamTargets) (stop func()) {
+		begin := func(isFirst bool, rank int, targets *atomic.Pointer[StreamTargets]) (stop func()) {
 			registry := streamorigin.NewRegistry()
 			recorder := &Recorder{
 				Store: store, Origins: registry, IsFirstStart: isFirst, Rank: func() int { return rank }, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
-				StreamTargets: func() StreamTargets { return *targets },
+				StreamTargets: func() StreamTargets { return *targets.Load() },
 			}
 			registry.BeginFollowing(time.Now())
 			registry.ObserveVersions([]streamorigin.Origin{{Service: service, Version: "v1"}}, time.Now())
@@ -286,25 +286,29 @@
 				t.Errorf("%s: got %d, error %v; want %d", when, got.StreamTargets, err, want)
 			}
 		}
-		first := StreamTargets{}
-		stopFirst := begin(true, 0, &first)
+		first, behind, started := &atomic.Pointer[StreamTargets]{}, &atomic.Pointer[StreamTargets]{}, &atomic.Pointer[StreamTargets]{}
+		lead := func(p *atomic.Pointer[StreamTargets], fingerprint, version uint64) {
+			p.Store(&StreamTargets{Fingerprint: fingerprint, ConfigVersion: version, Since: time.Now()})
+		}
+		first.Store(&StreamTargets{})
+		stopFirst := begin(true, 0, first)
 		time.Sleep(time.Second)
-		first = StreamTargets{Fingerprint: 1, ConfigVersion: 1, Since: time.Now()}
+		lead(first, 1, 1)
 		time.Sleep(time.Second)
 		check("at the first start", 1)
-		behind := first
-		stopBehind := begin(false, 1, &behind)
+		behind.Store(first.Load())
+		stopBehind := begin(false, 1, behind)
 		time.Sleep(2 * streamorigin.Retention)
-		first = StreamTargets{Fingerprint: 2, ConfigVersion: 2, Since: time.Now()}
+		lead(first, 2, 2)
 		time.Sleep(2 * checkInterval)
 		check("after a change, beside a process that has not heard of it", 0)
-		first = StreamTargets{Fingerprint: 1, ConfigVersion: 3, Since: time.Now()}
+		lead(first, 1, 3)
 		time.Sleep(2 * checkInterval)
 		check("after a change back", 0)
 		stopFirst()
 		stopBehind()
-		started := StreamTargets{Fingerprint: 1, ConfigVersion: 3, Since: time.Now()}
-		stop := begin(false, 0, &started)
+		lead(started, 1, 3)
+		stop := begin(false, 0, started)
 		defer stop()
 		time.Sleep(streamorigin.Retention - time.Second)
 		check("under a minute after all have started anew", 0)
