softwarerecord: routes that differ, were changed back, or were heard late do not count as settled

A process that had written the first record without a configuration could record the routes in force as the only ones later (TestFirstStartEndsForAll): any process with a configuration ends that now. A change that was undone before a write of it reached the store left no trace (TestRoutesChangedBackAreNotSettled): a process that has seen it records it even then. Processes that keep an unreadable route in different forms settled on one of them (TestRoutesOfOneConfigurationThatDifferAreNotSettled): the record says that they differ, and is read again for each configuration.

--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -59,8 +59,11 @@
 	listEra uint64
 	// mayRemove is set while versions may be removed from the record.
 	mayRemove bool
-	// wasFirstStart is set while no streams can have begun before this process.
+	// wasFirstStart is set while no streams can have begun by other routes: the whole system has just started for the first time.
 	wasFirstStart bool
+	// firstSince is when this process first knew where the routes lead, readFor the configuration's version when it last read the record.
+	firstSince time.Time
+	readFor    uint64
 	// isRead is set once the store has answered a call for the record.
 	isRead bool
 	// heldSince holds since when each version is known to be in the record.
@@ -87,6 +90,8 @@
 	// ConfigVersion is the version of the configuration by which it was written.
 	StreamTargets uint64 `json:"stream_targets,omitempty"`
 	ConfigVersion uint64 `json:"config_version,omitempty"`
+	// TargetsDiffer is set if processes lead streams to different services by that configuration.
+	TargetsDiffer bool `json:"targets_differ,omitempty"`
 }
 
 type versionEntry struct {
@@ -199,6 +204,7 @@
 func (r *Recorder) read(ctx context.Context, generation uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	readFor := r.configVersion()
 	o, err := r.Store.Get(ctx, objectKey)
 	var stored record
 	isComplete, era := false, objectapi.Revision(o.Version).Era()
@@ -215,7 +221,7 @@
 			stored = record{}
 		}
 		isComplete = stored.isCompleteIn(era)
-		r.wasFirstStart = r.wasFirstStart && stored.StreamTargets == 0 && stored.ConfigVersion == 0
+		r.wasFirstStart = (r.wasFirstStart || r.IsFirstStart) && stored.ConfigVersion == 0
 	}
 	now := time.Now()
 	isNews := generation != r.readIn || o.Version != r.version
@@ -228,7 +234,7 @@
 	r.Origins.MergeVersions(r.added(stored), now)
 	r.Origins.ConfirmVersions(stored.origins(), generation, isComplete, now)
 	r.setStored(stored, o.Version, isComplete, now)
-	r.readIn, r.isRead, r.IsFirstStart = generation, true, false
+	r.readIn, r.readFor, r.isRead, r.IsFirstStart = generation, readFor, true, false
 	if isNews {
 		r.Log.Info("record of software versions read", zap.Any("versions", stored.Versions), zap.Bool("complete", isComplete),
 			zap.Bool("found", err == nil), zap.Bool("all_versions_known", r.Origins.KnowsAllVersions(now)))
@@ -271,7 +277,7 @@
 
 // needsRead reports whether the record must be read for what it holds.
 func (r *Recorder) needsRead(generation uint64) bool {
-	return !r.isRead || r.readIn != generation || slices.ContainsFunc(r.Origins.Versions(time.Now()), func(v streamorigin.VersionAge) bool {
+	return !r.isRead || r.readIn != generation || r.configVersion() != r.readFor || slices.ContainsFunc(r.Origins.Versions(time.Now()), func(v streamorigin.VersionAge) bool {
 		return !r.heldSince[v.Origin].IsZero() && !r.Origins.IsRecorded(v.Origin)
 	})
 }
@@ -302,28 +308,52 @@
 	if knowsAll {
 		out.CompleteIn = &era
 	}
-	out.StreamTargets, out.ConfigVersion = r.stored.StreamTargets, r.stored.ConfigVersion
+	r.setTargets(&out, era, now)
+	return out
+}
+
+func (r *Recorder) configVersion() uint64 {
+	if r.StreamTargets == nil {
+		return 0
+	}
+	return r.StreamTargets().ConfigVersion
+}
+
+// setTargets sets what a record should hold of the routes.
+func (r *Recorder) setTargets(out *record, era uint64, now time.Time) {
+	out.StreamTargets, out.ConfigVersion, out.TargetsDiffer = r.stored.StreamTargets, r.stored.ConfigVersion, r.stored.TargetsDiffer
 	if r.StreamTargets == nil {
-		return out
+		return
 	}
 	t := r.StreamTargets()
-	isOlder := t.ConfigVersion < out.ConfigVersion && r.stored.isCompleteIn(era)
-	if t.Fingerprint == 0 || t.Fingerprint == out.StreamTargets || isOlder {
-		return out
+	if t.Fingerprint == 0 || t.ConfigVersion < out.ConfigVersion && r.stored.isCompleteIn(era) {
+		return
+	}
+	if r.firstSince.IsZero() {
+		r.firstSince = t.Since
 	}
+	isSameConfig := t.ConfigVersion == out.ConfigVersion
+	hasChanged, isSettled := t.Since.After(r.firstSince), now.Sub(t.Since) > streamorigin.Retention
 	switch {
-	case r.wasFirstStart || now.Sub(t.Since) > streamorigin.Retention:
-		out.StreamTargets, out.ConfigVersion = t.Fingerprint, t.ConfigVersion
-	case out.StreamTargets != 0:
-		out.StreamTargets, out.ConfigVersion = 0, t.ConfigVersion
+	case isSameConfig && out.TargetsDiffer:
+	case t.Fingerprint == out.StreamTargets && hasChanged && !isSettled:
+		// They were changed and changed back.
+		out.StreamTargets, out.ConfigVersion, out.TargetsDiffer = 0, t.ConfigVersion, false
+	case t.Fingerprint == out.StreamTargets:
+	case isSameConfig && out.StreamTargets != 0:
+		// Entries that can't be read are kept as each process read them before.
+		out.StreamTargets, out.TargetsDiffer = 0, true
+	case r.wasFirstStart || isSettled:
+		out.StreamTargets, out.ConfigVersion, out.TargetsDiffer = t.Fingerprint, t.ConfigVersion, false
+	case out.StreamTargets != 0 || out.ConfigVersion == 0:
+		out.StreamTargets, out.ConfigVersion, out.TargetsDiffer = 0, t.ConfigVersion, false
 	}
-	return out
 }
 
 func (r *Recorder) needsWrite(now time.Time) bool {
 	target := r.target(now)
 	isSameEra := (target.CompleteIn == nil) == (r.stored.CompleteIn == nil) && (target.CompleteIn == nil || *target.CompleteIn == *r.stored.CompleteIn)
-	return r.version == 0 || !isSameEra || target.StreamTargets != r.stored.StreamTargets || !slices.Equal(target.Versions, r.stored.Versions)
+	return r.version == 0 || !isSameEra || target.StreamTargets != r.stored.StreamTargets || target.ConfigVersion != r.stored.ConfigVersion || target.TargetsDiffer != r.stored.TargetsDiffer || !slices.Equal(target.Versions, r.stored.Versions)
 }
 
 // write writes the record, unless another process has changed it meanwhile.
@@ -340,9 +370,7 @@
 		r.isRead = false
 		return errors.Annotate(err, "record of software versions")
 	}
-	if target.StreamTargets != 0 {
-		r.wasFirstStart = false
-	}
+	r.wasFirstStart = r.wasFirstStart && target.ConfigVersion == 0
 	r.setStored(target, o.Version, target.isCompleteIn(objectapi.Revision(o.Version).Era()), time.Now())
 	metrics.GetOrRegisterCounter("gateway.streams.version_records_written", r.Metrics).Inc(1)
 	r.Log.Info("record of software versions written", zap.Any("versions", target.Versions), zap.Bool("complete", target.CompleteIn != nil))
