--- a/internal/coordination/softwarerecord/read.go
+++ b/internal/coordination/softwarerecord/read.go
@@ -28,5 +28,9 @@
 	if err := json.Unmarshal(o.Value, &stored); err != nil || !stored.isCompleteIn(objectapi.Revision(o.Version).Era()) {
 		return none, ErrIncomplete
 	}
+	if len(stored.Versions) >= streamorigin.MaxVersions {
+		// Streams begin at versions that the record has no space for.
+		return none, ErrIncomplete
+	}
 	return streamorigin.Recorded{Versions: stored.origins(), StreamTargets: stored.StreamTargets}, nil
 }
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -24,8 +24,8 @@
 	takeUpTime = 30 * time.Second
 	// maxPending bounds the records that wait to be sent; the oldest are dropped.
 	maxPending = 4_096
-	// maxVersions bounds the remembered versions of all services.
-	maxVersions = 1_024
+	// MaxVersions bounds the remembered versions of all services.
+	MaxVersions = 1_024
 )
 
 // Key identifies a stream by its customer and the attempt that brought its first event.
@@ -93,7 +93,7 @@
 	followedAt time.Time
 	// waiting are closed when an origin arrives.
 	waiting map[Key][]chan struct{}
-	// isStoreAway is set while the store does not answer for endpoints.
+	// isStoreAway is set while the store does not answer.
 	isStoreAway bool
 	// streamTargets is the fingerprint of where the routes lead streams, settledTargets that of where streams have been led according
 	// to the stored record.
@@ -141,7 +141,7 @@
 	}
 }
 
-// SetStoreAway records whether the store answers for endpoints. While it does not, streams go on elsewhere only if their origin is
+// SetStoreAway records whether the store answers. While it does not, streams go on elsewhere only if their origin is
 // known there, so that the records of a single version are sent too.
 func (r *Registry) SetStoreAway(isAway bool) {
 	r.mu.Lock()
@@ -552,7 +552,7 @@
 		}
 		return
 	}
-	if len(r.versions) == maxVersions {
+	if len(r.versions) == MaxVersions {
 		r.overflowedAt = at
 		return
 	}
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -119,7 +119,7 @@
 	r := NewRegistry()
 	r.BeginFollowing(epoch)
 	r.ConfirmVersions(nil, r.Generation(), true, epoch)
-	for i := range maxVersions {
+	for i := range MaxVersions {
 		r.ObserveVersions([]Origin{{fmt.Sprint("service ", i), "v1"}}, epoch)
 	}
 	r.ObserveVersions([]Origin{{"service 0", "v2"}}, epoch)
@@ -165,7 +165,7 @@
 		r.Record(Key(i+1), old, epoch)
 		r.ObserveVersions([]Origin{{"s", fmt.Sprint(i)}}, epoch)
 	}
-	if n := len(r.current) + len(r.previous); n > 2*maxOrigins || len(r.pending) > maxPending || len(r.versions) > maxVersions {
+	if n := len(r.current) + len(r.previous); n > 2*maxOrigins || len(r.pending) > maxPending || len(r.versions) > MaxVersions {
 		t.Errorf("%d origins, %d pending records, %d versions are held", n, len(r.pending), len(r.versions))
 	}
 	r = NewRegistry()
