--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -187,7 +187,7 @@
 	watcher := &discovery.Watcher{
 		Feed: store, Decoder: platform.Decoder{}, Kinds: platform.Kinds, State: state, Log: log,
 		Wait: watchWait(b), Reset: storeTransport.CloseIdleConnections, Clock: bootclock.Now, Heartbeat: b.Heartbeat,
-		OnInstancesAway: origins.SetStoreAway,
+		OnAway: origins.SetStoreAway,
 	}
 	metrics.NewRegisteredFunctionalGauge("store.era", registry, func() int64 { return int64(store.Eras().Current()) })
 	metrics.NewRegisteredFunctionalGauge("gateway.endpoint_entries_dropped", registry, state.DroppedEntries)
--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -74,7 +74,7 @@
 
 const (
 	// confirmCallTimeout bounds a call that asks the store to confirm what is known.
-	confirmCallTimeout = 700 * time.Millisecond
+	confirmCallTimeout = time.Second
 	// minConfirmInterval is the least time between two such calls of a kind, and confirmIntervalUnit what each process adds: all
 	// processes together ask each of the three questions 667 times a second at most.
 	minConfirmInterval  = 20 * time.Millisecond
--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,8 +104,8 @@
 	Heartbeat time.Duration
 	// Processes, if set, returns the number of processes that watch.
 	Processes func() int
-	// OnInstancesAway, if set, is called when the store ceases to answer for endpoints, and when it answers again. It must not block.
-	OnInstancesAway func(isAway bool)
+	// OnAway, if set, is called when the store ceases to answer for a kind, and when it answers for all again. It must not block.
+	OnAway func(isAway bool)
 	// Clock, for ConfigAge, also advances while the host is suspended; nil means time.Now.
 	Clock func() time.Time
 
@@ -225,7 +227,8 @@
 const ErrOutdated = errors.ConstError("changes have not been applied yet")
 
 // Confirm asks the store for changes of a kind that have not been applied. It returns nil if there was none when the store
-// answered, ErrOutdated if there was one or before the first list, and the store's error. It applies nothing.
+// answered, ErrOutdated if there was one or before the first list, and the store's error. Of endpoints, only those count that join
+// or are no longer leaving. It applies nothing.
 func (w *Watcher) Confirm(ctx context.Context, kind string) error {
 	w.mu.Lock()
 	revision, isListed := w.applied[kind]
@@ -234,12 +237,28 @@
 		return ErrOutdated
 	}
 	events, _, err := w.Feed.WatchKind(ctx, kind, revision, 0)
-	if errors.Is(err, objectapi.ErrCompacted) || err == nil && len(events) > 0 {
+	if errors.Is(err, objectapi.ErrCompacted) || err == nil && slices.ContainsFunc(events, func(e objectapi.Event) bool { return w.isNews(kind, e) }) {
 		return ErrOutdated
 	}
 	return errors.Trace(err)
 }
 
+// isNews reports whether a change matters to Confirm. Endpoints write their entries anew without joining or leaving.
+func (w *Watcher) isNews(kind string, e objectapi.Event) bool {
+	if kind != w.Kinds.Instances {
+		return true
+	}
+	if e.Removed {
+		return false
+	}
+	i, err := w.Decoder.Instance(e.Record)
+	if err != nil || i.Leaving {
+		return false
+	}
+	known, ok := w.State.Instance(i.ID)
+	return !ok || known.Leaving || known.Service != i.Service || known.SoftwareVersion != i.SoftwareVersion
+}
+
 // RecordAnswer records that the store has answered for the configuration and for endpoints.
 func (w *Watcher) RecordAnswer(now time.Time) {
 	w.mu.Lock()
@@ -457,10 +476,11 @@
 	case !answered && !w.failing[kind]:
 		w.Log.Warn("store does not answer", zap.String("kind", kind), zap.Error(err))
 	}
-	if w.OnInstancesAway != nil && kind == w.Kinds.Instances && answered == w.failing[kind] {
-		w.OnInstancesAway(!answered)
-	}
+	hasChanged := answered == w.failing[kind]
 	w.failing[kind] = !answered
+	if w.OnAway != nil && hasChanged {
+		w.OnAway(slices.Contains(slices.Collect(maps.Values(w.failing)), true))
+	}
 }
 
 // wasStoreAway reports whether the store is, or recently was, unreachable, or recently came back from
--- a/internal/coordination/gateway/resumption.go
+++ b/internal/coordination/gateway/resumption.go
@@ -162,7 +162,7 @@
 const (
 	// confirmTimeout bounds the wait for the store's confirmation. In the largest fleets a question waits for up to 0.56 s for the next
 	// call.
-	confirmTimeout = 700 * time.Millisecond
+	confirmTimeout = time.Second
 	// soleVersionSearch is how long the origin is searched for before the store is asked: most are found, and cost it nothing.
 	soleVersionSearch = 30 * time.Millisecond
 )
