discovery: the routes in force are read together with their age

The recorder asked first since when the routes lead where they do, and then for the routes: a configuration that came between gave the changed routes the age of those before, and the record held them as settled at once instead of after a minute.

--- a/internal/command/gateway_peers.go
+++ b/internal/command/gateway_peers.go
@@ -106,7 +106,7 @@
 
 // streamTargets returns where the routes in force lead resumable streams.
 func (p *gatewayProcess) streamTargets() softwarerecord.StreamTargets {
-	since, t := p.gateway.State.StreamTargetsSince(), p.gateway.State.Routes()
+	t, since := p.gateway.State.RoutesSince()
 	if t == nil {
 		return softwarerecord.StreamTargets{}
 	}
--- a/internal/coordination/discovery/formerroutes.go
+++ b/internal/coordination/discovery/formerroutes.go
@@ -39,11 +39,12 @@
 	}
 }
 
-// StreamTargetsSince returns since when this process has seen the routes in force lead resumable streams where they do.
-func (s *State) StreamTargetsSince() time.Time {
+// RoutesSince returns the routing table in force, nil before the first, and since when this process has seen the routes lead resumable
+// streams where they do.
+func (s *State) RoutesSince() (*routes.Table, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.streamTargetsSince
+	return s.routes.Load(), s.streamTargetsSince
 }
 
 // LedElsewhere reports whether requests for a host and path may have been led to other services than the given one recently, as far
