--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -125,10 +125,6 @@
 			// The record lacks the routes until the first configuration is known.
 			wait = min(wait, maxRetryDelay)
 		}
-		if r.wasFirstStart {
-			// The record lacks the routes until the first configuration is known.
-			wait = min(wait, maxRetryDelay)
-		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-changed:
