sharedread: a test without a data race

TestSilentReadEndsWithTheQuestion changed a variable that the read of another goroutine reads: it failed each time with -race. What it checks is the same.

--- a/internal/transport/sharedread/sharedread_test.go
+++ b/internal/transport/sharedread/sharedread_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,9 +45,9 @@
 // one that is answered by the read before.
 func TestSilentReadEndsWithTheQuestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		isSilent := true
+		var answers atomic.Bool
 		r := &Reader[int]{Timeout: 700 * time.Millisecond, Interval: func() time.Duration { return 0 }, Read: func(ctx context.Context) (int, error) {
-			if isSilent {
+			if !answers.Load() {
 				<-ctx.Done()
 				return 0, ctx.Err()
 			}
@@ -58,7 +59,7 @@
 		if _, err := r.Get(ctx); !errors.Is(err, context.DeadlineExceeded) || time.Since(asked) != 100*time.Millisecond {
 			t.Errorf("got %v after %v, want the question's own deadline", err, time.Since(asked))
 		}
-		isSilent = false
+		answers.Store(true)
 		if value, err := r.Get(t.Context()); err != nil || value != 1 || time.Since(asked) != 700*time.Millisecond {
 			t.Errorf("got %d, %v after %v, want the answer of the next read", value, err, time.Since(asked))
 		}
