routing: only an endpoint that slow failures have ejected is probed

An endpoint is on probation if other runs of the process were under way there at its ejection: failures came slower than requests then. Nothing else changes: three failures eject, and a failed probe counts as one of them.

--- a/internal/coordination/routing/outcome.go
+++ b/internal/coordination/routing/outcome.go
@@ -144,9 +144,10 @@
 		return
 	}
 	t.failures++
-	// Nothing has gone well at an endpoint on probation since its ejection, so that one failure is enough.
-	if t.failures >= failuresToEject || (c.isProbe && t.OnProbation) {
+	if t.failures >= failuresToEject {
 		t.eject(now, d.random)
+		// Where runs fail faster than requests come, probes would keep requests away and protect none.
+		t.OnProbation = t.OnProbation || t.Running > 0
 	}
 }
 
@@ -229,5 +230,4 @@
 	t.EjectedUntil = now.Add(length/2 + time.Duration(random.Int64N(int64(length/2)+1)))
 	t.failures = 0
 	t.ejections++
-	t.OnProbation = true
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -104,8 +104,9 @@
 	// EjectedUntil is until when the endpoint is used only if there is no other,
 	// because it failed, was unreachable or refused a run.
 	EjectedUntil time.Time
-	// OnProbation is set from an ejection until an answer begins or a run ends well. Meanwhile the
-	// endpoint gets one request at a time, a probe, unless there is no other.
+	// OnProbation is set from an ejection after failed runs, with others of this process still under way
+	// there, until an answer begins or a run ends well. Meanwhile the endpoint gets one request at a
+	// time, a probe, unless there is no other. Failed connections cost no retry budget and need none.
 	OnProbation bool
 	// Probes is the number of probes from this process that are under way.
 	Probes int
