--- a/internal/coordination/gateway/resumption_test.go
+++ b/internal/coordination/gateway/resumption_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -28,6 +30,11 @@
 	s.gateway.Origins.BeginFollowing(time.Now())
 	s.gateway.Origins.ConfirmVersions(nil, s.gateway.Origins.Generation(), true, time.Now())
 	s.gateway.Watcher.RecordAnswer(time.Now())
+	s.gateway.ReadVersions = func(context.Context) (streamorigin.Recorded, error) {
+		return streamorigin.Recorded{Versions: s.gateway.softwareVersions(), StreamTargets: s.gateway.State.Routes().StreamTargets()}, nil
+	}
+	confirmed := func(context.Context) error { return nil }
+	s.gateway.ConfirmEndpoints, s.gateway.ConfirmRoutes = confirmed, confirmed
 	return s
 }
 
@@ -245,3 +252,52 @@
 		})
 	}
 }
+
+// TestSilenceDoesNotConfirm guards against a stream that goes on at the only version listed here, or that is said to be gone, though the
+// store has not said so since the request came.
+func TestSilenceDoesNotConfirm(t *testing.T) {
+	errSilent := errors.New("no answer")
+	both := []streamorigin.Origin{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}
+	rows := []struct {
+		name     string
+		prepare  func(*testServer)
+		recorded []streamorigin.Origin
+		// versionsErr, endpointsErr and routesErr are how the store answers.
+		versionsErr, endpointsErr, routesErr error
+		code                                 string
+		// targetsChanged is set if the record has been written for routes to other services.
+		targetsChanged uint64
+	}{
+		{"the store confirms the version", nil, both[:1], nil, nil, nil, "", 0},
+		{"the store holds another version", nil, both, nil, nil, nil, apierror.CodeStreamOriginUnknown, 0},
+		{"the store holds versions of other services only", nil, []streamorigin.Origin{{Service: "other", Version: "v1"}}, nil, nil, nil, apierror.CodeStreamOriginUnknown, 0},
+		{"the store does not answer for versions", nil, both[:1], errSilent, nil, nil, apierror.CodeStreamOriginUnknown, 0},
+		{"the routes have changed", nil, both[:1], nil, nil, errSilent, apierror.CodeStreamOriginUnknown, 0},
+		{"the route has led elsewhere within a minute", nil, both[:1], nil, nil, nil, apierror.CodeStreamOriginUnknown, 1},
+		{"known, and gone", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, nil, nil, apierror.CodeStreamVersionGone, 0},
+		{"known, and the endpoints have changed", func(s *testServer) { s.begun("first", "s", "v2") }, nil, nil, errSilent, nil, apierror.CodeNoEndpoint, 0},
+		{"known of another service, and the routes have changed", func(s *testServer) { s.begun("first", "later", "v1") }, nil, nil, nil, errSilent, apierror.CodeNoEndpoint, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newVersionedServer(t, "v1")
+			s.gateway.ReadVersions = func(context.Context) (streamorigin.Recorded, error) {
+				return streamorigin.Recorded{Versions: row.recorded, StreamTargets: s.gateway.State.Routes().StreamTargets() + row.targetsChanged}, row.versionsErr
+			}
+			s.gateway.ConfirmEndpoints = func(context.Context) error { return row.endpointsErr }
+			s.gateway.ConfirmRoutes = func(context.Context) error { return row.routesErr }
+			if row.prepare != nil {
+				row.prepare(s)
+			}
+			resp, body, err := s.do(s.newRequest("POST", "/r/x", "prompt", headerResumes+": first", headerLastEvent+": 1"))
+			switch {
+			case err != nil:
+				t.Fatal(err)
+			case row.code == "" && (resp.StatusCode != http.StatusOK || s.requestCount() != 1):
+				t.Errorf("got %d %s, want the rest of the stream", resp.StatusCode, body)
+			case row.code != "" && (!strings.Contains(body, `"code":"`+row.code+`"`) || s.requestCount() > 0):
+				t.Errorf("got %d %s after %d requests, want %s and none", resp.StatusCode, body, s.requestCount(), row.code)
+			}
+		})
+	}
+}
--- a/internal/coordination/routing/directory.go
+++ b/internal/coordination/routing/directory.go
@@ -52,6 +52,8 @@
 	senders int
 	// modelRates holds the mean prefill rates by model.
 	modelRates map[string]*modelRate
+	// hasChosen is set once an endpoint was chosen.
+	hasChosen bool
 	// callTimes holds the mean times of plain calls by service.
 	callTimes map[string]*callTime
 	random    *rand.Rand
@@ -136,8 +138,8 @@
 			FirstSeen: now, PeerWork: d.peerWorkOf(WorkID(m.ID, m.Incarnation)), HasPeerReports: d.reportingPeers[m.Domain] > 0,
 			ModelRate: d.modelRateOf(m.Endpoint.Model), Pushback: d.Pushback.Endpoint(m.ID, m.Incarnation, m.Domain),
 		}}
-		if len(d.tracked) == 0 || d.fleetGeneration == 0 {
-			// Endpoints that this process finds at its own start are not new.
+		if !d.hasChosen {
+			// Endpoints that this process finds before its first choice were in use before it started.
 			t.FirstSeen = now.Add(-slowStart)
 		}
 		d.tracked[m.ID] = t
@@ -290,6 +292,8 @@
 	// slowdown is how many times as long as usual the work was expected to take.
 	slowdown float64
 	prefill  *prefill
+	// isProbe is set if the endpoint was on probation.
+	isProbe bool
 }
 
 // prefill is the computation of a run's prompt, until its answer begins.
@@ -351,12 +355,16 @@
 		}
 		return Choice{Refusal: decision.Refusal, RetryIn: decision.RetryIn}
 	}
+	d.hasChosen = true
 	e := decision.Endpoint
 	snapshot := d.tracked[e.ID].snapshot(r.Now)
 	if e.isCold(r.Now) {
 		e.Warmup.Record(r.Now)
 	}
 	e.Running++
+	if e.OnProbation {
+		e.Probes++
+	}
 	e.HeldTokens += r.HeldTokens
 	pending := &prefill{tokens: decision.WorkTokens, queuedTokens: e.queuedTokens(r.Urgency), urgency: r.Urgency}
 	usual := e.fixedTime() + e.usualCallTime() + seconds(float64(pending.tokens)/e.prefillRate())
@@ -367,7 +375,7 @@
 	e.Pushback.RecordSend(r.Now)
 	c := Choice{
 		Member: e.Member, Reason: decision.Reason, TTFT: decision.TTFT, Wait: decision.Wait, CapacityWait: decision.CapacityWait, CachedTokens: decision.CachedTokens, keys: keys, endpointHash: e.Hash, seen: seen,
-		heldTokens: r.HeldTokens, chosenAt: r.Now, slowdown: slowdown, LoadSnapshot: snapshot, prefill: pending,
+		heldTokens: r.HeldTokens, chosenAt: r.Now, slowdown: slowdown, LoadSnapshot: snapshot, prefill: pending, isProbe: e.OnProbation,
 	}
 	for _, h := range r.Holdings {
 		if h.Endpoint == e.Hash {
--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -31,10 +31,6 @@
 	// rankDelay is the time by which each process waits longer than the one before it to write a change that all have
 	// seen: it finds the change written, and spares the store a write that would conflict.
 	rankDelay = 20 * time.Millisecond
-	// minRefreshAge is the age from which the record is read anew on request. It grows with the number of processes by
-	// refreshAgeUnit: all together read it a thousand times a second at most.
-	minRefreshAge  = 50 * time.Millisecond
-	refreshAgeUnit = time.Millisecond
 	// firstRanks wait rankDelay longer each, and those after them laterRankDelay: a version that one process only sees must be in the
 	// record within a second.
 	firstRanks     = 25
@@ -48,36 +44,49 @@
 	Origins *streamorigin.Registry
 	// IsFirstStart is set if the whole system starts for the first time: if there is no record then, there was no version.
 	IsFirstStart bool
+	// StreamTargets, if set, returns where the routes lead resumable streams.
+	StreamTargets func() StreamTargets
 	// Rank is the position of this process among those that it knows.
-	Rank func() int
-	// Processes is the number of processes, and Refreshes carries the requests of Refresh.
-	Processes func() int
-	Refreshes chan chan bool
-	Log       *zap.Logger
-	Metrics   metrics.Registry
+	Rank    func() int
+	Log     *zap.Logger
+	Metrics metrics.Registry
 
 	// stored is the record last read or written, version the object's version, 0 if there is none. readIn is the
 	// registry's generation when it was last read. listEra is the era in which it was first read in that generation.
 	stored  record
 	version int64
 	readIn  uint64
-	// readAt is when the last read of the record began.
-	readAt  time.Time
 	listEra uint64
 	// mayRemove is set while versions may be removed from the record.
 	mayRemove bool
+	// wasFirstStart is set while no streams can have begun before this process.
+	wasFirstStart bool
 	// isRead is set once the store has answered a call for the record.
 	isRead bool
 	// heldSince holds since when each version is known to be in the record.
 	heldSince map[streamorigin.Origin]time.Time
 }
 
+// StreamTargets is where the routes of a configuration lead resumable streams.
+type StreamTargets struct {
+	// Fingerprint is 0 before the first configuration.
+	Fingerprint uint64
+	// ConfigVersion is the configuration's, and Since is when this process first saw the routes lead there without a change since.
+	ConfigVersion uint64
+	Since         time.Time
+}
+
 // record is the stored form.
 type record struct {
 	Versions []versionEntry `json:"versions"`
 	// CompleteIn is the era of the store in which a process that knew all versions wrote the record, nil if none has. In
 	// another era, an older copy of the store may have lost versions.
 	CompleteIn *uint64 `json:"complete_in,omitempty"`
+	// StreamTargets is the fingerprint of where routes have led resumable streams for streamorigin.Retention or longer, 0 after a
+	// change: a process that has just started does not know by which routes the streams began that callers still take up.
+	// ConfigVersion is the version of the configuration by which it was written.
+	StreamTargets uint64 `json:"stream_targets,omitempty"`
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 }
 
 type versionEntry struct {
@@ -107,49 +116,25 @@
 		} else {
 			retryDelay = minRetryDelay
 		}
+		if r.wasFirstStart {
+			// The record lacks the routes until the first configuration is known.
+			wait = min(wait, maxRetryDelay)
+		}
+		if r.wasFirstStart {
+			// The record lacks the routes until the first configuration is known.
+			wait = min(wait, maxRetryDelay)
+		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-changed:
 		case <-returned:
 		case <-timer.C:
-		case done := <-r.Refreshes:
-			r.refresh(ctx, done)
 		case <-ctx.Done():
 		}
 		timer.Stop()
 	}
 }
 
-// Refresh has the record read unless that has just been done, waits for it, and reports whether it was read. Other processes may
-// have recorded a version that this one does not list yet.
-func (r *Recorder) Refresh(ctx context.Context) bool {
-	done := make(chan bool, 1)
-	select {
-	case r.Refreshes <- done:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case isRead := <-done:
-		return isRead
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (r *Recorder) refresh(ctx context.Context, done chan<- bool) {
-	generation := r.Origins.Generation()
-	if generation == 0 || time.Since(r.readAt) < max(minRefreshAge, time.Duration(r.Processes())*refreshAgeUnit) {
-		done <- false
-		return
-	}
-	err := r.read(ctx, generation)
-	if err != nil {
-		r.Log.Info("record of software versions not refreshed", zap.Error(err))
-	}
-	done <- err == nil
-}
-
 // step reads the record if this process does not know all versions, and writes it if it is not what it should be.
 func (r *Recorder) step(ctx context.Context) error {
 	generation := r.Origins.Generation()
@@ -212,7 +197,6 @@
 
 // read reads the record, and merges it into what this process knows.
 func (r *Recorder) read(ctx context.Context, generation uint64) error {
-	r.readAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := r.Store.Get(ctx, objectKey)
@@ -221,6 +205,7 @@
 	switch {
 	case errors.Is(err, objectapi.ErrNotFound):
 		isComplete, era = r.IsFirstStart, r.Store.Eras().Current()
+		r.wasFirstStart = r.IsFirstStart
 	case err != nil:
 		return errors.Annotate(err, "record of software versions")
 	default:
@@ -230,6 +215,7 @@
 			stored = record{}
 		}
 		isComplete = stored.isCompleteIn(era)
+		r.wasFirstStart = r.wasFirstStart && stored.StreamTargets == 0 && stored.ConfigVersion == 0
 	}
 	now := time.Now()
 	isNews := generation != r.readIn || o.Version != r.version
@@ -270,6 +256,7 @@
 		}
 	}
 	r.stored, r.version, r.heldSince = stored, version, held
+	r.Origins.SetSettledTargets(stored.StreamTargets)
 	recorded := stored.origins()
 	if !isComplete {
 		// An older copy that lacks a version misleads nobody while it is not whole, and streams still begin at the version.
@@ -315,13 +302,28 @@
 	if knowsAll {
 		out.CompleteIn = &era
 	}
+	out.StreamTargets, out.ConfigVersion = r.stored.StreamTargets, r.stored.ConfigVersion
+	if r.StreamTargets == nil {
+		return out
+	}
+	t := r.StreamTargets()
+	isOlder := t.ConfigVersion < out.ConfigVersion && r.stored.isCompleteIn(era)
+	if t.Fingerprint == 0 || t.Fingerprint == out.StreamTargets || isOlder {
+		return out
+	}
+	switch {
+	case r.wasFirstStart || now.Sub(t.Since) > streamorigin.Retention:
+		out.StreamTargets, out.ConfigVersion = t.Fingerprint, t.ConfigVersion
+	case out.StreamTargets != 0:
+		out.StreamTargets, out.ConfigVersion = 0, t.ConfigVersion
+	}
 	return out
 }
 
 func (r *Recorder) needsWrite(now time.Time) bool {
 	target := r.target(now)
 	isSameEra := (target.CompleteIn == nil) == (r.stored.CompleteIn == nil) && (target.CompleteIn == nil || *target.CompleteIn == *r.stored.CompleteIn)
-	return r.version == 0 || !isSameEra || !slices.Equal(target.Versions, r.stored.Versions)
+	return r.version == 0 || !isSameEra || target.StreamTargets != r.stored.StreamTargets || !slices.Equal(target.Versions, r.stored.Versions)
 }
 
 // write writes the record, unless another process has changed it meanwhile.
@@ -338,6 +340,9 @@
 		r.isRead = false
 		return errors.Annotate(err, "record of software versions")
 	}
+	if target.StreamTargets != 0 {
+		r.wasFirstStart = false
+	}
 	r.setStored(target, o.Version, target.isCompleteIn(objectapi.Revision(o.Version).Era()), time.Now())
 	metrics.GetOrRegisterCounter("gateway.streams.version_records_written", r.Metrics).Inc(1)
 	r.Log.Info("record of software versions written", zap.Any("versions", target.Versions), zap.Bool("complete", target.CompleteIn != nil))
--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -11,7 +11,7 @@
 	Unknown
 	// Gone: no endpoint of its version is left, or the route no longer leads to its service.
 	Gone
-	// NotListed: this process knows no endpoint of its version, and its list of endpoints may be outdated.
+	// NotListed: this process knows no endpoint of its version to which the route leads, and what it knows may be outdated.
 	NotListed
 )
 
@@ -31,21 +31,31 @@
 	FromStore  Source = "store"
 )
 
+// Recorded is what the store holds of where streams may have begun.
+type Recorded struct {
+	// Versions are all at which a stream may have begun that a caller can still take up.
+	Versions []Origin
+	// StreamTargets is the fingerprint of the routes by which such streams have been led, 0 if they were changed meanwhile.
+	StreamTargets uint64
+}
+
 // Knowledge is what a process knows of a stream that a caller takes up.
 type Knowledge struct {
 	// Origin is valid if IsKnown.
 	Origin  Origin
 	IsKnown bool
 	Source  Source
-	// Sole is the only version of the service, valid if HasSole.
+	// Sole is the only version at which the service's streams have begun, valid if HasSole: the store has said so since the
+	// request came.
 	Sole    string
 	HasSole bool
-	// IsRecordRead is set if the stored versions were read since the request came.
-	IsRecordRead bool
 	// Service is where the request would go if it were new.
 	Service string
-	// IsFresh is set if the list of endpoints is up to date.
+	// IsFresh is set if the store has recently answered for endpoints.
 	IsFresh bool
+	// IsCurrent reports whether what keeps an origin's stream from going on here, the route or the list of endpoints, is what the
+	// store has, as it has said since the request came. It may ask the store.
+	IsCurrent func(Origin) bool
 	// IsListed reports whether an endpoint of an origin is listed that does not leave.
 	IsListed func(Origin) bool
 	// IsAllowed reports whether the request's route leads to a service.
@@ -56,18 +66,16 @@
 func Decide(k Knowledge) (Origin, Verdict) {
 	o := k.Origin
 	if !k.IsKnown {
-		// Without another version, any endpoint's events fit. An outdated list may lack the other version.
+		// Without another version, any endpoint's events fit.
 		if !k.HasSole || !k.IsFresh {
 			return Origin{}, Unknown
 		}
 		o = Origin{Service: k.Service, Version: k.Sole}
 	}
 	switch {
-	case !k.IsAllowed(o.Service):
-		return o, Gone
-	case k.IsListed(o):
+	case k.IsAllowed(o.Service) && k.IsListed(o):
 		return o, Resume
-	case !k.IsFresh:
+	case !k.IsFresh || !k.IsCurrent(o):
 		return o, NotListed
 	}
 	return o, Gone
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -93,6 +93,11 @@
 	followedAt time.Time
 	// waiting are closed when an origin arrives.
 	waiting map[Key][]chan struct{}
+	// isStoreAway is set while the store does not answer for endpoints.
+	isStoreAway bool
+	// streamTargets is the fingerprint of where the routes lead streams, settledTargets that of where streams have been led according
+	// to the stored record.
+	streamTargets, settledTargets uint64
 }
 
 // openStream is a stream that is not whole. brokenAt is when it broke off, zero while it runs.
@@ -131,11 +136,50 @@
 		r.pending = slices.Delete(r.pending, 0, maxPending/2)
 	}
 	r.pending = append(r.pending, pendingRecord{Record{stream, o}, now})
-	if r.versionCount(o.Service) > 1 {
+	if r.mustShare(o.Service) {
 		r.signalReady()
 	}
 }
 
+// SetStoreAway records whether the store answers for endpoints. While it does not, streams go on elsewhere only if their origin is
+// known there, so that the records of a single version are sent too.
+func (r *Registry) SetStoreAway(isAway bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isStoreAway = isAway; isAway && len(r.pending) > 0 {
+		r.signalReady()
+	}
+}
+
+// SetStreamTargets records the fingerprint of where the routes lead streams now. Until the stored record holds it too, streams that
+// began may have been led to other services, and go on elsewhere only if their origin is known there.
+func (r *Registry) SetStreamTargets(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.streamTargets == fingerprint {
+		return
+	}
+	r.streamTargets = fingerprint
+	r.notifyVersionsChanged()
+	if len(r.pending) > 0 && !r.isSettled() {
+		r.signalReady()
+	}
+}
+
+// SetSettledTargets records the fingerprint that the stored record holds.
+func (r *Registry) SetSettledTargets(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settledTargets = fingerprint
+}
+
+func (r *Registry) isSettled() bool { return r.streamTargets == r.settledTargets }
+
+// mustShare reports whether other processes need the origins of a service's streams.
+func (r *Registry) mustShare(service string) bool {
+	return r.isStoreAway || !r.isSettled() || r.versionCount(service) > 1
+}
+
 // End records that a stream has ended here. Unless it is whole, its caller may take it up.
 func (r *Registry) End(stream Key, isWhole bool, now time.Time) {
 	r.mu.Lock()
@@ -173,6 +217,11 @@
 	}
 }
 
+func (r *Registry) isOpen(stream Key) bool {
+	_, ok := r.open[stream]
+	return ok
+}
+
 func (r *Registry) setOpen(stream Key, s openStream, now time.Time) {
 	if len(r.open) >= MaxOpen && now.Sub(r.openExpiredAt) >= time.Second {
 		r.expireOpen(now)
@@ -191,10 +240,14 @@
 	}
 }
 
-// HasSeveralVersions reports whether a service has had several versions within Retention.
-func (r *Registry) HasSeveralVersions(now time.Time) bool {
+// NeedsStoredOrigins reports whether streams go on elsewhere only if their origin is known there: a service has had several versions
+// within Retention, or routes have led elsewhere.
+func (r *Registry) NeedsStoredOrigins(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.isSettled() {
+		return true
+	}
 	r.expireVersions(now)
 	services := make(map[string]bool, len(r.versions))
 	for o := range r.versions {
@@ -206,7 +259,8 @@
 	return false
 }
 
-// OpenRecords returns, in order, the streams that callers may still take up, of services that have several versions.
+// OpenRecords returns, in order, the streams that callers may still take up, of services that have several versions, or of all if
+// routes have led elsewhere.
 func (r *Registry) OpenRecords(now time.Time) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -218,7 +272,7 @@
 	r.expireOpen(now)
 	var out []Record
 	for stream, s := range r.open {
-		if counts[s.origin.Service] > 1 {
+		if counts[s.origin.Service] > 1 || !r.isSettled() {
 			out = append(out, Record{stream, s.origin})
 		}
 	}
@@ -546,8 +600,9 @@
 	return version, r.versionCount(service) == 1 && r.knowsAllVersions(now)
 }
 
-// TakePending returns up to limit records of this process to send to others. While a service has one version only, its
-// streams can go on anywhere, and their records wait: they are sent if another version appears.
+// TakePending returns up to limit records of this process to send to others. While a service has one version only and the store
+// answers, its streams can go on anywhere, and their records wait: they are sent if another version appears. If the store ceases to
+// answer, those of streams that are not whole are sent.
 func (r *Registry) TakePending(limit int, now time.Time) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -557,7 +612,7 @@
 	for _, p := range r.pending {
 		switch {
 		case now.Sub(p.since) > Retention:
-		case len(out) < limit && r.versionCount(p.Origin.Service) > 1:
+		case len(out) < limit && (r.versionCount(p.Origin.Service) > 1 || r.mustShare(p.Origin.Service) && r.isOpen(p.Stream)):
 			out = append(out, p.Record)
 		default:
 			kept = append(kept, p)
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -16,15 +17,17 @@
 	both := func(Origin) bool { return true }
 	none := func(Origin) bool { return false }
 	anyService := func(string) bool { return true }
+	confirmed := func(Origin) bool { return true }
 	rows := []struct {
 		name string
 		know Knowledge
 		want Verdict
 	}{
 		{"known and served", Knowledge{Origin: old, IsKnown: true, IsListed: both}, Resume},
-		{"known and gone", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsListed: none}, Gone},
+		{"known and gone", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: confirmed, IsListed: none}, Gone},
+		{"known, not listed, the store has not confirmed the list", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: func(Origin) bool { return false }, IsListed: none}, NotListed},
 		{"known, not listed, the list is outdated", Knowledge{Origin: old, IsKnown: true, IsListed: none}, NotListed},
-		{"known, the only version is another", Knowledge{Origin: old, IsKnown: true, IsFresh: true, HasSole: true, Sole: "v2", IsListed: func(o Origin) bool { return o == next }}, Gone},
+		{"known, the only version is another", Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsCurrent: confirmed, HasSole: true, Sole: "v2", IsListed: func(o Origin) bool { return o == next }}, Gone},
 		{"not known, a single version", Knowledge{HasSole: true, Sole: "v1", IsFresh: true, IsListed: both}, Resume},
 		{"not known, a single version by an outdated list", Knowledge{HasSole: true, Sole: "v1", IsListed: both}, Unknown},
 		{"not known, two versions", Knowledge{IsFresh: true, IsListed: both}, Unknown},
@@ -37,10 +40,14 @@
 			}
 		})
 	}
-	moved := Knowledge{Origin: old, IsKnown: true, IsListed: both, IsAllowed: func(string) bool { return false }}
+	moved := Knowledge{Origin: old, IsKnown: true, IsFresh: true, IsListed: both, IsCurrent: confirmed, IsAllowed: func(string) bool { return false }}
 	if _, got := Decide(moved); got != Gone {
 		t.Errorf("a stream whose route no longer leads to its service: got %v, want %v", got, Gone)
 	}
+	moved.IsCurrent = func(Origin) bool { return false }
+	if _, got := Decide(moved); got != NotListed {
+		t.Errorf("a stream whose service the route may lead to by now: got %v, want %v", got, NotListed)
+	}
 }
 
 // TestVersionThatLeftIsRemembered guards against a stream of a version that has just left, of unknown origin, which goes on
@@ -264,3 +271,63 @@
 		})
 	}
 }
+
+// TestRecordsAreSentWhileStoreIsAway guards against streams of a single version that nobody can take up while the store, which would have
+// to confirm that there is no other, does not answer.
+func TestRecordsAreSentWhileStoreIsAway(t *testing.T) {
+	r := NewRegistry()
+	isReady := func() bool {
+		select {
+		case <-r.Ready():
+			return true
+		default:
+			return false
+		}
+	}
+	r.Record(1, old, epoch)
+	r.Record(2, old, epoch)
+	r.End(2, true, epoch)
+	if got := r.TakePending(10, epoch); len(got) > 0 || isReady() {
+		t.Fatalf("got %v to send, want none while the store answers", got)
+	}
+	r.SetStoreAway(true)
+	if got := r.TakePending(10, epoch); !isReady() || !slices.Equal(got, []Record{{1, old}}) {
+		t.Errorf("got %v to send, want the stream that is not whole", got)
+	}
+	r.Record(3, old, epoch)
+	if got := r.TakePending(10, epoch); !isReady() || !slices.Equal(got, []Record{{3, old}}) {
+		t.Errorf("got %v to send, want the stream that began meanwhile", got)
+	}
+	r.SetStoreAway(false)
+	r.Record(4, old, epoch)
+	if got := r.TakePending(10, epoch); len(got) > 0 {
+		t.Errorf("got %v to send, want none once the store answers again", got)
+	}
+	r.ObserveVersions([]Origin{next}, epoch)
+	if got := r.TakePending(10, epoch); !slices.Equal(got, []Record{{2, old}, {4, old}}) {
+		t.Errorf("got %v to send once there are two versions, want those not yet sent", got)
+	}
+}
+
+// TestRecordsAreSentWhileRoutesAreNotSettled guards against streams of a single version that nobody can take up after a route was led to
+// another service.
+func TestRecordsAreSentWhileRoutesAreNotSettled(t *testing.T) {
+	r := NewRegistry()
+	r.SetStreamTargets(1)
+	r.SetSettledTargets(1)
+	r.Record(1, old, epoch)
+	if r.NeedsStoredOrigins(epoch) || len(r.OpenRecords(epoch)) > 0 || len(r.TakePending(10, epoch)) > 0 {
+		t.Fatal("origins are sent or stored while the routes are those of the record")
+	}
+	r.SetStreamTargets(2)
+	if got := r.OpenRecords(epoch); !r.NeedsStoredOrigins(epoch) || !slices.Equal(got, []Record{{1, old}}) {
+		t.Errorf("got %v to store, want the open stream", got)
+	}
+	if got := r.TakePending(10, epoch); !slices.Equal(got, []Record{{1, old}}) {
+		t.Errorf("got %v to send, want the open stream", got)
+	}
+	r.SetSettledTargets(2)
+	if r.NeedsStoredOrigins(epoch) {
+		t.Error("origins are stored though the routes are those of the record again")
+	}
+}
