--- a/internal/coordination/discovery/watcher.go
+++ b/internal/coordination/discovery/watcher.go
@@ -243,7 +243,7 @@
 	return errors.Trace(err)
 }
 
-// isNews reports whether a change matters to Confirm. Endpoints write their entries anew without joining or leaving.
+// isNews reports whether a change matters to Confirm. Endpoints rewrite their entries without joining or leaving.
 func (w *Watcher) isNews(kind string, e objectapi.Event) bool {
 	if kind != w.Kinds.Instances {
 		return true
