streamorigin: a version listed just before the store was asked is not gone

The trace: the first question found a change that was not applied yet; by the next, the watch had applied it, so that nothing was new to the store's answer, and the verdict stood on the look before. The list is looked at again after the answer.

TestVersionListedWhileStoreIsAskedIsNotGone (failed before: version_gone).

--- a/internal/coordination/streamorigin/decide.go
+++ b/internal/coordination/streamorigin/decide.go
@@ -72,11 +72,15 @@
 		}
 		o = Origin{Service: k.Service, Version: k.Sole}
 	}
+	canGoOn := func() bool { return k.IsAllowed(o.Service) && k.IsListed(o) }
 	switch {
-	case k.IsAllowed(o.Service) && k.IsListed(o):
+	case canGoOn():
 		return o, Resume
 	case !k.IsFresh || !k.IsCurrent(o):
 		return o, NotListed
+	case canGoOn():
+		// A change was applied before the store was asked for those that are not.
+		return o, Resume
 	}
 	return o, Gone
 }
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -50,6 +50,22 @@
 	}
 }
 
+// TestVersionListedWhileStoreIsAskedIsNotGone guards against a version that is said to be gone though its endpoints were listed before
+// the store was asked for further changes.
+func TestVersionListedWhileStoreIsAskedIsNotGone(t *testing.T) {
+	isListed := false
+	k := Knowledge{
+		Origin: old, IsKnown: true, IsFresh: true, IsAllowed: func(string) bool { return true }, IsListed: func(Origin) bool { return isListed },
+		IsCurrent: func(Origin) bool {
+			isListed = true
+			return true
+		},
+	}
+	if _, got := Decide(k); got != Resume {
+		t.Errorf("got %v, want %v", got, Resume)
+	}
+}
+
 // TestVersionThatLeftIsRemembered guards against a stream of a version that has just left, of unknown origin, which goes on
 // at the version that is left because that looks like the only one.
 func TestVersionThatLeftIsRemembered(t *testing.T) {
