--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -22,6 +22,7 @@
 	"limpetwall/internal/command"
 	"limpetwall/internal/operatorcli"
 	"limpetwall/internal/state/config"
+	"limpetwall/internal/transport/ingress/ingresstest"
 )
 
 const (
@@ -33,7 +34,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){
+	testscript.Main(ingresstest.Runner{M: m, Build: buildProduct}, map[string]func(){
 		"limpetwall": func() {
 			os.Exit(command.Main(os.Args[1:], command.IO{Out: os.Stdout, Err: os.Stderr, Env: os.LookupEnv, Signals: command.NotifySignals()}))
 		},
@@ -43,6 +44,15 @@
 	})
 }
 
+// buildProduct writes the product to a path.
+func buildProduct(path string) error {
+	out, err := exec.Command("go", "build", "-o", path, "limpetwall/cmd/limpetwall").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return err
+}
+
 // proc is one process of a site.
 type proc struct {
 	name string
@@ -66,6 +76,8 @@
 	procs map[string]*proc
 	// env is added to the processes' environment.
 	env []string
+	// program is run in the test binary's place, unless it is empty.
+	program string
 }
 
 func newSite(t *testing.T) *site {
@@ -93,12 +105,16 @@
 
 // start runs limpetwall and returns when its output says that it is ready.
 func (s *site) start(name string, args ...string) *proc {
-	self, err := os.Executable()
-	if err != nil {
-		s.fail("%v", err)
+	program := s.program
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			s.fail("%v", err)
+		}
+		program = self
 	}
 	p := &proc{name: name, exited: make(chan struct{})}
-	p.cmd = &exec.Cmd{Path: self, Args: append([]string{"limpetwall"}, args...), Env: append(os.Environ(), s.env...)}
+	p.cmd = &exec.Cmd{Path: program, Args: append([]string{"limpetwall"}, args...), Env: append(os.Environ(), s.env...)}
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		s.fail("%v", err)
