logging: lines that wait for their reader are bounded by their size too

Seen: a gateway on 88 MB takes 105 MB while nobody reads its log and callers send paths of 15 KB. The queue held 4,096 lines, however long; a line holds the caller's path. It now holds 4 MB at most; what is beyond is dropped and counted as before (log_lines_dropped). Usual lines are 0.5 KB, so 4,096 of them take 2 MB: the bound is met by long ones only.

--- a/internal/transport/logging/asyncwriter.go
+++ b/internal/transport/logging/asyncwriter.go
@@ -1,9 +1,11 @@
 package logging
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetwall/internal/transport/boundedqueue"
@@ -13,10 +15,12 @@
 // output. An output that blocks because nothing reads it must not stop the requests
 // whose decisions are logged: when the queue is full, lines are dropped and counted.
 type AsyncWriter struct {
-	lines  *boundedqueue.Queue[[]byte]
-	out    io.Writer
-	done   sync.WaitGroup
-	cancel context.CancelFunc
+	lines *boundedqueue.Queue[[]byte]
+	// queued is the size of the queued lines, and tooLarge counts those that were dropped because of it.
+	queued, tooLarge atomic.Int64
+	out              io.Writer
+	done             sync.WaitGroup
+	cancel           context.CancelFunc
 }
 
 // NewAsyncWriter starts a writer that queues up to size lines.
@@ -27,6 +31,9 @@
 	return w
 }
 
+// maxQueued bounds the size of the queued lines, in bytes: some hold text that callers chose.
+const maxQueued = 4 << 20
+
 // batchSize is the size in bytes from which on no more lines are added to a write.
 // Writing many lines in one call saves CPU time.
 const batchSize = 32 << 10
@@ -38,12 +45,14 @@
 		if err != nil {
 			break
 		}
+		w.queued.Add(-int64(len(line)))
 		buffer = append(buffer[:0], line...)
 		for len(buffer) < batchSize {
 			next, ok := w.lines.TryPop()
 			if !ok {
 				break
 			}
+			w.queued.Add(-int64(len(next)))
 			buffer = append(buffer, next...)
 		}
 		// The error is dropped: there is no other place to report that the log can't be written.
@@ -60,7 +69,14 @@
 
 // Write implements io.Writer. It never blocks.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
-	w.lines.TryPush(append([]byte(nil), line...))
+	size := int64(len(line))
+	switch {
+	case w.queued.Add(size) > maxQueued:
+		w.queued.Add(-size)
+		w.tooLarge.Add(1)
+	case !w.lines.TryPush(bytes.Clone(line)):
+		w.queued.Add(-size)
+	}
 	return len(line), nil
 }
 
@@ -68,7 +84,7 @@
 func (w *AsyncWriter) Sync() error { return nil }
 
 // Dropped returns the number of lines dropped because the queue was full.
-func (w *AsyncWriter) Dropped() int64 { return w.lines.Rejected() }
+func (w *AsyncWriter) Dropped() int64 { return w.lines.Rejected() + w.tooLarge.Load() }
 
 // Close stops the writer and waits until the queued lines are written, for at most limit.
 func (w *AsyncWriter) Close(limit time.Duration) {
--- a/internal/transport/logging/asyncwriter_test.go
+++ b/internal/transport/logging/asyncwriter_test.go
@@ -43,6 +43,24 @@
 	w.Close(time.Millisecond)
 }
 
+// TestLongLinesAreBounded guards against a queue of few but long lines, whose text callers chose, that takes much memory while
+// nothing reads it.
+func TestLongLinesAreBounded(t *testing.T) {
+	out := &blockedWriter{started: make(chan struct{}), release: make(chan struct{})}
+	defer close(out.release)
+	w := NewAsyncWriter(out, 1000)
+	w.Write([]byte("first"))
+	<-out.started
+	long := bytes.Repeat([]byte("x"), 64<<10)
+	for range 100 {
+		w.Write(long)
+	}
+	if dropped := w.Dropped(); dropped != 100-maxQueued/int64(len(long)) {
+		t.Errorf("got %d dropped lines, want %d", dropped, 100-maxQueued/int64(len(long)))
+	}
+	w.Close(time.Millisecond)
+}
+
 func TestLinesWrittenWholeAndInOrder(t *testing.T) {
 	var out bytes.Buffer
 	w := NewAsyncWriter(&out, 1000)
