ingress: the memory held for callers' requests has a bound, and the largest incomplete request gives way

What callers saw: a gateway ended for want of memory. Cause: each request was bounded, their sum was not. A body of up to 4 MB was read whole, into a buffer that doubles, before anything was decided; an incomplete header could grow to 1 MB and took twenty times its size in short lines; an announced length was allocated at once; answers of 256 KB were held for callers that do not read them, for as long as they liked.

The fix: memquota counts what each request holds, from the first byte of its header until its memory is free. Past the bound the largest request that is incomplete, or whose caller does not read, is revoked, and its memory is waited for; if the one that asks is the largest, it is refused. So small requests pass beside hoarders. Large parts of requests may take three quarters of the quota, so that complete large requests leave room for small ones. Bodies are read into pieces, so that nothing is copied, and sent on in pieces. A header is bounded by the limit in force while it is read (431), not only when it is complete. Refusals (503 no_memory, 408, 431) are given before anything is sent to an endpoint, so 'not run' is true. A caller that reads nothing of an answer for 30 s is disconnected.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -34,6 +34,7 @@
 	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/logging"
+	"limpetwall/internal/transport/memquota"
 	"limpetwall/internal/transport/settings"
 	"limpetwall/internal/transport/upstream"
 	"limpetwall/platform"
@@ -59,6 +60,8 @@
 	retryPart = 0.7
 	// memoryPart is the heap's part of the process's memory; the rest is for stacks and receive buffers.
 	memoryPart = 0.6
+	// callersPart is the part of the process's memory that may be held for callers' requests.
+	callersPart = 0.2
 	// contextIndex is the number of context chunks that the index holds per generation.
 	contextIndex = 20_000
 )
@@ -215,7 +218,7 @@
 		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
-	p.clients = ingress.New(p.gateway, ingress.Config{Log: log, Metrics: registry})
+	p.clients = ingress.New(p.gateway, callersConfig(s, log, registry))
 	engines := platform.NewEngines(&platform.PushbackTransport{
 		Next: httpjson.BoundHead(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}), Observe: observePushback,
 	})
@@ -285,6 +288,15 @@
 	return max(time.Second, b.StableWindow-margin)
 }
 
+// callersConfig bounds what callers may hold. Limits that the platform does not set bound nothing.
+func callersConfig(s *GatewaySettings, log *zap.Logger, registry metrics.Registry) ingress.Config {
+	c := ingress.Config{Log: log, Metrics: registry}
+	if memory := float64(s.Platform.MemoryBytes); memory > 0 {
+		c.Memory = memquota.New(int64(callersPart * memory))
+	}
+	return c
+}
+
 func (p *gatewayProcess) run(duty func(context.Context)) {
 	p.duties.Go(func() { duty(p.ctx) })
 }
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"limpetwall/internal/coordination/pushback"
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -68,9 +69,13 @@
 	body   []byte
 }
 
-// maxBufferedBytes bounds the answers that are read whole before they are forwarded. A longer one is
-// forwarded while it arrives.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes bounds the answers that are read whole before they are forwarded. A longer one is
+	// forwarded while it arrives.
+	maxBufferedBytes = 256 << 10
+	// freeBufferedBytes of an answer are read without being charged to its request.
+	freeBufferedBytes = 16 << 10
+)
 
 // send sends the request to an endpoint and reads the status and header of the answer. The response
 // is nil if there is none; the outcome then says why.
@@ -198,18 +203,18 @@
 // The status is checked before the length: a long 503 for a request that ran would promise, just as
 // falsely as a short one, that it did not run.
 func (x *exchange) handleAnswer(ctx context.Context, c routing.Choice, resp *upstream.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	body, isWhole, err := x.bufferAnswer(resp)
 	if err != nil {
 		return x.classifyError(ctx, err)
 	}
-	if len(body) < maxBufferedBytes && resp.EndsWithConnection && x.hasEndpointCrashed(ctx, c) {
+	if isWhole && resp.EndsWithConnection && x.hasEndpointCrashed(ctx, c) {
 		return outcome{kind: broken, err: io.ErrUnexpectedEOF}
 	}
 	answer := &bufferedAnswer{status: resp.Status, header: resp.Header, body: body}
 	switch {
 	case x.headWritten || !x.canForwardStatus(resp.Status):
 		return outcome{kind: answeredFailure, answer: answer}
-	case len(body) == maxBufferedBytes:
+	case !isWhole:
 		return x.forwardLongAnswer(ctx, c, answer, resp)
 	case resp.Status >= http.StatusInternalServerError:
 		return outcome{kind: answeredFailure, answer: answer}
@@ -218,6 +223,24 @@
 	return outcome{kind: delivered}
 }
 
+// bufferAnswer reads an answer until its end, up to maxBufferedBytes, or as long as there is memory for it.
+func (x *exchange) bufferAnswer(resp *upstream.Response) (body []byte, isWhole bool, err error) {
+	limit := freeBufferedBytes
+	for {
+		more, err := io.ReadAll(io.LimitReader(resp, int64(limit-len(body))))
+		body = append(body, more...)
+		switch {
+		case err != nil:
+			return nil, false, err
+		case len(body) < limit:
+			return body, true, nil
+		case limit == maxBufferedBytes || ingress.Hold(x.r.Context(), maxBufferedBytes) != nil:
+			return body, false, nil
+		}
+		limit = maxBufferedBytes
+	}
+}
+
 // forwardLongAnswer forwards an answer that is too long to be buffered while it arrives. a holds the
 // part read so far.
 func (x *exchange) forwardLongAnswer(ctx context.Context, c routing.Choice, a *bufferedAnswer, rest *upstream.Response) outcome {
--- a/internal/coordination/gateway/crash.go
+++ b/internal/coordination/gateway/crash.go
@@ -16,6 +16,7 @@
 	"limpetwall/internal/coordination/routing"
 	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/state/fingerprint"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -219,7 +220,7 @@
 // pendingRun is an attempt that has no response yet.
 type pendingRun struct {
 	request fingerprint.Request
-	body    []byte
+	body    ingress.Body
 	parts   []quarantine.Part
 	cancel  context.CancelCauseFunc
 }
@@ -285,7 +286,7 @@
 			return true
 		}
 	}
-	_, found := blamed[fingerprint.Of(r.request, r.body)]
+	_, found := blamed[fingerprint.Of(r.request, r.body...)]
 	return found
 }
 
@@ -370,7 +371,7 @@
 // fingerprint identifies the request. It is computed on first use, as most requests need none.
 func (x *exchange) fingerprint() fingerprint.Key {
 	if x.cachedFingerprint == nil {
-		key := fingerprint.Of(x.identity(), x.body)
+		key := fingerprint.Of(x.identity(), x.body...)
 		x.cachedFingerprint = &key
 	}
 	return *x.cachedFingerprint
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -145,7 +145,7 @@
 	urgency  routes.Urgency
 	// residency limits the regions in which the request and its context may be.
 	residency residency.Rule
-	body      []byte
+	body      ingress.Body
 	startedAt time.Time
 	deadline  time.Time
 
@@ -196,7 +196,7 @@
 	// stopped for that goes on at its source, where it then stays.
 	relocation  *relocation
 	hasReturned bool
-	// bodyTimedOut is set if the body was incomplete at the request's deadline.
+	// bodyTimedOut is set if the body was incomplete at the request's deadline, or when memory ran out.
 	bodyTimedOut bool
 	// headWritten is set once an endpoint's status and header have been written to the caller;
 	// status is the one written, also by a refusal.
@@ -308,6 +308,9 @@
 	if x.table == nil {
 		return refuseNotReady("the configuration is not known yet")
 	}
+	if err := ingress.Admit(x.r); err != nil {
+		return refuseNoMemory(err)
+	}
 	if headerSize(x.r) > x.table.Limits.HeaderBytes && x.table.Limits.HeaderBytes > 0 {
 		return apierror.New(http.StatusRequestHeaderFieldsTooLarge, apierror.CodeTooLarge, "the header is too large")
 	}
@@ -330,6 +333,14 @@
 	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNotReady, message, notReadyRetryAfter)
 }
 
+// refuseNoMemory refuses a request that has not been sent to any endpoint.
+func refuseNoMemory(err error) *apierror.Error {
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoMemory, err.Error(), noMemoryRetryAfter)
+}
+
+// noMemoryRetryAfter is about as long as a process takes to close the requests that hold most.
+const noMemoryRetryAfter = time.Second
+
 // notReadyRetryAfter is about as long as a starting process takes to list the configuration.
 const notReadyRetryAfter = 500 * time.Millisecond
 
@@ -424,10 +435,16 @@
 	// does. A path that leaves the body unread must not clear the deadline: net/http reads the rest
 	// of the body before it answers, and would wait for it.
 	defer context.AfterFunc(x.r.Context(), func() { control.SetReadDeadline(time.Unix(1, 0)) })()
-	err := x.readAll()
+	var err error
+	x.body, err = ingress.ReadAll(x.r)
 	if x.isForceStopped() {
 		return x.forcedStopEnding().refusal
 	}
+	if ingress.IsRefused(err) {
+		// The read's deadline may have ended the request's context, as below.
+		x.bodyTimedOut = true
+		return refuseNoMemory(err)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.bodyTimedOut = true
 		return apierror.Later(http.StatusServiceUnavailable, apierror.CodeTimeout, "the body did not come in time", notReadyRetryAfter)
@@ -443,21 +460,6 @@
 	return nil
 }
 
-// maxPreallocated is the largest body whose buffer is allocated by its Content-Length. The buffer
-// of a longer body grows with the bytes that arrive.
-const maxPreallocated = 1 << 20
-
-func (x *exchange) readAll() error {
-	var err error
-	if x.r.ContentLength > 0 && x.r.ContentLength <= maxPreallocated {
-		x.body = make([]byte, x.r.ContentLength)
-		_, err = io.ReadFull(x.r.Body, x.body)
-	} else {
-		x.body, err = io.ReadAll(x.r.Body)
-	}
-	return err
-}
-
 // isTooLate reports whether a request that would begin now might be cut off by the process's exit, see SetDrainWindow.
 func (x *exchange) isTooLate(now time.Time) bool {
 	d := x.g.drain.Load()
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -18,6 +18,7 @@
 	"limpetwall/internal/coordination/streamorigin"
 	"limpetwall/internal/state/fleet"
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/upstream"
 )
 
@@ -218,15 +219,24 @@
 		}
 		x.relocation.hasOutput.Store(true)
 		x.writeStreamHead(resp)
-		if _, err := x.w.Write(event); err != nil {
-			return outcome{kind: callerLeft, err: err}
-		}
-		if err := controller.Flush(); err != nil {
+		if err := x.writeEvent(controller, event); err != nil {
 			return outcome{kind: callerLeft, err: err}
 		}
 	}
 }
 
+// writeEvent writes an event to the caller. A large one is charged to the request meanwhile, so that callers that do not read are
+// disconnected when memory runs out; if there is none all the same, the event is written without.
+func (x *exchange) writeEvent(controller *http.ResponseController, event []byte) error {
+	if len(event) > freeBufferedBytes && ingress.Hold(x.r.Context(), len(event)) == nil {
+		defer ingress.Release(x.r.Context(), len(event))
+	}
+	if _, err := x.w.Write(event); err != nil {
+		return err
+	}
+	return controller.Flush()
+}
+
 // writeStreamHead writes the status and header to the caller unless that is done already. It is called
 // with the first event, or at the end of an empty stream: until then, another endpoint may still be tried
 // from scratch.
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -60,6 +60,8 @@
 	CodeKeyStoreFull    = "key_store_full"
 	CodeClientGone      = "client_gone"
 	CodeInternalFailure = "internal"
+	// CodeNoMemory: the memory that the process has for callers' requests is in use.
+	CodeNoMemory = "no_memory"
 	// CodeQuarantined: the request has crashed the endpoints that ran it.
 	CodeQuarantined = "request_quarantined"
 	// CodeStreamVersionGone: no endpoint is left that could go on with the stream.
--- a/internal/state/fingerprint/fingerprint.go
+++ b/internal/state/fingerprint/fingerprint.go
@@ -71,9 +71,9 @@
 	Target string
 }
 
-// Of returns the key of a request. Headers aren't hashed: they change with each attempt. The key begins with the
+// Of returns the key of a request, whose body may come in pieces. Headers aren't hashed: they change with each attempt. The key begins with the
 // request's subject, so that processes can relate the keys that they tell each other.
-func Of(r Request, body []byte) Key {
+func Of(r Request, body ...[]byte) Key {
 	key := hashAll(r, body)
 	if resource := r.resource(); resource != "" && r.Customer != "" {
 		h := sha256.New()
@@ -94,14 +94,20 @@
 }
 
 // hashAll hashes all that identifies a request.
-func hashAll(r Request, body []byte) Key {
+func hashAll(r Request, body [][]byte) Key {
 	h := sha256.New()
 	for _, field := range []string{r.Customer, r.Host, r.Method, r.Target} {
 		writeLength(h, len(field))
 		io.WriteString(h, field)
 	}
-	writeLength(h, len(body))
-	h.Write(body)
+	length := 0
+	for _, piece := range body {
+		length += len(piece)
+	}
+	writeLength(h, length)
+	for _, piece := range body {
+		h.Write(piece)
+	}
 	return Key(h.Sum(nil)[:Size])
 }
 
--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -2,12 +2,15 @@
 
 import (
 	"io"
+	"math"
 	"os"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"limpetwall/internal/transport/memquota"
 )
 
 const (
@@ -15,6 +18,8 @@
 	// next acknowledgment; maxLinger bounds the whole wait for acknowledgments.
 	lingerTimeout = 2 * time.Second
 	maxLinger     = 30 * time.Second
+	// interruptedLinger bounds the wait where the connection is to make room for others.
+	interruptedLinger = 200 * time.Millisecond
 	// refusalWriteTimeout bounds the write of an answer that this package itself gives.
 	refusalWriteTimeout = time.Second
 	// ackPollInterval and maxAckPollInterval bound the intervals at which the send buffer is polled: the
@@ -27,11 +32,24 @@
 // request has not run, so it may be sent again.
 const headerTimeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// headerTooLargeAnswer and noMemoryAnswer are sent if an incomplete header is refused. 503 promises that the request has not run.
+const (
+	headerTooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	noMemoryAnswer       = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+const (
+	// writeTimeout is how long a caller may leave its answer unread.
+	writeTimeout = 30 * time.Second
+	// writeSize is the largest part of an answer that is written at once, in bytes: the caller's progress is seen between parts.
+	writeSize = 32 << 10
+)
+
 // Write implements net.Conn. What net/http writes before a handler has started is its refusal of a
 // malformed request.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	late := c.isHeaderTimedOut()
+	late := c.isHeaderRefused()
 	// Over TLS, closing also writes an alert.
 	if c.phase == reading && !c.inHandshake && !c.limitExpired && !c.server.closed.Load() {
 		c.phase = answered
@@ -42,38 +60,90 @@
 		// net/http refuses the incomplete header as malformed; Close sends the correct answer instead.
 		return len(b), nil
 	}
-	n, err := c.Conn.Write(b)
+	n, err := c.writeAll(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isWriting = false
 	return n, err
 }
 
-// isHeaderTimedOut reports whether the current request's header was incomplete at its limit.
-func (c *conn) isHeaderTimedOut() bool {
-	return c.phase == reading && c.limitExpired && !c.isTLS
+// writeAll writes as long as the caller reads something within writeTimeout.
+func (c *conn) writeAll(b []byte) (n int, err error) {
+	for {
+		account, ok := c.beginPart()
+		if !ok {
+			return n, os.ErrDeadlineExceeded
+		}
+		part := b[n:min(len(b), n+writeSize)]
+		account.BeginWrite()
+		written, err := c.Conn.Write(part)
+		account.EndWrite()
+		n += written
+		switch {
+		case err == nil && n == len(b):
+			return n, nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && written == 0:
+			c.recordStall()
+			return n, err
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+			return n, err
+		}
+	}
+}
+
+// beginPart sets the deadline of the next part of a write. It returns the account of the current request, and false if the
+// connection is to be closed.
+func (c *conn) beginPart() (*memquota.Account, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isWriteCut {
+		return nil, false
+	}
+	c.writingSince = time.Now()
+	if c.writeDeadline.IsZero() {
+		c.Conn.SetWriteDeadline(c.writingSince.Add(writeTimeout))
+	}
+	return c.account, true
+}
+
+// recordStall records that a write has made no progress.
+func (c *conn) recordStall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeDeadline.IsZero() && !c.isWriteCut {
+		c.isStalled = true
+		c.server.report.count("answers_unread")
+	}
+}
+
+// isHeaderRefused reports whether the current request's header was incomplete at its limit, or was refused.
+func (c *conn) isHeaderRefused() bool {
+	return c.phase == reading && (c.limitExpired || c.headRefusal != "") && !c.isTLS
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	late := c.isHeaderTimedOut()
+	late := c.isHeaderRefused()
 	if late {
 		c.phase = answered
 	}
+	account, refusal := c.account, c.headRefusal
 	reason, q, since := c.unansweredReason(), c.request, c.firstByte
 	written := c.phase == answered && c.readErr == nil
 	unread := written && q != nil && !q.bodyRead.Load()
 	cut := c.phase != answered && q != nil && q.hasNoChunks
 	c.phase, c.request = answered, nil
 	c.mu.Unlock()
+	defer account.Close()
+	account.Finish(math.MaxInt64)
 	if reason != "" {
 		c.server.report.closedUnanswered(c, reason, q.requestID(), since)
 	}
 	switch {
 	case c.server.closed.Load():
 	case late:
-		c.refuseTimedOutHeader()
+		c.refuseHeader(refusal)
 		c.awaitAcknowledgment()
 	case unread:
 		c.discardUnreadBody()
@@ -96,12 +166,15 @@
 	}
 }
 
-// refuseTimedOutHeader answers a request whose header was incomplete at its limit.
-func (c *conn) refuseTimedOutHeader() {
-	c.server.report.count("headers_late")
+// refuseHeader answers a request whose header is incomplete; an empty answer stands for the header's time limit.
+func (c *conn) refuseHeader(answer string) {
+	if answer == "" {
+		answer = headerTimeoutAnswer
+		c.server.report.count("headers_late")
+	}
 	if c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) == nil {
 		// The error is ignored: a caller that can't be written to has left.
-		io.WriteString(c.Conn, headerTimeoutAnswer)
+		io.WriteString(c.Conn, answer)
 	}
 }
 
@@ -109,7 +182,7 @@
 // connection with unread bytes resets it, and the caller may lose the answer.
 func (c *conn) discardUnreadBody() {
 	c.CloseWrite()
-	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+	if c.setLingerDeadline(lingerTimeout) {
 		io.Copy(io.Discard, c.Conn)
 	}
 }
@@ -125,7 +198,7 @@
 	began := time.Now()
 	progressed, unacknowledged := began, c.unacknowledgedBytes()
 	for wait := ackPollInterval; unacknowledged > 0 && !c.server.closed.Load(); wait = min(2*wait, maxAckPollInterval) {
-		if c.Conn.SetReadDeadline(time.Now().Add(wait)) != nil {
+		if !c.setLingerDeadline(wait) {
 			return
 		}
 		if _, err := io.Copy(io.Discard, c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -141,6 +214,17 @@
 	}
 }
 
+// setLingerDeadline sets the deadline of a read before the connection closes. It returns false if the connection must close now:
+// if what it holds has been needed for long enough that its caller could read a refusal.
+func (c *conn) setLingerDeadline(wait time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isInterrupted {
+		wait = min(wait, time.Until(c.interruptedAt.Add(interruptedLinger)))
+	}
+	return wait > 0 && c.Conn.SetReadDeadline(time.Now().Add(wait)) == nil
+}
+
 // unacknowledgedBytes returns how many bytes, the end of the sending side among them, the caller's kernel
 // has yet to acknowledge; 0 if that is not known.
 func (c *conn) unacknowledgedBytes() int {
@@ -176,6 +260,10 @@
 		return ""
 	case c.phase == failed:
 		return closedByPanic
+	case c.isWriteCut:
+		return closedByMemory
+	case c.isStalled:
+		return closedByStall
 	case c.readErr != nil:
 		return ""
 	case c.phase == reading && c.limitExpired:
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"limpetwall/internal/transport/memquota"
 )
 
 const (
@@ -22,6 +24,8 @@
 	// unreadBodyTimeout is how long an answer waits for the rest of a body that its handler did not read.
 	// net/http reads that rest to keep the connection open.
 	unreadBodyTimeout = time.Second
+	// readAhead is the size of net/http's read buffer: so much may be read behind the end of a header.
+	readAhead = 4 << 10
 	// maxBuffered is the maximum number of bytes that net/http buffers while it waits for a request.
 	maxBuffered = 3
 )
@@ -94,6 +98,34 @@
 	readErr error
 	// limitExpired is set once a wait reached its limit.
 	limitExpired bool
+
+	// account holds the memory of the current request, nil before its first byte and while the connection is idle. headBytes counts the bytes
+	// read for its header, headCharge those that the account was charged for it.
+	account               *memquota.Account
+	headBytes, headCharge int64
+	// headRefusal is the answer to a header that this package refuses, empty if there is none.
+	headRefusal string
+	// working counts the requests that are complete and not answered; lastWork is when the last of them ended, or when the
+	// connection was accepted.
+	working  int
+	lastWork time.Time
+	// writeDeadline is the one that was set, by TLS for instance; zero if there is none.
+	writeDeadline time.Time
+	// writingSince is when the current write last made progress. isStalled is set once one has made none for writeTimeout.
+	writingSince time.Time
+	isStalled    bool
+	// isEvicted is set if the connection is closed for another one, isInterrupted if its reads have been ended, isWriteCut if a
+	// write has been ended that its caller did not read.
+	isEvicted, isInterrupted, isWriteCut bool
+	interruptedAt                        time.Time
+}
+
+// setReadDeadline sets a read deadline, unless the reads have been ended.
+func (c *conn) setReadDeadline(t time.Time) error {
+	if c.isInterrupted {
+		t = past
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // beginHandling records that a handler has started on the current request.
@@ -101,7 +133,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isHTTP2 {
-		c.phase, c.request = handling, q
+		c.phase, c.request, q.account = handling, q, c.account
+		q.headCharge = c.headCharge
+	}
+	if q.bodyRead.Load() {
+		c.working++
 	}
 }
 
@@ -116,7 +152,7 @@
 	}
 	c.phase = p
 	if !c.request.bodyRead.Load() && c.deadline.IsZero() {
-		c.Conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		c.setReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 }
 
@@ -129,9 +165,11 @@
 	case c.limit == noLimit:
 		c.deadline = t
 		c.endHandshake()
-		return c.Conn.SetReadDeadline(t)
+		return c.setReadDeadline(t)
 	case c.limit == idleLimit:
 		c.phase, c.request, c.hadRequest = waiting, nil, true
+		c.account.Close()
+		c.account = nil
 		if c.hasReadAhead {
 			c.hasReadAhead = false
 			c.beginRequest()
@@ -146,6 +184,10 @@
 // beginRequest records the first byte of a request. The header limit applies from then on.
 func (c *conn) beginRequest() {
 	c.phase, c.firstByte = reading, time.Now()
+	c.headBytes, c.headCharge = 0, 0
+	if c.account == nil {
+		c.account = c.server.memory.Open(c.interrupt)
+	}
 	if c.limit == idleLimit {
 		c.limit = headerLimit
 	}
@@ -171,13 +213,16 @@
 	if l := markedLimit(t); l != noLimit {
 		t = time.Now().Add(l.in(c.server.limits.Load()))
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
 	return c.Conn.SetWriteDeadline(t)
 }
 
 // beginWait begins a wait under c.limit.
 func (c *conn) beginWait() error {
 	c.since, c.inFinalRead, c.finalReads = time.Now(), false, 0
-	return c.Conn.SetReadDeadline(c.waitDeadline().Add(-finalReadWindow))
+	return c.setReadDeadline(c.waitDeadline().Add(-finalReadWindow))
 }
 
 // waitDeadline returns when the current wait ends.
@@ -202,7 +247,7 @@
 	defer c.mu.Unlock()
 	c.drainingSince = time.Now()
 	if c.limit != noLimit && (c.phase == waiting || c.inHandshake) {
-		c.Conn.SetReadDeadline(c.waitDeadline().Add(-finalReadWindow))
+		c.setReadDeadline(c.waitDeadline().Add(-finalReadWindow))
 	}
 }
 
@@ -212,7 +257,7 @@
 	defer c.mu.Unlock()
 	if c.limit != noLimit {
 		c.since = time.Unix(1, 0)
-		c.Conn.SetReadDeadline(c.waitDeadline())
+		c.setReadDeadline(c.waitDeadline())
 	}
 }
 
@@ -229,10 +274,51 @@
 			continue
 		}
 		c.recordRead(b[:n], err)
+		if c.isHeadRefused(b[:n]) {
+			return 0, os.ErrDeadlineExceeded
+		}
 		return n, err
 	}
 }
 
+// isHeadRefused charges bytes of a header, and reports whether the header is refused: if it is larger than the limit in force, or if
+// there is no memory for it.
+func (c *conn) isHeadRefused(got []byte) bool {
+	c.mu.Lock()
+	if c.phase != reading || c.isHTTP2 || len(got) == 0 {
+		c.mu.Unlock()
+		return false
+	}
+	cost := int64(len(got) + lineBytes*bytes.Count(got, []byte{'\n'}))
+	if c.isTLS {
+		cost = int64(tlsHeadFactor * len(got))
+	}
+	c.headBytes += int64(len(got))
+	limit := c.server.limits.Load().HeaderBytes
+	isTooLarge := limit > 0 && c.headBytes > limit+readAhead
+	account := c.account
+	c.mu.Unlock()
+	if isTooLarge {
+		c.refuseHead(headerTooLargeAnswer, "headers_too_large")
+		return true
+	}
+	if err := account.Grow(cost); err != nil {
+		c.refuseHead(noMemoryAnswer, "headers_refused_for_memory")
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headCharge += cost
+	return false
+}
+
+func (c *conn) refuseHead(answer, counter string) {
+	c.server.report.count(counter)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headRefusal = answer
+}
+
 // detectBufferedRequest begins the next request if net/http has already buffered bytes of it, which
 // arrived together with the previous one. room is the free part of net/http's buffer, which its read
 // for the next request offers.
@@ -298,7 +384,7 @@
 func (c *conn) extendWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.limit == noLimit {
+	if c.limit == noLimit || c.isInterrupted {
 		return false
 	}
 	now, end := time.Now(), c.waitDeadline()
--- a/internal/transport/ingress/drain.go
+++ b/internal/transport/ingress/drain.go
@@ -66,9 +66,8 @@
 	}
 }
 
+// add adds a connection; s.mu is held.
 func (s *Server) add(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	if s.draining {
 		c.drainingSince = time.Now()
--- a/internal/transport/ingress/http2.go
+++ b/internal/transport/ingress/http2.go
@@ -13,6 +13,15 @@
 // nextProtoHTTP2 is the ALPN name of HTTP/2.
 const nextProtoHTTP2 = "h2"
 
+const (
+	// maxStreams bounds the concurrent requests of an HTTP/2 connection.
+	maxStreams = 250
+	// receiveBuffer bounds what is received and not read yet on an HTTP/2 connection, in bytes.
+	receiveBuffer = 256 << 10
+	// http2IdleTimeout is how long an HTTP/2 connection may have no request.
+	http2IdleTimeout = 2 * time.Minute
+)
+
 // goAwayInterval is how often a stop sends GOAWAY to HTTP/2 connections.
 const goAwayInterval = time.Second
 
@@ -23,7 +32,10 @@
 func (s *Server) ServeTLS(l net.Listener, config *tls.Config) error {
 	inner := s.register(l)
 	inner.secure = true
-	h2 := &http.Server{MaxHeaderBytes: s.http.MaxHeaderBytes, ErrorLog: s.http.ErrorLog}
+	h2 := &http.Server{
+		MaxHeaderBytes: s.http.MaxHeaderBytes, ErrorLog: s.http.ErrorLog, IdleTimeout: http2IdleTimeout,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: receiveBuffer, MaxReceiveBufferPerStream: receiveBuffer},
+	}
 	// Serve configures HTTP/2 and returns, as there is nothing to accept.
 	if err := h2.Serve(noListener{}); err != net.ErrClosed {
 		s.removeListener(inner)
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/memquota"
 )
 
 // Server serves one address.
@@ -28,6 +29,8 @@
 	// handlersInFlight counts the handlers that have not returned.
 	handlersInFlight atomic.Int64
 	report           *reporter
+	memory           *memquota.Quota
+	maxConns         int
 	// closed is set once Close ends all connections.
 	closed atomic.Bool
 
@@ -46,15 +49,20 @@
 	// MaxHeaderBytes bounds a header while it is read; 0 means 1 MB. The limit in force is checked
 	// once the header is complete.
 	MaxHeaderBytes int
-	Log            *zap.Logger
-	Metrics        metrics.Registry
+	// MaxConns bounds the open connections; 0 means no limit. At the limit, a new connection replaces the one that has been
+	// without a complete request for longest, and is refused if all have one.
+	MaxConns int
+	// Memory bounds what is held for the requests; nil means no limit.
+	Memory  *memquota.Quota
+	Log     *zap.Logger
+	Metrics metrics.Registry
 }
 
 // New returns a server that passes every request to handler.
 func New(handler http.Handler, c Config) *Server {
 	s := &Server{
 		report: newReporter(c.Log, c.Metrics), conns: map[*conn]struct{}{}, listeners: map[net.Listener]*listener{},
-		drained: make(chan struct{}),
+		drained: make(chan struct{}), memory: c.Memory, maxConns: c.MaxConns,
 	}
 	s.limits.Store(&routes.Limits{})
 	hard, cut := context.WithCancelCause(context.Background())
@@ -81,6 +89,9 @@
 			r.Body = trackedBody{r.Body, q}
 		}
 		q.conn.beginHandling(q)
+		if q.account == nil {
+			q.account = s.memory.Open(interruptReads(w, q))
+		}
 		defer func() { s.finishHandling(q, r, recover()) }()
 		out := &headWriter{ResponseWriter: w, control: http.NewResponseController(w), server: s, http1: r.ProtoMajor == 1}
 		next.ServeHTTP(out, r)
--- a/internal/transport/ingress/listener.go
+++ b/internal/transport/ingress/listener.go
@@ -73,6 +73,20 @@
 // Accept implements net.Listener. After a temporary error such as too many open files, a stopping
 // server goes on: the kernel's queue may hold connections that callers have already opened.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.acceptAny()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.admit(c) {
+			return c, nil
+		}
+		c.Conn.Close()
+	}
+}
+
+// acceptAny accepts a connection that the server may have no room for.
+func (l *listener) acceptAny() (*conn, error) {
 	inner, err := l.Listener.Accept()
 	for errors.Is(err, os.ErrDeadlineExceeded) && l.canAcceptMore() {
 		inner, err = l.Listener.Accept()
@@ -86,9 +100,7 @@
 	default:
 		return nil, err
 	}
-	c := &conn{Conn: inner, server: l.server, isTLS: l.secure, inHandshake: l.secure}
-	l.server.add(c)
-	return c, nil
+	return &conn{Conn: inner, server: l.server, isTLS: l.secure, inHandshake: l.secure, lastWork: time.Now()}, nil
 }
 
 // canAcceptMore lets Accept continue after its deadline: once in any case, as the process may have
--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
+
+	"limpetwall/internal/transport/memquota"
 )
 
 // closeReason is why this process closed a connection whose request it had not answered.
@@ -25,6 +28,10 @@
 	closedByStop  closeReason = "stop"
 	closedByLimit closeReason = "limit"
 	closedByPanic closeReason = "panic"
+	// closedByMemory: its caller did not read the answer, and the memory was needed.
+	closedByMemory closeReason = "memory"
+	// closedByStall: its caller read nothing of the answer for writeTimeout.
+	closedByStall closeReason = "stall"
 )
 
 // linesPerSecond limits the log lines that callers can cause. Metrics count all events.
@@ -80,10 +87,40 @@
 	requestKey struct{}
 )
 
+// refusedForMemory reports a request for which the memory for callers' requests does not suffice.
+func (p *reporter) refusedForMemory(c *conn, requestID string, err error) {
+	p.count("requests_refused_for_memory")
+	if p.lines.Allow() {
+		p.log.Warn("request refused for memory", zap.String("request_id", requestID), zap.Stringer("caller", c.RemoteAddr()), zap.Error(err))
+	}
+}
+
+// evicted reports a connection that is closed so that another can be accepted.
+func (p *reporter) evicted(c *conn, idle time.Duration, conns int) {
+	p.count("conns_evicted")
+	if p.lines.Allow() {
+		p.log.Warn("connection closed for another at the limit", zap.Stringer("caller", c.RemoteAddr()), zap.Duration("since_last_request", idle), zap.Int("connections", conns))
+	}
+}
+
+// rejected reports a new connection that is closed because all others carry requests.
+func (p *reporter) rejected(caller net.Addr, conns int) {
+	p.count("conns_refused")
+	if p.lines.Allow() {
+		p.log.Warn("connection refused at the limit", zap.Stringer("caller", caller), zap.Int("connections", conns))
+	}
+}
+
 // request is a request whose handler is running.
 type request struct {
 	conn *conn
-	id   atomic.Pointer[string]
+	// account holds the memory of the request, of which headCharge bytes are for its header.
+	account    *memquota.Account
+	headCharge int64
+	// mu guards hasEnded, which is set once the handler has returned.
+	mu       sync.Mutex
+	hasEnded bool
+	id       atomic.Pointer[string]
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
 	// hasNoChunks is set if the protocol's version has no chunks: the end of the connection delimits an answer
@@ -100,8 +137,8 @@
 // Read implements io.Reader.
 func (b trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.request.bodyRead.Store(true)
+	if err == io.EOF && !b.request.bodyRead.Swap(true) {
+		b.request.conn.beginWork()
 	}
 	return n, err
 }
@@ -155,6 +192,8 @@
 // finishHandling records a handler's end. panicked is the value of its panic, nil if it returned.
 func (s *Server) finishHandling(q *request, r *http.Request, panicked any) {
 	defer s.handlersInFlight.Add(-1)
+	q.end()
+	q.conn.endWork(q)
 	switch panicked {
 	case nil:
 		q.conn.endHandling(answered)
--- /dev/null
+++ b/internal/transport/memquota/quota.go
@@ -0,0 +1,285 @@
+package memquota
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Errors of Account.Grow and Account.Seal. After either, the account's request must be refused.
+const (
+	// ErrExhausted is returned if the memory is in use and no larger request can be revoked.
+	ErrExhausted = errors.ConstError("the memory for callers' requests is in use")
+	// ErrRevoked is returned if the request was revoked in favor of a smaller one.
+	ErrRevoked = errors.ConstError("the request was the largest when memory ran out")
+)
+
+const (
+	// smallRequest is the part of each request, in bytes, that may use the whole quota. What is larger may use largeNumerator
+	// of largeDenominator parts, so that small requests find memory beside complete large ones.
+	smallRequest                     = 64 << 10
+	largeNumerator, largeDenominator = 3, 4
+	// releaseTimeout bounds the wait for revoked requests to free their memory.
+	releaseTimeout = time.Second
+	// blockedGrace is how long a complete request's caller may leave its answer unread before the request can be revoked.
+	blockedGrace = time.Second
+)
+
+// Quota is safe for concurrent use.
+type Quota struct {
+	mu    sync.Mutex
+	limit total
+	used  total
+	// releasing is the part of used that belongs to revoked accounts.
+	releasing total
+	accounts  []*Account
+	// freed is closed when memory is freed.
+	freed chan struct{}
+}
+
+// total is a number of bytes, and how many of them are beyond the smallRequest of their accounts.
+type total struct{ all, large int64 }
+
+func (t *total) add(size, sign int64) {
+	t.all += sign * size
+	t.large += sign * max(0, size-smallRequest)
+}
+
+// New returns a quota of a number of bytes.
+func New(limit int64) *Quota {
+	return &Quota{limit: total{limit, limit / largeDenominator * largeNumerator}, freed: make(chan struct{})}
+}
+
+// Held returns how many bytes are held.
+func (q *Quota) Held() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.used.all
+}
+
+// Account holds the memory of one request. The methods of a nil account do nothing.
+//
+// Invariant: an account that is revoked keeps its bytes until its owner has freed them.
+type Account struct {
+	quota  *Quota
+	revoke func()
+	// size, index, sealed and revoked are guarded by quota.mu. index is the place in quota.accounts.
+	size            int64
+	index           int
+	sealed, revoked bool
+	// blockedSince is since when a write to the caller has been blocked, in Unix nanoseconds; 0 if none is.
+	blockedSince atomic.Int64
+}
+
+// Open returns an account for a new request. If the account is revoked, revoke is called once; it must interrupt the reads
+// from the caller, and must not wait for the account's owner.
+func (q *Quota) Open(revoke func()) *Account {
+	if q == nil {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := &Account{quota: q, revoke: revoke, index: len(q.accounts)}
+	q.accounts = append(q.accounts, a)
+	return a
+}
+
+// Grow adds n bytes to the account. It may wait until revoked requests have freed their memory.
+func (a *Account) Grow(n int64) error {
+	if a == nil || n <= 0 {
+		return nil
+	}
+	q := a.quota
+	var timeout <-chan time.Time
+	for {
+		q.mu.Lock()
+		if a.revoked {
+			q.mu.Unlock()
+			return ErrRevoked
+		}
+		if q.fits(a, n, total{}) {
+			a.resize(a.size + n)
+			q.mu.Unlock()
+			return nil
+		}
+		victims, ok := q.chooseVictims(a, n)
+		freed := q.freed
+		q.mu.Unlock()
+		for _, v := range victims {
+			v.revoke()
+		}
+		if !ok {
+			return ErrExhausted
+		}
+		if timeout == nil {
+			timer := time.NewTimer(releaseTimeout)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-freed:
+		case <-timeout:
+			return ErrExhausted
+		}
+	}
+}
+
+// fits reports whether an account may grow by n bytes once the bytes in free are free.
+func (q *Quota) fits(a *Account, n int64, free total) bool {
+	next := q.used
+	next.add(a.size, -1)
+	next.add(a.size+n, 1)
+	if next.all-free.all > q.limit.all {
+		return false
+	}
+	return next.large == q.used.large || next.large-free.large <= q.limit.large
+}
+
+// chooseVictims marks accounts as revoked until a may grow by n bytes. It returns them, and whether a may wait for them.
+func (q *Quota) chooseVictims(a *Account, n int64) (victims []*Account, ok bool) {
+	for !q.fits(a, n, q.releasing) {
+		largest := q.largest()
+		if largest == nil || largest == a || largest.size < a.size+n {
+			return victims, false
+		}
+		largest.markRevoked()
+		victims = append(victims, largest)
+	}
+	return victims, true
+}
+
+// largest returns the largest account that can be revoked, nil if there is none.
+func (q *Quota) largest() (found *Account) {
+	now := time.Now().UnixNano()
+	for _, a := range q.accounts {
+		if a.size > 0 && a.isRevocable(now) && (found == nil || a.size > found.size) {
+			found = a
+		}
+	}
+	return found
+}
+
+// isRevocable reports whether the request is incomplete, or its caller does not read.
+func (a *Account) isRevocable(now int64) bool {
+	if a.revoked {
+		return false
+	}
+	blocked := a.blockedSince.Load()
+	return !a.sealed || blocked > 0 && now-blocked > int64(blockedGrace)
+}
+
+func (a *Account) markRevoked() {
+	a.revoked = true
+	a.quota.releasing.add(a.size, 1)
+}
+
+// Revoke revokes the account unless its request is complete and its caller reads, and reports whether it is revoked. It does
+// not call the function given to Open.
+func (a *Account) Revoke() bool {
+	if a == nil {
+		return true
+	}
+	a.quota.mu.Lock()
+	defer a.quota.mu.Unlock()
+	if a.isRevocable(time.Now().UnixNano()) {
+		a.markRevoked()
+	}
+	return a.revoked
+}
+
+// IsRevoked reports whether the account was revoked.
+func (a *Account) IsRevoked() bool {
+	if a == nil {
+		return false
+	}
+	a.quota.mu.Lock()
+	defer a.quota.mu.Unlock()
+	return a.revoked
+}
+
+// Shrink takes n bytes off the account.
+func (a *Account) Shrink(n int64) {
+	if a == nil || n <= 0 {
+		return
+	}
+	a.quota.mu.Lock()
+	defer a.quota.mu.Unlock()
+	a.resize(max(0, a.size-n))
+}
+
+// Seal marks the account's request as complete: from now on it can be revoked only while its caller does not read.
+func (a *Account) Seal() error {
+	if a == nil {
+		return nil
+	}
+	a.quota.mu.Lock()
+	defer a.quota.mu.Unlock()
+	if a.revoked {
+		return ErrRevoked
+	}
+	a.sealed = true
+	return nil
+}
+
+// Finish keeps the first n bytes of the account, whose request is answered. The account can be revoked again.
+func (a *Account) Finish(n int64) {
+	if a == nil {
+		return
+	}
+	a.quota.mu.Lock()
+	defer a.quota.mu.Unlock()
+	a.resize(min(a.size, n))
+	a.sealed = false
+}
+
+// BeginWrite and EndWrite enclose a write to the caller, which may block.
+func (a *Account) BeginWrite() {
+	if a != nil {
+		a.blockedSince.Store(time.Now().UnixNano())
+	}
+}
+
+// EndWrite is described at BeginWrite.
+func (a *Account) EndWrite() {
+	if a != nil {
+		a.blockedSince.Store(0)
+	}
+}
+
+// Close frees what the account holds. Later calls do nothing.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	q := a.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if a.index < 0 {
+		return
+	}
+	a.resize(0)
+	last := len(q.accounts) - 1
+	q.accounts[a.index] = q.accounts[last]
+	q.accounts[a.index].index = a.index
+	q.accounts[last] = nil
+	q.accounts, a.index, a.revoked = q.accounts[:last], -1, true
+}
+
+// resize changes the size of an account; quota.mu is held.
+func (a *Account) resize(size int64) {
+	q := a.quota
+	q.used.add(a.size, -1)
+	q.used.add(size, 1)
+	if a.revoked {
+		q.releasing.add(a.size, -1)
+		q.releasing.add(size, 1)
+	}
+	isFreed := size < a.size
+	a.size = size
+	if isFreed {
+		close(q.freed)
+		q.freed = make(chan struct{})
+	}
+}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -42,7 +42,8 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body in pieces.
+	Body [][]byte
 	// HasBody is set if the caller declared a length, even if Body is empty.
 	HasBody bool
 	// Matches reports whether an answer's header belongs to this request. fresh is set if
@@ -56,6 +57,13 @@
 	Trace Trace
 }
 
+func (r *Request) bodySize() (size int) {
+	for _, piece := range r.Body {
+		size += len(piece)
+	}
+	return size
+}
+
 // Trace describes how far a request got on its connection.
 type Trace struct {
 	// Reused is set if the connection had carried another request before.
@@ -110,8 +118,11 @@
 	c.served++
 	c.writing, c.wrote = make(chan struct{}), nil
 	head := r.head()
-	if len(r.Body) <= maxInlineBody {
-		n, err := c.Write(append(head, r.Body...))
+	if r.bodySize() <= maxInlineBody {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
+		n, err := c.Write(head)
 		c.wrote = err
 		close(c.writing)
 		if err != nil && n == 0 {
@@ -131,7 +142,11 @@
 	c.watchUnread()
 	go func(done chan struct{}) {
 		defer close(done)
-		_, c.wrote = c.Write(r.Body)
+		for _, piece := range r.Body {
+			if _, c.wrote = c.Write(piece); c.wrote != nil {
+				return
+			}
+		}
 	}(c.writing)
 	return nil
 }
@@ -150,8 +165,8 @@
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	r.Header.Write(&b)
-	if len(r.Body) > 0 || r.HasBody {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if size := r.bodySize(); size > 0 || r.HasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -211,7 +211,7 @@
 	p := pool()
 	for i := range 2 {
 		request := get(fmt.Sprint(i))
-		request.Method, request.Body = "POST", []byte(strings.Repeat("x", 32<<20))
+		request.Method, request.Body = "POST", [][]byte{[]byte(strings.Repeat("x", 32<<20))}
 		resp, err := p.Do(t.Context(), address, request)
 		if err != nil {
 			t.Fatal(err)
@@ -402,7 +402,7 @@
 	p := NewPool(Dialer{Connect: 5 * time.Second, Silence: silence}.Dial)
 	const size = 32 << 20
 	request := get("1")
-	request.Method, request.Body = "POST", make([]byte, size)
+	request.Method, request.Body = "POST", [][]byte{make([]byte, size)}
 	resp, err := p.Do(t.Context(), address, request)
 	if err != nil {
 		t.Fatal(err)
