gateway: connections have a limit at each address, and one without a request gives way

What callers saw: clients that connect and stay take all descriptors of a gateway (1,027 open of 512 allowed, at the clients', the balancer's and the metrics' address), after which it reaches no endpoint. Cause: nothing counted connections; the servers for probes and metrics also kept idle connections for good and read headers of 1 MB (294 and 261 MB of 88).

At the limit, a new connection replaces the one that has been without a complete request for longest: one that sent nothing, part of a header or part of a body, an idle one, or one whose caller has not read its answer for 2 s. If all carry complete requests, the new one is closed unread, which callers may repeat. A request that becomes complete meanwhile is spared.

Probes and metrics have 32 connections each, headers of 8 KB, 5 s for them, a minute idle.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -60,8 +60,15 @@
 	retryPart = 0.7
 	// memoryPart is the heap's part of the process's memory; the rest is for stacks and receive buffers.
 	memoryPart = 0.6
-	// callersPart is the part of the process's memory that may be held for callers' requests.
+	// callersPart is the part of the process's memory that may be held for callers' requests, connsPart that for their connections,
+	// and connBytes what each of these takes.
 	callersPart = 0.2
+	connsPart   = 0.2
+	connBytes   = 24 << 10
+	// callersSockets is the part of the process's sockets that callers' connections may take; each request takes another one.
+	callersSockets = 0.5
+	// maxProbeConns bounds the connections at each address that is not for callers.
+	maxProbeConns = 32
 	// contextIndex is the number of context chunks that the index holds per generation.
 	contextIndex = 20_000
 )
@@ -118,8 +125,10 @@
 	log      *zap.Logger
 	gateway  *gateway.Gateway
 	clients  *ingress.Server
-	ready    *http.Server
-	metrics  *http.Server
+	ready    *ingress.Server
+	metrics  *ingress.Server
+	// registry holds the metrics.
+	registry metrics.Registry
 	duties   sync.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -218,6 +227,7 @@
 		p.gateway.KeysValidFor = max(time.Millisecond, b.KeysRevoked-revokeMargin)
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
+	p.registry = registry
 	p.clients = ingress.New(p.gateway, callersConfig(s, log, registry))
 	engines := platform.NewEngines(&platform.PushbackTransport{
 		Next: httpjson.BoundHead(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}), Observe: observePushback,
@@ -292,7 +302,10 @@
 func callersConfig(s *GatewaySettings, log *zap.Logger, registry metrics.Registry) ingress.Config {
 	c := ingress.Config{Log: log, Metrics: registry}
 	if memory := float64(s.Platform.MemoryBytes); memory > 0 {
-		c.Memory = memquota.New(int64(callersPart * memory))
+		c.Memory, c.MaxConns = memquota.New(int64(callersPart*memory)), int(connsPart*memory/connBytes)
+	}
+	if sockets := int(callersSockets * float64(s.Platform.Sockets)); sockets > 0 && (c.MaxConns == 0 || sockets < c.MaxConns) {
+		c.MaxConns = sockets
 	}
 	return c
 }
@@ -317,7 +330,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", exposition.Handler(registry))
-	p.metrics = p.ownServer(mux)
+	p.metrics = p.probeServer(mux)
 	p.run(func(context.Context) { logServe(p.log, "metrics", p.metrics.Serve(l)) })
 }
 
@@ -335,15 +348,15 @@
 	p.clients.Register(clients)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", p.gateway.ServeReady)
-	p.ready = p.ownServer(mux)
+	p.ready = p.probeServer(mux)
 	p.run(func(context.Context) { logServe(p.log, "callers", p.clients.Serve(clients)) })
 	p.run(func(context.Context) { logServe(p.log, "readiness", p.ready.Serve(ready)) })
 	return nil
 }
 
-// ownServer returns a server for requests that are not from callers.
-func (p *gatewayProcess) ownServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.log)}
+// probeServer returns a server for requests that are not from callers.
+func (p *gatewayProcess) probeServer(handler http.Handler) *ingress.Server {
+	return newProbeServer(handler, p.log, p.registry)
 }
 
 const (
@@ -398,7 +411,7 @@
 
 func (p *gatewayProcess) close() {
 	p.cancel()
-	for _, s := range []*http.Server{p.ready, p.metrics} {
+	for _, s := range []*ingress.Server{p.ready, p.metrics} {
 		if s != nil {
 			s.Close()
 		}
