--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -6,8 +6,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
+	"github.com/juju/errors"
+
 	"limpetwall/internal/state/finding"
 )
 
@@ -44,14 +47,19 @@
 
 // parameters picks the sampling fields of a request.
 func parameters(body []byte) json.RawMessage {
-	var all map[string]json.RawMessage
-	if json.Unmarshal(body, &all) != nil {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if open, err := d.Token(); err != nil || open != json.Delim('{') {
 		return nil
 	}
 	picked := map[string]json.RawMessage{}
-	for _, name := range sampling {
-		if value, ok := all[name]; ok {
-			picked[name] = value
+	var value json.RawMessage
+	for d.More() {
+		name, err := d.Token()
+		if err != nil || d.Decode(&value) != nil {
+			return nil
+		}
+		if name, ok := name.(string); ok && slices.Contains(sampling, name) {
+			picked[name] = bytes.Clone(value)
 		}
 	}
 	if len(picked) == 0 {
@@ -61,6 +69,28 @@
 	return data
 }
 
+// errNoList is returned for a value that is not a list.
+const errNoList = errors.ConstError("must be a list")
+
+// eachItem calls use with the items of a JSON list, one after the other, and returns their number. A list takes many times its
+// length once it is decoded whole. It stops at the first error of use.
+func eachItem(raw json.RawMessage, use func(i int, item json.RawMessage) error) (count int, err error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if open, err := d.Token(); err != nil || open != json.Delim('[') {
+		return 0, errNoList
+	}
+	var item json.RawMessage
+	for ; d.More(); count++ {
+		if err := d.Decode(&item); err != nil {
+			return count, err
+		}
+		if err := use(count, item); err != nil {
+			return count, err
+		}
+	}
+	return count, nil
+}
+
 type message struct {
 	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
@@ -76,7 +106,7 @@
 
 type request struct {
 	Model               string          `json:"model"`
-	Messages            []message       `json:"messages"`
+	Messages            json.RawMessage `json:"messages"`
 	Prompt              json.RawMessage `json:"prompt"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
@@ -134,41 +164,57 @@
 }
 
 // chatTexts returns the text of each message.
-func chatTexts(l *finding.List, messages []message, limits Limits) (texts []string) {
-	if len(messages) == 0 {
-		l.Add("$.messages", "is required, with at least one message")
+func chatTexts(l *finding.List, raw json.RawMessage, limits Limits) (texts []string) {
+	if isAbsent(raw) {
+		raw = json.RawMessage("[]")
 	}
-	if len(messages) > limits.MaxMessages {
-		l.Add("$.messages", "has %d messages, at most %d are accepted", len(messages), limits.MaxMessages)
+	count, err := eachItem(raw, func(int, json.RawMessage) error { return nil })
+	switch {
+	case err != nil:
+		l.Add("$.messages", "%v", err)
+		return nil
+	case count == 0:
+		l.Add("$.messages", "is required, with at least one message")
+		return nil
+	case count > limits.MaxMessages:
+		l.Add("$.messages", "has %d messages, at most %d are accepted", count, limits.MaxMessages)
 		return nil
 	}
-	for i, m := range messages {
+	eachItem(raw, func(i int, item json.RawMessage) error {
 		place := fmt.Sprintf("$.messages[%d]", i)
+		var m message
+		if err := json.Unmarshal(item, &m); err != nil {
+			l.Add(place, "%v", err)
+			return nil
+		}
 		if m.Role == "" {
 			l.Add(place+".role", "is required")
 		}
 		content := contentText(l, place+".content", m.Content)
 		// Lengths keep apart what a caller's text could otherwise imitate.
 		texts = append(texts, fmt.Sprintf("<%s %d>%s\n", m.Role, len(content), content))
-	}
+		return nil
+	})
 	return texts
 }
 
+// isAbsent reports whether a field is missing or null.
+func isAbsent(raw json.RawMessage) bool { return len(raw) == 0 || bytes.Equal(raw, []byte("null")) }
+
 func contentText(l *finding.List, place string, raw json.RawMessage) string {
 	var s string
-	if len(raw) == 0 || bytes.Equal(raw, []byte("null")) {
+	if isAbsent(raw) {
 		return ""
 	}
 	if json.Unmarshal(raw, &s) == nil {
 		return s
 	}
-	var parts []contentPart
-	if json.Unmarshal(raw, &parts) != nil {
-		l.Add(place, "must be a text or a list of parts")
-		return ""
-	}
 	var text strings.Builder
-	for i, part := range parts {
+	_, err := eachItem(raw, func(i int, item json.RawMessage) error {
+		var part contentPart
+		if err := json.Unmarshal(item, &part); err != nil {
+			return errNoList
+		}
 		partPlace := fmt.Sprintf("%s[%d]", place, i)
 		switch part.Type {
 		case "text":
@@ -181,18 +227,28 @@
 		default:
 			l.Add(partPlace+".type", "%q is not served, only text and image_url", part.Type)
 		}
+		return nil
+	})
+	if err != nil {
+		l.Add(place, "must be a text or a list of parts")
+		return ""
 	}
 	return text.String()
 }
 
 func promptText(l *finding.List, raw json.RawMessage) string {
-	var s string
+	var s, first string
 	if json.Unmarshal(raw, &s) == nil && s != "" {
 		return s
 	}
-	var list []string
-	if json.Unmarshal(raw, &list) == nil && len(list) == 1 && list[0] != "" {
-		return list[0]
+	count, err := eachItem(raw, func(i int, item json.RawMessage) error {
+		if i > 0 {
+			return nil
+		}
+		return json.Unmarshal(item, &first)
+	})
+	if err == nil && count == 1 && first != "" {
+		return first
 	}
 	l.Add("$.prompt", "must be a text, or a list of one text, and not empty")
 	return ""
