entry: requests have a quota of memory, by new settings -memory-mb and -max-descriptors

Seen: 256 bodies of 1 MB that stop before their end took an entry to 558 MB (prompts), 467 (small chunks) and 504 (announced), headers of short lines to 312, 400 HTTP/2 streams to 644, bodies of many parts to 256; 128 MB allowed. Cause, as in the gateway: each request was bounded, their sum was not; and a prompt takes six times its body while it is decoded and sent on.

The entry reads bodies by the same quota as the gateway, and charges six times a prompt's body and three times a call's before it decodes them. -memory-mb says what the process may use (0, the default: the machine's memory); a fifth of it is the quota, and at least what one largest prompt takes, so a single request of -max-body is served on any machine that passes the check of the settings. The garbage collector keeps to the memory too.

TestUnrulyEntryLimitsSpareLargestRequest: one prompt and one call of the largest size are served, before and after.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -62,7 +62,9 @@
 	AllowPlaintext           bool
 	DrainTimeout             time.Duration
 	LogLevel                 string
-	Spread                   gossip.Config
+	// Limits bound what callers and peers may hold.
+	Limits Limits
+	Spread gossip.Config
 }
 
 func bindBase(set *settings.Set) *BaseSettings {
@@ -84,9 +86,12 @@
 	f.BoolVar(&b.AllowPlaintext, "allow-plaintext", false, "allow connections without TLS beyond loopback")
 	f.StringVar(&b.LogLevel, "log-level", "info", "debug, info, warn or error")
 	drain := set.Duration("drain-timeout", 10*time.Minute, 0, 24*time.Hour, "time for requests underway when stopping")
+	memory := set.Int("memory-mb", 0, 0, 1<<20, "MB of memory that the process may use; 0: the machine's")
+	descriptors := set.Int("max-descriptors", 0, 0, 1<<24, "files and sockets that the process may have open; 0: its own limit")
 	report := set.Duration("report-every", 500*time.Millisecond, 50*time.Millisecond, time.Minute, "shortest period of reports to the fleet")
 	set.Check(func(l *finding.List) {
 		b.DrainTimeout, b.Spread.ReportInterval = *drain, *report
+		b.Limits = newLimits(*memory, *descriptors)
 		b.check(l)
 	})
 	return b
@@ -191,9 +196,9 @@
 	api.Log, hosts.Log = logger, logger
 	p := &base{
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
-		api: api, pool: rpc.NewPool(clientTLS),
-		server: rpc.NewServer(serverTLS), listener: rpc.Linger(listener, lingerQuiet),
+		api: api, pool: rpc.NewPool(clientTLS), server: rpc.NewServer(serverTLS),
 	}
+	p.listener = rpc.Linger(listener, lingerQuiet)
 	p.log = configlog.New(p.api)
 	now := time.Now()
 	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -79,6 +79,7 @@
 		s.Entry.BodyTime, s.HedgeAfter = *bodyTimeout, *hedge
 		s.Entry.MaxBody, s.MaxHeader, s.Entry.MaxQueue = int64(*maxBody), *maxHeader, *maxQueue
 		s.Entry.Prompt.MaxMessages, s.Entry.Prompt.MaxMaxTokens = *maxMessages, *maxTokens
+		s.Limits.checkLargest(l, "-memory-mb", entry.PromptFactor*s.Entry.MaxBody)
 	})
 	return s
 }
@@ -109,8 +110,11 @@
 	if err != nil {
 		return errors.Annotate(err, "-listen")
 	}
-	server := ingress.New(e.Handler(), ingress.Config{MaxHeaderBytes: s.MaxHeader, Log: p.zap, Metrics: p.metrics})
-	server.SetLimits(routes.Limits{HeaderTimeout: s.ReadHeaderTimeout})
+	server := ingress.New(e.Handler(), ingress.Config{
+		MaxHeaderBytes: s.MaxHeader, Log: p.zap, Metrics: p.metrics,
+		Memory: s.Limits.Quota(entry.PromptFactor * s.Entry.MaxBody),
+	})
+	server.SetLimits(routes.Limits{HeaderBytes: int64(s.MaxHeader), HeaderTimeout: s.ReadHeaderTimeout})
 	server.Register(listener)
 	defer server.Close()
 	p.run(binder.Run)
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -34,7 +34,6 @@
 	"limpetwall/internal/transport/httpjson"
 	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/logging"
-	"limpetwall/internal/transport/memquota"
 	"limpetwall/internal/transport/settings"
 	"limpetwall/internal/transport/upstream"
 	"limpetwall/platform"
@@ -60,15 +59,6 @@
 	retryPart = 0.7
 	// memoryPart is the heap's part of the process's memory; the rest is for stacks and receive buffers.
 	memoryPart = 0.6
-	// callersPart is the part of the process's memory that may be held for callers' requests, connsPart that for their connections,
-	// and connBytes what each of these takes.
-	callersPart = 0.2
-	connsPart   = 0.2
-	connBytes   = 24 << 10
-	// callersSockets is the part of the process's sockets that callers' connections may take; each request takes another one.
-	callersSockets = 0.5
-	// maxProbeConns bounds the connections at each address that is not for callers.
-	maxProbeConns = 32
 	// contextIndex is the number of context chunks that the index holds per generation.
 	contextIndex = 20_000
 )
@@ -228,7 +218,10 @@
 		watcher.Wait = min(watcher.Wait, b.KeysRevoked/revokeWatches)
 	}
 	p.registry = registry
-	p.clients = ingress.New(p.gateway, callersConfig(s, log, registry))
+	callers := Limits{MemoryBytes: s.Platform.MemoryBytes, Sockets: s.Platform.Sockets}
+	p.clients = ingress.New(p.gateway, ingress.Config{
+		Log: log, Metrics: registry, Memory: callers.Quota(0), MaxConns: callers.CallerConns(),
+	})
 	engines := platform.NewEngines(&platform.PushbackTransport{
 		Next: httpjson.BoundHead(&http.Transport{DialContext: endpointDialer.Dial, IdleConnTimeout: engineIdle}), Observe: observePushback,
 	})
@@ -298,18 +291,6 @@
 	return max(time.Second, b.StableWindow-margin)
 }
 
-// callersConfig bounds what callers may hold. Limits that the platform does not set bound nothing.
-func callersConfig(s *GatewaySettings, log *zap.Logger, registry metrics.Registry) ingress.Config {
-	c := ingress.Config{Log: log, Metrics: registry}
-	if memory := float64(s.Platform.MemoryBytes); memory > 0 {
-		c.Memory, c.MaxConns = memquota.New(int64(callersPart*memory)), int(connsPart*memory/connBytes)
-	}
-	if sockets := int(callersSockets * float64(s.Platform.Sockets)); sockets > 0 && (c.MaxConns == 0 || sockets < c.MaxConns) {
-		c.MaxConns = sockets
-	}
-	return c
-}
-
 func (p *gatewayProcess) run(duty func(context.Context)) {
 	p.duties.Go(func() { duty(p.ctx) })
 }
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -105,6 +105,7 @@
 		return code
 	}
 	logger := newLogger(s.LogLevel, io)
+	s.Limits.apply()
 	return finish(logger, RunEntry(s, logger, io.Signals.watch()))
 }
 
@@ -115,6 +116,7 @@
 		return code
 	}
 	logger := newLogger(s.LogLevel, io)
+	s.Limits.apply()
 	return finish(logger, RunAgent(s, logger, io.Signals.watch()))
 }
 
--- a/internal/coordination/entry/body.go
+++ b/internal/coordination/entry/body.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"limpetwall/internal/coordination/runs"
 	"limpetwall/internal/protocol/apierror"
+	"limpetwall/internal/transport/ingress"
 )
 
 // stopPause is when to come back after a stop, in which time the balancer finds another entry.
@@ -27,8 +27,12 @@
 	end := time.Now().Add(within)
 	control.SetReadDeadline(end)
 	release := endReads(r.Context(), control)
-	body, err := io.ReadAll(r.Body)
+	body, err := readWhole(r)
 	release()
+	if ingress.IsRefused(err) {
+		// The deadline stays, as below.
+		return nil, noMemory(err)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// The deadline stays: before it answers, net/http reads the rest of a body, and would
 		// wait for it.
@@ -46,6 +50,37 @@
 	return body, nil
 }
 
+func readWhole(r *http.Request) ([]byte, error) {
+	pieces, err := ingress.ReadAll(r)
+	if err != nil {
+		return nil, err
+	}
+	return pieces.Join(r.Context())
+}
+
+// noMemory refuses a request that has not been sent to any endpoint.
+func noMemory(err error) *apierror.Error {
+	return apierror.Later(http.StatusServiceUnavailable, apierror.CodeNoMemory, err.Error(), noMemoryPause)
+}
+
+// noMemoryPause is about as long as an entry takes to close the requests that hold most.
+const noMemoryPause = time.Second
+
+// PromptFactor is how many times the size of its body a prompt takes, with what is decoded of it and sent on; callFactor is that
+// of a plain call.
+const (
+	PromptFactor = 6
+	callFactor   = 3
+)
+
+// holdDecoded charges what is made of a body besides it.
+func (c *call) holdDecoded(body []byte, factor int) *apierror.Error {
+	if err := ingress.Hold(c.r.Context(), (factor-1)*len(body)); err != nil {
+		return noMemory(err)
+	}
+	return nil
+}
+
 // endReads has the end of a context end the reads of a body, which only a deadline does. Its
 // release waits for a deadline that is being set: with HTTP/2, setting one for a request whose
 // handler has returned panics.
@@ -77,7 +112,7 @@
 // readBody reads the call's body.
 func (c *call) readBody() ([]byte, *apierror.Error) {
 	body, refused := readBody(c.w, c.r, c.bodyTime)
-	c.bodyLate = refused != nil && refused.Code == apierror.CodeTimeout
+	c.bodyLate = refused != nil && (refused.Code == apierror.CodeTimeout || refused.Code == apierror.CodeNoMemory)
 	return body, refused
 }
 
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -223,7 +223,7 @@
 	w        *answerWriter
 	r        *http.Request
 	started  time.Time
-	// bodyLate is set if the body was incomplete at its deadline.
+	// bodyLate is set if the body was incomplete at its deadline, or when memory ran out.
 	bodyLate bool
 	// cut is set if the connection must be broken at the end of the request.
 	cut bool
@@ -249,7 +249,10 @@
 		w.Header().Set(RequestIDHeader, c.id)
 		ingress.NameRequest(r.Context(), c.id)
 		r.Body = ingress.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
-		err := e.authenticate(c)
+		err := admit(r)
+		if err == nil {
+			err = e.authenticate(c)
+		}
 		if err == nil {
 			err = next(c)
 		}
@@ -257,6 +260,14 @@
 	}
 }
 
+// admit refuses a request whose header there is no memory for.
+func admit(r *http.Request) *apierror.Error {
+	if err := ingress.Admit(r); err != nil {
+		return noMemory(err)
+	}
+	return nil
+}
+
 func (e *Entry) authenticate(c *call) *apierror.Error {
 	if !e.ready.Load() {
 		return e.notReady()
@@ -289,7 +300,11 @@
 		w.Header().Set(RequestIDHeader, id)
 		ingress.NameRequest(r.Context(), id)
 		r.Body = ingress.MaxBytesReader(w, r.Body, e.cfg.MaxBody)
-		name, err := e.operatorName(r)
+		var name string
+		err := admit(r)
+		if err == nil {
+			name, err = e.operatorName(r)
+		}
 		if err == nil {
 			err = next(w, r, name)
 		}
--- a/internal/coordination/entry/plain.go
+++ b/internal/coordination/entry/plain.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
 	"net/http"
 	"strings"
 	"time"
@@ -33,6 +32,9 @@
 	if refused != nil {
 		return refused
 	}
+	if refused := c.holdDecoded(body, callFactor); refused != nil {
+		return refused
+	}
 	sink := &plainSink{c: c, flush: http.NewResponseController(c.w)}
 	return e.run(c, plainJob(c, s, body), 1, sink)
 }
@@ -52,8 +54,7 @@
 			plain.Headers = append(plain.Headers, &wire.Header{Name: name, Values: values})
 		}
 	}
-	digest := sha256.Sum256(append([]byte(c.r.Method+" "+path+"\n"), body...))
-	return &runs.Job{RequestID: c.id, Customer: c.customer, Service: s, Digest: digest[:], Plain: plain}
+	return &runs.Job{RequestID: c.id, Customer: c.customer, Service: s, Digest: digestOf(c.r.Method+" "+path, body), Plain: plain}
 }
 
 // errNoHead ends an answer that has no status to pass on.
--- a/internal/coordination/entry/prompts.go
+++ b/internal/coordination/entry/prompts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -97,6 +98,9 @@
 		if refused != nil {
 			return refused
 		}
+		if refused := c.holdDecoded(body, PromptFactor); refused != nil {
+			return refused
+		}
 		prompt, err := openai.Decode(body, chat, e.cfg.Prompt)
 		if err != nil {
 			var found *finding.Error
@@ -109,9 +113,8 @@
 		if refused != nil {
 			return refused
 		}
-		digest := sha256.Sum256(append([]byte(c.r.URL.Path+"\n"), body...))
 		job := &runs.Job{
-			RequestID: c.id, Customer: c.customer, Service: s, Digest: digest[:], Prompt: e.wirePrompt(c.view, s, prompt), Messages: prompt.Messages,
+			RequestID: c.id, Customer: c.customer, Service: s, Digest: digestOf(c.r.URL.Path, body), Prompt: e.wirePrompt(c.view, s, prompt), Messages: prompt.Messages,
 		}
 		return e.run(c, job, contextkey.EstimateTokens(prompt.Text), newPromptSink(c, prompt))
 	}
@@ -129,6 +132,14 @@
 	fail(err *apierror.Error) *apierror.Error
 }
 
+// digestOf identifies a call by its target and its body.
+func digestOf(target string, body []byte) []byte {
+	h := sha256.New()
+	io.WriteString(h, target+"\n")
+	h.Write(body)
+	return h.Sum(nil)
+}
+
 // run admits a job, carries it out and books its outcome.
 func (e *Entry) run(c *call, job *runs.Job, cost int, sink answerSink) *apierror.Error {
 	key, refused := c.idempotencyKey()
--- a/internal/e2e/unruly_test.go
+++ b/internal/e2e/unruly_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// TestUnrulyEntryLimitsSpareLargestRequest guards against a limit that a single request inside the limits meets.
+func TestUnrulyEntryLimitsSpareLargestRequest(t *testing.T) {
+	s := newUnrulySite(t).begin()
+	const message = `{"role":"user","content":[{"type":"text","text":"%s"}]}`
+	frame := `{"model":"describe","max_tokens":3,"messages":[` + message + `]}`
+	for _, row := range []struct {
+		name, path, body string
+		status           int
+	}{
+		{"a prompt", "/v1/chat/completions", fmt.Sprintf(frame, strings.Repeat("x", unrulyBody-len(frame))), http.StatusOK},
+		{"a call", "/v1/services/booking/7", strings.Repeat("x", unrulyBody), http.StatusCreated},
+	} {
+		if a := s.try(http.MethodPost, s.url("entry-1", row.path), customerKey, nil, row.body); a.status != row.status {
+			t.Errorf("%s: %d %s, want %d", row.name, a.status, a.body[:min(len(a.body), 200)], row.status)
+		}
+	}
+	s.check(func() {})
+}
+
 // TestUnrulyEntryConnections guards against connections without requests that take all descriptors of a process, at each address
 // that it listens at.
 func TestUnrulyEntryConnections(t *testing.T) {
--- a/internal/transport/memquota/quota.go
+++ b/internal/transport/memquota/quota.go
@@ -283,3 +283,9 @@
 		q.freed = make(chan struct{})
 	}
 }
+
+// headRoom is what a request takes besides its body, in bytes.
+const headRoom = 1 << 20
+
+// LimitFor returns the limit of a quota in which one request may take a number of bytes while no other needs any.
+func LimitFor(largest int64) int64 { return (largest + headRoom) / largeNumerator * largeDenominator }
