entry, agent: connections have a limit at each address, and a silent one gives way

Seen: 1,000 connections that send nothing, a byte, or one probe kept 1,019 descriptors of an entry and 1,018 of an agent open, 512 allowed, at the callers' and at the peers' address. Cause: nothing counted them, and grpc waits two minutes for a handshake.

Callers' connections have the gateway's limit (half of the sockets, a fifth of the memory at 24 KB). Between processes a quarter of the sockets, where a new connection replaces the one that has been silent for longest: peers are heard every two seconds. Probes and metrics have 32 connections, as on the gateway. Calls of peers are bounded too: 16,384 at a time on a connection, headers of 64 KB, 10 s for a handshake.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -27,6 +27,7 @@
 	"limpetwall/internal/transport/exposition"
 	"limpetwall/internal/transport/hostlist"
 	"limpetwall/internal/transport/httpjson"
+	"limpetwall/internal/transport/ingress"
 	"limpetwall/internal/transport/objectapi"
 	"limpetwall/internal/transport/rpc"
 	"limpetwall/internal/transport/settings"
@@ -158,7 +159,7 @@
 	pool     *rpc.Pool
 	server   *grpc.Server
 	listener net.Listener
-	admin    *http.Server
+	admin    *ingress.Server
 	duties   sync.WaitGroup
 	cancel   context.CancelFunc
 	ctx      context.Context
@@ -198,7 +199,7 @@
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
 		api: api, pool: rpc.NewPool(clientTLS), server: rpc.NewServer(serverTLS),
 	}
-	p.listener = rpc.Linger(listener, lingerQuiet)
+	p.listener = rpc.Limit(rpc.Linger(listener, lingerQuiet), b.Limits.PeerConns(), logger, p.metrics)
 	p.log = configlog.New(p.api)
 	now := time.Now()
 	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{
@@ -279,7 +280,7 @@
 		p.recordGossip()
 		text.ServeHTTP(w, r)
 	})
-	p.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(p.zap)}
+	p.admin = newProbeServer(mux, p.zap, p.metrics)
 	p.run(func(context.Context) { logServe(p.zap, "admin", p.admin.Serve(listener)) })
 }
 
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -112,7 +112,7 @@
 	}
 	server := ingress.New(e.Handler(), ingress.Config{
 		MaxHeaderBytes: s.MaxHeader, Log: p.zap, Metrics: p.metrics,
-		Memory: s.Limits.Quota(entry.PromptFactor * s.Entry.MaxBody),
+		Memory: s.Limits.Quota(entry.PromptFactor * s.Entry.MaxBody), MaxConns: s.Limits.CallerConns(),
 	})
 	server.SetLimits(routes.Limits{HeaderBytes: int64(s.MaxHeader), HeaderTimeout: s.ReadHeaderTimeout})
 	server.Register(listener)
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -34,6 +34,11 @@
 	keepaliveTimeout = 20 * time.Second
 	idleTimeout      = 2 * time.Minute
 	dialTimeout      = time.Second
+	// handshakeTimeout bounds the handshake of a peer, maxHeaderList the headers of a call in bytes, and maxCalls the calls at
+	// a time on one connection.
+	handshakeTimeout = 10 * time.Second
+	maxHeaderList    = 64 << 10
+	maxCalls         = 16_384
 )
 
 // NewServer returns a grpc server; a nil tlsConfig means plaintext.
@@ -41,6 +46,7 @@
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
 		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connWindow),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderList), grpc.MaxConcurrentStreams(maxCalls),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 	}
