contextcache, quarantine: what is kept by names that callers chose has a bound in bytes

Found by reading, on the question which tables a client's words fill. A save in flight is kept for 3 s by its segment's ID; a segment may have 0 tokens, which fits into any capacity, so a caller's header of 16 KB made 4,000 entries, each of which kept the whole header alive. Now 4,096 saves are pending for a store, their IDs are copies, and a prompt with an ID of over 256 bytes is served without saving or importing (the pages' IDs have 8). Quarantine records cut targets and IDs to 200 bytes, but kept the string that these were cut from.

Not shown on a running process.

--- a/internal/coordination/contextcache/store.go
+++ b/internal/coordination/contextcache/store.go
@@ -67,6 +67,8 @@
 	// maxFillShare is the share of a store's memory that requested saves may fill; the rest
 	// allows for several processes that request saves at once.
 	maxFillShare = 0.97
+	// maxPendingSaves bounds the saves in flight of one store: callers choose the segments and their sizes, which may be 0.
+	maxPendingSaves = 4_096
 )
 
 // store is what this process knows of one store or engine.
@@ -182,7 +184,14 @@
 	if !s.hasCapacity(key, tokens, now) {
 		return false
 	}
-	s.pending[key] = pendingSave{now, tokens}
+	if len(s.pending) >= maxPendingSaves {
+		s.expirePending(now)
+		if len(s.pending) >= maxPendingSaves {
+			return false
+		}
+	}
+	// The ID is part of a caller's header, which must not be kept for it.
+	s.pending[SegmentKey{key.Salt, strings.Clone(key.ID)}] = pendingSave{now, tokens}
 	s.pendingTokens += tokens
 	return true
 }
--- a/internal/coordination/gateway/prompt.go
+++ b/internal/coordination/gateway/prompt.go
@@ -29,6 +29,9 @@
 	sharingGroup string
 }
 
+// maxSegmentID is the longest ID, in bytes, by which a segment is saved and imported. IDs are kept until saves are confirmed.
+const maxSegmentID = 256
+
 // promptContext derives the context from the call's segments. The last segment is left out
 // unless it is the only one: it belongs to this request and is not used again.
 func (x *exchange) promptContext() promptContext {
@@ -42,7 +45,7 @@
 		return p
 	}
 	parent := sha256.Sum256([]byte(p.sharingGroup + "\x00" + x.call.Model))
-	tokens := 0
+	tokens, hasLongID := 0, false
 	for _, segment := range segments {
 		h := sha256.New()
 		h.Write(parent[:])
@@ -52,6 +55,10 @@
 		p.keys = append(p.keys, contextkey.Key(parent[:contextkey.Size]))
 		p.ends = append(p.ends, tokens)
 		p.segments = append(p.segments, contextcache.Segment(segment))
+		hasLongID = hasLongID || len(segment.ID) > maxSegmentID
+	}
+	if hasLongID {
+		p.segments = nil
 	}
 	p.placementHash = binary.LittleEndian.Uint64(parent[:8])
 	return p
--- a/internal/coordination/quarantine/part.go
+++ b/internal/coordination/quarantine/part.go
@@ -59,7 +59,7 @@
 
 // recordPartCrash records that a request which contains a part was in flight at a crash; t.mu is held.
 func (t *Tracker) recordPartCrash(p Part, request fingerprint.Key, crash Crash, about RequestInfo, now time.Time) {
-	about.Method, about.Target, about.Part = "", "", p.ID[:min(len(p.ID), maxTarget)]
+	about.Method, about.Target, about.Part = "", "", cutTarget(p.ID)
 	observed := Record{Key: p.Key, Crashes: []Crash{crash}, Requests: []uint32{requestHash(request)}, About: about}
 	if r := t.records[p.Key]; r != nil {
 		observed.Round = r.Round
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"limpetwall/internal/state/fingerprint"
@@ -86,6 +87,9 @@
 // maxTarget bounds the recorded length of a request's target, in bytes.
 const maxTarget = 200
 
+// cutTarget returns a copy of what is recorded of a target, so that the rest of its request is not kept.
+func cutTarget(target string) string { return strings.Clone(target[:min(len(target), maxTarget)]) }
+
 // quarantineDuration returns the length of a quarantine: it doubles with each failed trial, up to maxQuarantine. The
 // first one of a part is short, as many requests contain it: if the verdict was wrong, one trial shows so.
 func quarantineDuration(key fingerprint.Key, level uint32) time.Duration {
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -82,7 +82,7 @@
 // RecordCrash records that a request, which contained these parts, was in flight at an endpoint's incarnation when
 // that crashed.
 func (t *Tracker) RecordCrash(key fingerprint.Key, incarnation uint64, about RequestInfo, now time.Time, parts ...Part) {
-	about.Target = about.Target[:min(len(about.Target), maxTarget)]
+	about.Target = cutTarget(about.Target)
 	observed := Record{Key: key, Crashes: []Crash{{incarnation, now}}, About: about}
 	t.mu.Lock()
 	defer t.mu.Unlock()
