memquota: one customer's requests hold half of the memory at most, and the limit of bodies in force sets its least

Found by reading: complete requests of one customer fill the quota for as long as an endpoint is slow, and others are refused, as complete requests are not revoked. With Join left out, TestCustomerLeavesMemoryToOthers fails: the customer holds all 256 places, 128 allowed, and the other customer's requests find no memory. A request joins its customer once its key is known, before its body is read. Within a full customer, its own largest incomplete request gives way. A single request of the largest size is spared by both bounds.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -114,6 +114,7 @@
 		MaxHeaderBytes: s.MaxHeader, Log: p.zap, Metrics: p.metrics,
 		Memory: s.Limits.Quota(entry.PromptFactor * s.Entry.MaxBody), MaxConns: s.Limits.CallerConns(),
 	})
+	// Bodies are bounded by the handler, and the quota by what is made of them.
 	server.SetLimits(routes.Limits{HeaderBytes: int64(s.MaxHeader), HeaderTimeout: s.ReadHeaderTimeout})
 	server.Register(listener)
 	defer server.Close()
--- a/internal/command/limits.go
+++ b/internal/command/limits.go
@@ -56,12 +56,15 @@
 	}
 }
 
-// Quota returns the quota of callers' requests, of which one may take largest bytes; nil if there is no limit.
+// Quota returns the quota of callers' requests, of which a single one may take largest bytes; nil if there is no limit.
 func (l Limits) Quota(largest int64) *memquota.Quota {
 	if l.MemoryBytes <= 0 {
 		return nil
 	}
-	return memquota.New(max(int64(callersPart*float64(l.MemoryBytes)), memquota.LimitFor(largest)))
+	memory := float64(l.MemoryBytes)
+	q := memquota.New(int64(callersPart*memory), int64(largestPart*memory))
+	q.Require(largest)
+	return q
 }
 
 // checkLargest adds a finding if one request could take too much of the memory.
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -277,6 +277,7 @@
 		return apierror.New(http.StatusUnauthorized, apierror.CodeUnauthorized, "the API key is not known")
 	}
 	c.customer = customer
+	ingress.SetCustomer(c.r.Context(), customer.ID)
 	return nil
 }
 
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -374,6 +374,7 @@
 	}
 	x.residency = residency.Intersect(route.Regions)
 	if x.customer != nil {
+		ingress.SetCustomer(x.r.Context(), x.customer.Name)
 		x.residency = residency.Intersect(route.Regions, x.customer.Regions)
 	}
 	if x.residency.AllowsNone() {
--- a/internal/transport/ingress/admission_test.go
+++ b/internal/transport/ingress/admission_test.go
@@ -27,6 +27,8 @@
 		done := make(chan error, 1)
 		go func() { done <- s.Serve(p) }()
 		test(t, s, p)
+		// net/http waits a little before it closes a connection with an unread body.
+		time.Sleep(lingerTimeout)
 		s.Close()
 		<-done
 	})
@@ -74,7 +76,7 @@
 		{"an answered request", fmt.Sprintf(post, "", 1, "1")},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			servingLimited(t, Config{MaxConns: 2, Memory: memquota.New(1 << 20)}, func(t *testing.T, s *Server, p *pipes) {
+			servingLimited(t, Config{MaxConns: 2, Memory: memquota.New(1<<20, 0)}, func(t *testing.T, s *Server, p *pipes) {
 				idle := p.dial()
 				held := send(idle, row.held)
 				if row.name == "an answered request" {
@@ -109,7 +111,7 @@
 // TestLimitOfConnectionsThatAllRun guards against requests that are cut, or connections without number, when all callers have
 // requests that run.
 func TestLimitOfConnectionsThatAllRun(t *testing.T) {
-	servingLimited(t, Config{MaxConns: 2, Memory: memquota.New(1 << 20)}, func(t *testing.T, s *Server, p *pipes) {
+	servingLimited(t, Config{MaxConns: 2, Memory: memquota.New(1<<20, 0)}, func(t *testing.T, s *Server, p *pipes) {
 		var running []func() int
 		for range 2 {
 			running = append(running, send(p.dial(), fmt.Sprintf(post, "slow", 1, "1")))
@@ -132,7 +134,7 @@
 
 // TestMemoryOfBodies guards against bodies without an end that take the memory of a process: the largest is refused.
 func TestMemoryOfBodies(t *testing.T) {
-	servingLimited(t, Config{Memory: memquota.New(1 << 20)}, func(t *testing.T, s *Server, p *pipes) {
+	servingLimited(t, Config{Memory: memquota.New(1<<20, 0)}, func(t *testing.T, s *Server, p *pipes) {
 		large := send(p.dial(), fmt.Sprintf(post, "", 1<<20, strings.Repeat("x", 700<<10)))
 		synctest.Wait()
 		complete := send(p.dial(), fmt.Sprintf(post, "slow", 100<<10, strings.Repeat("x", 100<<10)))
@@ -164,7 +166,7 @@
 		{"many short lines", "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 1000), http.StatusServiceUnavailable, "ingress.headers_refused_for_memory"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			servingLimited(t, Config{Memory: memquota.New(100 << 10)}, func(t *testing.T, s *Server, p *pipes) {
+			servingLimited(t, Config{Memory: memquota.New(100<<10, 0)}, func(t *testing.T, s *Server, p *pipes) {
 				if status := send(p.dial(), row.text)(); status != row.status {
 					t.Errorf("status %d, want %d", status, row.status)
 				}
@@ -218,3 +220,17 @@
 		}
 	}
 }
+
+// TestLimitInForceSetsTheMemory guards against a limit of bodies that was raised beyond what the memory for requests allows.
+func TestLimitInForceSetsTheMemory(t *testing.T) {
+	servingLimited(t, Config{Memory: memquota.New(1<<20, 16<<20)}, func(t *testing.T, s *Server, p *pipes) {
+		body := strings.Repeat("x", 4<<20)
+		if status := send(p.dial(), fmt.Sprintf(post, "", len(body), body))(); status != http.StatusServiceUnavailable {
+			t.Errorf("before: status %d, want 503", status)
+		}
+		s.SetLimits(routes.Limits{BodyBytes: 4 << 20})
+		if status := send(p.dial(), fmt.Sprintf(post, "", len(body), body))(); status != http.StatusOK {
+			t.Errorf("after: status %d, want 200", status)
+		}
+	})
+}
--- a/internal/transport/ingress/body.go
+++ b/internal/transport/ingress/body.go
@@ -61,6 +61,13 @@
 	return nil
 }
 
+// SetCustomer sets whose request a context belongs to. One customer's requests may hold a part of the memory only.
+func SetCustomer(ctx context.Context, name string) {
+	if q, ok := ctx.Value(requestKey{}).(*request); ok {
+		q.account.Join(name)
+	}
+}
+
 // headCost returns the memory that a header takes with the copies that are made of it, in bytes.
 func headCost(r *http.Request) int64 {
 	size, lines, entries := len(r.Method)+len(r.RequestURI)+len(r.Host), 1, 0
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -99,8 +99,13 @@
 	})
 }
 
-// SetLimits puts limits in force.
-func (s *Server) SetLimits(l routes.Limits) { s.limits.Store(&l) }
+// SetLimits puts limits in force. The memory for requests grows so far that a single body of the largest size is served.
+func (s *Server) SetLimits(l routes.Limits) {
+	s.limits.Store(&l)
+	if l.BodyBytes > 0 {
+		s.memory.Require(l.BodyBytes)
+	}
+}
 
 // Register announces a listener that Serve or ServeTLS will be called with. A stop waits for it from
 // now on, although the goroutine that serves it may not run yet: the kernel accepts callers'
--- a/internal/transport/memquota/quota.go
+++ b/internal/transport/memquota/quota.go
@@ -10,7 +10,8 @@
 
 // Errors of Account.Grow and Account.Seal. After either, the account's request must be refused.
 const (
-	// ErrExhausted is returned if the memory is in use and no larger request can be revoked.
+	// ErrExhausted is returned if the memory, or the part of it that one customer may use, is in use and no larger request can be
+	// revoked.
 	ErrExhausted = errors.ConstError("the memory for callers' requests is in use")
 	// ErrRevoked is returned if the request was revoked in favor of a smaller one.
 	ErrRevoked = errors.ConstError("the request was the largest when memory ran out")
@@ -21,6 +22,8 @@
 	// of largeDenominator parts, so that small requests find memory beside complete large ones.
 	smallRequest                     = 64 << 10
 	largeNumerator, largeDenominator = 3, 4
+	// groupPart: the accounts of one group may hold one in so many parts of the quota, so that others find memory beside them.
+	groupPart = 2
 	// releaseTimeout bounds the wait for revoked requests to free their memory.
 	releaseTimeout = time.Second
 	// blockedGrace is how long a complete request's caller may leave its answer unread before the request can be revoked.
@@ -29,12 +32,16 @@
 
 // Quota is safe for concurrent use.
 type Quota struct {
-	mu    sync.Mutex
-	limit total
-	used  total
+	mu sync.Mutex
+	// limit and groupLimit bound what all accounts and those of one group hold. base and ceiling bound limit.
+	limit         total
+	groupLimit    int64
+	base, ceiling int64
+	used          total
 	// releasing is the part of used that belongs to revoked accounts.
 	releasing total
 	accounts  []*Account
+	groups    map[string]*group
 	// freed is closed when memory is freed.
 	freed chan struct{}
 }
@@ -47,9 +54,29 @@
 	t.large += sign * max(0, size-smallRequest)
 }
 
-// New returns a quota of a number of bytes.
-func New(limit int64) *Quota {
-	return &Quota{limit: total{limit, limit / largeDenominator * largeNumerator}, freed: make(chan struct{})}
+// group is what the accounts of one customer hold, releasing the part of it that belongs to revoked accounts.
+type group struct {
+	accounts        int
+	used, releasing int64
+}
+
+// New returns a quota of limit bytes, which Require may raise to ceiling.
+func New(limit, ceiling int64) *Quota {
+	q := &Quota{base: limit, ceiling: max(limit, ceiling), groups: map[string]*group{}, freed: make(chan struct{})}
+	q.Require(0)
+	return q
+}
+
+// Require raises the limit so far that a single request may take largest bytes while no other needs any.
+func (q *Quota) Require(largest int64) {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := min(max(q.base, LimitFor(largest)), q.ceiling)
+	q.limit = total{all, all / largeDenominator * largeNumerator}
+	q.groupLimit = max(all/groupPart, largest+headRoom)
 }
 
 // Held returns how many bytes are held.
@@ -65,7 +92,10 @@
 type Account struct {
 	quota  *Quota
 	revoke func()
-	// size, index, sealed and revoked are guarded by quota.mu. index is the place in quota.accounts.
+	// group is nil until the request's customer is known.
+	group    *group
+	customer string
+	// size, index, sealed, revoked and group are guarded by quota.mu. index is the place in quota.accounts.
 	size            int64
 	index           int
 	sealed, revoked bool
@@ -99,7 +129,7 @@
 			q.mu.Unlock()
 			return ErrRevoked
 		}
-		if q.fits(a, n, total{}) {
+		if ok, _ := q.fits(a, n, false); ok {
 			a.resize(a.size + n)
 			q.mu.Unlock()
 			return nil
@@ -126,35 +156,50 @@
 	}
 }
 
-// fits reports whether an account may grow by n bytes once the bytes in free are free.
-func (q *Quota) fits(a *Account, n int64, free total) bool {
+// fits reports whether an account may grow by n bytes once the bytes of revoked accounts are free, if they are to be counted as
+// such. If not, within is the group in which memory is short, nil if it is short for all.
+func (q *Quota) fits(a *Account, n int64, countReleasing bool) (ok bool, within *group) {
 	next := q.used
 	next.add(a.size, -1)
 	next.add(a.size+n, 1)
+	var free total
+	var freeInGroup int64
+	if countReleasing {
+		free = q.releasing
+		if a.group != nil {
+			freeInGroup = a.group.releasing
+		}
+	}
+	if a.group != nil && a.group.used+n-freeInGroup > q.groupLimit {
+		return false, a.group
+	}
 	if next.all-free.all > q.limit.all {
-		return false
+		return false, nil
 	}
-	return next.large == q.used.large || next.large-free.large <= q.limit.large
+	return next.large == q.used.large || next.large-free.large <= q.limit.large, nil
 }
 
 // chooseVictims marks accounts as revoked until a may grow by n bytes. It returns them, and whether a may wait for them.
 func (q *Quota) chooseVictims(a *Account, n int64) (victims []*Account, ok bool) {
-	for !q.fits(a, n, q.releasing) {
-		largest := q.largest()
+	for {
+		ok, within := q.fits(a, n, true)
+		if ok {
+			return victims, true
+		}
+		largest := q.largest(within)
 		if largest == nil || largest == a || largest.size < a.size+n {
 			return victims, false
 		}
 		largest.markRevoked()
 		victims = append(victims, largest)
 	}
-	return victims, true
 }
 
-// largest returns the largest account that can be revoked, nil if there is none.
-func (q *Quota) largest() (found *Account) {
+// largest returns the largest account that can be revoked, of a group if that is not nil; nil if there is none.
+func (q *Quota) largest(within *group) (found *Account) {
 	now := time.Now().UnixNano()
 	for _, a := range q.accounts {
-		if a.size > 0 && a.isRevocable(now) && (found == nil || a.size > found.size) {
+		if (within == nil || a.group == within) && a.size > 0 && a.isRevocable(now) && (found == nil || a.size > found.size) {
 			found = a
 		}
 	}
@@ -173,6 +218,43 @@
 func (a *Account) markRevoked() {
 	a.revoked = true
 	a.quota.releasing.add(a.size, 1)
+	if a.group != nil {
+		a.group.releasing += a.size
+	}
+}
+
+// Join makes the account one of a customer's, whose accounts together have a bound.
+func (a *Account) Join(customer string) {
+	if a == nil || customer == "" {
+		return
+	}
+	q := a.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if a.index < 0 || a.group != nil {
+		return
+	}
+	if a.group = q.groups[customer]; a.group == nil {
+		a.group = &group{}
+		q.groups[customer] = a.group
+	}
+	a.customer = customer
+	a.group.accounts++
+	a.group.used += a.size
+	if a.revoked {
+		a.group.releasing += a.size
+	}
+}
+
+// leave takes the account out of its group; quota.mu is held.
+func (a *Account) leave() {
+	if a.group == nil {
+		return
+	}
+	if a.group.accounts--; a.group.accounts == 0 {
+		delete(a.quota.groups, a.customer)
+	}
+	a.group = nil
 }
 
 // Revoke revokes the account unless its request is complete and its caller reads, and reports whether it is revoked. It does
@@ -260,6 +342,7 @@
 		return
 	}
 	a.resize(0)
+	a.leave()
 	last := len(q.accounts) - 1
 	q.accounts[a.index] = q.accounts[last]
 	q.accounts[a.index].index = a.index
@@ -276,6 +359,12 @@
 		q.releasing.add(a.size, -1)
 		q.releasing.add(size, 1)
 	}
+	if a.group != nil {
+		a.group.used += size - a.size
+		if a.revoked {
+			a.group.releasing += size - a.size
+		}
+	}
 	isFreed := size < a.size
 	a.size = size
 	if isFreed {
--- a/internal/transport/memquota/quota_test.go
+++ b/internal/transport/memquota/quota_test.go
@@ -21,7 +21,7 @@
 
 // TestLargestIncompleteRequestIsRevoked guards against a quota that refuses whoever comes next while others hold most of it.
 func TestLargestIncompleteRequestIsRevoked(t *testing.T) {
-	q := New(1 << 20)
+	q := New(1<<20, 0)
 	small, smallRevoked := open(q)
 	large, largeRevoked := open(q)
 	whole, wholeRevoked := open(q)
@@ -53,7 +53,7 @@
 
 // TestSmallRequestsFindMemoryBesideLargeOnes guards against complete large requests that take the whole quota.
 func TestSmallRequestsFindMemoryBesideLargeOnes(t *testing.T) {
-	q := New(16 << 20)
+	q := New(16<<20, 0)
 	for {
 		a, _ := open(q)
 		if err := a.Grow(1 << 20); err != nil {
@@ -70,7 +70,7 @@
 // TestUnreadAnswerCanBeRevoked guards against complete requests that keep their memory because their callers do not read.
 func TestUnreadAnswerCanBeRevoked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := New(1 << 20)
+		q := New(1<<20, 0)
 		unread, revoked := open(q)
 		unread.Grow(700 << 10)
 		unread.Seal()
@@ -89,7 +89,7 @@
 // TestGrowWaitsUntilRevokedMemoryIsFree guards against a quota that counts memory as free before its owner has let it go.
 func TestGrowWaitsUntilRevokedMemoryIsFree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := New(1 << 20)
+		q := New(1<<20, 0)
 		slow := q.Open(func() {})
 		slow.Grow(700 << 10)
 		a, _ := open(q)
@@ -110,15 +110,55 @@
 	})
 }
 
+// TestCustomerLeavesMemoryToOthers guards against a customer whose requests take all memory, and against a bound on it that a
+// single request meets.
+func TestCustomerLeavesMemoryToOthers(t *testing.T) {
+	q := New(16<<20, 0)
+	for n := 0; ; n++ {
+		a, _ := open(q)
+		a.Join("greedy")
+		if err := a.Grow(smallRequest); err != nil {
+			if n != 16<<20/smallRequest/groupPart {
+				t.Errorf("%d requests of a customer, want %d", n, 16<<20/smallRequest/groupPart)
+			}
+			break
+		}
+		a.Seal()
+	}
+	other, _ := open(q)
+	other.Join("other")
+	if err := other.Grow(smallRequest); err != nil {
+		t.Errorf("another customer: %v", err)
+	}
+	large, largeRevoked := open(q)
+	large.Join("other")
+	if err := large.Grow(2 << 20); err != nil {
+		t.Errorf("another customer's large request: %v", err)
+	}
+	next, _ := open(q)
+	next.Join("greedy")
+	if err := next.Grow(1); !errors.Is(err, ErrExhausted) || *largeRevoked {
+		t.Errorf("the same customer: %v, another's revoked: %v", err, *largeRevoked)
+	}
+	single := New(1<<20, 16<<20)
+	single.Require(8 << 20)
+	a, _ := open(single)
+	a.Join("single")
+	if err := a.Grow(8<<20 + headRoom/2); err != nil {
+		t.Errorf("a single request of the largest size: %v", err)
+	}
+}
+
 // TestQuotaHolds draws sequences of calls: what is held never exceeds the quota, and all of it is free in the end.
 func TestQuotaHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Int64Range(1<<10, 1<<20).Draw(t, "limit")
-		q := New(limit)
+		q := New(limit, 0)
 		var accounts []*Account
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if len(accounts) == 0 || rapid.IntRange(0, 3).Draw(t, "open") == 0 {
 				a, _ := open(q)
+				a.Join(rapid.SampledFrom([]string{"", "one", "two"}).Draw(t, "customer"))
 				accounts = append(accounts, a)
 			}
 			a := accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "account")]
@@ -137,6 +177,11 @@
 			for _, held := range q.accounts {
 				sum.add(held.size, 1)
 			}
+			for name, g := range q.groups {
+				if g.used > q.groupLimit || g.accounts == 0 {
+					t.Fatalf("%s holds %+v of %d", name, *g, q.groupLimit)
+				}
+			}
 			if q.used != sum || q.used.all > limit {
 				t.Fatalf("held %+v, the accounts %+v, limit %d", q.used, sum, limit)
 			}
@@ -144,7 +189,7 @@
 		for _, a := range accounts {
 			a.Close()
 		}
-		if q.used != (total{}) || q.releasing != (total{}) || len(q.accounts) != 0 {
+		if q.used != (total{}) || q.releasing != (total{}) || len(q.accounts)+len(q.groups) != 0 {
 			t.Fatalf("left %+v, releasing %+v, %d accounts", q.used, q.releasing, len(q.accounts))
 		}
 	})
