--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -65,7 +65,9 @@
 	LogLevel                 string
 	// Limits bound what callers and peers may hold.
 	Limits Limits
-	Spread gossip.Config
+	// MemoryIsSet is set if the settings say what memory the process may use.
+	MemoryIsSet bool
+	Spread      gossip.Config
 }
 
 func bindBase(set *settings.Set) *BaseSettings {
@@ -87,12 +89,12 @@
 	f.BoolVar(&b.AllowPlaintext, "allow-plaintext", false, "allow connections without TLS beyond loopback")
 	f.StringVar(&b.LogLevel, "log-level", "info", "debug, info, warn or error")
 	drain := set.Duration("drain-timeout", 10*time.Minute, 0, 24*time.Hour, "time for requests underway when stopping")
-	memory := set.Int("memory-mb", 0, 0, 1<<20, "MB of memory that the process may use; 0: the machine's")
+	memory := set.Int("memory-mb", 0, 0, 1<<20, "MB of memory that the process may use; 0: the machine's, 1024 at most")
 	descriptors := set.Int("max-descriptors", 0, 0, 1<<24, "files and sockets that the process may have open; 0: its own limit")
 	report := set.Duration("report-every", 500*time.Millisecond, 50*time.Millisecond, time.Minute, "shortest period of reports to the fleet")
 	set.Check(func(l *finding.List) {
 		b.DrainTimeout, b.Spread.ReportInterval = *drain, *report
-		b.Limits = newLimits(*memory, *descriptors)
+		b.Limits, b.MemoryIsSet = newLimits(*memory, *descriptors), *memory > 0
 		b.check(l)
 	})
 	return b
--- a/internal/command/limits.go
+++ b/internal/command/limits.go
@@ -34,12 +34,15 @@
 	Sockets int
 }
 
-// newLimits returns the limits of a process by its settings, where 0 stands for what the machine allows.
+// standardMemory is what a process may use if its settings do not say so, in bytes: it shares its host with others.
+const standardMemory = 1 << 30
+
+// newLimits returns the limits of a process by its settings, where 0 stands for what the machine allows, standardMemory at most.
 func newLimits(memoryMB, descriptors int) Limits {
 	l := Limits{MemoryBytes: int64(memoryMB) << 20}
 	var machine unix.Sysinfo_t
 	if memoryMB == 0 && unix.Sysinfo(&machine) == nil {
-		l.MemoryBytes = int64(machine.Totalram) * int64(machine.Unit)
+		l.MemoryBytes = min(int64(machine.Totalram)*int64(machine.Unit), standardMemory)
 	}
 	var files unix.Rlimit
 	if descriptors == 0 && unix.Getrlimit(unix.RLIMIT_NOFILE, &files) == nil {
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -116,7 +116,10 @@
 		return code
 	}
 	logger := newLogger(s.LogLevel, io)
-	s.Limits.apply()
+	if s.MemoryIsSet {
+		// What an agent holds, such as blocks of context, has no bound in its settings.
+		s.Limits.apply()
+	}
 	return finish(logger, RunAgent(s, logger, io.Signals.watch()))
 }
 
--- a/internal/transport/ingress/admission.go
+++ b/internal/transport/ingress/admission.go
@@ -40,6 +40,12 @@
 	return true
 }
 
+func (s *Server) countConns() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.conns))
+}
+
 // longestWithoutWork returns the connection that has been without a complete request for longest, and since when; nil if there is
 // none. s.mu is held.
 func (s *Server) longestWithoutWork() (found *conn, since time.Time) {
@@ -82,16 +88,19 @@
 	switch {
 	case c.isEvicted:
 		return time.Time{}, false
-	case c.isWriting && time.Since(c.writingSince) > blockedEviction:
+	case c.isBlocked():
 		return c.writingSince, true
 	}
 	return c.lastWork, c.working == 0 && !c.isWriting
 }
 
+// isBlocked reports whether the caller has not read an answer for some time; c.mu is held.
+func (c *conn) isBlocked() bool { return c.isWriting && time.Since(c.writingSince) > blockedEviction }
+
 // evict has the connection closed. An incomplete request is refused first; one that has become complete is spared.
 func (c *conn) evict() {
 	c.mu.Lock()
-	if c.working > 0 && !c.isWriting {
+	if c.working > 0 && !c.isBlocked() {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -65,6 +65,10 @@
 		drained: make(chan struct{}), memory: c.Memory, maxConns: c.MaxConns,
 	}
 	s.limits.Store(&routes.Limits{})
+	if c.Memory != nil {
+		metrics.NewRegisteredFunctionalGauge("ingress.held_bytes", c.Metrics, c.Memory.Held)
+		metrics.NewRegisteredFunctionalGauge("ingress.connections", c.Metrics, s.countConns)
+	}
 	hard, cut := context.WithCancelCause(context.Background())
 	s.cut = cut
 	s.http = &http.Server{
--- a/internal/transport/memquota/quota_test.go
+++ b/internal/transport/memquota/quota_test.go
@@ -194,3 +194,24 @@
 		}
 	})
 }
+
+// TestOrdinaryRequestsBesideHoarders guards against a crowd of medium requests without an end that shuts ordinary ones out.
+func TestOrdinaryRequestsBesideHoarders(t *testing.T) {
+	q := New(88<<20/5, 0)
+	for range 751 {
+		a, _ := open(q)
+		for a.size < 60<<10 && a.Grow(4<<10) == nil {
+		}
+	}
+	refused := 0
+	for range 1000 {
+		a, _ := open(q)
+		if a.Grow(4<<10) != nil || a.Seal() != nil {
+			refused++
+		}
+		a.Close()
+	}
+	if refused > 0 {
+		t.Errorf("%d of 1000 ordinary requests refused", refused)
+	}
+}
