ingress: a TLS handshake's memory is not an incomplete request, and a write is cut only if its caller does not read

TestHTTP2ConnectionHoldsNothingItself failed before. And the end of an answer, written after its handler has returned, could be cut at once; now only after a second without progress.

--- a/internal/transport/ingress/admission.go
+++ b/internal/transport/ingress/admission.go
@@ -9,7 +9,7 @@
 	// minEvictionAge is how long a connection is spared that waits for its first request, or whose request is incomplete.
 	minEvictionAge = 100 * time.Millisecond
 	// blockedEviction is how long a caller may leave its answer unread before its connection can be evicted.
-	blockedEviction = 2 * time.Second
+	blockedEviction = time.Second
 	// unfinishedEvictions bounds the evicted connections that are not closed yet: one in so many of the limit.
 	unfinishedEvictions = 8
 )
@@ -95,7 +95,7 @@
 }
 
 // isBlocked reports whether the caller has not read an answer for some time; c.mu is held.
-func (c *conn) isBlocked() bool { return c.isWriting && time.Since(c.writingSince) > blockedEviction }
+func (c *conn) isBlocked() bool { return c.isWriting && time.Since(c.writingSince) >= blockedEviction }
 
 // evict has the connection closed. An incomplete request is refused first; one that has become complete is spared.
 func (c *conn) evict() {
@@ -123,7 +123,7 @@
 	if !c.isInterrupted {
 		c.isInterrupted, c.interruptedAt = true, time.Now()
 	}
-	if c.isWriting {
+	if c.isBlocked() {
 		c.isWriteCut = true
 		c.Conn.SetWriteDeadline(past)
 	}
--- a/internal/transport/ingress/close.go
+++ b/internal/transport/ingress/close.go
@@ -136,6 +136,7 @@
 	c.phase, c.request = answered, nil
 	c.mu.Unlock()
 	defer account.Close()
+	// What is left of the request can be revoked while its caller is waited for.
 	account.Finish(math.MaxInt64)
 	if reason != "" {
 		c.server.report.closedUnanswered(c, reason, q.requestID(), since)
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -168,8 +168,7 @@
 		return c.setReadDeadline(t)
 	case c.limit == idleLimit:
 		c.phase, c.request, c.hadRequest = waiting, nil, true
-		c.account.Close()
-		c.account = nil
+		c.closeAccount()
 		if c.hasReadAhead {
 			c.hasReadAhead = false
 			c.beginRequest()
@@ -185,7 +184,7 @@
 func (c *conn) beginRequest() {
 	c.phase, c.firstByte = reading, time.Now()
 	c.headBytes, c.headCharge = 0, 0
-	if c.account == nil {
+	if c.account == nil && !c.isHTTP2 {
 		c.account = c.server.memory.Open(c.interrupt)
 	}
 	if c.limit == idleLimit {
@@ -193,11 +192,18 @@
 	}
 }
 
+// closeAccount frees the account of a request that is over, or of a handshake.
+func (c *conn) closeAccount() {
+	c.account.Close()
+	c.account = nil
+}
+
 // endHandshake is called for the first deadline after the handshake's own. What was read so far is
 // not part of a request.
 func (c *conn) endHandshake() {
 	if c.inHandshake {
 		c.inHandshake, c.phase = false, waiting
+		c.closeAccount()
 	}
 }
 
@@ -206,6 +212,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHTTP2 = true
+	c.closeAccount()
 }
 
 // SetWriteDeadline implements net.Conn. net/http uses it to limit the TLS handshake.
--- a/internal/transport/ingress/http2_test.go
+++ b/internal/transport/ingress/http2_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"limpetwall/internal/state/routes"
+	"limpetwall/internal/transport/memquota"
 )
 
 // servingTLS is serving over TLS; dial returns a connection with one of the protocols.
@@ -117,6 +118,45 @@
 	})
 }
 
+// TestHTTP2ConnectionHoldsNothingItself guards against the memory of a handshake that counts as an incomplete request: the connection
+// would be closed, with all its requests, when memory runs out.
+func TestHTTP2ConnectionHoldsNothingItself(t *testing.T) {
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := Admit(r); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(4 * time.Second)
+		io.WriteString(w, "ok")
+	})
+	servingTLS(t, slow, func(s *Server, dial func(...string) *tls.Conn) {
+		s.memory = memquota.New(64<<10, 0)
+		transport := &http.Transport{ForceAttemptHTTP2: true, DialTLSContext: func(context.Context, string, string) (net.Conn, error) {
+			return dial("h2"), nil
+		}}
+		answered := make(chan error, 1)
+		go func() {
+			resp, err := (&http.Client{Transport: transport}).Get("https://h/")
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			answered <- err
+		}()
+		synctest.Wait()
+		hoarder := s.memory.Open(func() {})
+		for hoarder.Grow(256) == nil {
+		}
+		if err := <-answered; err != nil {
+			t.Error(err)
+		}
+		hoarder.Close()
+		synctest.Wait()
+		if held := s.memory.Held(); held != 0 {
+			t.Errorf("%d bytes held by a connection without a request", held)
+		}
+		transport.CloseIdleConnections()
+	})
+}
+
 // TestStopEndsUnusedTLSConnections guards against a stop that waits for a caller that has opened a
 // connection and sends nothing.
 func TestStopEndsUnusedTLSConnections(t *testing.T) {
