entry, agent: lines of the log are queued, so that a reader that stops does not stop the process

The house rule is that logs are bounded and never block; the gateway kept it, entries and agents wrote to their error output from the request's goroutine.

--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -98,15 +98,31 @@
 	return logging.New(io.Err, parsed)
 }
 
+// newAsyncLogger returns a logger that does not wait for the reader of its lines, and a function that waits a little for it at the
+// end.
+func newAsyncLogger(level string, streams IO) (*zap.Logger, func()) {
+	out := logging.NewAsyncWriter(streams.Err, logLines)
+	streams.Err = out
+	logger := newLogger(level, streams)
+	return logger, func() {
+		if dropped := out.Dropped(); dropped > 0 {
+			logger.Warn("log lines dropped", zap.Int64("log_lines_dropped", dropped))
+		}
+		out.Close(logFlush)
+	}
+}
+
 func entryMain(args []string, io IO) int {
 	set := settings.New("limpetwall entry")
 	s := BindEntry(set)
 	if code, done := parse(set, args, io); done {
 		return code
 	}
-	logger := newLogger(s.LogLevel, io)
+	logger, closeLog := newAsyncLogger(s.LogLevel, io)
 	s.Limits.apply()
-	return finish(logger, RunEntry(s, logger, io.Signals.watch()))
+	code := finish(logger, RunEntry(s, logger, io.Signals.watch()))
+	closeLog()
+	return code
 }
 
 func agentMain(args []string, io IO) int {
@@ -115,12 +131,14 @@
 	if code, done := parse(set, args, io); done {
 		return code
 	}
-	logger := newLogger(s.LogLevel, io)
+	logger, closeLog := newAsyncLogger(s.LogLevel, io)
 	if s.MemoryIsSet {
 		// What an agent holds, such as blocks of context, has no bound in its settings.
 		s.Limits.apply()
 	}
-	return finish(logger, RunAgent(s, logger, io.Signals.watch()))
+	code := finish(logger, RunAgent(s, logger, io.Signals.watch()))
+	closeLog()
+	return code
 }
 
 func finish(logger *zap.Logger, err error) int {
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,8 +61,10 @@
 	// listen and admin are the addresses that the process opened.
 	listen, admin, peer string
 	exited              chan struct{}
-	mu                  sync.Mutex
-	log                 []string
+	// unread, if not nil, keeps the process's output from being read while it is open.
+	unread atomic.Pointer[chan struct{}]
+	mu     sync.Mutex
+	log    []string
 }
 
 func (p *proc) lines() string {
@@ -146,6 +149,9 @@
 	lines.Buffer(nil, 1<<20)
 	var once sync.Once
 	for lines.Scan() {
+		if unread := p.unread.Load(); unread != nil {
+			<-*unread
+		}
 		line := lines.Text()
 		p.mu.Lock()
 		p.log = append(p.log, line)
--- a/internal/e2e/unruly_test.go
+++ b/internal/e2e/unruly_test.go
@@ -189,6 +189,29 @@
 	}
 }
 
+// TestUnrulyEntryWithUnreadLog guards against an entry that answers nobody any more once clients have caused more lines than the
+// reader of its log takes.
+func TestUnrulyEntryWithUnreadLog(t *testing.T) {
+	const (
+		size = 16
+		each = 200
+	)
+	s := newUnrulySite(t).begin()
+	unread := make(chan struct{})
+	s.procs["entry-1"].unread.Store(&unread)
+	defer close(unread)
+	request := ingresstest.Head("GET", "/v1/services/booking/"+strings.Repeat("x", 2048), "entry", "Authorization: Bearer "+customerKey) + "\r\n"
+	crowd := ingresstest.Gather(t, s.procs["entry-1"].listen, size, func(conn net.Conn) {
+		go io.Copy(io.Discard, conn)
+		for range each {
+			if _, err := io.WriteString(conn, request); err != nil {
+				return
+			}
+		}
+	})
+	s.check(crowd.Disperse)
+}
+
 // TestUnrulyEntryStreams guards against the memory of requests that share HTTP/2 connections and never end.
 func TestUnrulyEntryStreams(t *testing.T) {
 	const (
