--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -113,6 +113,8 @@
 				s.streamSite(3, "-token-time", "30ms", "-prefill-rate", rate)
 				result = make(chan answer, 1)
 				first := make(chan struct{})
+				// A try that came too late may still run when the variables are those of the next.
+				s, result := s, result
 				go func() {
 					result <- s.follow(http.MethodPost, s.url("entry-1", "/v1/completions"), customerKey, nil, completionBody(prompt, tokens), func() { close(first) })
 				}()
