gateway: events wait for buffers, so that callers that do not read can't fill the memory

Callers that do not read streams of large events took a gateway beyond the memory of its machine.

Cause: an event of up to 256 KB was read into a growing slice before it was charged, and was passed on without being charged if there was no memory. As many were held as there were connections, and each left twice its size to the collector.

An event beyond 16 KB now takes one of a fixed number of buffers (5% of the memory) until its caller has read it; others wait, and with them their endpoints. A caller that has not read for a second while others wait is cut. Buffers are reused, so that the collector has nothing to keep up with. They are apart from the quota of requests: there, streams could wait for each other.

--- a/internal/command/limits.go
+++ b/internal/command/limits.go
@@ -15,6 +15,9 @@
 	callersPart = 0.2
 	connsPart   = 0.2
 	connBytes   = 24 << 10
+	// buffersPart is the part of the memory for large parts of answers that are being passed on, minBuffers of them at least.
+	buffersPart = 0.05
+	minBuffers  = 4
 	// largestPart is the part of the memory that one request may take.
 	largestPart = 0.5
 	// callersSockets is the part of the process's sockets that callers' connections may take, as each request takes another one,
@@ -66,6 +69,7 @@
 	}
 	memory := float64(l.MemoryBytes)
 	q := memquota.New(int64(callersPart*memory), int64(largestPart*memory))
+	q.AllowBuffers(max(minBuffers, int(buffersPart*memory)/memquota.BufferSize))
 	q.Require(largest)
 	return q
 }
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -49,9 +49,6 @@
 // errEmptyStream is returned when the connection ends a stream that is not delimited otherwise before its first event.
 const errEmptyStream = errors.ConstError("stream ended before its first event")
 
-// maxEventBytes bounds the size of one event of a stream: what a gateway keeps of each of its streams.
-const maxEventBytes = 256 << 10
-
 // streamAttempt makes an attempt whose answer is a stream. Each event is forwarded as soon as it is
 // complete, and only once. An attempt after a broken one resumes after the last event forwarded.
 func (x *exchange) streamAttempt(ctx context.Context, c routing.Choice, a Attempt) outcome {
@@ -191,13 +188,17 @@
 
 // relayEvents forwards events until the stream ends.
 func (x *exchange) relayEvents(ctx context.Context, c routing.Choice, resp *upstream.Response) outcome {
-	reader := bufio.NewReader(resp)
+	reader := &eventReader{ctx: ctx, r: bufio.NewReaderSize(resp, eventReadSize)}
+	defer reader.release()
 	controller := http.NewResponseController(x.w)
 	for {
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		if err == io.EOF {
 			return x.finishStream(ctx, c, resp)
 		}
+		if ingress.IsRefused(err) {
+			return outcome{kind: callerLeft, err: err}
+		}
 		if err != nil {
 			return x.classifyError(ctx, err)
 		}
@@ -225,12 +226,8 @@
 	}
 }
 
-// writeEvent writes an event to the caller. A large one is charged to the request meanwhile, so that callers that do not read are
-// disconnected when memory runs out; if there is none all the same, the event is written without.
+// writeEvent writes an event to the caller.
 func (x *exchange) writeEvent(controller *http.ResponseController, event []byte) error {
-	if len(event) > freeBufferedBytes && ingress.Hold(x.r.Context(), len(event)) == nil {
-		defer ingress.Release(x.r.Context(), len(event))
-	}
 	if _, err := x.w.Write(event); err != nil {
 		return err
 	}
@@ -311,32 +308,3 @@
 	}
 	return "", false
 }
-
-// readEvent reads one event up to and including the blank line that ends it. It returns io.EOF only if
-// the stream ends between events.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for len(event) <= maxEventBytes {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == bufio.ErrBufferFull:
-			continue
-		case err == io.EOF && len(event) > 0:
-			return nil, errTruncatedEvent
-		case err != nil:
-			return nil, err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && isWholeLine(event, line) {
-			return event, nil
-		}
-	}
-	return nil, errors.New("event is too large")
-}
-
-// isWholeLine reports whether line, the end of event, is a complete line and not the rest of one that
-// did not fit into the buffer.
-func isWholeLine(event, line []byte) bool {
-	before := event[:len(event)-len(line)]
-	return len(before) == 0 || before[len(before)-1] == '\n'
-}
--- a/internal/transport/ingress/body.go
+++ b/internal/transport/ingress/body.go
@@ -197,3 +197,24 @@
 		q.account.Shrink(int64(n))
 	}
 }
+
+// TakeBuffer returns a buffer of memquota.BufferSize for a part of an answer, for the time until it has been passed on. It may wait
+// until one is free or ctx, which belongs to the request, ends.
+func TakeBuffer(ctx context.Context) ([]byte, error) {
+	q, ok := ctx.Value(requestKey{}).(*request)
+	if !ok {
+		return make([]byte, memquota.BufferSize), nil
+	}
+	if buf := q.account.TryTakeBuffer(); buf != nil {
+		return buf, nil
+	}
+	q.conn.server.report.waitedForBuffer(q.conn, q.requestID())
+	return q.account.TakeBuffer(ctx)
+}
+
+// ReturnBuffer ends the use of a buffer.
+func ReturnBuffer(ctx context.Context, buf []byte) {
+	if q, ok := ctx.Value(requestKey{}).(*request); ok {
+		q.account.ReturnBuffer(buf)
+	}
+}
--- a/internal/transport/ingress/report.go
+++ b/internal/transport/ingress/report.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// waitedForBuffer reports a request whose answer waits until a part of another one has been passed on.
+func (p *reporter) waitedForBuffer(c *conn, requestID string) {
+	p.count("answers_waited_for_memory")
+	if p.lines.Allow() {
+		p.log.Warn("answer waits for memory", zap.String("request_id", requestID), zap.Stringer("caller", c.RemoteAddr()))
+	}
+}
+
 // evicted reports a connection that is closed so that another can be accepted.
 func (p *reporter) evicted(c *conn, idle time.Duration, conns int) {
 	p.count("conns_evicted")
--- a/internal/transport/memquota/quota.go
+++ b/internal/transport/memquota/quota.go
@@ -44,6 +44,8 @@
 	groups    map[string]*group
 	// freed is closed when memory is freed.
 	freed chan struct{}
+	// buffers is nil if there is no limit of them.
+	buffers *buffers
 }
 
 // total is a number of bytes, and how many of them are beyond the smallRequest of their accounts.
@@ -211,8 +213,13 @@
 	if a.revoked {
 		return false
 	}
+	return !a.sealed || a.isBlocked(now)
+}
+
+// isBlocked reports whether the request's caller has not read for some time.
+func (a *Account) isBlocked(now int64) bool {
 	blocked := a.blockedSince.Load()
-	return !a.sealed || blocked > 0 && now-blocked > int64(blockedGrace)
+	return blocked > 0 && now-blocked > int64(blockedGrace)
 }
 
 func (a *Account) markRevoked() {
