gateway: an event needs a large buffer beyond 8 KB, and is read 2 KB at a time

Waiting streams held 16 KB of an event and 4 KB ahead of it each: with 700 of them a heap of 37 MB by profile, which is all that the collector's limit leaves on a machine of 88 MB. TestUnrulyReadersOnAllConnections/streams: 75 to 77 MB before, 65 to 70 now.

--- a/internal/coordination/gateway/eventreader.go
+++ b/internal/coordination/gateway/eventreader.go
@@ -14,11 +14,12 @@
 const (
 	// maxEventBytes bounds the size of one event of a stream.
 	maxEventBytes = 256 << 10
-	// eventReadSize is how much of an event is read at once, in bytes.
-	eventReadSize = 4 << 10
+	// eventReadSize is how much of an event is read at once, and freeEventBytes what is read of it without a large buffer, in bytes.
+	eventReadSize  = 2 << 10
+	freeEventBytes = 8 << 10
 )
 
-// eventReader reads the events of a stream one by one. What is beyond freeBufferedBytes of an event is in one of the process's few
+// eventReader reads the events of a stream one by one. An event beyond freeEventBytes is in one of the process's few
 // large buffers, so that callers that do not read cannot make it hold many large events.
 type eventReader struct {
 	// ctx is the context of the attempt.
@@ -55,7 +56,7 @@
 
 // append adds bytes to the event. It may wait for a large buffer.
 func (e *eventReader) append(b []byte) error {
-	if size := len(e.event) + len(b); !e.isLarge && size > freeBufferedBytes {
+	if size := len(e.event) + len(b); !e.isLarge && size > freeEventBytes {
 		buf, err := ingress.TakeBuffer(e.ctx)
 		if err != nil {
 			return err
--- a/internal/coordination/gateway/eventreader_test.go
+++ b/internal/coordination/gateway/eventreader_test.go
@@ -19,7 +19,7 @@
 // TestEventsOfAnySizeAreReadWhole guards against events that change when they pass from a small buffer to a large one.
 func TestEventsOfAnySizeAreReadWhole(t *testing.T) {
 	var want []string
-	for n, size := range []int{0, 1, eventReadSize, freeBufferedBytes - 12, freeBufferedBytes, maxEventBytes - 64, 3, freeBufferedBytes + 1, 5} {
+	for n, size := range []int{0, 1, eventReadSize, freeEventBytes - 12, freeEventBytes, maxEventBytes - 64, 3, freeEventBytes + 1, 5} {
 		want = append(want, fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat(string(rune('a'+n)), size)))
 	}
 	events := newEventReader(t, strings.Join(want, ""))
