gateway: a long answer to a caller that does not read holds 16 KB, not 48, and one that is buffered what it is charged

io.Copy took 32 KB beside the part that was read before, for as long as the caller did not read: 700 callers held 22 MB that nothing counted. The rest now goes through the first part's buffer. An answer that is buffered was read into a slice that grew, up to twice the 256 KB that it was charged; it is read into one of that size.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -225,20 +225,26 @@
 
 // bufferAnswer reads an answer until its end, up to maxBufferedBytes, or as long as there is memory for it.
 func (x *exchange) bufferAnswer(resp *upstream.Response) (body []byte, isWhole bool, err error) {
-	limit := freeBufferedBytes
-	for {
-		more, err := io.ReadAll(io.LimitReader(resp, int64(limit-len(body))))
-		body = append(body, more...)
-		switch {
-		case err != nil:
+	body, err = io.ReadAll(io.LimitReader(resp, freeBufferedBytes))
+	if err != nil || len(body) < freeBufferedBytes {
+		return body, true, err
+	}
+	if ingress.Hold(x.r.Context(), maxBufferedBytes) != nil {
+		return body, false, nil
+	}
+	body = append(make([]byte, 0, maxBufferedBytes), body...)
+	for len(body) < maxBufferedBytes {
+		n, err := resp.Read(body[len(body):maxBufferedBytes])
+		body = body[:len(body)+n]
+		switch err {
+		case nil:
+		case io.EOF:
+			return body, len(body) < maxBufferedBytes, nil
+		default:
 			return nil, false, err
-		case len(body) < limit:
-			return body, true, nil
-		case limit == maxBufferedBytes || ingress.Hold(x.r.Context(), maxBufferedBytes) != nil:
-			return body, false, nil
 		}
-		limit = maxBufferedBytes
 	}
+	return body, false, nil
 }
 
 // forwardLongAnswer forwards an answer that is too long to be buffered while it arrives. a holds the
@@ -250,7 +256,8 @@
 		return outcome{kind: callerLeft, err: err}
 	}
 	caller := &callerWriter{Writer: x.w}
-	_, err := io.Copy(caller, rest)
+	// The rest goes through a part of the same buffer: a caller that does not read holds no other.
+	_, err := io.CopyBuffer(caller, rest, a.body[:freeBufferedBytes])
 	switch {
 	case caller.err != nil:
 		return outcome{kind: callerLeft, err: caller.err}
