--- a/internal/e2e/unruly_test.go
+++ b/internal/e2e/unruly_test.go
@@ -189,6 +189,17 @@
 	}
 }
 
+// TestUnrulyEntryReaders guards against answers that pile up in an entry or an agent because their clients do not read them.
+func TestUnrulyEntryReaders(t *testing.T) {
+	const size = 300
+	// The stand-in quotes a body in its answer: each of its bytes becomes four.
+	body := strings.Repeat("\x01", unrulyBody/4)
+	s := newUnrulySite(t).begin()
+	crowd := ingresstest.Gather(t, s.procs["entry-1"].listen, size,
+		ingresstest.Unread(unrulyHead("/v1/services/booking/7", fmt.Sprint("Content-Length: ", len(body)))+"\r\n"+body))
+	s.check(crowd.Disperse)
+}
+
 // TestUnrulyEntryWithUnreadLog guards against an entry that answers nobody any more once clients have caused more lines than the
 // reader of its log takes.
 func TestUnrulyEntryWithUnreadLog(t *testing.T) {
