--- a/internal/e2e/unruly_test.go
+++ b/internal/e2e/unruly_test.go
@@ -200,6 +200,44 @@
 	s.check(crowd.Disperse)
 }
 
+// TestUnrulyCallersOfManyEntries guards against an agent that holds what all entries may hold together.
+func TestUnrulyCallersOfManyEntries(t *testing.T) {
+	const (
+		entries = 6
+		size    = 20
+		maxBody = 4 << 20
+	)
+	for _, row := range []struct {
+		name, body, faults string
+	}{
+		{"calls that wait for their service", strings.Repeat("x", maxBody), `{"frozen":true}`},
+		// The stand-in quotes a body in its answer: each of its bytes becomes four.
+		{"answers that are not read", strings.Repeat("\x01", maxBody/4), `{}`},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := newUnrulySite(t)
+			// The other entries have more memory than the agent.
+			s.env = []string{"LIMPETWALL_MEMORY_MB=1024", s.env[1], fmt.Sprint("LIMPETWALL_MAX_BODY=", maxBody)}
+			for n := 2; n <= entries; n++ {
+				s.entry(fmt.Sprint("entry-", n), "domain-a")
+			}
+			s.begin()
+			s.fault("service", row.faults)
+			request := unrulyHead("/v1/services/booking/7", fmt.Sprint("Content-Length: ", len(row.body))) + "\r\n" + row.body
+			var crowds []*ingresstest.Crowd
+			for n := 2; n <= entries; n++ {
+				crowds = append(crowds, ingresstest.Gather(t, s.procs[fmt.Sprint("entry-", n)].listen, size, ingresstest.Unread(request)))
+			}
+			s.fault("service", `{}`)
+			s.check(func() {
+				for _, crowd := range crowds {
+					crowd.Disperse()
+				}
+			})
+		})
+	}
+}
+
 // TestUnrulyEntryWithUnreadLog guards against an entry that answers nobody any more once clients have caused more lines than the
 // reader of its log takes.
 func TestUnrulyEntryWithUnreadLog(t *testing.T) {
