ledger: large answers that nobody reads give way, and take what they hold

An agent kept the whole answer of a once-only call while somebody follows it, 64 MB each and any number of them: callers that do not read filled its memory, and ordinary once-only calls were refused (record_full) meanwhile. Each part of an answer also kept a buffer of 32 KB, whatever had come.

Beyond -max-kept-bytes, an eighth of the memory at most, the largest answer that is too large to be kept for retries gives way, unless it is the only one. Its caller learns that the request ran. Parts take what has come. TestLargeAnswersGiveWay failed before (the fourth request: record_full).

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -41,14 +41,16 @@
 	status := set.Duration("status-every", 200*time.Millisecond, 10*time.Millisecond, time.Minute, "period of the engine's status reads")
 	ticketTTL := set.Duration("ticket-ttl", 10*time.Minute, 2*time.Minute, 24*time.Hour, "time an unused ticket stays valid")
 	keepFor := set.Duration("keep-answers", time.Hour, time.Minute, 48*time.Hour, "time that answers of requests that may not be repeated are kept")
-	maxKept := set.Int("max-kept-bytes", 96<<20, 1<<20, 1<<31, "bytes of such answers kept; beyond it new ones are refused")
+	maxKept := set.Int("max-kept-bytes", 96<<20, 1<<20, 1<<31, "bytes of such answers kept, an eighth of the memory at most; beyond it new ones are refused")
 	set.Check(func(l *finding.List) {
 		if (s.Engine == "") == (s.Plain == "") {
 			l.Add("-engine", "and -plain: exactly one must be given")
 		}
 		s.readLabels(l, *labels)
 		s.Agent.StatusEvery = *status
-		s.Agent.Ledger.TicketTTL, s.Agent.Ledger.Retention, s.Agent.Ledger.MaxBytes = *ticketTTL, *keepFor, int64(*maxKept)
+		s.Agent.Ledger.TicketTTL, s.Agent.Ledger.Retention = *ticketTTL, *keepFor
+		s.Agent.Ledger.MaxBytes = s.Limits.part(keptPart, int64(*maxKept))
+		s.Agent.MaxPlainAnswer = s.Limits.part(answerPart, s.Agent.MaxPlainAnswer)
 	})
 	return s
 }
--- a/internal/command/limits.go
+++ b/internal/command/limits.go
@@ -20,6 +20,9 @@
 	minBuffers  = 4
 	// largestPart is the part of the memory that one request may take.
 	largestPart = 0.5
+	// keptPart is the part of an agent's memory for answers that it keeps, answerPart that for a single one.
+	keptPart   = 0.125
+	answerPart = 0.25
 	// callersSockets is the part of the process's sockets that callers' connections may take, as each request takes another one,
 	// and peersSockets that for connections from the system's own processes.
 	callersSockets = 0.5
@@ -74,6 +77,14 @@
 	return q
 }
 
+// part returns a part of the memory in bytes, most at most.
+func (l Limits) part(part float64, most int64) int64 {
+	if l.MemoryBytes <= 0 {
+		return most
+	}
+	return min(most, int64(part*float64(l.MemoryBytes)))
+}
+
 // checkLargest adds a finding if one request could take too much of the memory.
 func (l Limits) checkLargest(found *finding.List, place string, largest int64) {
 	if need := int64(float64(memquota.LimitFor(largest)) / largestPart); l.MemoryBytes > 0 && l.MemoryBytes < need {
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -201,10 +202,10 @@
 		if len(events) > 0 {
 			continue
 		}
+		if cut {
+			return send(refusedEvent(refuse(CodeAnswerNotKept, wire.Ran_RAN_YES, 0, "the request ran; its answer was too large to keep")))
+		}
 		if done {
-			if cut {
-				return send(refusedEvent(refuse(CodeAnswerNotKept, wire.Ran_RAN_YES, 0, "the request ran; its answer was too large to keep")))
-			}
 			return nil
 		}
 		select {
@@ -421,16 +422,16 @@
 // copyBody passes the body of an answer to a call on, which was begun at a time.
 func (a *Agent) copyBody(answer plainservice.Answer, begun time.Time, send emit) {
 	total := int64(0)
+	buf := make([]byte, bodyChunk)
 	for {
-		// A fresh buffer each time: the record keeps the event.
-		buf := make([]byte, bodyChunk)
 		n, err := answer.Body.Read(buf)
 		total += int64(n)
 		if total > a.cfg.MaxPlainAnswer {
 			send(refusedEvent(refuse(CodeBroken, wire.Ran_RAN_YES, 0, "the service's answer is too large")))
 			return
 		}
-		if n > 0 && send(&wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: buf[:n]}}) != nil {
+		// A copy of its size: the record keeps the event.
+		if n > 0 && send(&wire.RunEvent{Event: &wire.RunEvent_PlainBody{PlainBody: bytes.Clone(buf[:n])}}) != nil {
 			return
 		}
 		if err == io.EOF && answer.EndsWithConnection && a.crashOf(begun) != 0 {
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -42,6 +42,7 @@
 	// MaxBytes limits the memory for all answers: a run whose reservation would
 	// exceed it isn't started. MaxAnswerBytes is the reservation of each run. A
 	// larger answer uses more while it has followers, and isn't retained for replay.
+	// If such answers exceed MaxBytes, the largest is discarded, unless it is the only one.
 	MaxBytes       int64
 	MaxAnswerBytes int64
 }
@@ -71,11 +72,13 @@
 	batches      []batch
 	records      map[uint64]*Record
 	usedBytes    int64
+	// large are the records whose answers exceed MaxAnswerBytes.
+	large map[*Record]struct{}
 }
 
 // New returns an empty ledger.
 func New(cfg Config, incarnation uint64) *Ledger {
-	return &Ledger{cfg: cfg, incarnation: incarnation, nextSequence: 1, records: map[uint64]*Record{}}
+	return &Ledger{cfg: cfg, incarnation: incarnation, nextSequence: 1, records: map[uint64]*Record{}, large: map[*Record]struct{}{}}
 }
 
 // Incarnation returns the incarnation of the agent process that holds the records.
@@ -117,6 +120,7 @@
 			if r, ok := l.records[seq]; ok && r.done {
 				l.usedBytes -= r.reservedBytes
 				delete(l.records, seq)
+				delete(l.large, r)
 			}
 		}
 		l.batches = l.batches[1:]
@@ -156,7 +160,7 @@
 		return nil, false, ErrUnknownTicket
 	case now.Sub(b.issuedAt) > l.cfg.TicketTTL:
 		return nil, false, ErrExpired
-	case l.usedBytes+l.cfg.MaxAnswerBytes > l.cfg.MaxBytes:
+	case !l.makeRoom(l.cfg.MaxAnswerBytes):
 		// Refusing the new run is the only safe choice: if an older record were
 		// removed instead, the next retry of its request would run it again.
 		return nil, false, ErrFull
@@ -170,6 +174,25 @@
 	return r, true, nil
 }
 
+// makeRoom discards answers larger than MaxAnswerBytes, but not the last of them, until size bytes more fit. It reports whether they
+// do.
+func (l *Ledger) makeRoom(size int64) bool {
+	for l.usedBytes+size > l.cfg.MaxBytes {
+		if len(l.large) < 2 {
+			return false
+		}
+		var largest *Record
+		for r := range l.large {
+			if largest == nil || r.answerBytes > largest.answerBytes {
+				largest = r
+			}
+		}
+		largest.discard()
+		largest.notify()
+	}
+	return true
+}
+
 // UsedBytes returns the number of bytes reserved for or used by answers.
 func (l *Ledger) UsedBytes() int64 {
 	l.mu.Lock()
@@ -204,9 +227,13 @@
 	}
 	r.events = append(r.events, event)
 	r.answerBytes += int64(size)
+	if r.answerBytes > r.ledger.cfg.MaxAnswerBytes {
+		r.ledger.large[r] = struct{}{}
+	}
 	if extra := r.answerBytes - r.reservedBytes; extra > 0 {
 		r.reservedBytes += extra
 		r.ledger.usedBytes += extra
+		r.ledger.makeRoom(0)
 	}
 	r.discardIfTooLarge()
 	r.notify()
@@ -219,13 +246,18 @@
 	if r.followers > 0 || r.answerBytes <= r.ledger.cfg.MaxAnswerBytes {
 		return
 	}
+	r.discard()
+}
+
+func (r *Record) discard() {
+	delete(r.ledger.large, r)
 	r.events, r.answerBytes, r.discarded = nil, 0, true
 	r.ledger.usedBytes -= r.reservedBytes
 	r.reservedBytes = 0
 }
 
 // Follow registers a follower of the record. While a record has followers, its
-// answer isn't discarded. Each follower must call Unfollow at the end.
+// answer is discarded only if the memory is needed. Each follower must call Unfollow at the end.
 func (r *Record) Follow() {
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
@@ -262,6 +294,7 @@
 	r.reservedBytes = 0
 	r.done = true
 	delete(r.ledger.records, r.sequence)
+	delete(r.ledger.large, r)
 	r.notify()
 }
 
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -125,6 +125,51 @@
 	}
 }
 
+// TestLargeAnswersGiveWay guards against answers that nobody reads taking all memory, and against a request being refused for them.
+func TestLargeAnswersGiveWay(t *testing.T) {
+	l := ledger.New(smallConfig(), 7)
+	first, _ := l.Issue(8, startTime)
+	var records []*ledger.Record
+	for n := range uint64(3) {
+		r, _, err := begin(l, first+n, "c", "d", startTime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Follow()
+		records = append(records, r)
+	}
+	for n, size := range []int{18, 11, 10} {
+		records[n].Append("part", size)
+	}
+	if _, _, err := begin(l, first+3, "c", "d", startTime); err != nil {
+		t.Errorf("a request beside two large answers: %v", err)
+	}
+	for n, want := range []bool{true, false, false} {
+		if _, _, discarded, _ := records[n].EventsFrom(0); discarded != want {
+			t.Errorf("answer %d: discarded %v, want %v", n, discarded, want)
+		}
+	}
+	// The only large answer is not cut.
+	records[1].Append("part", 50)
+	if _, _, discarded, _ := records[1].EventsFrom(0); discarded {
+		t.Error("the only large answer was discarded")
+	}
+	if _, _, err := begin(l, first+4, "c", "d", startTime); !errors.Is(err, ledger.ErrFull) {
+		t.Errorf("got error %v, want ErrFull", err)
+	}
+	// Two large answers beyond the limit: the larger one is cut, whichever grows.
+	records[2].Append("part", 1)
+	if _, _, discarded, _ := records[1].EventsFrom(0); !discarded {
+		t.Error("the larger of two large answers was kept")
+	}
+	records[0].Finish()
+	records[1].Abandon()
+	records[2].Finish()
+	if used := l.UsedBytes(); used != 10+11 {
+		t.Errorf("got %d bytes used, want those of the request that runs and of the answer that is read", used)
+	}
+}
+
 // TestAtMostOnce guards against a request running twice, and against a refusal
 // that says "not run" for a request that has run. It drives random
 // interleavings of retries, crashes, lost answers and time, and counts the
