agent: requests are received only once there is memory for them

Callers of several entries together took an agent beyond its memory: each entry bounds what its own callers leave there, the agent gets the sum, 32 MB a message and any number of them.

An entry names the size of a request in the call's metadata. The agent charges it to a quota, twice, before it receives the message, or refuses the call with a trailer that says so; the entry takes that for not run, which is true: the handler has not begun. A request whose size was not named, or was wrong, is charged once it is there, and refused before its handler. A once-only run keeps its charge beyond its call.

--- a/internal/command/base.go
+++ b/internal/command/base.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"limpetwall/internal/coordination/configlog"
+	"limpetwall/internal/coordination/entry"
 	"limpetwall/internal/coordination/gossip"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/config"
@@ -199,8 +200,9 @@
 	api.Log, hosts.Log = logger, logger
 	p := &base{
 		settings: b, zap: logger, metrics: metrics.NewRegistry(), store: config.NewStore(),
-		api: api, pool: rpc.NewPool(clientTLS), server: rpc.NewServer(serverTLS),
+		api: api, pool: rpc.NewPool(clientTLS),
 	}
+	p.server = rpc.NewServer(serverTLS, rpc.LimitRequests(b.Limits.Quota(rpc.RequestFactor*entry.DefaultConfig().MaxBody), logger, p.metrics))
 	p.listener = rpc.Limit(rpc.Linger(listener, lingerQuiet), b.Limits.PeerConns(), logger, p.metrics)
 	p.log = configlog.New(p.api)
 	now := time.Now()
--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -18,6 +18,7 @@
 	"limpetwall/internal/state/ledger"
 	"limpetwall/internal/transport/engine"
 	"limpetwall/internal/transport/plainservice"
+	"limpetwall/internal/transport/rpc"
 )
 
 // Codes of refusals by an agent.
@@ -140,8 +141,10 @@
 		defer record.Unfollow()
 		// The run outlives its entry: if it were cancelled with the stream, a
 		// booking could stop half-way and the retry would find nothing to replay.
+		release := rpc.HoldRequest(ctx)
 		go func() {
 			defer a.inflight.end()
+			defer release()
 			runCtx, cancel := a.runContext(context.Background(), r)
 			defer cancel()
 			a.record(runCtx, r, record)
--- a/internal/coordination/runs/attempt.go
+++ b/internal/coordination/runs/attempt.go
@@ -8,10 +8,15 @@
 	"github.com/juju/errors"
 
 	"limpetwall/internal/coordination/routing"
+	"limpetwall/internal/protocol/apierror"
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/rpc"
 )
 
+// noMemoryPause is how long a caller should wait after an agent had no memory for its request.
+const noMemoryPause = time.Second
+
 // attempt is one attempt of a request, at one endpoint.
 type attempt struct {
 	runner   *Runner
@@ -41,13 +46,17 @@
 	if err != nil {
 		return notReachedOutcome(ctx, err)
 	}
-	stream, err := client.Run(ctx, a.newRunRequest(ctx))
+	request := a.newRunRequest(ctx)
+	stream, err := client.Run(rpc.DeclareRequest(ctx, request), request)
 	if err != nil {
 		return a.brokenOutcome(ctx, err)
 	}
 	for {
 		a.idle.begin(time.Now())
 		event, err := stream.Recv()
+		if err != nil && rpc.IsRefusedUnread(stream.Trailer()) {
+			return &outcome{sent: true, refused: true, ran: wire.Ran_RAN_NO, code: apierror.CodeNoMemory, message: err.Error(), retryAfter: noMemoryPause}
+		}
 		if err != nil {
 			return a.brokenOutcome(ctx, err)
 		}
--- a/internal/coordination/runs/runs_test.go
+++ b/internal/coordination/runs/runs_test.go
@@ -12,9 +12,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/grpc"
 
 	"limpetwall/internal/coordination/idempotency"
 	"limpetwall/internal/coordination/routing"
@@ -22,6 +24,7 @@
 	"limpetwall/internal/protocol/wire"
 	"limpetwall/internal/state/config"
 	"limpetwall/internal/state/fleet"
+	"limpetwall/internal/transport/memquota"
 	"limpetwall/internal/transport/rpc"
 )
 
@@ -105,7 +108,7 @@
 }
 
 // newRunner returns a runner with the given number of agents, which share one fake and its script.
-func newRunner(t *testing.T, agents int, script func(n int, r *wire.RunRequest) []*wire.RunEvent) (*Runner, *fakeAgent) {
+func newRunner(t *testing.T, agents int, script func(n int, r *wire.RunRequest) []*wire.RunEvent, options ...grpc.ServerOption) (*Runner, *fakeAgent) {
 	fake := &fakeAgent{script: script}
 	now := time.Now()
 	table := fleet.NewTable(fleet.DefaultConfig(), fleet.Member{ID: "entry", Role: fleet.RoleEntry}, now)
@@ -114,7 +117,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := rpc.NewServer(nil)
+		server := rpc.NewServer(nil, options...)
 		wire.RegisterAgentServer(server, fake)
 		go server.Serve(listener)
 		t.Cleanup(server.Stop)
@@ -274,6 +277,19 @@
 	return job
 }
 
+// TestAgentWithoutMemoryIsNotRun guards against a request that counts as run because an agent had no memory to receive it.
+func TestAgentWithoutMemoryIsNotRun(t *testing.T) {
+	limit := rpc.LimitRequests(memquota.New(1, 0), zap.NewNop(), metrics.NewRegistry())
+	r, agent := newRunner(t, 2, func(int, *wire.RunRequest) []*wire.RunEvent { return nil }, limit)
+	_, err := r.Run(t.Context(), promptJob(), &recordingSink{})
+	if err == nil || err.Status != http.StatusServiceUnavailable || err.Code != apierror.CodeNoMemory || err.Ran != apierror.RanNo {
+		t.Errorf("%+v, want 503 no_memory, not run", err)
+	}
+	if calls := agent.callCount(); calls != 0 {
+		t.Errorf("%d calls, want 0", calls)
+	}
+}
+
 // TestRanIsMergedAcrossAttempts guards against 503 with "ran: no" for a request that may have run.
 // The first endpoint's answer is lost, so it may have run the request. Only the attempt after it
 // provably did not run, because it was refused or did not reach its agent.
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -42,14 +42,14 @@
 )
 
 // NewServer returns a grpc server; a nil tlsConfig means plaintext.
-func NewServer(tlsConfig *tls.Config) *grpc.Server {
-	options := []grpc.ServerOption{
+func NewServer(tlsConfig *tls.Config, extra ...grpc.ServerOption) *grpc.Server {
+	options := append([]grpc.ServerOption{
 		grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
 		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connWindow),
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderList), grpc.MaxConcurrentStreams(maxCalls),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
-	}
+	}, extra...)
 	if tlsConfig != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(tlsConfig)))
 	}
