softwarerecord: a version that came back counts as recorded once the record has been written since

Streams of unknown origin could go on at another version: a removal from the record, sent and not answered, was carried out by the store seconds later, after its version had come back. The processes had read the record in between, found the version there, and begun streams at it.

A removal also is written only onto the record that was known before the list that it relies on.

--- a/internal/coordination/softwarerecord/recorder.go
+++ b/internal/coordination/softwarerecord/recorder.go
@@ -68,6 +68,9 @@
 	isRead bool
 	// heldSince holds since when each version is known to be in the record.
 	heldSince map[streamorigin.Origin]time.Time
+	// returned holds the versions that came back while the record held them, and the object's version that was read then. A
+	// removal decided before may still be carried out, until the object has a later version.
+	returned map[streamorigin.Origin]int64
 }
 
 // StreamTargets is where the routes of a configuration lead resumable streams.
@@ -161,7 +164,8 @@
 			return nil
 		}
 		// A version that came back was in the record all the time, so that the record does not show it: it is removed only right
-		// after an answer that shows what came back.
+		// after an answer that shows what came back, and only from the record as it was before that answer.
+		version := r.version
 		if r.mayRemove && !r.waitUntilFollowed(ctx) {
 			return nil
 		}
@@ -170,6 +174,9 @@
 				return err
 			}
 		}
+		if r.mayRemove && r.version != version {
+			return nil
+		}
 	}
 	if !r.needsWrite(time.Now()) {
 		return nil
@@ -227,6 +234,7 @@
 		}
 		r.listEra = era
 	}
+	r.noteReturned(stored, o.Version)
 	r.Origins.MergeVersions(r.added(stored), now)
 	r.Origins.ConfirmVersions(stored.origins(), generation, isComplete, now)
 	r.setStored(stored, o.Version, isComplete, now)
@@ -238,6 +246,26 @@
 	return nil
 }
 
+// noteReturned notes the versions that came back since the record was last read.
+func (r *Recorder) noteReturned(stored record, version int64) {
+	for _, o := range stored.origins() {
+		if !r.isForgotten(o) {
+			continue
+		}
+		if r.returned == nil {
+			r.returned = map[streamorigin.Origin]int64{}
+		}
+		if _, ok := r.returned[o]; !ok {
+			r.returned[o] = version
+		}
+	}
+}
+
+// isForgotten reports whether a version was in the record when it was last read, and was not listed for a while since.
+func (r *Recorder) isForgotten(o streamorigin.Origin) bool {
+	return !r.heldSince[o].IsZero() && !r.Origins.IsRecorded(o)
+}
+
 // added returns the versions of a record that the one known so far lacks.
 func (r *Recorder) added(stored record) []streamorigin.VersionAge {
 	var out []streamorigin.VersionAge
@@ -258,8 +286,13 @@
 		}
 	}
 	r.stored, r.version, r.heldSince = stored, version, held
+	for o, readAt := range r.returned {
+		if held[o].IsZero() || version > readAt {
+			delete(r.returned, o)
+		}
+	}
 	r.Origins.SetSettledTargets(stored.StreamTargets)
-	recorded := stored.origins()
+	recorded := slices.DeleteFunc(stored.origins(), func(o streamorigin.Origin) bool { return r.returned[o] != 0 })
 	if !isComplete {
 		// An older copy that lacks a version misleads nobody while it is not whole, and streams still begin at the version.
 		for _, v := range r.Origins.Versions(now) {
@@ -274,7 +307,7 @@
 // needsRead reports whether the record must be read for what it holds.
 func (r *Recorder) needsRead(generation uint64) bool {
 	return !r.isRead || r.readIn != generation || r.configVersion() != r.readFor || slices.ContainsFunc(r.Origins.Versions(time.Now()), func(v streamorigin.VersionAge) bool {
-		return !r.heldSince[v.Origin].IsZero() && !r.Origins.IsRecorded(v.Origin)
+		return r.isForgotten(v.Origin) && r.returned[v.Origin] == 0
 	})
 }
 
@@ -349,7 +382,7 @@
 func (r *Recorder) needsWrite(now time.Time) bool {
 	target := r.target(now)
 	isSameEra := (target.CompleteIn == nil) == (r.stored.CompleteIn == nil) && (target.CompleteIn == nil || *target.CompleteIn == *r.stored.CompleteIn)
-	return r.version == 0 || !isSameEra || target.StreamTargets != r.stored.StreamTargets || target.ConfigVersion != r.stored.ConfigVersion || target.TargetsDiffer != r.stored.TargetsDiffer || !slices.Equal(target.Versions, r.stored.Versions)
+	return r.version == 0 || len(r.returned) > 0 || !isSameEra || target.StreamTargets != r.stored.StreamTargets || target.ConfigVersion != r.stored.ConfigVersion || target.TargetsDiffer != r.stored.TargetsDiffer || !slices.Equal(target.Versions, r.stored.Versions)
 }
 
 // write writes the record, unless another process has changed it meanwhile.
