--- a/internal/transport/memquota/buffers.go
+++ b/internal/transport/memquota/buffers.go
@@ -92,7 +92,7 @@
 	return make([]byte, BufferSize)
 }
 
-// ReturnBuffer ends the use of a buffer. It is called before the account is closed.
+// ReturnBuffer ends the use of a buffer, also after Close.
 func (a *Account) ReturnBuffer(buf []byte) {
 	if a == nil || a.quota.buffers == nil {
 		return
