agent: answers that nobody reads hold what the ledger counts

By its heap profile, 27 MB were 27 blocked sends: a part of 32 KB and its envelope take a buffer of 1 MB from grpc's pool, whose next smaller one has 32 KB. Of 24 MB of answers, 8 were discarded ones that blocked followers still held.

Parts are 31 KB, and a follower takes 16 events at a time.

--- a/internal/coordination/agent/run.go
+++ b/internal/coordination/agent/run.go
@@ -39,8 +39,9 @@
 	CodePushback         = "endpoint_asks_for_less"
 )
 
-// bodyChunk is the size of one event of a plain answer's body.
-const bodyChunk = 32 << 10
+// bodyChunk is the largest size of one event of a plain answer's body, in bytes. With its envelope it fits into a grpc buffer of 32 KB;
+// the next larger one takes 1 MB.
+const bodyChunk = 31 << 10
 
 // emit receives a run's events in order; an error stops the run.
 type emit func(*wire.RunEvent) error
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -9,6 +9,7 @@
 
 import (
 	"crypto/subtle"
+	"slices"
 	"sync"
 	"time"
 
@@ -304,11 +305,15 @@
 	r.changed = make(chan struct{})
 }
 
-// EventsFrom returns the events after the first n, whether the run has ended,
+// maxEvents bounds the events that a follower takes at once, and so keeps of an answer that is discarded meanwhile.
+const maxEvents = 16
+
+// EventsFrom returns events after the first n, whether the run has ended,
 // whether the answer has been discarded, and a channel that is closed at the
-// next change.
+// next change. If no event is left, it returns none.
 func (r *Record) EventsFrom(n int) (events []any, done, discarded bool, changed <-chan struct{}) {
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
-	return r.events[min(n, len(r.events)):], r.done, r.discarded, r.changed
+	next := r.events[min(n, len(r.events)):]
+	return slices.Clone(next[:min(len(next), maxEvents)]), r.done, r.discarded, r.changed
 }
