review: case 6, an answer cut by a crash passes as whole after a freeze

Promise: MIXED, an answer that ends early must not look complete. Order of events: a gateway freezes while a server answers it without a length; the server crashes and is back at its address; the gateway wakes, takes the accepted connection for a sign that the server has not crashed, and delivers the part that came as a whole answer.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,7 +15,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER, in the repository's root")
 		os.Exit(exitCannotRun)
 	}
-	cases := map[string]func(folder string, trouble bool) int{"takeover": runTakeover, "unframed": runUnframed}
+	cases := map[string]func(folder string, trouble bool) int{"takeover": runTakeover, "unframed": runUnframed, "thaw": runThaw}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -164,15 +164,7 @@
 	u := &unframed{rec: newRecord(folder + "/record.txt")}
 	s := newStore()
 	const service = "kafi81c"
-	s.put("config", "main", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": "pule25.example", "path_prefix": "/wuhu344/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300, "priority": 2,
-			"service": service, "max_attempts": 2, "public": true,
-		}},
-		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	putAppConfig(s, service)
 	zones := []string{"quebec-a", "quebec-b", "quebec-c"}
 	number := 0
 	newServer := func(zone string) *appServer {
@@ -228,6 +220,24 @@
 	time.Sleep(2 * time.Second)
 	close(stop)
 	clients.Wait()
+	return u.verdict()
+}
+
+// putAppConfig writes a configuration with one idempotent route to the application.
+func putAppConfig(s *store, service string) {
+	s.put("config", "main", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r-1", "host": "pule25.example", "path_prefix": "/wuhu344/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300, "priority": 2,
+			"service": service, "max_attempts": 2, "public": true,
+		}},
+		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// verdict returns the exit code of the case.
+func (u *unframed) verdict() int {
 	u.rec.printf("requests: %d, answered with 200: %d of which cut: %d, failed: %d", u.sent, u.whole, u.truncated, u.failed)
 	switch {
 	case u.whole == 0:
