review: case 4, a stream without a length ends as complete when its draining server exits

Promise: ORDER, a stream doesn't end as complete before its last piece. Order of events, planned work only: a model server reports that it is draining while it streams without a length; it exits 0.5 s after drain_ms; the gateway takes the end of the connection for the end of the stream, as the server leaves, and frames it as whole.

--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -76,9 +76,14 @@
 }
 
 func startAppServer(id, address, zone string) *appServer {
+	return startServerProcess("server", id, address, zone)
+}
+
+// startServerProcess starts a server in a process of its own, and waits until it listens.
+func startServerProcess(kind, id, address, zone string) *appServer {
 	self, err := os.Executable()
 	must(err)
-	cmd := exec.Command(self, "server", id, address)
+	cmd := exec.Command(self, kind, id, address)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(cmd.Start())
 	startedMu.Lock()
